Serve one path from end to end: caller, entry, endpoint, operator, log

Drivers carry out the reducer's effects in pond pools and report back by events. Stand-ins keep the same shape: reducer, loop, effects as data.

--- /dev/null
+++ b/entry/callers.go
@@ -0,0 +1,176 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/cespare/xxhash/v2"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// Headers of the callers' interface.
+const (
+	headerMember         = "Banyanrail-Member"
+	headerSize           = "Banyanrail-Size"
+	headerTimeLimit      = "Banyanrail-Time-Limit"
+	headerIdempotencyKey = "Idempotency-Key"
+	headerRan            = "Banyanrail-Ran"
+	headerRequest        = "Banyanrail-Request"
+	headerAttempts       = "Banyanrail-Attempts"
+	headerRetryAfter     = "Retry-After"
+)
+
+// maxBody bounds every request body, in bytes, whatever its service allows.
+const maxBody = 16 << 20
+
+// Callers returns the HTTP interface for callers.
+func (e *Entry) Callers() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/services/{service}/requests", e.handleRequest)
+	mux.HandleFunc("GET /healthz", e.handleLive)
+	mux.HandleFunc("GET /readyz", e.handleReady)
+	return mux
+}
+
+func (e *Entry) handleRequest(w http.ResponseWriter, r *http.Request) {
+	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := e.tracer.Start(ctx, "caller request", trace.WithSpanKind(trace.SpanKindServer),
+		trace.WithAttributes(attribute.String("service", r.PathValue("service"))))
+	defer span.End()
+	body, err := readBody(w, r)
+	if err != nil {
+		e.writeRefusal(w, refusedBody(err))
+		return
+	}
+	ev, err := arrival(r, body)
+	if err != nil {
+		e.writeProblem(w, malformed(err))
+		return
+	}
+	x := e.exchanges.open(ctx, r, body)
+	defer e.exchanges.close(x)
+	ev.ID = x.id
+	if e.loop.Offer(ev) != nil {
+		e.writeRefusal(w, effect.Refuse{
+			Request: x.id, Reason: fleet.ReasonOverloaded, Ran: fleet.RanNo, RetryAfter: time.Second,
+		})
+		return
+	}
+	e.await(w, r, x)
+}
+
+// await writes the reply when it comes. When the caller goes first, its
+// request is cancelled; the reply is still awaited, so that the exchange stays
+// until the reducer has let go of it.
+func (e *Entry) await(w http.ResponseWriter, r *http.Request, x *exchange) {
+	select {
+	case rep := <-x.reply:
+		e.writeReply(w, x, rep)
+		return
+	case <-r.Context().Done():
+	case <-e.loop.Done():
+		return
+	}
+	if e.loop.Post(event.RequestCancelled{ID: x.id}) != nil {
+		return
+	}
+	select {
+	case <-x.reply:
+	case <-e.loop.Done():
+	}
+}
+
+func (e *Entry) writeReply(w http.ResponseWriter, x *exchange, rep reply) {
+	if rep.response == nil {
+		e.writeRefusal(w, rep.refusal)
+		return
+	}
+	h := w.Header()
+	copyHeader(h, rep.response.Header)
+	h.Set(headerRan, fleet.RanYes.String())
+	h.Set(headerRequest, e.requestName(x.id))
+	h.Set(headerAttempts, strconv.Itoa(rep.attempts))
+	h.Set("Content-Length", strconv.Itoa(len(rep.response.Body)))
+	w.WriteHeader(rep.response.Status)
+	_, _ = w.Write(rep.response.Body) // the caller has gone if this fails
+}
+
+// requestName is the request's id for people and logs, unique over all entries.
+func (e *Entry) requestName(id fleet.RequestID) string {
+	return string(e.cfg.ID) + "-" + strconv.FormatUint(uint64(id), 10)
+}
+
+// copyHeader passes on the headers that describe the answer, and not those of
+// the connection to the endpoint.
+func copyHeader(to, from http.Header) {
+	for _, name := range []string{"Content-Type", "Content-Encoding", "Content-Language", "Etag", "Last-Modified", "Location"} {
+		if v, ok := from[name]; ok {
+			to[name] = v
+		}
+	}
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	limited := http.MaxBytesReader(w, r.Body, maxBody)
+	if r.ContentLength <= 0 || r.ContentLength > maxBody {
+		return io.ReadAll(limited)
+	}
+	body := make([]byte, r.ContentLength)
+	_, err := io.ReadFull(limited, body)
+	return body, err
+}
+
+func refusedBody(err error) effect.Refuse {
+	reason := fleet.ReasonCancelled
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		reason = fleet.ReasonBodyTooLarge
+	}
+	return effect.Refuse{Reason: reason, Ran: fleet.RanNo}
+}
+
+// arrival reads the request's headers.
+func arrival(r *http.Request, body []byte) (event.RequestArrived, error) {
+	ev := event.RequestArrived{
+		Service:  fleet.ServiceName(r.PathValue("service")),
+		Member:   fleet.MemberName(r.Header.Get(headerMember)),
+		Key:      fleet.Key(r.Header.Get(headerIdempotencyKey)),
+		BodyHash: xxhash.Sum64(body),
+		BodySize: int64(len(body)),
+	}
+	if v := r.Header.Get(headerSize); v != "" {
+		size, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || size < 0 {
+			return ev, errors.New(headerSize + " is not a whole number of at least 0")
+		}
+		ev.Size = size
+	}
+	if v := r.Header.Get(headerTimeLimit); v != "" {
+		limit, err := time.ParseDuration(v)
+		if err != nil || limit <= 0 {
+			return ev, errors.New(headerTimeLimit + " is not a positive duration such as 2.5s")
+		}
+		ev.TimeLimit = limit
+	}
+	return ev, nil
+}
+
+func (e *Entry) handleLive(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+}
+
+func (e *Entry) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if !e.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/entry/dispatch.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/banyanrail/banyanrail/endpoint"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// dispatch queues an attempt for the traffic pool.
+func (e *Entry) dispatch(o effect.Dispatch) {
+	err := e.traffic.Go(func() {
+		start := e.clock()
+		res := e.attempt(o)
+		_ = e.loop.Post(event.AttemptFinished{ // fails only after the end
+			Attempt:  o.Attempt,
+			Instance: o.Instance,
+			Outcome:  res.Outcome,
+			Status:   status(res),
+			Leaving:  res.Leaving,
+			Elapsed:  e.clock().Sub(start),
+		})
+	})
+	if err != nil { // the pool stops only after the loop
+		e.deps.Logger.Error("dispatch after the end", "entry", e.cfg.ID, "attempt", o.Attempt, "error", err)
+	}
+}
+
+// attempt sends the request once, unless its deadline has passed or its caller
+// has gone.
+func (e *Entry) attempt(o effect.Dispatch) endpoint.Result {
+	x, ok := e.exchanges.get(o.Attempt.Request)
+	if !ok || !e.clock().Before(o.Deadline) {
+		return endpoint.Result{Outcome: event.AttemptNotSent}
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, o.Deadline.Sub(e.clock()))
+	defer cancel()
+	ctx, span := e.tracer.Start(ctx, "endpoint attempt", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(
+			attribute.String("instance", string(o.Instance)),
+			attribute.Int("attempt", o.Attempt.Number),
+		))
+	defer span.End()
+	e.exchanges.begin(x, o.Attempt.Number, cancel)
+	res := e.client.Do(ctx, endpoint.Request{
+		Attempt:     fmt.Sprintf("%s-%s", e.cfg.ID, o.Attempt),
+		Service:     o.Service,
+		Address:     o.Address,
+		Member:      x.member,
+		Key:         x.key,
+		Fence:       o.Fence,
+		ContentType: x.contentType,
+		Body:        x.body,
+	})
+	e.exchanges.finish(x, o.Attempt.Number, res.Response)
+	if res.Err != nil {
+		span.SetStatus(codes.Error, res.Err.Error())
+	}
+	return res
+}
+
+func status(res endpoint.Result) int {
+	if res.Response == nil {
+		return 0
+	}
+	return res.Response.Status
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,172 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/banyanrail/banyanrail/endpoint"
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/loop"
+	"github.com/banyanrail/banyanrail/platform"
+	"github.com/banyanrail/banyanrail/reduce"
+	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+)
+
+// Defaults of Config.
+const (
+	DefaultMaxRequests = 10_000
+	DefaultTraffic     = 1024
+	// logWorkers is the number of goroutines that read and append.
+	logWorkers = 16
+)
+
+// Config holds the settings of an entry instance.
+type Config struct {
+	ID         fleet.EntryID
+	DataCentre fleet.DataCentre
+	// Seed feeds random choices; zero takes the start time.
+	Seed uint64
+	// MaxRequests bounds the requests held at once.
+	MaxRequests int
+	// Traffic is the number of endpoint calls at once.
+	Traffic int
+	// OperatorToken is the bearer token of operators; empty allows anyone who
+	// reaches the operators' listener.
+	OperatorToken string
+}
+
+// Deps are the outside systems that an entry uses.
+type Deps struct {
+	Log     platform.Log
+	Metrics tally.Scope
+	Logger  *slog.Logger
+	Traces  trace.TracerProvider
+}
+
+// Entry is one entry instance.
+type Entry struct {
+	cfg       Config
+	deps      Deps
+	loop      *loop.Loop[event.Body, effect.Effect]
+	clock     func() time.Time
+	exchanges *exchanges
+	replies   *loop.Calls[control.Result]
+	statuses  *loop.Calls[effect.Status]
+	client    *endpoint.Client
+	tracer    trace.Tracer
+	metrics   *metrics
+	traffic   pond.Pool
+	logPool   pond.Pool
+	reader    *reader
+	ready     atomic.Bool
+	stopped   chan struct{}
+	stopOnce  sync.Once
+	// background is cancelled when Run ends.
+	background context.Context
+	end        context.CancelFunc
+}
+
+// New returns an entry that serves nothing until Run.
+func New(cfg Config, deps Deps) *Entry {
+	cfg, deps = withDefaults(cfg, deps)
+	background, end := context.WithCancel(context.Background())
+	e := &Entry{
+		cfg:        cfg,
+		deps:       deps,
+		clock:      loop.MonotonicClock(),
+		exchanges:  newExchanges(),
+		replies:    loop.NewCalls[control.Result](),
+		statuses:   loop.NewCalls[effect.Status](),
+		client:     endpoint.NewClient(fleet.DefaultConnections),
+		tracer:     deps.Traces.Tracer("github.com/banyanrail/banyanrail/entry"),
+		metrics:    newMetrics(deps.Metrics),
+		traffic:    pond.NewPool(cfg.Traffic),
+		logPool:    pond.NewPool(logWorkers),
+		stopped:    make(chan struct{}),
+		background: background,
+		end:        end,
+	}
+	e.reader = newReader(e)
+	state := reduce.New(reduce.Config{
+		Entry:       cfg.ID,
+		DataCentre:  cfg.DataCentre,
+		Seed:        cfg.Seed,
+		MaxRequests: cfg.MaxRequests,
+	})
+	e.loop = loop.New(loop.Config[event.Body, effect.Effect]{
+		Reduce: func(now time.Time, body event.Body) []effect.Effect {
+			return reduce.Reduce(state, event.Event{Now: now, Body: body})
+		},
+		Act:   e.act,
+		Timer: timerOf,
+		Wake:  event.TimerFired{},
+		Clock: e.clock,
+	})
+	return e
+}
+
+func withDefaults(cfg Config, deps Deps) (Config, Deps) {
+	if cfg.MaxRequests == 0 {
+		cfg.MaxRequests = DefaultMaxRequests
+	}
+	if cfg.Traffic == 0 {
+		cfg.Traffic = DefaultTraffic
+	}
+	if cfg.Seed == 0 {
+		cfg.Seed = uint64(time.Now().UnixNano())
+	}
+	if deps.Metrics == nil {
+		deps.Metrics = tally.NoopScope
+	}
+	if deps.Logger == nil {
+		deps.Logger = slog.New(slog.DiscardHandler)
+	}
+	if deps.Traces == nil {
+		deps.Traces = noop.NewTracerProvider()
+	}
+	return cfg, deps
+}
+
+// Run serves until the context ends. It cuts off what is still in flight; call
+// Stop before for a graceful shutdown.
+func (e *Entry) Run(ctx context.Context) {
+	go e.loop.Run(e.background)
+	_ = e.loop.Post(event.Started{}) // fails only after the end
+	<-ctx.Done()
+	e.end()
+	<-e.loop.Done()
+	e.traffic.StopAndWait()
+	e.logPool.StopAndWait()
+	e.client.Close()
+}
+
+// Stop takes no new request, finishes those in flight and returns. It returns
+// early with the context's error.
+func (e *Entry) Stop(ctx context.Context) error {
+	if err := e.loop.Post(event.StopAsked{}); err != nil {
+		return err
+	}
+	select {
+	case <-e.stopped:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Ready reports whether the balancer may send requests here.
+func (e *Entry) Ready() bool { return e.ready.Load() }
+
+func timerOf(out effect.Effect) (time.Time, bool) {
+	t, ok := out.(effect.SetTimer)
+	return t.At, ok
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/uber-go/tally/v4"
+)
+
+var counterNames = map[effect.Counter]string{
+	effect.RequestsAnswered: "requests_answered",
+	effect.RequestsRefused:  "requests_refused",
+	effect.AttemptsRetried:  "attempts_retried",
+	effect.LateAnswers:      "late_answers",
+}
+
+// metrics keeps the tally counters by their labels. Only the control goroutine
+// uses it.
+type metrics struct {
+	scope    tally.Scope
+	counters map[counterKey]tally.Counter
+}
+
+type counterKey struct {
+	name    effect.Counter
+	service fleet.ServiceName
+	reason  fleet.Reason
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	return &metrics{scope: scope, counters: make(map[counterKey]tally.Counter)}
+}
+
+func (m *metrics) count(o effect.Count) {
+	key := counterKey{name: o.Name, service: o.Service, reason: o.Reason}
+	c, ok := m.counters[key]
+	if !ok {
+		c = m.scope.Tagged(key.tags()).Counter(counterNames[o.Name])
+		m.counters[key] = c
+	}
+	c.Inc(o.N)
+}
+
+func (k counterKey) tags() map[string]string {
+	tags := make(map[string]string, 2)
+	if k.service != "" {
+		tags["service"] = string(k.service)
+	}
+	if k.reason != fleet.ReasonNone {
+		tags["reason"] = k.reason.String()
+	}
+	return tags
+}
--- /dev/null
+++ b/entry/operators.go
@@ -0,0 +1,135 @@
+package entry
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/services"
+	"github.com/google/uuid"
+)
+
+const (
+	// maxText bounds a services text, in bytes.
+	maxText = 4 << 20
+	// commandTimeout is how long an operator waits for a record to be read back.
+	commandTimeout = 10 * time.Second
+)
+
+// OperatorResult is the body of the answer to an operator's command.
+type OperatorResult struct {
+	Record  fleet.RecordID `json:"record"`
+	Outcome string         `json:"outcome"`
+	Offset  fleet.Offset   `json:"offset"`
+	Version fleet.Version  `json:"version"`
+	Detail  string         `json:"detail,omitempty"`
+}
+
+// Operators returns the HTTP interface for operators.
+func (e *Entry) Operators() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/text", e.handlePublish)
+	mux.HandleFunc("GET /v1/status", e.handleStatus)
+	mux.HandleFunc("GET /healthz", e.handleLive)
+	mux.HandleFunc("GET /readyz", e.handleReady)
+	return e.authorised(mux)
+}
+
+// authorised lets through requests with the operators' bearer token.
+func (e *Entry) authorised(next http.Handler) http.Handler {
+	if e.cfg.OperatorToken == "" {
+		return next
+	}
+	want := []byte("Bearer " + e.cfg.OperatorToken)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := []byte(r.Header.Get("Authorization"))
+		if subtle.ConstantTimeCompare(got, want) != 1 {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			e.writeProblem(w, problem{Type: "about:blank", Title: "unauthorised", Status: http.StatusUnauthorized})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// handlePublish proposes a services text; the query parameter base names the
+// version that it was made from.
+func (e *Entry) handlePublish(w http.ResponseWriter, r *http.Request) {
+	base, err := strconv.ParseInt(r.URL.Query().Get("base"), 10, 64)
+	if err != nil {
+		e.writeProblem(w, operatorProblem(http.StatusBadRequest, "read request", "base is not a version number"))
+		return
+	}
+	src, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxText))
+	if err != nil {
+		e.writeProblem(w, operatorProblem(http.StatusRequestEntityTooLarge, "read request", err.Error()))
+		return
+	}
+	text, err := services.Parse("services.hcl", src)
+	if err != nil {
+		e.writeProblem(w, operatorProblem(http.StatusUnprocessableEntity, "check text", err.Error()))
+		return
+	}
+	e.command(w, r, control.Publish{Base: fleet.Version(base), Text: text, Source: string(src)})
+}
+
+// command proposes a record and answers with what became of it.
+func (e *Entry) command(w http.ResponseWriter, r *http.Request, body control.Body) {
+	now := e.clock()
+	rec := control.Record{
+		ID:     fleet.RecordID(uuid.NewString()),
+		Time:   now,
+		Author: r.Header.Get("Banyanrail-Author"),
+		Body:   body,
+	}
+	res, err := e.replies.Do(r.Context(), func(id uint64) error {
+		return e.loop.Offer(event.OperatorCommanded{ID: id, Record: rec, Deadline: now.Add(commandTimeout)})
+	})
+	if err != nil {
+		e.writeProblem(w, operatorProblem(http.StatusServiceUnavailable, "propose record", err.Error()))
+		return
+	}
+	e.writeJSON(w, outcomeStatus[res.Outcome], OperatorResult{
+		Record:  res.Record,
+		Outcome: res.Outcome.String(),
+		Offset:  res.Offset,
+		Version: res.Version,
+		Detail:  res.Detail,
+	})
+}
+
+var outcomeStatus = map[control.Outcome]int{
+	control.Accepted:  http.StatusOK,
+	control.Conflict:  http.StatusConflict,
+	control.Duplicate: http.StatusConflict,
+	control.Invalid:   http.StatusUnprocessableEntity,
+	control.LogDown:   http.StatusServiceUnavailable,
+	control.Undecided: http.StatusGatewayTimeout,
+}
+
+func (e *Entry) handleStatus(w http.ResponseWriter, r *http.Request) {
+	st, err := e.statuses.Do(r.Context(), func(id uint64) error {
+		return e.loop.Offer(event.StatusAsked{ID: id})
+	})
+	if err != nil {
+		e.writeProblem(w, operatorProblem(http.StatusServiceUnavailable, "read status", err.Error()))
+		return
+	}
+	e.writeJSON(w, http.StatusOK, st)
+}
+
+func operatorProblem(status int, step, detail string) problem {
+	return problem{Type: "about:blank", Title: http.StatusText(status), Status: status, Detail: detail, Step: step}
+}
+
+func (e *Entry) writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the operator has gone if this fails
+}
--- /dev/null
+++ b/standin/logstate.go
@@ -0,0 +1,197 @@
+package standin
+
+import (
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/platform"
+)
+
+// maxPage is the largest number of records in one page.
+const maxPage = 256
+
+// Events of the log.
+type (
+	logEvent interface{ isLogEvent() }
+
+	appendAsked struct {
+		call   uint64
+		stream string
+		data   []byte
+	}
+	readAsked struct {
+		call   uint64
+		stream string
+		from   fleet.Offset
+		wait   time.Duration
+	}
+	logFaultSet struct{ fault LogFault }
+	logTrimmed  struct {
+		stream string
+		oldest fleet.Offset
+	}
+	logTimer struct{}
+)
+
+func (appendAsked) isLogEvent() {}
+func (readAsked) isLogEvent()   {}
+func (logFaultSet) isLogEvent() {}
+func (logTrimmed) isLogEvent()  {}
+func (logTimer) isLogEvent()    {}
+
+// Effects of the log.
+type (
+	logEffect interface{ isLogEffect() }
+
+	replyAppend struct {
+		call   uint64
+		result appendResult
+	}
+	replyRead struct {
+		call   uint64
+		result readResult
+	}
+	logSetTimer struct{ at time.Time }
+)
+
+func (replyAppend) isLogEffect() {}
+func (replyRead) isLogEffect()   {}
+func (logSetTimer) isLogEffect() {}
+
+type appendResult struct {
+	offset fleet.Offset
+	// down refuses the append; lost hides that it took effect.
+	down, lost bool
+}
+
+type readResult struct {
+	page platform.Page
+	down bool
+}
+
+// LogFault is what goes wrong at the log.
+type LogFault struct {
+	// Down refuses all appends and reads.
+	Down bool
+	// LoseAnswers is how many of the next appends take effect but are answered
+	// with an error.
+	LoseAnswers int
+}
+
+type logState struct {
+	streams map[string]*logStream
+	readers []logReader
+	fault   LogFault
+	out     []logEffect
+}
+
+type logStream struct {
+	oldest fleet.Offset
+	data   [][]byte
+}
+
+type logReader struct {
+	readAsked
+	until time.Time
+}
+
+func newLogState() *logState {
+	return &logState{streams: make(map[string]*logStream)}
+}
+
+func (s *logState) stream(name string) *logStream {
+	st, ok := s.streams[name]
+	if !ok {
+		st = &logStream{oldest: 1}
+		s.streams[name] = st
+	}
+	return st
+}
+
+func (st *logStream) next() fleet.Offset { return st.oldest + fleet.Offset(len(st.data)) }
+
+func (st *logStream) page(from fleet.Offset) platform.Page {
+	from = max(from, st.oldest)
+	page := platform.Page{Next: from, Oldest: st.oldest}
+	for at := from; at < st.next() && len(page.Records) < maxPage; at++ {
+		page.Records = append(page.Records, platform.Stored{Offset: at, Data: st.data[at-st.oldest]})
+		page.Next = at + 1
+	}
+	return page
+}
+
+func (s *logState) reduce(now time.Time, ev logEvent) []logEffect {
+	s.out = s.out[:0]
+	switch e := ev.(type) {
+	case appendAsked:
+		s.append(e)
+	case readAsked:
+		s.read(now, e)
+	case logFaultSet:
+		s.fault = e.fault
+	case logTrimmed:
+		s.trim(e)
+	}
+	s.serveReaders(now)
+	s.armTimer()
+	return s.out
+}
+
+func (s *logState) append(e appendAsked) {
+	if s.fault.Down {
+		s.out = append(s.out, replyAppend{call: e.call, result: appendResult{down: true}})
+		return
+	}
+	st := s.stream(e.stream)
+	at := st.next()
+	st.data = append(st.data, e.data)
+	lost := s.fault.LoseAnswers > 0
+	if lost {
+		s.fault.LoseAnswers--
+	}
+	s.out = append(s.out, replyAppend{call: e.call, result: appendResult{offset: at, lost: lost}})
+}
+
+func (s *logState) read(now time.Time, e readAsked) {
+	s.readers = append(s.readers, logReader{readAsked: e, until: now.Add(e.wait)})
+}
+
+func (s *logState) trim(e logTrimmed) {
+	st := s.stream(e.stream)
+	drop := min(e.oldest-st.oldest, fleet.Offset(len(st.data)))
+	if drop <= 0 {
+		return
+	}
+	st.data = st.data[drop:]
+	st.oldest += drop
+}
+
+// serveReaders answers the reads that have records or have waited long enough.
+func (s *logState) serveReaders(now time.Time) {
+	kept := s.readers[:0]
+	for _, r := range s.readers {
+		st := s.stream(r.stream)
+		switch {
+		case s.fault.Down:
+			s.out = append(s.out, replyRead{call: r.call, result: readResult{down: true}})
+		case r.from < st.next() || !now.Before(r.until):
+			s.out = append(s.out, replyRead{call: r.call, result: readResult{page: st.page(r.from)}})
+		default:
+			kept = append(kept, r)
+		}
+	}
+	s.readers = kept
+}
+
+func (s *logState) armTimer() {
+	if len(s.readers) == 0 {
+		return
+	}
+	next := s.readers[0].until
+	for _, r := range s.readers[1:] {
+		if r.until.Before(next) {
+			next = r.until
+		}
+	}
+	s.out = append(s.out, logSetTimer{at: next})
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,118 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/loop"
+	"github.com/banyanrail/banyanrail/platform"
+)
+
+// maxRecord is the largest record that the log takes, in bytes.
+const maxRecord = 4 << 20
+
+// Platform stands in for the platform's log, instance list and worker control.
+type Platform struct {
+	loop    *loop.Loop[logEvent, logEffect]
+	appends *loop.Calls[appendResult]
+	reads   *loop.Calls[readResult]
+	mux     *http.ServeMux
+}
+
+// NewPlatform returns a stand-in with an empty log.
+func NewPlatform() *Platform {
+	p := &Platform{
+		appends: loop.NewCalls[appendResult](),
+		reads:   loop.NewCalls[readResult](),
+		mux:     http.NewServeMux(),
+	}
+	state := newLogState()
+	p.loop = loop.New(loop.Config[logEvent, logEffect]{
+		Reduce: state.reduce,
+		Act:    p.act,
+		Timer:  logTimerOf,
+		Wake:   logTimer{},
+	})
+	p.mux.HandleFunc("POST /v1/streams/{stream}/records", p.handleAppend)
+	p.mux.HandleFunc("GET /v1/streams/{stream}/records", p.handleRead)
+	return p
+}
+
+// Run serves until the context ends.
+func (p *Platform) Run(ctx context.Context) { p.loop.Run(ctx) }
+
+// ServeHTTP implements http.Handler.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
+
+// SetLogFault changes what goes wrong at the log.
+func (p *Platform) SetLogFault(f LogFault) error { return p.loop.Post(logFaultSet{fault: f}) }
+
+// Trim drops the records of a stream before an offset.
+func (p *Platform) Trim(stream string, oldest fleet.Offset) error {
+	return p.loop.Post(logTrimmed{stream: stream, oldest: oldest})
+}
+
+func logTimerOf(e logEffect) (time.Time, bool) {
+	t, ok := e.(logSetTimer)
+	return t.at, ok
+}
+
+func (p *Platform) act(e logEffect) {
+	switch e := e.(type) {
+	case replyAppend:
+		p.appends.Resolve(e.call, e.result)
+	case replyRead:
+		p.reads.Resolve(e.call, e.result)
+	}
+}
+
+func (p *Platform) handleAppend(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecord))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	res, err := p.appends.Do(r.Context(), func(call uint64) error {
+		return p.loop.Post(appendAsked{call: call, stream: r.PathValue("stream"), data: data})
+	})
+	switch {
+	case err != nil || res.lost:
+		http.Error(w, "outcome unknown", http.StatusInternalServerError)
+	case res.down:
+		http.Error(w, "log is down", http.StatusTooManyRequests)
+	default:
+		writeJSON(w, http.StatusCreated, platform.Appended{Offset: res.offset})
+	}
+}
+
+func (p *Platform) handleRead(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from is not an offset", http.StatusBadRequest)
+		return
+	}
+	wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
+	if err != nil {
+		http.Error(w, "wait is not a duration", http.StatusBadRequest)
+		return
+	}
+	res, err := p.reads.Do(r.Context(), func(call uint64) error {
+		return p.loop.Post(readAsked{call: call, stream: r.PathValue("stream"), from: fleet.Offset(from), wait: wait})
+	})
+	if err != nil || res.down {
+		http.Error(w, "log is down", http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, http.StatusOK, res.page)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the client has gone if this fails
+}
