--- /dev/null
+++ b/cmd/banyanrail/main.go
@@ -0,0 +1,71 @@
+// Command banyanrail is the operators' command line.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitUsage    = 2
+	exitConflict = 3
+)
+
+// errUsage marks faults of the command line itself.
+var errUsage = errors.New("usage")
+
+type settings struct {
+	Check   *checkCmd   `arg:"subcommand:check" help:"check a services text"`
+	Publish *publishCmd `arg:"subcommand:publish" help:"bring a services text into force"`
+	Status  *statusCmd  `arg:"subcommand:status" help:"show what an entry sees"`
+	Dev     *devCmd     `arg:"subcommand:dev" help:"run a whole fleet in this process"`
+
+	Entry string `arg:"--entry,env:BANYANRAIL_ENTRY" default:"http://127.0.0.1:8081" help:"base URL of an entry's operators' interface"`
+	Token string `arg:"--,env:BANYANRAIL_OPERATOR_TOKEN" help:"bearer token"`
+	JSON  bool   `arg:"--json" help:"print JSON"`
+}
+
+// command is one subcommand.
+type command interface {
+	run(ctx context.Context, s *settings) error
+}
+
+func main() {
+	var s settings
+	p := arg.MustParse(&s)
+	cmd, ok := p.Subcommand().(command)
+	if !ok {
+		p.WriteHelp(os.Stderr)
+		os.Exit(exitUsage)
+	}
+	if err := runCommand(cmd, &s); err != nil {
+		fmt.Fprintln(os.Stderr, "banyanrail:", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+// runCommand runs a subcommand until it ends or a signal comes.
+func runCommand(cmd command, s *settings) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return cmd.run(ctx, s)
+}
+
+func exitCode(err error) int {
+	switch {
+	case errors.Is(err, errUsage):
+		return exitUsage
+	case errors.Is(err, errConflict):
+		return exitConflict
+	default:
+		return exitFailed
+	}
+}
