Let entries find each other by heartbeats over gRPC

The platform's list only tells where to send; heartbeats decide who is alive. A tap between Reduce and the drivers lets tests record runs and seed faults.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-.PHONY: run test bench build fmt fmt-check lint smoke tools
+.PHONY: generate run test bench build fmt fmt-check lint smoke tools
 
 run: ## the whole fleet on embedded stand-ins
 	go run ./cmd/banyanrail dev
@@ -21,6 +21,11 @@
 smoke: build ## the whole path as separate processes
 	scripts/smoke
 
+# Needs protoc, protoc-gen-go and protoc-gen-go-grpc.
+generate:
+	PATH="$(BIN):$$PATH" protoc -I peer --go_out=. --go_opt=module=github.com/banyanrail/banyanrail \
+	  --go-grpc_out=. --go-grpc_opt=module=github.com/banyanrail/banyanrail peer/peer.proto
+
 tools:
 	@test -x $(BIN)/golangci-lint || go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
 
--- a/cmd/banyanraild/main.go
+++ b/cmd/banyanraild/main.go
@@ -23,6 +23,7 @@
 	DataCentre    string        `arg:"--data-centre,env:BANYANRAIL_DATA_CENTRE" help:"data centre it runs in"`
 	Callers       string        `arg:"--callers,env:BANYANRAIL_CALLERS" default:"127.0.0.1:8080" help:"IP address and port for callers"`
 	Operators     string        `arg:"--operators,env:BANYANRAIL_OPERATORS" default:"127.0.0.1:8081" help:"IP address and port for operators"`
+	Peers         string        `arg:"--peers,env:BANYANRAIL_PEERS" default:"127.0.0.1:8082" help:"IP address and port for other entries"`
 	Platform      string        `arg:"--platform,env:BANYANRAIL_PLATFORM,required" help:"base URL of the platform's services"`
 	OperatorToken string        `arg:"--,env:BANYANRAIL_OPERATOR_TOKEN" help:"bearer token of operators"`
 	Grace         time.Duration `arg:"--grace,env:BANYANRAIL_GRACE" default:"30s" help:"longest graceful shutdown"`
@@ -43,16 +44,18 @@
 func run(s settings, logger *slog.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	client := platform.NewClient(s.Platform)
 	e := entry.New(entry.Config{
 		ID:            fleet.EntryID(s.ID),
 		DataCentre:    fleet.DataCentre(s.DataCentre),
 		OperatorToken: s.OperatorToken,
-	}, entry.Deps{Log: platform.NewClient(s.Platform), Logger: logger})
+	}, entry.Deps{Log: client, Instances: client, Logger: logger})
 
 	serving, closeListeners := context.WithCancel(context.Background())
 	group, groupCtx := errgroup.WithContext(serving)
 	group.Go(func() error { return daemon.Serve(groupCtx, s.Callers, e.Callers(), s.Grace) })
 	group.Go(func() error { return daemon.Serve(groupCtx, s.Operators, e.Operators(), s.Grace) })
+	group.Go(func() error { return daemon.ServeGRPC(groupCtx, s.Peers, e.RegisterPeers) })
 	group.Go(func() error {
 		e.Run(groupCtx)
 		return nil
--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/banyanrail/banyanrail/platform"
 	"github.com/banyanrail/banyanrail/standin"
 	"github.com/samber/oops"
+	"google.golang.org/grpc"
 )
 
 // Config sizes a fleet.
@@ -53,10 +54,13 @@
 
 // Node is an entry with its listeners.
 type Node struct {
+	ID    fleet.EntryID
 	Entry *entry.Entry
 	// CallersURL and OperatorsURL are the base URLs of its two interfaces.
 	CallersURL   string
 	OperatorsURL string
+	// PeerAddress is where other entries reach it.
+	PeerAddress string
 	// Kill ends the entry at once, without a graceful shutdown.
 	Kill context.CancelFunc
 }
@@ -93,14 +97,15 @@
 		}
 		f.Nodes = append(f.Nodes, node)
 	}
-	return nil
+	return f.list()
 }
 
 func (f *Fleet) startNode(ctx context.Context, cfg Config, id, platformURL string) (*Node, error) {
 	ctx, kill := context.WithCancel(ctx)
 	deps := cfg.Deps
-	deps.Log = platform.NewClient(platformURL)
-	node := &Node{Entry: entry.New(entry.Config{ID: fleet.EntryID(id), Seed: uint64(len(f.Nodes) + 1)}, deps), Kill: kill}
+	client := platform.NewClient(platformURL)
+	deps.Log, deps.Instances = client, client
+	node := &Node{ID: fleet.EntryID(id), Entry: entry.New(entry.Config{ID: fleet.EntryID(id), Seed: uint64(len(f.Nodes) + 1)}, deps), Kill: kill}
 	f.spawn(func() { node.Entry.Run(ctx) })
 	callers, err := f.serve(ctx, node.Entry.Callers())
 	if err != nil {
@@ -110,6 +115,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if node.PeerAddress, err = f.servePeers(ctx, node.Entry); err != nil {
+		return nil, err
+	}
 	node.CallersURL, node.OperatorsURL = "http://"+callers, "http://"+operators
 	return node, nil
 }
@@ -143,6 +151,34 @@
 	return ln.Addr().String(), nil
 }
 
+// servePeers listens for other entries and returns the address.
+func (f *Fleet) servePeers(ctx context.Context, e *entry.Entry) (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", oops.In("dev").With("step", "listen").Wrap(err)
+	}
+	srv := grpc.NewServer()
+	e.RegisterPeers(srv)
+	f.spawn(func() { _ = srv.Serve(ln) }) // returns once the server is stopped
+	f.spawn(func() {
+		<-ctx.Done()
+		srv.Stop()
+	})
+	return ln.Addr().String(), nil
+}
+
+// list puts all entries and runners on the platform's list.
+func (f *Fleet) list() error {
+	var rows []platform.Listed
+	for _, n := range f.Nodes {
+		rows = append(rows, platform.Listed{ID: string(n.ID), Role: platform.RoleEntry, Address: n.PeerAddress})
+	}
+	for _, r := range f.Runners {
+		rows = append(rows, platform.Listed{ID: string(r.ID), Role: platform.RoleEndpoint, Address: r.Address})
+	}
+	return f.Platform.SetListed(rows)
+}
+
 var textTemplate = template.Must(template.New("services").Parse(`data_centre "dc1" {
   rack "r1" {
 {{- range .Runners}}
--- a/dev/fleet_test.go
+++ b/dev/fleet_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/banyanrail/banyanrail/dev"
 	"github.com/banyanrail/banyanrail/entry"
+	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 )
@@ -71,6 +72,27 @@
 	}
 }
 
+func TestEntriesFindEachOther(t *testing.T) {
+	f := startFleet(t)
+	for _, n := range f.Nodes {
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+			return len(status(t, n).Peers) == len(f.Nodes)
+		}), wait.Timeout(10*time.Second)))
+	}
+}
+
+func status(t *testing.T, n *dev.Node) effect.Status {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, n.OperatorsURL+"/v1/status", nil)
+	must.NoError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	var st effect.Status
+	must.NoError(t, json.NewDecoder(resp.Body).Decode(&st))
+	return st
+}
+
 func TestRacingPublishConflicts(t *testing.T) {
 	f := startFleet(t)
 	status, _ := publish(t, f.Nodes[0], "0", f.Text(8))
--- a/entry/act.go
+++ b/entry/act.go
@@ -20,6 +20,8 @@
 		e.append(o)
 	case effect.Read:
 		e.reader.start(o.From)
+	case effect.SendPeer:
+		e.sendPeer(o)
 	case effect.Reply:
 		e.replies.Resolve(o.ID, o.Result)
 	case effect.ReplyStatus:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/banyanrail/banyanrail/endpoint"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/loop"
+	"github.com/banyanrail/banyanrail/peer"
 	"github.com/banyanrail/banyanrail/platform"
 	"github.com/banyanrail/banyanrail/reduce"
 	"github.com/banyanrail/banyanrail/reduce/control"
@@ -27,12 +28,18 @@
 	DefaultTraffic     = 1024
 	// logWorkers is the number of goroutines that read and append.
 	logWorkers = 16
+	// peerWorkers is the number of messages to peers under way at once, and
+	// peerQueue the number that wait; more are dropped.
+	peerWorkers = 32
+	peerQueue   = 4096
 )
 
 // Config holds the settings of an entry instance.
 type Config struct {
 	ID         fleet.EntryID
 	DataCentre fleet.DataCentre
+	// Incarnation grows with each start of the entry; zero takes the start time.
+	Incarnation uint64
 	// Seed feeds random choices; zero takes the start time.
 	Seed uint64
 	// MaxRequests bounds the requests held at once.
@@ -46,12 +53,21 @@
 
 // Deps are the outside systems that an entry uses.
 type Deps struct {
-	Log     platform.Log
-	Metrics tally.Scope
-	Logger  *slog.Logger
-	Traces  trace.TracerProvider
+	Log platform.Log
+	// Instances is the platform's list; nil leaves the entry without peers.
+	Instances platform.Instances
+	Metrics   tally.Scope
+	Logger    *slog.Logger
+	Traces    trace.TracerProvider
+	// Tap sees every event with its effects and returns the effects to carry
+	// out. Tests record runs and seed faults with it; nil passes effects on.
+	Tap Tap
 }
 
+// Tap is called on the control goroutine and must not block. The slice is valid
+// only during the call.
+type Tap func(event.Event, []effect.Effect) []effect.Effect
+
 // Entry is one entry instance.
 type Entry struct {
 	cfg       Config
@@ -66,6 +82,8 @@
 	metrics   *metrics
 	traffic   pond.Pool
 	logPool   pond.Pool
+	peerPool  pond.Pool
+	peers     *peer.Client
 	reader    *reader
 	ready     atomic.Bool
 	stopped   chan struct{}
@@ -91,6 +109,8 @@
 		metrics:    newMetrics(deps.Metrics),
 		traffic:    pond.NewPool(cfg.Traffic),
 		logPool:    pond.NewPool(logWorkers),
+		peerPool:   pond.NewPool(peerWorkers, pond.WithQueueSize(peerQueue), pond.WithNonBlocking(true)),
+		peers:      peer.NewClient(cfg.ID, cfg.Incarnation),
 		stopped:    make(chan struct{}),
 		background: background,
 		end:        end,
@@ -104,7 +124,8 @@
 	})
 	e.loop = loop.New(loop.Config[event.Body, effect.Effect]{
 		Reduce: func(now time.Time, body event.Body) []effect.Effect {
-			return reduce.Reduce(state, event.Event{Now: now, Body: body})
+			ev := event.Event{Now: now, Body: body}
+			return deps.Tap(ev, reduce.Reduce(state, ev))
 		},
 		Act:   e.act,
 		Timer: timerOf,
@@ -121,6 +142,9 @@
 	if cfg.Traffic == 0 {
 		cfg.Traffic = DefaultTraffic
 	}
+	if cfg.Incarnation == 0 {
+		cfg.Incarnation = uint64(time.Now().UnixNano())
+	}
 	if cfg.Seed == 0 {
 		cfg.Seed = uint64(time.Now().UnixNano())
 	}
@@ -130,6 +154,9 @@
 	if deps.Logger == nil {
 		deps.Logger = slog.New(slog.DiscardHandler)
 	}
+	if deps.Tap == nil {
+		deps.Tap = func(_ event.Event, out []effect.Effect) []effect.Effect { return out }
+	}
 	if deps.Traces == nil {
 		deps.Traces = noop.NewTracerProvider()
 	}
@@ -141,11 +168,16 @@
 func (e *Entry) Run(ctx context.Context) {
 	go e.loop.Run(e.background)
 	_ = e.loop.Post(event.Started{}) // fails only after the end
+	if e.deps.Instances != nil {
+		go e.followList()
+	}
 	<-ctx.Done()
 	e.end()
 	<-e.loop.Done()
 	e.traffic.StopAndWait()
 	e.logPool.StopAndWait()
+	e.peerPool.StopAndWait()
+	e.peers.Close()
 	e.client.Close()
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -20,6 +20,12 @@
 	counters map[counterKey]tally.Counter
 }
 
+// peerFailed counts a message that did not reach a peer. Any goroutine may call
+// it.
+func (m *metrics) peerFailed(to fleet.EntryID) {
+	m.scope.Tagged(map[string]string{"peer": string(to)}).Counter("peer_messages_failed").Inc(1)
+}
+
 type counterKey struct {
 	name    effect.Counter
 	service fleet.ServiceName
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -7,6 +7,7 @@
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/message"
 )
 
 // Effect is one output of the reducer. Its implementations are the types of
@@ -77,6 +78,7 @@
 	Requests  int                    `json:"requests"`
 	Queued    int                    `json:"queued"`
 	Running   int                    `json:"running"`
+	Peers     []fleet.EntryID        `json:"peers"`
 	Instances []InstanceStatus       `json:"instances"`
 	Totals    map[string]uint64      `json:"totals"`
 	Pools     map[fleet.PoolName]int `json:"pools"`
@@ -129,6 +131,13 @@
 	Detail  string
 }
 
+// SendPeer sends a message to another entry. It may be lost.
+type SendPeer struct {
+	To      fleet.EntryID
+	Address string
+	Message message.Message
+}
+
 // SetReady sets the entry's readiness, as the balancer sees it.
 type SetReady struct{ Ready bool }
 
@@ -148,6 +157,7 @@
 func (ReplyStatus) isEffect()   {}
 func (Count) isEffect()         {}
 func (LogChange) isEffect()     {}
+func (SendPeer) isEffect()      {}
 func (SetReady) isEffect()      {}
 func (SetTimer) isEffect()      {}
 func (Stopped) isEffect()       {}
--- a/reduce/event/event.go
+++ b/reduce/event/event.go
@@ -8,6 +8,7 @@
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/message"
 )
 
 // Event is one input of the reducer.
@@ -120,6 +121,23 @@
 // StatusAsked asks for a summary of the state.
 type StatusAsked struct{ ID uint64 }
 
+// ListedEntry is an entry in the platform's list.
+type ListedEntry struct {
+	ID      fleet.EntryID
+	Address string
+	Leaving bool
+}
+
+// EntriesListed reports the entries in the platform's list, which lags.
+type EntriesListed struct{ Entries []ListedEntry }
+
+// PeerReceived reports a message of another entry.
+type PeerReceived struct {
+	From        fleet.EntryID
+	Incarnation uint64
+	Message     message.Message
+}
+
 // TimerFired reports that the time of the last SetTimer effect has come.
 type TimerFired struct{}
 
@@ -135,5 +153,7 @@
 func (AppendFinished) isEvent()    {}
 func (OperatorCommanded) isEvent() {}
 func (StatusAsked) isEvent()       {}
+func (EntriesListed) isEvent()     {}
+func (PeerReceived) isEvent()      {}
 func (TimerFired) isEvent()        {}
 func (StopAsked) isEvent()         {}
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -5,6 +5,7 @@
 
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/peers"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 )
 
@@ -32,6 +33,10 @@
 		s.onOperatorCommanded(b)
 	case event.StatusAsked:
 		s.onStatusAsked(b)
+	case event.EntriesListed:
+		s.onEntriesListed(b)
+	case event.PeerReceived:
+		s.onPeerReceived(b)
 	case event.TimerFired:
 		s.armed = time.Time{}
 	case event.StopAsked:
@@ -55,6 +60,8 @@
 			s.onRequestExpired(o)
 		case *proposal:
 			s.onProposalExpired(o)
+		case *peers.State:
+			s.onHeartbeatDue()
 		}
 	}
 }
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -6,6 +6,7 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/peers"
 	"github.com/banyanrail/banyanrail/reduce/placement"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 	"github.com/banyanrail/banyanrail/reduce/timer"
@@ -28,6 +29,7 @@
 	control   *control.State
 	requests  *requests.Table
 	placement *placement.State
+	peers     *peers.State
 	proposals proposals
 	timers    timer.Heap
 	logDown   bool
@@ -47,6 +49,7 @@
 		control:   control.New(),
 		requests:  requests.New(),
 		placement: placement.New(cfg.Seed),
+		peers:     peers.New(cfg.Entry),
 		proposals: newProposals(),
 	}
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -18,9 +18,10 @@
 
 // Platform stands in for the platform's log, instance list and worker control.
 type Platform struct {
-	loop    *loop.Loop[logEvent, logEffect]
+	loop    *loop.Loop[platformEvent, platformEffect]
 	appends *loop.Calls[appendResult]
 	reads   *loop.Calls[readResult]
+	lists   *loop.Calls[[]platform.Listed]
 	mux     *http.ServeMux
 }
 
@@ -29,16 +30,18 @@
 	p := &Platform{
 		appends: loop.NewCalls[appendResult](),
 		reads:   loop.NewCalls[readResult](),
+		lists:   loop.NewCalls[[]platform.Listed](),
 		mux:     http.NewServeMux(),
 	}
-	state := newLogState()
-	p.loop = loop.New(loop.Config[logEvent, logEffect]{
+	state := newPlatformState()
+	p.loop = loop.New(loop.Config[platformEvent, platformEffect]{
 		Reduce: state.reduce,
 		Act:    p.act,
-		Timer:  logTimerOf,
-		Wake:   logTimer{},
+		Timer:  platformTimerOf,
+		Wake:   platformTimer{},
 	})
 	p.mux.HandleFunc("POST /v1/streams/{stream}/records", p.handleAppend)
+	p.mux.HandleFunc("GET /v1/instances", p.handleList)
 	p.mux.HandleFunc("GET /v1/streams/{stream}/records", p.handleRead)
 	return p
 }
@@ -57,17 +60,19 @@
 	return p.loop.Post(logTrimmed{stream: stream, oldest: oldest})
 }
 
-func logTimerOf(e logEffect) (time.Time, bool) {
-	t, ok := e.(logSetTimer)
+func platformTimerOf(e platformEffect) (time.Time, bool) {
+	t, ok := e.(platformSetTimer)
 	return t.at, ok
 }
 
-func (p *Platform) act(e logEffect) {
+func (p *Platform) act(e platformEffect) {
 	switch e := e.(type) {
 	case replyAppend:
 		p.appends.Resolve(e.call, e.result)
 	case replyRead:
 		p.reads.Resolve(e.call, e.result)
+	case replyList:
+		p.lists.Resolve(e.call, e.rows)
 	}
 }
 
@@ -111,6 +116,20 @@
 	writeJSON(w, http.StatusOK, res.page)
 }
 
+func (p *Platform) handleList(w http.ResponseWriter, r *http.Request) {
+	rows, err := p.lists.Do(r.Context(), func(call uint64) error {
+		return p.loop.Post(listAsked{call: call})
+	})
+	if err != nil {
+		http.Error(w, "list is down", http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, http.StatusOK, rows)
+}
+
+// SetListed changes the instance list.
+func (p *Platform) SetListed(rows []platform.Listed) error { return p.loop.Post(listSet{rows: rows}) }
+
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/standin/logstate.go
+++ b/standin/platformstate.go
@@ -12,7 +12,7 @@
 
 // Events of the log.
 type (
-	logEvent interface{ isLogEvent() }
+	platformEvent interface{ isPlatformEvent() }
 
 	appendAsked struct {
 		call   uint64
@@ -30,18 +30,22 @@
 		stream string
 		oldest fleet.Offset
 	}
-	logTimer struct{}
+	listAsked     struct{ call uint64 }
+	listSet       struct{ rows []platform.Listed }
+	platformTimer struct{}
 )
 
-func (appendAsked) isLogEvent() {}
-func (readAsked) isLogEvent()   {}
-func (logFaultSet) isLogEvent() {}
-func (logTrimmed) isLogEvent()  {}
-func (logTimer) isLogEvent()    {}
+func (appendAsked) isPlatformEvent()   {}
+func (readAsked) isPlatformEvent()     {}
+func (logFaultSet) isPlatformEvent()   {}
+func (logTrimmed) isPlatformEvent()    {}
+func (listAsked) isPlatformEvent()     {}
+func (listSet) isPlatformEvent()       {}
+func (platformTimer) isPlatformEvent() {}
 
 // Effects of the log.
 type (
-	logEffect interface{ isLogEffect() }
+	platformEffect interface{ isPlatformEffect() }
 
 	replyAppend struct {
 		call   uint64
@@ -51,12 +55,17 @@
 		call   uint64
 		result readResult
 	}
-	logSetTimer struct{ at time.Time }
+	replyList struct {
+		call uint64
+		rows []platform.Listed
+	}
+	platformSetTimer struct{ at time.Time }
 )
 
-func (replyAppend) isLogEffect() {}
-func (replyRead) isLogEffect()   {}
-func (logSetTimer) isLogEffect() {}
+func (replyAppend) isPlatformEffect()      {}
+func (replyRead) isPlatformEffect()        {}
+func (replyList) isPlatformEffect()        {}
+func (platformSetTimer) isPlatformEffect() {}
 
 type appendResult struct {
 	offset fleet.Offset
@@ -78,11 +87,12 @@
 	LoseAnswers int
 }
 
-type logState struct {
+type platformState struct {
 	streams map[string]*logStream
 	readers []logReader
 	fault   LogFault
-	out     []logEffect
+	listed  []platform.Listed
+	out     []platformEffect
 }
 
 type logStream struct {
@@ -95,11 +105,11 @@
 	until time.Time
 }
 
-func newLogState() *logState {
-	return &logState{streams: make(map[string]*logStream)}
+func newPlatformState() *platformState {
+	return &platformState{streams: make(map[string]*logStream)}
 }
 
-func (s *logState) stream(name string) *logStream {
+func (s *platformState) stream(name string) *logStream {
 	st, ok := s.streams[name]
 	if !ok {
 		st = &logStream{oldest: 1}
@@ -120,7 +130,7 @@
 	return page
 }
 
-func (s *logState) reduce(now time.Time, ev logEvent) []logEffect {
+func (s *platformState) reduce(now time.Time, ev platformEvent) []platformEffect {
 	s.out = s.out[:0]
 	switch e := ev.(type) {
 	case appendAsked:
@@ -129,6 +139,10 @@
 		s.read(now, e)
 	case logFaultSet:
 		s.fault = e.fault
+	case listAsked:
+		s.out = append(s.out, replyList{call: e.call, rows: s.listed})
+	case listSet:
+		s.listed = e.rows
 	case logTrimmed:
 		s.trim(e)
 	}
@@ -137,7 +151,7 @@
 	return s.out
 }
 
-func (s *logState) append(e appendAsked) {
+func (s *platformState) append(e appendAsked) {
 	if s.fault.Down {
 		s.out = append(s.out, replyAppend{call: e.call, result: appendResult{down: true}})
 		return
@@ -152,11 +166,11 @@
 	s.out = append(s.out, replyAppend{call: e.call, result: appendResult{offset: at, lost: lost}})
 }
 
-func (s *logState) read(now time.Time, e readAsked) {
+func (s *platformState) read(now time.Time, e readAsked) {
 	s.readers = append(s.readers, logReader{readAsked: e, until: now.Add(e.wait)})
 }
 
-func (s *logState) trim(e logTrimmed) {
+func (s *platformState) trim(e logTrimmed) {
 	st := s.stream(e.stream)
 	drop := min(e.oldest-st.oldest, fleet.Offset(len(st.data)))
 	if drop <= 0 {
@@ -167,7 +181,7 @@
 }
 
 // serveReaders answers the reads that have records or have waited long enough.
-func (s *logState) serveReaders(now time.Time) {
+func (s *platformState) serveReaders(now time.Time) {
 	kept := s.readers[:0]
 	for _, r := range s.readers {
 		st := s.stream(r.stream)
@@ -183,7 +197,7 @@
 	s.readers = kept
 }
 
-func (s *logState) armTimer() {
+func (s *platformState) armTimer() {
 	if len(s.readers) == 0 {
 		return
 	}
@@ -193,5 +207,5 @@
 			next = r.until
 		}
 	}
-	s.out = append(s.out, logSetTimer{at: next})
+	s.out = append(s.out, platformSetTimer{at: next})
 }
