--- a/reduce/placement/placement.go
+++ b/reduce/placement/placement.go
@@ -48,6 +48,7 @@
 	slots   int
 	running int
 	gone    bool
+	closed  bool
 }
 
 // New returns an empty state. The seed spreads choices between entries.
@@ -136,6 +137,28 @@
 	}
 }
 
+// Close stops new grants on an instance; Open allows them again. Requests that
+// run there go on.
+func (s *State) Close(id fleet.InstanceID) { s.setClosed(id, true) }
+
+// Open allows grants on an instance again.
+func (s *State) Open(id fleet.InstanceID) { s.setClosed(id, false) }
+
+func (s *State) setClosed(id fleet.InstanceID, closed bool) {
+	if it, ok := s.instances[id]; ok {
+		it.closed = closed
+	}
+}
+
+// Running returns the number of slots in use on an instance.
+func (s *State) Running(id fleet.InstanceID) int {
+	it, ok := s.instances[id]
+	if !ok {
+		return 0
+	}
+	return it.running
+}
+
 // Next grants a slot to the next waiting request of a pool. It returns false
 // when no request waits or no slot is free.
 func (s *State) Next(name fleet.PoolName) (Grant, bool) {
@@ -162,7 +185,7 @@
 	for i := range n {
 		it := p.instances[(start+i)%n]
 		switch {
-		case it.running >= it.slots:
+		case it.closed || it.running >= it.slots:
 		case it.id == avoid:
 			last = it
 		case first == nil:
