Add the planner, the rehearsal forecast and availability budgets

Pure packages, not yet wired into Reduce. The planner holds the reserve for the loss of a data centre in each pool or shared in the spare pools, whichever the prices in the services text make cheaper, and returns a surplus when holding it has cost as much as moving it twice.

--- /dev/null
+++ b/reduce/budget/budget_test.go
@@ -0,0 +1,64 @@
+package budget_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/budget"
+	"github.com/shoenig/test/must"
+)
+
+var (
+	epoch  = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	survey = &fleet.Service{Name: "survey", Availability: 0.9}
+)
+
+func count(s *budget.State, ok bool, n int) {
+	for range n {
+		s.Count("survey", ok)
+	}
+}
+
+func TestBurnNeedsBothWindows(t *testing.T) {
+	s := budget.New()
+	now := epoch
+	s.Sample(now)
+	count(s, true, 1000)
+	for range 55 {
+		now = now.Add(budget.SampleInterval)
+		s.Sample(now)
+	}
+	count(s, false, 20)
+	burn := s.Burn(survey, now)
+	must.Greater(t, 1, burn.Short)
+	must.Less(t, 1, burn.Long)
+	must.False(t, burn.Exceeds(1))
+	count(s, false, 500)
+	must.True(t, s.Burn(survey, now).Exceeds(1))
+}
+
+func TestShortWindowEndsTheAlarm(t *testing.T) {
+	s := budget.New()
+	s.Sample(epoch)
+	count(s, false, 100)
+	now := epoch
+	for range 12 {
+		now = now.Add(budget.SampleInterval)
+		s.Sample(now)
+	}
+	count(s, true, 100)
+	must.False(t, s.Burn(survey, now).Exceeds(1))
+}
+
+func TestRestartedPeerKeepsItsTotals(t *testing.T) {
+	s := budget.New()
+	hear := func(incarnation, answered uint64) {
+		s.Hear("entry-2", incarnation, []budget.ServiceTotals{{Service: "survey", Totals: budget.Totals{Answered: answered}}})
+	}
+	hear(1, 10)
+	hear(1, 12)
+	hear(2, 3)
+	hear(1, 99)
+	must.EqOp(t, 15, s.Total("survey").Answered)
+}
--- /dev/null
+++ b/reduce/budget/counts.go
@@ -0,0 +1,20 @@
+package budget
+
+import "github.com/banyanrail/banyanrail/fleet"
+
+// Counts reports whether a refusal for this reason counts against the
+// availability budget. Faults of the caller do not.
+func Counts(reason fleet.Reason) bool {
+	switch reason {
+	case fleet.ReasonQueueFull,
+		fleet.ReasonNoCapacity,
+		fleet.ReasonDeadline,
+		fleet.ReasonLogUnavailable,
+		fleet.ReasonOverloaded,
+		fleet.ReasonEndpointFailed,
+		fleet.ReasonInDoubt:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/reduce/planner/need.go
@@ -0,0 +1,88 @@
+package planner
+
+import (
+	"github.com/banyanrail/banyanrail/fleet"
+)
+
+// Need is what a pool has and what it needs, in instances.
+type Need struct {
+	Pool  fleet.PoolName
+	Spare bool
+	// Have is the number of available instances, and Largest those of them in
+	// the data centre with the most.
+	Have, Largest int
+	// Carry is the number that carries the demand.
+	Carry int
+	// Reserve is the number held in the pool for the loss of a data centre.
+	Reserve int
+}
+
+// Want is the number of instances the pool should have.
+func (n Need) Want() int { return n.Carry + n.Reserve }
+
+func (n Need) missing() int { return n.Want() - n.Have }
+
+func byPool(a, b Need) int {
+	switch {
+	case a.Pool < b.Pool:
+		return -1
+	case a.Pool > b.Pool:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// lossesPerHour is how often a data centre is expected to be lost: a few times
+// a year.
+const lossesPerHour = 4.0 / (365 * 24)
+
+// reserve decides where the reserve for the loss of a data centre is held: in
+// each pool, or shared in the spare pools. Sharing needs fewer idle instances,
+// since one reserve serves whichever pools lose most, but each loss costs
+// moves.
+func reserve(in Input, needs []Need) {
+	centres := max(1, len(in.Text.DataCentres))
+	own, shared, spares := 0, 0, 0
+	for i := range needs {
+		n := &needs[i]
+		if n.Spare {
+			spares += n.Have
+			continue
+		}
+		n.Reserve = ownReserve(n.Carry, centres)
+		own += n.Reserve
+		shared += lossOf(n.Carry, centres)
+	}
+	if spares == 0 || !sharedIsCheaper(in.Text.Prices, own, shared) || spares < shared {
+		return
+	}
+	for i := range needs {
+		needs[i].Reserve = 0
+	}
+}
+
+// sharedIsCheaper compares the hourly cost of both reserves. What a loss takes
+// from all pools together is moved in, and back again afterwards.
+func sharedIsCheaper(p fleet.Prices, own, shared int) bool {
+	ownCost := float64(own) * p.Buffer
+	sharedCost := float64(shared)*p.Buffer + 2*float64(shared)*lossesPerHour*p.Move
+	return sharedCost < ownCost
+}
+
+// ownReserve returns how many instances above carry let a pool lose its largest
+// data centre, when it is spread evenly.
+func ownReserve(carry, centres int) int {
+	if carry == 0 || centres < 2 {
+		return 0
+	}
+	total := carry
+	for total-lossOf(total, centres) < carry {
+		total++
+	}
+	return total - carry
+}
+
+// lossOf returns how many of n instances the largest data centre has, when they
+// are spread evenly.
+func lossOf(n, centres int) int { return (n + centres - 1) / centres }
--- /dev/null
+++ b/reduce/planner/planner.go
@@ -0,0 +1,264 @@
+// Package planner decides which pool each instance should be in. A pool needs
+// enough instances to carry its demand after it lost its largest failure
+// domain. The reserve for that is held either in each pool or in the spare
+// pools, whichever the prices in the services text make cheaper.
+//
+// Bursts of seconds are shorter than a move and are left to the queues; only a
+// shortfall or surplus that lasts moves an instance.
+package planner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+)
+
+const (
+	// ShortfallHold is how long a shortfall must last before a move.
+	ShortfallHold = 10 * time.Second
+	// minSurplusHold is the least time that a surplus must last.
+	minSurplusHold = time.Minute
+	// maxSurplusHold bounds the hold when moves are dear or buffer is free.
+	maxSurplusHold = 24 * time.Hour
+)
+
+// Reason says why the planner moves an instance.
+type Reason uint8
+
+// Reasons of a move.
+const (
+	// ReasonShortfall fills a pool that can't carry its demand.
+	ReasonShortfall Reason = iota + 1
+	// ReasonReserve fills a pool that can't lose its largest failure domain.
+	ReasonReserve
+	// ReasonSurplus returns an instance that a pool has not needed for long.
+	ReasonSurplus
+)
+
+var reasonNames = [...]string{ReasonShortfall: "shortfall", ReasonReserve: "reserve", ReasonSurplus: "surplus"}
+
+// String returns the reason's name.
+func (r Reason) String() string {
+	if int(r) < len(reasonNames) && reasonNames[r] != "" {
+		return reasonNames[r]
+	}
+	return "none"
+}
+
+// Move is a proposal to move an instance.
+type Move struct {
+	Instance fleet.InstanceID
+	From, To fleet.PoolName
+	Reason   Reason
+}
+
+// Input is what a plan is made from.
+type Input struct {
+	Now  time.Time
+	Text *fleet.Text
+	// Pools holds the pool of each instance.
+	Pools map[fleet.InstanceID]fleet.PoolName
+	// Unavailable instances are drained, ejected or on probation.
+	Unavailable map[fleet.InstanceID]bool
+	Demand      Demand
+}
+
+// State remembers since when each pool has had too few or too many instances.
+type State struct {
+	shortSince   map[fleet.PoolName]time.Time
+	surplusSince map[fleet.PoolName]time.Time
+}
+
+// New returns a state without history.
+func New() *State {
+	return &State{
+		shortSince:   make(map[fleet.PoolName]time.Time),
+		surplusSince: make(map[fleet.PoolName]time.Time),
+	}
+}
+
+// Next returns the next move, if one is due. One move at a time keeps each
+// decision on the state that the last one left.
+func (s *State) Next(in Input) (Move, bool) {
+	needs := Needs(in)
+	s.observe(in.Now, needs)
+	if m, ok := s.fill(in, needs); ok {
+		return m, true
+	}
+	return s.drain(in, needs)
+}
+
+// observe notes when a shortfall or surplus began or ended.
+func (s *State) observe(now time.Time, needs []Need) {
+	for _, n := range needs {
+		note(s.shortSince, n.Pool, n.Have < n.Want(), now)
+		note(s.surplusSince, n.Pool, !n.Spare && n.Have > n.Want(), now)
+	}
+}
+
+func note(since map[fleet.PoolName]time.Time, pool fleet.PoolName, holds bool, now time.Time) {
+	_, known := since[pool]
+	switch {
+	case holds && !known:
+		since[pool] = now
+	case !holds:
+		delete(since, pool)
+	}
+}
+
+// fill moves an instance into the pool with the largest lasting shortfall.
+func (s *State) fill(in Input, needs []Need) (Move, bool) {
+	var worst *Need
+	for i := range needs {
+		n := &needs[i]
+		since, short := s.shortSince[n.Pool]
+		if !short || n.Spare || in.Now.Sub(since) < ShortfallHold {
+			continue
+		}
+		if worst == nil || n.missing() > worst.missing() {
+			worst = n
+		}
+	}
+	if worst == nil {
+		return Move{}, false
+	}
+	reason := ReasonReserve
+	if worst.Have < worst.Carry {
+		reason = ReasonShortfall
+	}
+	from, ok := s.donor(in, needs, reason)
+	if !ok {
+		return Move{}, false
+	}
+	id, ok := pick(in, from, worst.Pool)
+	return Move{Instance: id, From: from, To: worst.Pool, Reason: reason}, ok
+}
+
+// donor returns the pool that gives an instance: a spare pool, else the one
+// with the largest surplus that has lasted. Reserve is not taken from another
+// pool's surplus before it has lasted, since that pool may need it back.
+func (s *State) donor(in Input, needs []Need, reason Reason) (fleet.PoolName, bool) {
+	var best *Need
+	for i := range needs {
+		n := &needs[i]
+		if n.Spare && n.Have > 0 {
+			return n.Pool, true
+		}
+		lasting := reason == ReasonShortfall || s.surplusLasts(in, n.Pool)
+		if n.Have > n.Want() && lasting && (best == nil || n.Have-n.Want() > best.Have-best.Want()) {
+			best = n
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	return best.Pool, true
+}
+
+// drain returns an instance that a pool has not needed for long to a spare
+// pool.
+func (s *State) drain(in Input, needs []Need) (Move, bool) {
+	spare, ok := sparePool(needs)
+	if !ok {
+		return Move{}, false
+	}
+	for _, n := range needs {
+		if n.Spare || n.Have <= n.Want() || !s.surplusLasts(in, n.Pool) {
+			continue
+		}
+		if id, ok := pick(in, n.Pool, spare); ok {
+			return Move{Instance: id, From: n.Pool, To: spare, Reason: ReasonSurplus}, true
+		}
+	}
+	return Move{}, false
+}
+
+func (s *State) surplusLasts(in Input, pool fleet.PoolName) bool {
+	since, ok := s.surplusSince[pool]
+	return ok && in.Now.Sub(since) >= surplusHold(in.Text.Prices)
+}
+
+// surplusHold returns how long a surplus is kept before it is moved. Holding
+// costs the price of buffer by the hour and moving twice costs two moves; to
+// wait until both are equal costs at most twice the best choice in hindsight.
+func surplusHold(p fleet.Prices) time.Duration {
+	if p.Buffer <= 0 {
+		return maxSurplusHold
+	}
+	hours := 2 * p.Move / p.Buffer
+	if hours >= maxSurplusHold.Hours() {
+		return maxSurplusHold
+	}
+	return max(minSurplusHold, time.Duration(hours*float64(time.Hour)))
+}
+
+func sparePool(needs []Need) (fleet.PoolName, bool) {
+	for _, n := range needs {
+		if n.Spare {
+			return n.Pool, true
+		}
+	}
+	return "", false
+}
+
+// pick takes the instance whose move leaves the receiving pool most evenly
+// spread over data centres, and of those the first by id.
+func pick(in Input, from, to fleet.PoolName) (fleet.InstanceID, bool) {
+	spread := byDataCentre(in, to)
+	donors := byDataCentre(in, from)
+	best := -1
+	for i := range in.Text.Instances {
+		it := &in.Text.Instances[i]
+		if in.Pools[it.ID] != from || in.Unavailable[it.ID] {
+			continue
+		}
+		if best < 0 || better(it, &in.Text.Instances[best], spread, donors) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return "", false
+	}
+	return in.Text.Instances[best].ID, true
+}
+
+func better(a, b *fleet.Instance, spread, donors map[fleet.DataCentre]int) bool {
+	if spread[a.DataCentre] != spread[b.DataCentre] {
+		return spread[a.DataCentre] < spread[b.DataCentre]
+	}
+	if donors[a.DataCentre] != donors[b.DataCentre] {
+		return donors[a.DataCentre] > donors[b.DataCentre]
+	}
+	return a.ID < b.ID
+}
+
+func byDataCentre(in Input, pool fleet.PoolName) map[fleet.DataCentre]int {
+	n := make(map[fleet.DataCentre]int)
+	for i := range in.Text.Instances {
+		it := &in.Text.Instances[i]
+		if in.Pools[it.ID] == pool && !in.Unavailable[it.ID] {
+			n[it.DataCentre]++
+		}
+	}
+	return n
+}
+
+// Needs returns what each pool needs, ordered by name.
+func Needs(in Input) []Need {
+	demand := in.Demand.ByPool(in.Text)
+	needs := make([]Need, 0, len(in.Text.Pools))
+	for i := range in.Text.Pools {
+		p := &in.Text.Pools[i]
+		spread := byDataCentre(in, p.Name)
+		n := Need{Pool: p.Name, Spare: p.Spare, Carry: instancesFor(demand[p.Name], p.Slots)}
+		for _, count := range spread {
+			n.Have += count
+			n.Largest = max(n.Largest, count)
+		}
+		needs = append(needs, n)
+	}
+	slices.SortFunc(needs, byPool)
+	reserve(in, needs)
+	return needs
+}
--- /dev/null
+++ b/reduce/rehearsal/forecast.go
@@ -0,0 +1,167 @@
+// Package rehearsal forecasts what the loss of a failure domain would do to
+// each service, before it is tried.
+package rehearsal
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/planner"
+)
+
+// budgetPeriod is the time over which a budget is spent.
+const budgetPeriod = 30 * 24 * time.Hour
+
+// Domain is a failure domain: a data centre, or a rack within one.
+type Domain struct {
+	DataCentre fleet.DataCentre
+	// Rack is empty for a whole data centre.
+	Rack fleet.Rack
+}
+
+// Holds reports whether an instance is in the domain.
+func (d Domain) Holds(in *fleet.Instance) bool {
+	return in.DataCentre == d.DataCentre && (d.Rack == "" || in.Rack == d.Rack)
+}
+
+// String returns the domain as "data centre" or "data centre/rack".
+func (d Domain) String() string {
+	if d.Rack == "" {
+		return string(d.DataCentre)
+	}
+	return string(d.DataCentre) + "/" + string(d.Rack)
+}
+
+// Input is what a forecast is made from.
+type Input struct {
+	Text *fleet.Text
+	// Pools holds the pool of each instance.
+	Pools map[fleet.InstanceID]fleet.PoolName
+	// Unavailable instances serve nothing even before the loss.
+	Unavailable map[fleet.InstanceID]bool
+	Demand      planner.Demand
+	Domain      Domain
+}
+
+// Service is the forecast for one service.
+type Service struct {
+	Name fleet.ServiceName
+	Pool fleet.PoolName
+	// Slots are left in the service's pool, out of Before.
+	Slots, Before int
+	// PoolDemand is the demand on these slots.
+	PoolDemand float64
+	// Availability is the share of requests that can be answered, with that of
+	// all services that it depends on.
+	Availability float64
+	// Breaks is set when Availability is below the service's budget.
+	Breaks bool
+	// Cause is the service whose pool is short: this one, or one that it depends
+	// on. It is empty when nothing is short.
+	Cause fleet.ServiceName
+	// Exhausted is how long the loss may last before the budget of 30 days is
+	// spent; zero means that the budget is not touched.
+	Exhausted time.Duration
+}
+
+// Forecast returns the forecast for every service, ordered by name.
+func Forecast(in Input) []Service {
+	f := forecaster{in: in, before: slots(in, Domain{}), left: slots(in, in.Domain), pools: in.Demand.ByPool(in.Text)}
+	out := make([]Service, 0, len(in.Text.Services))
+	for i := range in.Text.Services {
+		out = append(out, f.service(&in.Text.Services[i]))
+	}
+	slices.SortFunc(out, func(a, b Service) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	return out
+}
+
+type forecaster struct {
+	in           Input
+	before, left map[fleet.PoolName]int
+	pools        map[fleet.PoolName]float64
+}
+
+func (f *forecaster) service(svc *fleet.Service) Service {
+	availability, cause := f.availability(svc)
+	out := Service{
+		Name:         svc.Name,
+		Pool:         svc.Pool,
+		Slots:        f.left[svc.Pool],
+		Before:       f.before[svc.Pool],
+		PoolDemand:   f.pools[svc.Pool],
+		Availability: availability,
+		Cause:        cause,
+	}
+	// A loss that the pool carries leaves the service as it is without one.
+	if cause == "" {
+		return out
+	}
+	out.Breaks = availability < svc.Availability
+	out.Exhausted = exhausted(availability, svc.Availability)
+	return out
+}
+
+// availability multiplies the shares of a service's pool and of the pools of
+// all services that it depends on, each once. The cause is the one that is
+// shortest.
+func (f *forecaster) availability(svc *fleet.Service) (float64, fleet.ServiceName) {
+	product, worst := 1.0, 1.0
+	var cause fleet.ServiceName
+	seen := make(map[fleet.ServiceName]bool)
+	var visit func(s *fleet.Service)
+	visit = func(s *fleet.Service) {
+		if seen[s.Name] {
+			return
+		}
+		seen[s.Name] = true
+		share := f.share(s.Pool)
+		product *= share
+		if share < worst {
+			worst, cause = share, s.Name
+		}
+		for _, dep := range s.DependsOn {
+			if d, ok := f.in.Text.Service(dep); ok {
+				visit(d)
+			}
+		}
+	}
+	visit(svc)
+	return product, cause
+}
+
+// share returns the share of a pool's demand that its slots carry.
+func (f *forecaster) share(pool fleet.PoolName) float64 {
+	demand := f.pools[pool]
+	if demand <= 0 {
+		return 1
+	}
+	return math.Min(1, float64(f.left[pool])/demand)
+}
+
+func exhausted(availability, budget float64) time.Duration {
+	loss := 1 - availability
+	if loss <= 0 {
+		return 0
+	}
+	return time.Duration((1 - budget) / loss * float64(budgetPeriod))
+}
+
+// slots returns the slots of each pool without the instances of a domain. The
+// zero domain holds no instance.
+func slots(in Input, lost Domain) map[fleet.PoolName]int {
+	left := make(map[fleet.PoolName]int, len(in.Text.Pools))
+	for i := range in.Text.Instances {
+		it := &in.Text.Instances[i]
+		if in.Unavailable[it.ID] || (lost != Domain{} && lost.Holds(it)) {
+			continue
+		}
+		pool, ok := in.Text.Pool(in.Pools[it.ID])
+		if ok {
+			left[pool.Name] += pool.Slots
+		}
+	}
+	return left
+}
