--- a/cmd/banyanraild/main.go
+++ b/cmd/banyanraild/main.go
@@ -49,6 +49,7 @@
 		ID:            fleet.EntryID(s.ID),
 		DataCentre:    fleet.DataCentre(s.DataCentre),
 		OperatorToken: s.OperatorToken,
+		PeerAddress:   s.Peers,
 	}, entry.Deps{Log: client, Instances: client, Logger: logger})
 
 	serving, closeListeners := context.WithCancel(context.Background())
--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -41,8 +41,11 @@
 	Runners  []*Runner
 	Nodes    []*Node
 
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	cfg         Config
+	platformURL string
+	ctx         context.Context
+	cancel      context.CancelFunc
+	wg          sync.WaitGroup
 }
 
 // Runner is an endpoint stand-in with its address.
@@ -61,6 +64,8 @@
 	OperatorsURL string
 	// PeerAddress is where other entries reach it.
 	PeerAddress string
+	// Log is the entry's way to the log.
+	Log *LogSwitch
 	// Kill ends the entry at once, without a graceful shutdown.
 	Kill context.CancelFunc
 }
@@ -68,7 +73,7 @@
 // Start starts a fleet. Stop it when done.
 func Start(cfg Config) (*Fleet, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Fleet{Platform: standin.NewPlatform(), cancel: cancel}
+	f := &Fleet{Platform: standin.NewPlatform(), cfg: cfg, ctx: ctx, cancel: cancel}
 	if err := f.start(ctx, cfg); err != nil {
 		f.Stop()
 		return nil, err
@@ -82,6 +87,7 @@
 	if err != nil {
 		return err
 	}
+	f.platformURL = "http://" + platformAddr
 	for i := range cfg.Runners {
 		r := &Runner{Runner: standin.NewRunner(cfg.Slots, cfg.Work), ID: fleet.InstanceID(fmt.Sprintf("runner-%02d", i+1))}
 		f.spawn(func() { r.Run(ctx) })
@@ -90,22 +96,56 @@
 		}
 		f.Runners = append(f.Runners, r)
 	}
-	for i := range cfg.Entries {
-		node, err := f.startNode(ctx, cfg, fmt.Sprintf("entry-%d", i+1), "http://"+platformAddr)
-		if err != nil {
+	for range cfg.Entries {
+		if _, err := f.addNode(false); err != nil {
 			return err
 		}
-		f.Nodes = append(f.Nodes, node)
 	}
 	return f.list()
 }
 
-func (f *Fleet) startNode(ctx context.Context, cfg Config, id, platformURL string) (*Node, error) {
-	ctx, kill := context.WithCancel(ctx)
-	deps := cfg.Deps
-	client := platform.NewClient(platformURL)
-	deps.Log, deps.Instances = client, client
-	node := &Node{ID: fleet.EntryID(id), Entry: entry.New(entry.Config{ID: fleet.EntryID(id), Seed: uint64(len(f.Nodes) + 1)}, deps), Kill: kill}
+// AddNode starts one more entry and puts it on the platform's list. With cut
+// set it cannot reach the log until its LogSwitch is closed.
+func (f *Fleet) AddNode(cut bool) (*Node, error) {
+	node, err := f.addNode(cut)
+	if err != nil {
+		return nil, err
+	}
+	return node, f.list()
+}
+
+func (f *Fleet) addNode(cut bool) (*Node, error) {
+	node, err := f.startNode(fmt.Sprintf("entry-%d", len(f.Nodes)+1), cut)
+	if err != nil {
+		return nil, err
+	}
+	f.Nodes = append(f.Nodes, node)
+	return node, nil
+}
+
+func (f *Fleet) startNode(id string, cut bool) (*Node, error) {
+	ctx, kill := context.WithCancel(f.ctx)
+	peersListener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		kill()
+		return nil, oops.In("dev").With("step", "listen").Wrap(err)
+	}
+	client := platform.NewClient(f.platformURL)
+	node := &Node{
+		ID:          fleet.EntryID(id),
+		Kill:        kill,
+		Log:         NewLogSwitch(client),
+		PeerAddress: peersListener.Addr().String(),
+	}
+	node.Log.Cut(cut)
+	deps := f.cfg.Deps
+	deps.Log, deps.Instances = node.Log, client
+	node.Entry = entry.New(entry.Config{
+		ID:          node.ID,
+		Seed:        uint64(len(f.Nodes) + 1),
+		PeerAddress: node.PeerAddress,
+	}, deps)
+	f.servePeers(ctx, node.Entry, peersListener)
 	f.spawn(func() { node.Entry.Run(ctx) })
 	callers, err := f.serve(ctx, node.Entry.Callers())
 	if err != nil {
@@ -115,9 +155,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if node.PeerAddress, err = f.servePeers(ctx, node.Entry); err != nil {
-		return nil, err
-	}
 	node.CallersURL, node.OperatorsURL = "http://"+callers, "http://"+operators
 	return node, nil
 }
@@ -151,12 +188,8 @@
 	return ln.Addr().String(), nil
 }
 
-// servePeers listens for other entries and returns the address.
-func (f *Fleet) servePeers(ctx context.Context, e *entry.Entry) (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", oops.In("dev").With("step", "listen").Wrap(err)
-	}
+// servePeers takes in the messages of other entries.
+func (f *Fleet) servePeers(ctx context.Context, e *entry.Entry, ln net.Listener) {
 	srv := grpc.NewServer()
 	e.RegisterPeers(srv)
 	f.spawn(func() { _ = srv.Serve(ln) }) // returns once the server is stopped
@@ -164,7 +197,6 @@
 		<-ctx.Done()
 		srv.Stop()
 	})
-	return ln.Addr().String(), nil
 }
 
 // list puts all entries and runners on the platform's list.
--- /dev/null
+++ b/dev/logswitch.go
@@ -0,0 +1,76 @@
+package dev
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/platform"
+)
+
+var errCut = errors.New("dev: cut off from the log")
+
+// LogSwitch is one entry's way to the log, which can be cut without harm to
+// the other entries.
+type LogSwitch struct {
+	log platform.Log
+
+	mu sync.Mutex
+	// way is cancelled while the log is out of reach.
+	way context.Context
+	cut context.CancelFunc
+}
+
+var _ platform.Log = (*LogSwitch)(nil)
+
+// NewLogSwitch returns a way to a log that is not cut.
+func NewLogSwitch(log platform.Log) *LogSwitch {
+	s := &LogSwitch{log: log}
+	s.way, s.cut = context.WithCancel(context.Background())
+	return s
+}
+
+// Cut takes the log out of reach, also for calls under way, or back.
+func (s *LogSwitch) Cut(cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut()
+	if !cut {
+		s.way, s.cut = context.WithCancel(context.Background())
+	}
+}
+
+// join returns a context that also ends when the log is cut.
+func (s *LogSwitch) join(ctx context.Context) (context.Context, context.CancelFunc) {
+	s.mu.Lock()
+	way := s.way
+	s.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(way, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// Append implements platform.Log.
+func (s *LogSwitch) Append(ctx context.Context, stream string, data []byte) (fleet.Offset, error) {
+	ctx, done := s.join(ctx)
+	defer done()
+	if ctx.Err() != nil {
+		return 0, errors.Join(platform.ErrNotAppended, errCut)
+	}
+	return s.log.Append(ctx, stream, data)
+}
+
+// Read implements platform.Log.
+func (s *LogSwitch) Read(ctx context.Context, stream string, from fleet.Offset, wait time.Duration) (platform.Page, error) {
+	ctx, done := s.join(ctx)
+	defer done()
+	if ctx.Err() != nil {
+		return platform.Page{}, errors.Join(platform.ErrUnavailable, errCut)
+	}
+	return s.log.Read(ctx, stream, from, wait)
+}
--- /dev/null
+++ b/dev/relay_test.go
@@ -0,0 +1,105 @@
+package dev_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/banyanrail/banyanrail/dev"
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+)
+
+func waitVersion(t testing.TB, n *dev.Node, version fleet.Version) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(
+		wait.BoolFunc(func() bool { return status(t, n).Version == version }),
+		wait.Timeout(10*time.Second), wait.Gap(2*time.Millisecond),
+	))
+}
+
+func TestEntryCutOffFromTheLogFollowsItsPeers(t *testing.T) {
+	f := startFleet(t)
+	_, first := publish(t, f.Nodes[0], "0", f.Text(8))
+	waitReady(t, f)
+	cut := f.Nodes[2]
+	cut.Log.Cut(true)
+	_, second := publish(t, f.Nodes[0], fmt.Sprint(first.Version), f.Text(4))
+	must.EqOp(t, "accepted", second.Outcome)
+	waitVersion(t, cut, second.Version)
+
+	cut.Log.Cut(false)
+	_, third := publish(t, cut, fmt.Sprint(second.Version), f.Text(8))
+	must.EqOp(t, "accepted", third.Outcome)
+	for _, n := range f.Nodes {
+		waitVersion(t, n, third.Version)
+	}
+}
+
+func TestEntryStartsFromPeersWhileTheLogIsOutOfReach(t *testing.T) {
+	f := startFleet(t)
+	publish(t, f.Nodes[0], "0", f.Text(8))
+	waitReady(t, f)
+	n, err := f.AddNode(true)
+	must.NoError(t, err)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(n.Entry.Ready), wait.Timeout(10*time.Second)))
+	resp, body := call(t, n, "survey", "sediment")
+	must.EqOp(t, http.StatusOK, resp.StatusCode)
+	must.EqOp(t, "sediment", body)
+}
+
+func TestEntryWithoutStateIsNotReady(t *testing.T) {
+	f := startFleet(t)
+	for _, n := range f.Nodes {
+		n.Log.Cut(true)
+	}
+	publish(t, f.Nodes[0], "0", f.Text(8))
+	for _, n := range f.Nodes {
+		must.False(t, n.Entry.Ready())
+	}
+}
+
+// BenchmarkPublishInForce measures from the start of a publish until the text
+// is in force on another entry.
+func BenchmarkPublishInForce(b *testing.B) {
+	for _, cut := range []bool{false, true} {
+		b.Run(fmt.Sprintf("cut=%v", cut), func(b *testing.B) {
+			f, err := dev.Start(dev.Config{Entries: 9, Runners: 10, Slots: 8, Work: time.Millisecond})
+			must.NoError(b, err)
+			defer f.Stop()
+			_, res := publish(b, f.Nodes[0], "0", f.Text(8))
+			waitReady(b, f)
+			last := f.Nodes[len(f.Nodes)-1]
+			last.Log.Cut(cut)
+			var longest time.Duration
+			for b.Loop() {
+				start := time.Now()
+				_, res = publish(b, f.Nodes[0], fmt.Sprint(res.Version), f.Text(8))
+				waitVersion(b, last, res.Version)
+				longest = max(longest, time.Since(start))
+			}
+			b.ReportMetric(float64(longest.Milliseconds()), "ms-longest")
+		})
+	}
+}
+
+// BenchmarkStartWithoutLog measures from the start of an entry that cannot
+// reach the log until it is ready.
+func BenchmarkStartWithoutLog(b *testing.B) {
+	f, err := dev.Start(dev.Config{Entries: 9, Runners: 10, Slots: 8, Work: time.Millisecond})
+	must.NoError(b, err)
+	defer f.Stop()
+	publish(b, f.Nodes[0], "0", f.Text(8))
+	waitReady(b, f)
+	var longest time.Duration
+	for b.Loop() {
+		start := time.Now()
+		n, err := f.AddNode(true)
+		must.NoError(b, err)
+		must.Wait(b, wait.InitialSuccess(wait.BoolFunc(n.Entry.Ready), wait.Timeout(10*time.Second), wait.Gap(2*time.Millisecond)))
+		longest = max(longest, time.Since(start))
+	}
+	b.ReportMetric(float64(longest.Milliseconds()), "ms-longest")
+}
--- a/entry/act.go
+++ b/entry/act.go
@@ -21,7 +21,9 @@
 	case effect.Read:
 		e.reader.start(o.From)
 	case effect.SendPeer:
-		e.sendPeer(o)
+		e.peers.Send(o.To, o.Address, o.Sequence, o.Message)
+	case effect.KeepPeers:
+		e.keepPeers(o)
 	case effect.Reply:
 		e.replies.Resolve(o.ID, o.Result)
 	case effect.ReplyStatus:
@@ -44,6 +46,9 @@
 	effect.ChangeLogUp:          "log available",
 	effect.ChangeStopping:       "stopping",
 	effect.ChangeRecordRejected: "record rejected",
+	effect.ChangeDigestMismatch: "fold differs from a peer's",
+	effect.ChangePeerSuspect:    "peer suspected",
+	effect.ChangePeerDead:       "peer dead",
 }
 
 func (e *Entry) logChange(o effect.LogChange) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,8 +28,8 @@
 	DefaultTraffic     = 1024
 	// logWorkers is the number of goroutines that read and append.
 	logWorkers = 16
-	// peerWorkers is the number of messages to peers under way at once, and
-	// peerQueue the number that wait; more are dropped.
+	// peerWorkers is the number of peers that are written to at once, and
+	// peerQueue the number that wait for their turn.
 	peerWorkers = 32
 	peerQueue   = 4096
 )
@@ -38,6 +38,9 @@
 type Config struct {
 	ID         fleet.EntryID
 	DataCentre fleet.DataCentre
+	// PeerAddress is where other entries reach this one; empty leaves them to
+	// the platform's list.
+	PeerAddress string
 	// Incarnation grows with each start of the entry; zero takes the start time.
 	Incarnation uint64
 	// Seed feeds random choices; zero takes the start time.
@@ -110,12 +113,12 @@
 		traffic:    pond.NewPool(cfg.Traffic),
 		logPool:    pond.NewPool(logWorkers),
 		peerPool:   pond.NewPool(peerWorkers, pond.WithQueueSize(peerQueue), pond.WithNonBlocking(true)),
-		peers:      peer.NewClient(cfg.ID, cfg.Incarnation),
 		stopped:    make(chan struct{}),
 		background: background,
 		end:        end,
 	}
 	e.reader = newReader(e)
+	e.peers = e.newPeerClient()
 	state := reduce.New(reduce.Config{
 		Entry:       cfg.ID,
 		DataCentre:  cfg.DataCentre,
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -7,10 +7,13 @@
 )
 
 var counterNames = map[effect.Counter]string{
-	effect.RequestsAnswered: "requests_answered",
-	effect.RequestsRefused:  "requests_refused",
-	effect.AttemptsRetried:  "attempts_retried",
-	effect.LateAnswers:      "late_answers",
+	effect.RequestsAnswered:  "requests_answered",
+	effect.RequestsRefused:   "requests_refused",
+	effect.AttemptsRetried:   "attempts_retried",
+	effect.LateAnswers:       "late_answers",
+	effect.DigestMismatches:  "digest_mismatches",
+	effect.RecordsRelayed:    "records_relayed",
+	effect.StalePeerMessages: "stale_peer_messages",
 }
 
 // metrics keeps the tally counters by their labels. Only the control goroutine
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
@@ -12,32 +11,38 @@
 	"google.golang.org/grpc"
 )
 
-const (
-	// peerTimeout bounds one message to a peer.
-	peerTimeout = time.Second
-	// listInterval is the time between looks at the platform's list.
-	listInterval = time.Second
-)
+// listInterval is the time between looks at the platform's list.
+const listInterval = time.Second
 
 // RegisterPeers puts the interface for other entries on a gRPC server.
 func (e *Entry) RegisterPeers(g *grpc.Server) {
 	peer.Register(g, func(r peer.Received) error {
-		return e.loop.Offer(event.PeerReceived{From: r.From, Incarnation: r.Incarnation, Message: r.Message})
+		return e.loop.Post(event.PeerReceived{
+			From: r.From, Incarnation: r.Incarnation, Address: r.Address, Sequence: r.Sequence, Message: r.Message,
+		})
 	})
 }
 
-// sendPeer queues a message; a lost one is made up for by later ones.
-func (e *Entry) sendPeer(o effect.SendPeer) {
-	err := e.peerPool.Go(func() {
-		ctx, cancel := context.WithTimeout(e.background, peerTimeout)
-		defer cancel()
-		if err := e.peers.Send(ctx, o.Address, o.Message); err != nil {
-			e.metrics.peerFailed(o.To)
-		}
+// newPeerClient returns the client that sends to other entries. A lost message
+// is made up for by later ones, so it is only counted.
+func (e *Entry) newPeerClient() *peer.Client {
+	return peer.NewClient(e.background, peer.Config{
+		Self:        e.cfg.ID,
+		Incarnation: e.cfg.Incarnation,
+		Address:     e.cfg.PeerAddress,
+		Run:         e.peerPool.Go,
+		Failed:      func(to fleet.EntryID, _ error) { e.metrics.peerFailed(to) },
 	})
-	if err != nil {
-		e.metrics.peerFailed(o.To)
+}
+
+// keepPeers closes connections to entries that have gone. Closing can wait for
+// the network, so it is done off the control goroutine.
+func (e *Entry) keepPeers(o effect.KeepPeers) {
+	keep := make(map[string]bool, len(o.Addresses))
+	for _, address := range o.Addresses {
+		keep[address] = true
 	}
+	_ = e.peerPool.Go(func() { e.peers.Retain(keep) }) // done again with the next list
 }
 
 // followList reports the platform's list until the entry ends.
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/peer/peerpb"
+	"github.com/banyanrail/banyanrail/platform/codec"
+	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/message"
 	"github.com/samber/oops"
 )
@@ -14,14 +16,35 @@
 		env.Message = &peerpb.Envelope_Heartbeat{Heartbeat: &peerpb.Heartbeat{
 			Offset:   int64(m.Offset),
 			Version:  int64(m.Version),
+			Digest:   m.Digest,
 			Stopping: m.Stopping,
 		}}
+	case message.RecordsAsked:
+		env.Message = &peerpb.Envelope_RecordsAsked{RecordsAsked: &peerpb.RecordsAsked{After: int64(m.After)}}
+	case message.Records:
+		records, err := encodeRecords(m.Records)
+		if err != nil {
+			return err
+		}
+		env.Message = &peerpb.Envelope_Records{Records: &peerpb.Records{After: int64(m.After), Records: records}}
 	default:
 		return oops.In("peer").With("step", "encode").Errorf("unknown message type %T", m)
 	}
 	return nil
 }
 
+func encodeRecords(records []control.Positioned) ([]*peerpb.Record, error) {
+	out := make([]*peerpb.Record, 0, len(records))
+	for _, p := range records {
+		data, err := codec.Encode(p.Record)
+		if err != nil {
+			return nil, oops.In("peer").With("step", "encode", "offset", p.Offset).Wrap(err)
+		}
+		out = append(out, &peerpb.Record{Offset: int64(p.Offset), Data: data})
+	}
+	return out, nil
+}
+
 // decode returns the envelope's message. It fails for a message of a newer
 // version that it does not know.
 func decode(env *peerpb.Envelope) (message.Message, error) {
@@ -30,9 +53,28 @@
 		return message.Heartbeat{
 			Offset:   fleet.Offset(m.Heartbeat.GetOffset()),
 			Version:  fleet.Version(m.Heartbeat.GetVersion()),
+			Digest:   m.Heartbeat.GetDigest(),
 			Stopping: m.Heartbeat.GetStopping(),
 		}, nil
+	case *peerpb.Envelope_RecordsAsked:
+		return message.RecordsAsked{After: fleet.Offset(m.RecordsAsked.GetAfter())}, nil
+	case *peerpb.Envelope_Records:
+		return decodeRecords(m.Records)
 	default:
-		return nil, oops.In("peer").With("step", "decode", "peer", env.GetFrom()).Errorf("unknown message")
+		return nil, oops.In("peer").With("step", "decode").Errorf("unknown message")
+	}
+}
+
+// decodeRecords fails when a record cannot be read: a peer of another version
+// must not fill this entry's fold with records that the log may serve whole.
+func decodeRecords(m *peerpb.Records) (message.Message, error) {
+	out := message.Records{After: fleet.Offset(m.GetAfter())}
+	for _, r := range m.GetRecords() {
+		rec, err := codec.Decode(r.GetData())
+		if err != nil {
+			return nil, oops.In("peer").With("step", "decode", "offset", r.GetOffset()).Wrap(err)
+		}
+		out.Records = append(out.Records, control.Positioned{Offset: fleet.Offset(r.GetOffset()), Record: rec})
 	}
+	return out, nil
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -1,104 +1,138 @@
-// Package peer carries messages between entries over gRPC. Delivery is at most
-// once and unordered; the reducer's messages are made for that.
+// Package peer carries messages between entries over gRPC, on one stream from
+// each entry to each other. Delivery is at most once; messages carry sequence
+// numbers, by which the receiver's reducer sees what was lost.
 package peer
 
 import (
 	"context"
+	"strconv"
 	"sync"
+	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/peer/peerpb"
 	"github.com/banyanrail/banyanrail/reduce/message"
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/metadata"
 )
 
-// Received is a message with its sender.
-type Received struct {
-	From        fleet.EntryID
-	Incarnation uint64
-	Message     message.Message
-}
-
-// Server takes in the messages of other entries.
-type Server struct {
-	peerpb.UnimplementedPeerServer
-	take func(Received) error
-}
-
-// Register puts a server that hands messages to take on a gRPC server. An
-// error of take tells the sender that its message was not taken in.
-func Register(g *grpc.Server, take func(Received) error) {
-	peerpb.RegisterPeerServer(g, &Server{take: take})
-}
+const (
+	// outboxSize is the number of messages that wait for one peer; a full
+	// outbox drops new ones.
+	outboxSize = 4096
+	// sendTimeout bounds the opening of a stream and each write to it.
+	sendTimeout = time.Second
+)
 
-// Send implements the gRPC service.
-func (s *Server) Send(_ context.Context, env *peerpb.Envelope) (*peerpb.Taken, error) {
-	m, err := decode(env)
-	if err != nil {
-		return nil, status.Error(codes.InvalidArgument, err.Error())
-	}
-	err = s.take(Received{From: fleet.EntryID(env.GetFrom()), Incarnation: env.GetIncarnation(), Message: m})
-	if err != nil {
-		return nil, status.Error(codes.ResourceExhausted, err.Error())
-	}
-	return &peerpb.Taken{}, nil
-}
+// Errors of Client.
+var (
+	errOutboxFull = oops.In("peer").With("step", "queue").Errorf("too many messages wait")
+	errClosed     = oops.In("peer").With("step", "queue").Errorf("client is closed")
+)
 
 // Client sends messages to other entries over one connection to each.
 type Client struct {
-	self        fleet.EntryID
-	incarnation uint64
+	ctx     context.Context
+	run     func(func()) error
+	failed  func(to fleet.EntryID, err error)
+	options []grpc.DialOption
 
 	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
+	links map[string]*link
 }
 
-// NewClient returns a client that sends as one incarnation of an entry.
-func NewClient(self fleet.EntryID, incarnation uint64) *Client {
-	return &Client{self: self, incarnation: incarnation, conns: make(map[string]*grpc.ClientConn)}
+// Config tells a client how to send.
+type Config struct {
+	Self        fleet.EntryID
+	Incarnation uint64
+	// Address is where this entry listens for others; empty when not known.
+	Address string
+	// Run runs a task in a pool of goroutines. Messages to one peer take one
+	// goroutine at most, and none while no message waits.
+	Run func(func()) error
+	// Failed is called for each message that was given up.
+	Failed func(to fleet.EntryID, err error)
+	// Options are further options of the connections.
+	Options []grpc.DialOption
 }
 
-// Send hands a message to the entry at an address.
-func (c *Client) Send(ctx context.Context, address string, m message.Message) error {
-	fail := oops.In("peer").With("step", "send", "peer", address)
-	env := &peerpb.Envelope{From: string(c.self), Incarnation: c.incarnation}
-	if err := encode(env, m); err != nil {
-		return err
+// NewClient returns a client that sends until the context ends.
+func NewClient(ctx context.Context, cfg Config) *Client {
+	md := metadata.Pairs(
+		metadataFrom, string(cfg.Self),
+		metadataIncarnation, strconv.FormatUint(cfg.Incarnation, 10),
+		metadataAddress, cfg.Address,
+	)
+	options := append([]grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}, cfg.Options...)
+	return &Client{
+		ctx:     metadata.NewOutgoingContext(ctx, md),
+		run:     cfg.Run,
+		failed:  cfg.Failed,
+		options: options,
+		links:   make(map[string]*link),
 	}
-	conn, err := c.conn(address)
+}
+
+// Send queues a message for the entry at an address and returns at once.
+// Messages to one address leave in the order of the calls.
+func (c *Client) Send(to fleet.EntryID, address string, sequence uint64, m message.Message) {
+	l, err := c.link(to, address)
 	if err != nil {
-		return fail.Wrap(err)
+		c.failed(to, err)
+		return
 	}
-	if _, err := peerpb.NewPeerClient(conn).Send(ctx, env); err != nil {
-		return fail.Wrap(err)
+	start, err := l.push(outgoing{sequence: sequence, message: m})
+	if err == nil && start {
+		err = c.run(l.drain)
+	}
+	if err != nil {
+		c.failed(to, err)
 	}
-	return nil
 }
 
-func (c *Client) conn(address string) (*grpc.ClientConn, error) {
+func (c *Client) link(to fleet.EntryID, address string) (*link, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if conn, ok := c.conns[address]; ok {
-		return conn, nil
+	if c.links == nil {
+		return nil, errClosed
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if l, ok := c.links[address]; ok {
+		return l, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, c.options...)
 	if err != nil {
-		return nil, err
+		return nil, oops.In("peer").With("step", "connect", "peer", address).Wrap(err)
+	}
+	l := &link{client: c, to: to, address: address, conn: conn}
+	c.links[address] = l
+	return l, nil
+}
+
+// Retain closes the connections to addresses that are not in keep.
+func (c *Client) Retain(keep map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, l := range c.links {
+		if !keep[address] {
+			_ = l.conn.Close() // nothing is left to do if this fails
+			delete(c.links, address)
+		}
 	}
-	c.conns[address] = conn
-	return conn, nil
 }
 
 // Close closes all connections.
 func (c *Client) Close() {
+	c.Retain(nil)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for address, conn := range c.conns {
-		_ = conn.Close() // nothing is left to do if this fails
-		delete(c.conns, address)
-	}
+	c.links = nil
 }
+
+type outgoing struct {
+	sequence uint64
+	message  message.Message
+}
+
+type peerStream = grpc.ClientStreamingClient[peerpb.Envelope, peerpb.Taken]
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,190 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/peer"
+	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/message"
+	"github.com/shoenig/test/must"
+	"google.golang.org/grpc"
+)
+
+// receiver is a listening peer.
+type receiver struct {
+	address string
+	got     chan peer.Received
+	server  *grpc.Server
+}
+
+func listen(t testing.TB, address string) *receiver {
+	t.Helper()
+	ln, err := net.Listen("tcp", address)
+	must.NoError(t, err)
+	r := &receiver{address: ln.Addr().String(), got: make(chan peer.Received, 10_000), server: grpc.NewServer()}
+	peer.Register(r.server, func(m peer.Received) error {
+		r.got <- m
+		return nil
+	})
+	go func() { _ = r.server.Serve(ln) }()
+	t.Cleanup(r.server.Stop)
+	return r
+}
+
+func newClient(t testing.TB, failed *atomic.Int64, options ...grpc.DialOption) *peer.Client {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	c := peer.NewClient(ctx, peer.Config{
+		Self:        "entry-1",
+		Incarnation: 7,
+		Address:     "127.0.0.1:9",
+		Run: func(task func()) error {
+			go task()
+			return nil
+		},
+		Failed:  func(fleet.EntryID, error) { failed.Add(1) },
+		Options: options,
+	})
+	t.Cleanup(func() {
+		c.Close()
+		cancel()
+	})
+	return c
+}
+
+func TestMessagesArriveInOrderWithTheirSender(t *testing.T) {
+	r := listen(t, "127.0.0.1:0")
+	var failed atomic.Int64
+	c := newClient(t, &failed)
+	const n = 1000
+	for i := range n {
+		c.Send("entry-2", r.address, uint64(i), message.Heartbeat{Offset: fleet.Offset(i), Digest: 1 << 63, Stopping: true})
+	}
+	for i := range n {
+		m := <-r.got
+		must.EqOp(t, "entry-1", m.From)
+		must.EqOp(t, 7, m.Incarnation)
+		must.EqOp(t, "127.0.0.1:9", m.Address)
+		must.EqOp(t, uint64(i), m.Sequence)
+		must.Eq[message.Message](t, message.Heartbeat{Offset: fleet.Offset(i), Digest: 1 << 63, Stopping: true}, m.Message)
+	}
+	must.EqOp(t, 0, failed.Load())
+}
+
+func TestRestartedPeerIsReachedAgain(t *testing.T) {
+	first := listen(t, "127.0.0.1:0")
+	var failed atomic.Int64
+	c := newClient(t, &failed)
+	c.Send("entry-2", first.address, 1, message.Heartbeat{})
+	<-first.got
+	first.server.Stop()
+	second := listen(t, first.address)
+	deadline := time.After(20 * time.Second)
+	for sequence := uint64(2); ; sequence++ {
+		c.Send("entry-2", first.address, sequence, message.Heartbeat{})
+		select {
+		case <-second.got:
+			return
+		case <-deadline:
+			t.Fatal("the restarted peer heard nothing")
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+func TestUnreachablePeerIsReported(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	address := ln.Addr().String()
+	must.NoError(t, ln.Close())
+	failed := make(chan error, 1)
+	c := peer.NewClient(t.Context(), peer.Config{
+		Self: "entry-1",
+		Run: func(task func()) error {
+			go task()
+			return nil
+		},
+		Failed: func(_ fleet.EntryID, err error) { failed <- err },
+	})
+	defer c.Close()
+	c.Send("entry-2", address, 1, message.Heartbeat{})
+	must.ErrorContains(t, <-failed, address)
+}
+
+func TestRecordsKeepTheirPlace(t *testing.T) {
+	r := listen(t, "127.0.0.1:0")
+	var failed atomic.Int64
+	c := newClient(t, &failed)
+	src := `data_centre "dc1" {
+  rack "r1" {
+    instance "runner-1" {
+      address = "127.0.0.1:1"
+      pool    = "main"
+    }
+  }
+}
+pool "main" { slots = 4 }
+service "survey" { pool = "main" }
+member "lawa" { weight = 1 }
+`
+	c.Send("entry-2", r.address, 1, message.RecordsAsked{After: 41})
+	c.Send("entry-2", r.address, 2, message.Records{After: 41, Records: []control.Positioned{{
+		Offset: 43,
+		Record: control.Record{ID: "r", Body: control.Publish{Base: 3, Source: src}},
+	}}})
+	must.Eq[message.Message](t, message.RecordsAsked{After: 41}, (<-r.got).Message)
+	got := (<-r.got).Message.(message.Records)
+	must.EqOp(t, 41, got.After)
+	must.Len(t, 1, got.Records)
+	must.EqOp(t, 43, got.Records[0].Offset)
+	body := got.Records[0].Record.Body.(control.Publish)
+	must.EqOp(t, 3, body.Base)
+	must.EqOp(t, 4, body.Text.Pools[0].Slots)
+}
+
+// countingConn counts what is written to a connection and read from it.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkHeartbeat reports the bytes of TCP payload of a heartbeat, both
+// ways, HTTP/2 frames included.
+func BenchmarkHeartbeat(b *testing.B) {
+	r := listen(b, "127.0.0.1:0")
+	var failed, bytes atomic.Int64
+	c := newClient(b, &failed, grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+		return countingConn{Conn: conn, bytes: &bytes}, err
+	}))
+	beat := message.Heartbeat{Offset: 1_000_000, Version: 999_999, Digest: 1 << 63}
+	sequence := uint64(time.Now().UnixNano())
+	send := func() {
+		sequence++
+		c.Send("entry-2", r.address, sequence, beat)
+		<-r.got
+	}
+	send()
+	bytes.Store(0)
+	for b.Loop() {
+		send()
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-B/op")
+}
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -108,6 +108,13 @@
 	RequestsRefused
 	AttemptsRetried
 	LateAnswers
+	// DigestMismatches counts peers whose fold of the same records differs.
+	DigestMismatches
+	// RecordsRelayed counts records that came from a peer before the log.
+	RecordsRelayed
+	// StalePeerMessages counts messages of earlier incarnations and messages
+	// that were overtaken.
+	StalePeerMessages
 )
 
 // Change names a change of state that is worth a log line.
@@ -121,6 +128,9 @@
 	ChangeLogUp
 	ChangeStopping
 	ChangeRecordRejected
+	ChangeDigestMismatch
+	ChangePeerSuspect
+	ChangePeerDead
 )
 
 // LogChange writes a log line for a change of state.
@@ -135,9 +145,14 @@
 type SendPeer struct {
 	To      fleet.EntryID
 	Address string
-	Message message.Message
+	// Sequence numbers the messages to this peer; the driver keeps their order.
+	Sequence uint64
+	Message  message.Message
 }
 
+// KeepPeers closes the connections to all other addresses.
+type KeepPeers struct{ Addresses []string }
+
 // SetReady sets the entry's readiness, as the balancer sees it.
 type SetReady struct{ Ready bool }
 
@@ -158,6 +173,7 @@
 func (Count) isEffect()         {}
 func (LogChange) isEffect()     {}
 func (SendPeer) isEffect()      {}
+func (KeepPeers) isEffect()     {}
 func (SetReady) isEffect()      {}
 func (SetTimer) isEffect()      {}
 func (Stopped) isEffect()       {}
--- a/reduce/event/event.go
+++ b/reduce/event/event.go
@@ -135,7 +135,11 @@
 type PeerReceived struct {
 	From        fleet.EntryID
 	Incarnation uint64
-	Message     message.Message
+	// Address is where the sender listens; empty when it does not say.
+	Address string
+	// Sequence numbers the messages of an incarnation to this entry.
+	Sequence uint64
+	Message  message.Message
 }
 
 // TimerFired reports that the time of the last SetTimer effect has come.
--- a/reduce/log.go
+++ b/reduce/log.go
@@ -25,6 +25,11 @@
 	for _, p := range ev.Records {
 		s.fold(p)
 	}
+	s.updateReady()
+}
+
+// updateReady makes the entry ready once a services text is in force.
+func (s *State) updateReady() {
 	if !s.ready && !s.stopping && s.control.Text != nil {
 		s.ready = true
 		s.emit(effect.SetReady{Ready: true})
@@ -35,6 +40,8 @@
 func (s *State) fold(p control.Positioned) {
 	before := s.control.Version
 	res := s.control.Apply(p)
+	s.relay.Add(p)
+	s.hastenHeartbeat()
 	if s.control.Version != before {
 		s.placement.Configure(s.control.Text, s.control.Pools)
 		s.emit(effect.LogChange{Change: effect.ChangeText, Version: s.control.Version, Record: p.Record.ID})
--- a/reduce/message/message.go
+++ b/reduce/message/message.go
@@ -2,7 +2,10 @@
 // Package peer maps it to the wire.
 package message
 
-import "github.com/banyanrail/banyanrail/fleet"
+import (
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/control"
+)
 
 // Message is what one entry tells another. Its implementations are in this
 // package.
@@ -13,8 +16,25 @@
 	// Offset and Version are the sender's fold of the control stream.
 	Offset  fleet.Offset
 	Version fleet.Version
+	// Digest is a hash of the fold. Folds up to the same offset have the same
+	// digest.
+	Digest uint64
 	// Stopping is set while the sender shuts down.
 	Stopping bool
 }
 
-func (Heartbeat) isMessage() {}
+// RecordsAsked asks a peer for the records of the control stream after an
+// offset.
+type RecordsAsked struct{ After fleet.Offset }
+
+// Records passes records of the control stream on, in order and without gaps.
+type Records struct {
+	// After is the offset of the record that the sender folded just before the
+	// first of Records; zero when that is the first of the stream.
+	After   fleet.Offset
+	Records []control.Positioned
+}
+
+func (Heartbeat) isMessage()    {}
+func (RecordsAsked) isMessage() {}
+func (Records) isMessage()      {}
--- a/reduce/peer.go
+++ b/reduce/peer.go
@@ -1,6 +1,8 @@
 package reduce
 
 import (
+	"time"
+
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
@@ -8,45 +10,104 @@
 	"github.com/banyanrail/banyanrail/reduce/peers"
 )
 
-// onEntriesListed follows the platform's list of entries, a hint that lags.
+// newsDelay is how long a heartbeat with a new offset may wait for more.
+const newsDelay = 20 * time.Millisecond
+
+// onEntriesListed follows the platform's list of entries, a hint that lags: a
+// listed entry is not alive for that, and one that is heard stays although it
+// is not listed.
 func (s *State) onEntriesListed(ev event.EntriesListed) {
 	listed := make(map[fleet.EntryID]bool, len(ev.Entries))
 	for _, e := range ev.Entries {
 		listed[e.ID] = true
-		s.peers.Learn(e.ID, e.Address)
+		_, known := s.peers.Get(e.ID)
+		s.peers.Learn(e.ID, e.Address, s.now)
+		if p, ok := s.peers.Get(e.ID); ok && !known {
+			s.send(p, s.heartbeat())
+		}
 	}
 	for _, p := range s.peers.All() {
-		silent := s.now.Sub(p.Heard) >= peers.SuspectAfter
-		if !listed[p.ID] && silent {
+		gone := p.Status == peers.Unheard || p.Status == peers.Dead
+		if !listed[p.ID] && gone {
 			s.peers.Forget(p.ID)
 		}
 	}
+	s.emit(effect.KeepPeers{Addresses: s.peerAddresses()})
+}
+
+func (s *State) peerAddresses() []string {
+	var addresses []string
+	for _, p := range s.peers.All() {
+		if p.Address != "" {
+			addresses = append(addresses, p.Address)
+		}
+	}
+	return addresses
 }
 
 // onPeerReceived handles a message of another entry.
 func (s *State) onPeerReceived(ev event.PeerReceived) {
-	p, ok := s.peers.Hear(ev.From, ev.Incarnation, s.now)
-	if !ok {
+	p, how := s.peers.Hear(ev.From, ev.Incarnation, ev.Sequence, s.now)
+	if how == peers.Stale {
+		s.emit(effect.Count{Name: effect.StalePeerMessages, N: 1})
 		return
 	}
+	s.peers.Learn(p.ID, ev.Address, s.now)
+	if how == peers.First {
+		s.send(p, s.heartbeat())
+	}
 	switch m := ev.Message.(type) {
 	case message.Heartbeat:
-		p.Offset, p.Version, p.Stopping = m.Offset, m.Version, m.Stopping
+		s.onHeartbeat(p, m)
+	case message.RecordsAsked:
+		s.onRecordsAsked(p, m)
+	case message.Records:
+		s.onPeerRecords(p, m)
 	}
 }
 
-// onHeartbeatDue sends a heartbeat to every peer.
+// onHeartbeatDue sends heartbeats and judges who is alive.
 func (s *State) onHeartbeatDue() {
-	beat := message.Heartbeat{Offset: s.control.Offset, Version: s.control.Version, Stopping: s.stopping}
-	for _, p := range s.peers.All() {
+	for _, p := range s.peers.Judge(s.now) {
+		s.logPeer(p)
+	}
+	beat := s.heartbeat()
+	for _, p := range s.peers.Due() {
 		s.send(p, beat)
 	}
 	s.timers.Set(&s.peers.Tick, s.now.Add(peers.HeartbeatInterval), s.peers)
 }
 
+// hastenHeartbeat tells peers soon that the fold has gone on.
+func (s *State) hastenHeartbeat() {
+	soon := s.now.Add(newsDelay)
+	if s.peers.Tick.IsSet() && s.peers.Tick.At().After(soon) {
+		s.timers.Set(&s.peers.Tick, soon, s.peers)
+	}
+}
+
+func (s *State) heartbeat() message.Heartbeat {
+	return message.Heartbeat{
+		Offset:   s.control.Offset,
+		Version:  s.control.Version,
+		Digest:   s.digest(),
+		Stopping: s.stopping,
+	}
+}
+
+func (s *State) logPeer(p *peers.Peer) {
+	switch p.Status {
+	case peers.Suspect:
+		s.emit(effect.LogChange{Change: effect.ChangePeerSuspect, Detail: string(p.ID)})
+	case peers.Dead:
+		s.emit(effect.LogChange{Change: effect.ChangePeerDead, Detail: string(p.ID)})
+	case peers.Unheard, peers.Alive:
+	}
+}
+
 func (s *State) send(p *peers.Peer, m message.Message) {
 	if p.Address == "" {
 		return
 	}
-	s.emit(effect.SendPeer{To: p.ID, Address: p.Address, Message: m})
+	s.emit(effect.SendPeer{To: p.ID, Address: p.Address, Sequence: p.NextSequence(), Message: m})
 }
--- /dev/null
+++ b/reduce/relay.go
@@ -0,0 +1,71 @@
+package reduce
+
+import (
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/message"
+	"github.com/banyanrail/banyanrail/reduce/peers"
+)
+
+// onHeartbeat compares the fold of a peer with this entry's own.
+func (s *State) onHeartbeat(p *peers.Peer, m message.Heartbeat) {
+	p.Offset, p.Version, p.Digest, p.Stopping = m.Offset, m.Version, m.Digest, m.Stopping
+	switch {
+	case m.Offset > s.control.Offset:
+		if s.relay.ShouldAsk(p.ID, s.logDown, s.now) {
+			s.send(p, message.RecordsAsked{After: s.control.Offset})
+		}
+	case m.Offset == s.control.Offset:
+		s.relay.CaughtUp()
+		s.compareDigest(p)
+	}
+}
+
+// compareDigest reports a peer whose fold of the same records differs.
+func (s *State) compareDigest(p *peers.Peer) {
+	differs := p.Digest != s.digest()
+	if differs == p.Diverged {
+		return
+	}
+	p.Diverged = differs
+	if !differs {
+		return
+	}
+	s.emit(effect.Count{Name: effect.DigestMismatches, N: 1})
+	s.emit(effect.LogChange{Change: effect.ChangeDigestMismatch, Version: s.control.Version, Detail: "peer " + string(p.ID)})
+}
+
+// digest returns the digest of the fold, which is computed once an offset.
+func (s *State) digest() uint64 {
+	if s.digestOffset != s.control.Offset {
+		s.digestOffset, s.digestValue = s.control.Offset, s.control.Digest()
+	}
+	return s.digestValue
+}
+
+// onRecordsAsked passes records on to a peer that is behind.
+func (s *State) onRecordsAsked(p *peers.Peer, m message.RecordsAsked) {
+	before, records, ok := s.relay.After(m.After)
+	if !ok || len(records) == 0 {
+		return
+	}
+	s.send(p, message.Records{After: before, Records: records})
+}
+
+// onPeerRecords folds records that a peer passed on. A page that does not join
+// the fold is left alone: the fold never skips a record.
+func (s *State) onPeerRecords(p *peers.Peer, m message.Records) {
+	s.relay.Answered(p.ID)
+	if m.After > s.control.Offset {
+		return
+	}
+	for _, r := range m.Records {
+		if r.Offset > s.control.Offset {
+			s.fold(r)
+			s.emit(effect.Count{Name: effect.RecordsRelayed, N: 1})
+		}
+	}
+	s.updateReady()
+	if s.control.Offset < p.Offset && s.relay.ShouldAsk(p.ID, s.logDown, s.now) {
+		s.send(p, message.RecordsAsked{After: s.control.Offset})
+	}
+}
--- /dev/null
+++ b/reduce/relay/relay.go
@@ -0,0 +1,107 @@
+// Package relay passes records of the control stream from entry to entry, so
+// that an entry that cannot read the log still follows it.
+package relay
+
+import (
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/control"
+)
+
+const (
+	// maxTail is the number of records kept for peers.
+	maxTail = 512
+	// MaxPage is the number of records in one message.
+	MaxPage = 16
+	// lagLimit is how long the log may lag behind a peer before peers are
+	// asked although the log answers.
+	lagLimit = 500 * time.Millisecond
+	// askTimeout is how long one peer may take to answer.
+	askTimeout = time.Second
+)
+
+// State holds the newest records and what was asked of peers.
+type State struct {
+	// base is the offset folded just before the first record of tail.
+	base fleet.Offset
+	tail []control.Positioned
+
+	behindSince time.Time
+	asked       fleet.EntryID
+	askedAt     time.Time
+}
+
+// Add keeps a record that was folded, for peers that lack it. Records come in
+// the order of the log.
+func (s *State) Add(p control.Positioned) {
+	if p.Offset <= s.Newest() {
+		return
+	}
+	s.tail = append(s.tail, p)
+	if len(s.tail) > maxTail {
+		s.base = s.tail[0].Offset
+		s.tail[0] = control.Positioned{}
+		s.tail = s.tail[1:]
+	}
+}
+
+// Reset drops all records, when the fold jumps to an offset by a snapshot.
+func (s *State) Reset(to fleet.Offset) {
+	s.base, s.tail = to, nil
+}
+
+// Newest returns the offset of the newest record kept.
+func (s *State) Newest() fleet.Offset {
+	if len(s.tail) == 0 {
+		return s.base
+	}
+	return s.tail[len(s.tail)-1].Offset
+}
+
+// After returns a page of the records that follow an offset, and the offset
+// folded just before the first of them. It returns false when the first of them
+// is no longer kept.
+func (s *State) After(offset fleet.Offset) (fleet.Offset, []control.Positioned, bool) {
+	if offset < s.base {
+		return 0, nil, false
+	}
+	before := s.base
+	first := 0
+	for first < len(s.tail) && s.tail[first].Offset <= offset {
+		before = s.tail[first].Offset
+		first++
+	}
+	page := s.tail[first:]
+	if len(page) > MaxPage {
+		page = page[:MaxPage]
+	}
+	return before, append([]control.Positioned(nil), page...), true
+}
+
+// ShouldAsk says whether a peer that is ahead is to be asked for records: when
+// the log is down, or when it has lagged for too long, and no other peer is
+// about to answer.
+func (s *State) ShouldAsk(from fleet.EntryID, logDown bool, now time.Time) bool {
+	if s.behindSince.IsZero() {
+		s.behindSince = now
+	}
+	if !logDown && now.Sub(s.behindSince) < lagLimit {
+		return false
+	}
+	if s.asked != "" && now.Sub(s.askedAt) < askTimeout {
+		return false
+	}
+	s.asked, s.askedAt = from, now
+	return true
+}
+
+// CaughtUp notes that no peer is known to be ahead.
+func (s *State) CaughtUp() { s.behindSince = time.Time{} }
+
+// Answered notes that the peer that was asked has answered.
+func (s *State) Answered(from fleet.EntryID) {
+	if s.asked == from {
+		s.asked = ""
+	}
+}
--- /dev/null
+++ b/reduce/relay_test.go
@@ -0,0 +1,158 @@
+package reduce_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce"
+	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/message"
+	"github.com/shoenig/test/must"
+)
+
+const peerID fleet.EntryID = "entry-2"
+
+// sender numbers the messages of one incarnation of a peer.
+type sender struct {
+	id          fleet.EntryID
+	incarnation uint64
+	sequence    uint64
+}
+
+func (p *sender) message(m message.Message) event.PeerReceived {
+	p.sequence++
+	return event.PeerReceived{From: p.id, Incarnation: p.incarnation, Sequence: p.sequence, Address: "127.0.0.1:2", Message: m}
+}
+
+// sent returns the messages of one type.
+func sent[T message.Message](out []effect.Effect) []T {
+	var found []T
+	for _, e := range only[effect.SendPeer](out) {
+		if m, ok := e.Message.(T); ok {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+// newCutOff returns an entry that started while the log was down.
+func newCutOff() *harness {
+	h := &harness{
+		state: reduce.New(reduce.Config{Entry: "entry-1", Seed: 7, MaxRequests: 100}),
+		now:   epoch,
+	}
+	h.do(event.Started{})
+	h.do(event.ReadFailed{Err: errors.New("log is down")})
+	return h
+}
+
+func published(at, base fleet.Offset, slots int) control.Positioned {
+	id := fleet.RecordID(rune('a' + at))
+	return control.Positioned{Offset: at, Record: control.Record{ID: id, Body: control.Publish{Base: base, Text: oneRunner(slots)}}}
+}
+
+func TestStartingEntryTakesStateFromAPeer(t *testing.T) {
+	h := newCutOff()
+	p := &sender{id: peerID, incarnation: 1}
+	asked := sent[message.RecordsAsked](h.do(p.message(message.Heartbeat{Offset: 2})))
+	must.Eq(t, []message.RecordsAsked{{After: 0}}, asked)
+	must.Len(t, 0, only[effect.SetReady](h.do(p.message(message.Heartbeat{Offset: 2}))))
+
+	out := h.do(p.message(message.Records{Records: []control.Positioned{published(1, 0, 1), published(2, 1, 2)}}))
+	must.Eq(t, []effect.SetReady{{Ready: true}}, only[effect.SetReady](out))
+	must.Len(t, 1, only[effect.Dispatch](h.do(arrived(1))))
+}
+
+func TestPeerRecordsNeverSkipRepeatOrRevert(t *testing.T) {
+	h := newCutOff()
+	p := &sender{id: peerID, incarnation: 1}
+	texts := func(m message.Message) []effect.LogChange {
+		var found []effect.LogChange
+		for _, c := range only[effect.LogChange](h.do(p.message(m))) {
+			if c.Change == effect.ChangeText {
+				found = append(found, c)
+			}
+		}
+		return found
+	}
+	must.Len(t, 0, texts(message.Records{After: 1, Records: []control.Positioned{published(2, 1, 2)}}))
+	must.Len(t, 1, texts(message.Records{Records: []control.Positioned{published(1, 0, 1)}}))
+	must.Len(t, 1, texts(message.Records{Records: []control.Positioned{published(1, 0, 1), published(2, 1, 2)}}))
+	must.Len(t, 0, texts(message.Records{Records: []control.Positioned{published(1, 0, 1)}}))
+
+	// The log comes back and serves the same records again.
+	out := h.do(event.RecordsRead{Records: []control.Positioned{published(1, 0, 1), published(2, 1, 2)}, Next: 3, Oldest: 1})
+	for _, c := range only[effect.LogChange](out) {
+		must.NotEqOp(t, effect.ChangeText, c.Change)
+	}
+}
+
+func TestEntryPassesRecordsOn(t *testing.T) {
+	h := newHarness(oneRunner(1))
+	p := &sender{id: peerID, incarnation: 1}
+	got := sent[message.Records](h.do(p.message(message.RecordsAsked{After: 0})))
+	must.Len(t, 1, got)
+	must.EqOp(t, 0, got[0].After)
+	must.Len(t, 1, got[0].Records)
+	must.Len(t, 0, sent[message.Records](h.do(p.message(message.RecordsAsked{After: 1}))))
+}
+
+func TestLaggingLogIsMadeUpForByPeers(t *testing.T) {
+	h := newHarness(oneRunner(1))
+	p := &sender{id: peerID, incarnation: 1}
+	beat := message.Heartbeat{Offset: 2}
+	must.Len(t, 0, sent[message.RecordsAsked](h.do(p.message(beat))))
+	must.Len(t, 1, sent[message.RecordsAsked](h.after(500*time.Millisecond, p.message(beat))))
+}
+
+func TestDigestMismatchIsReportedOnce(t *testing.T) {
+	h := newHarness(oneRunner(1))
+	p := &sender{id: peerID, incarnation: 1}
+	beat := message.Heartbeat{Offset: 1, Version: 1, Digest: 12345}
+	must.Len(t, 1, counts(h.do(p.message(beat)), effect.DigestMismatches))
+	must.Len(t, 0, counts(h.do(p.message(beat)), effect.DigestMismatches))
+}
+
+func TestEqualFoldsHaveEqualDigests(t *testing.T) {
+	one, two := newHarness(oneRunner(1)), newHarness(oneRunner(1))
+	p := &sender{id: peerID, incarnation: 1}
+	beat := sent[message.Heartbeat](one.do(p.message(message.RecordsAsked{})))
+	must.Len(t, 1, beat)
+	p = &sender{id: peerID, incarnation: 1}
+	must.Len(t, 0, counts(two.do(p.message(beat[0])), effect.DigestMismatches))
+}
+
+func TestEarlierIncarnationIsPassedOver(t *testing.T) {
+	h := newCutOff()
+	restarted := &sender{id: peerID, incarnation: 2}
+	h.do(restarted.message(message.Heartbeat{}))
+	stale := &sender{id: peerID, incarnation: 1, sequence: 100}
+	out := h.do(stale.message(message.Records{Records: []control.Positioned{published(1, 0, 1)}}))
+	must.Len(t, 1, counts(out, effect.StalePeerMessages))
+	must.Len(t, 0, only[effect.SetReady](out))
+}
+
+func TestNewsHastensTheHeartbeat(t *testing.T) {
+	h := newHarness(oneRunner(1))
+	p := &sender{id: peerID, incarnation: 1}
+	h.do(p.message(message.Heartbeat{}))
+	h.after(time.Second, event.TimerFired{})
+	h.do(event.RecordsRead{Records: []control.Positioned{published(2, 1, 2)}, Next: 3, Oldest: 1})
+	beats := sent[message.Heartbeat](h.after(20*time.Millisecond, event.TimerFired{}))
+	must.Len(t, 1, beats)
+	must.EqOp(t, 2, beats[0].Offset)
+}
+
+func counts(out []effect.Effect, name effect.Counter) []effect.Count {
+	var found []effect.Count
+	for _, c := range only[effect.Count](out) {
+		if c.Name == name {
+			found = append(found, c)
+		}
+	}
+	return found
+}
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -8,6 +8,7 @@
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/peers"
 	"github.com/banyanrail/banyanrail/reduce/placement"
+	"github.com/banyanrail/banyanrail/reduce/relay"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 	"github.com/banyanrail/banyanrail/reduce/timer"
 )
@@ -31,12 +32,16 @@
 	placement *placement.State
 	peers     *peers.State
 	proposals proposals
-	timers    timer.Heap
-	logDown   bool
-	ready     bool
-	stopping  bool
-	stopped   bool
-	totals    totals
+	relay     relay.State
+	// digestValue is the digest of the fold up to digestOffset.
+	digestOffset fleet.Offset
+	digestValue  uint64
+	timers       timer.Heap
+	logDown      bool
+	ready        bool
+	stopping     bool
+	stopped      bool
+	totals       totals
 	// armed is the time of the last SetTimer effect.
 	armed time.Time
 	out   []effect.Effect
--- a/reduce/status.go
+++ b/reduce/status.go
@@ -15,7 +15,7 @@
 		Offset:   s.control.Offset,
 		Requests: s.requests.Len(),
 		Queued:   s.placement.Queued(),
-		Peers:    s.peers.Alive(s.now),
+		Peers:    s.peers.Alive(),
 		Pools:    make(map[fleet.PoolName]int),
 		Totals: map[string]uint64{
 			"answered": s.totals.answered,
--- a/reduce/stop.go
+++ b/reduce/stop.go
@@ -9,6 +9,7 @@
 	}
 	s.stopping, s.ready = true, false
 	s.emit(effect.SetReady{Ready: false})
+	s.hastenHeartbeat()
 	s.emit(effect.LogChange{Change: effect.ChangeStopping, Version: s.control.Version})
 }
 
--- a/reduce/timer/timer.go
+++ b/reduce/timer/timer.go
@@ -17,6 +17,12 @@
 	seq   uint64
 }
 
+// IsSet reports whether the timer is armed.
+func (t *Timer) IsSet() bool { return t.index > 0 }
+
+// At returns the time for which the timer is armed, or was last.
+func (t *Timer) At() time.Time { return t.at }
+
 // Heap orders timers by time; timers of the same time fire in the order in
 // which they were set.
 type Heap struct {
