Check all settings at once; serve TLS, metrics and traces

Each listener takes a certificate, a key and a CA for mutual TLS; entries use the peers' files towards one another. Faulty settings are named all at once with exit code 2. Metrics are served on the operators' listener.

--- a/cmd/banyanraild/main.go
+++ b/cmd/banyanraild/main.go
@@ -3,11 +3,13 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"log/slog"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/alexflint/go-arg"
 	"github.com/banyanrail/banyanrail/daemon"
@@ -17,59 +19,91 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// settings are read from flags and the environment.
-type settings struct {
-	ID            string        `arg:"--id,env:BANYANRAIL_ID,required" help:"id of this entry instance"`
-	DataCentre    string        `arg:"--data-centre,env:BANYANRAIL_DATA_CENTRE" help:"data centre it runs in"`
-	Callers       string        `arg:"--callers,env:BANYANRAIL_CALLERS" default:"127.0.0.1:8080" help:"IP address and port for callers"`
-	Operators     string        `arg:"--operators,env:BANYANRAIL_OPERATORS" default:"127.0.0.1:8081" help:"IP address and port for operators"`
-	Peers         string        `arg:"--peers,env:BANYANRAIL_PEERS" default:"127.0.0.1:8082" help:"IP address and port for other entries"`
-	Platform      string        `arg:"--platform,env:BANYANRAIL_PLATFORM,required" help:"base URL of the platform's services"`
-	OperatorToken string        `arg:"--,env:BANYANRAIL_OPERATOR_TOKEN" help:"bearer token of operators"`
-	Grace         time.Duration `arg:"--grace,env:BANYANRAIL_GRACE" default:"30s" help:"longest graceful shutdown"`
-}
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
 
 func main() {
 	var s settings
 	arg.MustParse(&s)
+	c, err := s.check()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitUsage)
+	}
 	logger := slog.New(slog.NewJSONHandler(os.Stderr, nil))
-	if err := run(s, logger); err != nil {
-		logger.Error("ended", "error", err)
-		os.Exit(1)
+	if err := run(c, logger); err != nil {
+		logger.Error("ended", "entry", c.ID, "error", err)
+		os.Exit(exitFailed)
 	}
 }
 
 // run serves until a signal comes, then shuts down gracefully: the entry
 // finishes its requests before the listeners close.
-func run(s settings, logger *slog.Logger) error {
+func run(c config, logger *slog.Logger) (err error) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	client := platform.NewClient(s.Platform)
+	scope, metrics, closer := daemon.Metrics(map[string]string{"entry": c.ID, "data_centre": c.DataCentre})
+	defer func() { err = errors.Join(err, closer.Close()) }()
+	traces, flush, err := daemon.Traces(ctx, c.Traces, c.traceShare, c.ID)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, flush(context.WithoutCancel(ctx))) }()
+	peersTLS, err := c.peersTLS.Client()
+	if err != nil {
+		return err
+	}
+	client := platform.NewClient(c.Platform)
 	e := entry.New(entry.Config{
-		ID:            fleet.EntryID(s.ID),
-		DataCentre:    fleet.DataCentre(s.DataCentre),
-		OperatorToken: s.OperatorToken,
-	}, entry.Deps{Log: client, Instances: client, Logger: logger})
+		ID:            fleet.EntryID(c.ID),
+		DataCentre:    fleet.DataCentre(c.DataCentre),
+		OperatorToken: c.OperatorToken,
+		PeersTLS:      peersTLS,
+	}, entry.Deps{Log: client, Instances: client, Logger: logger, Metrics: scope, Traces: traces})
+	return serve(ctx, c, e, metrics)
+}
+
+// serve runs the entry and its listeners. When the context ends, it stops the
+// entry before the listeners.
+func serve(ctx context.Context, c config, e *entry.Entry, metrics http.Handler) error {
+	callersTLS, err1 := c.callersTLS.Server()
+	opsTLS, err2 := c.opsTLS.Server()
+	peersTLS, err3 := c.peersTLS.Server()
+	if err := errors.Join(err1, err2, err3); err != nil {
+		return err
+	}
+	operators := http.NewServeMux()
+	operators.Handle("/", e.Operators())
+	operators.Handle("GET /metrics", metrics)
 
 	serving, closeListeners := context.WithCancel(context.Background())
+	defer closeListeners()
 	group, groupCtx := errgroup.WithContext(serving)
-	group.Go(func() error { return daemon.Serve(groupCtx, s.Callers, e.Callers(), s.Grace) })
-	group.Go(func() error { return daemon.Serve(groupCtx, s.Operators, e.Operators(), s.Grace) })
-	group.Go(func() error { return daemon.ServeGRPC(groupCtx, s.Peers, e.RegisterPeers) })
+	group.Go(func() error { return daemon.Serve(groupCtx, c.Callers, callersTLS, e.Callers(), c.grace) })
+	group.Go(func() error { return daemon.Serve(groupCtx, c.Operators, opsTLS, operators, c.grace) })
+	group.Go(func() error { return daemon.ServeGRPC(groupCtx, c.Peers, peersTLS, e.RegisterPeers) })
 	group.Go(func() error {
 		e.Run(groupCtx)
 		return nil
 	})
 	group.Go(func() error {
 		defer closeListeners()
-		select {
-		case <-groupCtx.Done():
-			return nil
-		case <-ctx.Done():
-		}
-		stopCtx, cancel := context.WithTimeout(serving, s.Grace)
-		defer cancel()
-		return e.Stop(stopCtx)
+		return stopEntry(ctx, groupCtx, c, e)
 	})
 	return group.Wait()
 }
+
+// stopEntry waits for a signal, or for a listener to fail, and stops the entry.
+func stopEntry(ctx, groupCtx context.Context, c config, e *entry.Entry) error {
+	select {
+	case <-groupCtx.Done():
+		return nil
+	case <-ctx.Done():
+	}
+	stopCtx, cancel := context.WithTimeout(groupCtx, c.grace)
+	defer cancel()
+	return e.Stop(stopCtx)
+}
--- /dev/null
+++ b/cmd/banyanraild/settings.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/banyanrail/banyanrail/daemon"
+)
+
+// settings are read from flags and the environment. Values are taken as text,
+// so that check can name every fault at once.
+type settings struct {
+	ID         string `arg:"--id,env:BANYANRAIL_ID" help:"id of this entry instance"`
+	DataCentre string `arg:"--data-centre,env:BANYANRAIL_DATA_CENTRE" help:"data centre it runs in"`
+
+	Callers   string `arg:"--callers,env:BANYANRAIL_CALLERS" default:"127.0.0.1:8080" help:"IP address and port for callers"`
+	Operators string `arg:"--operators,env:BANYANRAIL_OPERATORS" default:"127.0.0.1:8081" help:"IP address and port for operators"`
+	Peers     string `arg:"--peers,env:BANYANRAIL_PEERS" default:"127.0.0.1:8082" help:"IP address and port for other entries"`
+	Platform  string `arg:"--platform,env:BANYANRAIL_PLATFORM" help:"base URL of the platform's services"`
+
+	CallersCert   string `arg:"--callers-cert,env:BANYANRAIL_CALLERS_CERT" help:"PEM certificate for callers"`
+	CallersKey    string `arg:"--callers-key,env:BANYANRAIL_CALLERS_KEY" help:"PEM key for callers"`
+	CallersCA     string `arg:"--callers-ca,env:BANYANRAIL_CALLERS_CA" help:"PEM CA that callers' certificates need"`
+	OperatorsCert string `arg:"--operators-cert,env:BANYANRAIL_OPERATORS_CERT" help:"PEM certificate for operators"`
+	OperatorsKey  string `arg:"--operators-key,env:BANYANRAIL_OPERATORS_KEY" help:"PEM key for operators"`
+	OperatorsCA   string `arg:"--operators-ca,env:BANYANRAIL_OPERATORS_CA" help:"PEM CA that operators' certificates need"`
+	PeersCert     string `arg:"--peers-cert,env:BANYANRAIL_PEERS_CERT" help:"PEM certificate shown to other entries"`
+	PeersKey      string `arg:"--peers-key,env:BANYANRAIL_PEERS_KEY" help:"PEM key for other entries"`
+	PeersCA       string `arg:"--peers-ca,env:BANYANRAIL_PEERS_CA" help:"PEM CA that other entries' certificates need"`
+
+	// OperatorToken comes from the environment only, so that it shows in no
+	// list of processes.
+	OperatorToken string `arg:"--,env:BANYANRAIL_OPERATOR_TOKEN" help:"bearer token of operators"`
+	Grace         string `arg:"--grace,env:BANYANRAIL_GRACE" default:"30s" help:"longest graceful shutdown"`
+	Traces        string `arg:"--traces,env:BANYANRAIL_TRACES" help:"URL that takes traces by OTLP over HTTP"`
+	TraceShare    string `arg:"--trace-share,env:BANYANRAIL_TRACE_SHARE" default:"0.01" help:"share of traces to keep, 0 to 1"`
+}
+
+// config holds the checked settings.
+type config struct {
+	settings
+	grace      time.Duration
+	traceShare float64
+	callersTLS daemon.TLSFiles
+	opsTLS     daemon.TLSFiles
+	peersTLS   daemon.TLSFiles
+}
+
+// faults collects the faults of settings under their names.
+type faults []error
+
+func (f *faults) add(name string, err error) {
+	if err != nil {
+		*f = append(*f, fmt.Errorf("--%s: %w", name, err))
+	}
+}
+
+// check returns the configuration, or an error that names every faulty setting.
+func (s settings) check() (config, error) {
+	c := config{
+		settings:   s,
+		callersTLS: daemon.TLSFiles{Cert: s.CallersCert, Key: s.CallersKey, CA: s.CallersCA},
+		opsTLS:     daemon.TLSFiles{Cert: s.OperatorsCert, Key: s.OperatorsKey, CA: s.OperatorsCA},
+		peersTLS:   daemon.TLSFiles{Cert: s.PeersCert, Key: s.PeersKey, CA: s.PeersCA},
+	}
+	var all faults
+	all.add("id", checkID(s.ID))
+	all.add("callers", checkAddress(s.Callers))
+	all.add("operators", checkAddress(s.Operators))
+	all.add("peers", checkAddress(s.Peers))
+	all.add("platform", checkURL(s.Platform, true))
+	all.add("traces", checkURL(s.Traces, false))
+	all.add("callers-cert", checkTLS(c.callersTLS))
+	all.add("operators-cert", checkTLS(c.opsTLS))
+	all.add("peers-cert", checkTLS(c.peersTLS))
+	var err error
+	c.grace, err = checkGrace(s.Grace)
+	all.add("grace", err)
+	c.traceShare, err = checkShare(s.TraceShare)
+	all.add("trace-share", err)
+	return c, errors.Join(all...)
+}
+
+func checkID(id string) error {
+	if id == "" {
+		return errors.New("is required")
+	}
+	return nil
+}
+
+func checkAddress(address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return fmt.Errorf("%q is not an IP address and port", address)
+	}
+	return nil
+}
+
+func checkURL(text string, required bool) error {
+	if text == "" {
+		if required {
+			return errors.New("is required")
+		}
+		return nil
+	}
+	u, err := url.Parse(text)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return fmt.Errorf("%q is not an http or https URL", text)
+	}
+	return nil
+}
+
+func checkTLS(f daemon.TLSFiles) error {
+	_, err := f.Server()
+	return err
+}
+
+func checkGrace(text string) (time.Duration, error) {
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 {
+		return 0, fmt.Errorf("%q is not a positive duration such as 30s", text)
+	}
+	return d, nil
+}
+
+func checkShare(text string) (float64, error) {
+	share, err := strconv.ParseFloat(text, 64)
+	if err != nil || share < 0 || share > 1 {
+		return 0, fmt.Errorf("%q is not a number from 0 to 1", text)
+	}
+	return share, nil
+}
--- /dev/null
+++ b/cmd/banyanraild/settings_test.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestCheckNamesEveryFault(t *testing.T) {
+	s := settings{
+		Callers: "localhost:80", Operators: "127.0.0.1:8081", Peers: "127.0.0.1",
+		Platform: "ftp://127.0.0.1", Grace: "soon", TraceShare: "2", PeersCert: "/no/such.pem",
+	}
+	_, err := s.check()
+	must.Error(t, err)
+	for _, name := range []string{"--id", "--callers", "--peers", "--platform", "--grace", "--trace-share", "--peers-cert"} {
+		must.StrContains(t, err.Error(), name+": ")
+	}
+	must.StrNotContains(t, err.Error(), "--operators")
+}
+
+func TestCheckTakesGoodSettings(t *testing.T) {
+	s := settings{
+		ID: "entry-1", Callers: "127.0.0.1:8080", Operators: "127.0.0.1:8081", Peers: "[::1]:8082",
+		Platform: "http://127.0.0.1:8090", Grace: "30s", TraceShare: "0.5",
+	}
+	c, err := s.check()
+	must.NoError(t, err)
+	must.EqOp(t, 0.5, c.traceShare)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -49,6 +50,8 @@
 	// OperatorToken is the bearer token of operators; empty allows anyone who
 	// reaches the operators' listener.
 	OperatorToken string
+	// PeersTLS secures messages to other entries; nil means no TLS.
+	PeersTLS *tls.Config
 }
 
 // Deps are the outside systems that an entry uses.
@@ -110,7 +113,7 @@
 		traffic:    pond.NewPool(cfg.Traffic),
 		logPool:    pond.NewPool(logWorkers),
 		peerPool:   pond.NewPool(peerWorkers, pond.WithQueueSize(peerQueue), pond.WithNonBlocking(true)),
-		peers:      peer.NewClient(cfg.ID, cfg.Incarnation),
+		peers:      peer.NewClient(cfg.ID, cfg.Incarnation, cfg.PeersTLS),
 		stopped:    make(chan struct{}),
 		background: background,
 		end:        end,
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -46,13 +46,7 @@
 	c.Inc(o.N)
 }
 
+// tags has the same names for every counter, as Prometheus wants it.
 func (k counterKey) tags() map[string]string {
-	tags := make(map[string]string, 2)
-	if k.service != "" {
-		tags["service"] = string(k.service)
-	}
-	if k.reason != fleet.ReasonNone {
-		tags["reason"] = k.reason.String()
-	}
-	return tags
+	return map[string]string{"service": string(k.service), "reason": k.reason.String()}
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"sync"
 
 	"github.com/banyanrail/banyanrail/fleet"
@@ -12,6 +13,7 @@
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 )
@@ -52,14 +54,20 @@
 type Client struct {
 	self        fleet.EntryID
 	incarnation uint64
+	creds       credentials.TransportCredentials
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
 
-// NewClient returns a client that sends as one incarnation of an entry.
-func NewClient(self fleet.EntryID, incarnation uint64) *Client {
-	return &Client{self: self, incarnation: incarnation, conns: make(map[string]*grpc.ClientConn)}
+// NewClient returns a client that sends as one incarnation of an entry. A nil
+// tlsConfig means no TLS.
+func NewClient(self fleet.EntryID, incarnation uint64, tlsConfig *tls.Config) *Client {
+	creds := insecure.NewCredentials()
+	if tlsConfig != nil {
+		creds = credentials.NewTLS(tlsConfig)
+	}
+	return &Client{self: self, incarnation: incarnation, creds: creds, conns: make(map[string]*grpc.ClientConn)}
 }
 
 // Send hands a message to the entry at an address.
@@ -85,7 +93,7 @@
 	if conn, ok := c.conns[address]; ok {
 		return conn, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(c.creds))
 	if err != nil {
 		return nil, err
 	}
