--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -52,6 +53,8 @@
 	// OperatorToken is the bearer token of operators; empty allows anyone who
 	// reaches the operators' listener.
 	OperatorToken string
+	// PeersTLS secures messages to other entries; nil means no TLS.
+	PeersTLS *tls.Config
 }
 
 // Deps are the outside systems that an entry uses.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -30,6 +30,7 @@
 		Self:        e.cfg.ID,
 		Incarnation: e.cfg.Incarnation,
 		Address:     e.cfg.PeerAddress,
+		TLS:         e.cfg.PeersTLS,
 		Run:         e.peerPool.Go,
 		Failed:      func(to fleet.EntryID, _ error) { e.metrics.peerFailed(to) },
 	})
--- a/peer/link.go
+++ b/peer/link.go
@@ -41,6 +41,18 @@
 	return start, nil
 }
 
+// start runs drain in the pool. The next message tries again when the pool is
+// full.
+func (l *link) start() error {
+	err := l.client.run(l.drain)
+	if err != nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.draining = false
+	}
+	return err
+}
+
 // take returns the messages that wait, or ends the draining when none do.
 func (l *link) take() []outgoing {
 	l.mu.Lock()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"strconv"
 	"sync"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/banyanrail/banyanrail/reduce/message"
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/metadata"
 )
@@ -54,6 +56,8 @@
 	Run func(func()) error
 	// Failed is called for each message that was given up.
 	Failed func(to fleet.EntryID, err error)
+	// TLS secures the connections; nil means no TLS.
+	TLS *tls.Config
 	// Options are further options of the connections.
 	Options []grpc.DialOption
 }
@@ -65,7 +69,11 @@
 		metadataIncarnation, strconv.FormatUint(cfg.Incarnation, 10),
 		metadataAddress, cfg.Address,
 	)
-	options := append([]grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}, cfg.Options...)
+	secure := insecure.NewCredentials()
+	if cfg.TLS != nil {
+		secure = credentials.NewTLS(cfg.TLS)
+	}
+	options := append([]grpc.DialOption{grpc.WithTransportCredentials(secure)}, cfg.Options...)
 	return &Client{
 		ctx:     metadata.NewOutgoingContext(ctx, md),
 		run:     cfg.Run,
@@ -85,7 +93,7 @@
 	}
 	start, err := l.push(outgoing{sequence: sequence, message: m})
 	if err == nil && start {
-		err = c.run(l.drain)
+		err = l.start()
 	}
 	if err != nil {
 		c.failed(to, err)
