Let a cut from the log hold at once in the embedded fleet

Cause: TestEntryWithoutStateIsNotReady failed once: the context of a call learns of the cut on another goroutine, so an append could slip through. Change: a call looks at the switch itself before it starts. Measured: the tests of dev pass three times in a row with the race detector.

--- a/dev/logswitch.go
+++ b/dev/logswitch.go
@@ -42,35 +42,39 @@
 	}
 }
 
-// join returns a context that also ends when the log is cut.
-func (s *LogSwitch) join(ctx context.Context) (context.Context, context.CancelFunc) {
+// join returns a context that also ends when the log is cut. It fails when the
+// log is out of reach.
+func (s *LogSwitch) join(ctx context.Context) (context.Context, context.CancelFunc, error) {
 	s.mu.Lock()
 	way := s.way
 	s.mu.Unlock()
+	if way.Err() != nil {
+		return nil, nil, errCut
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(way, cancel)
 	return ctx, func() {
 		stop()
 		cancel()
-	}
+	}, nil
 }
 
 // Append implements platform.Log.
 func (s *LogSwitch) Append(ctx context.Context, stream string, data []byte) (fleet.Offset, error) {
-	ctx, done := s.join(ctx)
-	defer done()
-	if ctx.Err() != nil {
-		return 0, errors.Join(platform.ErrNotAppended, errCut)
+	ctx, done, err := s.join(ctx)
+	if err != nil {
+		return 0, errors.Join(platform.ErrNotAppended, err)
 	}
+	defer done()
 	return s.log.Append(ctx, stream, data)
 }
 
 // Read implements platform.Log.
 func (s *LogSwitch) Read(ctx context.Context, stream string, from fleet.Offset, wait time.Duration) (platform.Page, error) {
-	ctx, done := s.join(ctx)
-	defer done()
-	if ctx.Err() != nil {
-		return platform.Page{}, errors.Join(platform.ErrUnavailable, errCut)
+	ctx, done, err := s.join(ctx)
+	if err != nil {
+		return platform.Page{}, errors.Join(platform.ErrUnavailable, err)
 	}
+	defer done()
 	return s.log.Read(ctx, stream, from, wait)
 }
