Let one entry a pool grant its slots for all entries

Cause: each entry placed by its own view, so nine entries could together use an instance's slots many times over.

Change: with Config.Placement set to holder, the entry that rendezvous hash picks among the live ones keeps a pool's queue and grants its slots; the entry that has the caller dispatches itself. All of it is soft state. A new holder waits for the entries' reports, for 500 ms at most, before it grants. A gap in the numbers of messages makes both sides report anew, which takes back lost grants and releases. Without an answer an entry falls back to slots divided by entries, one at least, on each instance. The default stays local until both are measured.

Measured: tests with two to four entries in virtual time: slots hold over all entries, also over a planned hand-over and a restart of the holder; a holder's death cuts off nothing; no request is dispatched twice with views that differ.

--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/platform"
+	"github.com/banyanrail/banyanrail/reduce"
 	"github.com/banyanrail/banyanrail/standin"
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
@@ -31,6 +32,8 @@
 	Slots int
 	// Work is how long an endpoint takes for a request.
 	Work time.Duration
+	// Placement says who grants slots.
+	Placement reduce.Placement
 	// Deps are handed to every entry; Log is set by the fleet.
 	Deps entry.Deps
 }
@@ -144,6 +147,7 @@
 		ID:          node.ID,
 		Seed:        uint64(len(f.Nodes) + 1),
 		PeerAddress: node.PeerAddress,
+		Placement:   f.cfg.Placement,
 	}, deps)
 	f.servePeers(ctx, node.Entry, peersListener)
 	f.spawn(func() { node.Entry.Run(ctx) })
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -50,6 +50,8 @@
 	MaxRequests int
 	// Traffic is the number of endpoint calls at once.
 	Traffic int
+	// Placement says who grants slots; empty means reduce.PlacementLocal.
+	Placement reduce.Placement
 	// OperatorToken is the bearer token of operators; empty allows anyone who
 	// reaches the operators' listener.
 	OperatorToken string
@@ -127,6 +129,7 @@
 		DataCentre:  cfg.DataCentre,
 		Seed:        cfg.Seed,
 		MaxRequests: cfg.MaxRequests,
+		Placement:   cfg.Placement,
 	})
 	e.loop = loop.New(loop.Config[event.Body, effect.Effect]{
 		Reduce: func(now time.Time, body event.Body) []effect.Effect {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -14,6 +14,11 @@
 	effect.DigestMismatches:  "digest_mismatches",
 	effect.RecordsRelayed:    "records_relayed",
 	effect.StalePeerMessages: "stale_peer_messages",
+	effect.HoldersChanged:    "holders_changed",
+	effect.HolderFallbacks:   "holder_fallbacks",
+	effect.SlotsLeased:       "slots_leased",
+	effect.LeasesReclaimed:   "leases_reclaimed",
+	effect.GrantsReturned:    "grants_returned",
 }
 
 // metrics keeps the tally counters by their labels. Only the control goroutine
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -28,7 +28,7 @@
 		}
 		env.Message = &peerpb.Envelope_Records{Records: &peerpb.Records{After: int64(m.After), Records: records}}
 	default:
-		return oops.In("peer").With("step", "encode").Errorf("unknown message type %T", m)
+		return encodeHolding(env, m)
 	}
 	return nil
 }
@@ -61,7 +61,7 @@
 	case *peerpb.Envelope_Records:
 		return decodeRecords(m.Records)
 	default:
-		return nil, oops.In("peer").With("step", "decode").Errorf("unknown message")
+		return decodeHolding(env)
 	}
 }
 
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -82,6 +82,8 @@
 	Instances []InstanceStatus       `json:"instances"`
 	Totals    map[string]uint64      `json:"totals"`
 	Pools     map[fleet.PoolName]int `json:"pools"`
+	// Holds lists the pools whose slots this entry grants.
+	Holds []fleet.PoolName `json:"holds,omitempty"`
 }
 
 // InstanceStatus is one instance as the entry sees it.
@@ -115,6 +117,16 @@
 	// StalePeerMessages counts messages of earlier incarnations and messages
 	// that were overtaken.
 	StalePeerMessages
+	// HoldersChanged counts changes of the holder of a pool.
+	HoldersChanged
+	// HolderFallbacks counts pools whose holder did not answer in time.
+	HolderFallbacks
+	// SlotsLeased counts slots granted to other entries.
+	SlotsLeased
+	// LeasesReclaimed counts leases of other entries that were lost.
+	LeasesReclaimed
+	// GrantsReturned counts grants that could not be used.
+	GrantsReturned
 )
 
 // Change names a change of state that is worth a log line.
--- /dev/null
+++ b/reduce/entries_test.go
@@ -0,0 +1,228 @@
+package reduce_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce"
+	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/shoenig/test/must"
+)
+
+// step is how far virtual time moves at once.
+const step = 50 * time.Millisecond
+
+type delivery struct {
+	to   fleet.EntryID
+	body event.PeerReceived
+}
+
+// entries passes the messages between the states of several entries and counts
+// what runs on the instances.
+type entries struct {
+	now     time.Time
+	states  map[fleet.EntryID]*reduce.State
+	started map[fleet.EntryID]uint64
+	transit []delivery
+	// lose says which messages get lost.
+	lose    func(from fleet.EntryID, e effect.SendPeer) bool
+	running map[fleet.EntryID][]effect.Dispatch
+	// dispatched counts the dispatches of each request of each entry.
+	dispatched map[string]int
+	answered   int
+	most       int
+	counted    map[effect.Counter]int64
+}
+
+func newEntries(t *testing.T, n int, text *fleet.Text) *entries {
+	t.Helper()
+	c := &entries{
+		now:        epoch,
+		states:     make(map[fleet.EntryID]*reduce.State),
+		started:    make(map[fleet.EntryID]uint64),
+		running:    make(map[fleet.EntryID][]effect.Dispatch),
+		dispatched: make(map[string]int),
+		counted:    make(map[effect.Counter]int64),
+	}
+	for i := range n {
+		c.start(fleet.EntryID(fmt.Sprintf("entry-%d", i+1)))
+	}
+	for _, id := range c.ids() {
+		c.publish(id, published(1, 0, 0), text)
+	}
+	c.list()
+	c.pass(2 * time.Second)
+	return c
+}
+
+func (c *entries) ids() []fleet.EntryID { return slices.Sorted(maps.Keys(c.states)) }
+
+// start starts an entry, or starts it anew.
+func (c *entries) start(id fleet.EntryID) {
+	c.started[id]++
+	c.states[id] = reduce.New(reduce.Config{
+		Entry: id, Seed: 7, MaxRequests: 1000, Placement: reduce.PlacementHolder,
+	})
+	c.do(id, event.Started{})
+}
+
+func (c *entries) publish(id fleet.EntryID, p control.Positioned, text *fleet.Text) {
+	body := p.Record.Body.(control.Publish)
+	body.Text = text
+	p.Record.Body = body
+	c.do(id, event.RecordsRead{Records: []control.Positioned{p}, Next: p.Offset + 1, Oldest: 1})
+}
+
+func (c *entries) list() {
+	var rows []event.ListedEntry
+	for _, id := range c.ids() {
+		rows = append(rows, event.ListedEntry{ID: id, Address: string(id)})
+	}
+	for _, id := range c.ids() {
+		c.do(id, event.EntriesListed{Entries: rows})
+	}
+}
+
+// do reduces an event and takes in its effects.
+func (c *entries) do(id fleet.EntryID, body event.Body) {
+	for _, e := range reduce.Reduce(c.states[id], event.Event{Now: c.now, Body: body}) {
+		switch e := e.(type) {
+		case effect.SendPeer:
+			if c.lose == nil || !c.lose(id, e) {
+				c.transit = append(c.transit, delivery{to: e.To, body: event.PeerReceived{
+					From: id, Incarnation: c.started[id], Sequence: e.Sequence, Address: string(id), Message: e.Message,
+				}})
+			}
+		case effect.Dispatch:
+			c.running[id] = append(c.running[id], e)
+			c.dispatched[fmt.Sprint(id, e.Attempt.Request)]++
+			c.most = max(c.most, c.total())
+		case effect.Answer:
+			c.answered++
+		case effect.Count:
+			c.counted[e.Name] += e.N
+		}
+	}
+}
+
+func (c *entries) total() int {
+	n := 0
+	for _, d := range c.running {
+		n += len(d)
+	}
+	return n
+}
+
+// deliver hands over all messages, and those that they cause.
+func (c *entries) deliver() {
+	for len(c.transit) > 0 {
+		d := c.transit[0]
+		c.transit = c.transit[1:]
+		if _, ok := c.states[d.to]; ok {
+			c.do(d.to, d.body)
+		}
+	}
+}
+
+// pass lets time go by.
+func (c *entries) pass(d time.Duration) {
+	c.deliver()
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.now = c.now.Add(step)
+		for _, id := range c.ids() {
+			c.do(id, event.TimerFired{})
+		}
+		c.deliver()
+	}
+}
+
+// finish answers the oldest request of each entry and reports whether any ran.
+func (c *entries) finish() bool {
+	any := false
+	for _, id := range c.ids() {
+		if len(c.running[id]) > 0 {
+			any = true
+			c.finishOne(id)
+		}
+	}
+	c.deliver()
+	return any
+}
+
+func (c *entries) finishOne(id fleet.EntryID) {
+	d := c.running[id][0]
+	c.running[id] = c.running[id][1:]
+	c.do(id, event.AttemptFinished{
+		Attempt: d.Attempt, Instance: d.Instance, Outcome: event.AttemptAnswered, Status: 200, Elapsed: step,
+	})
+}
+
+func (c *entries) finishAll() {
+	for c.finish() {
+	}
+}
+
+// arrive brings n requests to an entry.
+func (c *entries) arrive(id fleet.EntryID, first fleet.RequestID, n int) {
+	for i := range n {
+		c.do(id, arrived(first+fleet.RequestID(i)))
+	}
+	c.deliver()
+}
+
+// kill ends an entry at once; what it ran ends too.
+func (c *entries) kill(id fleet.EntryID) {
+	delete(c.states, id)
+	delete(c.running, id)
+}
+
+// holder finds the entry that grants slots to others: a request elsewhere
+// makes it send.
+func (c *entries) holder(t *testing.T) fleet.EntryID {
+	t.Helper()
+	for _, id := range c.ids() {
+		if slices.Contains(c.status(id).Holds, "main") {
+			return id
+		}
+	}
+	t.Fatal("no entry holds the pool")
+	return ""
+}
+
+// other returns an entry that does not hold the pool.
+func (c *entries) other(t *testing.T) fleet.EntryID {
+	t.Helper()
+	for _, id := range c.ids() {
+		if id != c.holder(t) {
+			return id
+		}
+	}
+	t.Fatal("no other entry")
+	return ""
+}
+
+func (c *entries) status(id fleet.EntryID) effect.Status {
+	out := reduce.Reduce(c.states[id], event.Event{Now: c.now, Body: event.StatusAsked{}})
+	return only[effect.ReplyStatus](out)[0].Status
+}
+
+// checkRuns fails when a request was dispatched twice.
+func (c *entries) checkRuns(t *testing.T) {
+	t.Helper()
+	for request, n := range c.dispatched {
+		must.EqOp(t, 1, n, must.Sprintf("dispatches of %s", request))
+	}
+}
+
+func longText(slots int) *fleet.Text {
+	text := oneRunner(slots)
+	text.Services[0].TimeLimit = time.Hour
+	text.Services[0].MaxQueue = 1000
+	return text
+}
--- /dev/null
+++ b/reduce/grant.go
@@ -0,0 +1,346 @@
+package reduce
+
+import (
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/holder"
+	"github.com/banyanrail/banyanrail/reduce/message"
+	"github.com/banyanrail/banyanrail/reduce/peers"
+	"github.com/banyanrail/banyanrail/reduce/requests"
+)
+
+// Placement says who grants slots.
+type Placement string
+
+// Placements.
+const (
+	// PlacementLocal lets each entry grant slots by its own view.
+	PlacementLocal Placement = "local"
+	// PlacementHolder lets one entry a pool grant slots for all.
+	PlacementHolder Placement = "holder"
+)
+
+func (s *State) mayGrant(pool fleet.PoolName) bool {
+	return s.cfg.Placement != PlacementHolder || s.holders.Link(pool).MayGrant()
+}
+
+// remote returns the entry that holds a pool, when it is another one.
+func (s *State) remote(pool fleet.PoolName) (*peers.Peer, bool) {
+	if s.cfg.Placement != PlacementHolder {
+		return nil, false
+	}
+	l := s.holders.Link(pool)
+	if !l.IsRemote() {
+		return nil, false
+	}
+	return s.peers.Get(l.Holder)
+}
+
+// followHolders chooses the holder of each pool anew after entries came, went
+// or began to stop, or after pools changed.
+func (s *State) followHolders() {
+	if s.cfg.Placement != PlacementHolder {
+		return
+	}
+	s.holders.Changed(s.candidates())
+	for _, pool := range s.placement.Pools() {
+		l := s.holders.Link(pool)
+		chosen := holder.Choose(pool, s.holders.Alive())
+		if chosen == "" {
+			chosen = s.cfg.Entry
+		}
+		if chosen != l.Holder || s.incarnationOf(chosen) != l.Incarnation {
+			s.changeHolder(l, chosen)
+		}
+	}
+}
+
+// candidates returns the entries that may hold pools, in order: those that are
+// alive, have a services text and are not stopping.
+func (s *State) candidates() []fleet.EntryID {
+	var ids []fleet.EntryID
+	for _, id := range s.peers.Alive() {
+		if id == s.cfg.Entry {
+			if s.ready && !s.stopping {
+				ids = append(ids, id)
+			}
+			continue
+		}
+		if p, ok := s.peers.Get(id); ok && p.Version > 0 && !p.Stopping {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (s *State) incarnationOf(id fleet.EntryID) uint64 {
+	if p, ok := s.peers.Get(id); ok {
+		return p.Incarnation
+	}
+	return 0
+}
+
+// changeHolder leaves the holder of a pool for another one.
+func (s *State) changeHolder(l *holder.Link, to fleet.EntryID) {
+	s.leaveHolder(l)
+	l.Holder, l.Incarnation = to, s.incarnationOf(to)
+	s.emit(effect.Count{Name: effect.HoldersChanged, N: 1})
+	if to == s.cfg.Entry {
+		s.startHolding(l)
+		return
+	}
+	l.Phase = holder.Reporting
+	s.timers.Set(&l.Timer, s.now.Add(holder.AnswerLimit), l)
+	s.report(l)
+}
+
+func (s *State) leaveHolder(l *holder.Link) {
+	s.timers.Clear(&l.Timer)
+	if l.Holder == s.cfg.Entry {
+		s.dropRemote(l.Pool, "")
+		return
+	}
+	if p, ok := s.peers.Get(l.Holder); ok && l.IsRemote() {
+		s.send(p, message.SlotsReport{Pool: l.Pool, Seen: p.Received()})
+	}
+}
+
+// startHolding begins to grant a pool, after the reports of the other entries:
+// until then it is not known which slots they use.
+func (s *State) startHolding(l *holder.Link) {
+	s.setShare(l.Pool, false)
+	var others []fleet.EntryID
+	for _, id := range s.holders.Alive() {
+		if id != s.cfg.Entry {
+			others = append(others, id)
+		}
+	}
+	if len(others) == 0 {
+		l.Phase = holder.Holding
+		s.grant(l.Pool)
+		return
+	}
+	l.Phase = holder.Collecting
+	l.Await(others)
+	s.timers.Set(&l.Timer, s.now.Add(holder.CollectLimit), l)
+	for _, id := range others {
+		if p, ok := s.peers.Get(id); ok {
+			s.send(p, message.ReportWanted{})
+		}
+	}
+}
+
+// onHolderTimer ends a phase that took too long.
+func (s *State) onHolderTimer(l *holder.Link) {
+	switch l.Phase {
+	case holder.Collecting:
+		l.Phase = holder.Holding
+		s.grant(l.Pool)
+	case holder.Reporting:
+		s.fallBack(l)
+	case holder.Unset, holder.Holding, holder.Following, holder.Fallback:
+	}
+}
+
+// fallBack lets this entry use its share of the slots. All entries together
+// then use at most the slots of an instance, or one slot each where there are
+// more entries than slots, besides what they had before.
+func (s *State) fallBack(l *holder.Link) {
+	if l.Phase == holder.Fallback {
+		return
+	}
+	l.Phase = holder.Fallback
+	s.setShare(l.Pool, true)
+	s.emit(effect.Count{Name: effect.HolderFallbacks, N: 1})
+	s.grant(l.Pool)
+}
+
+// setShare gives this entry all slots of a pool, or its share.
+func (s *State) setShare(pool fleet.PoolName, shared bool) {
+	entries := max(1, len(s.peers.Alive()))
+	s.placement.SetShare(pool, func(slots int) int {
+		if !shared {
+			return slots
+		}
+		return max(1, slots/entries)
+	})
+}
+
+// restoreShares sets the shares again after the instances were configured.
+func (s *State) restoreShares() {
+	if s.cfg.Placement != PlacementHolder {
+		return
+	}
+	for _, l := range s.holders.Links() {
+		s.setShare(l.Pool, l.Phase == holder.Fallback)
+	}
+}
+
+// checkHolders falls back from holders that are silent, and reports to those
+// that did not answer.
+func (s *State) checkHolders() {
+	if s.cfg.Placement != PlacementHolder {
+		return
+	}
+	for _, l := range s.holders.Links() {
+		p, ok := s.peers.Get(l.Holder)
+		if !l.IsRemote() || !ok {
+			continue
+		}
+		if l.Phase == holder.Following && s.now.Sub(p.Heard) >= holder.SilenceLimit {
+			s.fallBack(l)
+		}
+		if l.Phase == holder.Fallback {
+			s.report(l)
+		}
+	}
+	s.askAgain()
+}
+
+// report tells the holder of a pool all that this entry has there.
+func (s *State) report(l *holder.Link) {
+	p, ok := s.peers.Get(l.Holder)
+	if !ok {
+		return
+	}
+	m := message.SlotsReport{Pool: l.Pool, Seen: p.Received()}
+	for _, r := range s.requests.All() {
+		if r.Service.Pool != l.Pool {
+			continue
+		}
+		switch r.Phase {
+		case requests.Queued:
+			m.Asks = append(m.Asks, askOf(r))
+		case requests.Running, requests.Abandoned:
+			m.Running = append(m.Running, message.Slot{Request: r.ID, Instance: r.Instance})
+		case requests.Claiming:
+		}
+	}
+	s.send(p, m)
+}
+
+func askOf(r *requests.Request) message.Ask {
+	a := message.Ask{Request: r.ID, Service: r.Service.Name, Member: r.Member}
+	if r.Instance != "" {
+		a.Tried = []fleet.InstanceID{r.Instance}
+	}
+	return a
+}
+
+// ask asks the holder for a slot, when another entry holds the pool.
+func (s *State) ask(r *requests.Request) {
+	if p, ok := s.remote(r.Service.Pool); ok {
+		out := s.outbox.to(p.ID)
+		out.Asks = append(out.Asks, askOf(r))
+	}
+}
+
+// withdraw tells the holder that a request no longer waits.
+func (s *State) withdraw(r *requests.Request) {
+	if p, ok := s.remote(r.Service.Pool); ok {
+		out := s.outbox.to(p.ID)
+		out.Withdrawn = append(out.Withdrawn, r.ID)
+	}
+}
+
+// giveBack returns the slot of a finished attempt to the holder.
+func (s *State) giveBack(ev event.AttemptFinished) {
+	pool, ok := s.control.Pools[ev.Instance]
+	if !ok {
+		return
+	}
+	p, ok := s.remote(pool)
+	if !ok {
+		return
+	}
+	done := message.Finished{
+		Slot:   message.Slot{Request: ev.Attempt.Request, Instance: ev.Instance},
+		Held:   ev.Elapsed,
+		Status: ev.Status,
+		Unused: ev.Outcome == event.AttemptNotSent || ev.Outcome == event.AttemptRefused,
+	}
+	if ev.Outcome == event.AttemptAnswered {
+		done.Ran = ev.Elapsed
+	}
+	out := s.outbox.to(p.ID)
+	out.Finished = append(out.Finished, done)
+}
+
+// onSlotsGranted starts the requests that got a slot.
+func (s *State) onSlotsGranted(p *peers.Peer, m message.SlotsGranted) {
+	for _, g := range m.Grants {
+		s.takeGrant(p, g)
+	}
+	for _, d := range m.Denied {
+		r, ok := s.requests.Get(d.Request)
+		if ok && r.Phase == requests.Queued {
+			s.placement.Remove(r.ID)
+			s.refuseRequest(r, d.Reason)
+		}
+	}
+}
+
+// takeGrant uses a slot, or returns it when its request has ended or the
+// instance takes no new work, as this entry knows.
+func (s *State) takeGrant(p *peers.Peer, g message.Slot) {
+	r, ok := s.requests.Get(g.Request)
+	if ok && r.Phase == requests.Queued {
+		if grant, taken := s.placement.Take(r.ID, g.Instance); taken {
+			s.dispatch(r, grant)
+			return
+		}
+		s.reask = append(s.reask, r.ID)
+	}
+	s.emit(effect.Count{Name: effect.GrantsReturned, N: 1})
+	out := s.outbox.to(p.ID)
+	out.Finished = append(out.Finished, message.Finished{Slot: g, Unused: true})
+}
+
+// askAgain asks for the requests whose grants could not be used. It waits for
+// a heartbeat, so that a holder that does not know of a drain yet does not
+// grant the same slot again and again.
+func (s *State) askAgain() {
+	for _, id := range s.reask {
+		if r, ok := s.requests.Get(id); ok && r.Phase == requests.Queued {
+			s.ask(r)
+		}
+	}
+	s.reask = s.reask[:0]
+}
+
+// onReportTaken follows the holder's answer to a report.
+func (s *State) onReportTaken(p *peers.Peer, m message.ReportTaken) {
+	l := s.holders.Link(m.Pool)
+	if l.Holder != p.ID || !l.IsRemote() {
+		return
+	}
+	s.timers.Clear(&l.Timer)
+	switch {
+	case !m.Holding:
+		s.fallBack(l)
+	case l.Phase == holder.Fallback:
+		l.Phase = holder.Following
+		s.report(l) // some requests started while the last one was on its way
+	default:
+		l.Phase = holder.Following
+	}
+}
+
+// resync restores what lost messages carried: the peer reports to this entry,
+// and this entry to the peer.
+func (s *State) resync(p *peers.Peer) {
+	if s.cfg.Placement != PlacementHolder {
+		return
+	}
+	s.send(p, message.ReportWanted{})
+	s.onReportWanted(p)
+}
+
+func (s *State) onReportWanted(p *peers.Peer) {
+	for _, l := range s.holders.Links() {
+		if l.IsRemote() && l.Holder == p.ID {
+			s.report(l)
+		}
+	}
+}
--- /dev/null
+++ b/reduce/holder/holder.go
@@ -0,0 +1,276 @@
+// Package holder keeps what an entry knows about the holders of pools. The
+// holder of a pool keeps its queue and grants slots of its instances to all
+// entries. Everything here is soft state: a new holder rebuilds it from the
+// reports of the entries.
+package holder
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/timer"
+)
+
+const (
+	// CollectLimit is how long a new holder waits for reports before it grants.
+	CollectLimit = 500 * time.Millisecond
+	// AnswerLimit is how long a holder may take to answer a report before the
+	// entry falls back to its own share of the slots.
+	AnswerLimit = 300 * time.Millisecond
+	// SilenceLimit is how long a holder may be silent before the entry falls
+	// back. Heartbeats are more frequent.
+	SilenceLimit = 1200 * time.Millisecond
+)
+
+// Phase is how far an entry has come with the holder of a pool.
+type Phase uint8
+
+// Phases of a link.
+const (
+	// Unset links have no holder yet.
+	Unset Phase = iota
+	// Collecting entries hold the pool and wait for the others' reports.
+	Collecting
+	// Holding entries grant the pool's slots.
+	Holding
+	// Reporting entries wait for the holder's answer to their report.
+	Reporting
+	// Following entries get their slots from the holder.
+	Following
+	// Fallback entries grant themselves their share of the slots, since the
+	// holder does not answer.
+	Fallback
+)
+
+// Link is an entry's relation to the holder of one pool.
+type Link struct {
+	Pool        fleet.PoolName
+	Holder      fleet.EntryID
+	Incarnation uint64
+	Phase       Phase
+	// Timer ends the phases Collecting and Reporting.
+	Timer timer.Timer
+
+	awaited map[fleet.EntryID]bool
+}
+
+// Await notes the entries whose reports a collecting holder waits for.
+func (l *Link) Await(entries []fleet.EntryID) {
+	l.awaited = make(map[fleet.EntryID]bool, len(entries))
+	for _, id := range entries {
+		l.awaited[id] = true
+	}
+}
+
+// Reported notes a report and says whether all have come.
+func (l *Link) Reported(entry fleet.EntryID) bool {
+	delete(l.awaited, entry)
+	return len(l.awaited) == 0
+}
+
+// IsRemote reports whether another entry holds the pool.
+func (l *Link) IsRemote() bool {
+	return l.Phase == Reporting || l.Phase == Following || l.Phase == Fallback
+}
+
+// MayGrant reports whether this entry grants slots of the pool.
+func (l *Link) MayGrant() bool { return l.Phase == Holding || l.Phase == Fallback }
+
+// Key identifies a request over all entries.
+type Key struct {
+	Entry   fleet.EntryID
+	Request fleet.RequestID
+}
+
+func compareKeys(a, b Key) int {
+	if c := strings.Compare(string(a.Entry), string(b.Entry)); c != 0 {
+		return c
+	}
+	switch {
+	case a.Request < b.Request:
+		return -1
+	case a.Request > b.Request:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// Lease is a slot that an entry has from this holder.
+type Lease struct {
+	Key      Key
+	Pool     fleet.PoolName
+	Instance fleet.InstanceID
+	// Sequence numbers the message that carried the grant; zero when the lease
+	// came from a report.
+	Sequence uint64
+}
+
+// remoteBit marks the ids under which requests of other entries wait here.
+const remoteBit fleet.RequestID = 1 << 63
+
+// State holds the links of all pools, and the requests and leases of other
+// entries in pools that this entry holds.
+type State struct {
+	links   map[fleet.PoolName]*Link
+	alive   []fleet.EntryID
+	last    fleet.RequestID
+	waiting map[fleet.RequestID]wait
+	local   map[Key]fleet.RequestID
+	leases  map[Key]Lease
+	leased  map[fleet.InstanceID]int
+}
+
+type wait struct {
+	key  Key
+	pool fleet.PoolName
+}
+
+// New returns a state without links.
+func New() *State {
+	return &State{
+		links:   make(map[fleet.PoolName]*Link),
+		waiting: make(map[fleet.RequestID]wait),
+		local:   make(map[Key]fleet.RequestID),
+		leases:  make(map[Key]Lease),
+		leased:  make(map[fleet.InstanceID]int),
+	}
+}
+
+// Link returns the link of a pool.
+func (s *State) Link(pool fleet.PoolName) *Link {
+	l, ok := s.links[pool]
+	if !ok {
+		l = &Link{Pool: pool}
+		s.links[pool] = l
+	}
+	return l
+}
+
+// Links returns all links, ordered by pool.
+func (s *State) Links() []*Link {
+	all := make([]*Link, 0, len(s.links))
+	for _, l := range s.links {
+		all = append(all, l)
+	}
+	slices.SortFunc(all, func(a, b *Link) int { return strings.Compare(string(a.Pool), string(b.Pool)) })
+	return all
+}
+
+// Holds returns the pools that this entry grants, in order.
+func (s *State) Holds() []fleet.PoolName {
+	var pools []fleet.PoolName
+	for _, l := range s.Links() {
+		if l.Phase == Holding {
+			pools = append(pools, l.Pool)
+		}
+	}
+	return pools
+}
+
+// Changed notes the entries that may hold pools and says whether they differ
+// from those before.
+func (s *State) Changed(alive []fleet.EntryID) bool {
+	if slices.Equal(s.alive, alive) {
+		return false
+	}
+	s.alive = slices.Clone(alive)
+	return true
+}
+
+// Alive returns the entries that may hold pools.
+func (s *State) Alive() []fleet.EntryID { return s.alive }
+
+// Wait gives a request of another entry an id among this entry's own. It
+// returns false when the request waits already.
+func (s *State) Wait(key Key, pool fleet.PoolName) (fleet.RequestID, bool) {
+	if _, ok := s.local[key]; ok {
+		return 0, false
+	}
+	s.last++
+	id := s.last | remoteBit
+	s.waiting[id] = wait{key: key, pool: pool}
+	s.local[key] = id
+	return id, true
+}
+
+// IsRemote reports whether an id stands for a request of another entry.
+func IsRemote(id fleet.RequestID) bool { return id&remoteBit != 0 }
+
+// Waiting returns the request behind an id.
+func (s *State) Waiting(id fleet.RequestID) (Key, bool) {
+	w, ok := s.waiting[id]
+	return w.key, ok
+}
+
+// Withdraw forgets a request that waited, and returns the id that it had.
+func (s *State) Withdraw(key Key) (fleet.RequestID, bool) {
+	id, ok := s.local[key]
+	if !ok {
+		return 0, false
+	}
+	delete(s.local, key)
+	delete(s.waiting, id)
+	return id, true
+}
+
+// Waits returns the requests that wait in a pool, of one entry or, with the
+// empty id, of all. They are in order.
+func (s *State) Waits(pool fleet.PoolName, entry fleet.EntryID) []Key {
+	var keys []Key
+	for _, w := range s.waiting {
+		if w.pool == pool && (entry == "" || w.key.Entry == entry) {
+			keys = append(keys, w.key)
+		}
+	}
+	slices.SortFunc(keys, compareKeys)
+	return keys
+}
+
+// Grant notes a lease.
+func (s *State) Grant(l Lease) {
+	s.leases[l.Key] = l
+	s.leased[l.Instance]++
+}
+
+// Sent notes the sequence number of the message that carried a grant.
+func (s *State) Sent(to fleet.EntryID, request fleet.RequestID, sequence uint64) {
+	key := Key{Entry: to, Request: request}
+	if l, ok := s.leases[key]; ok {
+		l.Sequence = sequence
+		s.leases[key] = l
+	}
+}
+
+// Lease returns the lease of a request.
+func (s *State) Lease(key Key) (Lease, bool) {
+	l, ok := s.leases[key]
+	return l, ok
+}
+
+// End forgets a lease.
+func (s *State) End(l Lease) {
+	delete(s.leases, l.Key)
+	s.leased[l.Instance]--
+	if s.leased[l.Instance] == 0 {
+		delete(s.leased, l.Instance)
+	}
+}
+
+// Leases returns the leases in a pool, of one entry or, with the empty id, of
+// all. They are in order.
+func (s *State) Leases(pool fleet.PoolName, entry fleet.EntryID) []Lease {
+	var found []Lease
+	for _, l := range s.leases {
+		if l.Pool == pool && (entry == "" || l.Key.Entry == entry) {
+			found = append(found, l)
+		}
+	}
+	slices.SortFunc(found, func(a, b Lease) int { return compareKeys(a.Key, b.Key) })
+	return found
+}
+
+// Leased returns the number of slots of an instance that other entries have.
+func (s *State) Leased(id fleet.InstanceID) int { return s.leased[id] }
--- /dev/null
+++ b/reduce/holding_test.go
@@ -0,0 +1,207 @@
+package reduce_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/message"
+	"github.com/shoenig/test/must"
+)
+
+func TestSlotsAreLimitsOverAllEntries(t *testing.T) {
+	c := newEntries(t, 3, longText(2))
+	for _, id := range c.ids() {
+		c.arrive(id, 1, 5)
+	}
+	must.EqOp(t, 2, c.total())
+	c.finishAll()
+	must.EqOp(t, 2, c.most)
+	must.EqOp(t, 15, c.answered)
+	c.checkRuns(t)
+}
+
+func TestDeathOfTheHolderCutsNothingOff(t *testing.T) {
+	c := newEntries(t, 4, longText(2))
+	dead := c.holder(t)
+	for _, id := range c.ids() {
+		if id != dead {
+			c.arrive(id, 1, 4)
+		}
+	}
+	must.EqOp(t, 2, c.total())
+	c.kill(dead)
+	must.EqOp(t, 2, c.total())
+	c.pass(4 * time.Second)
+	c.finishAll()
+	must.EqOp(t, 12, c.answered)
+	c.checkRuns(t)
+}
+
+func TestNewHolderCountsWhatRunsAlready(t *testing.T) {
+	c := newEntries(t, 3, longText(2))
+	old := c.holder(t)
+	c.arrive(c.other(t), 1, 6)
+	must.EqOp(t, 2, c.total())
+	c.do(old, event.StopAsked{})
+	c.pass(time.Second)
+	must.NotEqOp(t, old, c.holder(t))
+	must.EqOp(t, 2, c.most)
+	c.finishAll()
+	must.EqOp(t, 2, c.most)
+	must.EqOp(t, 6, c.answered)
+	c.checkRuns(t)
+}
+
+func TestSilentHolderLeavesEntriesTheirShare(t *testing.T) {
+	c := newEntries(t, 3, longText(8))
+	held := c.holder(t)
+	c.lose = func(from fleet.EntryID, e effect.SendPeer) bool { return from == held || e.To == held }
+	for _, id := range c.ids() {
+		if id != held {
+			c.arrive(id, 1, 20)
+		}
+	}
+	must.EqOp(t, 0, c.total())
+	c.pass(1300 * time.Millisecond)
+	// Two entries with a third of eight slots each.
+	must.EqOp(t, 4, c.total())
+	must.Greater(t, 0, c.counted[effect.HolderFallbacks])
+
+	c.lose = nil
+	c.pass(5 * time.Second)
+	c.finishAll()
+	must.EqOp(t, 40, c.answered)
+	c.checkRuns(t)
+}
+
+// losing loses the first message of one type.
+func losing[T message.Message]() func(fleet.EntryID, effect.SendPeer) bool {
+	lost := false
+	return func(_ fleet.EntryID, e effect.SendPeer) bool {
+		if _, ok := e.Message.(T); !ok || lost {
+			return false
+		}
+		lost = true
+		return true
+	}
+}
+
+func TestLostGrantIsTakenBack(t *testing.T) {
+	c := newEntries(t, 2, longText(1))
+	c.lose = losing[message.SlotsGranted]()
+	c.arrive(c.other(t), 1, 2)
+	must.EqOp(t, 0, c.total())
+	c.pass(time.Second)
+	must.EqOp(t, 1, c.total())
+	must.EqOp(t, 1, c.counted[effect.LeasesReclaimed])
+	c.finishAll()
+	must.EqOp(t, 2, c.answered)
+	c.checkRuns(t)
+}
+
+func TestLostAskIsMadeUpFor(t *testing.T) {
+	c := newEntries(t, 2, longText(1))
+	c.lose = losing[message.SlotsAsked]()
+	c.arrive(c.other(t), 1, 1)
+	must.EqOp(t, 0, c.total())
+	c.pass(time.Second)
+	must.EqOp(t, 1, c.total())
+}
+
+func TestLostReleaseIsMadeUpFor(t *testing.T) {
+	c := newEntries(t, 2, longText(1))
+	id := c.other(t)
+	c.arrive(id, 1, 1)
+	c.lose = losing[message.SlotsAsked]()
+	c.finish()
+	c.pass(time.Second)
+	c.arrive(id, 2, 1)
+	must.EqOp(t, 1, c.total())
+}
+
+func TestGrantForACancelledRequestIsReturned(t *testing.T) {
+	c := newEntries(t, 2, longText(1))
+	id := c.other(t)
+	c.do(id, arrived(1))
+	c.do(id, event.RequestCancelled{ID: 1}) // the ask is on its way
+	c.deliver()
+	must.EqOp(t, 0, c.total())
+	c.arrive(id, 2, 1)
+	must.EqOp(t, 1, c.total())
+}
+
+func TestDeadEntryFreesItsSlots(t *testing.T) {
+	c := newEntries(t, 3, longText(1))
+	held, dead := c.holder(t), c.other(t)
+	c.arrive(dead, 1, 3)
+	c.arrive(held, 1, 1)
+	c.kill(dead)
+	c.pass(2 * time.Second)
+	must.EqOp(t, 0, c.total())
+	c.pass(4 * time.Second)
+	must.EqOp(t, 1, c.total())
+}
+
+func TestRestartedEntryFreesTheSlotsOfItsEarlierIncarnation(t *testing.T) {
+	c := newEntries(t, 3, longText(1))
+	held, again := c.holder(t), c.other(t)
+	c.arrive(again, 1, 3)
+	c.arrive(held, 1, 1)
+	c.kill(again)
+	c.start(again)
+	c.publish(again, published(1, 0, 0), longText(1))
+	c.list()
+	c.pass(time.Second)
+	must.EqOp(t, 1, c.total())
+	must.Len(t, 1, c.running[held])
+}
+
+func TestRestartedHolderCollectsReportsBeforeItGrants(t *testing.T) {
+	c := newEntries(t, 3, longText(2))
+	held, id := c.holder(t), c.other(t)
+	c.arrive(id, 1, 6)
+	c.kill(held)
+	c.start(held)
+	c.publish(held, published(1, 0, 0), longText(2))
+	c.list()
+	c.pass(3 * time.Second)
+	must.EqOp(t, held, c.holder(t))
+	must.EqOp(t, 2, c.most)
+	c.finishAll()
+	must.EqOp(t, 6, c.answered)
+	c.checkRuns(t)
+}
+
+func TestGrantOnAnInstanceThatHasGoneIsReturned(t *testing.T) {
+	c := newEntries(t, 2, longText(1))
+	id := c.other(t)
+	moved := longText(1)
+	moved.Instances[0].ID = "runner-2"
+	c.publish(id, published(2, 1, 0), moved)
+	c.arrive(id, 1, 1) // the holder still grants runner-1
+	must.EqOp(t, 0, c.total())
+	must.EqOp(t, 1, c.counted[effect.GrantsReturned])
+	c.publish(c.holder(t), published(2, 1, 0), moved)
+	c.pass(time.Second)
+	must.EqOp(t, 1, c.total())
+	must.EqOp(t, fleet.InstanceID("runner-2"), c.running[id][0].Instance)
+}
+
+func TestEntriesWithDifferentViewsRunEachRequestOnce(t *testing.T) {
+	c := newEntries(t, 3, longText(1))
+	held, id := c.holder(t), c.other(t)
+	// One entry no longer hears the holder, which hears it and the third.
+	c.lose = func(from fleet.EntryID, e effect.SendPeer) bool { return from == held && e.To == id }
+	c.arrive(id, 1, 5)
+	for range 12 {
+		c.pass(time.Second)
+		c.finish()
+	}
+	must.EqOp(t, 5, c.answered)
+	// Its share of a slot comes on top of the holder's grant.
+	must.LessEq(t, 2, c.most)
+	c.checkRuns(t)
+}
--- a/reduce/log.go
+++ b/reduce/log.go
@@ -33,6 +33,7 @@
 	if !s.ready && !s.stopping && s.control.Text != nil {
 		s.ready = true
 		s.emit(effect.SetReady{Ready: true})
+		s.followHolders()
 		s.emit(effect.LogChange{Change: effect.ChangeReady, Version: s.control.Version})
 	}
 }
@@ -44,6 +45,8 @@
 	s.hastenHeartbeat()
 	if s.control.Version != before {
 		s.placement.Configure(s.control.Text, s.control.Pools)
+		s.restoreShares()
+		s.followHolders()
 		s.emit(effect.LogChange{Change: effect.ChangeText, Version: s.control.Version, Record: p.Record.ID})
 		for _, pool := range s.placement.Pools() {
 			s.grant(pool)
--- a/reduce/peer.go
+++ b/reduce/peer.go
@@ -53,16 +53,36 @@
 		return
 	}
 	s.peers.Learn(p.ID, ev.Address, s.now)
-	if how == peers.First {
+	switch how {
+	case peers.First:
 		s.send(p, s.heartbeat())
+		s.dropEntry(p.ID)
+		s.resync(p)
+	case peers.Gap:
+		s.resync(p)
+	case peers.Next, peers.Stale:
 	}
-	switch m := ev.Message.(type) {
+	s.onPeerMessage(p, ev.Message)
+}
+
+func (s *State) onPeerMessage(p *peers.Peer, m message.Message) {
+	switch m := m.(type) {
 	case message.Heartbeat:
 		s.onHeartbeat(p, m)
 	case message.RecordsAsked:
 		s.onRecordsAsked(p, m)
 	case message.Records:
 		s.onPeerRecords(p, m)
+	case message.SlotsAsked:
+		s.onSlotsAsked(p, m)
+	case message.SlotsGranted:
+		s.onSlotsGranted(p, m)
+	case message.SlotsReport:
+		s.onSlotsReport(p, m)
+	case message.ReportWanted:
+		s.onReportWanted(p)
+	case message.ReportTaken:
+		s.onReportTaken(p, m)
 	}
 }
 
@@ -70,7 +90,12 @@
 func (s *State) onHeartbeatDue() {
 	for _, p := range s.peers.Judge(s.now) {
 		s.logPeer(p)
+		if p.Status == peers.Dead {
+			s.dropEntry(p.ID)
+		}
 	}
+	s.followHolders()
+	s.checkHolders()
 	beat := s.heartbeat()
 	for _, p := range s.peers.Due() {
 		s.send(p, beat)
--- a/reduce/peers/peers.go
+++ b/reduce/peers/peers.go
@@ -153,6 +153,12 @@
 	return p.sent
 }
 
+// LastSent is the sequence number of the last message to the peer.
+func (p *Peer) LastSent() uint64 { return p.sent }
+
+// Received is the sequence number of the last message of the peer.
+func (p *Peer) Received() uint64 { return p.received }
+
 // Get returns a peer.
 func (s *State) Get(id fleet.EntryID) (*Peer, bool) {
 	p, ok := s.byID[id]
--- a/reduce/placement/placement.go
+++ b/reduce/placement/placement.go
@@ -46,9 +46,11 @@
 	address string
 	pool    fleet.PoolName
 	slots   int
-	running int
-	gone    bool
-	closed  bool
+	// textSlots is the number in the services text.
+	textSlots int
+	running   int
+	gone      bool
+	closed    bool
 }
 
 // New returns an empty state. The seed spreads choices between entries.
@@ -83,6 +85,7 @@
 			it = &instance{id: in.ID}
 		}
 		it.address, it.pool, it.slots, it.gone = in.Address, poolName, cfg.Slots, false
+		it.textSlots = cfg.Slots
 		instances[in.ID] = it
 		pools[poolName].instances = append(pools[poolName].instances, it)
 	}
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -5,6 +5,7 @@
 
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/holder"
 	"github.com/banyanrail/banyanrail/reduce/peers"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 )
@@ -43,6 +44,7 @@
 		s.onStopAsked()
 	}
 	s.fireTimers()
+	s.flushOutbox()
 	s.finishStop()
 	s.armTimer()
 	return s.out
@@ -62,6 +64,8 @@
 			s.onProposalExpired(o)
 		case *peers.State:
 			s.onHeartbeatDue()
+		case *holder.Link:
+			s.onHolderTimer(o)
 		}
 	}
 }
--- a/reduce/relay.go
+++ b/reduce/relay.go
@@ -9,6 +9,7 @@
 // onHeartbeat compares the fold of a peer with this entry's own.
 func (s *State) onHeartbeat(p *peers.Peer, m message.Heartbeat) {
 	p.Offset, p.Version, p.Digest, p.Stopping = m.Offset, m.Version, m.Digest, m.Stopping
+	s.followHolders()
 	switch {
 	case m.Offset > s.control.Offset:
 		if s.relay.ShouldAsk(p.ID, s.logDown, s.now) {
--- a/reduce/request.go
+++ b/reduce/request.go
@@ -6,6 +6,7 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/holder"
 	"github.com/banyanrail/banyanrail/reduce/placement"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 )
@@ -83,21 +84,27 @@
 		s.refuseRequest(r, fleet.ReasonNoCapacity)
 		return
 	}
+	s.ask(r)
 	s.grant(r.Service.Pool)
 }
 
 // grant dispatches waiting requests of a pool while it has free slots.
 func (s *State) grant(pool fleet.PoolName) {
-	for {
+	for s.mayGrant(pool) {
 		g, ok := s.placement.Next(pool)
 		if !ok {
 			return
 		}
+		if holder.IsRemote(g.Ask.Request) {
+			s.lease(g)
+			continue
+		}
 		r, ok := s.requests.Get(g.Ask.Request)
 		if !ok {
 			s.placement.Release(g.Instance)
 			continue
 		}
+		s.withdraw(r)
 		s.dispatch(r, g)
 	}
 }
@@ -119,6 +126,7 @@
 
 func (s *State) onAttemptFinished(ev event.AttemptFinished) {
 	s.placement.Release(ev.Instance)
+	s.giveBack(ev)
 	r, ok := s.requests.Current(ev.Attempt)
 	if !ok {
 		s.late()
@@ -178,6 +186,7 @@
 func (s *State) abandon(r *requests.Request, reason fleet.Reason) {
 	if r.Phase != requests.Running {
 		s.placement.Remove(r.ID)
+		s.withdraw(r)
 		s.refuseRequest(r, reason)
 		return
 	}
--- a/reduce/requests/table.go
+++ b/reduce/requests/table.go
@@ -3,6 +3,8 @@
 package requests
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
@@ -80,6 +82,16 @@
 // Remove takes a request out of the table.
 func (t *Table) Remove(id fleet.RequestID) { delete(t.byID, id) }
 
+// All returns the requests in order of their ids.
+func (t *Table) All() []*Request {
+	all := make([]*Request, 0, len(t.byID))
+	for _, r := range t.byID {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b *Request) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
 // Len returns the number of requests in the table.
 func (t *Table) Len() int { return len(t.byID) }
 
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -6,6 +6,7 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/holder"
 	"github.com/banyanrail/banyanrail/reduce/peers"
 	"github.com/banyanrail/banyanrail/reduce/placement"
 	"github.com/banyanrail/banyanrail/reduce/relay"
@@ -21,6 +22,8 @@
 	Seed uint64
 	// MaxRequests bounds the requests held at once.
 	MaxRequests int
+	// Placement says who grants slots; empty means PlacementLocal.
+	Placement Placement
 }
 
 // State is the whole control state of an entry. Only Reduce changes it.
@@ -33,6 +36,10 @@
 	peers     *peers.State
 	proposals proposals
 	relay     relay.State
+	holders   *holder.State
+	outbox    outbox
+	// reask holds the requests whose grants could not be used.
+	reask []fleet.RequestID
 	// digestValue is the digest of the fold up to digestOffset.
 	digestOffset fleet.Offset
 	digestValue  uint64
@@ -56,6 +63,7 @@
 		placement: placement.New(cfg.Seed),
 		peers:     peers.New(cfg.Entry),
 		proposals: newProposals(),
+		holders:   holder.New(),
 	}
 }
 
--- a/reduce/status.go
+++ b/reduce/status.go
@@ -24,7 +24,9 @@
 			"late":     s.totals.late,
 		},
 	}
+	st.Holds = s.holders.Holds()
 	for _, l := range s.placement.Loads() {
+		l.Running -= s.holders.Leased(l.Instance)
 		st.Running += l.Running
 		st.Pools[l.Pool]++
 		st.Instances = append(st.Instances, effect.InstanceStatus{ID: l.Instance, Pool: l.Pool, Running: l.Running})
--- a/reduce/stop.go
+++ b/reduce/stop.go
@@ -10,6 +10,7 @@
 	s.stopping, s.ready = true, false
 	s.emit(effect.SetReady{Ready: false})
 	s.hastenHeartbeat()
+	s.followHolders()
 	s.emit(effect.LogChange{Change: effect.ChangeStopping, Version: s.control.Version})
 }
 
