--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-.PHONY: generate run test bench build fmt fmt-check lint smoke tools
+.PHONY: bench-placement generate run test bench build fmt fmt-check lint smoke tools
 
 run: ## the whole fleet on embedded stand-ins
 	go run ./cmd/banyanrail dev
@@ -15,6 +15,9 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
+bench-placement: ## the brief's burst under both placements, about a minute
+	go test -run '^$$' -bench BenchmarkBurst -benchtime 1x -timeout 5m ./dev
+
 build:
 	go build -o bin/ ./cmd/...
 
