Let endpoint stand-ins answer probes and swallow requests

Cause: ejection needs an endpoint that tells whether it is well, and one that starts everything and answers nothing. Change: GET on a stand-in answers a probe; the fault Hang swallows requests.

--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -59,6 +59,27 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if req.Method == http.MethodGet {
+		r.serveHealth(w, req)
+		return
+	}
+	r.serveRun(w, req)
+}
+
+func (r *Runner) serveHealth(w http.ResponseWriter, req *http.Request) {
+	result, err := r.runs.Do(req.Context(), func(call uint64) error {
+		return r.loop.Post(healthAsked{call: call})
+	})
+	if err != nil {
+		return
+	}
+	w.Header().Set(endpoint.HeaderLeaving, strconv.FormatBool(result == RunLeaving))
+	if result == RunFailed {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (r *Runner) serveRun(w http.ResponseWriter, req *http.Request) {
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/standin/endpointstate.go
+++ b/standin/endpointstate.go
@@ -14,12 +14,14 @@
 		key     string
 		attempt string
 	}
+	healthAsked    struct{ call uint64 }
 	runnerFaultSet struct{ fault RunnerFault }
 	runsAsked      struct{ call uint64 }
 	runnerTimer    struct{}
 )
 
 func (runAsked) isRunnerEvent()       {}
+func (healthAsked) isRunnerEvent()    {}
 func (runnerFaultSet) isRunnerEvent() {}
 func (runsAsked) isRunnerEvent()      {}
 func (runnerTimer) isRunnerEvent()    {}
@@ -61,6 +63,8 @@
 type RunnerFault struct {
 	// FailAll fails every request at once.
 	FailAll bool
+	// Hang starts every request and never answers.
+	Hang bool
 	// Leaving refuses new requests.
 	Leaving bool
 	// Truncate, Break and Swap spoil this many of the next answers after the
@@ -106,6 +110,8 @@
 	switch e := ev.(type) {
 	case runAsked:
 		s.start(now, e)
+	case healthAsked:
+		s.out = append(s.out, replyRun{call: e.call, result: s.health()})
 	case runnerFaultSet:
 		s.fault = e.fault
 	case runsAsked:
@@ -133,6 +139,9 @@
 	if e.key != "" {
 		s.runs.ByKey[e.key]++
 	}
+	if s.fault.Hang {
+		return
+	}
 	if s.fault.FailAll {
 		s.out = append(s.out, replyRun{call: e.call, result: RunFailed})
 		return
@@ -141,6 +150,18 @@
 	s.runs.MostAtOnce = max(s.runs.MostAtOnce, len(s.running))
 }
 
+// health is the answer to a probe.
+func (s *runnerState) health() RunResult {
+	switch {
+	case s.fault.Leaving:
+		return RunLeaving
+	case s.fault.FailAll, s.fault.Hang:
+		return RunFailed
+	default:
+		return RunDone
+	}
+}
+
 // outcome takes the next fault of an answer.
 func (s *runnerState) outcome() RunResult {
 	switch {
