Tell own answers from others on every connection to an endpoint

Cause: an answer without the attempt's id was taken as the attempt's own, also on a connection that had carried another request, so that a duplicate of an earlier answer could reach the wrong caller. A redirect counted as a broken attempt although the endpoint had answered. Nine entries with 64 idle connections each could exceed a runner's 64. Change: without the id, only the first answer on a connection counts, and the endpoint gets a new connection for each attempt from then on. A redirect is passed on. An entry keeps 6 idle connections to a runner, and reads answers of at most 64 MiB.

--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
@@ -19,8 +21,8 @@
 
 // Headers between entries and endpoints.
 const (
-	// HeaderAttempt identifies the attempt; an endpoint that sends it back lets
-	// the entry recognise an answer that belongs to another request.
+	// HeaderAttempt identifies the attempt. An endpoint that sends it back lets
+	// the entry recognise answers of other attempts, and keep its connections.
 	HeaderAttempt = "Banyanrail-Attempt"
 	// HeaderKey carries the idempotency key. It is not Idempotency-Key, since
 	// net/http sends requests with that header again by itself when a
@@ -63,45 +65,84 @@
 	Err      error
 }
 
+const (
+	// maxAnswer is the largest body of an answer, in bytes.
+	maxAnswer = 64 << 20
+	// idleConnections bounds the idle connections of one entry to an endpoint.
+	// With nine entries and a runner's 8 slots in use, all connections to the
+	// runner together stay below 64.
+	idleConnections = 6
+	idleTimeout     = time.Minute
+)
+
 // Client sends attempts over pooled connections.
-type Client struct{ http *resty.Client }
+type Client struct {
+	// pooled keeps connections, fresh takes a new one for each attempt.
+	pooled, fresh *resty.Client
+	// silent holds the addresses of endpoints that don't send HeaderAttempt
+	// back. Only a fresh connection is sure to carry no other attempt's answer.
+	silent sync.Map
+}
 
 // NewClient returns a client that keeps at most maxConnections to an endpoint.
 func NewClient(maxConnections int) *Client {
-	transport := &http.Transport{
-		MaxConnsPerHost:     maxConnections,
-		MaxIdleConnsPerHost: maxConnections,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
+	return &Client{
+		pooled: newHTTP(&http.Transport{
+			MaxConnsPerHost:     maxConnections,
+			MaxIdleConnsPerHost: min(maxConnections, idleConnections),
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		}),
+		fresh: newHTTP(&http.Transport{
+			MaxConnsPerHost:    maxConnections,
+			DisableKeepAlives:  true,
+			DisableCompression: true,
+		}),
 	}
-	c := resty.New().
+}
+
+func newHTTP(transport *http.Transport) *resty.Client {
+	return resty.New().
 		SetTransport(transport).
-		SetRedirectPolicy(resty.NoRedirectPolicy())
-	return &Client{http: c}
+		SetResponseBodyLimit(maxAnswer).
+		SetRedirectPolicy(resty.RedirectPolicyFunc(func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		}))
 }
 
 // Close drops idle connections.
-func (c *Client) Close() { c.http.GetClient().CloseIdleConnections() }
+func (c *Client) Close() { c.pooled.GetClient().CloseIdleConnections() }
+
+// connection is what an attempt learnt of its connection.
+type connection struct{ got, reused bool }
 
 // Do sends one attempt and reads the whole answer.
 func (c *Client) Do(ctx context.Context, req Request) Result {
-	connected := false
+	var conn connection
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
+		GotConn: func(info httptrace.GotConnInfo) { conn = connection{got: true, reused: info.Reused} },
 	})
 	resp, err := c.send(ctx, req)
 	if err != nil {
 		fail := oops.In("endpoint").With("step", "dispatch", "peer", req.Address, "attempt", req.Attempt)
-		if !connected {
+		if !conn.got {
 			return Result{Outcome: event.AttemptNotSent, Err: fail.Wrap(err)}
 		}
 		return Result{Outcome: event.AttemptBroken, Err: fail.Wrap(err)}
 	}
-	return judge(req, resp)
+	return c.judge(req, resp, conn)
+}
+
+// client returns the HTTP client for an address.
+func (c *Client) client(address string) *resty.Client {
+	if _, silent := c.silent.Load(address); silent {
+		return c.fresh
+	}
+	return c.pooled
 }
 
 func (c *Client) send(ctx context.Context, req Request) (*resty.Response, error) {
-	r := c.http.R().
+	r := c.client(req.Address).R().
 		SetContext(ctx).
 		SetHeader(HeaderAttempt, req.Attempt).
 		SetHeader(HeaderMember, string(req.Member)).
@@ -122,7 +163,7 @@
 
 // Probe asks an endpoint whether it is well, and whether it is leaving.
 func (c *Client) Probe(ctx context.Context, address string) (ok, leaving bool) {
-	resp, err := c.http.R().SetContext(ctx).Get("http://" + address + probePath)
+	resp, err := c.fresh.R().SetContext(ctx).Get("http://" + address + probePath)
 	if err != nil {
 		return false, false
 	}
@@ -130,16 +171,16 @@
 }
 
 // judge says what an answer that was received means.
-func judge(req Request, resp *resty.Response) Result {
+func (c *Client) judge(req Request, resp *resty.Response, conn connection) Result {
 	fail := oops.In("endpoint").With("step", "answer", "peer", req.Address, "attempt", req.Attempt)
 	header := resp.Header()
+	if err := c.checkOwner(req, header.Get(HeaderAttempt), conn); err != nil {
+		return Result{Outcome: event.AttemptBroken, Err: fail.Wrap(err)}
+	}
 	leaving := header.Get(HeaderLeaving) == "true"
 	if resp.StatusCode() == http.StatusServiceUnavailable && header.Get(HeaderRan) == "no" {
 		return Result{Outcome: event.AttemptRefused, Leaving: leaving, Err: fail.Errorf("refused by the endpoint")}
 	}
-	if echo := header.Get(HeaderAttempt); echo != "" && echo != req.Attempt {
-		return Result{Outcome: event.AttemptBroken, Err: fail.Errorf("answer belongs to attempt %q", echo)}
-	}
 	if !isWhole(resp.RawResponse) {
 		return Result{Outcome: event.AttemptBroken, Err: fail.Errorf("answer has no length that tells whether it is whole")}
 	}
@@ -150,6 +191,25 @@
 	}
 }
 
+// errForeignAnswer means that an answer belongs to another attempt, or may.
+var errForeignAnswer = errors.New("answer may belong to another attempt")
+
+// checkOwner tells whether an answer is the attempt's own. Without an echo of
+// the attempt's id, only the first answer on a connection is.
+func (c *Client) checkOwner(req Request, echo string, conn connection) error {
+	if echo == req.Attempt {
+		return nil
+	}
+	if echo != "" {
+		return errForeignAnswer
+	}
+	c.silent.Store(req.Address, struct{}{})
+	if conn.reused {
+		return errForeignAnswer
+	}
+	return nil
+}
+
 // isWhole reports whether the end of the answer was marked, by a length or by
 // chunks. Reading has failed already when the mark was not reached.
 func isWhole(r *http.Response) bool {
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -100,6 +100,7 @@
 
 func reply(w http.ResponseWriter, req *http.Request, body []byte, result RunResult) {
 	attempt := req.Header.Get(endpoint.HeaderAttempt)
+	w.Header().Set(endpoint.HeaderAttempt, attempt)
 	switch result {
 	case RunRefused, RunLeaving:
 		w.Header().Set(endpoint.HeaderRan, "no")
