Check the whole services text and print its canonical form

Cause: the first fault of a text hid the others, and texts with cycles, unknown names or an instance listed twice were taken.

Change: blocks are decoded by schema, and every fault is collected with its line and column in services.Error: names, cycles, duplicates, addresses, ranges, durations, availability that dependencies can't support, demand that does not fit after the loss of a data centre. Racks list their instances as a map of addresses. Print writes the canonical form. Number literals are bounded, since a number in place of a string costs the square of its exponent.

Conclusion: a faulty text is refused as a whole, before it reaches the log.

--- /dev/null
+++ b/services/print.go
@@ -0,0 +1,138 @@
+package services
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/banyanrail/banyanrail/fleet"
+)
+
+// sortText puts a text into its canonical order.
+func sortText(t *fleet.Text) {
+	slices.Sort(t.DataCentres)
+	slices.SortFunc(t.Services, func(a, b fleet.Service) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(t.Pools, func(a, b fleet.Pool) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(t.Members, func(a, b fleet.Member) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(t.Instances, func(a, b fleet.Instance) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Print returns the canonical form of a text. Parse returns an equal text for
+// it.
+func Print(t *fleet.Text) []byte {
+	return PrintFragment(Fragment{Text: t, Prices: &t.Prices, Maintenance: &t.Maintenance})
+}
+
+// PrintFragment returns the canonical form of some blocks of a text.
+func PrintFragment(f Fragment) []byte {
+	var out bytes.Buffer
+	printInstances(&out, f.Text)
+	for i := range f.Text.Pools {
+		printPool(&out, &f.Text.Pools[i])
+	}
+	for i := range f.Text.Services {
+		printService(&out, &f.Text.Services[i])
+	}
+	for i := range f.Text.Members {
+		m := &f.Text.Members[i]
+		fmt.Fprintf(&out, "member %q {\n  weight = %d\n  quota  = %d\n}\n", m.Name, m.Weight, m.Quota)
+	}
+	if f.Prices != nil {
+		fmt.Fprintf(&out, "prices {\n  buffer = %s\n  move   = %s\n}\n", number(f.Prices.Buffer), number(f.Prices.Move))
+	}
+	if f.Maintenance != nil {
+		fmt.Fprintf(&out, "maintenance {\n  drain_limit = %q\n  max_step    = %d\n  probation   = %q\n}\n",
+			f.Maintenance.DrainLimit, f.Maintenance.MaxStep, f.Maintenance.Probation)
+	}
+	return out.Bytes()
+}
+
+func number(v float64) string { return strconv.FormatFloat(v, 'g', -1, 64) }
+
+// printInstances writes the data centres with their racks.
+func printInstances(out *bytes.Buffer, t *fleet.Text) {
+	instances := slices.Clone(t.Instances)
+	slices.SortFunc(instances, func(a, b fleet.Instance) int {
+		return cmp.Or(
+			cmp.Compare(a.DataCentre, b.DataCentre),
+			cmp.Compare(a.Rack, b.Rack),
+			cmp.Compare(a.ID, b.ID))
+	})
+	for _, dc := range t.DataCentres {
+		fmt.Fprintf(out, "data_centre %q {\n", dc)
+		first, _ := slices.BinarySearchFunc(instances, dc, func(in fleet.Instance, dc fleet.DataCentre) int {
+			return cmp.Compare(in.DataCentre, dc)
+		})
+		for rest := instances[first:]; len(rest) > 0 && rest[0].DataCentre == dc; {
+			n := sameRack(rest)
+			printRack(out, rest[:n])
+			rest = rest[n:]
+		}
+		out.WriteString("}\n")
+	}
+}
+
+// sameRack counts the instances at the front that share a rack.
+func sameRack(instances []fleet.Instance) int {
+	n := 1
+	for n < len(instances) && instances[n].Rack == instances[0].Rack && instances[n].DataCentre == instances[0].DataCentre {
+		n++
+	}
+	return n
+}
+
+// printRack writes the instances of the pool that most are in as a map, and
+// the others as blocks.
+func printRack(out *bytes.Buffer, instances []fleet.Instance) {
+	own := mainPool(instances)
+	fmt.Fprintf(out, "  rack %q {\n    pool = %q\n    instances = {\n", instances[0].Rack, own)
+	for i := range instances {
+		if instances[i].Pool == own {
+			fmt.Fprintf(out, "      %q = %q\n", instances[i].ID, instances[i].Address)
+		}
+	}
+	out.WriteString("    }\n")
+	for i := range instances {
+		in := &instances[i]
+		if in.Pool != own {
+			fmt.Fprintf(out, "    instance %q {\n      address = %q\n      pool    = %q\n    }\n", in.ID, in.Address, in.Pool)
+		}
+	}
+	out.WriteString("  }\n")
+}
+
+func mainPool(instances []fleet.Instance) fleet.PoolName {
+	count := make(map[fleet.PoolName]int)
+	best := instances[0].Pool
+	for i := range instances {
+		name := instances[i].Pool
+		count[name]++
+		if count[name] > count[best] {
+			best = name
+		}
+	}
+	return best
+}
+
+func printPool(out *bytes.Buffer, p *fleet.Pool) {
+	fmt.Fprintf(out, "pool %q {\n  spare       = %t\n  slots       = %d\n  connections = %d\n  max_size    = %d\n}\n",
+		p.Name, p.Spare, p.Slots, p.Connections, p.MaxSize)
+}
+
+func printService(out *bytes.Buffer, s *fleet.Service) {
+	fmt.Fprintf(out, "service %q {\n  pool         = %q\n", s.Name, s.Pool)
+	if len(s.DependsOn) > 0 {
+		names := make([]string, 0, len(s.DependsOn))
+		for _, dep := range s.DependsOn {
+			names = append(names, strconv.Quote(string(dep)))
+		}
+		fmt.Fprintf(out, "  depends_on   = [%s]\n", strings.Join(names, ", "))
+	}
+	fmt.Fprintf(out, "  availability = %s\n  idempotent   = %t\n  urgent       = %t\n  time_limit   = %q\n",
+		number(s.Availability), s.Idempotent, s.Urgent, s.TimeLimit)
+	fmt.Fprintf(out, "  max_body     = %d\n  max_queue    = %d\n  max_attempts = %d\n  demand       = %s\n}\n",
+		s.MaxBody, s.MaxQueue, s.MaxAttempts, number(s.Demand))
+}
--- a/services/services.go
+++ b/services/services.go
@@ -1,5 +1,10 @@
-// Package services reads the services text: the one text in which operators
-// list their services, pools, instances and members. Its format is HCL.
+// Package services reads, checks, compares and prints the services text: the
+// one text in which operators list their services, pools, instances and
+// members. Its format is HCL.
+//
+// A text is a set of named blocks: their order carries no meaning, and Parse
+// returns them ordered by name. Print writes the canonical form, in which every
+// setting is explicit, so that a text means the same to every release.
 package services
 
 import (
@@ -7,75 +12,9 @@
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/hashicorp/hcl/v2"
-	"github.com/hashicorp/hcl/v2/gohcl"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 )
 
-// file is the services text as it stands in HCL.
-type file struct {
-	DataCentres []dataCentre `hcl:"data_centre,block"`
-	Members     []member     `hcl:"member,block"`
-	Pools       []pool       `hcl:"pool,block"`
-	Services    []service    `hcl:"service,block"`
-	Prices      *prices      `hcl:"prices,block"`
-	Maintenance *maintenance `hcl:"maintenance,block"`
-}
-
-type dataCentre struct {
-	Name  string `hcl:"name,label"`
-	Racks []rack `hcl:"rack,block"`
-}
-
-type rack struct {
-	Name      string     `hcl:"name,label"`
-	Instances []instance `hcl:"instance,block"`
-}
-
-type instance struct {
-	ID      string `hcl:"id,label"`
-	Address string `hcl:"address"`
-	Pool    string `hcl:"pool"`
-}
-
-type member struct {
-	Name   string `hcl:"name,label"`
-	Weight *int   `hcl:"weight"`
-	Quota  *int   `hcl:"quota"`
-}
-
-type pool struct {
-	Name        string `hcl:"name,label"`
-	Spare       *bool  `hcl:"spare"`
-	Slots       *int   `hcl:"slots"`
-	Connections *int   `hcl:"connections"`
-	MaxSize     *int64 `hcl:"max_size"`
-}
-
-type service struct {
-	Name         string   `hcl:"name,label"`
-	Pool         string   `hcl:"pool"`
-	DependsOn    []string `hcl:"depends_on,optional"`
-	Availability *float64 `hcl:"availability"`
-	Idempotent   *bool    `hcl:"idempotent"`
-	Urgent       *bool    `hcl:"urgent"`
-	TimeLimit    *string  `hcl:"time_limit"`
-	MaxBody      *int64   `hcl:"max_body"`
-	MaxQueue     *int     `hcl:"max_queue"`
-	MaxAttempts  *int     `hcl:"max_attempts"`
-	Demand       *float64 `hcl:"demand"`
-}
-
-type prices struct {
-	Buffer float64 `hcl:"buffer"`
-	Move   float64 `hcl:"move"`
-}
-
-type maintenance struct {
-	DrainLimit *string `hcl:"drain_limit"`
-	MaxStep    *int    `hcl:"max_step"`
-	Probation  *string `hcl:"probation"`
-}
-
 // Defaults of the text's settings.
 const (
 	defaultAvailability = 0.999
@@ -86,20 +25,61 @@
 	defaultProbation    = 5 * time.Second
 )
 
-// Parse reads a services text. The error lists every fault with its line and
-// column; name stands for the text in it.
+// Parse reads and checks a services text. Its error is an *Error that lists
+// every fault with its line and column; name stands for the text in it.
 func Parse(name string, src []byte) (*fleet.Text, error) {
-	parsed, diags := hclsyntax.ParseConfig(src, name, hcl.InitialPos)
-	if diags.HasErrors() {
-		return nil, diags
-	}
-	var f file
-	if diags := gohcl.DecodeBody(parsed.Body, nil, &f); diags.HasErrors() {
-		return nil, diags
-	}
-	text, err := f.text()
+	r, text, _, err := read(name, src)
 	if err != nil {
 		return nil, err
 	}
+	r.check(text)
+	if r.diags.HasErrors() {
+		return nil, &Error{Diagnostics: r.diags}
+	}
 	return text, nil
 }
+
+// Fragment is a part of a services text: whole blocks, without those that they
+// refer to.
+type Fragment struct {
+	Text *fleet.Text
+	// Prices and Maintenance are nil when the fragment does not hold them.
+	Prices      *fleet.Prices
+	Maintenance *fleet.Maintenance
+}
+
+// ParseFragment reads blocks of a services text without the checks that need
+// the whole.
+func ParseFragment(name string, src []byte) (Fragment, error) {
+	r, text, content, err := read(name, src)
+	if err != nil {
+		return Fragment{}, err
+	}
+	if r.diags.HasErrors() {
+		return Fragment{}, &Error{Diagnostics: r.diags}
+	}
+	f := Fragment{Text: text}
+	if len(content.Blocks.OfType(blockPrices)) > 0 {
+		f.Prices = &text.Prices
+	}
+	if len(content.Blocks.OfType(blockMaintenance)) > 0 {
+		f.Maintenance = &text.Maintenance
+	}
+	return f, nil
+}
+
+// read fails only when the text is not HCL; other faults stay with the reader.
+func read(name string, src []byte) (*reader, *fleet.Text, *hcl.BodyContent, error) {
+	if diags := checkNumbers(name, src); diags.HasErrors() {
+		return nil, nil, nil, &Error{Diagnostics: diags}
+	}
+	parsed, diags := hclsyntax.ParseConfig(src, name, hcl.InitialPos)
+	if diags.HasErrors() {
+		return nil, nil, nil, &Error{Diagnostics: diags}
+	}
+	r := &reader{places: make(map[place]hcl.Range)}
+	content := r.content(parsed.Body, fileSchema)
+	text := r.text(content)
+	sortText(text)
+	return r, text, content, nil
+}
