Publish what changes in the services text, not the whole text

Cause: every publish shipped the whole text, and every entry parsed it.

Change: the entry that takes a publish compares the text with the one in force and appends the difference; the fold applies it to its own text. A text whose base was replaced already is refused before it reaches the log. A text whose base is not folded here yet is still shipped whole.

--- a/entry/operators.go
+++ b/entry/operators.go
@@ -76,7 +76,7 @@
 		e.writeProblem(w, operatorProblem(http.StatusUnprocessableEntity, "check text", err.Error()))
 		return
 	}
-	e.command(w, r, control.Publish{Base: fleet.Version(base), Text: text, Source: string(src)})
+	e.command(w, r, control.Publish{Base: fleet.Version(base), Text: text})
 }
 
 // command proposes a record and answers with what became of it.
--- /dev/null
+++ b/fleet/delta.go
@@ -0,0 +1,138 @@
+package fleet
+
+import (
+	"cmp"
+	"reflect"
+	"slices"
+)
+
+// Delta is the difference between two texts: what was added or changed, in
+// full, and the names of what is gone.
+type Delta struct {
+	DataCentres     []DataCentre
+	GoneDataCentres []DataCentre
+	Services        []Service
+	GoneServices    []ServiceName
+	Pools           []Pool
+	GonePools       []PoolName
+	Instances       []Instance
+	GoneInstances   []InstanceID
+	Members         []Member
+	GoneMembers     []MemberName
+	// Prices and Maintenance are nil when they stay as they are.
+	Prices      *Prices
+	Maintenance *Maintenance
+}
+
+func dataCentreKey(d *DataCentre) DataCentre { return *d }
+func serviceKey(s *Service) ServiceName      { return s.Name }
+func poolKey(p *Pool) PoolName               { return p.Name }
+func instanceKey(in *Instance) InstanceID    { return in.ID }
+func memberKey(m *Member) MemberName         { return m.Name }
+
+func isSame[T comparable](a, b *T) bool { return *a == *b }
+
+func isSameService(a, b *Service) bool { return reflect.DeepEqual(a, b) }
+
+// Compare returns what turns one text into another.
+func Compare(before, after *Text) *Delta {
+	d := &Delta{}
+	d.DataCentres, d.GoneDataCentres = compare(before.DataCentres, after.DataCentres, dataCentreKey, isSame)
+	d.Services, d.GoneServices = compare(before.Services, after.Services, serviceKey, isSameService)
+	d.Pools, d.GonePools = compare(before.Pools, after.Pools, poolKey, isSame)
+	d.Instances, d.GoneInstances = compare(before.Instances, after.Instances, instanceKey, isSame)
+	d.Members, d.GoneMembers = compare(before.Members, after.Members, memberKey, isSame)
+	if before.Prices != after.Prices {
+		d.Prices = &after.Prices
+	}
+	if before.Maintenance != after.Maintenance {
+		d.Maintenance = &after.Maintenance
+	}
+	return d
+}
+
+// With returns the text that a delta turns this one into. Its parts are ordered
+// by name.
+func (t *Text) With(d *Delta) *Text {
+	next := &Text{
+		DataCentres: apply(t.DataCentres, d.DataCentres, d.GoneDataCentres, dataCentreKey),
+		Services:    apply(t.Services, d.Services, d.GoneServices, serviceKey),
+		Pools:       apply(t.Pools, d.Pools, d.GonePools, poolKey),
+		Instances:   apply(t.Instances, d.Instances, d.GoneInstances, instanceKey),
+		Members:     apply(t.Members, d.Members, d.GoneMembers, memberKey),
+		Prices:      t.Prices,
+		Maintenance: t.Maintenance,
+	}
+	if d.Prices != nil {
+		next.Prices = *d.Prices
+	}
+	if d.Maintenance != nil {
+		next.Maintenance = *d.Maintenance
+	}
+	return next
+}
+
+// ordered returns the items ordered by key: the slice itself when it is in
+// order, as texts that were parsed are.
+func ordered[T any, K cmp.Ordered](items []T, key func(*T) K) []T {
+	byKey := func(a, b T) int { return cmp.Compare(key(&a), key(&b)) }
+	if slices.IsSortedFunc(items, byKey) {
+		return items
+	}
+	items = slices.Clone(items)
+	slices.SortStableFunc(items, byKey)
+	return items
+}
+
+// compare walks both sets in order of their keys.
+func compare[T any, K cmp.Ordered](before, after []T, key func(*T) K, same func(a, b *T) bool) (changed []T, gone []K) {
+	before, after = ordered(before, key), ordered(after, key)
+	i := 0
+	for j := range after {
+		for i < len(before) && key(&before[i]) < key(&after[j]) {
+			gone = append(gone, key(&before[i]))
+			i++
+		}
+		if i < len(before) && key(&before[i]) == key(&after[j]) {
+			if !same(&before[i], &after[j]) {
+				changed = append(changed, after[j])
+			}
+			i++
+			continue
+		}
+		changed = append(changed, after[j])
+	}
+	for ; i < len(before); i++ {
+		gone = append(gone, key(&before[i]))
+	}
+	return changed, gone
+}
+
+// apply returns the set with items changed and gone. It copies whole runs
+// between the places of changes.
+func apply[T any, K cmp.Ordered](set, changed []T, gone []K, key func(*T) K) []T {
+	if len(changed) == 0 && len(gone) == 0 {
+		return set
+	}
+	next := slices.Grow(slices.Clone(ordered(set, key)), len(changed))
+	find := func(k K) (int, bool) {
+		return slices.BinarySearchFunc(next, k, func(item T, k K) int { return cmp.Compare(key(&item), k) })
+	}
+	for _, k := range gone {
+		if at, ok := find(k); ok {
+			next = slices.Delete(next, at, at+1)
+		}
+	}
+	for i := range changed {
+		at, ok := find(key(&changed[i]))
+		if ok {
+			next[at] = changed[i]
+			continue
+		}
+		next = slices.Insert(next, at, changed[i])
+	}
+	if len(next) == 0 {
+		return nil
+	}
+	return next
+}
--- a/reduce/control/fold.go
+++ b/reduce/control/fold.go
@@ -16,7 +16,6 @@
 	// Version and Text are the services text in force.
 	Version fleet.Version
 	Text    *fleet.Text
-	Source  string
 	// Pools holds the one pool that each instance is in.
 	Pools map[fleet.InstanceID]fleet.PoolName
 
@@ -69,32 +68,52 @@
 	if p.Base != s.Version {
 		return Conflict, fmt.Sprintf("based on version %d, but version %d is in force", p.Base, s.Version)
 	}
-	if p.Text == nil {
+	switch {
+	case p.Delta != nil && s.Text != nil:
+		s.put(at, s.Text.With(p.Delta), p.Delta)
+	case p.Text != nil && s.Text != nil:
+		s.put(at, p.Text, fleet.Compare(s.Text, p.Text))
+	case p.Text != nil:
+		s.put(at, p.Text, fleet.Compare(&fleet.Text{}, p.Text))
+	default:
 		return Invalid, "the record holds no text"
 	}
-	s.place(p.Text)
-	s.Version, s.Text, s.Source = at, p.Text, p.Source
 	return Accepted, ""
 }
 
-// place keeps recorded moves for instances whose place in the text is the same
-// as before, and follows the text for the others.
-func (s *State) place(next *fleet.Text) {
-	before := make(map[fleet.InstanceID]fleet.PoolName)
-	if s.Text != nil {
-		for _, in := range s.Text.Instances {
-			before[in.ID] = in.Pool
+// put brings a text into force. Recorded moves are kept for instances whose
+// pool in the text is the same as before; the others follow the text.
+func (s *State) put(at fleet.Offset, next *fleet.Text, d *fleet.Delta) {
+	for _, id := range d.GoneInstances {
+		delete(s.Pools, id)
+	}
+	before := s.poolsInText(d.Instances)
+	for i := range d.Instances {
+		in := &d.Instances[i]
+		if pool, known := before[in.ID]; !known || pool != in.Pool {
+			s.Pools[in.ID] = in.Pool
 		}
 	}
-	pools := make(map[fleet.InstanceID]fleet.PoolName, len(next.Instances))
-	for _, in := range next.Instances {
-		pools[in.ID] = in.Pool
-		current, known := s.Pools[in.ID]
-		if known && before[in.ID] == in.Pool {
-			pools[in.ID] = current
+	s.Version, s.Text = at, next
+}
+
+// poolsInText returns the pools that the text in force gives to some instances.
+func (s *State) poolsInText(instances []fleet.Instance) map[fleet.InstanceID]fleet.PoolName {
+	pools := make(map[fleet.InstanceID]fleet.PoolName, len(instances))
+	if s.Text == nil {
+		return pools
+	}
+	asked := make(map[fleet.InstanceID]bool, len(instances))
+	for i := range instances {
+		asked[instances[i].ID] = true
+	}
+	for i := range s.Text.Instances {
+		in := &s.Text.Instances[i]
+		if asked[in.ID] {
+			pools[in.ID] = in.Pool
 		}
 	}
-	s.Pools = pools
+	return pools
 }
 
 func (s *State) remember(id fleet.RecordID) {
--- a/reduce/control/record.go
+++ b/reduce/control/record.go
@@ -33,9 +33,10 @@
 // force at the record's offset.
 type Publish struct {
 	Base fleet.Version
-	Text *fleet.Text
-	// Source is the text as the operator wrote it.
-	Source string
+	// Text is the whole text. It is nil when Delta tells the text from the one
+	// of version Base.
+	Text  *fleet.Text
+	Delta *fleet.Delta
 }
 
 // Unreadable stands for a record whose bytes could not be decoded.
--- a/reduce/proposal.go
+++ b/reduce/proposal.go
@@ -22,12 +22,39 @@
 func newProposals() proposals { return make(proposals) }
 
 func (s *State) onOperatorCommanded(ev event.OperatorCommanded) {
+	if body, ok := ev.Record.Body.(control.Publish); ok {
+		if body.Base < s.control.Version {
+			s.emit(effect.Reply{ID: ev.ID, Result: s.outdated(ev.Record.ID, body.Base)})
+			return
+		}
+		ev.Record.Body = s.compact(body)
+	}
 	p := &proposal{record: ev.Record.ID, reply: ev.ID}
 	s.proposals[p.record] = p
 	s.timers.Set(&p.expiry, ev.Deadline, p)
 	s.emit(effect.Append{Record: ev.Record})
 }
 
+// outdated refuses a text whose base was replaced already: the log can only
+// say the same.
+func (s *State) outdated(id fleet.RecordID, base fleet.Version) control.Result {
+	return control.Result{
+		Record:  id,
+		Outcome: control.Conflict,
+		Version: s.control.Version,
+		Detail:  fmt.Sprintf("based on version %d, but version %d is in force", base, s.control.Version),
+	}
+}
+
+// compact reduces a whole text to what it changes, when the text that it is
+// based on is the one in force here.
+func (s *State) compact(p control.Publish) control.Publish {
+	if p.Text == nil || s.control.Text == nil || p.Base != s.control.Version {
+		return p
+	}
+	return control.Publish{Base: p.Base, Delta: fleet.Compare(s.control.Text, p.Text)}
+}
+
 // settle replies to the operator whose record was folded.
 func (s *State) settle(res control.Result) {
 	p, ok := s.proposals[res.Record]
