--- a/entry/act.go
+++ b/entry/act.go
@@ -12,6 +12,8 @@
 		e.dispatch(o)
 	case effect.CancelAttempt:
 		e.exchanges.cancel(o.Attempt)
+	case effect.Probe:
+		e.probe(o)
 	case effect.Answer:
 		e.exchanges.answer(o)
 	case effect.Refuse:
@@ -20,10 +22,6 @@
 		e.append(o)
 	case effect.Read:
 		e.reader.start(o.From)
-	case effect.SendPeer:
-		e.peers.Send(o.To, o.Address, o.Sequence, o.Message)
-	case effect.KeepPeers:
-		e.keepPeers(o)
 	case effect.Reply:
 		e.replies.Resolve(o.ID, o.Result)
 	case effect.ReplyStatus:
@@ -36,6 +34,8 @@
 		e.ready.Store(o.Ready)
 	case effect.Stopped:
 		e.stopOnce.Do(func() { close(e.stopped) })
+	default:
+		e.actPeers(out)
 	}
 }
 
@@ -49,6 +49,7 @@
 	effect.ChangeDigestMismatch: "fold differs from a peer's",
 	effect.ChangePeerSuspect:    "peer suspected",
 	effect.ChangePeerDead:       "peer dead",
+	effect.ChangeHealth:         "endpoint health",
 }
 
 func (e *Entry) logChange(o effect.LogChange) {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -19,6 +19,7 @@
 	effect.SlotsLeased:       "slots_leased",
 	effect.LeasesReclaimed:   "leases_reclaimed",
 	effect.GrantsReturned:    "grants_returned",
+	effect.InstancesEjected:  "instances_ejected",
 }
 
 // metrics keeps the tally counters by their labels. Only the control goroutine
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -23,6 +23,16 @@
 	})
 }
 
+// actPeers carries out the effects towards other entries.
+func (e *Entry) actPeers(out effect.Effect) {
+	switch o := out.(type) {
+	case effect.SendPeer:
+		e.peers.Send(o.To, o.Address, o.Sequence, o.Message)
+	case effect.KeepPeers:
+		e.keepPeers(o)
+	}
+}
+
 // newPeerClient returns the client that sends to other entries. A lost message
 // is made up for by later ones, so it is only counted.
 func (e *Entry) newPeerClient() *peer.Client {
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -59,22 +59,22 @@
 	case *peerpb.Envelope_RecordsAsked:
 		return message.RecordsAsked{After: fleet.Offset(m.RecordsAsked.GetAfter())}, nil
 	case *peerpb.Envelope_Records:
-		return decodeRecords(m.Records)
+		return decodeRecords(m.Records), nil
 	default:
 		return decodeHolding(env)
 	}
 }
 
-// decodeRecords fails when a record cannot be read: a peer of another version
-// must not fill this entry's fold with records that the log may serve whole.
-func decodeRecords(m *peerpb.Records) (message.Message, error) {
+// decodeRecords reads records as the reader of the log does: one that cannot be
+// read keeps its place in the stream.
+func decodeRecords(m *peerpb.Records) message.Records {
 	out := message.Records{After: fleet.Offset(m.GetAfter())}
 	for _, r := range m.GetRecords() {
 		rec, err := codec.Decode(r.GetData())
 		if err != nil {
-			return nil, oops.In("peer").With("step", "decode", "offset", r.GetOffset()).Wrap(err)
+			rec.Body = control.Unreadable{Err: err}
 		}
 		out.Records = append(out.Records, control.Positioned{Offset: fleet.Offset(r.GetOffset()), Record: rec})
 	}
-	return out, nil
+	return out
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -11,6 +11,7 @@
 	"github.com/banyanrail/banyanrail/peer"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/message"
+	"github.com/banyanrail/banyanrail/services"
 	"github.com/shoenig/test/must"
 	"google.golang.org/grpc"
 )
@@ -120,22 +121,12 @@
 	r := listen(t, "127.0.0.1:0")
 	var failed atomic.Int64
 	c := newClient(t, &failed)
-	src := `data_centre "dc1" {
-  rack "r1" {
-    instance "runner-1" {
-      address = "127.0.0.1:1"
-      pool    = "main"
-    }
-  }
-}
-pool "main" { slots = 4 }
-service "survey" { pool = "main" }
-member "lawa" { weight = 1 }
-`
+	text, err := services.Parse("services.hcl", []byte(src))
+	must.NoError(t, err)
 	c.Send("entry-2", r.address, 1, message.RecordsAsked{After: 41})
 	c.Send("entry-2", r.address, 2, message.Records{After: 41, Records: []control.Positioned{{
 		Offset: 43,
-		Record: control.Record{ID: "r", Body: control.Publish{Base: 3, Source: src}},
+		Record: control.Record{ID: "r", Body: control.Publish{Base: 3, Text: text}},
 	}}})
 	must.Eq[message.Message](t, message.RecordsAsked{After: 41}, (<-r.got).Message)
 	got := (<-r.got).Message.(message.Records)
@@ -147,6 +138,19 @@
 	must.EqOp(t, 4, body.Text.Pools[0].Slots)
 }
 
+const src = `data_centre "dc1" {
+  rack "r1" {
+    instance "runner-1" {
+      address = "127.0.0.1:1"
+      pool    = "main"
+    }
+  }
+}
+pool "main" { slots = 4 }
+service "survey" { pool = "main" }
+member "lawa" { weight = 1 }
+`
+
 // countingConn counts what is written to a connection and read from it.
 type countingConn struct {
 	net.Conn
--- a/peer/slots.go
+++ b/peer/slots.go
@@ -27,6 +27,7 @@
 		Service: string(a.Service),
 		Member:  string(a.Member),
 		Size:    a.Size,
+		Left:    int64(a.Left),
 		Tried:   mapped(a.Tried, func(id fleet.InstanceID) string { return string(id) }),
 	}
 }
@@ -37,6 +38,7 @@
 		Service: fleet.ServiceName(a.GetService()),
 		Member:  fleet.MemberName(a.GetMember()),
 		Size:    a.GetSize(),
+		Left:    time.Duration(a.GetLeft()),
 		Tried:   mapped(a.GetTried(), func(id string) fleet.InstanceID { return fleet.InstanceID(id) }),
 	}
 }
@@ -51,30 +53,42 @@
 
 func encodeFinished(f message.Finished) *peerpb.Finished {
 	return &peerpb.Finished{
-		Slot:   encodeSlot(f.Slot),
-		Held:   int64(f.Held),
-		Ran:    int64(f.Ran),
-		Status: int32(f.Status),
-		Unused: f.Unused,
+		Slot:     encodeSlot(f.Slot),
+		Held:     int64(f.Held),
+		Ran:      int64(f.Ran),
+		Verdict:  uint32(f.Verdict),
+		Forgiven: string(f.Forgiven),
 	}
 }
 
 func decodeFinished(f *peerpb.Finished) message.Finished {
 	return message.Finished{
-		Slot:   decodeSlot(f.GetSlot()),
-		Held:   time.Duration(f.GetHeld()),
-		Ran:    time.Duration(f.GetRan()),
-		Status: int(f.GetStatus()),
-		Unused: f.GetUnused(),
+		Slot:     decodeSlot(f.GetSlot()),
+		Held:     time.Duration(f.GetHeld()),
+		Ran:      time.Duration(f.GetRan()),
+		Verdict:  message.Verdict(f.GetVerdict()),
+		Forgiven: fleet.InstanceID(f.GetForgiven()),
 	}
 }
 
+func encodeHeld(h message.Held) *peerpb.Held {
+	return &peerpb.Held{Ask: encodeAsk(h.Ask), Instance: string(h.Instance)}
+}
+
+func decodeHeld(h *peerpb.Held) message.Held {
+	return message.Held{Ask: decodeAsk(h.GetAsk()), Instance: fleet.InstanceID(h.GetInstance())}
+}
+
 func encodeDenied(d message.Denied) *peerpb.Denied {
-	return &peerpb.Denied{Request: uint64(d.Request), Reason: uint32(d.Reason)}
+	return &peerpb.Denied{Request: uint64(d.Request), Reason: uint32(d.Reason), RetryAfter: int64(d.RetryAfter)}
 }
 
 func decodeDenied(d *peerpb.Denied) message.Denied {
-	return message.Denied{Request: fleet.RequestID(d.GetRequest()), Reason: fleet.Reason(d.GetReason())}
+	return message.Denied{
+		Request:    fleet.RequestID(d.GetRequest()),
+		Reason:     fleet.Reason(d.GetReason()),
+		RetryAfter: time.Duration(d.GetRetryAfter()),
+	}
 }
 
 func encodeSlotsAsked(m message.SlotsAsked) *peerpb.SlotsAsked {
@@ -105,7 +119,7 @@
 	return &peerpb.SlotsReport{
 		Pool:    string(m.Pool),
 		Seen:    m.Seen,
-		Running: mapped(m.Running, encodeSlot),
+		Running: mapped(m.Running, encodeHeld),
 		Asks:    mapped(m.Asks, encodeAsk),
 	}
 }
@@ -114,7 +128,7 @@
 	return message.SlotsReport{
 		Pool:    fleet.PoolName(m.GetPool()),
 		Seen:    m.GetSeen(),
-		Running: mapped(m.GetRunning(), decodeSlot),
+		Running: mapped(m.GetRunning(), decodeHeld),
 		Asks:    mapped(m.GetAsks(), decodeAsk),
 	}
 }
--- a/reduce/control/digest.go
+++ b/reduce/control/digest.go
@@ -1,17 +1,49 @@
 package control
 
 import (
-	"strconv"
+	"fmt"
 
+	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/cespare/xxhash/v2"
 )
 
 // Digest returns a hash of the text in force and of the pool of each instance.
-// Equal folds have equal digests, whatever the order of their maps.
+// Equal folds have equal digests, whatever the order of their parts.
 func (s *State) Digest() uint64 {
-	sum := xxhash.Sum64String(strconv.FormatInt(int64(s.Version), 10) + "\x00" + s.Source)
+	sum := xxhash.Sum64String(fmt.Sprint("version ", s.Version))
+	if s.Text != nil {
+		sum += digestText(s.Text)
+	}
 	for id, pool := range s.Pools {
-		sum += xxhash.Sum64String(string(id) + "\x00" + string(pool))
+		sum += digestItem("in", string(id), string(pool))
 	}
 	return sum
 }
+
+func digestText(t *fleet.Text) uint64 {
+	sum := digestItem("settings", fmt.Sprintf("%+v %+v", t.Prices, t.Maintenance))
+	for i := range t.Services {
+		sum += digestItem("service", fmt.Sprintf("%+v", t.Services[i]))
+	}
+	for i := range t.Pools {
+		sum += digestItem("pool", fmt.Sprintf("%+v", t.Pools[i]))
+	}
+	for i := range t.Members {
+		sum += digestItem("member", fmt.Sprintf("%+v", t.Members[i]))
+	}
+	for i := range t.Instances {
+		in := &t.Instances[i]
+		sum += digestItem(string(in.ID), in.Address, string(in.DataCentre), string(in.Rack), string(in.Pool))
+	}
+	return sum
+}
+
+func digestItem(parts ...string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range parts {
+		_, _ = d.WriteString(part)   // never fails
+		_, _ = d.WriteString("\x00") // never fails
+	}
+	return d.Sum64()
+}
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -30,6 +30,12 @@
 // CancelAttempt abandons a dispatch; its outcome is still reported.
 type CancelAttempt struct{ Attempt fleet.AttemptID }
 
+// Probe asks an endpoint whether it is well.
+type Probe struct {
+	Instance fleet.InstanceID
+	Address  string
+}
+
 // Answer hands the answer of an attempt to the caller.
 type Answer struct {
 	Request  fleet.RequestID
@@ -127,6 +133,7 @@
 	LeasesReclaimed
 	// GrantsReturned counts grants that could not be used.
 	GrantsReturned
+	InstancesEjected
 )
 
 // Change names a change of state that is worth a log line.
@@ -143,6 +150,7 @@
 	ChangeDigestMismatch
 	ChangePeerSuspect
 	ChangePeerDead
+	ChangeHealth
 )
 
 // LogChange writes a log line for a change of state.
@@ -176,6 +184,7 @@
 
 func (Dispatch) isEffect()      {}
 func (CancelAttempt) isEffect() {}
+func (Probe) isEffect()         {}
 func (Answer) isEffect()        {}
 func (Refuse) isEffect()        {}
 func (Append) isEffect()        {}
--- a/reduce/grant.go
+++ b/reduce/grant.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
-	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/banyanrail/banyanrail/reduce/holder"
 	"github.com/banyanrail/banyanrail/reduce/message"
 	"github.com/banyanrail/banyanrail/reduce/peers"
@@ -211,60 +210,48 @@
 		}
 		switch r.Phase {
 		case requests.Queued:
-			m.Asks = append(m.Asks, askOf(r))
-		case requests.Running, requests.Abandoned:
-			m.Running = append(m.Running, message.Slot{Request: r.ID, Instance: r.Instance})
+			m.Asks = append(m.Asks, s.askOf(r))
+		case requests.Running, requests.Expiring, requests.Abandoned:
+			m.Running = append(m.Running, message.Held{Ask: s.askOf(r), Instance: r.Instance})
 		case requests.Claiming:
 		}
 	}
 	s.send(p, m)
 }
 
-func askOf(r *requests.Request) message.Ask {
-	a := message.Ask{Request: r.ID, Service: r.Service.Name, Member: r.Member}
-	if r.Instance != "" {
-		a.Tried = []fleet.InstanceID{r.Instance}
+func (s *State) askOf(r *requests.Request) message.Ask {
+	return message.Ask{
+		Request: r.ID,
+		Service: r.Service.Name,
+		Member:  r.Member,
+		Size:    r.Size,
+		Left:    r.Deadline.Sub(s.now),
+		Tried:   r.Tried,
 	}
-	return a
 }
 
 // ask asks the holder for a slot, when another entry holds the pool.
 func (s *State) ask(r *requests.Request) {
 	if p, ok := s.remote(r.Service.Pool); ok {
 		out := s.outbox.to(p.ID)
-		out.Asks = append(out.Asks, askOf(r))
+		out.Asks = append(out.Asks, s.askOf(r))
 	}
 }
 
-// withdraw tells the holder that a request no longer waits.
-func (s *State) withdraw(r *requests.Request) {
+// withdrawAsk tells the holder that a request no longer waits.
+func (s *State) withdrawAsk(r *requests.Request) {
 	if p, ok := s.remote(r.Service.Pool); ok {
 		out := s.outbox.to(p.ID)
 		out.Withdrawn = append(out.Withdrawn, r.ID)
 	}
 }
 
-// giveBack returns the slot of a finished attempt to the holder.
-func (s *State) giveBack(ev event.AttemptFinished) {
-	pool, ok := s.control.Pools[ev.Instance]
-	if !ok {
-		return
-	}
-	p, ok := s.remote(pool)
-	if !ok {
-		return
-	}
-	done := message.Finished{
-		Slot:   message.Slot{Request: ev.Attempt.Request, Instance: ev.Instance},
-		Held:   ev.Elapsed,
-		Status: ev.Status,
-		Unused: ev.Outcome == event.AttemptNotSent || ev.Outcome == event.AttemptRefused,
-	}
-	if ev.Outcome == event.AttemptAnswered {
-		done.Ran = ev.Elapsed
+// giveBack returns the slot of an attempt that ended to the holder.
+func (s *State) giveBack(r *requests.Request, done message.Finished) {
+	if p, ok := s.remote(r.Grant.Ask.Pool); ok {
+		out := s.outbox.to(p.ID)
+		out.Finished = append(out.Finished, done)
 	}
-	out := s.outbox.to(p.ID)
-	out.Finished = append(out.Finished, done)
 }
 
 // onSlotsGranted starts the requests that got a slot.
@@ -276,7 +263,8 @@
 		r, ok := s.requests.Get(d.Request)
 		if ok && r.Phase == requests.Queued {
 			s.placement.Remove(r.ID)
-			s.refuseRequest(r, d.Reason)
+			s.refuse(refusalAfter(r, d.Reason, d.RetryAfter), r.Service.Name)
+			s.forget(r)
 		}
 	}
 }
@@ -294,7 +282,7 @@
 	}
 	s.emit(effect.Count{Name: effect.GrantsReturned, N: 1})
 	out := s.outbox.to(p.ID)
-	out.Finished = append(out.Finished, message.Finished{Slot: g, Unused: true})
+	out.Finished = append(out.Finished, message.Finished{Slot: g})
 }
 
 // askAgain asks for the requests whose grants could not be used. It waits for
--- a/reduce/holder/holder.go
+++ b/reduce/holder/holder.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/placement"
 	"github.com/banyanrail/banyanrail/reduce/timer"
 )
 
@@ -75,6 +76,9 @@
 	return l.Phase == Reporting || l.Phase == Following || l.Phase == Fallback
 }
 
+// Holds reports whether this entry holds the pool.
+func (l *Link) Holds() bool { return l.Phase == Collecting || l.Phase == Holding }
+
 // MayGrant reports whether this entry grants slots of the pool.
 func (l *Link) MayGrant() bool { return l.Phase == Holding || l.Phase == Fallback }
 
@@ -100,9 +104,8 @@
 
 // Lease is a slot that an entry has from this holder.
 type Lease struct {
-	Key      Key
-	Pool     fleet.PoolName
-	Instance fleet.InstanceID
+	Key   Key
+	Grant placement.Grant
 	// Sequence numbers the message that carried the grant; zero when the lease
 	// came from a report.
 	Sequence uint64
@@ -232,7 +235,7 @@
 // Grant notes a lease.
 func (s *State) Grant(l Lease) {
 	s.leases[l.Key] = l
-	s.leased[l.Instance]++
+	s.leased[l.Grant.Instance]++
 }
 
 // Sent notes the sequence number of the message that carried a grant.
@@ -253,9 +256,10 @@
 // End forgets a lease.
 func (s *State) End(l Lease) {
 	delete(s.leases, l.Key)
-	s.leased[l.Instance]--
-	if s.leased[l.Instance] == 0 {
-		delete(s.leased, l.Instance)
+	on := l.Grant.Instance
+	s.leased[on]--
+	if s.leased[on] == 0 {
+		delete(s.leased, on)
 	}
 }
 
@@ -264,7 +268,7 @@
 func (s *State) Leases(pool fleet.PoolName, entry fleet.EntryID) []Lease {
 	var found []Lease
 	for _, l := range s.leases {
-		if l.Pool == pool && (entry == "" || l.Key.Entry == entry) {
+		if l.Grant.Ask.Pool == pool && (entry == "" || l.Key.Entry == entry) {
 			found = append(found, l)
 		}
 	}
--- a/reduce/log.go
+++ b/reduce/log.go
@@ -44,13 +44,9 @@
 	s.relay.Add(p)
 	s.hastenHeartbeat()
 	if s.control.Version != before {
-		s.placement.Configure(s.control.Text, s.control.Pools)
-		s.restoreShares()
-		s.followHolders()
+		s.configure()
 		s.emit(effect.LogChange{Change: effect.ChangeText, Version: s.control.Version, Record: p.Record.ID})
-		for _, pool := range s.placement.Pools() {
-			s.grant(pool)
-		}
+		s.grantAll()
 	}
 	s.settle(res)
 }
--- a/reduce/message/slots.go
+++ b/reduce/message/slots.go
@@ -12,6 +12,8 @@
 	Service fleet.ServiceName
 	Member  fleet.MemberName
 	Size    int64
+	// Left is the time until the request's deadline.
+	Left time.Duration
 	// Tried holds instances on which the request failed.
 	Tried []fleet.InstanceID
 }
@@ -27,12 +29,36 @@
 	Slot
 	// Held is how long the request had the slot.
 	Held time.Duration
-	// Ran is how long the request ran; zero when no whole answer came.
+	// Ran is how long the request ran; zero when it did not run well.
 	Ran time.Duration
-	// Status is the HTTP status of a whole answer.
-	Status int
-	// Unused is set when the request never went to the instance.
-	Unused bool
+	// Verdict is what the attempt's end says about the instance.
+	Verdict Verdict
+	// Forgiven is an instance that was blamed for the request before and is
+	// not at fault.
+	Forgiven fleet.InstanceID
+}
+
+// Verdict is what the end of an attempt says about its instance.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// VerdictNone says nothing.
+	VerdictNone Verdict = iota
+	// VerdictGood means that the instance served the request.
+	VerdictGood
+	// VerdictRefused means that the instance had no slot.
+	VerdictRefused
+	// VerdictFailed means that the instance failed.
+	VerdictFailed
+	// VerdictLeaving means that the instance takes no new work.
+	VerdictLeaving
+)
+
+// Held is a request with the instance that runs it.
+type Held struct {
+	Ask      Ask
+	Instance fleet.InstanceID
 }
 
 // SlotsAsked goes from an entry to the entry that holds a pool. Finished slots
@@ -47,6 +73,8 @@
 type Denied struct {
 	Request fleet.RequestID
 	Reason  fleet.Reason
+	// RetryAfter is when a retry may succeed; zero means no hint.
+	RetryAfter time.Duration
 }
 
 // SlotsGranted answers asks.
@@ -62,7 +90,7 @@
 	// Seen is the sequence number of the holder's last message that the sender
 	// had received. Grants sent later are still on their way.
 	Seen    uint64
-	Running []Slot
+	Running []Held
 	Asks    []Ask
 }
 
--- a/reduce/placement/take.go
+++ b/reduce/placement/take.go
@@ -5,42 +5,40 @@
 // Take gives a waiting request a slot that another entry granted. It returns
 // false when the request does not wait or the instance takes no new work.
 func (s *State) Take(id fleet.RequestID, on fleet.InstanceID) (Grant, bool) {
-	it, ok := s.instances[on]
-	if !ok || it.gone || it.closed {
+	w, waits := s.waiting[id]
+	it, known := s.instances[on]
+	if !waits || !known || it.pool != w.flow.pool || it.closed {
 		return Grant{}, false
 	}
-	p, ok := s.pools[s.waiting[id]]
+	it.pool.charge(w, s.now)
+	return s.start(w, it), true
+}
+
+// Hold notes a slot that another entry uses. The slot counts also above the
+// limits, since it is in use already.
+func (s *State) Hold(a Ask, on fleet.InstanceID) (Grant, bool) {
+	it, ok := s.instances[on]
 	if !ok {
 		return Grant{}, false
 	}
-	for _, a := range p.queue {
-		if a.Request == id {
-			s.Remove(id)
-			it.running++
-			return Grant{Ask: a, Instance: it.id, Address: it.address}, true
-		}
-	}
-	return Grant{}, false
-}
-
-// Hold takes a slot of an instance that another entry uses, also above the
-// limit: it is in use already.
-func (s *State) Hold(id fleet.InstanceID) bool {
-	it, ok := s.instances[id]
-	if ok {
-		it.running++
+	m := s.member(a.Member)
+	cost := s.costs.estimate(a)
+	if p, ok := s.pools[a.Pool]; ok {
+		p.settle(p.flow(m), cost)
 	}
-	return ok
+	it.setRunning(it.running + 1)
+	m.hold()
+	return Grant{Ask: a, Instance: it.id, Address: it.address, Cost: cost}, true
 }
 
-// SetShare bounds the slots that are granted on each instance of a pool below
-// the number that the services text gives it.
+// SetShare bounds the slots that are granted on each instance of a pool, given
+// the number of its slots.
 func (s *State) SetShare(name fleet.PoolName, share func(slots int) int) {
 	p, ok := s.pools[name]
 	if !ok {
 		return
 	}
 	for _, it := range p.instances {
-		it.slots = share(it.textSlots)
+		it.change(func() { it.share = share(it.slots) })
 	}
 }
--- a/reduce/relay/relay.go
+++ b/reduce/relay/relay.go
@@ -72,11 +72,22 @@
 		before = s.tail[first].Offset
 		first++
 	}
-	page := s.tail[first:]
-	if len(page) > MaxPage {
-		page = page[:MaxPage]
+	return before, page(s.tail[first:]), true
+}
+
+// page copies the first records. It ends before one that this entry could not
+// read: a peer of a newer version may be able to, and has to fold it as the log
+// has it.
+func page(records []control.Positioned) []control.Positioned {
+	var out []control.Positioned
+	for _, p := range records {
+		_, unreadable := p.Record.Body.(control.Unreadable)
+		if unreadable || len(out) == MaxPage {
+			break
+		}
+		out = append(out, p)
 	}
-	return before, append([]control.Positioned(nil), page...), true
+	return out
 }
 
 // ShouldAsk says whether a peer that is ahead is to be asked for records: when
--- a/reduce/relay/relay_test.go
+++ b/reduce/relay/relay_test.go
@@ -60,3 +60,16 @@
 	s.Answered("entry-3")
 	must.True(t, s.ShouldAsk("entry-2", true, epoch.Add(2*time.Second)))
 }
+
+func TestUnreadableRecordEndsThePage(t *testing.T) {
+	var s relay.State
+	s.Add(control.Positioned{Offset: 1})
+	s.Add(control.Positioned{Offset: 2, Record: control.Record{Body: control.Unreadable{}}})
+	s.Add(control.Positioned{Offset: 3})
+	_, page, ok := s.After(0)
+	must.True(t, ok)
+	must.Len(t, 1, page)
+	_, page, ok = s.After(1)
+	must.True(t, ok)
+	must.Len(t, 0, page)
+}
