Reduce the time and allocations of an event in the reducer

Change: a timer heap of its own with integer keys; requests from slabs of 32; a member's line of a service resolved once and kept in the grant; Answer and Refuse carry the service, so that they need no Count effect beside them. A service that the text does not list no longer becomes a metric's label, which callers could choose at will.

--- a/entry/act.go
+++ b/entry/act.go
@@ -16,8 +16,10 @@
 		e.probe(o)
 	case effect.Answer:
 		e.exchanges.answer(o)
+		e.metrics.count(effect.Count{Name: effect.RequestsAnswered, Service: o.Service, N: 1})
 	case effect.Refuse:
 		e.exchanges.refuse(o)
+		e.metrics.count(effect.Count{Name: effect.RequestsRefused, Service: o.Service, Reason: o.Reason, N: 1})
 	case effect.Append:
 		e.append(o)
 	case effect.Read:
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -36,16 +36,20 @@
 	Address  string
 }
 
-// Answer hands the answer of an attempt to the caller.
+// Answer hands the answer of an attempt to the caller, and counts it for its
+// service.
 type Answer struct {
 	Request  fleet.RequestID
 	Attempt  fleet.AttemptID
 	Attempts int
+	Service  fleet.ServiceName
 }
 
-// Refuse ends a request without an endpoint's answer.
+// Refuse ends a request without an endpoint's answer, and counts it for its
+// service.
 type Refuse struct {
 	Request fleet.RequestID
+	Service fleet.ServiceName
 	Reason  fleet.Reason
 	Ran     fleet.Ran
 	// RetryAfter is when a retry may succeed; zero means no hint.
--- a/reduce/health.go
+++ b/reduce/health.go
@@ -50,7 +50,7 @@
 func (s *State) judge(r *requests.Request, ev event.AttemptFinished) {
 	answered := ev.Outcome == event.AttemptAnswered
 	if answered && ev.Status < firstServerError {
-		s.placement.Observe(r.Grant.Ask, ev.Elapsed)
+		s.placement.Observe(r.Grant, ev.Elapsed)
 	}
 	it, ok := s.health.Get(ev.Instance)
 	if !ok {
@@ -84,7 +84,7 @@
 	case event.AttemptNotSent:
 		return !cutOff
 	default:
-		hang := max(minHang, hangFactor*s.placement.RunTime(r.Grant.Ask))
+		hang := max(minHang, hangFactor*s.placement.RunTime(r.Grant))
 		return !cutOff || ev.Elapsed >= hang
 	}
 }
--- a/reduce/placement/admit.go
+++ b/reduce/placement/admit.go
@@ -27,45 +27,44 @@
 	if !ok || p.queued == 0 {
 		return Admission{}
 	}
-	m := s.member(a.Member)
-	q := p.service(a.Service)
+	l := s.line(p, a)
+	cost := l.runs.estimate(a.Size)
 	return Admission{
-		Full:       q.full(m, maxQueue, len(s.members) > 1),
-		Wait:       s.wait(p, m, a),
-		RetryAfter: min(maxRetryAfter, p.drain(s.costs.estimate(a)*time.Duration(q.queued))),
+		Full:       l.full(maxQueue, len(s.members) > 1),
+		Wait:       p.wait(l, cost, a.Urgent),
+		RetryAfter: min(maxRetryAfter, p.drain(cost*time.Duration(l.service.queued))),
 	}
 }
 
-func (q *serviceQueue) full(m *member, maxQueue int, shared bool) bool {
-	if q.queued >= maxQueue {
+func (l *line) full(maxQueue int, shared bool) bool {
+	queued := l.service.queued
+	if queued >= maxQueue {
 		return true
 	}
 	if !shared {
 		return false
 	}
-	mine := q.byMember[m.name]
-	weight := q.weight
-	if mine == 0 {
-		weight += m.weight
+	mine, weight := l.flow.member.weight, l.service.weight
+	if l.queued == 0 {
+		weight += mine
 	}
-	weight = max(weight, m.weight+1)
-	overShare := mine*weight >= maxQueue*m.weight
-	return overShare && q.queued >= maxQueue-maxQueue/reserveDivisor
+	weight = max(weight, mine+1)
+	overShare := l.queued*weight >= maxQueue*mine
+	return overShare && queued >= maxQueue-maxQueue/reserveDivisor
 }
 
-// wait is the time until a new request of a member starts: its member's work
-// ahead at the member's share of the slots, and at most all work ahead.
-func (s *State) wait(p *pool, m *member, a Ask) time.Duration {
+// wait is the time until a new request starts: its member's work ahead at the
+// member's share of the slots, and at most all work ahead.
+func (p *pool) wait(l *line, cost time.Duration, isUrgent bool) time.Duration {
 	ahead := p.classes[urgent].backlog
-	if !a.Urgent {
+	if !isUrgent {
 		ahead += p.classes[normal].backlog
 	}
 	all := p.drain(ahead)
-	f, ok := p.flows[m.name]
-	if !ok || !f.waits() {
-		return min(all, p.drain(s.costs.estimate(a)))
+	if !l.flow.waits() {
+		return min(all, p.drain(cost))
 	}
-	fair := f.backlog * time.Duration(p.weight) / time.Duration(m.weight)
+	fair := l.flow.backlog * time.Duration(p.weight) / time.Duration(l.flow.member.weight)
 	return min(all, p.drain(fair))
 }
 
--- a/reduce/placement/configure.go
+++ b/reduce/placement/configure.go
@@ -54,9 +54,13 @@
 	}
 }
 
+// forget drops the member's lines; none of them has a request that waits.
 func (m *member) forget() {
 	for _, f := range m.flows {
 		delete(f.pool.flows, m.name)
+		for _, q := range f.pool.services {
+			delete(q.lines, m.name)
+		}
 	}
 }
 
@@ -70,9 +74,9 @@
 	}
 	for _, q := range p.services {
 		q.weight = 0
-		for name, n := range q.byMember {
-			if n > 0 {
-				q.weight += p.flows[name].member.weight
+		for _, l := range q.lines {
+			if l.queued > 0 {
+				q.weight += l.flow.member.weight
 			}
 		}
 	}
@@ -81,7 +85,7 @@
 func (s *State) configurePools(text *fleet.Text) []fleet.RequestID {
 	var orphans []fleet.RequestID
 	for id, w := range s.waiting {
-		if _, ok := text.Pool(w.flow.pool.name); !ok {
+		if _, ok := text.Pool(w.line.flow.pool.name); !ok {
 			orphans = append(orphans, id)
 		}
 	}
--- a/reduce/placement/cost.go
+++ b/reduce/placement/cost.go
@@ -14,8 +14,8 @@
 	meanShift = 3
 )
 
-// costs estimates run times. Declared sizes are far off, so they count only
-// until a run was seen.
+// costs holds observed run times. Declared sizes are far off, so they count
+// only until a run was seen.
 type costs struct {
 	byService map[fleet.ServiceName]*mean
 	byMember  map[costKey]*mean
@@ -26,6 +26,10 @@
 	member  fleet.MemberName
 }
 
+// runTimes are the run times of a member's requests for a service, and those
+// of the whole service.
+type runTimes struct{ member, service *mean }
+
 // mean is an exponentially weighted moving average.
 type mean struct{ value time.Duration }
 
@@ -44,31 +48,36 @@
 	}
 }
 
-func (c *costs) observe(a Ask, run time.Duration) {
-	key := costKey{a.Service, a.Member}
-	m, ok := c.byMember[key]
+// of returns the run times that belong to a service and a member.
+func (c *costs) of(service fleet.ServiceName, member fleet.MemberName) runTimes {
+	key := costKey{service, member}
+	own, ok := c.byMember[key]
 	if !ok {
-		m = &mean{}
-		c.byMember[key] = m
+		own = &mean{}
+		c.byMember[key] = own
 	}
-	m.add(run)
-	svc, ok := c.byService[a.Service]
+	all, ok := c.byService[service]
 	if !ok {
-		svc = &mean{}
-		c.byService[a.Service] = svc
+		all = &mean{}
+		c.byService[service] = all
 	}
-	svc.add(run)
+	return runTimes{member: own, service: all}
+}
+
+func (r runTimes) observe(run time.Duration) {
+	r.member.add(run)
+	r.service.add(run)
 }
 
-// estimate returns the run time to expect.
-func (c *costs) estimate(a Ask) time.Duration {
-	if m, ok := c.byMember[costKey{a.Service, a.Member}]; ok {
-		return m.value
+// estimate returns the run time to expect of a request of a declared size.
+func (r runTimes) estimate(size int64) time.Duration {
+	if r.member.value > 0 {
+		return r.member.value
 	}
-	if m, ok := c.byService[a.Service]; ok {
-		return m.value
+	if r.service.value > 0 {
+		return r.service.value
 	}
-	return unitCost * time.Duration(max(1, a.Size))
+	return unitCost * time.Duration(max(1, size))
 }
 
 // keep drops what was learnt about services and members that left the text.
--- a/reduce/placement/placement.go
+++ b/reduce/placement/placement.go
@@ -34,6 +34,8 @@
 	Address  string
 	// Cost is the run time that the member's account was charged.
 	Cost time.Duration
+
+	line *line
 }
 
 // State holds the pools and their queues.
@@ -72,9 +74,9 @@
 		return false
 	}
 	w := s.newWaiter()
-	w.ask, w.cost, w.since = a, s.costs.estimate(a), s.now
-	w.flow = p.flow(s.member(a.Member))
-	w.service = p.service(a.Service)
+	w.ask, w.since = a, s.now
+	w.line = s.line(p, a)
+	w.cost = w.line.runs.estimate(a.Size)
 	s.waiting[a.Request] = w
 	p.push(w, s.now)
 	return true
@@ -86,7 +88,7 @@
 	if !ok {
 		return
 	}
-	w.flow.pool.remove(w)
+	w.line.flow.pool.remove(w)
 	s.drop(w)
 }
 
@@ -104,8 +106,8 @@
 	p.charge(w, s.now)
 	p.remove(w)
 	it.setRunning(it.running + 1)
-	w.flow.member.hold()
-	g := Grant{Ask: w.ask, Instance: it.id, Address: it.address, Cost: w.cost}
+	w.line.flow.member.hold()
+	g := Grant{Ask: w.ask, Instance: it.id, Address: it.address, Cost: w.cost, line: w.line}
 	s.drop(w)
 	return g, true
 }
@@ -114,18 +116,28 @@
 // for which the slot was held.
 func (s *State) Finish(g Grant, held time.Duration) {
 	s.Release(g.Instance)
-	m := s.member(g.Ask.Member)
-	s.unblocked = m.unhold(s.unblocked)
-	if p, ok := s.pools[g.Ask.Pool]; ok {
-		p.settle(p.flow(m), held-g.Cost)
+	if g.line == nil {
+		return
 	}
+	f := g.line.flow
+	s.unblocked = f.member.unhold(s.unblocked)
+	f.pool.settle(f, held-g.Cost)
 }
 
-// Observe notes how long a whole run took.
-func (s *State) Observe(a Ask, run time.Duration) { s.costs.observe(a, run) }
+// Observe notes how long the whole run of a grant took.
+func (s *State) Observe(g Grant, run time.Duration) {
+	if g.line != nil {
+		g.line.runs.observe(run)
+	}
+}
 
-// RunTime returns the run time to expect of a request.
-func (s *State) RunTime(a Ask) time.Duration { return s.costs.estimate(a) }
+// RunTime returns the run time to expect of a grant.
+func (s *State) RunTime(g Grant) time.Duration {
+	if g.line == nil {
+		return g.Cost
+	}
+	return g.line.runs.estimate(g.Ask.Size)
+}
 
 // Release returns a slot of an instance.
 func (s *State) Release(id fleet.InstanceID) {
--- a/reduce/placement/placement_test.go
+++ b/reduce/placement/placement_test.go
@@ -82,7 +82,7 @@
 		}
 		d := run(g)
 		b.pass(d)
-		b.Observe(g.Ask, d)
+		b.Observe(g, d)
 		b.Finish(g, d)
 		held[g.Ask.Member] += d
 	}
@@ -205,7 +205,7 @@
 	b.add("survey", "lawa", 2)
 	first, _ := b.Next("main")
 	b.Next("main")
-	b.Observe(first.Ask, time.Second)
+	b.Observe(first, time.Second)
 	b.add("survey", "lawa", 20)
 	a := b.Admit(b.ask("survey", "lawa"), 100)
 	must.False(t, a.Full)
--- a/reduce/placement/pool.go
+++ b/reduce/placement/pool.go
@@ -130,7 +130,7 @@
 
 // push queues a request.
 func (p *pool) push(w *waiter, now time.Time) {
-	f, c := w.flow, w.class()
+	f, c := w.line.flow, w.class()
 	if !f.waits() {
 		f.tag = max(f.tag, p.clock)
 		p.weight += f.member.weight
@@ -141,7 +141,7 @@
 	p.queued++
 	p.classes[c].backlog += w.cost
 	f.backlog += w.cost
-	w.service.add(f.member)
+	w.line.add()
 	if len(w.ask.Tried) > 0 {
 		f.queues[c].pushFront(w)
 	} else {
@@ -152,11 +152,11 @@
 
 // remove takes a request out of the queue.
 func (p *pool) remove(w *waiter) {
-	f, c := w.flow, w.class()
+	f, c := w.line.flow, w.class()
 	p.queued--
 	p.classes[c].backlog -= w.cost
 	f.backlog -= w.cost
-	w.service.remove(f.member)
+	w.line.remove()
 	f.queues[c].remove(w)
 	if f.queues[c].len == 0 {
 		f.leave(c)
@@ -168,7 +168,7 @@
 
 // charge moves the clock to a request that starts, and its member's tag on.
 func (p *pool) charge(w *waiter, now time.Time) {
-	f := w.flow
+	f := w.line.flow
 	p.clock = max(p.clock, f.tag)
 	f.retag(f.tag + share(w.cost, f.member))
 	if now.After(w.since) {
--- a/reduce/placement/queue.go
+++ b/reduce/placement/queue.go
@@ -8,13 +8,12 @@
 
 // waiter is a request in a queue.
 type waiter struct {
-	ask     Ask
-	cost    time.Duration
-	flow    *flow
-	service *serviceQueue
-	since   time.Time
-	prev    *waiter
-	next    *waiter
+	ask   Ask
+	cost  time.Duration
+	line  *line
+	since time.Time
+	prev  *waiter
+	next  *waiter
 }
 
 func (w *waiter) class() int {
@@ -85,35 +84,55 @@
 	q.len--
 }
 
-// serviceQueue counts the requests of a service that wait.
+// serviceQueue counts the requests of a service that wait in a pool.
 type serviceQueue struct {
-	queued   int
-	byMember map[fleet.MemberName]int
+	queued int
+	lines  map[fleet.MemberName]*line
 	// weight is the sum of the weights of the members that wait.
 	weight int
 }
 
+// line is a member's part of a service's queue, with what is known of its run
+// times.
+type line struct {
+	flow    *flow
+	service *serviceQueue
+	queued  int
+	runs    runTimes
+}
+
 func (p *pool) service(name fleet.ServiceName) *serviceQueue {
 	q, ok := p.services[name]
 	if !ok {
-		q = &serviceQueue{byMember: make(map[fleet.MemberName]int)}
+		q = &serviceQueue{lines: make(map[fleet.MemberName]*line)}
 		p.services[name] = q
 	}
 	return q
 }
 
-func (q *serviceQueue) add(m *member) {
-	q.queued++
-	q.byMember[m.name]++
-	if q.byMember[m.name] == 1 {
-		q.weight += m.weight
+// line returns the line in which a request waits.
+func (s *State) line(p *pool, a Ask) *line {
+	q := p.service(a.Service)
+	l, ok := q.lines[a.Member]
+	if !ok {
+		l = &line{flow: p.flow(s.member(a.Member)), service: q, runs: s.costs.of(a.Service, a.Member)}
+		q.lines[a.Member] = l
+	}
+	return l
+}
+
+func (l *line) add() {
+	l.queued++
+	l.service.queued++
+	if l.queued == 1 {
+		l.service.weight += l.flow.member.weight
 	}
 }
 
-func (q *serviceQueue) remove(m *member) {
-	q.queued--
-	q.byMember[m.name]--
-	if q.byMember[m.name] == 0 {
-		q.weight -= m.weight
+func (l *line) remove() {
+	l.queued--
+	l.service.queued--
+	if l.queued == 0 {
+		l.service.weight -= l.flow.member.weight
 	}
 }
--- a/reduce/reduce_test.go
+++ b/reduce/reduce_test.go
@@ -135,3 +135,11 @@
 	must.Len(t, 1, replies)
 	must.EqOp(t, control.Conflict, replies[0].Result.Outcome)
 }
+
+func TestUnknownServiceGivesNoMetricLabel(t *testing.T) {
+	h := newHarness(oneRunner(1))
+	out := only[effect.Refuse](h.do(event.RequestArrived{ID: 1, Service: "made-up", Member: "lawa"}))
+	must.Len(t, 1, out)
+	must.EqOp(t, fleet.ReasonUnknownService, out[0].Reason)
+	must.EqOp(t, "", out[0].Service)
+}
--- a/reduce/request.go
+++ b/reduce/request.go
@@ -21,14 +21,15 @@
 func (s *State) onRequestArrived(ev event.RequestArrived) {
 	svc, reason := s.admit(ev)
 	if reason != fleet.ReasonNone {
-		s.refuse(effect.Refuse{Request: ev.ID, Reason: reason, Ran: fleet.RanNo, RetryAfter: hint(reason)}, ev.Service)
+		s.refuse(effect.Refuse{Request: ev.ID, Reason: reason, Ran: fleet.RanNo, RetryAfter: hint(reason)}, known(svc))
 		return
 	}
 	limit := svc.TimeLimit
 	if ev.TimeLimit > 0 && ev.TimeLimit < limit {
 		limit = ev.TimeLimit
 	}
-	r := &requests.Request{
+	r := s.requests.New()
+	*r = requests.Request{
 		ID:       ev.ID,
 		Service:  svc,
 		Member:   ev.Member,
@@ -44,6 +45,15 @@
 	s.enqueue(r)
 }
 
+// known returns the name of a service that the text lists. Others stay out of
+// the metrics, whose labels callers must not choose.
+func known(svc *fleet.Service) fleet.ServiceName {
+	if svc == nil {
+		return ""
+	}
+	return svc.Name
+}
+
 // admit checks a request against the text in force and the entry's limits.
 func (s *State) admit(ev event.RequestArrived) (*fleet.Service, fleet.Reason) {
 	text := s.control.Text
@@ -60,17 +70,17 @@
 		return nil, fleet.ReasonUnknownService
 	}
 	if _, ok := text.Member(ev.Member); !ok {
-		return nil, fleet.ReasonUnknownMember
+		return svc, fleet.ReasonUnknownMember
 	}
 	if ev.BodySize > svc.MaxBody {
-		return nil, fleet.ReasonBodyTooLarge
+		return svc, fleet.ReasonBodyTooLarge
 	}
 	pool, ok := text.Pool(svc.Pool)
 	if !ok {
-		return nil, fleet.ReasonNoCapacity
+		return svc, fleet.ReasonNoCapacity
 	}
 	if ev.Size > pool.MaxSize {
-		return nil, fleet.ReasonSizeTooLarge
+		return svc, fleet.ReasonSizeTooLarge
 	}
 	return svc, fleet.ReasonNone
 }
@@ -191,8 +201,7 @@
 
 func (s *State) answer(r *requests.Request, ev event.AttemptFinished) {
 	s.totals.answered++
-	s.emit(effect.Answer{Request: r.ID, Attempt: ev.Attempt, Attempts: r.Attempts})
-	s.emit(effect.Count{Name: effect.RequestsAnswered, Service: r.Service.Name, N: 1})
+	s.emit(effect.Answer{Request: r.ID, Attempt: ev.Attempt, Attempts: r.Attempts, Service: r.Service.Name})
 	s.forget(r)
 }
 
@@ -270,8 +279,8 @@
 
 func (s *State) refuse(e effect.Refuse, service fleet.ServiceName) {
 	s.totals.refused++
+	e.Service = service
 	s.emit(e)
-	s.emit(effect.Count{Name: effect.RequestsRefused, Service: service, Reason: e.Reason, N: 1})
 }
 
 func (s *State) forget(r *requests.Request) {
--- a/reduce/requests/table.go
+++ b/reduce/requests/table.go
@@ -91,14 +91,30 @@
 	r.Tried = tried[max(0, len(tried)-maxTried):]
 }
 
+// slabSize is the number of requests that are allocated together.
+const slabSize = 32
+
 // Table holds requests by id.
-type Table struct{ byID map[fleet.RequestID]*Request }
+type Table struct {
+	byID map[fleet.RequestID]*Request
+	slab []Request
+}
 
 // New returns an empty table.
 func New() *Table {
 	return &Table{byID: make(map[fleet.RequestID]*Request)}
 }
 
+// New returns an empty request, which is not in the table yet.
+func (t *Table) New() *Request {
+	if len(t.slab) == 0 {
+		t.slab = make([]Request, slabSize)
+	}
+	r := &t.slab[0]
+	t.slab = t.slab[1:]
+	return r
+}
+
 // Add puts a request into the table.
 func (t *Table) Add(r *Request) { t.byID[r.ID] = r }
 
--- a/reduce/timer/timer.go
+++ b/reduce/timer/timer.go
@@ -2,10 +2,7 @@
 // control goroutine needs a single timer.
 package timer
 
-import (
-	"container/heap"
-	"time"
-)
+import "time"
 
 // Timer is a deadline owned by one item of the state. The zero value is not
 // set.
@@ -14,31 +11,56 @@
 	owner any
 	// index is the position in the heap plus one; zero when not set.
 	index int
-	seq   uint64
 }
 
 // Heap orders timers by time; timers of the same time fire in the order in
-// which they were set.
+// which they were set. It is a binary heap of its own, since every request
+// sets and clears a timer and container/heap calls its items by interface.
 type Heap struct {
-	items items
+	items []item
+	seq   uint64
+}
+
+// item holds the key of a timer beside it, so that comparing touches one
+// stretch of memory.
+type item struct {
+	at    int64
 	seq   uint64
+	timer *Timer
+}
+
+func (a item) before(b item) bool {
+	if a.at == b.at {
+		return a.seq < b.seq
+	}
+	return a.at < b.at
 }
 
 // Set arms t for owner, or moves it to another time.
 func (h *Heap) Set(t *Timer, at time.Time, owner any) {
 	h.seq++
-	t.at, t.owner, t.seq = at, owner, h.seq
+	t.at, t.owner = at, owner
+	it := item{at: at.UnixNano(), seq: h.seq, timer: t}
 	if t.index > 0 {
-		heap.Fix(&h.items, t.index-1)
+		h.fix(t.index-1, it)
 		return
 	}
-	heap.Push(&h.items, t)
+	h.items = append(h.items, it)
+	h.up(len(h.items)-1, it)
 }
 
 // Clear disarms t.
 func (h *Heap) Clear(t *Timer) {
-	if t.index > 0 {
-		heap.Remove(&h.items, t.index-1)
+	if t.index == 0 {
+		return
+	}
+	i, last := t.index-1, len(h.items)-1
+	moved := h.items[last]
+	h.items[last] = item{}
+	h.items = h.items[:last]
+	t.index, t.owner = 0, nil
+	if i < last {
+		h.fix(i, moved)
 	}
 }
 
@@ -47,51 +69,64 @@
 	if len(h.items) == 0 {
 		return time.Time{}
 	}
-	return h.items[0].at
+	return h.items[0].timer.at
 }
 
 // Pop disarms the earliest timer that is due at now and returns its owner. It
 // returns false when none is due.
 func (h *Heap) Pop(now time.Time) (any, bool) {
-	if len(h.items) == 0 || h.items[0].at.After(now) {
+	if len(h.items) == 0 || h.items[0].timer.at.After(now) {
 		return nil, false
 	}
-	t := heap.Pop(&h.items).(*Timer)
-	return t.owner, true
+	t := h.items[0].timer
+	owner := t.owner
+	h.Clear(t)
+	return owner, true
 }
 
 // Len returns the number of timers that are set.
 func (h *Heap) Len() int { return len(h.items) }
 
-type items []*Timer
-
-func (s items) Len() int { return len(s) }
-
-func (s items) Less(i, j int) bool {
-	if s[i].at.Equal(s[j].at) {
-		return s[i].seq < s[j].seq
+// fix puts it at position i and moves it to where it belongs.
+func (h *Heap) fix(i int, it item) {
+	if i > 0 && it.before(h.items[(i-1)/2]) {
+		h.up(i, it)
+		return
 	}
-	return s[i].at.Before(s[j].at)
+	h.down(i, it)
 }
 
-func (s items) Swap(i, j int) {
-	s[i], s[j] = s[j], s[i]
-	s[i].index = i + 1
-	s[j].index = j + 1
+func (h *Heap) up(i int, it item) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !it.before(h.items[parent]) {
+			break
+		}
+		h.put(i, h.items[parent])
+		i = parent
+	}
+	h.put(i, it)
 }
 
-func (s *items) Push(x any) {
-	t := x.(*Timer)
-	t.index = len(*s) + 1
-	*s = append(*s, t)
+func (h *Heap) down(i int, it item) {
+	for {
+		child := 2*i + 1
+		if child >= len(h.items) {
+			break
+		}
+		if right := child + 1; right < len(h.items) && h.items[right].before(h.items[child]) {
+			child = right
+		}
+		if !h.items[child].before(it) {
+			break
+		}
+		h.put(i, h.items[child])
+		i = child
+	}
+	h.put(i, it)
 }
 
-func (s *items) Pop() any {
-	old := *s
-	last := len(old) - 1
-	t := old[last]
-	old[last] = nil
-	*s = old[:last]
-	t.index = 0
-	return t
+func (h *Heap) put(i int, it item) {
+	h.items[i] = it
+	it.timer.index = i + 1
 }
--- /dev/null
+++ b/reduce/timer/timer_test.go
@@ -0,0 +1,62 @@
+package timer_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/banyanrail/banyanrail/reduce/timer"
+	"github.com/shoenig/test/must"
+)
+
+var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func TestTimersOfOneTimeFireInOrder(t *testing.T) {
+	var h timer.Heap
+	timers := make([]timer.Timer, 100)
+	for i := range timers {
+		h.Set(&timers[i], epoch, i)
+	}
+	for i := range timers {
+		owner, ok := h.Pop(epoch)
+		must.True(t, ok)
+		must.EqOp(t, i, owner.(int))
+	}
+}
+
+// TestHeapAgreesWithAList sets, moves and clears timers at random and compares
+// the order in which they fire with a sorted list.
+func TestHeapAgreesWithAList(t *testing.T) {
+	for seed := range uint64(100) {
+		rnd := rand.New(rand.NewPCG(seed, 2))
+		var h timer.Heap
+		timers := make([]timer.Timer, 64)
+		set := map[int]time.Time{}
+		for range 1000 {
+			i := rnd.IntN(len(timers))
+			if rnd.IntN(3) == 0 {
+				h.Clear(&timers[i])
+				delete(set, i)
+				continue
+			}
+			set[i] = epoch.Add(time.Duration(rnd.IntN(1_000_000)) * time.Microsecond)
+			h.Set(&timers[i], set[i], i)
+		}
+		must.EqOp(t, len(set), h.Len())
+		var want, got []time.Time
+		for _, at := range set {
+			want = append(want, at)
+		}
+		slices.SortFunc(want, time.Time.Compare)
+		for h.Len() > 0 {
+			must.EqOp(t, want[len(got)], h.Next())
+			_, early := h.Pop(h.Next().Add(-1))
+			must.False(t, early)
+			owner, ok := h.Pop(h.Next())
+			must.True(t, ok)
+			got = append(got, set[owner.(int)])
+		}
+		must.Eq(t, want, got)
+	}
+}
