--- a/reduce/holding.go
+++ b/reduce/holding.go
@@ -18,7 +18,7 @@
 		key := holder.Key{Entry: p.ID, Request: f.Request}
 		if l, ok := s.holders.Lease(key); ok && l.Grant.Instance == f.Instance {
 			s.endLease(l, f.Held)
-			s.learn(l.Grant.Ask, f)
+			s.learn(l.Grant, f)
 			touched[l.Grant.Ask.Pool] = true
 		}
 	}
--- a/reduce/placement/take.go
+++ b/reduce/placement/take.go
@@ -7,7 +7,7 @@
 func (s *State) Take(id fleet.RequestID, on fleet.InstanceID) (Grant, bool) {
 	w, waits := s.waiting[id]
 	it, known := s.instances[on]
-	if !waits || !known || it.pool != w.flow.pool || it.closed {
+	if !waits || !known || it.pool != w.line.flow.pool || it.closed {
 		return Grant{}, false
 	}
 	it.pool.charge(w, s.now)
@@ -21,14 +21,17 @@
 	if !ok {
 		return Grant{}, false
 	}
-	m := s.member(a.Member)
-	cost := s.costs.estimate(a)
-	if p, ok := s.pools[a.Pool]; ok {
-		p.settle(p.flow(m), cost)
-	}
 	it.setRunning(it.running + 1)
-	m.hold()
-	return Grant{Ask: a, Instance: it.id, Address: it.address, Cost: cost}, true
+	g := Grant{Ask: a, Instance: it.id, Address: it.address}
+	p, ok := s.pools[a.Pool]
+	if !ok {
+		return g, true
+	}
+	g.line = s.line(p, a)
+	g.Cost = g.line.runs.estimate(a.Size)
+	p.settle(g.line.flow, g.Cost)
+	g.line.flow.member.hold()
+	return g, true
 }
 
 // SetShare bounds the slots that are granted on each instance of a pool, given
