--- a/cmd/banyanraild/main.go
+++ b/cmd/banyanraild/main.go
@@ -58,10 +58,11 @@
 	}
 	client := platform.NewClient(c.Platform)
 	e := entry.New(entry.Config{
-		ID:            fleet.EntryID(c.ID),
-		DataCentre:    fleet.DataCentre(c.DataCentre),
-		OperatorToken: c.OperatorToken,
-		PeersTLS:      peersTLS,
+		ID:               fleet.EntryID(c.ID),
+		DataCentre:       fleet.DataCentre(c.DataCentre),
+		OperatorToken:    c.OperatorToken,
+		PeersTLS:         peersTLS,
+		SnapshotInterval: c.snapshots,
 	}, entry.Deps{Log: client, Instances: client, Logger: logger, Metrics: scope, Traces: traces})
 	return serve(ctx, c, e, metrics)
 }
--- a/cmd/banyanraild/settings.go
+++ b/cmd/banyanraild/settings.go
@@ -36,6 +36,7 @@
 	// list of processes.
 	OperatorToken string `arg:"--,env:BANYANRAIL_OPERATOR_TOKEN" help:"bearer token of operators"`
 	Grace         string `arg:"--grace,env:BANYANRAIL_GRACE" default:"30s" help:"longest graceful shutdown"`
+	Snapshots     string `arg:"--snapshot-interval,env:BANYANRAIL_SNAPSHOT_INTERVAL" default:"1h" help:"time between snapshots of the control stream; the log has to keep records for several times as long"`
 	Traces        string `arg:"--traces,env:BANYANRAIL_TRACES" help:"URL that takes traces by OTLP over HTTP"`
 	TraceShare    string `arg:"--trace-share,env:BANYANRAIL_TRACE_SHARE" default:"0.01" help:"share of traces to keep, 0 to 1"`
 }
@@ -44,6 +45,7 @@
 type config struct {
 	settings
 	grace      time.Duration
+	snapshots  time.Duration
 	traceShare float64
 	callersTLS daemon.TLSFiles
 	opsTLS     daemon.TLSFiles
@@ -78,8 +80,10 @@
 	all.add("operators-cert", checkTLS(c.opsTLS))
 	all.add("peers-cert", checkTLS(c.peersTLS))
 	var err error
-	c.grace, err = checkGrace(s.Grace)
+	c.grace, err = checkDuration(s.Grace)
 	all.add("grace", err)
+	c.snapshots, err = checkDuration(s.Snapshots)
+	all.add("snapshot-interval", err)
 	c.traceShare, err = checkShare(s.TraceShare)
 	all.add("trace-share", err)
 	return c, errors.Join(all...)
@@ -118,7 +122,7 @@
 	return err
 }
 
-func checkGrace(text string) (time.Duration, error) {
+func checkDuration(text string) (time.Duration, error) {
 	d, err := time.ParseDuration(text)
 	if err != nil || d <= 0 {
 		return 0, fmt.Errorf("%q is not a positive duration such as 30s", text)
--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -31,6 +31,8 @@
 	Slots int
 	// Work is how long an endpoint takes for a request.
 	Work time.Duration
+	// SnapshotInterval is the time between snapshots; zero means the default.
+	SnapshotInterval time.Duration
 	// Deps are handed to every entry; Log is set by the fleet.
 	Deps entry.Deps
 }
@@ -41,8 +43,11 @@
 	Runners  []*Runner
 	Nodes    []*Node
 
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	cfg         Config
+	platformURL string
+	running     context.Context
+	cancel      context.CancelFunc
+	wg          sync.WaitGroup
 }
 
 // Runner is an endpoint stand-in with its address.
@@ -68,7 +73,7 @@
 // Start starts a fleet. Stop it when done.
 func Start(cfg Config) (*Fleet, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Fleet{Platform: standin.NewPlatform(), cancel: cancel}
+	f := &Fleet{Platform: standin.NewPlatform(), cfg: cfg, running: ctx, cancel: cancel}
 	if err := f.start(ctx, cfg); err != nil {
 		f.Stop()
 		return nil, err
@@ -82,6 +87,7 @@
 	if err != nil {
 		return err
 	}
+	f.platformURL = "http://" + platformAddr
 	for i := range cfg.Runners {
 		r := &Runner{Runner: standin.NewRunner(cfg.Slots, cfg.Work), ID: fleet.InstanceID(fmt.Sprintf("runner-%02d", i+1))}
 		f.spawn(func() { r.Run(ctx) })
@@ -91,7 +97,7 @@
 		f.Runners = append(f.Runners, r)
 	}
 	for i := range cfg.Entries {
-		node, err := f.startNode(ctx, cfg, fmt.Sprintf("entry-%d", i+1), "http://"+platformAddr)
+		node, err := f.startNode(fmt.Sprintf("entry-%d", i+1))
 		if err != nil {
 			return err
 		}
@@ -100,12 +106,27 @@
 	return f.list()
 }
 
-func (f *Fleet) startNode(ctx context.Context, cfg Config, id, platformURL string) (*Node, error) {
-	ctx, kill := context.WithCancel(ctx)
-	deps := cfg.Deps
-	client := platform.NewClient(platformURL)
+// AddNode starts one more entry and lists it.
+func (f *Fleet) AddNode(id string) (*Node, error) {
+	node, err := f.startNode(id)
+	if err != nil {
+		return nil, err
+	}
+	f.Nodes = append(f.Nodes, node)
+	return node, f.list()
+}
+
+func (f *Fleet) startNode(id string) (*Node, error) {
+	ctx, kill := context.WithCancel(f.running)
+	deps := f.cfg.Deps
+	client := platform.NewClient(f.platformURL)
 	deps.Log, deps.Instances = client, client
-	node := &Node{ID: fleet.EntryID(id), Entry: entry.New(entry.Config{ID: fleet.EntryID(id), Seed: uint64(len(f.Nodes) + 1)}, deps), Kill: kill}
+	node := &Node{ID: fleet.EntryID(id), Kill: kill}
+	node.Entry = entry.New(entry.Config{
+		ID:               node.ID,
+		Seed:             uint64(len(f.Nodes) + 1),
+		SnapshotInterval: f.cfg.SnapshotInterval,
+	}, deps)
 	f.spawn(func() { node.Entry.Run(ctx) })
 	callers, err := f.serve(ctx, node.Entry.Callers())
 	if err != nil {
--- /dev/null
+++ b/dev/publish_test.go
@@ -0,0 +1,140 @@
+package dev_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/banyanrail/banyanrail/dev"
+	"github.com/banyanrail/banyanrail/entry"
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/platform"
+	"github.com/banyanrail/banyanrail/standin"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+)
+
+// textInForce returns the text that an entry has in force, and its version.
+func textInForce(t *testing.T, n *dev.Node) (string, fleet.Version) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, n.OperatorsURL+"/v1/text", nil)
+	must.NoError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	version, err := strconv.ParseInt(resp.Header.Get(entry.HeaderVersion), 10, 64)
+	must.NoError(t, err)
+	return string(body), fleet.Version(version)
+}
+
+func waitVersion(t *testing.T, n *dev.Node, version fleet.Version) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		return status(t, n).Version >= version
+	}), wait.Gap(time.Millisecond), wait.Timeout(30*time.Second)))
+}
+
+func TestRacingOperatorsAreBothToldTheTruth(t *testing.T) {
+	const (
+		rounds    = 200
+		operators = 2
+		// loseEvery is how often the log's answer to an append is lost.
+		loseEvery = 3
+	)
+	f := startFleet(t)
+	_, res := publish(t, f.Nodes[0], "0", f.Text(8))
+	base := res.Version
+	for round := range rounds {
+		for _, n := range f.Nodes {
+			waitVersion(t, n, base)
+		}
+		if round%loseEvery == 0 {
+			must.NoError(t, f.Platform.SetLogFault(standin.LogFault{LoseAnswers: 1}))
+		}
+		var results [operators]entry.OperatorResult
+		var wg sync.WaitGroup
+		for op := range operators {
+			wg.Go(func() {
+				text := f.Text(100 + round*operators + op)
+				_, results[op] = publish(t, f.Nodes[op], strconv.FormatInt(int64(base), 10), text)
+			})
+		}
+		wg.Wait()
+		outcomes := results[0].Outcome + " " + results[1].Outcome
+		winner := 0
+		if results[1].Outcome == "accepted" {
+			winner = 1
+		}
+		must.SliceContains(t, []string{"accepted conflict", "conflict accepted"}, outcomes)
+		base = results[winner].Version
+		last := f.Nodes[2]
+		waitVersion(t, last, base)
+		text, version := textInForce(t, last)
+		must.EqOp(t, base, version)
+		must.StrContains(t, text, fmt.Sprintf("slots       = %d\n", 100+round*operators+winner))
+	}
+}
+
+func TestTextPublishedDuringOutageIsNeverInForce(t *testing.T) {
+	f := startFleet(t)
+	_, res := publish(t, f.Nodes[0], "0", f.Text(8))
+	waitReady(t, f)
+	must.NoError(t, f.Platform.SetLogFault(standin.LogFault{Down: true}))
+	code, refused := publish(t, f.Nodes[0], strconv.FormatInt(int64(res.Version), 10), f.Text(4))
+	must.EqOp(t, http.StatusServiceUnavailable, code)
+	must.EqOp(t, "log-unavailable", refused.Outcome)
+	resp, _ := call(t, f.Nodes[1], "survey", "served from the text in force")
+	must.EqOp(t, http.StatusOK, resp.StatusCode)
+
+	must.NoError(t, f.Platform.SetLogFault(standin.LogFault{}))
+	code, next := publish(t, f.Nodes[1], strconv.FormatInt(int64(res.Version), 10), f.Text(6))
+	must.EqOp(t, http.StatusOK, code)
+	for _, n := range f.Nodes {
+		waitVersion(t, n, next.Version)
+		text, _ := textInForce(t, n)
+		must.StrContains(t, text, "slots       = 6\n")
+	}
+}
+
+func TestFaultyTextIsRefusedWithAllFaults(t *testing.T) {
+	f := startFleet(t)
+	body := strings.NewReader("pool \"p\" { slots = 0 }\nmember \"m\" { weight = 0 }\n")
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPut, f.Nodes[0].OperatorsURL+"/v1/text?base=0", body)
+	must.NoError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	must.EqOp(t, http.StatusUnprocessableEntity, resp.StatusCode)
+	detail, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	must.StrContains(t, string(detail), `"line":1,"column":20`)
+	must.StrContains(t, string(detail), `"line":2,"column":23`)
+}
+
+func TestEntryStartedAfterTrimTakesTheSnapshot(t *testing.T) {
+	f, err := dev.Start(dev.Config{
+		Entries: 2, Runners: 1, Slots: 8, Work: time.Millisecond, SnapshotInterval: 100 * time.Millisecond,
+	})
+	must.NoError(t, err)
+	t.Cleanup(f.Stop)
+	_, res := publish(t, f.Nodes[0], "0", f.Text(8))
+	waitReady(t, f)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		return status(t, f.Nodes[1]).Offset > res.Version
+	}), wait.Timeout(30*time.Second)))
+	must.NoError(t, f.Platform.Trim(platform.StreamControl, res.Version+1))
+	n, err := f.AddNode("entry-late")
+	must.NoError(t, err)
+	waitVersion(t, n, res.Version)
+	must.True(t, status(t, n).Ready)
+	text, version := textInForce(t, n)
+	must.EqOp(t, res.Version, version)
+	must.StrContains(t, text, "slots       = 8\n")
+}
--- a/entry/act.go
+++ b/entry/act.go
@@ -26,6 +26,8 @@
 		e.replies.Resolve(o.ID, o.Result)
 	case effect.ReplyStatus:
 		e.statuses.Resolve(o.ID, o.Status)
+	case effect.ReplyText:
+		e.texts.Resolve(o.ID, o)
 	case effect.Count:
 		e.metrics.count(o)
 	case effect.LogChange:
@@ -44,6 +46,8 @@
 	effect.ChangeLogUp:          "log available",
 	effect.ChangeStopping:       "stopping",
 	effect.ChangeRecordRejected: "record rejected",
+	effect.ChangeGap:            "gap in the control stream",
+	effect.ChangeSnapshot:       "state taken from snapshot",
 }
 
 func (e *Entry) logChange(o effect.LogChange) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,6 +47,9 @@
 	MaxRequests int
 	// Traffic is the number of endpoint calls at once.
 	Traffic int
+	// SnapshotInterval is the time between snapshots of the control stream;
+	// zero means reduce.DefaultSnapshotInterval.
+	SnapshotInterval time.Duration
 	// OperatorToken is the bearer token of operators; empty allows anyone who
 	// reaches the operators' listener.
 	OperatorToken string
@@ -80,6 +83,7 @@
 	exchanges *exchanges
 	replies   *loop.Calls[control.Result]
 	statuses  *loop.Calls[effect.Status]
+	texts     *loop.Calls[effect.ReplyText]
 	client    *endpoint.Client
 	tracer    trace.Tracer
 	metrics   *metrics
@@ -107,6 +111,7 @@
 		exchanges:  newExchanges(),
 		replies:    loop.NewCalls[control.Result](),
 		statuses:   loop.NewCalls[effect.Status](),
+		texts:      loop.NewCalls[effect.ReplyText](),
 		client:     endpoint.NewClient(fleet.DefaultConnections),
 		tracer:     deps.Traces.Tracer("github.com/banyanrail/banyanrail/entry"),
 		metrics:    newMetrics(deps.Metrics),
@@ -120,10 +125,11 @@
 	}
 	e.reader = newReader(e)
 	state := reduce.New(reduce.Config{
-		Entry:       cfg.ID,
-		DataCentre:  cfg.DataCentre,
-		Seed:        cfg.Seed,
-		MaxRequests: cfg.MaxRequests,
+		Entry:            cfg.ID,
+		DataCentre:       cfg.DataCentre,
+		Seed:             cfg.Seed,
+		MaxRequests:      cfg.MaxRequests,
+		SnapshotInterval: cfg.SnapshotInterval,
 	})
 	e.loop = loop.New(loop.Config[event.Body, effect.Effect]{
 		Reduce: func(now time.Time, body event.Body) []effect.Effect {
--- a/entry/logdriver.go
+++ b/entry/logdriver.go
@@ -26,7 +26,7 @@
 // append writes a record to the control stream.
 func (e *Entry) append(o effect.Append) {
 	err := e.logPool.Go(func() {
-		outcome, err := e.appendOnce(o.Record)
+		outcome, err := e.appendInTime(o)
 		_ = e.loop.Post(event.AppendFinished{ID: o.Record.ID, Outcome: outcome, Err: err}) // fails only after the end
 	})
 	if err != nil {
@@ -34,6 +34,15 @@
 	}
 }
 
+// appendInTime appends nothing once the deadline has passed: the process may
+// have been paused in between.
+func (e *Entry) appendInTime(o effect.Append) (event.AppendOutcome, error) {
+	if !o.Deadline.IsZero() && e.clock().After(o.Deadline) {
+		return event.AppendFailed, context.DeadlineExceeded
+	}
+	return e.appendOnce(o.Record)
+}
+
 func (e *Entry) appendOnce(rec control.Record) (event.AppendOutcome, error) {
 	data, err := codec.Encode(rec)
 	if err != nil {
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/subtle"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -22,6 +23,9 @@
 	commandTimeout = 10 * time.Second
 )
 
+// HeaderVersion tells the version of the services text in an answer.
+const HeaderVersion = "Banyanrail-Version"
+
 // OperatorResult is the body of the answer to an operator's command.
 type OperatorResult struct {
 	Record  fleet.RecordID `json:"record"`
@@ -35,6 +39,7 @@
 func (e *Entry) Operators() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /v1/text", e.handlePublish)
+	mux.HandleFunc("GET /v1/text", e.handleText)
 	mux.HandleFunc("GET /v1/status", e.handleStatus)
 	mux.HandleFunc("GET /healthz", e.handleLive)
 	mux.HandleFunc("GET /readyz", e.handleReady)
@@ -73,7 +78,12 @@
 	}
 	text, err := services.Parse("services.hcl", src)
 	if err != nil {
-		e.writeProblem(w, operatorProblem(http.StatusUnprocessableEntity, "check text", err.Error()))
+		p := operatorProblem(http.StatusUnprocessableEntity, "check text", err.Error())
+		var faulty *services.Error
+		if errors.As(err, &faulty) {
+			p.Faults = faulty.Faults()
+		}
+		e.writeProblem(w, p)
 		return
 	}
 	e.command(w, r, control.Publish{Base: fleet.Version(base), Text: text})
@@ -111,6 +121,26 @@
 	control.Invalid:   http.StatusUnprocessableEntity,
 	control.LogDown:   http.StatusServiceUnavailable,
 	control.Undecided: http.StatusGatewayTimeout,
+	control.Voided:    http.StatusServiceUnavailable,
+	control.NotReady:  http.StatusServiceUnavailable,
+}
+
+// handleText answers with the services text in force, in its canonical form.
+func (e *Entry) handleText(w http.ResponseWriter, r *http.Request) {
+	rep, err := e.texts.Do(r.Context(), func(id uint64) error {
+		return e.loop.Offer(event.TextAsked{ID: id})
+	})
+	if err != nil {
+		e.writeProblem(w, operatorProblem(http.StatusServiceUnavailable, "read text", err.Error()))
+		return
+	}
+	w.Header().Set(HeaderVersion, strconv.FormatInt(int64(rep.Version), 10))
+	if rep.Text == nil {
+		e.writeProblem(w, operatorProblem(http.StatusNotFound, "read text", "no services text is in force"))
+		return
+	}
+	w.Header().Set("Content-Type", "application/hcl")
+	_, _ = w.Write(services.Print(rep.Text)) // the operator has gone if this fails
 }
 
 func (e *Entry) handleStatus(w http.ResponseWriter, r *http.Request) {
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -9,6 +9,7 @@
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/services"
 )
 
 // problem is an RFC 9457 problem document.
@@ -23,6 +24,8 @@
 	// Step and Peer say where the fault arose.
 	Step string `json:"step,omitempty"`
 	Peer string `json:"peer,omitempty"`
+	// Faults lists the faults of a services text.
+	Faults []services.Fault `json:"faults,omitempty"`
 
 	retryAfter time.Duration
 }
--- a/reduce/control/fold.go
+++ b/reduce/control/fold.go
@@ -6,9 +6,6 @@
 	"github.com/banyanrail/banyanrail/fleet"
 )
 
-// maxRemembered bounds the record ids kept to recognise duplicates.
-const maxRemembered = 4096
-
 // State is the fold of the control stream up to Offset.
 type State struct {
 	// Offset is the offset of the last record folded.
@@ -19,44 +16,56 @@
 	// Pools holds the one pool that each instance is in.
 	Pools map[fleet.InstanceID]fleet.PoolName
 
-	seen     map[fleet.RecordID]struct{}
-	seenRing []fleet.RecordID
-	seenNext int
+	// Kept is the newest snapshot in the stream.
+	Kept Kept
+
+	seen history
 }
 
 // New returns the fold of the empty stream.
 func New() *State {
 	return &State{
 		Pools: make(map[fleet.InstanceID]fleet.PoolName),
-		seen:  make(map[fleet.RecordID]struct{}),
+		seen:  newHistory(),
 	}
 }
 
 // Apply folds the record at an offset and says what became of it. Records at
-// or below State.Offset were folded before and are passed over as duplicates.
+// or below State.Offset were folded before and are passed over as duplicates;
+// records after a gap are not folded.
 func (s *State) Apply(p Positioned) Result {
 	res := Result{Record: p.Record.ID, Offset: p.Offset}
-	if p.Offset <= s.Offset {
-		res.Outcome = Duplicate
-		res.Version = s.Version
-		return res
+	res.Outcome, res.Detail = s.fold(p)
+	res.Version = s.Version
+	return res
+}
+
+func (s *State) fold(p Positioned) (Outcome, string) {
+	switch {
+	case p.Offset <= s.Offset:
+		return Duplicate, ""
+	case p.Offset > s.Offset+1:
+		return Gap, fmt.Sprintf("the record at %d is missing", s.Offset+1)
 	}
 	s.Offset = p.Offset
-	if _, dup := s.seen[p.Record.ID]; dup {
-		res.Outcome = Duplicate
-		res.Version = s.Version
-		return res
+	if s.Kept.Time.IsZero() {
+		s.Kept.Time = p.Record.Time
 	}
-	s.remember(p.Record.ID)
-	res.Outcome, res.Detail = s.apply(p)
-	res.Version = s.Version
-	return res
+	if earlier, dup := s.seen.get(p.Record.ID); dup {
+		return earlier, ""
+	}
+	s.seen.add(p.Record.ID, Duplicate)
+	return s.apply(p)
 }
 
 func (s *State) apply(p Positioned) (Outcome, string) {
 	switch body := p.Record.Body.(type) {
 	case Publish:
 		return s.publish(p.Offset, body)
+	case Void:
+		return s.void(body)
+	case Snapshot:
+		return s.keep(p, body)
 	case Unreadable:
 		return Invalid, fmt.Sprintf("the record could not be read: %v", body.Err)
 	default:
@@ -116,13 +125,11 @@
 	return pools
 }
 
-func (s *State) remember(id fleet.RecordID) {
-	s.seen[id] = struct{}{}
-	if len(s.seenRing) < maxRemembered {
-		s.seenRing = append(s.seenRing, id)
-		return
+// void keeps a record from taking effect, unless it came before.
+func (s *State) void(v Void) (Outcome, string) {
+	if _, known := s.seen.get(v.Record); known {
+		return Conflict, "the record came before"
 	}
-	delete(s.seen, s.seenRing[s.seenNext])
-	s.seenRing[s.seenNext] = id
-	s.seenNext = (s.seenNext + 1) % maxRemembered
+	s.seen.add(v.Record, Voided)
+	return Accepted, ""
 }
--- a/reduce/control/record.go
+++ b/reduce/control/record.go
@@ -39,10 +39,14 @@
 	Delta *fleet.Delta
 }
 
+// Void keeps a record from taking effect: the first of the two in the log wins.
+type Void struct{ Record fleet.RecordID }
+
 // Unreadable stands for a record whose bytes could not be decoded.
 type Unreadable struct{ Err error }
 
 func (Publish) isRecord()    {}
+func (Void) isRecord()       {}
 func (Unreadable) isRecord() {}
 
 // Outcome says what the fold made of a record.
@@ -63,6 +67,13 @@
 	LogDown
 	// Undecided means that it is not known whether the record took effect.
 	Undecided
+	// Voided means that a Void came before the record: it never takes effect.
+	Voided
+	// Gap means that a record before this one is missing; nothing was folded.
+	Gap
+	// NotReady means that the entry lacks a part of the stream and proposed
+	// nothing.
+	NotReady
 )
 
 var outcomeNames = [...]string{
@@ -72,6 +83,9 @@
 	Invalid:   "invalid",
 	LogDown:   "log-unavailable",
 	Undecided: "undecided",
+	Voided:    "voided",
+	Gap:       "gap",
+	NotReady:  "not-ready",
 }
 
 // String returns the outcome's name.
--- /dev/null
+++ b/reduce/control/snapshot.go
@@ -0,0 +1,97 @@
+package control
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+)
+
+// Snapshot is a copy of the fold up to Offset. It lets an entry start after
+// the records before it have expired.
+type Snapshot struct {
+	// Offset is that of the last record folded into the snapshot.
+	Offset  fleet.Offset
+	Version fleet.Version
+	Text    *fleet.Text
+	// Moved holds the instances that are in another pool than Text says.
+	Moved map[fleet.InstanceID]fleet.PoolName
+	// Seen holds the newest record ids, oldest first.
+	Seen []Remembered
+}
+
+func (Snapshot) isRecord() {}
+
+// Kept tells of the newest snapshot in the stream.
+type Kept struct {
+	// Offset is that of the snapshot's record, and Folded that up to which it
+	// folds.
+	Offset fleet.Offset
+	Folded fleet.Offset
+	// Time is when the snapshot was written. Before the first snapshot it is
+	// when the first record was.
+	Time time.Time
+}
+
+// Snapshot returns a copy of the state.
+func (s *State) Snapshot() Snapshot {
+	snap := Snapshot{
+		Offset:  s.Offset,
+		Version: s.Version,
+		Text:    s.Text,
+		Moved:   make(map[fleet.InstanceID]fleet.PoolName),
+		Seen:    s.seen.list(),
+	}
+	if s.Text == nil {
+		return snap
+	}
+	for i := range s.Text.Instances {
+		in := &s.Text.Instances[i]
+		if pool := s.Pools[in.ID]; pool != in.Pool {
+			snap.Moved[in.ID] = pool
+		}
+	}
+	return snap
+}
+
+// keep notes a snapshot that was read in its turn; the state holds what it
+// says already.
+func (s *State) keep(p Positioned, snap Snapshot) (Outcome, string) {
+	if snap.Offset >= p.Offset {
+		return Invalid, "the snapshot folds records that come after it"
+	}
+	if snap.Offset <= s.Kept.Folded {
+		return Conflict, fmt.Sprintf("a snapshot up to %d came before", s.Kept.Folded)
+	}
+	s.Kept = Kept{Offset: p.Offset, Folded: snap.Offset, Time: p.Record.Time}
+	return Accepted, ""
+}
+
+// Adopt replaces the state by a snapshot, when records between State.Offset
+// and the oldest that the log keeps are gone. It returns false, and changes
+// nothing, when the record is no snapshot, is older than the state, or needs
+// records that are gone as well.
+func (s *State) Adopt(p Positioned, oldest fleet.Offset) bool {
+	snap, ok := p.Record.Body.(Snapshot)
+	if !ok || snap.Offset <= s.Offset || snap.Version < s.Version {
+		return false
+	}
+	if snap.Offset+1 < oldest || snap.Offset >= p.Offset {
+		return false
+	}
+	next := New()
+	next.Offset, next.Version, next.Text = snap.Offset, snap.Version, snap.Text
+	if snap.Text != nil {
+		for i := range snap.Text.Instances {
+			next.Pools[snap.Text.Instances[i].ID] = snap.Text.Instances[i].Pool
+		}
+	}
+	for id, pool := range snap.Moved {
+		next.Pools[id] = pool
+	}
+	for _, r := range snap.Seen {
+		next.seen.add(r.ID, r.Outcome)
+	}
+	*s = *next
+	return true
+}
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -49,8 +49,12 @@
 	Instance fleet.InstanceID
 }
 
-// Append appends a record to the control stream.
-type Append struct{ Record control.Record }
+// Append appends a record to the control stream. The driver checks Deadline
+// just before it appends; the zero time means none.
+type Append struct {
+	Record   control.Record
+	Deadline time.Time
+}
 
 // Read starts reading the control stream from an offset on. A later Read
 // replaces it.
@@ -68,11 +72,23 @@
 	Status Status
 }
 
+// ReplyText answers a question for the services text in force.
+type ReplyText struct {
+	ID      uint64
+	Version fleet.Version
+	// Text is nil when no text is in force.
+	Text *fleet.Text
+}
+
 // Status is a summary of an entry's state.
 type Status struct {
-	Entry     fleet.EntryID          `json:"entry"`
-	Ready     bool                   `json:"ready"`
-	Stopping  bool                   `json:"stopping"`
+	Entry    fleet.EntryID `json:"entry"`
+	Ready    bool          `json:"ready"`
+	Stopping bool          `json:"stopping"`
+	// Gap is set while records that the entry needs have expired in the log.
+	Gap bool `json:"gap"`
+	// LogDown is set while the log cannot be read.
+	LogDown   bool                   `json:"log_down"`
 	Version   fleet.Version          `json:"version"`
 	Offset    fleet.Offset           `json:"offset"`
 	Requests  int                    `json:"requests"`
@@ -121,6 +137,10 @@
 	ChangeLogUp
 	ChangeStopping
 	ChangeRecordRejected
+	// ChangeGap means that records the fold needs have expired in the log.
+	ChangeGap
+	// ChangeSnapshot means that the state was taken from a snapshot.
+	ChangeSnapshot
 )
 
 // LogChange writes a log line for a change of state.
@@ -155,6 +175,7 @@
 func (Read) isEffect()          {}
 func (Reply) isEffect()         {}
 func (ReplyStatus) isEffect()   {}
+func (ReplyText) isEffect()     {}
 func (Count) isEffect()         {}
 func (LogChange) isEffect()     {}
 func (SendPeer) isEffect()      {}
--- a/reduce/event/event.go
+++ b/reduce/event/event.go
@@ -121,6 +121,9 @@
 // StatusAsked asks for a summary of the state.
 type StatusAsked struct{ ID uint64 }
 
+// TextAsked asks for the services text in force.
+type TextAsked struct{ ID uint64 }
+
 // ListedEntry is an entry in the platform's list.
 type ListedEntry struct {
 	ID      fleet.EntryID
@@ -153,6 +156,7 @@
 func (AppendFinished) isEvent()    {}
 func (OperatorCommanded) isEvent() {}
 func (StatusAsked) isEvent()       {}
+func (TextAsked) isEvent()         {}
 func (EntriesListed) isEvent()     {}
 func (PeerReceived) isEvent()      {}
 func (TimerFired) isEvent()        {}
--- a/reduce/log.go
+++ b/reduce/log.go
@@ -22,27 +22,77 @@
 		s.logDown = false
 		s.emit(effect.LogChange{Change: effect.ChangeLogUp})
 	}
+	if !s.gap && ev.Oldest > s.control.Offset+1 {
+		s.gap = true
+		s.emit(effect.LogChange{
+			Change:  effect.ChangeGap,
+			Version: s.control.Version,
+			Detail:  fmt.Sprintf("records %d to %d have expired", s.control.Offset+1, ev.Oldest-1),
+		})
+	}
 	for _, p := range ev.Records {
-		s.fold(p)
+		if !s.gap {
+			s.fold(p)
+			continue
+		}
+		if s.adopt(p, ev.Oldest) {
+			break
+		}
 	}
-	if !s.ready && !s.stopping && s.control.Text != nil {
-		s.ready = true
-		s.emit(effect.SetReady{Ready: true})
-		s.emit(effect.LogChange{Change: effect.ChangeReady, Version: s.control.Version})
+	s.becomeReady()
+	s.scheduleSnapshot()
+}
+
+// adopt closes a gap with a snapshot, and reads on from where it ends.
+func (s *State) adopt(p control.Positioned, oldest fleet.Offset) bool {
+	before := s.control.Version
+	if !s.control.Adopt(p, oldest) {
+		return false
+	}
+	s.gap = false
+	s.emit(effect.LogChange{
+		Change:  effect.ChangeSnapshot,
+		Version: s.control.Version,
+		Record:  p.Record.ID,
+		Detail:  fmt.Sprintf("folds records up to %d", s.control.Offset),
+	})
+	s.emit(effect.Read{From: s.control.Offset + 1})
+	s.followText(before, p.Record.ID)
+	return true
+}
+
+func (s *State) becomeReady() {
+	if s.ready || s.stopping || s.gap || s.control.Text == nil {
+		return
 	}
+	s.ready = true
+	s.emit(effect.SetReady{Ready: true})
+	s.emit(effect.LogChange{Change: effect.ChangeReady, Version: s.control.Version})
 }
 
 func (s *State) fold(p control.Positioned) {
 	before := s.control.Version
 	res := s.control.Apply(p)
-	if s.control.Version != before {
-		s.placement.Configure(s.control.Text, s.control.Pools)
-		s.emit(effect.LogChange{Change: effect.ChangeText, Version: s.control.Version, Record: p.Record.ID})
-		for _, pool := range s.placement.Pools() {
-			s.grant(pool)
-		}
+	if res.Outcome == control.Gap {
+		return
 	}
+	s.followText(before, p.Record.ID)
 	s.settle(res)
+	if v, ok := p.Record.Body.(control.Void); ok && res.Outcome == control.Accepted {
+		s.settle(control.Result{Record: v.Record, Outcome: control.Voided, Offset: p.Offset, Version: res.Version})
+	}
+}
+
+// followText makes the rest of the state follow a text that came into force.
+func (s *State) followText(before fleet.Version, record fleet.RecordID) {
+	if s.control.Version == before {
+		return
+	}
+	s.placement.Configure(s.control.Text, s.control.Pools)
+	s.emit(effect.LogChange{Change: effect.ChangeText, Version: s.control.Version, Record: record})
+	for _, pool := range s.placement.Pools() {
+		s.grant(pool)
+	}
 }
 
 func (s *State) onReadFailed(ev event.ReadFailed) {
--- a/reduce/proposal.go
+++ b/reduce/proposal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/control"
@@ -10,11 +11,20 @@
 	"github.com/banyanrail/banyanrail/reduce/timer"
 )
 
+const (
+	// voidLead is how long before the operator's deadline a record that was not
+	// read back is voided, so that the answer can be certain.
+	voidLead = 4 * time.Second
+	// voidInterval is the time between attempts to append the void.
+	voidInterval = time.Second
+)
+
 // proposal is a record on its way into the control stream for an operator.
 type proposal struct {
-	record fleet.RecordID
-	reply  uint64
-	expiry timer.Timer
+	record   fleet.RecordID
+	reply    uint64
+	deadline time.Time
+	timer    timer.Timer
 }
 
 type proposals map[fleet.RecordID]*proposal
@@ -22,6 +32,15 @@
 func newProposals() proposals { return make(proposals) }
 
 func (s *State) onOperatorCommanded(ev event.OperatorCommanded) {
+	if s.gap {
+		s.emit(effect.Reply{ID: ev.ID, Result: control.Result{
+			Record:  ev.Record.ID,
+			Outcome: control.NotReady,
+			Version: s.control.Version,
+			Detail:  "records of the control stream have expired and no snapshot was found",
+		}})
+		return
+	}
 	if body, ok := ev.Record.Body.(control.Publish); ok {
 		if body.Base < s.control.Version {
 			s.emit(effect.Reply{ID: ev.ID, Result: s.outdated(ev.Record.ID, body.Base)})
@@ -29,10 +48,10 @@
 		}
 		ev.Record.Body = s.compact(body)
 	}
-	p := &proposal{record: ev.Record.ID, reply: ev.ID}
+	p := &proposal{record: ev.Record.ID, reply: ev.ID, deadline: ev.Deadline}
 	s.proposals[p.record] = p
-	s.timers.Set(&p.expiry, ev.Deadline, p)
-	s.emit(effect.Append{Record: ev.Record})
+	s.timers.Set(&p.timer, ev.Deadline.Add(-voidLead), p)
+	s.emit(effect.Append{Record: ev.Record, Deadline: ev.Deadline.Add(-voidLead)})
 }
 
 // outdated refuses a text whose base was replaced already: the log can only
@@ -77,7 +96,30 @@
 	})
 }
 
-func (s *State) onProposalExpired(p *proposal) {
+// onProposalTimer voids a record that was not read back, again and again until
+// the log has decided between the two or the operator's time is up.
+func (s *State) onProposalTimer(p *proposal) {
+	if !s.now.Before(p.deadline) {
+		s.giveUp(p)
+		return
+	}
+	next := s.now.Add(voidInterval)
+	if next.After(p.deadline) {
+		next = p.deadline
+	}
+	s.timers.Set(&p.timer, next, p)
+	s.emit(effect.Append{
+		Record: control.Record{
+			ID:     "void-" + p.record,
+			Time:   s.now,
+			Author: string(s.cfg.Entry),
+			Body:   control.Void{Record: p.record},
+		},
+		Deadline: p.deadline,
+	})
+}
+
+func (s *State) giveUp(p *proposal) {
 	s.reply(p, control.Result{
 		Record:  p.record,
 		Outcome: control.Undecided,
@@ -87,7 +129,7 @@
 }
 
 func (s *State) reply(p *proposal, res control.Result) {
-	s.timers.Clear(&p.expiry)
+	s.timers.Clear(&p.timer)
 	delete(s.proposals, p.record)
 	s.emit(effect.Reply{ID: p.reply, Result: res})
 }
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -33,6 +33,8 @@
 		s.onOperatorCommanded(b)
 	case event.StatusAsked:
 		s.onStatusAsked(b)
+	case event.TextAsked:
+		s.onTextAsked(b)
 	case event.EntriesListed:
 		s.onEntriesListed(b)
 	case event.PeerReceived:
@@ -59,9 +61,11 @@
 		case *requests.Request:
 			s.onRequestExpired(o)
 		case *proposal:
-			s.onProposalExpired(o)
+			s.onProposalTimer(o)
 		case *peers.State:
 			s.onHeartbeatDue()
+		case *snapshots:
+			s.onSnapshotTimer()
 		}
 	}
 }
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -20,6 +20,9 @@
 	Seed uint64
 	// MaxRequests bounds the requests held at once.
 	MaxRequests int
+	// SnapshotInterval is the time between snapshots of the control stream;
+	// zero means DefaultSnapshotInterval.
+	SnapshotInterval time.Duration
 }
 
 // State is the whole control state of an entry. Only Reduce changes it.
@@ -32,11 +35,14 @@
 	peers     *peers.State
 	proposals proposals
 	timers    timer.Heap
+	snapshots snapshots
 	logDown   bool
-	ready     bool
-	stopping  bool
-	stopped   bool
-	totals    totals
+	// gap is set while records that the fold needs have expired.
+	gap      bool
+	ready    bool
+	stopping bool
+	stopped  bool
+	totals   totals
 	// armed is the time of the last SetTimer effect.
 	armed time.Time
 	out   []effect.Effect
@@ -44,6 +50,9 @@
 
 // New returns the state of an entry that has seen no event.
 func New(cfg Config) *State {
+	if cfg.SnapshotInterval == 0 {
+		cfg.SnapshotInterval = DefaultSnapshotInterval
+	}
 	return &State{
 		cfg:       cfg,
 		control:   control.New(),
--- a/reduce/status.go
+++ b/reduce/status.go
@@ -11,6 +11,8 @@
 		Entry:    s.cfg.Entry,
 		Ready:    s.ready,
 		Stopping: s.stopping,
+		Gap:      s.gap,
+		LogDown:  s.logDown,
 		Version:  s.control.Version,
 		Offset:   s.control.Offset,
 		Requests: s.requests.Len(),
@@ -31,3 +33,7 @@
 	}
 	s.emit(effect.ReplyStatus{ID: ev.ID, Status: st})
 }
+
+func (s *State) onTextAsked(ev event.TextAsked) {
+	s.emit(effect.ReplyText{ID: ev.ID, Version: s.control.Version, Text: s.control.Text})
+}
