--- a/entry/act.go
+++ b/entry/act.go
@@ -12,6 +12,8 @@
 		e.dispatch(o)
 	case effect.CancelAttempt:
 		e.exchanges.cancel(o.Attempt)
+	case effect.Probe:
+		e.probe(o)
 	case effect.Answer:
 		e.exchanges.answer(o)
 	case effect.Refuse:
@@ -22,12 +24,6 @@
 		e.reader.start(o.From)
 	case effect.SendPeer:
 		e.sendPeer(o)
-	case effect.Reply:
-		e.replies.Resolve(o.ID, o.Result)
-	case effect.ReplyStatus:
-		e.statuses.Resolve(o.ID, o.Status)
-	case effect.ReplyText:
-		e.texts.Resolve(o.ID, o)
 	case effect.Count:
 		e.metrics.count(o)
 	case effect.LogChange:
@@ -36,6 +32,20 @@
 		e.ready.Store(o.Ready)
 	case effect.Stopped:
 		e.stopOnce.Do(func() { close(e.stopped) })
+	default:
+		e.replyOperator(out)
+	}
+}
+
+// replyOperator hands a reply to the operator that waits for it.
+func (e *Entry) replyOperator(out effect.Effect) {
+	switch o := out.(type) {
+	case effect.Reply:
+		e.replies.Resolve(o.ID, o.Result)
+	case effect.ReplyStatus:
+		e.statuses.Resolve(o.ID, o.Status)
+	case effect.ReplyText:
+		e.texts.Resolve(o.ID, o)
 	}
 }
 
@@ -48,6 +58,7 @@
 	effect.ChangeRecordRejected: "record rejected",
 	effect.ChangeGap:            "gap in the control stream",
 	effect.ChangeSnapshot:       "state taken from snapshot",
+	effect.ChangeHealth:         "endpoint health",
 }
 
 func (e *Entry) logChange(o effect.LogChange) {
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -30,6 +30,12 @@
 // CancelAttempt abandons a dispatch; its outcome is still reported.
 type CancelAttempt struct{ Attempt fleet.AttemptID }
 
+// Probe asks an endpoint whether it is well.
+type Probe struct {
+	Instance fleet.InstanceID
+	Address  string
+}
+
 // Answer hands the answer of an attempt to the caller.
 type Answer struct {
 	Request  fleet.RequestID
@@ -124,6 +130,7 @@
 	RequestsRefused
 	AttemptsRetried
 	LateAnswers
+	InstancesEjected
 )
 
 // Change names a change of state that is worth a log line.
@@ -141,6 +148,7 @@
 	ChangeGap
 	// ChangeSnapshot means that the state was taken from a snapshot.
 	ChangeSnapshot
+	ChangeHealth
 )
 
 // LogChange writes a log line for a change of state.
@@ -169,6 +177,7 @@
 
 func (Dispatch) isEffect()      {}
 func (CancelAttempt) isEffect() {}
+func (Probe) isEffect()         {}
 func (Answer) isEffect()        {}
 func (Refuse) isEffect()        {}
 func (Append) isEffect()        {}
--- a/reduce/log.go
+++ b/reduce/log.go
@@ -88,11 +88,9 @@
 	if s.control.Version == before {
 		return
 	}
-	s.placement.Configure(s.control.Text, s.control.Pools)
+	s.configure()
 	s.emit(effect.LogChange{Change: effect.ChangeText, Version: s.control.Version, Record: record})
-	for _, pool := range s.placement.Pools() {
-		s.grant(pool)
-	}
+	s.grantAll()
 }
 
 func (s *State) onReadFailed(ev event.ReadFailed) {
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -5,6 +5,7 @@
 
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/health"
 	"github.com/banyanrail/banyanrail/reduce/peers"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 )
@@ -14,6 +15,7 @@
 func Reduce(s *State, ev event.Event) []effect.Effect {
 	s.out = s.out[:0]
 	s.now = ev.Now
+	s.placement.Advance(ev.Now)
 	switch b := ev.Body.(type) {
 	case event.Started:
 		s.onStarted()
@@ -23,18 +25,14 @@
 		s.onRequestCancelled(b)
 	case event.AttemptFinished:
 		s.onAttemptFinished(b)
+	case event.ProbeFinished:
+		s.onProbeFinished(b)
 	case event.RecordsRead:
 		s.onRecordsRead(b)
 	case event.ReadFailed:
 		s.onReadFailed(b)
 	case event.AppendFinished:
 		s.onAppendFinished(b)
-	case event.OperatorCommanded:
-		s.onOperatorCommanded(b)
-	case event.StatusAsked:
-		s.onStatusAsked(b)
-	case event.TextAsked:
-		s.onTextAsked(b)
 	case event.EntriesListed:
 		s.onEntriesListed(b)
 	case event.PeerReceived:
@@ -43,6 +41,8 @@
 		s.armed = time.Time{}
 	case event.StopAsked:
 		s.onStopAsked()
+	default:
+		s.onOperatorEvent(b)
 	}
 	s.fireTimers()
 	s.finishStop()
@@ -50,6 +50,18 @@
 	return s.out
 }
 
+// onOperatorEvent handles what operators command and ask.
+func (s *State) onOperatorEvent(body event.Body) {
+	switch b := body.(type) {
+	case event.OperatorCommanded:
+		s.onOperatorCommanded(b)
+	case event.StatusAsked:
+		s.onStatusAsked(b)
+	case event.TextAsked:
+		s.onTextAsked(b)
+	}
+}
+
 // fireTimers runs all timers that are due. Their owners say what they mean.
 func (s *State) fireTimers() {
 	for {
@@ -60,6 +72,8 @@
 		switch o := owner.(type) {
 		case *requests.Request:
 			s.onRequestExpired(o)
+		case *health.Instance:
+			s.onHealthDue(o)
 		case *proposal:
 			s.onProposalTimer(o)
 		case *peers.State:
