Add plan, watch and version to the command line

Cause: operators could not see what a text would change before they published it, nor how far a version had come, and every failure had the same exit code.

Change: services.Diff lists changes as data, and plan prints them with the base to publish with. publish follows the version to all entries; status and watch show the log and each entry's version. Exit codes: 1 failed, 2 usage, 3 conflict, 4 faulty text, 5 unavailable and nothing changed, 6 undecided. Errors name the step and the peer.

Conclusion: an operator can tell from the exit code whether a change took effect.

--- a/cmd/banyanrail/client.go
+++ b/cmd/banyanrail/client.go
@@ -2,25 +2,31 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
+	"time"
 
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/services"
 	"github.com/go-resty/resty/v2"
 	"github.com/samber/oops"
 )
 
-// errConflict means that another change came first.
-var errConflict = errors.New("conflict")
+// callTimeout bounds one call to an entry. It is longer than an entry takes to
+// decide on a command.
+const callTimeout = 20 * time.Second
 
 // client talks to an entry's operators' interface.
 type client struct{ http *resty.Client }
 
 func newClient(s *settings) *client {
-	c := resty.New().SetBaseURL(s.Entry)
+	c := resty.New().SetBaseURL(s.Entry).SetTimeout(callTimeout)
 	if s.Token != "" {
 		c.SetAuthToken(s.Token)
 	}
@@ -33,6 +39,23 @@
 	return st, c.check("read status", resp, err)
 }
 
+// text returns the services text in force, or nil when there is none.
+func (c *client) text(ctx context.Context) (*fleet.Text, fleet.Version, error) {
+	resp, err := c.http.R().SetContext(ctx).Get("/v1/text")
+	if err == nil && resp.StatusCode() == http.StatusNotFound {
+		return nil, 0, nil
+	}
+	if err := c.check("read text", resp, err); err != nil {
+		return nil, 0, err
+	}
+	version, err := strconv.ParseInt(resp.Header().Get(entry.HeaderVersion), 10, 64)
+	if err != nil {
+		return nil, 0, c.fail("read text").Wrapf(err, "read text at %s: %s", c.http.BaseURL, entry.HeaderVersion)
+	}
+	text, err := services.Parse(c.http.BaseURL, resp.Body())
+	return text, fleet.Version(version), err
+}
+
 func (c *client) publish(ctx context.Context, base fleet.Version, src []byte) (entry.OperatorResult, error) {
 	var res entry.OperatorResult
 	resp, err := c.http.R().
@@ -41,20 +64,58 @@
 		SetBody(src).
 		SetResult(&res).
 		Put("/v1/text")
+	var op *net.OpError
+	if err != nil && (!errors.As(err, &op) || op.Op != "dial") {
+		err = errors.Join(errUndecided, err)
+	}
 	return res, c.check("publish", resp, err)
 }
 
+func (c *client) fail(step string) oops.OopsErrorBuilder {
+	return oops.In("banyanrail").With("step", step, "peer", c.http.BaseURL)
+}
+
+var statusErrors = map[int]error{
+	http.StatusConflict:            errConflict,
+	http.StatusUnprocessableEntity: errInvalid,
+	http.StatusServiceUnavailable:  errUnavailable,
+	http.StatusGatewayTimeout:      errUndecided,
+}
+
 // check turns a failed call into an error that names the step and the peer.
 func (c *client) check(step string, resp *resty.Response, err error) error {
-	fail := oops.In("banyanrail").With("step", step, "peer", c.http.BaseURL)
+	fail := c.fail(step)
 	switch {
-	case err != nil:
+	case errors.Is(err, errUndecided):
 		return fail.Wrapf(err, "%s at %s", step, c.http.BaseURL)
-	case resp.StatusCode() == http.StatusConflict:
-		return fail.Wrapf(errConflict, "%s at %s: %s", step, c.http.BaseURL, resp.String())
-	case resp.IsError():
-		return fail.Errorf("%s at %s: status %d: %s", step, c.http.BaseURL, resp.StatusCode(), resp.String())
-	default:
+	case err != nil:
+		return fail.Wrapf(errors.Join(errUnavailable, err), "%s at %s", step, c.http.BaseURL)
+	case !resp.IsError():
 		return nil
 	}
+	kind, known := statusErrors[resp.StatusCode()]
+	if !known {
+		return fail.Errorf("%s at %s: status %d: %s", step, c.http.BaseURL, resp.StatusCode(), reason(resp))
+	}
+	return fail.Wrapf(kind, "%s at %s: %s", step, c.http.BaseURL, reason(resp))
+}
+
+// reason returns what the entry says about a failure.
+func reason(resp *resty.Response) string {
+	var body struct {
+		Outcome string `json:"outcome"`
+		Title   string `json:"title"`
+		Detail  string `json:"detail"`
+	}
+	if json.Unmarshal(resp.Body(), &body) != nil {
+		return strings.TrimSpace(resp.String())
+	}
+	parts := []string{body.Outcome, body.Title, body.Detail}
+	said := parts[:0]
+	for _, part := range parts {
+		if part != "" {
+			said = append(said, part)
+		}
+	}
+	return strings.Join(said, ": ")
 }
--- a/cmd/banyanrail/main.go
+++ b/cmd/banyanrail/main.go
@@ -3,8 +3,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -12,25 +12,22 @@
 	"github.com/alexflint/go-arg"
 )
 
-// Exit codes.
-const (
-	exitFailed   = 1
-	exitUsage    = 2
-	exitConflict = 3
-)
-
-// errUsage marks faults of the command line itself.
-var errUsage = errors.New("usage")
-
 type settings struct {
 	Check   *checkCmd   `arg:"subcommand:check" help:"check a services text"`
+	Plan    *planCmd    `arg:"subcommand:plan" help:"show what a services text would change"`
 	Publish *publishCmd `arg:"subcommand:publish" help:"bring a services text into force"`
 	Status  *statusCmd  `arg:"subcommand:status" help:"show what an entry sees"`
+	Watch   *watchCmd   `arg:"subcommand:watch" help:"show changes of an entry's state as they happen"`
 	Dev     *devCmd     `arg:"subcommand:dev" help:"run a whole fleet in this process"`
+	Version *versionCmd `arg:"subcommand:version" help:"show the version of this program"`
 
 	Entry string `arg:"--entry,env:BANYANRAIL_ENTRY" default:"http://127.0.0.1:8081" help:"base URL of an entry's operators' interface"`
 	Token string `arg:"--,env:BANYANRAIL_OPERATOR_TOKEN" help:"bearer token"`
 	JSON  bool   `arg:"--json" help:"print JSON"`
+
+	// out takes results and progress takes what happens meanwhile.
+	out      io.Writer `arg:"-"`
+	progress io.Writer `arg:"-"`
 }
 
 // command is one subcommand.
@@ -39,7 +36,7 @@
 }
 
 func main() {
-	var s settings
+	s := settings{out: os.Stdout, progress: os.Stderr}
 	p := arg.MustParse(&s)
 	cmd, ok := p.Subcommand().(command)
 	if !ok {
@@ -58,14 +55,3 @@
 	defer stop()
 	return cmd.run(ctx, s)
 }
-
-func exitCode(err error) int {
-	switch {
-	case errors.Is(err, errUsage):
-		return exitUsage
-	case errors.Is(err, errConflict):
-		return exitConflict
-	default:
-		return exitFailed
-	}
-}
--- /dev/null
+++ b/cmd/banyanrail/publish.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+)
+
+// followInterval is the time between looks at how far a version has come.
+const followInterval = 200 * time.Millisecond
+
+type publishCmd struct {
+	File string        `arg:"positional,required" help:"services text"`
+	Base int64         `arg:"--base" default:"-1" help:"version the text was made from, as plan shows it; the version in force when absent"`
+	Wait time.Duration `arg:"--wait" default:"10s" help:"longest wait until the version is in force at all entries; 0 does not wait"`
+}
+
+// publishResult is the JSON of a publish.
+type publishResult struct {
+	Record  fleet.RecordID `json:"record"`
+	Version fleet.Version  `json:"version"`
+	// Entries is the number of entries alive and InForce that of those which
+	// have the version, as the asked entry sees them.
+	Entries int `json:"entries"`
+	InForce int `json:"in_force"`
+}
+
+func (c *publishCmd) run(ctx context.Context, s *settings) error {
+	src, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	if _, err := readText(c.File); err != nil {
+		return err
+	}
+	cl := newClient(s)
+	base := fleet.Version(c.Base)
+	if c.Base < 0 {
+		if _, base, err = cl.text(ctx); err != nil {
+			return err
+		}
+	}
+	sent, err := cl.publish(ctx, base, src)
+	if err != nil {
+		return err
+	}
+	res := publishResult{Record: sent.Record, Version: sent.Version}
+	if c.Wait > 0 {
+		if err := c.follow(ctx, s, cl, &res); err != nil {
+			return err
+		}
+	}
+	if s.JSON {
+		return json.NewEncoder(s.out).Encode(res)
+	}
+	_, err = fmt.Fprintf(s.out, "version %d is in force\n", res.Version)
+	return err
+}
+
+// follow waits until all entries alive have the version, and reports progress.
+func (c *publishCmd) follow(ctx context.Context, s *settings, cl *client, res *publishResult) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Wait)
+	defer cancel()
+	shown := -1
+	for {
+		st, err := cl.status(ctx)
+		if err != nil {
+			return err
+		}
+		res.Entries, res.InForce = len(st.Versions), inForce(st, res.Version)
+		if res.InForce != shown {
+			shown = res.InForce
+			fmt.Fprintf(s.progress, "version %d: in force at %d of %d entries\n", res.Version, res.InForce, res.Entries)
+		}
+		if res.InForce == res.Entries || !pause(ctx, followInterval) {
+			return nil
+		}
+	}
+}
+
+func inForce(st effect.Status, version fleet.Version) int {
+	n := 0
+	for _, v := range st.Versions {
+		if v >= version {
+			n++
+		}
+	}
+	return n
+}
+
+// pause waits, and returns false when the context ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/cmd/banyanrail/watch.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+)
+
+type watchCmd struct {
+	Every time.Duration `arg:"--every" default:"1s" help:"time between looks"`
+	For   time.Duration `arg:"--for" help:"stop after this time; watch until interrupted when absent"`
+}
+
+// watchLine is what watch prints when it changes.
+type watchLine struct {
+	Entry   fleet.EntryID `json:"entry"`
+	Ready   bool          `json:"ready"`
+	Log     string        `json:"log"`
+	Version fleet.Version `json:"version"`
+	Entries int           `json:"entries"`
+	InForce int           `json:"in_force"`
+	// Error is set while the entry cannot be asked.
+	Error string `json:"error,omitempty"`
+}
+
+// run looks until it is interrupted. An entry that does not answer is shown
+// as such: it may come back.
+func (c *watchCmd) run(ctx context.Context, s *settings) error {
+	if c.For > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.For)
+		defer cancel()
+	}
+	cl := newClient(s)
+	var last watchLine
+	for {
+		st, err := cl.status(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		line := lineOf(st, err)
+		if line != last {
+			last = line
+			if err := line.print(s.out, s.JSON); err != nil {
+				return err
+			}
+		}
+		if !pause(ctx, c.Every) {
+			return nil
+		}
+	}
+}
+
+func lineOf(st effect.Status, err error) watchLine {
+	if err != nil {
+		return watchLine{Error: err.Error()}
+	}
+	return watchLine{
+		Entry:   st.Entry,
+		Ready:   st.Ready,
+		Log:     logState(st),
+		Version: st.Version,
+		Entries: len(st.Versions),
+		InForce: inForce(st, st.Version),
+	}
+}
+
+func (l watchLine) print(out io.Writer, asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(out).Encode(l)
+	}
+	now := time.Now().Format(time.TimeOnly)
+	if l.Error != "" {
+		_, err := fmt.Fprintf(out, "%s  %s\n", now, l.Error)
+		return err
+	}
+	_, err := fmt.Fprintf(out, "%s  %s  ready %t  log %s  version %d in force at %d of %d entries\n",
+		now, l.Entry, l.Ready, l.Log, l.Version, l.InForce, l.Entries)
+	return err
+}
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -94,16 +94,18 @@
 	// Gap is set while records that the entry needs have expired in the log.
 	Gap bool `json:"gap"`
 	// LogDown is set while the log cannot be read.
-	LogDown   bool                   `json:"log_down"`
-	Version   fleet.Version          `json:"version"`
-	Offset    fleet.Offset           `json:"offset"`
-	Requests  int                    `json:"requests"`
-	Queued    int                    `json:"queued"`
-	Running   int                    `json:"running"`
-	Peers     []fleet.EntryID        `json:"peers"`
-	Instances []InstanceStatus       `json:"instances"`
-	Totals    map[string]uint64      `json:"totals"`
-	Pools     map[fleet.PoolName]int `json:"pools"`
+	LogDown  bool            `json:"log_down"`
+	Version  fleet.Version   `json:"version"`
+	Offset   fleet.Offset    `json:"offset"`
+	Requests int             `json:"requests"`
+	Queued   int             `json:"queued"`
+	Running  int             `json:"running"`
+	Peers    []fleet.EntryID `json:"peers"`
+	// Versions holds the version in force at each entry alive, as last heard.
+	Versions  map[fleet.EntryID]fleet.Version `json:"versions"`
+	Instances []InstanceStatus                `json:"instances"`
+	Totals    map[string]uint64               `json:"totals"`
+	Pools     map[fleet.PoolName]int          `json:"pools"`
 }
 
 // InstanceStatus is one instance as the entry sees it.
--- a/reduce/status.go
+++ b/reduce/status.go
@@ -18,6 +18,7 @@
 		Requests: s.requests.Len(),
 		Queued:   s.placement.Queued(),
 		Peers:    s.peers.Alive(s.now),
+		Versions: s.versions(),
 		Pools:    make(map[fleet.PoolName]int),
 		Totals: map[string]uint64{
 			"answered": s.totals.answered,
@@ -34,6 +35,17 @@
 	s.emit(effect.ReplyStatus{ID: ev.ID, Status: st})
 }
 
+// versions returns the version in force at each entry alive.
+func (s *State) versions() map[fleet.EntryID]fleet.Version {
+	all := map[fleet.EntryID]fleet.Version{s.cfg.Entry: s.control.Version}
+	for _, id := range s.peers.Alive(s.now) {
+		if p, ok := s.peers.Get(id); ok {
+			all[id] = p.Version
+		}
+	}
+	return all
+}
+
 func (s *State) onTextAsked(ev event.TextAsked) {
 	s.emit(effect.ReplyText{ID: ev.ID, Version: s.control.Version, Text: s.control.Text})
 }
--- a/services/print.go
+++ b/services/print.go
@@ -5,8 +5,6 @@
 	"cmp"
 	"fmt"
 	"slices"
-	"strconv"
-	"strings"
 
 	"github.com/banyanrail/banyanrail/fleet"
 )
@@ -31,26 +29,38 @@
 	var out bytes.Buffer
 	printInstances(&out, f.Text)
 	for i := range f.Text.Pools {
-		printPool(&out, &f.Text.Pools[i])
+		p := &f.Text.Pools[i]
+		printBlock(&out, fmt.Sprintf("%s %q", blockPool, p.Name), poolSettings(p))
 	}
 	for i := range f.Text.Services {
-		printService(&out, &f.Text.Services[i])
+		s := &f.Text.Services[i]
+		printBlock(&out, fmt.Sprintf("%s %q", blockService, s.Name), serviceSettings(s))
 	}
 	for i := range f.Text.Members {
 		m := &f.Text.Members[i]
-		fmt.Fprintf(&out, "member %q {\n  weight = %d\n  quota  = %d\n}\n", m.Name, m.Weight, m.Quota)
+		printBlock(&out, fmt.Sprintf("%s %q", blockMember, m.Name), memberSettings(m))
 	}
 	if f.Prices != nil {
-		fmt.Fprintf(&out, "prices {\n  buffer = %s\n  move   = %s\n}\n", number(f.Prices.Buffer), number(f.Prices.Move))
+		printBlock(&out, blockPrices, priceSettings(f.Prices))
 	}
 	if f.Maintenance != nil {
-		fmt.Fprintf(&out, "maintenance {\n  drain_limit = %q\n  max_step    = %d\n  probation   = %q\n}\n",
-			f.Maintenance.DrainLimit, f.Maintenance.MaxStep, f.Maintenance.Probation)
+		printBlock(&out, blockMaintenance, maintenanceSettings(f.Maintenance))
 	}
 	return out.Bytes()
 }
 
-func number(v float64) string { return strconv.FormatFloat(v, 'g', -1, 64) }
+// printBlock writes a block with its settings aligned.
+func printBlock(out *bytes.Buffer, header string, settings []namedValue) {
+	width := 0
+	for _, set := range settings {
+		width = max(width, len(set.name))
+	}
+	fmt.Fprintf(out, "%s {\n", header)
+	for _, set := range settings {
+		fmt.Fprintf(out, "  %-*s = %s\n", width, set.name, set.value)
+	}
+	out.WriteString("}\n")
+}
 
 // printInstances writes the data centres with their racks.
 func printInstances(out *bytes.Buffer, t *fleet.Text) {
@@ -116,23 +126,3 @@
 	}
 	return best
 }
-
-func printPool(out *bytes.Buffer, p *fleet.Pool) {
-	fmt.Fprintf(out, "pool %q {\n  spare       = %t\n  slots       = %d\n  connections = %d\n  max_size    = %d\n}\n",
-		p.Name, p.Spare, p.Slots, p.Connections, p.MaxSize)
-}
-
-func printService(out *bytes.Buffer, s *fleet.Service) {
-	fmt.Fprintf(out, "service %q {\n  pool         = %q\n", s.Name, s.Pool)
-	if len(s.DependsOn) > 0 {
-		names := make([]string, 0, len(s.DependsOn))
-		for _, dep := range s.DependsOn {
-			names = append(names, strconv.Quote(string(dep)))
-		}
-		fmt.Fprintf(out, "  depends_on   = [%s]\n", strings.Join(names, ", "))
-	}
-	fmt.Fprintf(out, "  availability = %s\n  idempotent   = %t\n  urgent       = %t\n  time_limit   = %q\n",
-		number(s.Availability), s.Idempotent, s.Urgent, s.TimeLimit)
-	fmt.Fprintf(out, "  max_body     = %d\n  max_queue    = %d\n  max_attempts = %d\n  demand       = %s\n}\n",
-		s.MaxBody, s.MaxQueue, s.MaxAttempts, number(s.Demand))
-}
