--- a/Makefile
+++ b/Makefile
@@ -40,4 +40,4 @@
 
 lint: tools
 	go vet ./...
-	$(BIN)/golangci-lint run
+	$(BIN)/golangci-lint run --allow-parallel-runners
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -25,6 +25,9 @@
 	MaxRequests int
 	// Placement says who grants slots; empty means PlacementLocal.
 	Placement Placement
+	// SnapshotInterval is the time between snapshots of the control stream;
+	// zero means DefaultSnapshotInterval.
+	SnapshotInterval time.Duration
 }
 
 // State is the whole control state of an entry. Only Reduce changes it.
@@ -47,11 +50,16 @@
 	digestOffset fleet.Offset
 	digestValue  uint64
 	timers       timer.Heap
+	snapshots    snapshots
 	logDown      bool
-	ready        bool
-	stopping     bool
-	stopped      bool
-	totals       totals
+	// gap is set while records that the fold needs have expired.
+	gap bool
+	// oldest is the first record that the log kept when it was last read.
+	oldest   fleet.Offset
+	ready    bool
+	stopping bool
+	stopped  bool
+	totals   totals
 	// armed is the time of the last SetTimer effect.
 	armed time.Time
 	out   []effect.Effect
@@ -59,6 +67,9 @@
 
 // New returns the state of an entry that has seen no event.
 func New(cfg Config) *State {
+	if cfg.SnapshotInterval == 0 {
+		cfg.SnapshotInterval = DefaultSnapshotInterval
+	}
 	return &State{
 		cfg:       cfg,
 		control:   control.New(),
