--- a/reduce/timer/timer.go
+++ b/reduce/timer/timer.go
@@ -35,6 +35,14 @@
 	heap.Push(&h.items, t)
 }
 
+// SetOnce arms t for owner unless it is armed for the same time already.
+func (h *Heap) SetOnce(t *Timer, at time.Time, owner any) {
+	if t.index > 0 && t.at.Equal(at) {
+		return
+	}
+	h.Set(t, at, owner)
+}
+
 // Clear disarms t.
 func (h *Heap) Clear(t *Timer) {
 	if t.index > 0 {
