Run non-idempotent requests only under a claim that was read back

Cause: non-idempotent requests were dispatched like any other, so a caller's retry on another entry ran them twice. Change: claims and outcomes go to the claims stream in groups, at most 30 a second for each entry; a request is queued once its own claim has been read back as the first of its key. Retries wait for the outcome and get the first's answer; what may have run is said to be unknown. A claim whose request was refused is released, before or after it turns up in the log. The log driver serves several streams.

--- a/entry/act.go
+++ b/entry/act.go
@@ -34,6 +34,8 @@
 		e.ready.Store(o.Ready)
 	case effect.Stopped:
 		e.stopOnce.Do(func() { close(e.stopped) })
+	default:
+		e.actClaims(o)
 	}
 }
 
@@ -44,6 +46,8 @@
 	effect.ChangeLogUp:          "log available",
 	effect.ChangeStopping:       "stopping",
 	effect.ChangeRecordRejected: "record rejected",
+	effect.ChangeClaimsOpen:     "taking non-idempotent requests",
+	effect.ChangeClaimsClosed:   "refusing non-idempotent requests",
 }
 
 func (e *Entry) logChange(o effect.LogChange) {
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -172,5 +172,9 @@
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
-	w.WriteHeader(http.StatusOK)
+	detail := "ready"
+	if !e.claimsOpen.Load() {
+		detail = "ready for idempotent services only: the claims stream is out of reach"
+	}
+	_, _ = io.WriteString(w, detail+"\n") // the balancer has gone if this fails
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,8 @@
 const (
 	DefaultMaxRequests = 10_000
 	DefaultTraffic     = 1024
+	// DefaultClaimAppends keeps nine entries under 300 appends a second.
+	DefaultClaimAppends = 30
 	// logWorkers is the number of goroutines that read and append.
 	logWorkers = 16
 	// peerWorkers is the number of messages to peers under way at once, and
@@ -46,6 +48,9 @@
 	MaxRequests int
 	// Traffic is the number of endpoint calls at once.
 	Traffic int
+	// ClaimAppends is the number of groups of claims that the entry appends to
+	// the log in a second.
+	ClaimAppends int
 	// OperatorToken is the bearer token of operators; empty allows anyone who
 	// reaches the operators' listener.
 	OperatorToken string
@@ -85,9 +90,13 @@
 	peerPool  pond.Pool
 	peers     *peer.Client
 	reader    *reader
+	claims    *reader
+	answers   *answers
 	ready     atomic.Bool
-	stopped   chan struct{}
-	stopOnce  sync.Once
+	// claimsOpen tells whether non-idempotent requests are taken.
+	claimsOpen atomic.Bool
+	stopped    chan struct{}
+	stopOnce   sync.Once
 	// background is cancelled when Run ends.
 	background context.Context
 	end        context.CancelFunc
@@ -102,6 +111,7 @@
 		deps:       deps,
 		clock:      loop.MonotonicClock(),
 		exchanges:  newExchanges(),
+		answers:    newAnswers(),
 		replies:    loop.NewCalls[control.Result](),
 		statuses:   loop.NewCalls[effect.Status](),
 		client:     endpoint.NewClient(fleet.DefaultConnections),
@@ -115,12 +125,16 @@
 		background: background,
 		end:        end,
 	}
-	e.reader = newReader(e)
+	e.reader = newControlReader(e)
+	e.claims = newClaimsReader(e)
 	state := reduce.New(reduce.Config{
 		Entry:       cfg.ID,
 		DataCentre:  cfg.DataCentre,
 		Seed:        cfg.Seed,
-		MaxRequests: cfg.MaxRequests,
+		Incarnation: cfg.Incarnation,
+		// One group an interval is the entry's share of the log's appends.
+		ClaimInterval: time.Second / time.Duration(cfg.ClaimAppends),
+		MaxRequests:   cfg.MaxRequests,
 	})
 	e.loop = loop.New(loop.Config[event.Body, effect.Effect]{
 		Reduce: func(now time.Time, body event.Body) []effect.Effect {
@@ -142,6 +156,9 @@
 	if cfg.Traffic == 0 {
 		cfg.Traffic = DefaultTraffic
 	}
+	if cfg.ClaimAppends == 0 {
+		cfg.ClaimAppends = DefaultClaimAppends
+	}
 	if cfg.Incarnation == 0 {
 		cfg.Incarnation = uint64(time.Now().UnixNano())
 	}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -112,7 +112,8 @@
 	}
 }
 
-// answer hands the response of an attempt to the caller.
+// answer hands the response of an attempt to the caller. The attempt is that of
+// another request when two had the same idempotency key.
 func (t *exchanges) answer(o effect.Answer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -120,7 +121,23 @@
 	if !ok {
 		return
 	}
-	x.send(reply{response: x.responses[o.Attempt.Number], attempts: o.Attempts})
+	x.send(reply{response: t.responseOf(o.Attempt), attempts: o.Attempts})
+}
+
+// response returns what an attempt was answered with.
+func (t *exchanges) response(a fleet.AttemptID) (*endpoint.Response, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	resp := t.responseOf(a)
+	return resp, resp != nil
+}
+
+func (t *exchanges) responseOf(a fleet.AttemptID) *endpoint.Response {
+	x, ok := t.byID[a.Request]
+	if !ok {
+		return nil
+	}
+	return x.responses[a.Number]
 }
 
 // refuse hands a refusal to the caller.
--- a/entry/logdriver.go
+++ b/entry/logdriver.go
@@ -25,23 +25,30 @@
 
 // append writes a record to the control stream.
 func (e *Entry) append(o effect.Append) {
+	e.appendTo(platform.StreamControl, o.Record.ID, func() ([]byte, error) {
+		return codec.Encode(o.Record)
+	})
+}
+
+// appendTo queues an append of a record that is encoded on the way.
+func (e *Entry) appendTo(stream string, id fleet.RecordID, encode func() ([]byte, error)) {
 	err := e.logPool.Go(func() {
-		outcome, err := e.appendOnce(o.Record)
-		_ = e.loop.Post(event.AppendFinished{ID: o.Record.ID, Outcome: outcome, Err: err}) // fails only after the end
+		outcome, err := e.appendOnce(stream, encode)
+		_ = e.loop.Post(event.AppendFinished{ID: id, Outcome: outcome, Err: err}) // fails only after the end
 	})
 	if err != nil {
-		e.deps.Logger.Error("append after the end", "entry", e.cfg.ID, "record", o.Record.ID, "error", err)
+		e.deps.Logger.Error("append after the end", "entry", e.cfg.ID, "record", id, "error", err)
 	}
 }
 
-func (e *Entry) appendOnce(rec control.Record) (event.AppendOutcome, error) {
-	data, err := codec.Encode(rec)
+func (e *Entry) appendOnce(stream string, encode func() ([]byte, error)) (event.AppendOutcome, error) {
+	data, err := encode()
 	if err != nil {
 		return event.AppendFailed, err
 	}
 	ctx, cancel := context.WithTimeout(e.background, appendTimeout)
 	defer cancel()
-	_, err = e.deps.Log.Append(ctx, platform.StreamControl, data)
+	_, err = e.deps.Log.Append(ctx, stream, data)
 	switch {
 	case err == nil:
 		return event.Appended, nil
@@ -52,14 +59,26 @@
 	}
 }
 
-// reader follows the control stream from the offset of the last Read effect.
+// reader follows a stream from the offset of the last effect that started it.
 type reader struct {
-	entry *Entry
-	mu    sync.Mutex
-	stop  context.CancelFunc
+	entry  *Entry
+	stream string
+	// read and failed turn the outcome of a read into an event; a nil failed
+	// reports nothing.
+	read   func(platform.Page) event.Body
+	failed func(error) event.Body
+	mu     sync.Mutex
+	stop   context.CancelFunc
 }
 
-func newReader(e *Entry) *reader { return &reader{entry: e} }
+func newControlReader(e *Entry) *reader {
+	return &reader{
+		entry:  e,
+		stream: platform.StreamControl,
+		read:   recordsRead,
+		failed: func(err error) event.Body { return event.ReadFailed{Err: err} },
+	}
+}
 
 // start replaces the current reading by one from another offset.
 func (r *reader) start(from fleet.Offset) {
@@ -72,27 +91,33 @@
 	r.stop = cancel
 	err := r.entry.logPool.Go(func() { r.follow(ctx, from) })
 	if err != nil {
-		r.entry.deps.Logger.Error("read after the end", "entry", r.entry.cfg.ID, "error", err)
+		r.entry.deps.Logger.Error("read after the end", "entry", r.entry.cfg.ID, "stream", r.stream, "error", err)
 	}
 }
 
 func (r *reader) follow(ctx context.Context, from fleet.Offset) {
 	for ctx.Err() == nil {
-		page, err := r.entry.deps.Log.Read(ctx, platform.StreamControl, from, readWait)
+		page, err := r.entry.deps.Log.Read(ctx, r.stream, from, readWait)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
-			_ = r.entry.loop.Post(event.ReadFailed{Err: err}) // fails only after the end
+			r.fail(err)
 			sleep(ctx, readBackoff)
 			continue
 		}
 		from = page.Next
-		_ = r.entry.loop.Post(recordsRead(page)) // fails only after the end
+		_ = r.entry.loop.Post(r.read(page)) // fails only after the end
+	}
+}
+
+func (r *reader) fail(err error) {
+	if r.failed != nil {
+		_ = r.entry.loop.Post(r.failed(err)) // fails only after the end
 	}
 }
 
-func recordsRead(page platform.Page) event.RecordsRead {
+func recordsRead(page platform.Page) event.Body {
 	ev := event.RecordsRead{Next: page.Next, Oldest: page.Oldest}
 	for _, stored := range page.Records {
 		rec, err := codec.Decode(stored.Data)
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -48,6 +48,7 @@
 	fleet.ReasonOverloaded:     http.StatusServiceUnavailable,
 	fleet.ReasonEndpointFailed: http.StatusBadGateway,
 	fleet.ReasonInDoubt:        http.StatusBadGateway,
+	fleet.ReasonAnswerNotKept:  http.StatusGone,
 }
 
 func (e *Entry) writeRefusal(w http.ResponseWriter, o effect.Refuse) {
--- a/fleet/ran.go
+++ b/fleet/ran.go
@@ -52,6 +52,7 @@
 	ReasonOverloaded
 	ReasonEndpointFailed
 	ReasonInDoubt
+	ReasonAnswerNotKept
 )
 
 var reasonNames = [...]string{
@@ -76,6 +77,7 @@
 	ReasonOverloaded:     "overloaded",
 	ReasonEndpointFailed: "endpoint-failed",
 	ReasonInDoubt:        "in-doubt",
+	ReasonAnswerNotKept:  "answer-not-kept",
 }
 
 // String returns the reason as it stands in problem documents and metrics.
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/claims"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/message"
 )
@@ -56,6 +57,31 @@
 // replaces it.
 type Read struct{ From fleet.Offset }
 
+// AppendClaims appends a group to the claims stream. Answers that its items
+// refer to are added from what KeepAnswer kept.
+type AppendClaims struct{ Group claims.Group }
+
+// ReadClaims starts reading the claims stream from an offset on.
+type ReadClaims struct{ From fleet.Offset }
+
+// KeepAnswer keeps the answer of an attempt as the outcome of a claim.
+type KeepAnswer struct {
+	Attempt fleet.AttemptID
+	Claim   claims.Ref
+}
+
+// FetchAnswer gives a request the answer of a claim, which was recorded at an
+// offset of the claims stream.
+type FetchAnswer struct {
+	Request  fleet.RequestID
+	Claim    claims.Ref
+	Offset   fleet.Offset
+	Deadline time.Time
+}
+
+// SetClaims tells whether the entry takes non-idempotent requests.
+type SetClaims struct{ Open bool }
+
 // Reply answers an operator's command.
 type Reply struct {
 	ID     uint64
@@ -80,10 +106,25 @@
 	Running   int                    `json:"running"`
 	Peers     []fleet.EntryID        `json:"peers"`
 	Instances []InstanceStatus       `json:"instances"`
+	Claims    ClaimStatus            `json:"claims"`
 	Totals    map[string]uint64      `json:"totals"`
 	Pools     map[fleet.PoolName]int `json:"pools"`
 }
 
+// ClaimStatus is what an entry holds of the claims stream.
+type ClaimStatus struct {
+	// Open tells whether non-idempotent requests are taken.
+	Open bool `json:"open"`
+	// Offset is that of the last group folded.
+	Offset fleet.Offset `json:"offset"`
+	// Keys is the number of keys remembered.
+	Keys int `json:"keys"`
+	// Held is the number of claims of this entry without an outcome.
+	Held int `json:"held"`
+	// Groups is the number of groups that have not been read back.
+	Groups int `json:"groups"`
+}
+
 // InstanceStatus is one instance as the entry sees it.
 type InstanceStatus struct {
 	ID      fleet.InstanceID `json:"id"`
@@ -121,6 +162,8 @@
 	ChangeLogUp
 	ChangeStopping
 	ChangeRecordRejected
+	ChangeClaimsOpen
+	ChangeClaimsClosed
 )
 
 // LogChange writes a log line for a change of state.
@@ -153,6 +196,11 @@
 func (Refuse) isEffect()        {}
 func (Append) isEffect()        {}
 func (Read) isEffect()          {}
+func (AppendClaims) isEffect()  {}
+func (ReadClaims) isEffect()    {}
+func (KeepAnswer) isEffect()    {}
+func (FetchAnswer) isEffect()   {}
+func (SetClaims) isEffect()     {}
 func (Reply) isEffect()         {}
 func (ReplyStatus) isEffect()   {}
 func (Count) isEffect()         {}
--- a/reduce/event/event.go
+++ b/reduce/event/event.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/claims"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/message"
 )
@@ -88,6 +89,23 @@
 // ReadFailed reports that the control stream could not be read.
 type ReadFailed struct{ Err error }
 
+// ClaimsRead reports records read from the claims stream, in order. It comes
+// also when there were none for a while.
+type ClaimsRead struct {
+	Groups []claims.Positioned
+	// Oldest is the first offset that the log still keeps.
+	Oldest fleet.Offset
+}
+
+// AnswerFetched reports the end of a FetchAnswer effect. An answer that was
+// found is kept with the request, as that of attempt 0.
+type AnswerFetched struct {
+	Request fleet.RequestID
+	Found   bool
+	// Err is set when the log could not be read.
+	Err error
+}
+
 // AppendOutcome says how an append to the log ended.
 type AppendOutcome uint8
 
@@ -101,7 +119,7 @@
 	AppendUnknown
 )
 
-// AppendFinished reports the end of an append to the control stream.
+// AppendFinished reports the end of an append to a stream.
 type AppendFinished struct {
 	ID      fleet.RecordID
 	Outcome AppendOutcome
@@ -150,6 +168,8 @@
 func (AttemptFinished) isEvent()   {}
 func (RecordsRead) isEvent()       {}
 func (ReadFailed) isEvent()        {}
+func (ClaimsRead) isEvent()        {}
+func (AnswerFetched) isEvent()     {}
 func (AppendFinished) isEvent()    {}
 func (OperatorCommanded) isEvent() {}
 func (StatusAsked) isEvent()       {}
--- a/reduce/log.go
+++ b/reduce/log.go
@@ -14,6 +14,7 @@
 
 func (s *State) onStarted() {
 	s.emit(effect.Read{From: firstOffset})
+	s.startClaims()
 	s.onHeartbeatDue()
 }
 
--- a/reduce/proposal.go
+++ b/reduce/proposal.go
@@ -38,6 +38,7 @@
 }
 
 func (s *State) onAppendFinished(ev event.AppendFinished) {
+	s.onClaimsAppended(ev)
 	p, ok := s.proposals[ev.ID]
 	if !ok || ev.Outcome != event.AppendFailed {
 		return
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/banyanrail/banyanrail/reduce/claims"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/banyanrail/banyanrail/reduce/peers"
@@ -41,8 +42,11 @@
 		s.armed = time.Time{}
 	case event.StopAsked:
 		s.onStopAsked()
+	default:
+		s.reduceClaims(b)
 	}
 	s.fireTimers()
+	s.flushClaims()
 	s.finishStop()
 	s.armTimer()
 	return s.out
@@ -58,6 +62,11 @@
 		switch o := owner.(type) {
 		case *requests.Request:
 			s.onRequestExpired(o)
+		case *claims.Batch:
+			s.onClaimRetryDue(o)
+		case claimWatch:
+			s.showClaims()
+		case claimFlush: // flushClaims follows every event
 		case *proposal:
 			s.onProposalExpired(o)
 		case *peers.State:
--- a/reduce/request.go
+++ b/reduce/request.go
@@ -34,6 +34,10 @@
 	}
 	s.requests.Add(r)
 	s.timers.Set(&r.Expiry, r.Deadline, r)
+	if !svc.Idempotent {
+		s.claim(r)
+		return
+	}
 	s.enqueue(r)
 }
 
@@ -65,7 +69,7 @@
 	if ev.Size > pool.MaxSize {
 		return nil, fleet.ReasonSizeTooLarge
 	}
-	return svc, fleet.ReasonNone
+	return svc, s.checkKey(svc, ev.Key)
 }
 
 // enqueue asks for a slot.
@@ -126,6 +130,7 @@
 	}
 	if r.Phase == requests.Abandoned {
 		s.late()
+		s.claimAbandoned(r, ev)
 		s.forget(r)
 		s.grant(r.Service.Pool)
 		return
@@ -143,6 +148,7 @@
 }
 
 func (s *State) answer(r *requests.Request, ev event.AttemptFinished) {
+	s.claimAnswered(r, ev)
 	s.totals.answered++
 	s.emit(effect.Answer{Request: r.ID, Attempt: ev.Attempt, Attempts: r.Attempts})
 	s.emit(effect.Count{Name: effect.RequestsAnswered, Service: r.Service.Name, N: 1})
@@ -170,7 +176,7 @@
 }
 
 func (s *State) onRequestExpired(r *requests.Request) {
-	s.abandon(r, fleet.ReasonDeadline)
+	s.abandon(r, s.claimReason(r))
 }
 
 // abandon ends a request for its caller. A running attempt is cancelled; its
@@ -201,6 +207,7 @@
 func (s *State) forget(r *requests.Request) {
 	s.timers.Clear(&r.Expiry)
 	s.requests.Remove(r.ID)
+	s.leaveClaim(r)
 }
 
 func (s *State) late() {
--- a/reduce/requests/table.go
+++ b/reduce/requests/table.go
@@ -25,6 +25,17 @@
 	Abandoned
 )
 
+// Elsewhere says what is known about another request with the same idempotency
+// key.
+type Elsewhere uint8
+
+// Values of Elsewhere.
+const (
+	NotElsewhere Elsewhere = iota
+	MaybeElsewhere
+	RanElsewhere
+)
+
 // Request is one request of a caller.
 type Request struct {
 	ID       fleet.RequestID
@@ -39,6 +50,8 @@
 	Attempts int
 	// Sent is set once a byte of the request may have reached an endpoint.
 	Sent bool
+	// Elsewhere says whether another request with the same key ran.
+	Elsewhere Elsewhere
 	// Instance runs the current attempt, or ran the last one.
 	Instance fleet.InstanceID
 	// Fence is the offset of the claim.
@@ -54,10 +67,14 @@
 
 // Ran says whether the request ran, as far as is known before an answer.
 func (r *Request) Ran() fleet.Ran {
-	if r.Sent {
+	switch {
+	case r.Elsewhere == RanElsewhere:
+		return fleet.RanYes
+	case r.Sent || r.Elsewhere == MaybeElsewhere:
 		return fleet.RanUnknown
+	default:
+		return fleet.RanNo
 	}
-	return fleet.RanNo
 }
 
 // Table holds requests by id.
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -18,6 +18,11 @@
 	DataCentre fleet.DataCentre
 	// Seed feeds the state's own random choices.
 	Seed uint64
+	// Incarnation tells the entry's starts apart; it makes record ids unique.
+	Incarnation uint64
+	// ClaimInterval is the least time between two groups of claims; zero takes
+	// DefaultClaimInterval.
+	ClaimInterval time.Duration
 	// MaxRequests bounds the requests held at once.
 	MaxRequests int
 }
@@ -30,6 +35,7 @@
 	requests  *requests.Table
 	placement *placement.State
 	peers     *peers.State
+	claiming  *claiming
 	proposals proposals
 	timers    timer.Heap
 	logDown   bool
@@ -50,6 +56,7 @@
 		requests:  requests.New(),
 		placement: placement.New(cfg.Seed),
 		peers:     peers.New(cfg.Entry),
+		claiming:  newClaiming(cfg),
 		proposals: newProposals(),
 	}
 }
--- a/reduce/status.go
+++ b/reduce/status.go
@@ -16,6 +16,7 @@
 		Requests: s.requests.Len(),
 		Queued:   s.placement.Queued(),
 		Peers:    s.peers.Alive(s.now),
+		Claims:   s.claimStatus(),
 		Pools:    make(map[fleet.PoolName]int),
 		Totals: map[string]uint64{
 			"answered": s.totals.answered,
--- a/reduce/stop.go
+++ b/reduce/stop.go
@@ -12,9 +12,10 @@
 	s.emit(effect.LogChange{Change: effect.ChangeStopping, Version: s.control.Version})
 }
 
-// finishStop reports once that nothing is left in flight.
+// finishStop reports once that nothing is left in flight and that the outcomes
+// of all claims are in the log.
 func (s *State) finishStop() {
-	if !s.stopping || s.stopped || s.requests.Len() > 0 {
+	if !s.stopping || s.stopped || s.requests.Len() > 0 || !s.claimsSettled() {
 		return
 	}
 	s.stopped = true
