Check the history of claims over a real fleet under faults

Cause: nothing checked at most once, truthful refusals and whole answers on concurrent runs. Change: a test sends each key to three entries at once while append answers are lost, the log is down, entries are killed and replaced, one is paused and endpoints break, truncate and swap answers; porcupine checks the history of each key. Four tests show that the check finds a second run, a dispatch without a claim, a wrong no and a crossed answer. make soak runs it longer. Before, there was no such run.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,11 @@
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-.PHONY: generate run test bench build fmt fmt-check lint smoke tools
+# Size and seed of the longer runs.
+KEYS ?= 1000
+SEED ?= 1
+
+.PHONY: soak generate run test bench build fmt fmt-check lint smoke tools
 
 run: ## the whole fleet on embedded stand-ins
 	go run ./cmd/banyanrail dev
@@ -12,6 +16,9 @@
 test: ## all tests, with the race detector
 	go test -race $(SKIP) ./...
 
+soak: ## longer runs of the history checks
+	go test -run '^TestClaimHistory$$' -count=1 -timeout 30m -v ./dev -keys=$(KEYS) -entries=9 -rounds=10 -seed=$(SEED)
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
--- /dev/null
+++ b/dev/claimrun_test.go
@@ -0,0 +1,278 @@
+package dev_test
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/banyanrail/banyanrail/dev"
+	"github.com/banyanrail/banyanrail/entry"
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/standin"
+	"github.com/google/uuid"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+)
+
+const (
+	// sendings is how often each key is sent.
+	sendings = 3
+	// sendLimit is the time limit of one sending.
+	sendLimit = 3 * time.Second
+	// keysAtOnce is the number of keys under way.
+	keysAtOnce = 16
+)
+
+// claimRun sends keys to a fleet under faults and records the history.
+type claimRun struct {
+	t       *testing.T
+	fleet   *dev.Fleet
+	keys    int
+	seed    uint64
+	started time.Time
+	pauses  sync.Map
+
+	mu      sync.Mutex
+	nodes   []*dev.Node
+	history []porcupine.Operation
+}
+
+// newClaimRun starts a fleet; tap seeds a fault into every entry.
+func newClaimRun(t *testing.T, entries, keys int, seed uint64, tap entry.Tap) *claimRun {
+	t.Helper()
+	r := &claimRun{t: t, keys: keys, seed: seed}
+	f, err := dev.Start(dev.Config{
+		Entries: entries, Runners: 4, Slots: 8, Work: 2 * time.Millisecond,
+		Tap: func(id fleet.EntryID) entry.Tap { return r.tap(id, tap) },
+	})
+	must.NoError(t, err)
+	t.Cleanup(f.Stop)
+	r.fleet, r.nodes = f, append(r.nodes, f.Nodes...)
+	code, _ := publish(t, f.Nodes[0], "0", f.Text(8))
+	must.EqOp(t, http.StatusOK, code)
+	for _, n := range f.Nodes {
+		waitForClaims(t, n)
+	}
+	return r
+}
+
+func waitForClaims(t *testing.T, n *dev.Node) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		return n.Entry.Ready() && status(t, n).Claims.Open
+	}), wait.Timeout(20*time.Second)))
+}
+
+// tap pauses an entry's control goroutine while a channel is stored under its
+// id.
+func (r *claimRun) tap(id fleet.EntryID, next entry.Tap) entry.Tap {
+	return func(ev event.Event, out []effect.Effect) []effect.Effect {
+		if until, ok := r.pauses.Load(id); ok {
+			<-until.(chan struct{})
+		}
+		if next != nil {
+			return next(ev, out)
+		}
+		return out
+	}
+}
+
+// run sends all keys, each to several entries at once, and returns the history.
+func (r *claimRun) run(faults []claimFault) []porcupine.Operation {
+	r.started = time.Now()
+	var wg sync.WaitGroup
+	reached := make(chan float64)
+	wg.Go(func() { r.inject(faults, reached) })
+	places := make(chan struct{}, keysAtOnce)
+	random := rand.New(rand.NewPCG(r.seed, 0))
+	for i := range r.keys {
+		order := random.Perm(len(r.nodes))
+		places <- struct{}{}
+		reached <- float64(i) / float64(r.keys)
+		wg.Go(func() {
+			r.sendKey(order)
+			<-places
+		})
+	}
+	close(reached)
+	wg.Wait()
+	r.addRuns()
+	return r.history
+}
+
+func (r *claimRun) sendKey(order []int) {
+	key := uuid.Must(uuid.NewV7()).String()
+	var wg sync.WaitGroup
+	for i := range sendings {
+		node := r.node(order[i%len(order)])
+		wg.Go(func() { r.send(node, key) })
+	}
+	wg.Wait()
+}
+
+func (r *claimRun) node(i int) *dev.Node {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.nodes[i]
+}
+
+// send records what one sending was told. A broken connection tells nothing.
+func (r *claimRun) send(n *dev.Node, key string) {
+	op := claimOp{key: key, sent: "permit " + key}
+	call := time.Since(r.started)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*sendLimit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, n.CallersURL+"/v1/services/permit/requests", strings.NewReader(op.sent))
+	must.NoError(r.t, err)
+	req.Header.Set("Banyanrail-Member", "lawa")
+	req.Header.Set("Banyanrail-Time-Limit", sendLimit.String())
+	req.Header["Idempotency-Key"] = []string{key}
+	resp, err := http.DefaultClient.Do(req)
+	if err == nil {
+		defer resp.Body.Close()
+		var body []byte
+		body, err = io.ReadAll(resp.Body)
+		if err == nil {
+			op.ran, op.answer = resp.Header.Get("Banyanrail-Ran"), string(body)
+			op.request, op.run = resp.Header.Get("Banyanrail-Request"), etag(resp)
+			if resp.StatusCode == http.StatusGone {
+				op.ran = "unkept"
+			}
+		}
+	}
+	r.add(op, call, time.Since(r.started))
+}
+
+func etag(resp *http.Response) string {
+	tag, err := strconv.Unquote(resp.Header.Get("Etag"))
+	if err != nil {
+		return ""
+	}
+	return tag
+}
+
+func (r *claimRun) add(op claimOp, call, ret time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history = append(r.history, porcupine.Operation{
+		ClientId: len(r.history), Input: op, Call: int64(call), Return: int64(ret),
+	})
+}
+
+// addRuns adds what the endpoints ran. A run may have begun at any time.
+func (r *claimRun) addRuns() {
+	end := time.Since(r.started)
+	byKey := r.requestKeys()
+	for _, runner := range r.fleet.Runners {
+		runs, err := runner.Runs(r.t.Context())
+		must.NoError(r.t, err)
+		for attempt, n := range runs.ByAttempt {
+			key, ok := runs.KeyOf[attempt]
+			must.True(r.t, ok)
+			if told, known := byKey[requestOf(attempt)]; known {
+				must.EqOp(r.t, told, key)
+			}
+			for range n {
+				r.add(claimOp{key: key, attempt: attempt}, 0, end)
+			}
+		}
+	}
+}
+
+// requestKeys returns the key of each request that callers know of.
+func (r *claimRun) requestKeys() map[string]string {
+	keys := make(map[string]string)
+	for _, op := range r.history {
+		in := op.Input.(claimOp)
+		if in.request != "" {
+			keys[in.request] = in.key
+		}
+	}
+	return keys
+}
+
+// claimFault is something that goes wrong once a share of the keys is done.
+type claimFault struct {
+	after float64
+	act   func(*claimRun)
+}
+
+// inject begins each fault when the share of keys sent has come to it. A fault
+// that still lasts holds back the next one, and the keys after that.
+func (r *claimRun) inject(faults []claimFault, reached <-chan float64) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for share := range reached {
+		for len(faults) > 0 && faults[0].after <= share {
+			act := faults[0].act
+			faults = faults[1:]
+			wg.Wait()
+			wg.Go(func() { act(r) })
+		}
+	}
+}
+
+// together lets faults happen at once.
+func together(acts ...func(*claimRun)) func(*claimRun) {
+	return func(r *claimRun) {
+		var wg sync.WaitGroup
+		for _, act := range acts {
+			wg.Go(func() { act(r) })
+		}
+		wg.Wait()
+	}
+}
+
+func loseAnswers(n int) func(*claimRun) {
+	return func(r *claimRun) {
+		must.NoError(r.t, r.fleet.Platform.SetLogFault(standin.LogFault{LoseAnswers: n}))
+	}
+}
+
+func logDown(d time.Duration) func(*claimRun) {
+	return func(r *claimRun) {
+		must.NoError(r.t, r.fleet.Platform.SetLogFault(standin.LogFault{Down: true}))
+		time.Sleep(d)
+		must.NoError(r.t, r.fleet.Platform.SetLogFault(standin.LogFault{}))
+	}
+}
+
+// replace kills an entry and puts a new one in its place.
+func replace(i int) func(*claimRun) {
+	return func(r *claimRun) {
+		next, err := r.fleet.Replace(r.node(i))
+		must.NoError(r.t, err)
+		waitForClaims(r.t, next)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.nodes[i] = next
+	}
+}
+
+func pause(i int, d time.Duration) func(*claimRun) {
+	return func(r *claimRun) {
+		id, until := r.node(i).ID, make(chan struct{})
+		r.pauses.Store(id, until)
+		time.Sleep(d)
+		r.pauses.Delete(id)
+		close(until)
+	}
+}
+
+// breakAnswers loses answers of each endpoint after it ran the request.
+func breakAnswers(n int) func(*claimRun) {
+	return func(r *claimRun) {
+		for _, runner := range r.fleet.Runners {
+			must.NoError(r.t, runner.SetFault(standin.RunnerFault{Break: n, Truncate: n, Swap: n}))
+		}
+	}
+}
--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -33,6 +33,8 @@
 	Work time.Duration
 	// Deps are handed to every entry; Log is set by the fleet.
 	Deps entry.Deps
+	// Tap makes the tap of an entry; nil uses that of Deps.
+	Tap func(fleet.EntryID) entry.Tap
 }
 
 // Fleet is a running fleet.
@@ -43,6 +45,9 @@
 
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
+	// newNode starts an entry under an id.
+	newNode  func(id string) (*Node, error)
+	replaced int
 }
 
 // Runner is an endpoint stand-in with its address.
@@ -90,8 +95,9 @@
 		}
 		f.Runners = append(f.Runners, r)
 	}
+	f.newNode = func(id string) (*Node, error) { return f.startNode(ctx, cfg, id, "http://"+platformAddr) }
 	for i := range cfg.Entries {
-		node, err := f.startNode(ctx, cfg, fmt.Sprintf("entry-%d", i+1), "http://"+platformAddr)
+		node, err := f.newNode(fmt.Sprintf("entry-%d", i+1))
 		if err != nil {
 			return err
 		}
@@ -103,6 +109,9 @@
 func (f *Fleet) startNode(ctx context.Context, cfg Config, id, platformURL string) (*Node, error) {
 	ctx, kill := context.WithCancel(ctx)
 	deps := cfg.Deps
+	if cfg.Tap != nil {
+		deps.Tap = cfg.Tap(fleet.EntryID(id))
+	}
 	client := platform.NewClient(platformURL)
 	deps.Log, deps.Instances = client, client
 	node := &Node{ID: fleet.EntryID(id), Entry: entry.New(entry.Config{ID: fleet.EntryID(id), Seed: uint64(len(f.Nodes) + 1)}, deps), Kill: kill}
@@ -199,13 +208,19 @@
   idempotent = true
 }
 
+service "permit" {
+  pool       = "main"
+  idempotent = false
+}
+
 member "lawa" {
   weight = 1
 }
 `))
 
-// Text returns a services text for the fleet: one pool of all runners, one
-// service "survey" and one member "lawa".
+// Text returns a services text for the fleet: one pool of all runners, an
+// idempotent service "survey", a non-idempotent service "permit" and one member
+// "lawa".
 func (f *Fleet) Text(slots int) string {
 	var out bytes.Buffer
 	_ = textTemplate.Execute(&out, struct { // the template is fixed and writes to memory
--- /dev/null
+++ b/dev/replace.go
@@ -0,0 +1,25 @@
+package dev
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/samber/oops"
+)
+
+// Replace ends an entry at once and starts another under a new id, as the
+// platform does with an instance that it replaces.
+func (f *Fleet) Replace(n *Node) (*Node, error) {
+	at := slices.Index(f.Nodes, n)
+	if at < 0 {
+		return nil, oops.In("dev").With("step", "replace", "peer", n.ID).Errorf("no entry of the fleet")
+	}
+	n.Kill()
+	f.replaced++
+	next, err := f.newNode(fmt.Sprintf("entry-%d", len(f.Nodes)+f.replaced))
+	if err != nil {
+		return nil, err
+	}
+	f.Nodes[at] = next
+	return next, f.list()
+}
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -95,6 +95,7 @@
 	case RunDone, RunTruncated:
 	}
 	w.Header().Set(endpoint.HeaderAttempt, attempt)
+	w.Header().Set("Etag", strconv.Quote(attempt)) // tells answers of two runs apart
 	w.Header().Set("Content-Type", req.Header.Get("Content-Type"))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if result == RunTruncated {
--- a/standin/endpointstate.go
+++ b/standin/endpointstate.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"time"
 )
 
@@ -75,6 +76,10 @@
 	Started int
 	// ByKey counts runs for each idempotency key.
 	ByKey map[string]int
+	// ByAttempt counts runs for each attempt.
+	ByAttempt map[string]int
+	// KeyOf holds the idempotency key of each attempt.
+	KeyOf map[string]string
 	// MostAtOnce is the largest number of requests that ran together.
 	MostAtOnce int
 	Refused    int
@@ -98,7 +103,7 @@
 }
 
 func newRunnerState(slots int, d time.Duration) *runnerState {
-	return &runnerState{slots: slots, work: d, runs: Runs{ByKey: make(map[string]int)}}
+	return &runnerState{slots: slots, work: d, runs: Runs{ByKey: make(map[string]int), ByAttempt: make(map[string]int), KeyOf: make(map[string]string)}}
 }
 
 func (s *runnerState) reduce(now time.Time, ev runnerEvent) []runnerEffect {
@@ -130,6 +135,8 @@
 		return
 	}
 	s.runs.Started++
+	s.runs.ByAttempt[e.attempt]++
+	s.runs.KeyOf[e.attempt] = e.key
 	if e.key != "" {
 		s.runs.ByKey[e.key]++
 	}
@@ -167,10 +174,9 @@
 
 func (s *runnerState) report(call uint64) {
 	runs := s.runs
-	runs.ByKey = make(map[string]int, len(s.runs.ByKey))
-	for k, n := range s.runs.ByKey {
-		runs.ByKey[k] = n
-	}
+	runs.ByKey = maps.Clone(s.runs.ByKey)
+	runs.ByAttempt = maps.Clone(s.runs.ByAttempt)
+	runs.KeyOf = maps.Clone(s.runs.KeyOf)
 	s.out = append(s.out, replyRuns{call: call, runs: runs})
 }
 
