--- a/entry/act.go
+++ b/entry/act.go
@@ -12,6 +12,8 @@
 		e.dispatch(o)
 	case effect.CancelAttempt:
 		e.exchanges.cancel(o.Attempt)
+	case effect.Probe:
+		e.probe(o)
 	case effect.Answer:
 		e.exchanges.answer(o)
 	case effect.Refuse:
@@ -48,6 +50,7 @@
 	effect.ChangeRecordRejected: "record rejected",
 	effect.ChangeClaimsOpen:     "taking non-idempotent requests",
 	effect.ChangeClaimsClosed:   "refusing non-idempotent requests",
+	effect.ChangeHealth:         "endpoint health",
 }
 
 func (e *Entry) logChange(o effect.LogChange) {
--- a/reduce/claim.go
+++ b/reduce/claim.go
@@ -221,7 +221,7 @@
 	}
 	delete(s.claiming.own, scope)
 	switch {
-	case r.Sent:
+	case r.Sent || r.UnderWay():
 		s.claiming.outbox.Add(claims.InDoubt{Ref: st.ref})
 	case s.claiming.outbox.Withdraw(st.ref):
 		s.revisitWaiting(scope)
@@ -279,12 +279,8 @@
 // claimAbandoned records how the attempt of a request ended whose caller was
 // told before.
 func (s *State) claimAbandoned(r *requests.Request, ev event.AttemptFinished) {
-	switch ev.Outcome {
-	case event.AttemptAnswered:
+	if ev.Outcome == event.AttemptAnswered {
 		s.recordAnswer(r, ev)
-	case event.AttemptNotSent, event.AttemptRefused:
-		r.Sent = false
-	case event.AttemptBroken: // the request stays in doubt
 	}
 }
 
--- a/reduce/claim_test.go
+++ b/reduce/claim_test.go
@@ -35,12 +35,16 @@
 }
 
 func newClaimant(log *claimLog, id fleet.EntryID) *claimant {
+	return newClaimantOf(log, id, permitText())
+}
+
+func newClaimantOf(log *claimLog, id fleet.EntryID, text *fleet.Text) *claimant {
 	h := &harness{state: reduce.New(reduce.Config{Entry: id, Seed: 7, MaxRequests: 100, Incarnation: 1}), now: epoch}
 	c := &claimant{harness: h, log: log}
 	c.appendAll(h.do(event.Started{}))
 	h.do(event.RecordsRead{Records: []control.Positioned{{
 		Offset: 1,
-		Record: control.Record{ID: "text", Body: control.Publish{Text: permitText()}},
+		Record: control.Record{ID: "text", Body: control.Publish{Text: text}},
 	}}, Next: 2, Oldest: 1})
 	c.catchUp()
 	return c
@@ -373,8 +377,9 @@
 	must.Len(t, 0, only[effect.Dispatch](c.tick()))
 }
 
-func permitText() *fleet.Text {
-	text := oneRunner(4)
+func permitText() *fleet.Text { return withPermit(oneRunner(4)) }
+
+func withPermit(text *fleet.Text) *fleet.Text {
 	text.Services = append(text.Services, fleet.Service{
 		Name: "permit", Pool: "main", TimeLimit: 5 * time.Second, MaxBody: 100, MaxQueue: 10, MaxAttempts: 3,
 	})
