--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 KEYS ?= 1000
 SEED ?= 1
 
-.PHONY: soak generate run test bench build fmt fmt-check lint smoke tools
+.PHONY: soak bench-placement generate run test bench build fmt fmt-check lint smoke tools
 
 run: ## the whole fleet on embedded stand-ins
 	go run ./cmd/banyanrail dev
@@ -22,6 +22,9 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
+bench-placement: ## the brief's burst under both placements, about a minute
+	go test -run '^$$' -bench BenchmarkBurst -benchtime 1x -timeout 5m ./dev
+
 build:
 	go build -o bin/ ./cmd/...
 
--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/platform"
+	"github.com/banyanrail/banyanrail/reduce"
 	"github.com/banyanrail/banyanrail/standin"
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
@@ -31,6 +32,8 @@
 	Slots int
 	// Work is how long an endpoint takes for a request.
 	Work time.Duration
+	// Placement says who grants slots.
+	Placement reduce.Placement
 	// Deps are handed to every entry; Log is set by the fleet.
 	Deps entry.Deps
 	// Tap makes the tap of an entry; nil uses that of Deps.
@@ -43,11 +46,13 @@
 	Runners  []*Runner
 	Nodes    []*Node
 
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
-	// newNode starts an entry under an id.
-	newNode  func(id string) (*Node, error)
-	replaced int
+	cfg         Config
+	platformURL string
+	ctx         context.Context
+	cancel      context.CancelFunc
+	wg          sync.WaitGroup
+	// started is the number of entries started so far.
+	started int
 }
 
 // Runner is an endpoint stand-in with its address.
@@ -66,6 +71,8 @@
 	OperatorsURL string
 	// PeerAddress is where other entries reach it.
 	PeerAddress string
+	// Log is the entry's way to the log.
+	Log *LogSwitch
 	// Kill ends the entry at once, without a graceful shutdown.
 	Kill context.CancelFunc
 }
@@ -73,7 +80,7 @@
 // Start starts a fleet. Stop it when done.
 func Start(cfg Config) (*Fleet, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Fleet{Platform: standin.NewPlatform(), cancel: cancel}
+	f := &Fleet{Platform: standin.NewPlatform(), cfg: cfg, ctx: ctx, cancel: cancel}
 	if err := f.start(ctx, cfg); err != nil {
 		f.Stop()
 		return nil, err
@@ -87,6 +94,7 @@
 	if err != nil {
 		return err
 	}
+	f.platformURL = "http://" + platformAddr
 	for i := range cfg.Runners {
 		r := &Runner{Runner: standin.NewRunner(cfg.Slots, cfg.Work), ID: fleet.InstanceID(fmt.Sprintf("runner-%02d", i+1))}
 		f.spawn(func() { r.Run(ctx) })
@@ -95,26 +103,66 @@
 		}
 		f.Runners = append(f.Runners, r)
 	}
-	f.newNode = func(id string) (*Node, error) { return f.startNode(ctx, cfg, id, "http://"+platformAddr) }
-	for i := range cfg.Entries {
-		node, err := f.newNode(fmt.Sprintf("entry-%d", i+1))
-		if err != nil {
+	for range cfg.Entries {
+		if _, err := f.addNode(false); err != nil {
 			return err
 		}
-		f.Nodes = append(f.Nodes, node)
 	}
 	return f.list()
 }
 
-func (f *Fleet) startNode(ctx context.Context, cfg Config, id, platformURL string) (*Node, error) {
-	ctx, kill := context.WithCancel(ctx)
-	deps := cfg.Deps
-	if cfg.Tap != nil {
-		deps.Tap = cfg.Tap(fleet.EntryID(id))
+// AddNode starts one more entry and puts it on the platform's list. With cut
+// set it cannot reach the log until its LogSwitch is closed.
+func (f *Fleet) AddNode(cut bool) (*Node, error) {
+	node, err := f.addNode(cut)
+	if err != nil {
+		return nil, err
+	}
+	return node, f.list()
+}
+
+func (f *Fleet) addNode(cut bool) (*Node, error) {
+	node, err := f.newNode(cut)
+	if err != nil {
+		return nil, err
 	}
-	client := platform.NewClient(platformURL)
-	deps.Log, deps.Instances = client, client
-	node := &Node{ID: fleet.EntryID(id), Entry: entry.New(entry.Config{ID: fleet.EntryID(id), Seed: uint64(len(f.Nodes) + 1)}, deps), Kill: kill}
+	f.Nodes = append(f.Nodes, node)
+	return node, nil
+}
+
+// newNode starts an entry under an id that none had before.
+func (f *Fleet) newNode(cut bool) (*Node, error) {
+	f.started++
+	return f.startNode(fmt.Sprintf("entry-%d", f.started), cut)
+}
+
+func (f *Fleet) startNode(id string, cut bool) (*Node, error) {
+	ctx, kill := context.WithCancel(f.ctx)
+	peersListener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		kill()
+		return nil, oops.In("dev").With("step", "listen").Wrap(err)
+	}
+	client := platform.NewClient(f.platformURL)
+	node := &Node{
+		ID:          fleet.EntryID(id),
+		Kill:        kill,
+		Log:         NewLogSwitch(client),
+		PeerAddress: peersListener.Addr().String(),
+	}
+	node.Log.Cut(cut)
+	deps := f.cfg.Deps
+	if f.cfg.Tap != nil {
+		deps.Tap = f.cfg.Tap(node.ID)
+	}
+	deps.Log, deps.Instances = node.Log, client
+	node.Entry = entry.New(entry.Config{
+		ID:          node.ID,
+		Seed:        uint64(f.started),
+		PeerAddress: node.PeerAddress,
+		Placement:   f.cfg.Placement,
+	}, deps)
+	f.servePeers(ctx, node.Entry, peersListener)
 	f.spawn(func() { node.Entry.Run(ctx) })
 	callers, err := f.serve(ctx, node.Entry.Callers())
 	if err != nil {
@@ -124,9 +172,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if node.PeerAddress, err = f.servePeers(ctx, node.Entry); err != nil {
-		return nil, err
-	}
 	node.CallersURL, node.OperatorsURL = "http://"+callers, "http://"+operators
 	return node, nil
 }
@@ -160,12 +205,8 @@
 	return ln.Addr().String(), nil
 }
 
-// servePeers listens for other entries and returns the address.
-func (f *Fleet) servePeers(ctx context.Context, e *entry.Entry) (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", oops.In("dev").With("step", "listen").Wrap(err)
-	}
+// servePeers takes in the messages of other entries.
+func (f *Fleet) servePeers(ctx context.Context, e *entry.Entry, ln net.Listener) {
 	srv := grpc.NewServer()
 	e.RegisterPeers(srv)
 	f.spawn(func() { _ = srv.Serve(ln) }) // returns once the server is stopped
@@ -173,7 +214,6 @@
 		<-ctx.Done()
 		srv.Stop()
 	})
-	return ln.Addr().String(), nil
 }
 
 // list puts all entries and runners on the platform's list.
--- a/dev/replace.go
+++ b/dev/replace.go
@@ -1,7 +1,6 @@
 package dev
 
 import (
-	"fmt"
 	"slices"
 
 	"github.com/samber/oops"
@@ -15,8 +14,7 @@
 		return nil, oops.In("dev").With("step", "replace", "peer", n.ID).Errorf("no entry of the fleet")
 	}
 	n.Kill()
-	f.replaced++
-	next, err := f.newNode(fmt.Sprintf("entry-%d", len(f.Nodes)+f.replaced))
+	next, err := f.newNode(false)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/act.go
+++ b/entry/act.go
@@ -16,14 +16,14 @@
 		e.probe(o)
 	case effect.Answer:
 		e.exchanges.answer(o)
+		e.metrics.count(effect.Count{Name: effect.RequestsAnswered, Service: o.Service, N: 1})
 	case effect.Refuse:
 		e.exchanges.refuse(o)
+		e.metrics.count(effect.Count{Name: effect.RequestsRefused, Service: o.Service, Reason: o.Reason, N: 1})
 	case effect.Append:
 		e.append(o)
 	case effect.Read:
 		e.reader.start(o.From)
-	case effect.SendPeer:
-		e.sendPeer(o)
 	case effect.Reply:
 		e.replies.Resolve(o.ID, o.Result)
 	case effect.ReplyStatus:
@@ -37,7 +37,8 @@
 	case effect.Stopped:
 		e.stopOnce.Do(func() { close(e.stopped) })
 	default:
-		e.actClaims(o)
+		e.actPeers(out)
+		e.actClaims(out)
 	}
 }
 
@@ -50,6 +51,9 @@
 	effect.ChangeRecordRejected: "record rejected",
 	effect.ChangeClaimsOpen:     "taking non-idempotent requests",
 	effect.ChangeClaimsClosed:   "refusing non-idempotent requests",
+	effect.ChangeDigestMismatch: "fold differs from a peer's",
+	effect.ChangePeerSuspect:    "peer suspected",
+	effect.ChangePeerDead:       "peer dead",
 	effect.ChangeHealth:         "endpoint health",
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,8 +31,8 @@
 	DefaultClaimAppends = 30
 	// logWorkers is the number of goroutines that read and append.
 	logWorkers = 16
-	// peerWorkers is the number of messages to peers under way at once, and
-	// peerQueue the number that wait; more are dropped.
+	// peerWorkers is the number of peers that are written to at once, and
+	// peerQueue the number that wait for their turn.
 	peerWorkers = 32
 	peerQueue   = 4096
 )
@@ -41,6 +41,9 @@
 type Config struct {
 	ID         fleet.EntryID
 	DataCentre fleet.DataCentre
+	// PeerAddress is where other entries reach this one; empty leaves them to
+	// the platform's list.
+	PeerAddress string
 	// Incarnation grows with each start of the entry; zero takes the start time.
 	Incarnation uint64
 	// Seed feeds random choices; zero takes the start time.
@@ -52,6 +55,8 @@
 	// ClaimAppends is the number of groups of claims that the entry appends to
 	// the log in a second.
 	ClaimAppends int
+	// Placement says who grants slots; empty means reduce.PlacementLocal.
+	Placement reduce.Placement
 	// OperatorToken is the bearer token of operators; empty allows anyone who
 	// reaches the operators' listener.
 	OperatorToken string
@@ -123,13 +128,13 @@
 		traffic:    pond.NewPool(cfg.Traffic),
 		logPool:    pond.NewPool(logWorkers),
 		peerPool:   pond.NewPool(peerWorkers, pond.WithQueueSize(peerQueue), pond.WithNonBlocking(true)),
-		peers:      peer.NewClient(cfg.ID, cfg.Incarnation, cfg.PeersTLS),
 		stopped:    make(chan struct{}),
 		background: background,
 		end:        end,
 	}
 	e.reader = newControlReader(e)
 	e.claims = newClaimsReader(e)
+	e.peers = e.newPeerClient()
 	state := reduce.New(reduce.Config{
 		Entry:       cfg.ID,
 		DataCentre:  cfg.DataCentre,
@@ -138,6 +143,7 @@
 		// One group an interval is the entry's share of the log's appends.
 		ClaimInterval: time.Second / time.Duration(cfg.ClaimAppends),
 		MaxRequests:   cfg.MaxRequests,
+		Placement:     cfg.Placement,
 	})
 	e.loop = loop.New(loop.Config[event.Body, effect.Effect]{
 		Reduce: func(now time.Time, body event.Body) []effect.Effect {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -7,11 +7,19 @@
 )
 
 var counterNames = map[effect.Counter]string{
-	effect.RequestsAnswered: "requests_answered",
-	effect.RequestsRefused:  "requests_refused",
-	effect.AttemptsRetried:  "attempts_retried",
-	effect.LateAnswers:      "late_answers",
-	effect.InstancesEjected: "instances_ejected",
+	effect.RequestsAnswered:  "requests_answered",
+	effect.RequestsRefused:   "requests_refused",
+	effect.AttemptsRetried:   "attempts_retried",
+	effect.LateAnswers:       "late_answers",
+	effect.DigestMismatches:  "digest_mismatches",
+	effect.RecordsRelayed:    "records_relayed",
+	effect.StalePeerMessages: "stale_peer_messages",
+	effect.HoldersChanged:    "holders_changed",
+	effect.HolderFallbacks:   "holder_fallbacks",
+	effect.SlotsLeased:       "slots_leased",
+	effect.LeasesReclaimed:   "leases_reclaimed",
+	effect.GrantsReturned:    "grants_returned",
+	effect.InstancesEjected:  "instances_ejected",
 }
 
 // metrics keeps the tally counters by their labels. Only the control goroutine
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -37,16 +37,20 @@
 	Address  string
 }
 
-// Answer hands the answer of an attempt to the caller.
+// Answer hands the answer of an attempt to the caller, and counts it for its
+// service.
 type Answer struct {
 	Request  fleet.RequestID
 	Attempt  fleet.AttemptID
 	Attempts int
+	Service  fleet.ServiceName
 }
 
-// Refuse ends a request without an endpoint's answer.
+// Refuse ends a request without an endpoint's answer, and counts it for its
+// service.
 type Refuse struct {
 	Request fleet.RequestID
+	Service fleet.ServiceName
 	Reason  fleet.Reason
 	Ran     fleet.Ran
 	// RetryAfter is when a retry may succeed; zero means no hint.
@@ -115,6 +119,8 @@
 	Claims    ClaimStatus            `json:"claims"`
 	Totals    map[string]uint64      `json:"totals"`
 	Pools     map[fleet.PoolName]int `json:"pools"`
+	// Holds lists the pools whose slots this entry grants.
+	Holds []fleet.PoolName `json:"holds,omitempty"`
 }
 
 // ClaimStatus is what an entry holds of the claims stream.
@@ -155,6 +161,23 @@
 	RequestsRefused
 	AttemptsRetried
 	LateAnswers
+	// DigestMismatches counts peers whose fold of the same records differs.
+	DigestMismatches
+	// RecordsRelayed counts records that came from a peer before the log.
+	RecordsRelayed
+	// StalePeerMessages counts messages of earlier incarnations and messages
+	// that were overtaken.
+	StalePeerMessages
+	// HoldersChanged counts changes of the holder of a pool.
+	HoldersChanged
+	// HolderFallbacks counts pools whose holder did not answer in time.
+	HolderFallbacks
+	// SlotsLeased counts slots granted to other entries.
+	SlotsLeased
+	// LeasesReclaimed counts leases of other entries that were lost.
+	LeasesReclaimed
+	// GrantsReturned counts grants that could not be used.
+	GrantsReturned
 	InstancesEjected
 )
 
@@ -171,6 +194,9 @@
 	ChangeRecordRejected
 	ChangeClaimsOpen
 	ChangeClaimsClosed
+	ChangeDigestMismatch
+	ChangePeerSuspect
+	ChangePeerDead
 	ChangeHealth
 )
 
@@ -186,9 +212,14 @@
 type SendPeer struct {
 	To      fleet.EntryID
 	Address string
-	Message message.Message
+	// Sequence numbers the messages to this peer; the driver keeps their order.
+	Sequence uint64
+	Message  message.Message
 }
 
+// KeepPeers closes the connections to all other addresses.
+type KeepPeers struct{ Addresses []string }
+
 // SetReady sets the entry's readiness, as the balancer sees it.
 type SetReady struct{ Ready bool }
 
@@ -215,6 +246,7 @@
 func (Count) isEffect()         {}
 func (LogChange) isEffect()     {}
 func (SendPeer) isEffect()      {}
+func (KeepPeers) isEffect()     {}
 func (SetReady) isEffect()      {}
 func (SetTimer) isEffect()      {}
 func (Stopped) isEffect()       {}
--- a/reduce/log.go
+++ b/reduce/log.go
@@ -26,9 +26,15 @@
 	for _, p := range ev.Records {
 		s.fold(p)
 	}
+	s.updateReady()
+}
+
+// updateReady makes the entry ready once a services text is in force.
+func (s *State) updateReady() {
 	if !s.ready && !s.stopping && s.control.Text != nil {
 		s.ready = true
 		s.emit(effect.SetReady{Ready: true})
+		s.followHolders()
 		s.emit(effect.LogChange{Change: effect.ChangeReady, Version: s.control.Version})
 	}
 }
@@ -36,6 +42,8 @@
 func (s *State) fold(p control.Positioned) {
 	before := s.control.Version
 	res := s.control.Apply(p)
+	s.relay.Add(p)
+	s.hastenHeartbeat()
 	if s.control.Version != before {
 		s.configure()
 		s.emit(effect.LogChange{Change: effect.ChangeText, Version: s.control.Version, Record: p.Record.ID})
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -7,6 +7,7 @@
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/banyanrail/banyanrail/reduce/health"
+	"github.com/banyanrail/banyanrail/reduce/holder"
 	"github.com/banyanrail/banyanrail/reduce/peers"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 )
@@ -51,6 +52,7 @@
 	}
 	s.fireTimers()
 	s.flushClaims()
+	s.flushOutbox()
 	s.finishStop()
 	s.armTimer()
 	return s.out
@@ -77,6 +79,8 @@
 			s.onProposalExpired(o)
 		case *peers.State:
 			s.onHeartbeatDue()
+		case *holder.Link:
+			s.onHolderTimer(o)
 		}
 	}
 }
--- a/reduce/requests/table.go
+++ b/reduce/requests/table.go
@@ -3,6 +3,8 @@
 package requests
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
@@ -108,14 +110,30 @@
 	r.Tried = tried[max(0, len(tried)-maxTried):]
 }
 
+// slabSize is the number of requests that are allocated together.
+const slabSize = 32
+
 // Table holds requests by id.
-type Table struct{ byID map[fleet.RequestID]*Request }
+type Table struct {
+	byID map[fleet.RequestID]*Request
+	slab []Request
+}
 
 // New returns an empty table.
 func New() *Table {
 	return &Table{byID: make(map[fleet.RequestID]*Request)}
 }
 
+// New returns an empty request, which is not in the table yet.
+func (t *Table) New() *Request {
+	if len(t.slab) == 0 {
+		t.slab = make([]Request, slabSize)
+	}
+	r := &t.slab[0]
+	t.slab = t.slab[1:]
+	return r
+}
+
 // Add puts a request into the table.
 func (t *Table) Add(r *Request) { t.byID[r.ID] = r }
 
@@ -128,6 +146,16 @@
 // Remove takes a request out of the table.
 func (t *Table) Remove(id fleet.RequestID) { delete(t.byID, id) }
 
+// All returns the requests in order of their ids.
+func (t *Table) All() []*Request {
+	all := make([]*Request, 0, len(t.byID))
+	for _, r := range t.byID {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b *Request) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
 // Len returns the number of requests in the table.
 func (t *Table) Len() int { return len(t.byID) }
 
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -7,8 +7,10 @@
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/health"
+	"github.com/banyanrail/banyanrail/reduce/holder"
 	"github.com/banyanrail/banyanrail/reduce/peers"
 	"github.com/banyanrail/banyanrail/reduce/placement"
+	"github.com/banyanrail/banyanrail/reduce/relay"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 	"github.com/banyanrail/banyanrail/reduce/timer"
 )
@@ -26,6 +28,8 @@
 	ClaimInterval time.Duration
 	// MaxRequests bounds the requests held at once.
 	MaxRequests int
+	// Placement says who grants slots; empty means PlacementLocal.
+	Placement Placement
 }
 
 // State is the whole control state of an entry. Only Reduce changes it.
@@ -40,12 +44,20 @@
 	peers     *peers.State
 	claiming  *claiming
 	proposals proposals
-	timers    timer.Heap
-	logDown   bool
-	ready     bool
-	stopping  bool
-	stopped   bool
-	totals    totals
+	relay     relay.State
+	holders   *holder.State
+	outbox    outbox
+	// reask holds the requests whose grants could not be used.
+	reask []fleet.RequestID
+	// digestValue is the digest of the fold up to digestOffset.
+	digestOffset fleet.Offset
+	digestValue  uint64
+	timers       timer.Heap
+	logDown      bool
+	ready        bool
+	stopping     bool
+	stopped      bool
+	totals       totals
 	// armed is the time of the last SetTimer effect.
 	armed time.Time
 	out   []effect.Effect
@@ -63,6 +75,7 @@
 		peers:     peers.New(cfg.Entry),
 		claiming:  newClaiming(cfg),
 		proposals: newProposals(),
+		holders:   holder.New(),
 	}
 }
 
--- a/reduce/status.go
+++ b/reduce/status.go
@@ -15,7 +15,7 @@
 		Offset:   s.control.Offset,
 		Requests: s.requests.Len(),
 		Queued:   s.placement.Queued(),
-		Peers:    s.peers.Alive(s.now),
+		Peers:    s.peers.Alive(),
 		Claims:   s.claimStatus(),
 		Pools:    make(map[fleet.PoolName]int),
 		Totals: map[string]uint64{
@@ -25,7 +25,9 @@
 			"late":     s.totals.late,
 		},
 	}
+	st.Holds = s.holders.Holds()
 	for _, l := range s.placement.Loads() {
+		l.Running -= s.holders.Leased(l.Instance)
 		st.Running += l.Running
 		st.Pools[l.Pool]++
 		st.Instances = append(st.Instances, effect.InstanceStatus{ID: l.Instance, Pool: l.Pool, Running: l.Running})
