--- a/dev/publish_bench_test.go
+++ b/dev/publish_bench_test.go
@@ -96,7 +96,7 @@
 	base := "0"
 	for i := 0; b.Loop(); i++ {
 		started := time.Now()
-		n, err := f.AddNode("late-"+strconv.Itoa(i), false)
+		n, err := f.AddNode(false)
 		must.NoError(b, err)
 		_, res := publish(b, f.Nodes[0], base, f.Text(1+i))
 		must.EqOp(b, "accepted", res.Outcome)
--- a/dev/publish_test.go
+++ b/dev/publish_test.go
@@ -130,7 +130,7 @@
 		return status(t, f.Nodes[1]).Offset > res.Version
 	}), wait.Timeout(30*time.Second)))
 	must.NoError(t, f.Platform.Trim(platform.StreamControl, res.Version+1))
-	n, err := f.AddNode("entry-late", false)
+	n, err := f.AddNode(false)
 	must.NoError(t, err)
 	waitVersion(t, n, res.Version)
 	must.True(t, status(t, n).Ready)
--- a/entry/act.go
+++ b/entry/act.go
@@ -34,6 +34,7 @@
 		e.stopOnce.Do(func() { close(e.stopped) })
 	default:
 		e.actPeers(out)
+		e.actClaims(out)
 		e.replyOperator(out)
 	}
 }
@@ -57,6 +58,8 @@
 	effect.ChangeLogUp:          "log available",
 	effect.ChangeStopping:       "stopping",
 	effect.ChangeRecordRejected: "record rejected",
+	effect.ChangeClaimsOpen:     "taking non-idempotent requests",
+	effect.ChangeClaimsClosed:   "refusing non-idempotent requests",
 	effect.ChangeDigestMismatch: "fold differs from a peer's",
 	effect.ChangePeerSuspect:    "peer suspected",
 	effect.ChangePeerDead:       "peer dead",
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/banyanrail/banyanrail/reduce/claims"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/banyanrail/banyanrail/reduce/health"
@@ -44,8 +45,10 @@
 		s.onStopAsked()
 	default:
 		s.onOperatorEvent(b)
+		s.reduceClaims(b)
 	}
 	s.fireTimers()
+	s.flushClaims()
 	s.flushOutbox()
 	s.finishStop()
 	s.armTimer()
@@ -74,6 +77,11 @@
 		switch o := owner.(type) {
 		case *requests.Request:
 			s.onRequestExpired(o)
+		case *claims.Batch:
+			s.onClaimRetryDue(o)
+		case claimWatch:
+			s.showClaims()
+		case claimFlush: // flushClaims follows every event
 		case *health.Instance:
 			s.onHealthDue(o)
 		case *proposal:
--- a/reduce/requests/table.go
+++ b/reduce/requests/table.go
@@ -31,6 +31,17 @@
 	Abandoned
 )
 
+// Elsewhere says what is known about another request with the same idempotency
+// key.
+type Elsewhere uint8
+
+// Values of Elsewhere.
+const (
+	NotElsewhere Elsewhere = iota
+	MaybeElsewhere
+	RanElsewhere
+)
+
 // Request is one request of a caller.
 type Request struct {
 	ID       fleet.RequestID
@@ -48,6 +59,8 @@
 	// Sent is set once an attempt has ended that may have run. The attempt
 	// under way is not counted; see Ran.
 	Sent bool
+	// Elsewhere says whether another request with the same key ran.
+	Elsewhere Elsewhere
 	// Instance runs the current attempt, or ran the last one.
 	Instance fleet.InstanceID
 	// Grant is the slot of the current attempt, or of the last one.
@@ -76,10 +89,14 @@
 
 // Ran says whether the request ran, as far as is known before an answer.
 func (r *Request) Ran() fleet.Ran {
-	if r.Sent || r.UnderWay() {
+	switch {
+	case r.Elsewhere == RanElsewhere:
+		return fleet.RanYes
+	case r.Sent || r.UnderWay() || r.Elsewhere == MaybeElsewhere:
 		return fleet.RanUnknown
+	default:
+		return fleet.RanNo
 	}
-	return fleet.RanNo
 }
 
 // maxTried bounds the instances that a request remembers.
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -21,6 +21,11 @@
 	DataCentre fleet.DataCentre
 	// Seed feeds the state's own random choices.
 	Seed uint64
+	// Incarnation tells the entry's starts apart; it makes record ids unique.
+	Incarnation uint64
+	// ClaimInterval is the least time between two groups of claims; zero takes
+	// DefaultClaimInterval.
+	ClaimInterval time.Duration
 	// MaxRequests bounds the requests held at once.
 	MaxRequests int
 	// Placement says who grants slots; empty means PlacementLocal.
@@ -40,6 +45,7 @@
 	health    *health.State
 	budgets   *requests.Budgets
 	peers     *peers.State
+	claiming  *claiming
 	proposals proposals
 	relay     relay.State
 	holders   *holder.State
@@ -78,6 +84,7 @@
 		health:    health.New(),
 		budgets:   requests.NewBudgets(),
 		peers:     peers.New(cfg.Entry),
+		claiming:  newClaiming(cfg),
 		proposals: newProposals(),
 		holders:   holder.New(),
 	}
