--- a/reduce/control_test.go
+++ b/reduce/control_test.go
@@ -123,6 +123,28 @@
 	must.EqOp(t, control.NotReady, oneReply(t, h.publishFrom(0, "new", oneRunner(1))).Outcome)
 }
 
+func TestPeersCloseAGap(t *testing.T) {
+	h := &harness{state: reduce.New(reduce.Config{Entry: "entry-2", MaxRequests: 1}), now: epoch}
+	h.do(event.Started{})
+	changed := control.Record{ID: "b", Body: control.Publish{Base: 1, Text: oneRunner(3)}}
+	late := event.RecordsRead{Oldest: 3, Next: 4, Records: []control.Positioned{
+		{Offset: 3, Record: control.Record{ID: "c", Body: control.Publish{Base: 2, Text: oneRunner(5)}}},
+	}}
+	h.do(late)
+	must.True(t, h.status().Gap)
+	h.do(event.PeerReceived{From: "entry-1", Incarnation: 1, Sequence: 1, Message: message.Records{
+		Records: []control.Positioned{
+			{Offset: 1, Record: control.Record{ID: "a", Body: control.Publish{Text: oneRunner(1)}}},
+			{Offset: 2, Record: changed},
+		},
+	}})
+	must.EqOp(t, 2, h.status().Version)
+	h.do(late)
+	must.False(t, h.status().Gap)
+	must.EqOp(t, 3, h.status().Version)
+	must.True(t, h.status().Ready)
+}
+
 func TestSnapshotIsWrittenOnceAndAgainBeforeItExpires(t *testing.T) {
 	h := newHarness(oneRunner(1))
 	snap := snapshotAfter(t, h, reduce.DefaultSnapshotInterval)
--- a/reduce/log.go
+++ b/reduce/log.go
@@ -23,15 +23,7 @@
 		s.logDown = false
 		s.emit(effect.LogChange{Change: effect.ChangeLogUp})
 	}
-	s.oldest = ev.Oldest
-	if !s.gap && s.oldest > s.control.Offset+1 {
-		s.gap = true
-		s.emit(effect.LogChange{
-			Change:  effect.ChangeGap,
-			Version: s.control.Version,
-			Detail:  fmt.Sprintf("records %d to %d have expired", s.control.Offset+1, ev.Oldest-1),
-		})
-	}
+	s.followGap(ev.Oldest)
 	for _, p := range ev.Records {
 		if !s.gap {
 			s.fold(p)
@@ -41,8 +33,24 @@
 			break
 		}
 	}
-	s.becomeReady()
-	s.scheduleSnapshot()
+	s.updateReady()
+}
+
+// followGap notes when records that the fold needs have expired in the log.
+// Peers may close the gap by passing them on.
+func (s *State) followGap(oldest fleet.Offset) {
+	gap := oldest > s.control.Offset+1
+	switch {
+	case gap && !s.gap:
+		s.emit(effect.LogChange{
+			Change:  effect.ChangeGap,
+			Version: s.control.Version,
+			Detail:  fmt.Sprintf("records %d to %d have expired", s.control.Offset+1, oldest-1),
+		})
+	case !gap && s.gap:
+		s.emit(effect.Read{From: s.control.Offset + 1})
+	}
+	s.gap = gap
 }
 
 // adoptSnapshot closes a gap with a snapshot, and reads on from where it ends.
@@ -52,19 +60,21 @@
 		return false
 	}
 	s.gap = false
+	s.relay.Reset(s.control.Offset)
 	s.emit(effect.LogChange{
 		Change:  effect.ChangeSnapshot,
 		Version: s.control.Version,
 		Record:  p.Record.ID,
 		Detail:  fmt.Sprintf("folds records up to %d", s.control.Offset),
 	})
-	s.relay.Reset(s.control.Offset)
 	s.emit(effect.Read{From: s.control.Offset + 1})
 	s.followText(before, p.Record.ID)
 	return true
 }
 
-func (s *State) becomeReady() {
+// updateReady makes the entry ready once a services text is in force and none
+// of the records that it needs are missing.
+func (s *State) updateReady() {
 	if s.ready || s.stopping || s.gap || s.control.Text == nil {
 		return
 	}
@@ -83,6 +93,7 @@
 	s.relay.Add(p)
 	s.hastenHeartbeat()
 	s.followText(before, p.Record.ID)
+	s.scheduleSnapshot()
 	s.settle(res)
 	if v, ok := p.Record.Body.(control.Void); ok && res.Outcome == control.Accepted {
 		s.settle(control.Result{Record: v.Record, Outcome: control.Voided, Offset: p.Offset, Version: res.Version})
--- a/reduce/relay.go
+++ b/reduce/relay.go
@@ -52,15 +52,6 @@
 	s.send(p, message.Records{After: before, Records: records})
 }
 
-// closeGap reads the log again once peers have passed on the records that had
-// expired there.
-func (s *State) closeGap() {
-	if s.gap && s.control.Offset+1 >= s.oldest {
-		s.gap = false
-		s.emit(effect.Read{From: s.control.Offset + 1})
-	}
-}
-
 // onPeerRecords folds records that a peer passed on. A page that does not join
 // the fold is left alone: the fold never skips a record.
 func (s *State) onPeerRecords(p *peers.Peer, m message.Records) {
@@ -74,8 +65,7 @@
 			s.emit(effect.Count{Name: effect.RecordsRelayed, N: 1})
 		}
 	}
-	s.closeGap()
-	s.becomeReady()
+	s.updateReady()
 	if s.control.Offset < p.Offset && s.relay.ShouldAsk(p.ID, s.logDown, s.now) {
 		s.send(p, message.RecordsAsked{After: s.control.Offset})
 	}
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -59,9 +59,7 @@
 	snapshots    snapshots
 	logDown      bool
 	// gap is set while records that the fold needs have expired.
-	gap bool
-	// oldest is the first record that the log kept when it was last read.
-	oldest   fleet.Offset
+	gap      bool
 	ready    bool
 	stopping bool
 	stopped  bool
