Add a load tool that counts what became of each request

Cause: nothing drove a fleet with bursts and checked the answers.

Change: package load draws arrivals behind a reducer on the loop: each service bursts in turn at five times its mean and falls to a twentieth between. Every request has a unique body and key; answers are counted as answered, refused, unknown, failed, lost, crossed, cut off or unreachable, with quantiles for each service. Against an embedded fleet the endpoints tell which keys ran twice, or ran though they were refused. banyanrail load prints it as JSON.

Conclusion: the promises to callers can be checked on a running fleet.

--- /dev/null
+++ b/cmd/banyanrail/load.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/banyanrail/banyanrail/dev"
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/load"
+)
+
+type loadCmd struct {
+	Dev      bool          `arg:"--dev" help:"drive a fleet embedded in this process"`
+	Callers  []string      `arg:"--callers" help:"base URLs of the callers' interfaces of entries"`
+	Services []string      `arg:"--service" help:"services to call; with :once the requests run at most once"`
+	Members  []string      `arg:"--member" help:"members that call"`
+	Rate     float64       `arg:"--rate" default:"100" help:"mean requests a second for each service"`
+	For      time.Duration `arg:"--for" default:"30s" help:"how long requests arrive"`
+	Burst    time.Duration `arg:"--burst" default:"3s" help:"how long each service bursts in turn"`
+	Factor   float64       `arg:"--burst-factor" default:"5" help:"rate of a burst, relative to the mean"`
+	Quiet    float64       `arg:"--quiet-factor" default:"0.05" help:"rate between bursts, relative to the mean"`
+	Limit    time.Duration `arg:"--time-limit" default:"10s" help:"time limit of each request"`
+	Body     int           `arg:"--body" default:"1024" help:"bytes in each request"`
+	InFlight int           `arg:"--in-flight" default:"1024" help:"most calls at once"`
+	Seed     uint64        `arg:"--seed" default:"1" help:"seed of arrivals"`
+	Entries  int           `arg:"--entries" default:"9" help:"entry instances of the embedded fleet"`
+	Runners  int           `arg:"--runners" default:"50" help:"endpoints of the embedded fleet"`
+	Slots    int           `arg:"--slots" default:"8" help:"requests at once on an endpoint of the embedded fleet"`
+	Work     time.Duration `arg:"--work" default:"20ms" help:"time for a request in the embedded fleet"`
+}
+
+// onceSuffix marks a service whose requests run at most once.
+const onceSuffix = ":once"
+
+var (
+	defaultServices = []string{"survey", "routing", "barges", "permits:once", "tenders"}
+	defaultMembers  = []string{"candaba", "pampanga", "masantol"}
+)
+
+func (c *loadCmd) run(ctx context.Context, s *settings) error {
+	cfg, err := c.config()
+	if err != nil {
+		return err
+	}
+	target := load.Target{Entries: c.Callers, TimeLimit: c.Limit, BodySize: c.Body}
+	if c.Dev {
+		f, err := c.startFleet(ctx, s, cfg)
+		if err != nil {
+			return err
+		}
+		defer f.Stop()
+		target.Runs = f.Runs
+		target.Entries = nil
+		for _, n := range f.Nodes {
+			target.Entries = append(target.Entries, n.CallersURL)
+		}
+	}
+	fmt.Fprintf(s.progress, "%d services at %d entries for %s\n", len(cfg.Services), len(target.Entries), c.For)
+	sum, err := load.Run(ctx, cfg, target)
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(s.out).Encode(sum)
+}
+
+func (c *loadCmd) config() (load.Config, error) {
+	if !c.Dev && len(c.Callers) == 0 {
+		return load.Config{}, errors.New("load needs --dev or --callers")
+	}
+	if c.Rate <= 0 || c.For <= 0 || c.Burst <= 0 || c.Factor <= 0 || c.Quiet <= 0 || c.InFlight <= 0 {
+		return load.Config{}, errors.New("rates, factors, times and calls at once must be positive")
+	}
+	if len(c.Services) == 0 {
+		c.Services = defaultServices
+	}
+	if len(c.Members) == 0 {
+		c.Members = defaultMembers
+	}
+	cfg := load.Config{
+		Duration: c.For, Burst: c.Burst, BurstFactor: c.Factor, QuietFactor: c.Quiet,
+		MaxInFlight: c.InFlight, Seed: c.Seed,
+	}
+	for _, name := range c.Services {
+		plain, once := strings.CutSuffix(name, onceSuffix)
+		cfg.Services = append(cfg.Services, load.Service{Name: fleet.ServiceName(plain), Idempotent: !once, Rate: c.Rate})
+	}
+	for _, name := range c.Members {
+		cfg.Members = append(cfg.Members, fleet.MemberName(name))
+	}
+	return cfg, nil
+}
+
+// startFleet starts an embedded fleet and waits until all entries are ready.
+func (c *loadCmd) startFleet(ctx context.Context, s *settings, cfg load.Config) (*dev.Fleet, error) {
+	f, err := dev.Start(dev.Config{Entries: c.Entries, Runners: c.Runners, Slots: c.Slots, Work: c.Work})
+	if err != nil {
+		return nil, err
+	}
+	layout := dev.Layout{Members: cfg.Members, Slots: c.Slots}
+	for _, svc := range cfg.Services {
+		layout.Services = append(layout.Services, dev.LayoutService{Name: svc.Name, Idempotent: svc.Idempotent})
+	}
+	s.Entry = f.Nodes[0].OperatorsURL
+	if _, err := newClient(s).publish(ctx, 0, []byte(f.LayoutText(layout))); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	for _, n := range f.Nodes {
+		for !n.Entry.Ready() {
+			if !pause(ctx, followInterval) {
+				f.Stop()
+				return nil, ctx.Err()
+			}
+		}
+	}
+	return f, nil
+}
--- a/cmd/banyanrail/main.go
+++ b/cmd/banyanrail/main.go
@@ -19,6 +19,7 @@
 	Status  *statusCmd  `arg:"subcommand:status" help:"show what an entry sees"`
 	Watch   *watchCmd   `arg:"subcommand:watch" help:"show changes of an entry's state as they happen"`
 	Dev     *devCmd     `arg:"subcommand:dev" help:"run a whole fleet in this process"`
+	Load    *loadCmd    `arg:"subcommand:load" help:"drive a fleet with requests and count what became of them"`
 	Version *versionCmd `arg:"subcommand:version" help:"show the version of this program"`
 
 	Entry string `arg:"--entry,env:BANYANRAIL_ENTRY" default:"http://127.0.0.1:8081" help:"base URL of an entry's operators' interface"`
--- /dev/null
+++ b/dev/layout.go
@@ -0,0 +1,79 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/services"
+)
+
+// Sizes of a layout.
+const (
+	dataCentres = 4
+	rackSize    = 4
+	timeLimit   = 10 * time.Second
+	drainLimit  = 30 * time.Second
+	probation   = 5 * time.Second
+)
+
+// Layout spreads a fleet's runners over several services.
+type Layout struct {
+	// Services share the runners in equal parts, a pool for each.
+	Services []LayoutService
+	Members  []fleet.MemberName
+	Slots    int
+}
+
+// LayoutService is a service of a layout.
+type LayoutService struct {
+	Name       fleet.ServiceName
+	Idempotent bool
+}
+
+// LayoutText returns a services text that puts each service's instances into
+// all data centres in turn.
+func (f *Fleet) LayoutText(l Layout) string {
+	text := &fleet.Text{Maintenance: fleet.Maintenance{DrainLimit: drainLimit, MaxStep: 1, Probation: probation}}
+	for i := range dataCentres {
+		text.DataCentres = append(text.DataCentres, fleet.DataCentre(fmt.Sprintf("dc%d", i+1)))
+	}
+	for _, name := range l.Members {
+		text.Members = append(text.Members, fleet.Member{Name: name, Weight: 1})
+	}
+	for _, svc := range l.Services {
+		text.Pools = append(text.Pools, fleet.Pool{
+			Name: fleet.PoolName(svc.Name), Slots: l.Slots, Connections: fleet.DefaultConnections, MaxSize: 1,
+		})
+		text.Services = append(text.Services, fleet.Service{
+			Name: svc.Name, Pool: fleet.PoolName(svc.Name), Availability: 0.999, Idempotent: svc.Idempotent,
+			TimeLimit: timeLimit, MaxBody: fleet.DefaultMaxBody, MaxQueue: fleet.DefaultMaxQueue, MaxAttempts: 3,
+		})
+	}
+	for i, r := range f.Runners {
+		text.Instances = append(text.Instances, fleet.Instance{
+			ID:         r.ID,
+			Address:    r.Address,
+			DataCentre: text.DataCentres[i/len(l.Services)%dataCentres],
+			Rack:       fleet.Rack(fmt.Sprintf("r%d", i/(rackSize*dataCentres)+1)),
+			Pool:       text.Pools[i%len(l.Services)].Name,
+		})
+	}
+	return string(services.Print(text))
+}
+
+// Runs returns how often the runners ran the request of each key.
+func (f *Fleet) Runs(ctx context.Context) (map[fleet.Key]int, error) {
+	all := make(map[fleet.Key]int)
+	for _, r := range f.Runners {
+		runs, err := r.Runs(ctx)
+		if err != nil {
+			return nil, err
+		}
+		for key, n := range runs.ByKey {
+			all[fleet.Key(key)] += n
+		}
+	}
+	return all, nil
+}
--- /dev/null
+++ b/load/summary.go
@@ -0,0 +1,148 @@
+package load
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/banyanrail/banyanrail/fleet"
+)
+
+// Counts says what became of requests. Each request sent counts once from
+// Answered to Unreachable.
+type Counts struct {
+	Requests int `json:"requests"`
+	// NotSent arrived while too many calls were in flight.
+	NotSent int `json:"not_sent"`
+	// Answered got the whole answer to the request itself.
+	Answered int `json:"answered"`
+	// RefusedNotRun were refused with the promise that they did not run.
+	RefusedNotRun int `json:"refused_not_run"`
+	// Unknown may have run.
+	Unknown int `json:"unknown"`
+	// Failed got an error that an endpoint answered with.
+	Failed int `json:"failed"`
+	// Lost got no answer in time.
+	Lost int `json:"lost"`
+	// Crossed got another request's answer, or a wrong one.
+	Crossed int `json:"crossed"`
+	// CutOff had their connection broken after they were sent.
+	CutOff int `json:"cut_off"`
+	// Unreachable found no entry.
+	Unreachable int `json:"unreachable"`
+	// Doubled ran more than once though the service is not idempotent, and
+	// RanThoughRefused ran though they were refused as not run. Both are absent
+	// when the endpoints can't be asked.
+	Doubled          *int `json:"doubled,omitempty"`
+	RanThoughRefused *int `json:"ran_though_refused,omitempty"`
+}
+
+// Latency holds quantiles of answered requests in milliseconds.
+type Latency struct {
+	P50  float64 `json:"p50_ms"`
+	P90  float64 `json:"p90_ms"`
+	P99  float64 `json:"p99_ms"`
+	P999 float64 `json:"p999_ms"`
+	Max  float64 `json:"max_ms"`
+}
+
+// ServiceSummary is the part of one service.
+type ServiceSummary struct {
+	Counts
+	Latency Latency `json:"latency"`
+}
+
+// Summary is the result of a run.
+type Summary struct {
+	Counts
+	Latency  Latency                              `json:"latency"`
+	Seconds  float64                              `json:"seconds"`
+	Services map[fleet.ServiceName]ServiceSummary `json:"services"`
+}
+
+// count takes in the end of a call.
+func (src *source) count(e CallFinished, key fleet.Key) {
+	n := &src.counts
+	switch {
+	case e.Answer == AnswerUnreachable:
+		n.Unreachable++
+	case e.Answer == AnswerNone:
+		n.Lost++
+	case e.Answer == AnswerBroken:
+		n.CutOff++
+	case e.Ran == fleet.RanNo:
+		n.RefusedNotRun++
+		src.refused = append(src.refused, key)
+	case e.Ran == fleet.RanUnknown:
+		n.Unknown++
+	case e.Status >= http.StatusBadRequest:
+		n.Failed++
+	case !e.Own:
+		n.Crossed++
+	default:
+		n.Answered++
+		_ = src.latency.RecordValue(min(e.Elapsed, maxLatency).Microseconds()) // bounded by maxLatency
+	}
+}
+
+// summarise adds up the services. Runs is nil when the endpoints were not
+// asked.
+func (s *State) summarise(runs map[fleet.Key]int) Summary {
+	sum := Summary{Seconds: s.now.Sub(s.start).Seconds(), Services: make(map[fleet.ServiceName]ServiceSummary)}
+	all := hdrhistogram.New(1, maxLatency.Microseconds(), latencyPrecision)
+	for _, src := range s.sources {
+		if runs != nil {
+			src.counts.Doubled = over(runs, src.once, 1)
+			src.counts.RanThoughRefused = over(runs, src.refused, 0)
+		}
+		sum.add(src.counts)
+		all.Merge(src.latency)
+		sum.Services[src.Name] = ServiceSummary{Counts: src.counts, Latency: latencyOf(src.latency)}
+	}
+	sum.Latency = latencyOf(all)
+	return sum
+}
+
+// over counts the keys that ran more often than allowed.
+func over(runs map[fleet.Key]int, keys []fleet.Key, allowed int) *int {
+	n := 0
+	for _, key := range keys {
+		if runs[key] > allowed {
+			n++
+		}
+	}
+	return &n
+}
+
+func (n *Counts) add(m Counts) {
+	n.Requests += m.Requests
+	n.NotSent += m.NotSent
+	n.Answered += m.Answered
+	n.RefusedNotRun += m.RefusedNotRun
+	n.Unknown += m.Unknown
+	n.Failed += m.Failed
+	n.Lost += m.Lost
+	n.Crossed += m.Crossed
+	n.CutOff += m.CutOff
+	n.Unreachable += m.Unreachable
+	n.Doubled = sumOf(n.Doubled, m.Doubled)
+	n.RanThoughRefused = sumOf(n.RanThoughRefused, m.RanThoughRefused)
+}
+
+func sumOf(a, b *int) *int {
+	switch {
+	case b == nil:
+		return a
+	case a == nil:
+		return b
+	}
+	sum := *a + *b
+	return &sum
+}
+
+func latencyOf(h *hdrhistogram.Histogram) Latency {
+	at := func(q float64) float64 {
+		return float64(h.ValueAtQuantile(q)) * float64(time.Microsecond) / float64(time.Millisecond)
+	}
+	return Latency{P50: at(50), P90: at(90), P99: at(99), P999: at(99.9), Max: at(100)}
+}
