--- a/cmd/banyanraild/main.go
+++ b/cmd/banyanraild/main.go
@@ -61,6 +61,7 @@
 		ID:               fleet.EntryID(c.ID),
 		DataCentre:       fleet.DataCentre(c.DataCentre),
 		OperatorToken:    c.OperatorToken,
+		PeerAddress:      c.Peers,
 		PeersTLS:         peersTLS,
 		SnapshotInterval: c.snapshots,
 	}, entry.Deps{Log: client, Instances: client, Logger: logger, Metrics: scope, Traces: traces})
--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/platform"
+	"github.com/banyanrail/banyanrail/reduce"
 	"github.com/banyanrail/banyanrail/standin"
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
@@ -33,6 +34,8 @@
 	Work time.Duration
 	// SnapshotInterval is the time between snapshots; zero means the default.
 	SnapshotInterval time.Duration
+	// Placement says who grants slots.
+	Placement reduce.Placement
 	// Deps are handed to every entry; Log is set by the fleet.
 	Deps entry.Deps
 }
@@ -45,7 +48,7 @@
 
 	cfg         Config
 	platformURL string
-	running     context.Context
+	ctx         context.Context
 	cancel      context.CancelFunc
 	wg          sync.WaitGroup
 }
@@ -66,6 +69,8 @@
 	OperatorsURL string
 	// PeerAddress is where other entries reach it.
 	PeerAddress string
+	// Log is the entry's way to the log.
+	Log *LogSwitch
 	// Kill ends the entry at once, without a graceful shutdown.
 	Kill context.CancelFunc
 }
@@ -73,7 +78,7 @@
 // Start starts a fleet. Stop it when done.
 func Start(cfg Config) (*Fleet, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Fleet{Platform: standin.NewPlatform(), cfg: cfg, running: ctx, cancel: cancel}
+	f := &Fleet{Platform: standin.NewPlatform(), cfg: cfg, ctx: ctx, cancel: cancel}
 	if err := f.start(ctx, cfg); err != nil {
 		f.Stop()
 		return nil, err
@@ -96,37 +101,58 @@
 		}
 		f.Runners = append(f.Runners, r)
 	}
-	for i := range cfg.Entries {
-		node, err := f.startNode(fmt.Sprintf("entry-%d", i+1))
-		if err != nil {
+	for range cfg.Entries {
+		if _, err := f.addNode(false); err != nil {
 			return err
 		}
-		f.Nodes = append(f.Nodes, node)
 	}
 	return f.list()
 }
 
-// AddNode starts one more entry and lists it.
-func (f *Fleet) AddNode(id string) (*Node, error) {
-	node, err := f.startNode(id)
+// AddNode starts one more entry and puts it on the platform's list. With cut
+// set it cannot reach the log until its LogSwitch is closed.
+func (f *Fleet) AddNode(cut bool) (*Node, error) {
+	node, err := f.addNode(cut)
 	if err != nil {
 		return nil, err
 	}
-	f.Nodes = append(f.Nodes, node)
 	return node, f.list()
 }
 
-func (f *Fleet) startNode(id string) (*Node, error) {
-	ctx, kill := context.WithCancel(f.running)
-	deps := f.cfg.Deps
+func (f *Fleet) addNode(cut bool) (*Node, error) {
+	node, err := f.startNode(fmt.Sprintf("entry-%d", len(f.Nodes)+1), cut)
+	if err != nil {
+		return nil, err
+	}
+	f.Nodes = append(f.Nodes, node)
+	return node, nil
+}
+
+func (f *Fleet) startNode(id string, cut bool) (*Node, error) {
+	ctx, kill := context.WithCancel(f.ctx)
+	peersListener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		kill()
+		return nil, oops.In("dev").With("step", "listen").Wrap(err)
+	}
 	client := platform.NewClient(f.platformURL)
-	deps.Log, deps.Instances = client, client
-	node := &Node{ID: fleet.EntryID(id), Kill: kill}
+	node := &Node{
+		ID:          fleet.EntryID(id),
+		Kill:        kill,
+		Log:         NewLogSwitch(client),
+		PeerAddress: peersListener.Addr().String(),
+	}
+	node.Log.Cut(cut)
+	deps := f.cfg.Deps
+	deps.Log, deps.Instances = node.Log, client
 	node.Entry = entry.New(entry.Config{
 		ID:               node.ID,
 		Seed:             uint64(len(f.Nodes) + 1),
+		PeerAddress:      node.PeerAddress,
+		Placement:        f.cfg.Placement,
 		SnapshotInterval: f.cfg.SnapshotInterval,
 	}, deps)
+	f.servePeers(ctx, node.Entry, peersListener)
 	f.spawn(func() { node.Entry.Run(ctx) })
 	callers, err := f.serve(ctx, node.Entry.Callers())
 	if err != nil {
@@ -136,9 +162,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if node.PeerAddress, err = f.servePeers(ctx, node.Entry); err != nil {
-		return nil, err
-	}
 	node.CallersURL, node.OperatorsURL = "http://"+callers, "http://"+operators
 	return node, nil
 }
@@ -172,12 +195,8 @@
 	return ln.Addr().String(), nil
 }
 
-// servePeers listens for other entries and returns the address.
-func (f *Fleet) servePeers(ctx context.Context, e *entry.Entry) (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", oops.In("dev").With("step", "listen").Wrap(err)
-	}
+// servePeers takes in the messages of other entries.
+func (f *Fleet) servePeers(ctx context.Context, e *entry.Entry, ln net.Listener) {
 	srv := grpc.NewServer()
 	e.RegisterPeers(srv)
 	f.spawn(func() { _ = srv.Serve(ln) }) // returns once the server is stopped
@@ -185,7 +204,6 @@
 		<-ctx.Done()
 		srv.Stop()
 	})
-	return ln.Addr().String(), nil
 }
 
 // list puts all entries and runners on the platform's list.
--- a/dev/publish_test.go
+++ b/dev/publish_test.go
@@ -34,13 +34,6 @@
 	return string(body), fleet.Version(version)
 }
 
-func waitVersion(t *testing.T, n *dev.Node, version fleet.Version) {
-	t.Helper()
-	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
-		return status(t, n).Version >= version
-	}), wait.Gap(time.Millisecond), wait.Timeout(30*time.Second)))
-}
-
 func TestRacingOperatorsAreBothToldTheTruth(t *testing.T) {
 	const (
 		rounds    = 200
@@ -130,7 +123,7 @@
 		return status(t, f.Nodes[1]).Offset > res.Version
 	}), wait.Timeout(30*time.Second)))
 	must.NoError(t, f.Platform.Trim(platform.StreamControl, res.Version+1))
-	n, err := f.AddNode("entry-late")
+	n, err := f.AddNode(false)
 	must.NoError(t, err)
 	waitVersion(t, n, res.Version)
 	must.True(t, status(t, n).Ready)
--- a/entry/act.go
+++ b/entry/act.go
@@ -16,14 +16,14 @@
 		e.probe(o)
 	case effect.Answer:
 		e.exchanges.answer(o)
+		e.metrics.count(effect.Count{Name: effect.RequestsAnswered, Service: o.Service, N: 1})
 	case effect.Refuse:
 		e.exchanges.refuse(o)
+		e.metrics.count(effect.Count{Name: effect.RequestsRefused, Service: o.Service, Reason: o.Reason, N: 1})
 	case effect.Append:
 		e.append(o)
 	case effect.Read:
 		e.reader.start(o.From)
-	case effect.SendPeer:
-		e.sendPeer(o)
 	case effect.Count:
 		e.metrics.count(o)
 	case effect.LogChange:
@@ -46,6 +46,8 @@
 		e.statuses.Resolve(o.ID, o.Status)
 	case effect.ReplyText:
 		e.texts.Resolve(o.ID, o)
+	default:
+		e.actPeers(out)
 	}
 }
 
@@ -58,6 +60,9 @@
 	effect.ChangeRecordRejected: "record rejected",
 	effect.ChangeGap:            "gap in the control stream",
 	effect.ChangeSnapshot:       "state taken from snapshot",
+	effect.ChangeDigestMismatch: "fold differs from a peer's",
+	effect.ChangePeerSuspect:    "peer suspected",
+	effect.ChangePeerDead:       "peer dead",
 	effect.ChangeHealth:         "endpoint health",
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,8 +29,8 @@
 	DefaultTraffic     = 1024
 	// logWorkers is the number of goroutines that read and append.
 	logWorkers = 16
-	// peerWorkers is the number of messages to peers under way at once, and
-	// peerQueue the number that wait; more are dropped.
+	// peerWorkers is the number of peers that are written to at once, and
+	// peerQueue the number that wait for their turn.
 	peerWorkers = 32
 	peerQueue   = 4096
 )
@@ -39,6 +39,9 @@
 type Config struct {
 	ID         fleet.EntryID
 	DataCentre fleet.DataCentre
+	// PeerAddress is where other entries reach this one; empty leaves them to
+	// the platform's list.
+	PeerAddress string
 	// Incarnation grows with each start of the entry; zero takes the start time.
 	Incarnation uint64
 	// Seed feeds random choices; zero takes the start time.
@@ -50,6 +53,8 @@
 	// SnapshotInterval is the time between snapshots of the control stream;
 	// zero means reduce.DefaultSnapshotInterval.
 	SnapshotInterval time.Duration
+	// Placement says who grants slots; empty means reduce.PlacementLocal.
+	Placement reduce.Placement
 	// OperatorToken is the bearer token of operators; empty allows anyone who
 	// reaches the operators' listener.
 	OperatorToken string
@@ -118,18 +123,19 @@
 		traffic:    pond.NewPool(cfg.Traffic),
 		logPool:    pond.NewPool(logWorkers),
 		peerPool:   pond.NewPool(peerWorkers, pond.WithQueueSize(peerQueue), pond.WithNonBlocking(true)),
-		peers:      peer.NewClient(cfg.ID, cfg.Incarnation, cfg.PeersTLS),
 		stopped:    make(chan struct{}),
 		background: background,
 		end:        end,
 	}
 	e.reader = newReader(e)
+	e.peers = e.newPeerClient()
 	state := reduce.New(reduce.Config{
 		Entry:            cfg.ID,
 		DataCentre:       cfg.DataCentre,
 		Seed:             cfg.Seed,
 		MaxRequests:      cfg.MaxRequests,
 		SnapshotInterval: cfg.SnapshotInterval,
+		Placement:        cfg.Placement,
 	})
 	e.loop = loop.New(loop.Config[event.Body, effect.Effect]{
 		Reduce: func(now time.Time, body event.Body) []effect.Effect {
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -36,16 +36,20 @@
 	Address  string
 }
 
-// Answer hands the answer of an attempt to the caller.
+// Answer hands the answer of an attempt to the caller, and counts it for its
+// service.
 type Answer struct {
 	Request  fleet.RequestID
 	Attempt  fleet.AttemptID
 	Attempts int
+	Service  fleet.ServiceName
 }
 
-// Refuse ends a request without an endpoint's answer.
+// Refuse ends a request without an endpoint's answer, and counts it for its
+// service.
 type Refuse struct {
 	Request fleet.RequestID
+	Service fleet.ServiceName
 	Reason  fleet.Reason
 	Ran     fleet.Ran
 	// RetryAfter is when a retry may succeed; zero means no hint.
@@ -106,6 +110,8 @@
 	Instances []InstanceStatus                `json:"instances"`
 	Totals    map[string]uint64               `json:"totals"`
 	Pools     map[fleet.PoolName]int          `json:"pools"`
+	// Holds lists the pools whose slots this entry grants.
+	Holds []fleet.PoolName `json:"holds,omitempty"`
 }
 
 // InstanceStatus is one instance as the entry sees it.
@@ -132,6 +138,23 @@
 	RequestsRefused
 	AttemptsRetried
 	LateAnswers
+	// DigestMismatches counts peers whose fold of the same records differs.
+	DigestMismatches
+	// RecordsRelayed counts records that came from a peer before the log.
+	RecordsRelayed
+	// StalePeerMessages counts messages of earlier incarnations and messages
+	// that were overtaken.
+	StalePeerMessages
+	// HoldersChanged counts changes of the holder of a pool.
+	HoldersChanged
+	// HolderFallbacks counts pools whose holder did not answer in time.
+	HolderFallbacks
+	// SlotsLeased counts slots granted to other entries.
+	SlotsLeased
+	// LeasesReclaimed counts leases of other entries that were lost.
+	LeasesReclaimed
+	// GrantsReturned counts grants that could not be used.
+	GrantsReturned
 	InstancesEjected
 )
 
@@ -150,6 +173,9 @@
 	ChangeGap
 	// ChangeSnapshot means that the state was taken from a snapshot.
 	ChangeSnapshot
+	ChangeDigestMismatch
+	ChangePeerSuspect
+	ChangePeerDead
 	ChangeHealth
 )
 
@@ -165,9 +191,14 @@
 type SendPeer struct {
 	To      fleet.EntryID
 	Address string
-	Message message.Message
+	// Sequence numbers the messages to this peer; the driver keeps their order.
+	Sequence uint64
+	Message  message.Message
 }
 
+// KeepPeers closes the connections to all other addresses.
+type KeepPeers struct{ Addresses []string }
+
 // SetReady sets the entry's readiness, as the balancer sees it.
 type SetReady struct{ Ready bool }
 
@@ -190,6 +221,7 @@
 func (Count) isEffect()         {}
 func (LogChange) isEffect()     {}
 func (SendPeer) isEffect()      {}
+func (KeepPeers) isEffect()     {}
 func (SetReady) isEffect()      {}
 func (SetTimer) isEffect()      {}
 func (Stopped) isEffect()       {}
--- a/reduce/log.go
+++ b/reduce/log.go
@@ -22,34 +22,44 @@
 		s.logDown = false
 		s.emit(effect.LogChange{Change: effect.ChangeLogUp})
 	}
-	if !s.gap && ev.Oldest > s.control.Offset+1 {
-		s.gap = true
-		s.emit(effect.LogChange{
-			Change:  effect.ChangeGap,
-			Version: s.control.Version,
-			Detail:  fmt.Sprintf("records %d to %d have expired", s.control.Offset+1, ev.Oldest-1),
-		})
-	}
+	s.followGap(ev.Oldest)
 	for _, p := range ev.Records {
 		if !s.gap {
 			s.fold(p)
 			continue
 		}
-		if s.adopt(p, ev.Oldest) {
+		if s.adoptSnapshot(p, ev.Oldest) {
 			break
 		}
 	}
-	s.becomeReady()
-	s.scheduleSnapshot()
+	s.updateReady()
+}
+
+// followGap notes when records that the fold needs have expired in the log.
+// Peers may close the gap by passing them on.
+func (s *State) followGap(oldest fleet.Offset) {
+	gap := oldest > s.control.Offset+1
+	switch {
+	case gap && !s.gap:
+		s.emit(effect.LogChange{
+			Change:  effect.ChangeGap,
+			Version: s.control.Version,
+			Detail:  fmt.Sprintf("records %d to %d have expired", s.control.Offset+1, oldest-1),
+		})
+	case !gap && s.gap:
+		s.emit(effect.Read{From: s.control.Offset + 1})
+	}
+	s.gap = gap
 }
 
-// adopt closes a gap with a snapshot, and reads on from where it ends.
-func (s *State) adopt(p control.Positioned, oldest fleet.Offset) bool {
+// adoptSnapshot closes a gap with a snapshot, and reads on from where it ends.
+func (s *State) adoptSnapshot(p control.Positioned, oldest fleet.Offset) bool {
 	before := s.control.Version
 	if !s.control.Adopt(p, oldest) {
 		return false
 	}
 	s.gap = false
+	s.relay.Reset(s.control.Offset)
 	s.emit(effect.LogChange{
 		Change:  effect.ChangeSnapshot,
 		Version: s.control.Version,
@@ -61,12 +71,15 @@
 	return true
 }
 
-func (s *State) becomeReady() {
+// updateReady makes the entry ready once a services text is in force and none
+// of the records that it needs are missing.
+func (s *State) updateReady() {
 	if s.ready || s.stopping || s.gap || s.control.Text == nil {
 		return
 	}
 	s.ready = true
 	s.emit(effect.SetReady{Ready: true})
+	s.followHolders()
 	s.emit(effect.LogChange{Change: effect.ChangeReady, Version: s.control.Version})
 }
 
@@ -76,7 +89,10 @@
 	if res.Outcome == control.Gap {
 		return
 	}
+	s.relay.Add(p)
+	s.hastenHeartbeat()
 	s.followText(before, p.Record.ID)
+	s.scheduleSnapshot()
 	s.settle(res)
 	if v, ok := p.Record.Body.(control.Void); ok && res.Outcome == control.Accepted {
 		s.settle(control.Result{Record: v.Record, Outcome: control.Voided, Offset: p.Offset, Version: res.Version})
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -6,6 +6,7 @@
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/banyanrail/banyanrail/reduce/health"
+	"github.com/banyanrail/banyanrail/reduce/holder"
 	"github.com/banyanrail/banyanrail/reduce/peers"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 )
@@ -45,6 +46,7 @@
 		s.onOperatorEvent(b)
 	}
 	s.fireTimers()
+	s.flushOutbox()
 	s.finishStop()
 	s.armTimer()
 	return s.out
@@ -80,6 +82,8 @@
 			s.onHeartbeatDue()
 		case *snapshots:
 			s.onSnapshotTimer()
+		case *holder.Link:
+			s.onHolderTimer(o)
 		}
 	}
 }
--- a/reduce/request.go
+++ b/reduce/request.go
@@ -6,6 +6,7 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/holder"
 	"github.com/banyanrail/banyanrail/reduce/placement"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 )
@@ -21,14 +22,15 @@
 func (s *State) onRequestArrived(ev event.RequestArrived) {
 	svc, reason := s.admit(ev)
 	if reason != fleet.ReasonNone {
-		s.refuse(effect.Refuse{Request: ev.ID, Reason: reason, Ran: fleet.RanNo, RetryAfter: hint(reason)}, ev.Service)
+		s.refuse(effect.Refuse{Request: ev.ID, Reason: reason, Ran: fleet.RanNo, RetryAfter: hint(reason)}, known(svc))
 		return
 	}
 	limit := svc.TimeLimit
 	if ev.TimeLimit > 0 && ev.TimeLimit < limit {
 		limit = ev.TimeLimit
 	}
-	r := &requests.Request{
+	r := s.requests.New()
+	*r = requests.Request{
 		ID:       ev.ID,
 		Service:  svc,
 		Member:   ev.Member,
@@ -44,6 +46,15 @@
 	s.enqueue(r)
 }
 
+// known returns the name of a service that the text lists. Others stay out of
+// the metrics, whose labels callers must not choose.
+func known(svc *fleet.Service) fleet.ServiceName {
+	if svc == nil {
+		return ""
+	}
+	return svc.Name
+}
+
 // admit checks a request against the text in force and the entry's limits.
 func (s *State) admit(ev event.RequestArrived) (*fleet.Service, fleet.Reason) {
 	text := s.control.Text
@@ -60,17 +71,17 @@
 		return nil, fleet.ReasonUnknownService
 	}
 	if _, ok := text.Member(ev.Member); !ok {
-		return nil, fleet.ReasonUnknownMember
+		return svc, fleet.ReasonUnknownMember
 	}
 	if ev.BodySize > svc.MaxBody {
-		return nil, fleet.ReasonBodyTooLarge
+		return svc, fleet.ReasonBodyTooLarge
 	}
 	pool, ok := text.Pool(svc.Pool)
 	if !ok {
-		return nil, fleet.ReasonNoCapacity
+		return svc, fleet.ReasonNoCapacity
 	}
 	if ev.Size > pool.MaxSize {
-		return nil, fleet.ReasonSizeTooLarge
+		return svc, fleet.ReasonSizeTooLarge
 	}
 	return svc, fleet.ReasonNone
 }
@@ -99,17 +110,23 @@
 		return
 	}
 	r.Phase = requests.Queued
+	s.ask(r)
 	s.grant(ask.Pool)
 }
 
 // overloaded reports whether a new request has to be refused, and when a retry
 // may succeed.
 func (s *State) overloaded(r *requests.Request, ask placement.Ask) (time.Duration, bool) {
-	a := s.placement.Admit(ask, r.Service.MaxQueue)
+	return s.full(ask, r.Service.MaxQueue, r.Deadline.Sub(s.now))
+}
+
+// full reports whether a queue has no place for a request, or none that starts
+// it in the time that is left, and when a retry may succeed.
+func (s *State) full(ask placement.Ask, maxQueue int, left time.Duration) (time.Duration, bool) {
+	a := s.placement.Admit(ask, maxQueue)
 	if a.Full {
 		return a.RetryAfter, true
 	}
-	left := r.Deadline.Sub(s.now)
 	return a.Wait - left, a.Wait > left
 }
 
@@ -122,16 +139,21 @@
 
 // grant dispatches waiting requests of a pool while it has free slots.
 func (s *State) grant(pool fleet.PoolName) {
-	for {
+	for s.mayGrant(pool) {
 		g, ok := s.placement.Next(pool)
 		if !ok {
 			return
 		}
+		if holder.IsRemote(g.Ask.Request) {
+			s.lease(g)
+			continue
+		}
 		r, ok := s.requests.Get(g.Ask.Request)
 		if !ok {
 			s.placement.Finish(g, 0)
 			continue
 		}
+		s.withdrawAsk(r)
 		s.dispatch(r, g)
 	}
 }
@@ -159,9 +181,14 @@
 	}
 	g := r.Grant
 	s.placement.Finish(g, ev.Elapsed)
-	s.judge(r, ev)
+	s.giveBack(r, s.judge(r, ev))
 	s.conclude(r, ev)
 	s.grant(g.Ask.Pool)
+	s.grantUnblocked()
+}
+
+// grantUnblocked dispatches requests of members that fell below their quota.
+func (s *State) grantUnblocked() {
 	for _, pool := range s.placement.Unblocked() {
 		s.grant(pool)
 	}
@@ -191,8 +218,7 @@
 
 func (s *State) answer(r *requests.Request, ev event.AttemptFinished) {
 	s.totals.answered++
-	s.emit(effect.Answer{Request: r.ID, Attempt: ev.Attempt, Attempts: r.Attempts})
-	s.emit(effect.Count{Name: effect.RequestsAnswered, Service: r.Service.Name, N: 1})
+	s.emit(effect.Answer{Request: r.ID, Attempt: ev.Attempt, Attempts: r.Attempts, Service: r.Service.Name})
 	s.forget(r)
 }
 
@@ -252,6 +278,7 @@
 // withdraw ends a request that has no attempt under way.
 func (s *State) withdraw(r *requests.Request, reason fleet.Reason) {
 	s.placement.Remove(r.ID)
+	s.withdrawAsk(r)
 	s.refuseRequest(r, reason)
 }
 
@@ -270,8 +297,8 @@
 
 func (s *State) refuse(e effect.Refuse, service fleet.ServiceName) {
 	s.totals.refused++
+	e.Service = service
 	s.emit(e)
-	s.emit(effect.Count{Name: effect.RequestsRefused, Service: service, Reason: e.Reason, N: 1})
 }
 
 func (s *State) forget(r *requests.Request) {
--- a/reduce/snapshot.go
+++ b/reduce/snapshot.go
@@ -51,7 +51,7 @@
 // snapshotDue is when this entry's turn comes, by its rank among the entries
 // alive.
 func (s *State) snapshotDue() time.Time {
-	rank := s.peers.Rank(fmt.Sprintf("snapshot-%d", s.snapshots.kept), s.now)
+	rank := s.peers.Rank(fmt.Sprintf("snapshot-%d", s.snapshots.kept))
 	return s.snapshots.since.Add(s.cfg.SnapshotInterval + time.Duration(rank)*snapshotStagger)
 }
 
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -7,8 +7,10 @@
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/health"
+	"github.com/banyanrail/banyanrail/reduce/holder"
 	"github.com/banyanrail/banyanrail/reduce/peers"
 	"github.com/banyanrail/banyanrail/reduce/placement"
+	"github.com/banyanrail/banyanrail/reduce/relay"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 	"github.com/banyanrail/banyanrail/reduce/timer"
 )
@@ -24,6 +26,8 @@
 	// SnapshotInterval is the time between snapshots of the control stream;
 	// zero means DefaultSnapshotInterval.
 	SnapshotInterval time.Duration
+	// Placement says who grants slots; empty means PlacementLocal.
+	Placement Placement
 }
 
 // State is the whole control state of an entry. Only Reduce changes it.
@@ -37,9 +41,17 @@
 	budgets   *requests.Budgets
 	peers     *peers.State
 	proposals proposals
-	timers    timer.Heap
-	snapshots snapshots
-	logDown   bool
+	relay     relay.State
+	holders   *holder.State
+	outbox    outbox
+	// reask holds the requests whose grants could not be used.
+	reask []fleet.RequestID
+	// digestValue is the digest of the fold up to digestOffset.
+	digestOffset fleet.Offset
+	digestValue  uint64
+	timers       timer.Heap
+	snapshots    snapshots
+	logDown      bool
 	// gap is set while records that the fold needs have expired.
 	gap      bool
 	ready    bool
@@ -65,6 +77,7 @@
 		budgets:   requests.NewBudgets(),
 		peers:     peers.New(cfg.Entry),
 		proposals: newProposals(),
+		holders:   holder.New(),
 	}
 }
 
--- a/reduce/status.go
+++ b/reduce/status.go
@@ -17,7 +17,7 @@
 		Offset:   s.control.Offset,
 		Requests: s.requests.Len(),
 		Queued:   s.placement.Queued(),
-		Peers:    s.peers.Alive(s.now),
+		Peers:    s.peers.Alive(),
 		Versions: s.versions(),
 		Pools:    make(map[fleet.PoolName]int),
 		Totals: map[string]uint64{
@@ -27,7 +27,9 @@
 			"late":     s.totals.late,
 		},
 	}
+	st.Holds = s.holders.Holds()
 	for _, l := range s.placement.Loads() {
+		l.Running -= s.holders.Leased(l.Instance)
 		st.Running += l.Running
 		st.Pools[l.Pool]++
 		st.Instances = append(st.Instances, effect.InstanceStatus{ID: l.Instance, Pool: l.Pool, Running: l.Running})
@@ -38,7 +40,7 @@
 // versions returns the version in force at each entry alive.
 func (s *State) versions() map[fleet.EntryID]fleet.Version {
 	all := map[fleet.EntryID]fleet.Version{s.cfg.Entry: s.control.Version}
-	for _, id := range s.peers.Alive(s.now) {
+	for _, id := range s.peers.Alive() {
 		if p, ok := s.peers.Get(id); ok {
 			all[id] = p.Version
 		}
