--- a/dev/bench_test.go
+++ b/dev/bench_test.go
@@ -75,6 +75,33 @@
 	_, _ = w.Write(resp.Body())
 }
 
+// hop is a pass-through that goes by one goroutine before and after its call, as
+// every request of an entry has to.
+type hop struct {
+	http.Handler
+	asks chan chan struct{}
+}
+
+func newHop(h http.Handler) *hop { return &hop{Handler: h, asks: make(chan chan struct{}, 64)} }
+
+func (h *hop) run() {
+	for ask := range h.asks {
+		ask <- struct{}{}
+	}
+}
+
+func (h *hop) cross() {
+	answer := make(chan struct{}, 1)
+	h.asks <- answer
+	<-answer
+}
+
+func (h *hop) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.cross()
+	h.Handler.ServeHTTP(w, r)
+	h.cross()
+}
+
 // spanTimes gathers the lengths of spans by name.
 type spanTimes struct {
 	mu     sync.Mutex
@@ -184,11 +211,17 @@
 	waitReady(b, fleet)
 	pass := httptest.NewServer(newPassThrough(urls))
 	defer pass.Close()
+	crossing := newHop(newPassThrough(urls))
+	go crossing.run()
+	defer close(crossing.asks)
+	hops := httptest.NewServer(crossing)
+	defer hops.Close()
 	for _, callers := range []int{1, 8, 64} {
 		b.Run(fmt.Sprintf("callers-%d", callers), func(b *testing.B) {
 			comparePaths(b, callers, spans, []*target{
 				{name: "direct", url: func(n int) string { return urls[n%len(urls)] + "/survey" }},
 				{name: "pass", url: func(int) string { return pass.URL }},
+				{name: "hops", url: func(int) string { return hops.URL }},
 				{name: "entry", url: func(int) string { return fleet.Nodes[0].CallersURL + "/v1/services/survey/requests" }},
 			})
 		})
@@ -212,7 +245,7 @@
 		}
 	}
 	b.StopTimer()
-	direct, pass, own := targets[0], targets[1], targets[2]
+	direct, pass, hops, own := targets[0], targets[1], targets[2], targets[3]
 	for _, t := range targets {
 		b.ReportMetric(t.micros(50), t.name+"-p50-us")
 		b.ReportMetric(t.micros(99), t.name+"-p99-us")
@@ -220,6 +253,7 @@
 	}
 	b.ReportMetric((own.micros(50)-direct.micros(50))/(pass.micros(50)-direct.micros(50)), "added-p50-ratio")
 	b.ReportMetric((own.micros(99)-direct.micros(99))/(pass.micros(99)-direct.micros(99)), "added-p99-ratio")
+	b.ReportMetric((own.micros(50)-direct.micros(50))/(hops.micros(50)-direct.micros(50)), "added-p50-ratio-to-hops")
 	b.ReportMetric(own.rate()/pass.rate(), "req/s-ratio")
 	for name, unit := range map[string]string{"caller request": "front-end-span-us", "endpoint attempt": "endpoint-span-us"} {
 		if h, ok := spans.byName[name]; ok {
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -104,7 +105,6 @@
 func newHTTP(transport *http.Transport) *resty.Client {
 	return resty.New().
 		SetTransport(transport).
-		SetResponseBodyLimit(maxAnswer).
 		SetRedirectPolicy(resty.RedirectPolicyFunc(func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		}))
@@ -122,7 +122,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { conn = connection{got: true, reused: info.Reused} },
 	})
-	resp, err := c.send(ctx, req)
+	got, err := c.send(ctx, req)
 	if err != nil {
 		fail := oops.In("endpoint").With("step", "dispatch", "peer", req.Address, "attempt", req.Attempt)
 		if !conn.got {
@@ -130,7 +130,7 @@
 		}
 		return Result{Outcome: event.AttemptBroken, Err: fail.Wrap(err)}
 	}
-	return c.judge(req, resp, conn)
+	return c.judge(req, got, conn)
 }
 
 // client returns the HTTP client for an address.
@@ -141,21 +141,67 @@
 	return c.pooled
 }
 
-func (c *Client) send(ctx context.Context, req Request) (*resty.Response, error) {
+// defaultContentType stands for a body whose caller named no type.
+const defaultContentType = "application/octet-stream"
+
+// answer is what came back. It is whole if its end was marked, by a length or
+// by chunks, since reading fails when the mark is not reached.
+type answer struct {
+	Response
+	whole bool
+}
+
+// send returns the answer with its body, which is read here and not by resty,
+// since resty would look for JSON in it.
+func (c *Client) send(ctx context.Context, req Request) (answer, error) {
+	contentType := req.ContentType
+	if contentType == "" {
+		contentType = defaultContentType
+	}
 	r := c.client(req.Address).R().
 		SetContext(ctx).
+		SetDoNotParseResponse(true).
+		SetHeader("Content-Type", contentType).
 		SetHeader(HeaderAttempt, req.Attempt).
 		SetHeader(HeaderMember, string(req.Member)).
 		SetBody(req.Body)
-	if req.ContentType != "" {
-		r.SetHeader("Content-Type", req.ContentType)
-	}
 	if req.Key != "" {
 		r.SetHeader(HeaderKey, string(req.Key))
 		r.SetHeader(HeaderFence, strconv.FormatInt(int64(req.Fence), 10))
 	}
 	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(r.Header))
-	return r.Post("http://" + req.Address + "/" + url.PathEscape(string(req.Service)))
+	resp, err := r.Post("http://" + req.Address + "/" + url.PathEscape(string(req.Service)))
+	if err != nil {
+		return answer{}, err
+	}
+	raw := resp.RawResponse
+	body, err := readBody(raw)
+	return answer{
+		Response: Response{Status: raw.StatusCode, Header: raw.Header, Body: body},
+		whole:    raw.ContentLength >= 0 || isChunked(raw) || raw.ProtoMajor >= 2,
+	}, errors.Join(err, raw.Body.Close())
+}
+
+func isChunked(r *http.Response) bool {
+	return len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
+}
+
+var errAnswerTooLarge = errors.New("answer is too large")
+
+func readBody(r *http.Response) ([]byte, error) {
+	if r.ContentLength > maxAnswer {
+		return nil, errAnswerTooLarge
+	}
+	if r.ContentLength >= 0 {
+		body := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(r.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxAnswer+1))
+	if len(body) > maxAnswer {
+		return nil, errAnswerTooLarge
+	}
+	return body, err
 }
 
 // probePath is where endpoints tell whether they are well.
@@ -171,22 +217,22 @@
 }
 
 // judge says what an answer that was received means.
-func (c *Client) judge(req Request, resp *resty.Response, conn connection) Result {
+func (c *Client) judge(req Request, got answer, conn connection) Result {
 	fail := oops.In("endpoint").With("step", "answer", "peer", req.Address, "attempt", req.Attempt)
-	header := resp.Header()
+	header := got.Header
 	if err := c.checkOwner(req, header.Get(HeaderAttempt), conn); err != nil {
 		return Result{Outcome: event.AttemptBroken, Err: fail.Wrap(err)}
 	}
 	leaving := header.Get(HeaderLeaving) == "true"
-	if resp.StatusCode() == http.StatusServiceUnavailable && header.Get(HeaderRan) == "no" {
+	if got.Status == http.StatusServiceUnavailable && header.Get(HeaderRan) == "no" {
 		return Result{Outcome: event.AttemptRefused, Leaving: leaving, Err: fail.Errorf("refused by the endpoint")}
 	}
-	if !isWhole(resp.RawResponse) {
+	if !got.whole {
 		return Result{Outcome: event.AttemptBroken, Err: fail.Errorf("answer has no length that tells whether it is whole")}
 	}
 	return Result{
 		Outcome:  event.AttemptAnswered,
-		Response: &Response{Status: resp.StatusCode(), Header: header, Body: resp.Body()},
+		Response: &got.Response,
 		Leaving:  leaving,
 	}
 }
@@ -209,10 +255,3 @@
 	}
 	return nil
 }
-
-// isWhole reports whether the end of the answer was marked, by a length or by
-// chunks. Reading has failed already when the mark was not reached.
-func isWhole(r *http.Response) bool {
-	chunked := len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
-	return r.ContentLength >= 0 || chunked || r.ProtoMajor >= 2
-}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/banyanrail/banyanrail/endpoint"
@@ -54,7 +53,7 @@
 		return endpoint.Result{Outcome: event.AttemptSkipped}
 	}
 	res := e.client.Do(ctx, endpoint.Request{
-		Attempt:     fmt.Sprintf("%s-%s", e.cfg.ID, o.Attempt),
+		Attempt:     string(e.cfg.ID) + "-" + o.Attempt.String(),
 		Service:     o.Service,
 		Address:     o.Address,
 		Member:      x.member,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -83,7 +83,7 @@
 	client    *endpoint.Client
 	tracer    trace.Tracer
 	metrics   *metrics
-	traffic   pond.Pool
+	traffic   *workers
 	logPool   pond.Pool
 	peerPool  pond.Pool
 	peers     *peer.Client
@@ -110,7 +110,7 @@
 		client:     endpoint.NewClient(fleet.DefaultConnections),
 		tracer:     deps.Traces.Tracer("github.com/banyanrail/banyanrail/entry"),
 		metrics:    newMetrics(deps.Metrics),
-		traffic:    pond.NewPool(cfg.Traffic),
+		traffic:    newWorkers(cfg.Traffic),
 		logPool:    pond.NewPool(logWorkers),
 		peerPool:   pond.NewPool(peerWorkers, pond.WithQueueSize(peerQueue), pond.WithNonBlocking(true)),
 		peers:      peer.NewClient(cfg.ID, cfg.Incarnation, cfg.PeersTLS),
@@ -177,7 +177,7 @@
 	<-ctx.Done()
 	e.end()
 	<-e.loop.Done()
-	e.traffic.StopAndWait()
+	e.traffic.Stop()
 	e.logPool.StopAndWait()
 	e.peerPool.StopAndWait()
 	e.peers.Close()
--- a/fleet/id.go
+++ b/fleet/id.go
@@ -1,6 +1,6 @@
 package fleet
 
-import "fmt"
+import "strconv"
 
 // Identifiers of the things an operator names in the services text or that the
 // platform lists. They are opaque and compared byte for byte.
@@ -47,5 +47,5 @@
 
 // String returns the form that is sent to endpoints, "request.attempt".
 func (a AttemptID) String() string {
-	return fmt.Sprintf("%d.%d", a.Request, a.Number)
+	return strconv.FormatUint(uint64(a.Request), 10) + "." + strconv.Itoa(a.Number)
 }
