--- a/dev/fleet_test.go
+++ b/dev/fleet_test.go
@@ -81,7 +81,7 @@
 	}
 }
 
-func status(t *testing.T, n *dev.Node) effect.Status {
+func status(t testing.TB, n *dev.Node) effect.Status {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, n.OperatorsURL+"/v1/status", nil)
 	must.NoError(t, err)
--- a/entry/act.go
+++ b/entry/act.go
@@ -24,12 +24,6 @@
 		e.append(o)
 	case effect.Read:
 		e.reader.start(o.From)
-	case effect.SendPeer:
-		e.sendPeer(o)
-	case effect.Reply:
-		e.replies.Resolve(o.ID, o.Result)
-	case effect.ReplyStatus:
-		e.statuses.Resolve(o.ID, o.Status)
 	case effect.Count:
 		e.metrics.count(o)
 	case effect.LogChange:
@@ -38,6 +32,22 @@
 		e.ready.Store(o.Ready)
 	case effect.Stopped:
 		e.stopOnce.Do(func() { close(e.stopped) })
+	default:
+		e.actPeers(out)
+		e.actClaims(out)
+		e.replyOperator(out)
+	}
+}
+
+// replyOperator hands a reply to the operator that waits for it.
+func (e *Entry) replyOperator(out effect.Effect) {
+	switch o := out.(type) {
+	case effect.Reply:
+		e.replies.Resolve(o.ID, o.Result)
+	case effect.ReplyStatus:
+		e.statuses.Resolve(o.ID, o.Status)
+	case effect.ReplyText:
+		e.texts.Resolve(o.ID, o)
 	}
 }
 
@@ -48,6 +58,13 @@
 	effect.ChangeLogUp:          "log available",
 	effect.ChangeStopping:       "stopping",
 	effect.ChangeRecordRejected: "record rejected",
+	effect.ChangeClaimsOpen:     "taking non-idempotent requests",
+	effect.ChangeClaimsClosed:   "refusing non-idempotent requests",
+	effect.ChangeDigestMismatch: "fold differs from a peer's",
+	effect.ChangePeerSuspect:    "peer suspected",
+	effect.ChangePeerDead:       "peer dead",
+	effect.ChangeGap:            "gap in the control stream",
+	effect.ChangeSnapshot:       "state taken from snapshot",
 	effect.ChangeHealth:         "endpoint health",
 }
 
--- a/reduce/event/event.go
+++ b/reduce/event/event.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/claims"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/message"
 )
@@ -100,6 +101,23 @@
 // ReadFailed reports that the control stream could not be read.
 type ReadFailed struct{ Err error }
 
+// ClaimsRead reports records read from the claims stream, in order. It comes
+// also when there were none for a while.
+type ClaimsRead struct {
+	Groups []claims.Positioned
+	// Oldest is the first offset that the log still keeps.
+	Oldest fleet.Offset
+}
+
+// AnswerFetched reports the end of a FetchAnswer effect. An answer that was
+// found is kept with the request, as that of attempt 0.
+type AnswerFetched struct {
+	Request fleet.RequestID
+	Found   bool
+	// Err is set when the log could not be read.
+	Err error
+}
+
 // AppendOutcome says how an append to the log ended.
 type AppendOutcome uint8
 
@@ -113,7 +131,7 @@
 	AppendUnknown
 )
 
-// AppendFinished reports the end of an append to the control stream.
+// AppendFinished reports the end of an append to a stream.
 type AppendFinished struct {
 	ID      fleet.RecordID
 	Outcome AppendOutcome
@@ -133,6 +151,9 @@
 // StatusAsked asks for a summary of the state.
 type StatusAsked struct{ ID uint64 }
 
+// TextAsked asks for the services text in force.
+type TextAsked struct{ ID uint64 }
+
 // ListedEntry is an entry in the platform's list.
 type ListedEntry struct {
 	ID      fleet.EntryID
@@ -147,7 +168,11 @@
 type PeerReceived struct {
 	From        fleet.EntryID
 	Incarnation uint64
-	Message     message.Message
+	// Address is where the sender listens; empty when it does not say.
+	Address string
+	// Sequence numbers the messages of an incarnation to this entry.
+	Sequence uint64
+	Message  message.Message
 }
 
 // TimerFired reports that the time of the last SetTimer effect has come.
@@ -163,9 +188,12 @@
 func (ProbeFinished) isEvent()     {}
 func (RecordsRead) isEvent()       {}
 func (ReadFailed) isEvent()        {}
+func (ClaimsRead) isEvent()        {}
+func (AnswerFetched) isEvent()     {}
 func (AppendFinished) isEvent()    {}
 func (OperatorCommanded) isEvent() {}
 func (StatusAsked) isEvent()       {}
+func (TextAsked) isEvent()         {}
 func (EntriesListed) isEvent()     {}
 func (PeerReceived) isEvent()      {}
 func (TimerFired) isEvent()        {}
--- a/reduce/health.go
+++ b/reduce/health.go
@@ -7,6 +7,8 @@
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/banyanrail/banyanrail/reduce/health"
+	"github.com/banyanrail/banyanrail/reduce/message"
+	"github.com/banyanrail/banyanrail/reduce/placement"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 )
 
@@ -26,7 +28,10 @@
 		if r, ok := s.requests.Get(id); ok {
 			s.refuseRequest(r, fleet.ReasonNoCapacity)
 		}
+		s.denyOrphan(id)
 	}
+	s.restoreShares()
+	s.followHolders()
 	for _, gone := range s.health.Configure(s.control.Text, s.control.Pools) {
 		s.timers.Clear(&gone.Tick)
 	}
@@ -47,32 +52,63 @@
 
 // judge draws conclusions from the end of an attempt about its instance, and
 // about the run times of its service.
-func (s *State) judge(r *requests.Request, ev event.AttemptFinished) {
-	answered := ev.Outcome == event.AttemptAnswered
-	if answered && ev.Status < firstServerError {
-		s.placement.Observe(r.Grant, ev.Elapsed)
+func (s *State) judge(r *requests.Request, ev event.AttemptFinished) message.Finished {
+	done := message.Finished{
+		Slot: message.Slot{Request: r.ID, Instance: ev.Instance},
+		Held: ev.Elapsed,
 	}
-	it, ok := s.health.Get(ev.Instance)
-	if !ok {
-		return
-	}
-	changed := false
 	switch {
 	case ev.Leaving:
-		changed = s.health.Leave(it)
+		done.Verdict = message.VerdictLeaving
 	case ev.Outcome == event.AttemptRefused:
-		s.health.Refuse(it)
-		changed = true
-	case answered && ev.Status < firstServerError:
-		changed = s.health.Succeed(it)
+		done.Verdict = message.VerdictRefused
+	case ev.Outcome == event.AttemptAnswered && ev.Status < firstServerError:
+		done.Verdict = message.VerdictGood
 	case s.failed(r, ev):
-		changed = s.blame(r, it, ev.Outcome)
+		done.Verdict, done.Forgiven = blame(r, ev)
+	}
+	if ev.Outcome == event.AttemptAnswered && ev.Status < firstServerError {
+		done.Ran = ev.Elapsed
 	}
-	if changed {
+	s.learn(r.Grant, done)
+	return done
+}
+
+// learn applies what the end of an attempt, here or at another entry, says
+// about its instance and about the run times of its service.
+func (s *State) learn(g placement.Grant, done message.Finished) {
+	if done.Ran > 0 {
+		s.placement.Observe(g, done.Ran)
+	}
+	if done.Forgiven != "" {
+		s.forgive(done.Forgiven)
+	}
+	it, ok := s.health.Get(done.Instance)
+	if ok && s.apply(it, done.Verdict) {
 		s.follow(it)
 	}
 }
 
+// apply reports whether the verdict changed what is known of the instance.
+func (s *State) apply(it *health.Instance, v message.Verdict) bool {
+	switch v {
+	case message.VerdictLeaving:
+		return s.health.Leave(it)
+	case message.VerdictRefused:
+		s.health.Refuse(it)
+		return true
+	case message.VerdictGood:
+		return s.health.Succeed(it)
+	case message.VerdictFailed:
+		if s.health.Fail(it) {
+			s.emit(effect.Count{Name: effect.InstancesEjected, N: 1})
+		}
+		return true
+	default:
+		return false
+	}
+}
+
 // failed reports whether the attempt's end is a failure of its instance.
 func (s *State) failed(r *requests.Request, ev event.AttemptFinished) bool {
 	cutOff := r.Phase != requests.Running || !s.now.Before(r.Deadline)
@@ -89,24 +125,22 @@
 	}
 }
 
-// blame counts a failure against an instance. A request that breaks on several
-// instances is at fault itself: none of them is blamed for it.
-func (s *State) blame(r *requests.Request, it *health.Instance, outcome event.AttemptOutcome) bool {
-	if outcome == event.AttemptBroken {
-		if r.Faulty {
-			return false
-		}
-		if r.Blamed != "" && r.Blamed != it.ID {
-			r.Faulty = true
-			s.forgive(r.Blamed)
-			return false
-		}
-		r.Blamed = it.ID
-	}
-	if s.health.Fail(it) {
-		s.emit(effect.Count{Name: effect.InstancesEjected, N: 1})
-	}
-	return true
+// blame says whether a failure counts against its instance. A request that
+// breaks on several instances is at fault itself: none of them is blamed for
+// it, and the one that was is forgiven.
+func blame(r *requests.Request, ev event.AttemptFinished) (message.Verdict, fleet.InstanceID) {
+	if ev.Outcome != event.AttemptBroken {
+		return message.VerdictFailed, ""
+	}
+	if r.Faulty {
+		return message.VerdictNone, ""
+	}
+	if r.Blamed != "" && r.Blamed != ev.Instance {
+		r.Faulty = true
+		return message.VerdictNone, r.Blamed
+	}
+	r.Blamed = ev.Instance
+	return message.VerdictFailed, ""
 }
 
 func (s *State) forgive(id fleet.InstanceID) {
--- a/reduce/placement/configure.go
+++ b/reduce/placement/configure.go
@@ -128,7 +128,7 @@
 		}
 		it, known := s.instances[cfg.ID]
 		if !known {
-			it = &instance{id: cfg.ID, limit: NoLimit}
+			it = &instance{id: cfg.ID, limit: NoLimit, share: NoLimit}
 			s.instances[cfg.ID] = it
 		}
 		pool, _ := text.Pool(p.name)
--- a/reduce/placement/instance.go
+++ b/reduce/placement/instance.go
@@ -10,9 +10,11 @@
 	id      fleet.InstanceID
 	address string
 	// pool is nil once the text no longer lists the instance.
-	pool    *pool
-	slots   int
-	limit   int
+	pool  *pool
+	slots int
+	limit int
+	// share bounds the slots while several entries grant them.
+	share   int
 	running int
 	closed  bool
 }
@@ -25,7 +27,7 @@
 	if it.closed {
 		return 0
 	}
-	return min(it.slots, it.limit)
+	return min(it.slots, it.limit, it.share)
 }
 
 // free returns the number of slots that may be granted.
--- a/reduce/placement/placement.go
+++ b/reduce/placement/placement.go
@@ -104,12 +104,17 @@
 		return Grant{}, false
 	}
 	p.charge(w, s.now)
-	p.remove(w)
+	return s.start(w, it), true
+}
+
+// start moves a waiting request to a slot.
+func (s *State) start(w *waiter, it *instance) Grant {
+	w.line.flow.pool.remove(w)
 	it.setRunning(it.running + 1)
 	w.line.flow.member.hold()
 	g := Grant{Ask: w.ask, Instance: it.id, Address: it.address, Cost: w.cost, line: w.line}
 	s.drop(w)
-	return g, true
+	return g
 }
 
 // Finish returns a granted slot and settles the member's account by the time
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -3,9 +3,11 @@
 import (
 	"time"
 
+	"github.com/banyanrail/banyanrail/reduce/claims"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/banyanrail/banyanrail/reduce/health"
+	"github.com/banyanrail/banyanrail/reduce/holder"
 	"github.com/banyanrail/banyanrail/reduce/peers"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 )
@@ -33,10 +35,6 @@
 		s.onReadFailed(b)
 	case event.AppendFinished:
 		s.onAppendFinished(b)
-	case event.OperatorCommanded:
-		s.onOperatorCommanded(b)
-	case event.StatusAsked:
-		s.onStatusAsked(b)
 	case event.EntriesListed:
 		s.onEntriesListed(b)
 	case event.PeerReceived:
@@ -45,13 +43,30 @@
 		s.armed = time.Time{}
 	case event.StopAsked:
 		s.onStopAsked()
+	default:
+		s.onOperatorEvent(b)
+		s.reduceClaims(b)
 	}
 	s.fireTimers()
+	s.flushClaims()
+	s.flushOutbox()
 	s.finishStop()
 	s.armTimer()
 	return s.out
 }
 
+// onOperatorEvent handles what operators command and ask.
+func (s *State) onOperatorEvent(body event.Body) {
+	switch b := body.(type) {
+	case event.OperatorCommanded:
+		s.onOperatorCommanded(b)
+	case event.StatusAsked:
+		s.onStatusAsked(b)
+	case event.TextAsked:
+		s.onTextAsked(b)
+	}
+}
+
 // fireTimers runs all timers that are due. Their owners say what they mean.
 func (s *State) fireTimers() {
 	for {
@@ -62,12 +77,21 @@
 		switch o := owner.(type) {
 		case *requests.Request:
 			s.onRequestExpired(o)
+		case *claims.Batch:
+			s.onClaimRetryDue(o)
+		case claimWatch:
+			s.showClaims()
+		case claimFlush: // flushClaims follows every event
 		case *health.Instance:
 			s.onHealthDue(o)
 		case *proposal:
-			s.onProposalExpired(o)
+			s.onProposalTimer(o)
 		case *peers.State:
 			s.onHeartbeatDue()
+		case *holder.Link:
+			s.onHolderTimer(o)
+		case *snapshots:
+			s.onSnapshotTimer()
 		}
 	}
 }
--- a/reduce/request.go
+++ b/reduce/request.go
@@ -6,6 +6,7 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/holder"
 	"github.com/banyanrail/banyanrail/reduce/placement"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 )
@@ -42,6 +43,10 @@
 	s.requests.Add(r)
 	s.budgets.Deposit(svc.Name)
 	s.timers.Set(&r.Expiry, r.Deadline, r)
+	if !svc.Idempotent {
+		s.claim(r)
+		return
+	}
 	s.enqueue(r)
 }
 
@@ -82,7 +87,7 @@
 	if ev.Size > pool.MaxSize {
 		return svc, fleet.ReasonSizeTooLarge
 	}
-	return svc, fleet.ReasonNone
+	return svc, s.checkKey(svc, ev.Key)
 }
 
 // enqueue asks for a slot. A new request is refused early when its queue is
@@ -109,17 +114,23 @@
 		return
 	}
 	r.Phase = requests.Queued
+	s.ask(r)
 	s.grant(ask.Pool)
 }
 
 // overloaded reports whether a new request has to be refused, and when a retry
 // may succeed.
 func (s *State) overloaded(r *requests.Request, ask placement.Ask) (time.Duration, bool) {
-	a := s.placement.Admit(ask, r.Service.MaxQueue)
+	return s.full(ask, r.Service.MaxQueue, r.Deadline.Sub(s.now))
+}
+
+// full reports whether a queue has no place for a request, or none that starts
+// it in the time that is left, and when a retry may succeed.
+func (s *State) full(ask placement.Ask, maxQueue int, left time.Duration) (time.Duration, bool) {
+	a := s.placement.Admit(ask, maxQueue)
 	if a.Full {
 		return a.RetryAfter, true
 	}
-	left := r.Deadline.Sub(s.now)
 	return a.Wait - left, a.Wait > left
 }
 
@@ -132,16 +143,21 @@
 
 // grant dispatches waiting requests of a pool while it has free slots.
 func (s *State) grant(pool fleet.PoolName) {
-	for {
+	for s.mayGrant(pool) {
 		g, ok := s.placement.Next(pool)
 		if !ok {
 			return
 		}
+		if holder.IsRemote(g.Ask.Request) {
+			s.lease(g)
+			continue
+		}
 		r, ok := s.requests.Get(g.Ask.Request)
 		if !ok {
 			s.placement.Finish(g, 0)
 			continue
 		}
+		s.withdrawAsk(r)
 		s.dispatch(r, g)
 	}
 }
@@ -169,9 +185,14 @@
 	}
 	g := r.Grant
 	s.placement.Finish(g, ev.Elapsed)
-	s.judge(r, ev)
+	s.giveBack(r, s.judge(r, ev))
 	s.conclude(r, ev)
 	s.grant(g.Ask.Pool)
+	s.grantUnblocked()
+}
+
+// grantUnblocked dispatches requests of members that fell below their quota.
+func (s *State) grantUnblocked() {
 	for _, pool := range s.placement.Unblocked() {
 		s.grant(pool)
 	}
@@ -186,6 +207,7 @@
 	switch {
 	case phase == requests.Abandoned:
 		s.late()
+		s.claimAbandoned(r, ev)
 		s.forget(r)
 	case ev.Outcome == event.AttemptAnswered:
 		s.answer(r, ev)
@@ -200,6 +222,7 @@
 }
 
 func (s *State) answer(r *requests.Request, ev event.AttemptFinished) {
+	s.claimAnswered(r, ev)
 	s.totals.answered++
 	s.emit(effect.Answer{Request: r.ID, Attempt: ev.Attempt, Attempts: r.Attempts, Service: r.Service.Name})
 	s.forget(r)
@@ -254,13 +277,14 @@
 	case requests.Expiring:
 		s.abandon(r, fleet.ReasonDeadline)
 	default:
-		s.withdraw(r, fleet.ReasonDeadline)
+		s.withdraw(r, s.claimReason(r))
 	}
 }
 
 // withdraw ends a request that has no attempt under way.
 func (s *State) withdraw(r *requests.Request, reason fleet.Reason) {
 	s.placement.Remove(r.ID)
+	s.withdrawAsk(r)
 	s.refuseRequest(r, reason)
 }
 
@@ -286,6 +310,7 @@
 func (s *State) forget(r *requests.Request) {
 	s.timers.Clear(&r.Expiry)
 	s.requests.Remove(r.ID)
+	s.leaveClaim(r)
 }
 
 func (s *State) late() {
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -7,8 +7,10 @@
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/health"
+	"github.com/banyanrail/banyanrail/reduce/holder"
 	"github.com/banyanrail/banyanrail/reduce/peers"
 	"github.com/banyanrail/banyanrail/reduce/placement"
+	"github.com/banyanrail/banyanrail/reduce/relay"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 	"github.com/banyanrail/banyanrail/reduce/timer"
 )
@@ -19,8 +21,18 @@
 	DataCentre fleet.DataCentre
 	// Seed feeds the state's own random choices.
 	Seed uint64
+	// Incarnation tells the entry's starts apart; it makes record ids unique.
+	Incarnation uint64
+	// ClaimInterval is the least time between two groups of claims; zero takes
+	// DefaultClaimInterval.
+	ClaimInterval time.Duration
 	// MaxRequests bounds the requests held at once.
 	MaxRequests int
+	// Placement says who grants slots; empty means PlacementLocal.
+	Placement Placement
+	// SnapshotInterval is the time between snapshots of the control stream;
+	// zero means DefaultSnapshotInterval.
+	SnapshotInterval time.Duration
 }
 
 // State is the whole control state of an entry. Only Reduce changes it.
@@ -33,13 +45,27 @@
 	health    *health.State
 	budgets   *requests.Budgets
 	peers     *peers.State
+	claiming  *claiming
 	proposals proposals
-	timers    timer.Heap
-	logDown   bool
-	ready     bool
-	stopping  bool
-	stopped   bool
-	totals    totals
+	relay     relay.State
+	holders   *holder.State
+	outbox    outbox
+	// reask holds the requests whose grants could not be used.
+	reask []fleet.RequestID
+	// digestValue is the digest of the fold up to digestOffset.
+	digestOffset fleet.Offset
+	digestValue  uint64
+	timers       timer.Heap
+	snapshots    snapshots
+	logDown      bool
+	// gap is set while records that the fold needs have expired.
+	gap bool
+	// oldest is the first record that the log kept when it was last read.
+	oldest   fleet.Offset
+	ready    bool
+	stopping bool
+	stopped  bool
+	totals   totals
 	// armed is the time of the last SetTimer effect.
 	armed time.Time
 	out   []effect.Effect
@@ -47,6 +73,9 @@
 
 // New returns the state of an entry that has seen no event.
 func New(cfg Config) *State {
+	if cfg.SnapshotInterval == 0 {
+		cfg.SnapshotInterval = DefaultSnapshotInterval
+	}
 	return &State{
 		cfg:       cfg,
 		control:   control.New(),
@@ -55,7 +84,9 @@
 		health:    health.New(),
 		budgets:   requests.NewBudgets(),
 		peers:     peers.New(cfg.Entry),
+		claiming:  newClaiming(cfg),
 		proposals: newProposals(),
+		holders:   holder.New(),
 	}
 }
 
--- a/reduce/status.go
+++ b/reduce/status.go
@@ -11,11 +11,15 @@
 		Entry:    s.cfg.Entry,
 		Ready:    s.ready,
 		Stopping: s.stopping,
+		Gap:      s.gap,
+		LogDown:  s.logDown,
 		Version:  s.control.Version,
 		Offset:   s.control.Offset,
 		Requests: s.requests.Len(),
 		Queued:   s.placement.Queued(),
-		Peers:    s.peers.Alive(s.now),
+		Peers:    s.peers.Alive(),
+		Versions: s.versions(),
+		Claims:   s.claimStatus(),
 		Pools:    make(map[fleet.PoolName]int),
 		Totals: map[string]uint64{
 			"answered": s.totals.answered,
@@ -24,10 +28,27 @@
 			"late":     s.totals.late,
 		},
 	}
+	st.Holds = s.holders.Holds()
 	for _, l := range s.placement.Loads() {
+		l.Running -= s.holders.Leased(l.Instance)
 		st.Running += l.Running
 		st.Pools[l.Pool]++
 		st.Instances = append(st.Instances, effect.InstanceStatus{ID: l.Instance, Pool: l.Pool, Running: l.Running})
 	}
 	s.emit(effect.ReplyStatus{ID: ev.ID, Status: st})
 }
+
+// versions returns the version in force at each entry alive.
+func (s *State) versions() map[fleet.EntryID]fleet.Version {
+	all := map[fleet.EntryID]fleet.Version{s.cfg.Entry: s.control.Version}
+	for _, id := range s.peers.Alive() {
+		if p, ok := s.peers.Get(id); ok {
+			all[id] = p.Version
+		}
+	}
+	return all
+}
+
+func (s *State) onTextAsked(ev event.TextAsked) {
+	s.emit(effect.ReplyText{ID: ev.ID, Version: s.control.Version, Text: s.control.Text})
+}
--- a/reduce/timer/timer.go
+++ b/reduce/timer/timer.go
@@ -13,6 +13,12 @@
 	index int
 }
 
+// IsSet reports whether the timer is armed.
+func (t *Timer) IsSet() bool { return t.index > 0 }
+
+// At returns the time for which the timer is armed, or was last.
+func (t *Timer) At() time.Time { return t.at }
+
 // Heap orders timers by time; timers of the same time fire in the order in
 // which they were set. It is a binary heap of its own, since every request
 // sets and clears a timer and container/heap calls its items by interface.
@@ -49,6 +55,14 @@
 	h.up(len(h.items)-1, it)
 }
 
+// SetOnce arms t for owner unless it is armed for the same time already.
+func (h *Heap) SetOnce(t *Timer, at time.Time, owner any) {
+	if t.index > 0 && t.at.Equal(at) {
+		return
+	}
+	h.Set(t, at, owner)
+}
+
 // Clear disarms t.
 func (h *Heap) Clear(t *Timer) {
 	if t.index == 0 {
