--- a/cmd/banyanraild/main.go
+++ b/cmd/banyanraild/main.go
@@ -16,6 +16,7 @@
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/platform"
+	"github.com/banyanrail/banyanrail/reduce"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -62,6 +63,7 @@
 		DataCentre:    fleet.DataCentre(c.DataCentre),
 		OperatorToken: c.OperatorToken,
 		PeerAddress:   c.Peers,
+		Placement:     reduce.Placement(c.Placement),
 		PeersTLS:      peersTLS,
 	}, entry.Deps{Log: client, Instances: client, Logger: logger, Metrics: scope, Traces: traces})
 	return serve(ctx, c, e, metrics)
--- a/cmd/banyanraild/settings.go
+++ b/cmd/banyanraild/settings.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/daemon"
+	"github.com/banyanrail/banyanrail/reduce"
 )
 
 // settings are read from flags and the environment. Values are taken as text,
@@ -35,6 +36,7 @@
 	// OperatorToken comes from the environment only, so that it shows in no
 	// list of processes.
 	OperatorToken string `arg:"--,env:BANYANRAIL_OPERATOR_TOKEN" help:"bearer token of operators"`
+	Placement     string `arg:"--placement,env:BANYANRAIL_PLACEMENT" default:"holder" help:"who grants slots: holder (one entry a pool, for all) or local (each entry by its own view)"`
 	Grace         string `arg:"--grace,env:BANYANRAIL_GRACE" default:"30s" help:"longest graceful shutdown"`
 	Traces        string `arg:"--traces,env:BANYANRAIL_TRACES" help:"URL that takes traces by OTLP over HTTP"`
 	TraceShare    string `arg:"--trace-share,env:BANYANRAIL_TRACE_SHARE" default:"0.01" help:"share of traces to keep, 0 to 1"`
@@ -50,6 +52,15 @@
 	peersTLS   daemon.TLSFiles
 }
 
+func checkPlacement(v string) error {
+	switch reduce.Placement(v) {
+	case reduce.PlacementHolder, reduce.PlacementLocal:
+		return nil
+	default:
+		return fmt.Errorf("%q is neither holder nor local", v)
+	}
+}
+
 // faults collects the faults of settings under their names.
 type faults []error
 
@@ -73,6 +84,7 @@
 	all.add("operators", checkAddress(s.Operators))
 	all.add("peers", checkAddress(s.Peers))
 	all.add("platform", checkURL(s.Platform, true))
+	all.add("placement", checkPlacement(s.Placement))
 	all.add("traces", checkURL(s.Traces, false))
 	all.add("callers-cert", checkTLS(c.callersTLS))
 	all.add("operators-cert", checkTLS(c.opsTLS))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -50,7 +50,7 @@
 	MaxRequests int
 	// Traffic is the number of endpoint calls at once.
 	Traffic int
-	// Placement says who grants slots; empty means reduce.PlacementLocal.
+	// Placement says who grants slots; empty means reduce.PlacementHolder.
 	Placement reduce.Placement
 	// OperatorToken is the bearer token of operators; empty allows anyone who
 	// reaches the operators' listener.
@@ -151,6 +151,9 @@
 	if cfg.Traffic == 0 {
 		cfg.Traffic = DefaultTraffic
 	}
+	if cfg.Placement == "" {
+		cfg.Placement = reduce.PlacementHolder
+	}
 	if cfg.Incarnation == 0 {
 		cfg.Incarnation = uint64(time.Now().UnixNano())
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -169,20 +170,38 @@
 	return n, err
 }
 
-// BenchmarkHeartbeat reports the bytes of TCP payload of a heartbeat, both
-// ways, HTTP/2 frames included.
-func BenchmarkHeartbeat(b *testing.B) {
+// BenchmarkWire reports the bytes of TCP payload of a message, both ways, HTTP/2
+// frames included.
+func BenchmarkWire(b *testing.B) {
+	ask := message.Ask{Request: 1_000_000, Service: "survey", Member: "lawa", Size: 1, Left: 10 * time.Second}
+	slot := message.Slot{Request: 1_000_000, Instance: "runner-01"}
+	done := message.Finished{Slot: slot, Held: 100 * time.Millisecond, Ran: 100 * time.Millisecond, Verdict: message.VerdictGood}
+	for _, c := range []struct {
+		name    string
+		message message.Message
+	}{
+		{"heartbeat", message.Heartbeat{Offset: 1_000_000, Version: 999_999, Digest: 1 << 63}},
+		{"ask", message.SlotsAsked{Asks: []message.Ask{ask}}},
+		{"grant", message.SlotsGranted{Grants: []message.Slot{slot}}},
+		{"finished", message.SlotsAsked{Finished: []message.Finished{done}}},
+		{"report-empty", message.SlotsReport{Pool: "main", Seen: 1 << 60}},
+		{"report-100-waiting", message.SlotsReport{Pool: "main", Seen: 1 << 60, Asks: slices.Repeat([]message.Ask{ask}, 100)}},
+	} {
+		b.Run(c.name, func(b *testing.B) { benchmarkWire(b, c.message) })
+	}
+}
+
+func benchmarkWire(b *testing.B, m message.Message) {
 	r := listen(b, "127.0.0.1:0")
 	var failed, bytes atomic.Int64
 	c := newClient(b, &failed, grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
 		conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
 		return countingConn{Conn: conn, bytes: &bytes}, err
 	}))
-	beat := message.Heartbeat{Offset: 1_000_000, Version: 999_999, Digest: 1 << 63}
 	sequence := uint64(time.Now().UnixNano())
 	send := func() {
 		sequence++
-		c.Send("entry-2", r.address, sequence, beat)
+		c.Send("entry-2", r.address, sequence, m)
 		<-r.got
 	}
 	send()
--- a/reduce/grant.go
+++ b/reduce/grant.go
@@ -269,11 +269,11 @@
 	}
 }
 
-// takeGrant uses a slot, or returns it when its request has ended or the
-// instance takes no new work, as this entry knows.
+// takeGrant uses a slot, or returns it when its request has ended, waits at
+// another holder by now, or the instance takes no new work, as this entry knows.
 func (s *State) takeGrant(p *peers.Peer, g message.Slot) {
 	r, ok := s.requests.Get(g.Request)
-	if ok && r.Phase == requests.Queued {
+	if ok && r.Phase == requests.Queued && s.holders.Link(r.Service.Pool).Holder == p.ID {
 		if grant, taken := s.placement.Take(r.ID, g.Instance); taken {
 			s.dispatch(r, grant)
 			return
--- a/reduce/relay/relay.go
+++ b/reduce/relay/relay.go
@@ -12,6 +12,9 @@
 const (
 	// maxTail is the number of records kept for peers.
 	maxTail = 512
+	// maxWeight bounds the memory of these records, in instances that their
+	// texts and changes name. The newest record is kept whatever its weight.
+	maxWeight = 40_000
 	// MaxPage is the number of records in one message.
 	MaxPage = 16
 	// lagLimit is how long the log may lag behind a peer before peers are
@@ -24,8 +27,9 @@
 // State holds the newest records and what was asked of peers.
 type State struct {
 	// base is the offset folded just before the first record of tail.
-	base fleet.Offset
-	tail []control.Positioned
+	base   fleet.Offset
+	tail   []control.Positioned
+	weight int
 
 	behindSince time.Time
 	asked       fleet.EntryID
@@ -39,16 +43,34 @@
 		return
 	}
 	s.tail = append(s.tail, p)
-	if len(s.tail) > maxTail {
+	s.weight += weight(p)
+	for len(s.tail) > maxTail || (s.weight > maxWeight && len(s.tail) > 1) {
 		s.base = s.tail[0].Offset
+		s.weight -= weight(s.tail[0])
 		s.tail[0] = control.Positioned{}
 		s.tail = s.tail[1:]
 	}
 }
 
+// weight is the number of instances that a record names.
+func weight(p control.Positioned) int {
+	publish, ok := p.Record.Body.(control.Publish)
+	if !ok {
+		return 0
+	}
+	n := 0
+	if publish.Text != nil {
+		n += len(publish.Text.Instances)
+	}
+	if publish.Delta != nil {
+		n += len(publish.Delta.Instances) + len(publish.Delta.GoneInstances)
+	}
+	return n
+}
+
 // Reset drops all records, when the fold jumps to an offset by a snapshot.
 func (s *State) Reset(to fleet.Offset) {
-	s.base, s.tail = to, nil
+	s.base, s.tail, s.weight = to, nil, 0
 }
 
 // Newest returns the offset of the newest record kept.
--- a/reduce/relay/relay_test.go
+++ b/reduce/relay/relay_test.go
@@ -73,3 +73,16 @@
 	must.True(t, ok)
 	must.Len(t, 0, page)
 }
+
+func TestLargeTextsAreNotKeptTogether(t *testing.T) {
+	var s relay.State
+	text := &fleet.Text{Instances: make([]fleet.Instance, 30_000)}
+	for at := range fleet.Offset(3) {
+		s.Add(control.Positioned{Offset: at + 1, Record: control.Record{Body: control.Publish{Text: text}}})
+	}
+	_, _, ok := s.After(1)
+	must.False(t, ok)
+	_, page, ok := s.After(2)
+	must.True(t, ok)
+	must.Len(t, 1, page)
+}
