--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -34,6 +34,8 @@
 	Work time.Duration
 	// Placement says who grants slots.
 	Placement reduce.Placement
+	// SnapshotInterval is the time between snapshots; zero means the default.
+	SnapshotInterval time.Duration
 	// Deps are handed to every entry; Log is set by the fleet.
 	Deps entry.Deps
 }
@@ -99,8 +101,8 @@
 		}
 		f.Runners = append(f.Runners, r)
 	}
-	for range cfg.Entries {
-		if _, err := f.addNode(false); err != nil {
+	for i := range cfg.Entries {
+		if _, err := f.addNode(fmt.Sprintf("entry-%d", i+1), false); err != nil {
 			return err
 		}
 	}
@@ -109,16 +111,16 @@
 
 // AddNode starts one more entry and puts it on the platform's list. With cut
 // set it cannot reach the log until its LogSwitch is closed.
-func (f *Fleet) AddNode(cut bool) (*Node, error) {
-	node, err := f.addNode(cut)
+func (f *Fleet) AddNode(id string, cut bool) (*Node, error) {
+	node, err := f.addNode(id, cut)
 	if err != nil {
 		return nil, err
 	}
 	return node, f.list()
 }
 
-func (f *Fleet) addNode(cut bool) (*Node, error) {
-	node, err := f.startNode(fmt.Sprintf("entry-%d", len(f.Nodes)+1), cut)
+func (f *Fleet) addNode(id string, cut bool) (*Node, error) {
+	node, err := f.startNode(id, cut)
 	if err != nil {
 		return nil, err
 	}
@@ -144,10 +146,11 @@
 	deps := f.cfg.Deps
 	deps.Log, deps.Instances = node.Log, client
 	node.Entry = entry.New(entry.Config{
-		ID:          node.ID,
-		Seed:        uint64(len(f.Nodes) + 1),
-		PeerAddress: node.PeerAddress,
-		Placement:   f.cfg.Placement,
+		ID:               node.ID,
+		Seed:             uint64(len(f.Nodes) + 1),
+		PeerAddress:      node.PeerAddress,
+		Placement:        f.cfg.Placement,
+		SnapshotInterval: f.cfg.SnapshotInterval,
 	}, deps)
 	f.servePeers(ctx, node.Entry, peersListener)
 	f.spawn(func() { node.Entry.Run(ctx) })
--- a/dev/relay_test.go
+++ b/dev/relay_test.go
@@ -7,19 +7,10 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/dev"
-	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 )
 
-func waitVersion(t testing.TB, n *dev.Node, version fleet.Version) {
-	t.Helper()
-	must.Wait(t, wait.InitialSuccess(
-		wait.BoolFunc(func() bool { return status(t, n).Version == version }),
-		wait.Timeout(10*time.Second), wait.Gap(2*time.Millisecond),
-	))
-}
-
 func TestEntryCutOffFromTheLogFollowsItsPeers(t *testing.T) {
 	f := startFleet(t)
 	_, first := publish(t, f.Nodes[0], "0", f.Text(8))
@@ -42,7 +33,7 @@
 	f := startFleet(t)
 	publish(t, f.Nodes[0], "0", f.Text(8))
 	waitReady(t, f)
-	n, err := f.AddNode(true)
+	n, err := f.AddNode("entry-late", true)
 	must.NoError(t, err)
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(n.Entry.Ready), wait.Timeout(10*time.Second)))
 	resp, body := call(t, n, "survey", "sediment")
@@ -96,7 +87,7 @@
 	var longest time.Duration
 	for b.Loop() {
 		start := time.Now()
-		n, err := f.AddNode(true)
+		n, err := f.AddNode(fmt.Sprintf("late-%d", len(f.Nodes)), true)
 		must.NoError(b, err)
 		must.Wait(b, wait.InitialSuccess(wait.BoolFunc(n.Entry.Ready), wait.Timeout(10*time.Second), wait.Gap(2*time.Millisecond)))
 		longest = max(longest, time.Since(start))
--- a/entry/act.go
+++ b/entry/act.go
@@ -16,16 +16,14 @@
 		e.probe(o)
 	case effect.Answer:
 		e.exchanges.answer(o)
+		e.metrics.count(effect.Count{Name: effect.RequestsAnswered, Service: o.Service, N: 1})
 	case effect.Refuse:
 		e.exchanges.refuse(o)
+		e.metrics.count(effect.Count{Name: effect.RequestsRefused, Service: o.Service, Reason: o.Reason, N: 1})
 	case effect.Append:
 		e.append(o)
 	case effect.Read:
 		e.reader.start(o.From)
-	case effect.Reply:
-		e.replies.Resolve(o.ID, o.Result)
-	case effect.ReplyStatus:
-		e.statuses.Resolve(o.ID, o.Status)
 	case effect.Count:
 		e.metrics.count(o)
 	case effect.LogChange:
@@ -36,6 +34,19 @@
 		e.stopOnce.Do(func() { close(e.stopped) })
 	default:
 		e.actPeers(out)
+		e.replyOperator(out)
+	}
+}
+
+// replyOperator hands a reply to the operator that waits for it.
+func (e *Entry) replyOperator(out effect.Effect) {
+	switch o := out.(type) {
+	case effect.Reply:
+		e.replies.Resolve(o.ID, o.Result)
+	case effect.ReplyStatus:
+		e.statuses.Resolve(o.ID, o.Status)
+	case effect.ReplyText:
+		e.texts.Resolve(o.ID, o)
 	}
 }
 
@@ -49,6 +60,8 @@
 	effect.ChangeDigestMismatch: "fold differs from a peer's",
 	effect.ChangePeerSuspect:    "peer suspected",
 	effect.ChangePeerDead:       "peer dead",
+	effect.ChangeGap:            "gap in the control stream",
+	effect.ChangeSnapshot:       "state taken from snapshot",
 	effect.ChangeHealth:         "endpoint health",
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,6 +52,9 @@
 	Traffic int
 	// Placement says who grants slots; empty means reduce.PlacementHolder.
 	Placement reduce.Placement
+	// SnapshotInterval is the time between snapshots of the control stream;
+	// zero means reduce.DefaultSnapshotInterval.
+	SnapshotInterval time.Duration
 	// OperatorToken is the bearer token of operators; empty allows anyone who
 	// reaches the operators' listener.
 	OperatorToken string
@@ -85,6 +88,7 @@
 	exchanges *exchanges
 	replies   *loop.Calls[control.Result]
 	statuses  *loop.Calls[effect.Status]
+	texts     *loop.Calls[effect.ReplyText]
 	client    *endpoint.Client
 	tracer    trace.Tracer
 	metrics   *metrics
@@ -112,6 +116,7 @@
 		exchanges:  newExchanges(),
 		replies:    loop.NewCalls[control.Result](),
 		statuses:   loop.NewCalls[effect.Status](),
+		texts:      loop.NewCalls[effect.ReplyText](),
 		client:     endpoint.NewClient(fleet.DefaultConnections),
 		tracer:     deps.Traces.Tracer("github.com/banyanrail/banyanrail/entry"),
 		metrics:    newMetrics(deps.Metrics),
@@ -125,11 +130,12 @@
 	e.reader = newReader(e)
 	e.peers = e.newPeerClient()
 	state := reduce.New(reduce.Config{
-		Entry:       cfg.ID,
-		DataCentre:  cfg.DataCentre,
-		Seed:        cfg.Seed,
-		MaxRequests: cfg.MaxRequests,
-		Placement:   cfg.Placement,
+		Entry:            cfg.ID,
+		DataCentre:       cfg.DataCentre,
+		Seed:             cfg.Seed,
+		MaxRequests:      cfg.MaxRequests,
+		Placement:        cfg.Placement,
+		SnapshotInterval: cfg.SnapshotInterval,
 	})
 	e.loop = loop.New(loop.Config[event.Body, effect.Effect]{
 		Reduce: func(now time.Time, body event.Body) []effect.Effect {
--- a/reduce/health.go
+++ b/reduce/health.go
@@ -70,15 +70,15 @@
 	if ev.Outcome == event.AttemptAnswered && ev.Status < firstServerError {
 		done.Ran = ev.Elapsed
 	}
-	s.learn(r.Grant.Ask, done)
+	s.learn(r.Grant, done)
 	return done
 }
 
 // learn applies what the end of an attempt, here or at another entry, says
 // about its instance and about the run times of its service.
-func (s *State) learn(ask placement.Ask, done message.Finished) {
+func (s *State) learn(g placement.Grant, done message.Finished) {
 	if done.Ran > 0 {
-		s.placement.Observe(ask, done.Ran)
+		s.placement.Observe(g, done.Ran)
 	}
 	if done.Forgiven != "" {
 		s.forgive(done.Forgiven)
@@ -120,7 +120,7 @@
 	case event.AttemptNotSent:
 		return !cutOff
 	default:
-		hang := max(minHang, hangFactor*s.placement.RunTime(r.Grant.Ask))
+		hang := max(minHang, hangFactor*s.placement.RunTime(r.Grant))
 		return !cutOff || ev.Elapsed >= hang
 	}
 }
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -34,10 +34,6 @@
 		s.onReadFailed(b)
 	case event.AppendFinished:
 		s.onAppendFinished(b)
-	case event.OperatorCommanded:
-		s.onOperatorCommanded(b)
-	case event.StatusAsked:
-		s.onStatusAsked(b)
 	case event.EntriesListed:
 		s.onEntriesListed(b)
 	case event.PeerReceived:
@@ -46,6 +42,8 @@
 		s.armed = time.Time{}
 	case event.StopAsked:
 		s.onStopAsked()
+	default:
+		s.onOperatorEvent(b)
 	}
 	s.fireTimers()
 	s.flushOutbox()
@@ -54,6 +52,18 @@
 	return s.out
 }
 
+// onOperatorEvent handles what operators command and ask.
+func (s *State) onOperatorEvent(body event.Body) {
+	switch b := body.(type) {
+	case event.OperatorCommanded:
+		s.onOperatorCommanded(b)
+	case event.StatusAsked:
+		s.onStatusAsked(b)
+	case event.TextAsked:
+		s.onTextAsked(b)
+	}
+}
+
 // fireTimers runs all timers that are due. Their owners say what they mean.
 func (s *State) fireTimers() {
 	for {
@@ -67,11 +77,13 @@
 		case *health.Instance:
 			s.onHealthDue(o)
 		case *proposal:
-			s.onProposalExpired(o)
+			s.onProposalTimer(o)
 		case *peers.State:
 			s.onHeartbeatDue()
 		case *holder.Link:
 			s.onHolderTimer(o)
+		case *snapshots:
+			s.onSnapshotTimer()
 		}
 	}
 }
--- a/reduce/status.go
+++ b/reduce/status.go
@@ -11,11 +11,14 @@
 		Entry:    s.cfg.Entry,
 		Ready:    s.ready,
 		Stopping: s.stopping,
+		Gap:      s.gap,
+		LogDown:  s.logDown,
 		Version:  s.control.Version,
 		Offset:   s.control.Offset,
 		Requests: s.requests.Len(),
 		Queued:   s.placement.Queued(),
 		Peers:    s.peers.Alive(),
+		Versions: s.versions(),
 		Pools:    make(map[fleet.PoolName]int),
 		Totals: map[string]uint64{
 			"answered": s.totals.answered,
@@ -33,3 +36,18 @@
 	}
 	s.emit(effect.ReplyStatus{ID: ev.ID, Status: st})
 }
+
+// versions returns the version in force at each entry alive.
+func (s *State) versions() map[fleet.EntryID]fleet.Version {
+	all := map[fleet.EntryID]fleet.Version{s.cfg.Entry: s.control.Version}
+	for _, id := range s.peers.Alive() {
+		if p, ok := s.peers.Get(id); ok {
+			all[id] = p.Version
+		}
+	}
+	return all
+}
+
+func (s *State) onTextAsked(ev event.TextAsked) {
+	s.emit(effect.ReplyText{ID: ev.ID, Version: s.control.Version, Text: s.control.Text})
+}
