--- a/peer/convert.go
+++ b/peer/convert.go
@@ -27,6 +27,12 @@
 			return err
 		}
 		env.Message = &peerpb.Envelope_Records{Records: &peerpb.Records{After: int64(m.After), Records: records}}
+	case message.Snapshot:
+		data, err := codec.Encode(control.Record{Body: m.Fold})
+		if err != nil {
+			return oops.In("peer").With("step", "encode").Wrap(err)
+		}
+		env.Message = &peerpb.Envelope_Snapshot{Snapshot: &peerpb.Snapshot{Data: data}}
 	default:
 		return encodeHolding(env, m)
 	}
@@ -60,11 +66,26 @@
 		return message.RecordsAsked{After: fleet.Offset(m.RecordsAsked.GetAfter())}, nil
 	case *peerpb.Envelope_Records:
 		return decodeRecords(m.Records), nil
+	case *peerpb.Envelope_Snapshot:
+		return decodeSnapshot(m.Snapshot)
 	default:
 		return decodeHolding(env)
 	}
 }
 
+func decodeSnapshot(m *peerpb.Snapshot) (message.Message, error) {
+	fail := oops.In("peer").With("step", "decode")
+	rec, err := codec.Decode(m.GetData())
+	if err != nil {
+		return nil, fail.Wrap(err)
+	}
+	fold, ok := rec.Body.(control.Snapshot)
+	if !ok {
+		return nil, fail.Errorf("record of type %T is no snapshot", rec.Body)
+	}
+	return message.Snapshot{Fold: fold}, nil
+}
+
 // decodeRecords reads records as the reader of the log does: one that cannot be
 // read keeps its place in the stream.
 func decodeRecords(m *peerpb.Records) message.Records {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -129,6 +129,8 @@
 		Offset: 43,
 		Record: control.Record{ID: "r", Body: control.Publish{Base: 3, Text: text}},
 	}}})
+	fold := control.Snapshot{Offset: 7, Version: 6, Text: text}
+	c.Send("entry-2", r.address, 3, message.Snapshot{Fold: fold})
 	must.Eq[message.Message](t, message.RecordsAsked{After: 41}, (<-r.got).Message)
 	got := (<-r.got).Message.(message.Records)
 	must.EqOp(t, 41, got.After)
@@ -137,6 +139,10 @@
 	body := got.Records[0].Record.Body.(control.Publish)
 	must.EqOp(t, 3, body.Base)
 	must.EqOp(t, 4, body.Text.Pools[0].Slots)
+	snapshot := (<-r.got).Message.(message.Snapshot)
+	must.EqOp(t, 7, snapshot.Fold.Offset)
+	must.EqOp(t, 6, snapshot.Fold.Version)
+	must.Eq(t, text, snapshot.Fold.Text)
 }
 
 const src = `data_centre "dc1" {
--- a/reduce/message/message.go
+++ b/reduce/message/message.go
@@ -35,6 +35,11 @@
 	Records []control.Positioned
 }
 
+// Snapshot passes a whole fold on, to a peer that lacks records which the sender
+// no longer keeps.
+type Snapshot struct{ Fold control.Snapshot }
+
 func (Heartbeat) isMessage()    {}
 func (RecordsAsked) isMessage() {}
 func (Records) isMessage()      {}
+func (Snapshot) isMessage()     {}
--- a/reduce/peer.go
+++ b/reduce/peer.go
@@ -73,6 +73,8 @@
 		s.onRecordsAsked(p, m)
 	case message.Records:
 		s.onPeerRecords(p, m)
+	case message.Snapshot:
+		s.onPeerSnapshot(p, m)
 	case message.SlotsAsked:
 		s.onSlotsAsked(p, m)
 	case message.SlotsGranted:
--- a/reduce/relay.go
+++ b/reduce/relay.go
@@ -1,6 +1,8 @@
 package reduce
 
 import (
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/message"
 	"github.com/banyanrail/banyanrail/reduce/peers"
@@ -46,7 +48,11 @@
 // onRecordsAsked passes records on to a peer that is behind.
 func (s *State) onRecordsAsked(p *peers.Peer, m message.RecordsAsked) {
 	before, records, ok := s.relay.After(m.After)
-	if !ok || len(records) == 0 {
+	if !ok && m.After < s.control.Offset && s.control.Text != nil {
+		s.send(p, message.Snapshot{Fold: s.control.Snapshot()})
+		return
+	}
+	if len(records) == 0 {
 		return
 	}
 	s.send(p, message.Records{After: before, Records: records})
@@ -61,6 +67,16 @@
 	}
 }
 
+// onPeerSnapshot takes over the fold of a peer, if it is newer than this entry's.
+func (s *State) onPeerSnapshot(p *peers.Peer, m message.Snapshot) {
+	s.relay.Answered(p.ID)
+	record := control.Record{ID: fleet.RecordID("fold of " + p.ID), Body: m.Fold}
+	if s.adoptSnapshot(control.Positioned{Offset: m.Fold.Offset + 1, Record: record}, firstOffset) {
+		s.hastenHeartbeat()
+		s.becomeReady()
+	}
+}
+
 // onPeerRecords folds records that a peer passed on. A page that does not join
 // the fold is left alone: the fold never skips a record.
 func (s *State) onPeerRecords(p *peers.Peer, m message.Records) {
--- a/reduce/relay_test.go
+++ b/reduce/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -156,3 +157,46 @@
 	}
 	return found
 }
+
+// newLong returns an entry that has folded more records than it keeps.
+func newLong() *harness {
+	h := newHarness(oneRunner(1))
+	for at := fleet.Offset(2); at <= 600; at++ {
+		p := published(at, at-1, int(at))
+		p.Record.ID = fleet.RecordID(fmt.Sprint("record-", at))
+		h.do(event.RecordsRead{Records: []control.Positioned{p}, Next: at + 1, Oldest: 1})
+	}
+	return h
+}
+
+func TestSnapshotStandsInForRecordsNoLongerKept(t *testing.T) {
+	long, h := newLong(), newCutOff()
+	asker := &sender{id: "entry-3", incarnation: 1}
+	got := sent[message.Snapshot](long.do(asker.message(message.RecordsAsked{After: 0})))
+	must.Len(t, 1, got)
+	must.Len(t, 1, sent[message.Records](long.do(asker.message(message.RecordsAsked{After: 599}))))
+
+	p := &sender{id: peerID, incarnation: 1}
+	out := h.do(p.message(got[0]))
+	must.Eq(t, []effect.SetReady{{Ready: true}}, only[effect.SetReady](out))
+	must.Eq(t, []effect.Read{{From: 601}}, only[effect.Read](out))
+	must.Len(t, 0, only[effect.Read](h.do(p.message(got[0]))))
+
+	// Both folds are the same, and the log goes on from there.
+	beat := sent[message.Heartbeat](long.after(time.Second, event.TimerFired{}))
+	must.Len(t, 0, counts(h.do(p.message(beat[0])), effect.DigestMismatches))
+	next := published(601, 600, 2)
+	h.do(event.RecordsRead{Records: []control.Positioned{next}, Next: 602, Oldest: 1})
+	must.EqOp(t, 601, statusOf(h).Version)
+}
+
+func TestOlderSnapshotDoesNotRevert(t *testing.T) {
+	h := newLong()
+	p := &sender{id: peerID, incarnation: 1}
+	h.do(p.message(message.Snapshot{Fold: control.Snapshot{Offset: 5, Version: 5, Text: oneRunner(3)}}))
+	must.EqOp(t, 600, statusOf(h).Version)
+}
+
+func statusOf(h *harness) effect.Status {
+	return only[effect.ReplyStatus](h.do(event.StatusAsked{}))[0].Status
+}
