Pass over peer messages that cannot be read

Cause: one message of a newer version ended the whole stream. Change: it is counted and dropped; the receiver sees a gap and asks anew. Measured: tests send an unknown message and a stream without a sender. Conclusion: entries of two versions keep talking during an upgrade.

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -35,6 +35,12 @@
 	m.scope.Tagged(map[string]string{"peer": string(to)}).Counter("peer_messages_failed").Inc(1)
 }
 
+// peerUnreadable counts a message of a peer that could not be read. Any
+// goroutine may call it.
+func (m *metrics) peerUnreadable(from fleet.EntryID) {
+	m.scope.Tagged(map[string]string{"peer": string(from)}).Counter("peer_messages_unreadable").Inc(1)
+}
+
 type counterKey struct {
 	name    effect.Counter
 	service fleet.ServiceName
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -20,7 +20,7 @@
 		return e.loop.Post(event.PeerReceived{
 			From: r.From, Incarnation: r.Incarnation, Address: r.Address, Sequence: r.Sequence, Message: r.Message,
 		})
-	})
+	}, func(from fleet.EntryID, _ error) { e.metrics.peerUnreadable(from) })
 }
 
 // actPeers carries out the effects towards other entries.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -10,11 +10,16 @@
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/peer"
+	"github.com/banyanrail/banyanrail/peer/peerpb"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/message"
 	"github.com/banyanrail/banyanrail/services"
 	"github.com/shoenig/test/must"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
 )
 
 // receiver is a listening peer.
@@ -22,6 +27,7 @@
 	address string
 	got     chan peer.Received
 	server  *grpc.Server
+	dropped atomic.Int64
 }
 
 func listen(t testing.TB, address string) *receiver {
@@ -32,7 +38,7 @@
 	peer.Register(r.server, func(m peer.Received) error {
 		r.got <- m
 		return nil
-	})
+	}, func(fleet.EntryID, error) { r.dropped.Add(1) })
 	go func() { _ = r.server.Serve(ln) }()
 	t.Cleanup(r.server.Stop)
 	return r
@@ -158,6 +164,31 @@
 member "lawa" { weight = 1 }
 `
 
+func TestUnknownMessageIsPassedOver(t *testing.T) {
+	r := listen(t, "127.0.0.1:0")
+	conn, err := grpc.NewClient(r.address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	must.NoError(t, err)
+	defer conn.Close()
+	ctx := metadata.AppendToOutgoingContext(t.Context(), "banyanrail-from", "entry-1", "banyanrail-incarnation", "3")
+	stream, err := peerpb.NewPeerClient(conn).Send(ctx)
+	must.NoError(t, err)
+	must.NoError(t, stream.Send(&peerpb.Envelope{Sequence: 1}))
+	must.NoError(t, stream.Send(&peerpb.Envelope{Sequence: 2, Message: &peerpb.Envelope_ReportWanted{ReportWanted: &peerpb.ReportWanted{}}}))
+	must.EqOp(t, 2, (<-r.got).Sequence)
+	must.EqOp(t, 1, r.dropped.Load())
+}
+
+func TestStreamWithoutASenderIsRefused(t *testing.T) {
+	r := listen(t, "127.0.0.1:0")
+	conn, err := grpc.NewClient(r.address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	must.NoError(t, err)
+	defer conn.Close()
+	stream, err := peerpb.NewPeerClient(conn).Send(t.Context())
+	must.NoError(t, err)
+	_, err = stream.CloseAndRecv()
+	must.EqOp(t, codes.InvalidArgument, status.Code(err))
+}
+
 // countingConn counts what is written to a connection and read from it.
 type countingConn struct {
 	net.Conn
--- a/peer/server.go
+++ b/peer/server.go
@@ -34,13 +34,16 @@
 // Server takes in the messages of other entries.
 type Server struct {
 	peerpb.UnimplementedPeerServer
-	take func(Received) error
+	take    func(Received) error
+	dropped func(from fleet.EntryID, err error)
 }
 
 // Register puts a server that hands messages to take on a gRPC server. Take may
-// wait, which holds back the sender. Its error ends the stream.
-func Register(g *grpc.Server, take func(Received) error) {
-	peerpb.RegisterPeerServer(g, &Server{take: take})
+// wait, which holds back the sender. Its error ends the stream. Messages that
+// cannot be read, as those of a newer version, go to dropped; the receiver sees
+// a gap in the sequence.
+func Register(g *grpc.Server, take func(Received) error, dropped func(from fleet.EntryID, err error)) {
+	peerpb.RegisterPeerServer(g, &Server{take: take, dropped: dropped})
 }
 
 // Send implements the gRPC service.
@@ -59,7 +62,8 @@
 		}
 		m, err := decode(env)
 		if err != nil {
-			return status.Error(codes.InvalidArgument, err.Error())
+			s.dropped(from.From, err)
+			continue
 		}
 		r := from
 		r.Sequence, r.Message = env.GetSequence(), m
