--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,7 +55,7 @@
 	// ClaimAppends is the number of groups of claims that the entry appends to
 	// the log in a second.
 	ClaimAppends int
-	// Placement says who grants slots; empty means reduce.PlacementLocal.
+	// Placement says who grants slots; empty means reduce.PlacementHolder.
 	Placement reduce.Placement
 	// SnapshotInterval is the time between snapshots of the control stream;
 	// zero means reduce.DefaultSnapshotInterval.
@@ -174,6 +174,9 @@
 	if cfg.ClaimAppends == 0 {
 		cfg.ClaimAppends = DefaultClaimAppends
 	}
+	if cfg.Placement == "" {
+		cfg.Placement = reduce.PlacementHolder
+	}
 	if cfg.Incarnation == 0 {
 		cfg.Incarnation = uint64(time.Now().UnixNano())
 	}
