Take an endpoint without a slot as backpressure, not as a failure

Cause: an endpoint's refusal counted as an attempt, so that with local placement three busy runners were enough to refuse a request that had seconds left and a place in the queue. It also ejected nobody but wasted the retry budget. Change: a refused request goes back to the front of its queue, whatever its number of attempts, until its deadline. The instance's window shrinks to what this entry has running there and grows by one for each window of answers; where nothing runs, the instance pauses for 10 ms, doubling to 500 ms.

--- a/reduce/health.go
+++ b/reduce/health.go
@@ -95,7 +95,7 @@
 	case message.VerdictLeaving:
 		return s.health.Leave(it)
 	case message.VerdictRefused:
-		s.health.Refuse(it)
+		s.health.Refuse(it, s.placement.Running(it.ID))
 		return true
 	case message.VerdictGood:
 		return s.health.Succeed(it)
@@ -156,12 +156,15 @@
 // next probe, and a log line when its phase is another than before.
 func (s *State) follow(it *health.Instance) {
 	s.limit(it)
-	if it.Changed() {
+	changed, notable := it.Changed()
+	if changed {
+		s.arm(it)
+	}
+	if notable {
 		s.emit(effect.LogChange{
 			Change: effect.ChangeHealth,
 			Detail: string(it.ID) + " " + it.Phase.String(),
 		})
-		s.arm(it)
 	}
 	s.grant(it.Pool)
 }
--- a/reduce/health/health.go
+++ b/reduce/health/health.go
@@ -15,8 +15,6 @@
 const (
 	// ejectAfter is the number of consecutive failures that ejects an instance.
 	ejectAfter = 5
-	// pauseAfter is the number of consecutive refusals that pauses one.
-	pauseAfter = 3
 	// recoverAfter is the number of consecutive successes that end probation.
 	recoverAfter = 3
 	// maxEjectedPercent bounds the part of a pool that is ejected at once.
@@ -26,9 +24,10 @@
 	// probed; it doubles with each ejection and failed probe.
 	minEjection = time.Second
 	maxEjection = time.Minute
-	// minPause and maxPause bound the time for which a busy instance rests.
-	minPause = 50 * time.Millisecond
-	maxPause = time.Second
+	// minPause and maxPause bound the time for which an instance rests that
+	// refuses requests while none runs there; it doubles with each refusal.
+	minPause = 10 * time.Millisecond
+	maxPause = 500 * time.Millisecond
 	// leavingProbe is the time between probes of a leaving instance.
 	leavingProbe = 2 * time.Second
 	// probeTimeout is when a probe without a result counts as failed.
@@ -45,7 +44,8 @@
 	Healthy Phase = iota
 	// Probation allows one request at a time.
 	Probation
-	// Paused instances refused several requests and rest for a short time.
+	// Paused instances refused a request while none of this entry's ran there,
+	// and rest for a short time.
 	Paused
 	// Ejected instances failed and get nothing until a probe succeeds.
 	Ejected
@@ -81,12 +81,20 @@
 	Tick timer.Timer
 
 	address   string
+	slots     int
 	failures  int
-	refusals  int
 	successes int
-	backoff   time.Duration
-	pause     time.Duration
-	probing   bool
+	// window is the number of requests that the instance takes at once, once it
+	// has refused one: other entries use the rest of its slots. It shrinks to
+	// what runs at a refusal and grows by one for as many answers as it holds.
+	window   int
+	windowed bool
+	grown    int
+	// resume is the phase after a pause.
+	resume  Phase
+	backoff time.Duration
+	pause   time.Duration
+	probing bool
 	// reported is the phase of the last call of Changed.
 	reported Phase
 }
@@ -122,6 +130,9 @@
 			it = &Instance{ID: cfg.ID, address: cfg.Address}
 		}
 		it.Pool = member[cfg.ID]
+		if pool, ok := text.Pool(it.Pool); ok {
+			it.slots = pool.Slots
+		}
 		s.byID[cfg.ID] = it
 		s.size[it.Pool]++
 		if it.out() {
@@ -144,7 +155,7 @@
 func (it *Instance) out() bool { return it.Phase == Ejected || it.Phase == Leaving }
 
 // Limit returns the slots that may be used, of those that the instance has.
-// Each consecutive failure or refusal halves it.
+// Each consecutive failure halves it.
 func (it *Instance) Limit(slots int) int {
 	switch it.Phase {
 	case Paused, Ejected, Leaving:
@@ -152,8 +163,12 @@
 	case Probation:
 		return 1
 	default:
-		return max(1, slots>>min(it.failures+it.refusals, ejectAfter))
 	}
+	limit := max(1, slots>>min(it.failures, ejectAfter))
+	if it.windowed {
+		return min(limit, it.window)
+	}
+	return limit
 }
 
 // Succeed notes a whole answer. It returns true when the instance changed.
@@ -161,11 +176,12 @@
 	if it.out() {
 		return false
 	}
-	clean := it.Phase == Healthy && it.failures == 0 && it.refusals == 0
-	it.failures, it.refusals, it.pause = 0, 0, 0
+	clean := it.Phase == Healthy && it.failures == 0 && !it.windowed
+	it.failures, it.pause = 0, 0
 	if clean {
 		return false
 	}
+	it.grow()
 	it.successes++
 	if it.Phase == Probation && it.successes >= recoverAfter {
 		it.Phase, it.backoff = Healthy, 0
@@ -173,6 +189,20 @@
 	return true
 }
 
+// grow widens the window after a whole window of answers.
+func (it *Instance) grow() {
+	if !it.windowed {
+		return
+	}
+	it.grown++
+	if it.grown < it.window {
+		return
+	}
+	it.window++
+	it.grown = 0
+	it.windowed = it.window < it.slots
+}
+
 // Fail notes a failure of the instance. It returns true when the instance is
 // ejected by it.
 func (s *State) Fail(it *Instance) bool {
@@ -212,19 +242,19 @@
 	}
 }
 
-// Refuse notes that the instance had no slot. It returns true when it is
-// paused by that.
-func (s *State) Refuse(it *Instance) bool {
+// Refuse notes that the instance had no slot beside a number of requests that
+// run there. When there are none, nothing would tell that a slot is free again,
+// so the instance is paused.
+func (s *State) Refuse(it *Instance, running int) {
 	if it.out() || it.Phase == Paused {
-		return false
+		return
 	}
-	it.refusals++
-	if it.refusals < pauseAfter {
-		return false
+	it.windowed, it.window, it.grown = true, max(1, running), 0
+	if running > 0 {
+		return
 	}
-	it.Phase = Paused
+	it.resume, it.Phase = it.Phase, Paused
 	it.pause = min(maxPause, max(minPause, 2*it.pause))
-	return true
 }
 
 // Leave notes that the instance takes no new work. It returns true when that
@@ -257,8 +287,7 @@
 func (s *State) Due(it *Instance) (time.Duration, bool) {
 	switch {
 	case it.Phase == Paused:
-		it.refusals, it.successes = 0, 0
-		it.Phase = Probation
+		it.Phase = it.resume
 		return 0, false
 	case !it.out():
 		return 0, false
@@ -288,7 +317,7 @@
 
 func (s *State) readmit(it *Instance) {
 	it.Phase = Probation
-	it.failures, it.refusals, it.successes = 0, 0, 0
+	it.failures, it.successes = 0, 0
 	it.probing = false
 	s.ejected[it.Pool]--
 }
@@ -296,11 +325,15 @@
 // Probing reports whether a probe is under way.
 func (it *Instance) Probing() bool { return it.probing }
 
-// Changed reports whether the phase is another than at the last call.
-func (it *Instance) Changed() bool {
-	changed := it.Phase != it.reported
+// Changed reports whether the phase is another than at the last call, and
+// whether that is worth a log line: a pause is not.
+func (it *Instance) Changed() (changed, notable bool) {
+	before := it.reported
 	it.reported = it.Phase
-	return changed
+	if it.Phase == before {
+		return false, false
+	}
+	return true, it.Phase != Paused && before != Paused
 }
 
 // Address returns where the instance listens.
--- a/reduce/placement/placement.go
+++ b/reduce/placement/placement.go
@@ -22,9 +22,11 @@
 	// Size is the size that the caller declared.
 	Size int64
 	// Tried holds instances on which the request failed. They are taken only
-	// when the pool has no other open instance. A request that has tried an
-	// instance goes to the front of its member's queue.
+	// when the pool has no other open instance.
 	Tried []fleet.InstanceID
+	// Again is set for a request that was granted a slot before. It goes to the
+	// front of its member's queue.
+	Again bool
 }
 
 // Grant gives a waiting request a slot of an instance.
--- a/reduce/placement/pool.go
+++ b/reduce/placement/pool.go
@@ -142,7 +142,7 @@
 	p.classes[c].backlog += w.cost
 	f.backlog += w.cost
 	w.line.add()
-	if len(w.ask.Tried) > 0 {
+	if w.ask.Again {
 		f.queues[c].pushFront(w)
 	} else {
 		f.queues[c].pushBack(w)
--- a/reduce/request.go
+++ b/reduce/request.go
@@ -100,6 +100,7 @@
 		Member:  r.Member,
 		Urgent:  r.Service.Urgent,
 		Size:    r.Size,
+		Again:   r.Attempts > 0,
 		Tried:   r.Tried,
 	}
 	if r.Attempts == 0 {
@@ -215,6 +216,9 @@
 		s.refuseRequest(r, fleet.ReasonDeadline)
 	case ev.Outcome == event.AttemptSkipped:
 		s.refuseRequest(r, fleet.ReasonCancelled)
+	case ev.Outcome == event.AttemptRefused:
+		r.Refusals++
+		s.again(r)
 	default:
 		r.Try(ev.Instance)
 		s.retry(r, ev.Outcome)
@@ -234,6 +238,12 @@
 		s.refuseRequest(r, fleet.ReasonEndpointFailed)
 		return
 	}
+	s.again(r)
+}
+
+// again queues a request that has had an attempt. One that the endpoint had no
+// slot for did not fail: it waits for a slot until its deadline.
+func (s *State) again(r *requests.Request) {
 	s.totals.retried++
 	s.emit(effect.Count{Name: effect.AttemptsRetried, Service: r.Service.Name, N: 1})
 	s.enqueue(r)
@@ -245,7 +255,7 @@
 	if r.Sent && !r.Service.Idempotent {
 		return false
 	}
-	if r.Attempts >= r.Service.MaxAttempts {
+	if r.Attempts-r.Refusals >= r.Service.MaxAttempts {
 		return false
 	}
 	return last == event.AttemptNotSent || s.budgets.Withdraw(r.Service.Name)
--- a/reduce/requests/table.go
+++ b/reduce/requests/table.go
@@ -56,6 +56,8 @@
 	Phase    Phase
 	// Attempts is the number of dispatches so far.
 	Attempts int
+	// Refusals is the number of attempts for which an endpoint had no slot.
+	Refusals int
 	// Sent is set once an attempt has ended that may have run. The attempt
 	// under way is not counted; see Ran.
 	Sent bool
