Account for each service's demand and budget over all entries

Entries count arrivals, answers, failures and slot time by service and send the counters to peers every 5 s; a lost message does no harm, since counters are cumulative. Planner, waves and rehearsals will read them.

--- a/peer/convert.go
+++ b/peer/convert.go
@@ -33,6 +33,8 @@
 			return oops.In("peer").With("step", "encode").Wrap(err)
 		}
 		env.Message = &peerpb.Envelope_Snapshot{Snapshot: &peerpb.Snapshot{Data: data}}
+	case message.Totals:
+		env.Message = &peerpb.Envelope_Totals{Totals: encodeTotals(m)}
 	default:
 		return encodeHolding(env, m)
 	}
@@ -68,6 +70,8 @@
 		return decodeRecords(m.Records), nil
 	case *peerpb.Envelope_Snapshot:
 		return decodeSnapshot(m.Snapshot)
+	case *peerpb.Envelope_Totals:
+		return decodeTotals(m.Totals), nil
 	default:
 		return decodeHolding(env)
 	}
--- a/reduce/log.go
+++ b/reduce/log.go
@@ -15,6 +15,7 @@
 func (s *State) onStarted() {
 	s.emit(effect.Read{From: firstOffset})
 	s.startClaims()
+	s.onUsageDue()
 	s.onHeartbeatDue()
 }
 
--- a/reduce/peer.go
+++ b/reduce/peer.go
@@ -75,6 +75,8 @@
 		s.onPeerRecords(p, m)
 	case message.Snapshot:
 		s.onPeerSnapshot(p, m)
+	case message.Totals:
+		s.usage.Hear(p.ID, p.Incarnation, m.Services)
 	case message.SlotsAsked:
 		s.onSlotsAsked(p, m)
 	case message.SlotsGranted:
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -86,6 +86,8 @@
 			s.onHealthDue(o)
 		case *proposal:
 			s.onProposalTimer(o)
+		case *usageTick:
+			s.onUsageDue()
 		case *peers.State:
 			s.onHeartbeatDue()
 		case *holder.Link:
--- a/reduce/request.go
+++ b/reduce/request.go
@@ -42,6 +42,7 @@
 	}
 	s.requests.Add(r)
 	s.budgets.Deposit(svc.Name)
+	s.usage.Arrive(svc.Name)
 	s.timers.Set(&r.Expiry, r.Deadline, r)
 	if !svc.Idempotent {
 		s.claim(r)
@@ -185,6 +186,7 @@
 	}
 	g := r.Grant
 	s.placement.Finish(g, ev.Elapsed)
+	s.usage.Run(r.Service.Name, ev.Elapsed)
 	s.giveBack(r, s.judge(r, ev))
 	s.conclude(r, ev)
 	s.grant(g.Ask.Pool)
@@ -224,6 +226,7 @@
 func (s *State) answer(r *requests.Request, ev event.AttemptFinished) {
 	s.claimAnswered(r, ev)
 	s.totals.answered++
+	s.countAnswer(r.Service.Name, ev.Status)
 	s.emit(effect.Answer{Request: r.ID, Attempt: ev.Attempt, Attempts: r.Attempts, Service: r.Service.Name})
 	s.forget(r)
 }
@@ -303,6 +306,7 @@
 
 func (s *State) refuse(e effect.Refuse, service fleet.ServiceName) {
 	s.totals.refused++
+	s.countRefusal(service, e.Reason)
 	e.Service = service
 	s.emit(e)
 }
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -13,6 +13,7 @@
 	"github.com/banyanrail/banyanrail/reduce/relay"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 	"github.com/banyanrail/banyanrail/reduce/timer"
+	"github.com/banyanrail/banyanrail/reduce/usage"
 )
 
 // Config is what an entry knows before its first event.
@@ -44,6 +45,8 @@
 	placement *placement.State
 	health    *health.State
 	budgets   *requests.Budgets
+	usage     *usage.State
+	usageTick usageTick
 	peers     *peers.State
 	claiming  *claiming
 	proposals proposals
@@ -81,6 +84,7 @@
 		placement: placement.New(cfg.Seed),
 		health:    health.New(),
 		budgets:   requests.NewBudgets(),
+		usage:     usage.New(),
 		peers:     peers.New(cfg.Entry),
 		claiming:  newClaiming(cfg),
 		proposals: newProposals(),
--- /dev/null
+++ b/reduce/usage/burn.go
@@ -0,0 +1,34 @@
+package usage
+
+import (
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+)
+
+// Burn is how fast a service burns its budget: 1 means that the share of
+// failures is just the share that the budget allows.
+type Burn struct {
+	Short float64
+	Long  float64
+}
+
+// Exceeds reports whether both windows burn faster than a rate. The long window
+// keeps a few failures at low traffic from counting; the short one ends the
+// alarm soon after the cause has gone.
+func (b Burn) Exceeds(rate float64) bool { return b.Short > rate && b.Long > rate }
+
+// Burn returns how fast a service burns its budget.
+func (s *State) Burn(svc *fleet.Service, now time.Time) Burn {
+	return Burn{
+		Short: rate(s.Window(svc.Name, now, ShortWindow), svc.Availability),
+		Long:  rate(s.Window(svc.Name, now, LongWindow), svc.Availability),
+	}
+}
+
+func rate(t Totals, availability float64) float64 {
+	if t.Sum() == 0 {
+		return 0
+	}
+	return float64(t.Failed) / float64(t.Sum()) / (1 - availability)
+}
--- a/reduce/budget/counts.go
+++ b/reduce/usage/failure.go
@@ -1,10 +1,10 @@
-package budget
+package usage
 
 import "github.com/banyanrail/banyanrail/fleet"
 
-// Counts reports whether a refusal for this reason counts against the
+// IsFailure reports whether a refusal for this reason counts against the
 // availability budget. Faults of the caller do not.
-func Counts(reason fleet.Reason) bool {
+func IsFailure(reason fleet.Reason) bool {
 	switch reason {
 	case fleet.ReasonQueueFull,
 		fleet.ReasonNoCapacity,
--- a/reduce/budget/budget.go
+++ b/reduce/usage/usage.go
@@ -1,10 +1,9 @@
-// Package budget accounts for the availability budget of each service: how
-// many requests were answered and how many failed, over all entries, and how
-// fast the budget burns.
+// Package usage accounts for what each service was asked and did, over all
+// entries: its demand in slots, and how fast it burns its availability budget.
 //
 // Entries exchange cumulative counters. A lost or repeated message does no
 // harm: the next one replaces it.
-package budget
+package usage
 
 import (
 	"slices"
@@ -24,35 +23,44 @@
 	maxSamples = int(LongWindow/SampleInterval) + 2
 )
 
-// Totals counts the requests of one service since an entry started.
+// Totals counts what one service was asked and did since an entry started.
 type Totals struct {
-	Answered uint64
-	Failed   uint64
+	// Arrived counts requests, and Answered and Failed what became of them.
+	// Requests refused for a fault of their caller are in neither.
+	Arrived, Answered, Failed uint64
+	// Attempts counts dispatches that ended, and Busy adds up how long they
+	// held a slot.
+	Attempts uint64
+	Busy     time.Duration
 }
 
-// Sum returns the number of all requests.
+// Sum returns the number of requests that were answered or failed.
 func (t Totals) Sum() uint64 { return t.Answered + t.Failed }
 
 func (t Totals) plus(u Totals) Totals {
-	return Totals{Answered: t.Answered + u.Answered, Failed: t.Failed + u.Failed}
+	return Totals{
+		Arrived:  t.Arrived + u.Arrived,
+		Answered: t.Answered + u.Answered,
+		Failed:   t.Failed + u.Failed,
+		Attempts: t.Attempts + u.Attempts,
+		Busy:     t.Busy + u.Busy,
+	}
 }
 
-// minus returns t less u, and zero where u is larger: a restarted entry counts
-// from zero again.
+// minus returns t less an earlier u.
 func (t Totals) minus(u Totals) Totals {
-	return Totals{Answered: less(t.Answered, u.Answered), Failed: less(t.Failed, u.Failed)}
-}
-
-func less(a, b uint64) uint64 {
-	if b > a {
-		return 0
+	return Totals{
+		Arrived:  t.Arrived - u.Arrived,
+		Answered: t.Answered - u.Answered,
+		Failed:   t.Failed - u.Failed,
+		Attempts: t.Attempts - u.Attempts,
+		Busy:     t.Busy - u.Busy,
 	}
-	return a - b
 }
 
 // State holds the totals of all entries and samples of their sum.
 type State struct {
-	local   map[fleet.ServiceName]Totals
+	local   map[fleet.ServiceName]*Totals
 	remote  map[fleet.EntryID]remote
 	retired map[fleet.ServiceName]Totals
 	samples []sample
@@ -71,28 +79,48 @@
 // New returns a state without requests.
 func New() *State {
 	return &State{
-		local:   make(map[fleet.ServiceName]Totals),
+		local:   make(map[fleet.ServiceName]*Totals),
 		remote:  make(map[fleet.EntryID]remote),
 		retired: make(map[fleet.ServiceName]Totals),
 	}
 }
 
-// Count adds one request of this entry.
-func (s *State) Count(service fleet.ServiceName, ok bool) {
-	t := s.local[service]
-	if ok {
-		t.Answered++
-	} else {
-		t.Failed++
+// Arrive counts a request of this entry.
+func (s *State) Arrive(service fleet.ServiceName) {
+	s.totals(service).Arrived++
+}
+
+// Answer counts a request that was answered.
+func (s *State) Answer(service fleet.ServiceName) {
+	s.totals(service).Answered++
+}
+
+// Fail counts a request that failed, other than by a fault of its caller.
+func (s *State) Fail(service fleet.ServiceName) {
+	s.totals(service).Failed++
+}
+
+// Run counts an attempt that held a slot for a time.
+func (s *State) Run(service fleet.ServiceName, held time.Duration) {
+	t := s.totals(service)
+	t.Attempts++
+	t.Busy += held
+}
+
+func (s *State) totals(service fleet.ServiceName) *Totals {
+	t, ok := s.local[service]
+	if !ok {
+		t = &Totals{}
+		s.local[service] = t
 	}
-	s.local[service] = t
+	return t
 }
 
 // Local returns this entry's totals, ordered by service, to be sent to peers.
 func (s *State) Local() []ServiceTotals {
 	all := make([]ServiceTotals, 0, len(s.local))
 	for name, t := range s.local {
-		all = append(all, ServiceTotals{Service: name, Totals: t})
+		all = append(all, ServiceTotals{Service: name, Totals: *t})
 	}
 	slices.SortFunc(all, byService)
 	return all
@@ -142,7 +170,9 @@
 			sum[name] = sum[name].plus(t)
 		}
 	}
-	add(s.local)
+	for name, t := range s.local {
+		sum[name] = *t
+	}
 	add(s.retired)
 	for _, r := range s.remote {
 		add(r.totals)
@@ -172,31 +202,29 @@
 	return current
 }
 
-// Burn is how fast a service burns its budget: 1 means that the share of
-// failures is just the share that the budget allows.
-type Burn struct {
-	Short float64
-	Long  float64
+// Demand returns the slots that a service needed over the long window: its
+// arrivals, refused ones included, times the mean time that a request holds a
+// slot.
+func (s *State) Demand(service fleet.ServiceName, now time.Time) float64 {
+	t := s.Window(service, now, LongWindow)
+	if t.Attempts == 0 {
+		return 0
+	}
+	mean := t.Busy.Seconds() / float64(t.Attempts)
+	return float64(t.Arrived) * mean / s.covered(now).Seconds()
 }
 
-// Exceeds reports whether both windows burn faster than a rate. The long window
-// keeps a few failures at low traffic from counting; the short one ends the
-// alarm soon after the cause has gone.
-func (b Burn) Exceeds(rate float64) bool { return b.Short > rate && b.Long > rate }
-
-// Burn returns how fast a service burns its budget.
-func (s *State) Burn(svc *fleet.Service, now time.Time) Burn {
-	return Burn{
-		Short: rate(s.Window(svc.Name, now, ShortWindow), svc.Availability),
-		Long:  rate(s.Window(svc.Name, now, LongWindow), svc.Availability),
+// covered returns how much of the long window there are samples for.
+func (s *State) covered(now time.Time) time.Duration {
+	if len(s.samples) == 0 {
+		return LongWindow
 	}
+	return min(LongWindow, max(SampleInterval, now.Sub(s.samples[0].at)))
 }
 
-func rate(t Totals, availability float64) float64 {
-	if t.Sum() == 0 {
-		return 0
-	}
-	return float64(t.Failed) / float64(t.Sum()) / (1 - availability)
+// Covers reports whether there are samples for the whole long window.
+func (s *State) Covers(now time.Time) bool {
+	return len(s.samples) > 0 && now.Sub(s.samples[0].at) >= LongWindow
 }
 
 // Total returns all requests of a service since the entries started.
--- a/reduce/budget/budget_test.go
+++ b/reduce/usage/usage_test.go
@@ -1,11 +1,11 @@
-package budget_test
+package usage_test
 
 import (
 	"testing"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
-	"github.com/banyanrail/banyanrail/reduce/budget"
+	"github.com/banyanrail/banyanrail/reduce/usage"
 	"github.com/shoenig/test/must"
 )
 
@@ -14,19 +14,23 @@
 	survey = &fleet.Service{Name: "survey", Availability: 0.9}
 )
 
-func count(s *budget.State, ok bool, n int) {
+func count(s *usage.State, ok bool, n int) {
 	for range n {
-		s.Count("survey", ok)
+		if ok {
+			s.Answer("survey")
+		} else {
+			s.Fail("survey")
+		}
 	}
 }
 
 func TestBurnNeedsBothWindows(t *testing.T) {
-	s := budget.New()
+	s := usage.New()
 	now := epoch
 	s.Sample(now)
 	count(s, true, 1000)
 	for range 55 {
-		now = now.Add(budget.SampleInterval)
+		now = now.Add(usage.SampleInterval)
 		s.Sample(now)
 	}
 	count(s, false, 20)
@@ -39,12 +43,12 @@
 }
 
 func TestShortWindowEndsTheAlarm(t *testing.T) {
-	s := budget.New()
+	s := usage.New()
 	s.Sample(epoch)
 	count(s, false, 100)
 	now := epoch
 	for range 12 {
-		now = now.Add(budget.SampleInterval)
+		now = now.Add(usage.SampleInterval)
 		s.Sample(now)
 	}
 	count(s, true, 100)
@@ -52,9 +56,9 @@
 }
 
 func TestRestartedPeerKeepsItsTotals(t *testing.T) {
-	s := budget.New()
+	s := usage.New()
 	hear := func(incarnation, answered uint64) {
-		s.Hear("entry-2", incarnation, []budget.ServiceTotals{{Service: "survey", Totals: budget.Totals{Answered: answered}}})
+		s.Hear("entry-2", incarnation, []usage.ServiceTotals{{Service: "survey", Totals: usage.Totals{Answered: answered}}})
 	}
 	hear(1, 10)
 	hear(1, 12)
@@ -62,3 +66,20 @@
 	hear(1, 99)
 	must.EqOp(t, 15, s.Total("survey").Answered)
 }
+
+func TestDemandCountsWhatWasRefused(t *testing.T) {
+	s := usage.New()
+	s.Sample(epoch)
+	now := epoch
+	for range 60 {
+		for range 100 {
+			s.Arrive("survey")
+		}
+		for range 50 {
+			s.Run("survey", 40*time.Millisecond)
+		}
+		now = now.Add(usage.SampleInterval)
+		s.Sample(now)
+	}
+	must.EqOp(t, 4, s.Demand("survey", now))
+}
