--- a/services/numbers.go
+++ b/services/numbers.go
@@ -1,51 +1,45 @@
 package services
 
 import (
-	"bytes"
 	"fmt"
-	"strconv"
 
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
+	"github.com/zclconf/go-cty/cty"
 )
 
 const (
-	// maxNumber is the longest number literal, in bytes.
-	maxNumber = 40
-	// maxExponent is the largest power of ten in a number literal.
-	maxExponent = 308
+	// maxExponent is the largest power of two in a number, that of the largest
+	// floating point number.
+	maxExponent = 1024
+	// minExponent is the least one.
+	minExponent = -1074
 )
 
-// checkNumbers reports number literals of unbounded size. Where a string is
-// expected, the HCL library writes a number in decimal digits, in a time that
-// grows with the square of the exponent.
-func checkNumbers(name string, src []byte) hcl.Diagnostics {
-	tokens, diags := hclsyntax.LexConfig(src, name, hcl.InitialPos)
-	if diags.HasErrors() {
-		return diags
-	}
-	for _, tok := range tokens {
-		if tok.Type != hclsyntax.TokenNumberLit || isNumberBounded(tok.Bytes) {
-			continue
+// checkNumbers reports numbers of unbounded size. Where a string is expected,
+// the HCL library writes a number in decimal digits, in a time that grows with
+// the square of the exponent.
+func checkNumbers(body *hclsyntax.Body) hcl.Diagnostics {
+	return hclsyntax.VisitAll(body, func(node hclsyntax.Node) hcl.Diagnostics {
+		literal, ok := node.(*hclsyntax.LiteralValueExpr)
+		if !ok || isBounded(literal.Val) {
+			return nil
 		}
-		diags = append(diags, &hcl.Diagnostic{
+		at := literal.SrcRange
+		return hcl.Diagnostics{{
 			Severity: hcl.DiagError,
 			Summary:  "Number out of range",
-			Detail:   fmt.Sprintf("A number has at most %d characters and an exponent of at most %d.", maxNumber, maxExponent),
-			Subject:  tok.Range.Ptr(),
-		})
-	}
-	return diags
+			Detail:   fmt.Sprintf("A number must lie between 2^%d and 2^%d.", minExponent, maxExponent),
+			Subject:  &at,
+		}}
+	})
 }
 
-func isNumberBounded(literal []byte) bool {
-	if len(literal) > maxNumber {
-		return false
-	}
-	at := bytes.IndexAny(literal, "eE")
-	if at < 0 {
+func isBounded(v cty.Value) bool {
+	if v.IsNull() || !v.IsKnown() || v.Type() != cty.Number {
 		return true
 	}
-	exponent, err := strconv.Atoi(string(literal[at+1:]))
-	return err == nil && exponent <= maxExponent && exponent >= -maxExponent
+	f := v.AsBigFloat()
+	exponent := f.MantExp(nil)
+	return f.Sign() == 0 || !f.IsInf() && exponent <= maxExponent && exponent >= minExponent
 }
--- a/services/services.go
+++ b/services/services.go
@@ -70,13 +70,15 @@
 
 // read fails only when the text is not HCL; other faults stay with the reader.
 func read(name string, src []byte) (*reader, *fleet.Text, *hcl.BodyContent, error) {
-	if diags := checkNumbers(name, src); diags.HasErrors() {
-		return nil, nil, nil, &Error{Diagnostics: diags}
-	}
 	parsed, diags := hclsyntax.ParseConfig(src, name, hcl.InitialPos)
 	if diags.HasErrors() {
 		return nil, nil, nil, &Error{Diagnostics: diags}
 	}
+	if body, ok := parsed.Body.(*hclsyntax.Body); ok {
+		if diags := checkNumbers(body); diags.HasErrors() {
+			return nil, nil, nil, &Error{Diagnostics: diags}
+		}
+	}
 	r := &reader{places: make(map[place]hcl.Range)}
 	content := r.content(parsed.Body, fileSchema)
 	text := r.text(content)
