Let operators send only what changes in the text

Change: PATCH /v1/text takes a change of the text in force, checks the result and publishes it. The command line compares the file with the text in force and sends the difference; it sends the whole text when there is none or when another base is asked for. A test holds appends back beyond their deadline.

--- a/cmd/banyanrail/client.go
+++ b/cmd/banyanrail/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/platform/codec"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/services"
 	"github.com/go-resty/resty/v2"
@@ -56,14 +57,28 @@
 	return text, fleet.Version(version), err
 }
 
+// publish sends a whole text.
 func (c *client) publish(ctx context.Context, base fleet.Version, src []byte) (entry.OperatorResult, error) {
+	return c.send(ctx, http.MethodPut, base, src)
+}
+
+// publishDelta sends what changes in the text of the base version.
+func (c *client) publishDelta(ctx context.Context, base fleet.Version, d *fleet.Delta) (entry.OperatorResult, error) {
+	data, err := codec.EncodeDelta(d)
+	if err != nil {
+		return entry.OperatorResult{}, c.fail("publish").Wrap(err)
+	}
+	return c.send(ctx, http.MethodPatch, base, data)
+}
+
+func (c *client) send(ctx context.Context, method string, base fleet.Version, body []byte) (entry.OperatorResult, error) {
 	var res entry.OperatorResult
 	resp, err := c.http.R().
 		SetContext(ctx).
 		SetQueryParam("base", strconv.FormatInt(int64(base), 10)).
-		SetBody(src).
+		SetBody(body).
 		SetResult(&res).
-		Put("/v1/text")
+		Execute(method, "/v1/text")
 	var op *net.OpError
 	if err != nil && (!errors.As(err, &op) || op.Op != "dial") {
 		err = errors.Join(errUndecided, err)
--- a/cmd/banyanrail/publish.go
+++ b/cmd/banyanrail/publish.go
@@ -4,11 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"os"
 	"time"
 
+	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/services"
 )
 
 // followInterval is the time between looks at how far a version has come.
@@ -31,21 +32,12 @@
 }
 
 func (c *publishCmd) run(ctx context.Context, s *settings) error {
-	src, err := os.ReadFile(c.File)
+	text, err := readText(c.File)
 	if err != nil {
 		return err
 	}
-	if _, err := readText(c.File); err != nil {
-		return err
-	}
 	cl := newClient(s)
-	base := fleet.Version(c.Base)
-	if c.Base < 0 {
-		if _, base, err = cl.text(ctx); err != nil {
-			return err
-		}
-	}
-	sent, err := cl.publish(ctx, base, src)
+	sent, err := c.send(ctx, cl, text)
 	if err != nil {
 		return err
 	}
@@ -62,6 +54,23 @@
 	return err
 }
 
+// send publishes what changes against the text in force. Without one, or when
+// another version is asked for as the base, the whole text is sent.
+func (c *publishCmd) send(ctx context.Context, cl *client, text *fleet.Text) (entry.OperatorResult, error) {
+	current, version, err := cl.text(ctx)
+	if err != nil {
+		return entry.OperatorResult{}, err
+	}
+	base := fleet.Version(c.Base)
+	if c.Base < 0 {
+		base = version
+	}
+	if current == nil || base != version {
+		return cl.publish(ctx, base, services.Print(text))
+	}
+	return cl.publishDelta(ctx, base, fleet.Compare(current, text))
+}
+
 // follow waits until all entries alive have the version, and reports progress.
 func (c *publishCmd) follow(ctx context.Context, s *settings, cl *client, res *publishResult) error {
 	ctx, cancel := context.WithTimeout(ctx, c.Wait)
--- a/dev/publish_test.go
+++ b/dev/publish_test.go
@@ -1,6 +1,7 @@
 package dev_test
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,6 +15,9 @@
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/platform"
+	"github.com/banyanrail/banyanrail/platform/codec"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/banyanrail/banyanrail/standin"
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
@@ -131,3 +135,59 @@
 	must.EqOp(t, res.Version, version)
 	must.StrContains(t, text, "slots       = 8\n")
 }
+
+// patch publishes a change of the text in force.
+func patch(t *testing.T, n *dev.Node, base fleet.Version, d *fleet.Delta) (int, string) {
+	t.Helper()
+	data, err := codec.EncodeDelta(d)
+	must.NoError(t, err)
+	url := fmt.Sprintf("%s/v1/text?base=%d", n.OperatorsURL, base)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPatch, url, bytes.NewReader(data))
+	must.NoError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	return resp.StatusCode, string(body)
+}
+
+func TestPatchChangesTheTextInForce(t *testing.T) {
+	f := startFleet(t)
+	n := f.Nodes[0]
+	add := &fleet.Delta{Members: []fleet.Member{{Name: "guagua", Weight: 2}}}
+	code, _ := patch(t, n, 0, add)
+	must.EqOp(t, http.StatusServiceUnavailable, code)
+	_, first := publish(t, n, "0", f.Text(8))
+	code, body := patch(t, n, first.Version, add)
+	must.EqOp(t, http.StatusOK, code, must.Sprint(body))
+	text, _ := textInForce(t, n)
+	must.StrContains(t, text, `member "guagua"`)
+
+	code, _ = patch(t, n, first.Version, add)
+	must.EqOp(t, http.StatusConflict, code)
+	code, body = patch(t, n, first.Version+1, &fleet.Delta{GonePools: []fleet.PoolName{"main"}})
+	must.EqOp(t, http.StatusUnprocessableEntity, code)
+	must.StrContains(t, body, "Unknown pool")
+}
+
+// TestAppendAfterItsDeadlineIsNotMade stands for a process that is paused
+// between the decision and the append.
+func TestAppendAfterItsDeadlineIsNotMade(t *testing.T) {
+	late := func(ev event.Event, out []effect.Effect) []effect.Effect {
+		for i, e := range out {
+			if a, ok := e.(effect.Append); ok {
+				a.Deadline = ev.Now.Add(-time.Second)
+				out[i] = a
+			}
+		}
+		return out
+	}
+	f, err := dev.Start(dev.Config{Entries: 1, Runners: 1, Slots: 8, Work: time.Millisecond, Deps: entry.Deps{Tap: late}})
+	must.NoError(t, err)
+	t.Cleanup(f.Stop)
+	code, res := publish(t, f.Nodes[0], "0", f.Text(8))
+	must.EqOp(t, http.StatusServiceUnavailable, code)
+	must.EqOp(t, "log-unavailable", res.Outcome)
+	must.EqOp(t, 0, status(t, f.Nodes[0]).Offset)
+}
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -3,22 +3,16 @@
 import (
 	"crypto/subtle"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/event"
-	"github.com/banyanrail/banyanrail/services"
 	"github.com/google/uuid"
 )
 
 const (
-	// maxText bounds a services text, in bytes.
-	maxText = 4 << 20
 	// commandTimeout is how long an operator waits for a record to be read back.
 	commandTimeout = 10 * time.Second
 )
@@ -39,6 +33,7 @@
 func (e *Entry) Operators() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /v1/text", e.handlePublish)
+	mux.HandleFunc("PATCH /v1/text", e.handlePatch)
 	mux.HandleFunc("GET /v1/text", e.handleText)
 	mux.HandleFunc("GET /v1/status", e.handleStatus)
 	mux.HandleFunc("GET /healthz", e.handleLive)
@@ -65,30 +60,6 @@
 
 // handlePublish proposes a services text; the query parameter base names the
 // version that it was made from.
-func (e *Entry) handlePublish(w http.ResponseWriter, r *http.Request) {
-	base, err := strconv.ParseInt(r.URL.Query().Get("base"), 10, 64)
-	if err != nil {
-		e.writeProblem(w, operatorProblem(http.StatusBadRequest, "read request", "base is not a version number"))
-		return
-	}
-	src, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxText))
-	if err != nil {
-		e.writeProblem(w, operatorProblem(http.StatusRequestEntityTooLarge, "read request", err.Error()))
-		return
-	}
-	text, err := services.Parse("services.hcl", src)
-	if err != nil {
-		p := operatorProblem(http.StatusUnprocessableEntity, "check text", err.Error())
-		var faulty *services.Error
-		if errors.As(err, &faulty) {
-			p.Faults = faulty.Faults()
-		}
-		e.writeProblem(w, p)
-		return
-	}
-	e.command(w, r, control.Publish{Base: fleet.Version(base), Text: text})
-}
-
 // command proposes a record and answers with what became of it.
 func (e *Entry) command(w http.ResponseWriter, r *http.Request, body control.Body) {
 	now := e.clock()
@@ -125,24 +96,6 @@
 	control.NotReady:  http.StatusServiceUnavailable,
 }
 
-// handleText answers with the services text in force, in its canonical form.
-func (e *Entry) handleText(w http.ResponseWriter, r *http.Request) {
-	rep, err := e.texts.Do(r.Context(), func(id uint64) error {
-		return e.loop.Offer(event.TextAsked{ID: id})
-	})
-	if err != nil {
-		e.writeProblem(w, operatorProblem(http.StatusServiceUnavailable, "read text", err.Error()))
-		return
-	}
-	w.Header().Set(HeaderVersion, strconv.FormatInt(int64(rep.Version), 10))
-	if rep.Text == nil {
-		e.writeProblem(w, operatorProblem(http.StatusNotFound, "read text", "no services text is in force"))
-		return
-	}
-	w.Header().Set("Content-Type", "application/hcl")
-	_, _ = w.Write(services.Print(rep.Text)) // the operator has gone if this fails
-}
-
 func (e *Entry) handleStatus(w http.ResponseWriter, r *http.Request) {
 	st, err := e.statuses.Do(r.Context(), func(id uint64) error {
 		return e.loop.Offer(event.StatusAsked{ID: id})
--- /dev/null
+++ b/entry/text.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/platform/codec"
+	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/services"
+)
+
+// maxText bounds a services text, in bytes.
+const maxText = 4 << 20
+
+// handlePublish publishes a whole services text.
+func (e *Entry) handlePublish(w http.ResponseWriter, r *http.Request) {
+	base, src, ok := e.readText(w, r)
+	if !ok {
+		return
+	}
+	text, err := services.Parse("services.hcl", src)
+	if err != nil {
+		e.writeFaults(w, err)
+		return
+	}
+	e.command(w, r, control.Publish{Base: base, Text: text})
+}
+
+// handlePatch publishes what changes in the services text in force. It costs
+// the entry far less than a whole text does.
+func (e *Entry) handlePatch(w http.ResponseWriter, r *http.Request) {
+	base, data, ok := e.readText(w, r)
+	if !ok {
+		return
+	}
+	delta, err := codec.DecodeDelta(data)
+	if err != nil {
+		e.writeFaults(w, err)
+		return
+	}
+	current, err := e.textInForce(r.Context())
+	switch {
+	case err != nil:
+		e.writeProblem(w, operatorProblem(http.StatusServiceUnavailable, "read text", err.Error()))
+		return
+	case current.Version < base || current.Text == nil:
+		e.writeProblem(w, operatorProblem(http.StatusServiceUnavailable, "read text", "this entry has not read the base version yet"))
+		return
+	}
+	if err := services.Check(current.Text.With(delta)); err != nil && current.Version == base {
+		e.writeFaults(w, err)
+		return
+	}
+	e.command(w, r, control.Publish{Base: base, Delta: delta})
+}
+
+// readText reads the base version and the body, or answers with a problem.
+func (e *Entry) readText(w http.ResponseWriter, r *http.Request) (fleet.Version, []byte, bool) {
+	base, err := strconv.ParseInt(r.URL.Query().Get("base"), 10, 64)
+	if err != nil {
+		e.writeProblem(w, operatorProblem(http.StatusBadRequest, "read request", "base is not a version number"))
+		return 0, nil, false
+	}
+	src, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxText))
+	if err != nil {
+		e.writeProblem(w, operatorProblem(http.StatusRequestEntityTooLarge, "read request", err.Error()))
+		return 0, nil, false
+	}
+	return fleet.Version(base), src, true
+}
+
+func (e *Entry) writeFaults(w http.ResponseWriter, err error) {
+	p := operatorProblem(http.StatusUnprocessableEntity, "check text", err.Error())
+	var faulty *services.Error
+	if errors.As(err, &faulty) {
+		p.Faults = faulty.Faults()
+	}
+	e.writeProblem(w, p)
+}
+
+func (e *Entry) textInForce(ctx context.Context) (effect.ReplyText, error) {
+	return e.texts.Do(ctx, func(id uint64) error {
+		return e.loop.Offer(event.TextAsked{ID: id})
+	})
+}
+
+// handleText answers with the services text in force, in its canonical form.
+func (e *Entry) handleText(w http.ResponseWriter, r *http.Request) {
+	rep, err := e.textInForce(r.Context())
+	if err != nil {
+		e.writeProblem(w, operatorProblem(http.StatusServiceUnavailable, "read text", err.Error()))
+		return
+	}
+	w.Header().Set(HeaderVersion, strconv.FormatInt(int64(rep.Version), 10))
+	if rep.Text == nil {
+		e.writeProblem(w, operatorProblem(http.StatusNotFound, "read text", "no services text is in force"))
+		return
+	}
+	w.Header().Set("Content-Type", "application/hcl")
+	_, _ = w.Write(services.Print(rep.Text)) // the operator has gone if this fails
+}
--- a/services/bench_test.go
+++ b/services/bench_test.go
@@ -42,3 +42,11 @@
 		services.Print(text)
 	}
 }
+
+func BenchmarkCheck(b *testing.B) {
+	text, err := services.Parse("plan.hcl", []byte(planSource()))
+	must.NoError(b, err)
+	for b.Loop() {
+		must.NoError(b, services.Check(text))
+	}
+}
--- a/services/services.go
+++ b/services/services.go
@@ -39,6 +39,18 @@
 	return text, nil
 }
 
+// Check reports the faults that show only in the whole of a text, as an *Error.
+// It is for texts that were not parsed from one source, so the faults have no
+// place.
+func Check(text *fleet.Text) error {
+	r := &reader{places: make(map[place]hcl.Range)}
+	r.check(text)
+	if r.diags.HasErrors() {
+		return &Error{Diagnostics: r.diags}
+	}
+	return nil
+}
+
 // Fragment is a part of a services text: whole blocks, without those that they
 // refer to.
 type Fragment struct {
