--- a/cmd/banyanrail/main_test.go
+++ b/cmd/banyanrail/main_test.go
@@ -75,7 +75,7 @@
 	first := c.file(f.Text(8))
 	out, code := c.run("plan", first)
 	must.EqOp(t, 0, code, must.Sprint(out))
-	must.StrContains(t, out, "against version 0: 6 to add")
+	must.StrContains(t, out, "against version 0: 7 to add")
 
 	out, code = c.run("publish", first)
 	must.EqOp(t, 0, code, must.Sprint(out))
--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -32,12 +32,14 @@
 	Slots int
 	// Work is how long an endpoint takes for a request.
 	Work time.Duration
-	// SnapshotInterval is the time between snapshots; zero means the default.
-	SnapshotInterval time.Duration
 	// Placement says who grants slots.
 	Placement reduce.Placement
+	// SnapshotInterval is the time between snapshots; zero means the default.
+	SnapshotInterval time.Duration
 	// Deps are handed to every entry; Log is set by the fleet.
 	Deps entry.Deps
+	// Tap makes the tap of an entry; nil uses that of Deps.
+	Tap func(fleet.EntryID) entry.Tap
 }
 
 // Fleet is a running fleet.
@@ -51,6 +53,8 @@
 	ctx         context.Context
 	cancel      context.CancelFunc
 	wg          sync.WaitGroup
+	// started is the number of entries started so far.
+	started int
 }
 
 // Runner is an endpoint stand-in with its address.
@@ -120,7 +124,7 @@
 }
 
 func (f *Fleet) addNode(cut bool) (*Node, error) {
-	node, err := f.startNode(fmt.Sprintf("entry-%d", len(f.Nodes)+1), cut)
+	node, err := f.newNode(cut)
 	if err != nil {
 		return nil, err
 	}
@@ -128,6 +132,12 @@
 	return node, nil
 }
 
+// newNode starts an entry under an id that none had before.
+func (f *Fleet) newNode(cut bool) (*Node, error) {
+	f.started++
+	return f.startNode(fmt.Sprintf("entry-%d", f.started), cut)
+}
+
 func (f *Fleet) startNode(id string, cut bool) (*Node, error) {
 	ctx, kill := context.WithCancel(f.ctx)
 	peersListener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -144,10 +154,13 @@
 	}
 	node.Log.Cut(cut)
 	deps := f.cfg.Deps
+	if f.cfg.Tap != nil {
+		deps.Tap = f.cfg.Tap(node.ID)
+	}
 	deps.Log, deps.Instances = node.Log, client
 	node.Entry = entry.New(entry.Config{
 		ID:               node.ID,
-		Seed:             uint64(len(f.Nodes) + 1),
+		Seed:             uint64(f.started),
 		PeerAddress:      node.PeerAddress,
 		Placement:        f.cfg.Placement,
 		SnapshotInterval: f.cfg.SnapshotInterval,
@@ -238,13 +251,19 @@
   idempotent = true
 }
 
+service "permit" {
+  pool       = "main"
+  idempotent = false
+}
+
 member "lawa" {
   weight = 1
 }
 `))
 
-// Text returns a services text for the fleet: one pool of all runners, one
-// service "survey" and one member "lawa".
+// Text returns a services text for the fleet: one pool of all runners, an
+// idempotent service "survey", a non-idempotent service "permit" and one member
+// "lawa".
 func (f *Fleet) Text(slots int) string {
 	var out bytes.Buffer
 	_ = textTemplate.Execute(&out, struct { // the template is fixed and writes to memory
--- a/dev/publish_test.go
+++ b/dev/publish_test.go
@@ -38,6 +38,13 @@
 	return string(body), fleet.Version(version)
 }
 
+func waitVersion(t testing.TB, n *dev.Node, version fleet.Version) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		return status(t, n).Version == version
+	}), wait.Gap(time.Millisecond), wait.Timeout(30*time.Second)))
+}
+
 func TestRacingOperatorsAreBothToldTheTruth(t *testing.T) {
 	const (
 		rounds    = 200
--- a/dev/relay_test.go
+++ b/dev/relay_test.go
@@ -7,19 +7,10 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/dev"
-	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 )
 
-func waitVersion(t testing.TB, n *dev.Node, version fleet.Version) {
-	t.Helper()
-	must.Wait(t, wait.InitialSuccess(
-		wait.BoolFunc(func() bool { return status(t, n).Version == version }),
-		wait.Timeout(10*time.Second), wait.Gap(2*time.Millisecond),
-	))
-}
-
 func TestEntryCutOffFromTheLogFollowsItsPeers(t *testing.T) {
 	f := startFleet(t)
 	_, first := publish(t, f.Nodes[0], "0", f.Text(8))
--- a/entry/act.go
+++ b/entry/act.go
@@ -33,6 +33,8 @@
 	case effect.Stopped:
 		e.stopOnce.Do(func() { close(e.stopped) })
 	default:
+		e.actPeers(out)
+		e.actClaims(out)
 		e.replyOperator(out)
 	}
 }
@@ -46,8 +48,6 @@
 		e.statuses.Resolve(o.ID, o.Status)
 	case effect.ReplyText:
 		e.texts.Resolve(o.ID, o)
-	default:
-		e.actPeers(out)
 	}
 }
 
@@ -58,11 +58,13 @@
 	effect.ChangeLogUp:          "log available",
 	effect.ChangeStopping:       "stopping",
 	effect.ChangeRecordRejected: "record rejected",
-	effect.ChangeGap:            "gap in the control stream",
-	effect.ChangeSnapshot:       "state taken from snapshot",
+	effect.ChangeClaimsOpen:     "taking non-idempotent requests",
+	effect.ChangeClaimsClosed:   "refusing non-idempotent requests",
 	effect.ChangeDigestMismatch: "fold differs from a peer's",
 	effect.ChangePeerSuspect:    "peer suspected",
 	effect.ChangePeerDead:       "peer dead",
+	effect.ChangeGap:            "gap in the control stream",
+	effect.ChangeSnapshot:       "state taken from snapshot",
 	effect.ChangeHealth:         "endpoint health",
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -27,6 +27,8 @@
 const (
 	DefaultMaxRequests = 10_000
 	DefaultTraffic     = 1024
+	// DefaultClaimAppends keeps nine entries under 300 appends a second.
+	DefaultClaimAppends = 30
 	// logWorkers is the number of goroutines that read and append.
 	logWorkers = 16
 	// peerWorkers is the number of peers that are written to at once, and
@@ -50,11 +52,14 @@
 	MaxRequests int
 	// Traffic is the number of endpoint calls at once.
 	Traffic int
+	// ClaimAppends is the number of groups of claims that the entry appends to
+	// the log in a second.
+	ClaimAppends int
+	// Placement says who grants slots; empty means reduce.PlacementHolder.
+	Placement reduce.Placement
 	// SnapshotInterval is the time between snapshots of the control stream;
 	// zero means reduce.DefaultSnapshotInterval.
 	SnapshotInterval time.Duration
-	// Placement says who grants slots; empty means reduce.PlacementLocal.
-	Placement reduce.Placement
 	// OperatorToken is the bearer token of operators; empty allows anyone who
 	// reaches the operators' listener.
 	OperatorToken string
@@ -92,14 +97,18 @@
 	client    *endpoint.Client
 	tracer    trace.Tracer
 	metrics   *metrics
-	traffic   pond.Pool
+	traffic   *workers
 	logPool   pond.Pool
 	peerPool  pond.Pool
 	peers     *peer.Client
 	reader    *reader
+	claims    *reader
+	answers   *answers
 	ready     atomic.Bool
-	stopped   chan struct{}
-	stopOnce  sync.Once
+	// claimsOpen tells whether non-idempotent requests are taken.
+	claimsOpen atomic.Bool
+	stopped    chan struct{}
+	stopOnce   sync.Once
 	// background is cancelled when Run ends.
 	background context.Context
 	end        context.CancelFunc
@@ -114,28 +123,33 @@
 		deps:       deps,
 		clock:      loop.MonotonicClock(),
 		exchanges:  newExchanges(),
+		answers:    newAnswers(),
 		replies:    loop.NewCalls[control.Result](),
 		statuses:   loop.NewCalls[effect.Status](),
 		texts:      loop.NewCalls[effect.ReplyText](),
 		client:     endpoint.NewClient(fleet.DefaultConnections),
 		tracer:     deps.Traces.Tracer("github.com/banyanrail/banyanrail/entry"),
 		metrics:    newMetrics(deps.Metrics),
-		traffic:    pond.NewPool(cfg.Traffic),
+		traffic:    newWorkers(cfg.Traffic),
 		logPool:    pond.NewPool(logWorkers),
 		peerPool:   pond.NewPool(peerWorkers, pond.WithQueueSize(peerQueue), pond.WithNonBlocking(true)),
 		stopped:    make(chan struct{}),
 		background: background,
 		end:        end,
 	}
-	e.reader = newReader(e)
+	e.reader = newControlReader(e)
+	e.claims = newClaimsReader(e)
 	e.peers = e.newPeerClient()
 	state := reduce.New(reduce.Config{
-		Entry:            cfg.ID,
-		DataCentre:       cfg.DataCentre,
-		Seed:             cfg.Seed,
+		Entry:       cfg.ID,
+		DataCentre:  cfg.DataCentre,
+		Seed:        cfg.Seed,
+		Incarnation: cfg.Incarnation,
+		// One group an interval is the entry's share of the log's appends.
+		ClaimInterval:    time.Second / time.Duration(cfg.ClaimAppends),
 		MaxRequests:      cfg.MaxRequests,
-		SnapshotInterval: cfg.SnapshotInterval,
 		Placement:        cfg.Placement,
+		SnapshotInterval: cfg.SnapshotInterval,
 	})
 	e.loop = loop.New(loop.Config[event.Body, effect.Effect]{
 		Reduce: func(now time.Time, body event.Body) []effect.Effect {
@@ -157,6 +171,12 @@
 	if cfg.Traffic == 0 {
 		cfg.Traffic = DefaultTraffic
 	}
+	if cfg.ClaimAppends == 0 {
+		cfg.ClaimAppends = DefaultClaimAppends
+	}
+	if cfg.Placement == "" {
+		cfg.Placement = reduce.PlacementHolder
+	}
 	if cfg.Incarnation == 0 {
 		cfg.Incarnation = uint64(time.Now().UnixNano())
 	}
@@ -189,7 +209,7 @@
 	<-ctx.Done()
 	e.end()
 	<-e.loop.Done()
-	e.traffic.StopAndWait()
+	e.traffic.Stop()
 	e.logPool.StopAndWait()
 	e.peerPool.StopAndWait()
 	e.peers.Close()
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -3,17 +3,23 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/peer"
+	"github.com/banyanrail/banyanrail/peer/peerpb"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/message"
 	"github.com/banyanrail/banyanrail/services"
 	"github.com/shoenig/test/must"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
 )
 
 // receiver is a listening peer.
@@ -21,6 +27,7 @@
 	address string
 	got     chan peer.Received
 	server  *grpc.Server
+	dropped atomic.Int64
 }
 
 func listen(t testing.TB, address string) *receiver {
@@ -31,7 +38,7 @@
 	peer.Register(r.server, func(m peer.Received) error {
 		r.got <- m
 		return nil
-	})
+	}, func(fleet.EntryID, error) { r.dropped.Add(1) })
 	go func() { _ = r.server.Serve(ln) }()
 	t.Cleanup(r.server.Stop)
 	return r
@@ -128,6 +135,8 @@
 		Offset: 43,
 		Record: control.Record{ID: "r", Body: control.Publish{Base: 3, Text: text}},
 	}}})
+	fold := control.Snapshot{Offset: 7, Version: 6, Text: text}
+	c.Send("entry-2", r.address, 3, message.Snapshot{Fold: fold})
 	must.Eq[message.Message](t, message.RecordsAsked{After: 41}, (<-r.got).Message)
 	got := (<-r.got).Message.(message.Records)
 	must.EqOp(t, 41, got.After)
@@ -136,6 +145,10 @@
 	body := got.Records[0].Record.Body.(control.Publish)
 	must.EqOp(t, 3, body.Base)
 	must.EqOp(t, 4, body.Text.Pools[0].Slots)
+	snapshot := (<-r.got).Message.(message.Snapshot)
+	must.EqOp(t, 7, snapshot.Fold.Offset)
+	must.EqOp(t, 6, snapshot.Fold.Version)
+	must.Eq(t, text, snapshot.Fold.Text)
 }
 
 const src = `data_centre "dc1" {
@@ -151,6 +164,31 @@
 member "lawa" { weight = 1 }
 `
 
+func TestUnknownMessageIsPassedOver(t *testing.T) {
+	r := listen(t, "127.0.0.1:0")
+	conn, err := grpc.NewClient(r.address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	must.NoError(t, err)
+	defer conn.Close()
+	ctx := metadata.AppendToOutgoingContext(t.Context(), "banyanrail-from", "entry-1", "banyanrail-incarnation", "3")
+	stream, err := peerpb.NewPeerClient(conn).Send(ctx)
+	must.NoError(t, err)
+	must.NoError(t, stream.Send(&peerpb.Envelope{Sequence: 1}))
+	must.NoError(t, stream.Send(&peerpb.Envelope{Sequence: 2, Message: &peerpb.Envelope_ReportWanted{ReportWanted: &peerpb.ReportWanted{}}}))
+	must.EqOp(t, 2, (<-r.got).Sequence)
+	must.EqOp(t, 1, r.dropped.Load())
+}
+
+func TestStreamWithoutASenderIsRefused(t *testing.T) {
+	r := listen(t, "127.0.0.1:0")
+	conn, err := grpc.NewClient(r.address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	must.NoError(t, err)
+	defer conn.Close()
+	stream, err := peerpb.NewPeerClient(conn).Send(t.Context())
+	must.NoError(t, err)
+	_, err = stream.CloseAndRecv()
+	must.EqOp(t, codes.InvalidArgument, status.Code(err))
+}
+
 // countingConn counts what is written to a connection and read from it.
 type countingConn struct {
 	net.Conn
@@ -169,20 +207,38 @@
 	return n, err
 }
 
-// BenchmarkHeartbeat reports the bytes of TCP payload of a heartbeat, both
-// ways, HTTP/2 frames included.
-func BenchmarkHeartbeat(b *testing.B) {
+// BenchmarkWire reports the bytes of TCP payload of a message, both ways, HTTP/2
+// frames included.
+func BenchmarkWire(b *testing.B) {
+	ask := message.Ask{Request: 1_000_000, Service: "survey", Member: "lawa", Size: 1, Left: 10 * time.Second}
+	slot := message.Slot{Request: 1_000_000, Instance: "runner-01"}
+	done := message.Finished{Slot: slot, Held: 100 * time.Millisecond, Ran: 100 * time.Millisecond, Verdict: message.VerdictGood}
+	for _, c := range []struct {
+		name    string
+		message message.Message
+	}{
+		{"heartbeat", message.Heartbeat{Offset: 1_000_000, Version: 999_999, Digest: 1 << 63}},
+		{"ask", message.SlotsAsked{Asks: []message.Ask{ask}}},
+		{"grant", message.SlotsGranted{Grants: []message.Slot{slot}}},
+		{"finished", message.SlotsAsked{Finished: []message.Finished{done}}},
+		{"report-empty", message.SlotsReport{Pool: "main", Seen: 1 << 60}},
+		{"report-100-waiting", message.SlotsReport{Pool: "main", Seen: 1 << 60, Asks: slices.Repeat([]message.Ask{ask}, 100)}},
+	} {
+		b.Run(c.name, func(b *testing.B) { benchmarkWire(b, c.message) })
+	}
+}
+
+func benchmarkWire(b *testing.B, m message.Message) {
 	r := listen(b, "127.0.0.1:0")
 	var failed, bytes atomic.Int64
 	c := newClient(b, &failed, grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
 		conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
 		return countingConn{Conn: conn, bytes: &bytes}, err
 	}))
-	beat := message.Heartbeat{Offset: 1_000_000, Version: 999_999, Digest: 1 << 63}
 	sequence := uint64(time.Now().UnixNano())
 	send := func() {
 		sequence++
-		c.Send("entry-2", r.address, sequence, beat)
+		c.Send("entry-2", r.address, sequence, m)
 		<-r.got
 	}
 	send()
