--- a/services/services.go
+++ b/services/services.go
@@ -39,6 +39,18 @@
 	return text, nil
 }
 
+// Check reports the faults that show only in the whole of a text, as an *Error.
+// It is for texts that were not parsed from one source, so the faults have no
+// place.
+func Check(text *fleet.Text) error {
+	r := &reader{places: make(map[place]hcl.Range)}
+	r.check(text)
+	if r.diags.HasErrors() {
+		return &Error{Diagnostics: r.diags}
+	}
+	return nil
+}
+
 // Fragment is a part of a services text: whole blocks, without those that they
 // refer to.
 type Fragment struct {
@@ -70,13 +82,15 @@
 
 // read fails only when the text is not HCL; other faults stay with the reader.
 func read(name string, src []byte) (*reader, *fleet.Text, *hcl.BodyContent, error) {
-	if diags := checkNumbers(name, src); diags.HasErrors() {
-		return nil, nil, nil, &Error{Diagnostics: diags}
-	}
 	parsed, diags := hclsyntax.ParseConfig(src, name, hcl.InitialPos)
 	if diags.HasErrors() {
 		return nil, nil, nil, &Error{Diagnostics: diags}
 	}
+	if body, ok := parsed.Body.(*hclsyntax.Body); ok {
+		if diags := checkNumbers(body); diags.HasErrors() {
+			return nil, nil, nil, &Error{Diagnostics: diags}
+		}
+	}
 	r := &reader{places: make(map[place]hcl.Range)}
 	content := r.content(parsed.Body, fileSchema)
 	text := r.text(content)
