Let a starting entry wait for the others before it grants slots

Cause: an entry that had just started took itself for the holder of every pool until it heard the others, and granted slots that were in use. Change: it collects reports for up to 500 ms first. Links of pools that have gone are dropped. Holders are chosen anew only when a heartbeat changes who may hold, and slots are granted only in the pools that a message touched.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -248,3 +248,23 @@
 	}
 	b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-B/op")
 }
+
+// BenchmarkThroughput measures messages that are sent without a wait.
+func BenchmarkThroughput(b *testing.B) {
+	r := listen(b, "127.0.0.1:0")
+	var failed atomic.Int64
+	c := newClient(b, &failed)
+	m := message.SlotsAsked{Asks: []message.Ask{{Request: 1_000_000, Service: "survey", Member: "lawa"}}}
+	const batch = 1000
+	var sequence uint64
+	for b.Loop() {
+		for range batch {
+			sequence++
+			c.Send("entry-2", r.address, sequence, m)
+		}
+		for range batch {
+			<-r.got
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/batch, "ns/message")
+}
--- a/reduce/entries_test.go
+++ b/reduce/entries_test.go
@@ -36,6 +36,7 @@
 	// dispatched counts the dispatches of each request of each entry.
 	dispatched map[string]int
 	answered   int
+	refused    int
 	most       int
 	counted    map[effect.Counter]int64
 }
@@ -103,6 +104,8 @@
 			c.running[id] = append(c.running[id], e)
 			c.dispatched[fmt.Sprint(id, e.Attempt.Request)]++
 			c.most = max(c.most, c.total())
+		case effect.Refuse:
+			c.refused++
 		case effect.Answer:
 			c.answered++
 		case effect.Count:
--- a/reduce/grant.go
+++ b/reduce/grant.go
@@ -42,10 +42,11 @@
 	if s.cfg.Placement != PlacementHolder {
 		return
 	}
-	s.holders.Changed(s.candidates())
+	alive := s.candidates()
+	s.holders.SetAlive(alive)
 	for _, pool := range s.placement.Pools() {
 		l := s.holders.Link(pool)
-		chosen := holder.Choose(pool, s.holders.Alive())
+		chosen := holder.Choose(pool, alive)
 		if chosen == "" {
 			chosen = s.cfg.Entry
 		}
@@ -53,6 +54,17 @@
 			s.changeHolder(l, chosen)
 		}
 	}
+	s.dropLinks()
+}
+
+// dropLinks forgets the holders of pools that are gone.
+func (s *State) dropLinks() {
+	for _, l := range s.holders.Links() {
+		if !s.placement.Has(l.Pool) {
+			s.leaveHolder(l)
+			s.holders.Drop(l.Pool)
+		}
+	}
 }
 
 // candidates returns the entries that may hold pools, in order: those that are
@@ -66,13 +78,15 @@
 			}
 			continue
 		}
-		if p, ok := s.peers.Get(id); ok && p.Version > 0 && !p.Stopping {
+		if p, ok := s.peers.Get(id); ok && mayHold(p) {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
+func mayHold(p *peers.Peer) bool { return p.Version > 0 && !p.Stopping }
+
 func (s *State) incarnationOf(id fleet.EntryID) uint64 {
 	if p, ok := s.peers.Get(id); ok {
 		return p.Incarnation
@@ -82,11 +96,12 @@
 
 // changeHolder leaves the holder of a pool for another one.
 func (s *State) changeHolder(l *holder.Link, to fleet.EntryID) {
+	started := l.Holder == ""
 	s.leaveHolder(l)
 	l.Holder, l.Incarnation = to, s.incarnationOf(to)
 	s.emit(effect.Count{Name: effect.HoldersChanged, N: 1})
 	if to == s.cfg.Entry {
-		s.startHolding(l)
+		s.startHolding(l, started)
 		return
 	}
 	l.Phase = holder.Reporting
@@ -106,8 +121,9 @@
 }
 
 // startHolding begins to grant a pool, after the reports of the other entries:
-// until then it is not known which slots they use.
-func (s *State) startHolding(l *holder.Link) {
+// until then it is not known which slots they use. An entry that has just
+// started may not know the others yet, and waits for them.
+func (s *State) startHolding(l *holder.Link, started bool) {
 	s.setShare(l.Pool, false)
 	var others []fleet.EntryID
 	for _, id := range s.holders.Alive() {
@@ -115,7 +131,7 @@
 			others = append(others, id)
 		}
 	}
-	if len(others) == 0 {
+	if len(others) == 0 && !started {
 		l.Phase = holder.Holding
 		s.grant(l.Pool)
 		return
--- a/reduce/holder/holder.go
+++ b/reduce/holder/holder.go
@@ -152,6 +152,9 @@
 	return l
 }
 
+// Drop forgets the link of a pool.
+func (s *State) Drop(pool fleet.PoolName) { delete(s.links, pool) }
+
 // Links returns all links, ordered by pool.
 func (s *State) Links() []*Link {
 	all := make([]*Link, 0, len(s.links))
@@ -173,15 +176,8 @@
 	return pools
 }
 
-// Changed notes the entries that may hold pools and says whether they differ
-// from those before.
-func (s *State) Changed(alive []fleet.EntryID) bool {
-	if slices.Equal(s.alive, alive) {
-		return false
-	}
-	s.alive = slices.Clone(alive)
-	return true
-}
+// SetAlive notes the entries that may hold pools.
+func (s *State) SetAlive(alive []fleet.EntryID) { s.alive = alive }
 
 // Alive returns the entries that may hold pools.
 func (s *State) Alive() []fleet.EntryID { return s.alive }
--- a/reduce/holding.go
+++ b/reduce/holding.go
@@ -1,6 +1,7 @@
 package reduce
 
 import (
+	"slices"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
@@ -13,26 +14,27 @@
 
 // onSlotsAsked serves an entry whose pools this entry holds.
 func (s *State) onSlotsAsked(p *peers.Peer, m message.SlotsAsked) {
-	touched := make(map[fleet.PoolName]bool, 1)
+	touched := s.touched[:0]
 	for _, f := range m.Finished {
 		key := holder.Key{Entry: p.ID, Request: f.Request}
 		if l, ok := s.holders.Lease(key); ok && l.Grant.Instance == f.Instance {
 			s.endLease(l, f.Held)
 			s.learn(l.Grant, f)
-			touched[l.Grant.Ask.Pool] = true
+			touched = append(touched, l.Grant.Ask.Pool)
 		}
 	}
 	for _, id := range m.Withdrawn {
 		s.dropWaiting(holder.Key{Entry: p.ID, Request: id})
 	}
 	for _, a := range m.Asks {
-		touched[s.queueRemote(p, a, len(a.Tried) == 0)] = true
+		touched = append(touched, s.queueRemote(p, a, len(a.Tried) == 0))
 	}
-	for _, pool := range s.placement.Pools() {
-		if touched[pool] {
+	for i, pool := range touched {
+		if pool != "" && !slices.Contains(touched[:i], pool) {
 			s.grant(pool)
 		}
 	}
+	s.touched = touched
 	s.grantUnblocked()
 }
 
--- a/reduce/holding_test.go
+++ b/reduce/holding_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce"
+	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/banyanrail/banyanrail/reduce/message"
@@ -205,3 +207,27 @@
 	must.LessEq(t, 2, c.most)
 	c.checkRuns(t)
 }
+
+func TestStartingEntryWaitsForTheOthersBeforeItGrants(t *testing.T) {
+	h := &harness{
+		state: reduce.New(reduce.Config{Entry: "entry-1", Seed: 7, MaxRequests: 100, Placement: reduce.PlacementHolder}),
+		now:   epoch,
+	}
+	h.do(event.Started{})
+	first := published(1, 0, 1)
+	h.do(event.RecordsRead{Records: []control.Positioned{first}, Next: 2, Oldest: 1})
+	must.Len(t, 0, only[effect.Dispatch](h.do(arrived(1))))
+	must.Len(t, 1, only[effect.Dispatch](h.after(500*time.Millisecond, event.TimerFired{})))
+}
+
+func TestRequestsOfOtherEntriesAreRefusedWithTheirPool(t *testing.T) {
+	c := newEntries(t, 2, longText(1))
+	held, id := c.holder(t), c.other(t)
+	c.arrive(id, 1, 3)
+	without := longText(1)
+	without.Pools, without.Services, without.Instances = nil, nil, nil
+	c.publish(held, published(2, 1, 0), without)
+	c.deliver()
+	must.EqOp(t, 2, c.refused)
+	must.EqOp(t, 1, c.total())
+}
--- a/reduce/placement/take.go
+++ b/reduce/placement/take.go
@@ -34,6 +34,12 @@
 	return g, true
 }
 
+// Has reports whether the services text has a pool.
+func (s *State) Has(name fleet.PoolName) bool {
+	_, ok := s.pools[name]
+	return ok
+}
+
 // SetShare bounds the slots that are granted on each instance of a pool, given
 // the number of its slots.
 func (s *State) SetShare(name fleet.PoolName, share func(slots int) int) {
--- a/reduce/relay.go
+++ b/reduce/relay.go
@@ -10,8 +10,11 @@
 
 // onHeartbeat compares the fold of a peer with this entry's own.
 func (s *State) onHeartbeat(p *peers.Peer, m message.Heartbeat) {
+	before := mayHold(p)
 	p.Offset, p.Version, p.Digest, p.Stopping = m.Offset, m.Version, m.Digest, m.Stopping
-	s.followHolders()
+	if mayHold(p) != before {
+		s.followHolders()
+	}
 	switch {
 	case m.Offset > s.control.Offset:
 		if s.relay.ShouldAsk(p.ID, s.logDown, s.now) {
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -46,6 +46,8 @@
 	outbox    outbox
 	// reask holds the requests whose grants could not be used.
 	reask []fleet.RequestID
+	// touched is kept between events for its memory.
+	touched []fleet.PoolName
 	// digestValue is the digest of the fold up to digestOffset.
 	digestOffset fleet.Offset
 	digestValue  uint64
