Refuse a non-idempotent request early when its queue is full

Cause: an overloaded queue refused a request only after its claim had been read back, which cost two appends for nothing. Change: the queue is checked before the claim, once the log has no claim of the key; a retry of a key that ran is still answered.

--- a/reduce/claim.go
+++ b/reduce/claim.go
@@ -143,7 +143,8 @@
 }
 
 // stake claims the scope of a request, unless another request of this entry
-// has a claim on its way.
+// has a claim on its way. An overloaded queue refuses it before it costs the log
+// anything.
 func (s *State) stake(r *requests.Request) {
 	scope := scopeOf(r)
 	if st, ok := s.claiming.own[scope]; ok {
@@ -155,6 +156,9 @@
 		s.waitForOutcome(r)
 		return
 	}
+	if s.refuseFull(r, askOf(r)) {
+		return
+	}
 	record := s.claiming.outbox.Add(claims.Claim{Scope: scope, BodyHash: r.BodyHash, Deadline: r.Deadline})
 	s.claiming.own[scope] = stake{request: r.ID, ref: claims.Ref{Scope: scope, Record: record}}
 }
--- a/reduce/claim_test.go
+++ b/reduce/claim_test.go
@@ -19,12 +19,14 @@
 type claimLog struct {
 	groups []claims.Positioned
 	oldest fleet.Offset
+	// dropped is the number of groups that were taken out of memory.
+	dropped int
 }
 
 func newClaimLog() *claimLog { return &claimLog{oldest: 1} }
 
 func (l *claimLog) append(g claims.Group) {
-	l.groups = append(l.groups, claims.Positioned{Offset: fleet.Offset(len(l.groups) + 1), Group: g})
+	l.groups = append(l.groups, claims.Positioned{Offset: fleet.Offset(l.dropped + len(l.groups) + 1), Group: g})
 }
 
 // claimant is an entry with a view of the log.
@@ -417,6 +419,20 @@
 	must.EqOp(t, fleet.RanYes, r.Ran)
 }
 
+func TestFullQueueRefusesBeforeTheClaim(t *testing.T) {
+	text := permitText()
+	text.Pools[0].Slots = 1
+	text.Services[1].MaxQueue = 1
+	c := newClaimantOf(newClaimLog(), "entry-1", text)
+	c.run(t, 1, keyAt(epoch, 1))
+	c.appendAll(append(c.do(permit(2, keyAt(epoch, 2))), c.tick()...))
+	must.Len(t, 0, only[effect.Dispatch](c.catchUp()))
+	r := refusal(t, c.do(permit(3, keyAt(epoch, 3))))
+	must.EqOp(t, fleet.ReasonQueueFull, r.Reason)
+	must.EqOp(t, fleet.RanNo, r.Ran)
+	must.Len(t, 0, only[effect.AppendClaims](c.tick()))
+}
+
 func TestManyRequestsShareAGroup(t *testing.T) {
 	c := newClaimant(newClaimLog(), "entry-1")
 	var out []effect.Effect
--- a/reduce/request.go
+++ b/reduce/request.go
@@ -93,7 +93,22 @@
 // enqueue asks for a slot. A new request is refused early when its queue is
 // full or its deadline would pass in it.
 func (s *State) enqueue(r *requests.Request) {
-	ask := placement.Ask{
+	ask := askOf(r)
+	if r.Attempts == 0 && s.refuseFull(r, ask) {
+		return
+	}
+	if !s.placement.Add(ask) {
+		s.refuseRequest(r, fleet.ReasonNoCapacity)
+		return
+	}
+	r.Phase = requests.Queued
+	s.ask(r)
+	s.grant(ask.Pool)
+}
+
+// askOf returns what a request asks of placement.
+func askOf(r *requests.Request) placement.Ask {
+	return placement.Ask{
 		Request: r.ID,
 		Pool:    r.Service.Pool,
 		Service: r.Service.Name,
@@ -102,20 +117,16 @@
 		Size:    r.Size,
 		Tried:   r.Tried,
 	}
-	if r.Attempts == 0 {
-		if wait, full := s.overloaded(r, ask); full {
-			s.refuse(refusalAfter(r, fleet.ReasonQueueFull, wait), r.Service.Name)
-			s.forget(r)
-			return
-		}
-	}
-	if !s.placement.Add(ask) {
-		s.refuseRequest(r, fleet.ReasonNoCapacity)
-		return
+}
+
+// refuseFull refuses a request when its queue is overloaded.
+func (s *State) refuseFull(r *requests.Request, ask placement.Ask) bool {
+	wait, full := s.overloaded(r, ask)
+	if full {
+		s.refuse(refusalAfter(r, fleet.ReasonQueueFull, wait), r.Service.Name)
+		s.forget(r)
 	}
-	r.Phase = requests.Queued
-	s.ask(r)
-	s.grant(ask.Pool)
+	return full
 }
 
 // overloaded reports whether a new request has to be refused, and when a retry
