--- a/cmd/banyanraild/main.go
+++ b/cmd/banyanraild/main.go
@@ -63,6 +63,7 @@
 		OperatorToken: c.OperatorToken,
 		PeerAddress:   c.Peers,
 		PeersTLS:      peersTLS,
+		ClaimAppends:  c.claimAppends,
 	}, entry.Deps{Log: client, Instances: client, Logger: logger, Metrics: scope, Traces: traces})
 	return serve(ctx, c, e, metrics)
 }
--- a/cmd/banyanraild/settings.go
+++ b/cmd/banyanraild/settings.go
@@ -37,6 +37,7 @@
 	OperatorToken string `arg:"--,env:BANYANRAIL_OPERATOR_TOKEN" help:"bearer token of operators"`
 	Grace         string `arg:"--grace,env:BANYANRAIL_GRACE" default:"30s" help:"longest graceful shutdown"`
 	Traces        string `arg:"--traces,env:BANYANRAIL_TRACES" help:"URL that takes traces by OTLP over HTTP"`
+	ClaimAppends  string `arg:"--claim-appends,env:BANYANRAIL_CLAIM_APPENDS" default:"30" help:"appends a second to the log for claims"`
 	TraceShare    string `arg:"--trace-share,env:BANYANRAIL_TRACE_SHARE" default:"0.01" help:"share of traces to keep, 0 to 1"`
 }
 
@@ -45,9 +46,11 @@
 	settings
 	grace      time.Duration
 	traceShare float64
-	callersTLS daemon.TLSFiles
-	opsTLS     daemon.TLSFiles
-	peersTLS   daemon.TLSFiles
+	// claimAppends is a number of appends a second.
+	claimAppends int
+	callersTLS   daemon.TLSFiles
+	opsTLS       daemon.TLSFiles
+	peersTLS     daemon.TLSFiles
 }
 
 // faults collects the faults of settings under their names.
@@ -80,6 +83,8 @@
 	var err error
 	c.grace, err = checkGrace(s.Grace)
 	all.add("grace", err)
+	c.claimAppends, err = checkAppends(s.ClaimAppends)
+	all.add("claim-appends", err)
 	c.traceShare, err = checkShare(s.TraceShare)
 	all.add("trace-share", err)
 	return c, errors.Join(all...)
@@ -126,6 +131,17 @@
 	return d, nil
 }
 
+// maxClaimAppends is what the platform's log takes in a second at most.
+const maxClaimAppends = 1000
+
+func checkAppends(text string) (int, error) {
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 || n > maxClaimAppends {
+		return 0, fmt.Errorf("%q is not a whole number from 1 to %d", text, maxClaimAppends)
+	}
+	return n, nil
+}
+
 func checkShare(text string) (float64, error) {
 	share, err := strconv.ParseFloat(text, 64)
 	if err != nil || share < 0 || share > 1 {
--- a/cmd/banyanraild/settings_test.go
+++ b/cmd/banyanraild/settings_test.go
@@ -9,11 +9,11 @@
 func TestCheckNamesEveryFault(t *testing.T) {
 	s := settings{
 		Callers: "localhost:80", Operators: "127.0.0.1:8081", Peers: "127.0.0.1",
-		Platform: "ftp://127.0.0.1", Grace: "soon", TraceShare: "2", PeersCert: "/no/such.pem",
+		Platform: "ftp://127.0.0.1", Grace: "soon", ClaimAppends: "0", TraceShare: "2", PeersCert: "/no/such.pem",
 	}
 	_, err := s.check()
 	must.Error(t, err)
-	for _, name := range []string{"--id", "--callers", "--peers", "--platform", "--grace", "--trace-share", "--peers-cert"} {
+	for _, name := range []string{"--id", "--callers", "--peers", "--platform", "--grace", "--claim-appends", "--trace-share", "--peers-cert"} {
 		must.StrContains(t, err.Error(), name+": ")
 	}
 	must.StrNotContains(t, err.Error(), "--operators")
@@ -22,7 +22,7 @@
 func TestCheckTakesGoodSettings(t *testing.T) {
 	s := settings{
 		ID: "entry-1", Callers: "127.0.0.1:8080", Operators: "127.0.0.1:8081", Peers: "[::1]:8082",
-		Platform: "http://127.0.0.1:8090", Grace: "30s", TraceShare: "0.5",
+		Platform: "http://127.0.0.1:8090", Grace: "30s", ClaimAppends: "30", TraceShare: "0.5",
 	}
 	c, err := s.check()
 	must.NoError(t, err)
--- a/fleet/key.go
+++ b/fleet/key.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -21,9 +22,17 @@
 	if err != nil {
 		return time.Time{}, errors.Join(ErrKeyMalformed, err)
 	}
-	canonical := id.String() == string(k)
-	if !canonical || id.Version() != keyVersion || id.Variant() != uuid.RFC4122 {
+	if !k.isCanonical() || id.Version() != keyVersion || id.Variant() != uuid.RFC4122 {
 		return time.Time{}, ErrKeyMalformed
 	}
 	return time.Unix(id.Time().UnixTime()).UTC(), nil
 }
+
+// canonicalLength is the length of a UUID in groups of hexadecimal digits.
+const canonicalLength = 36
+
+// isCanonical reports whether a key that parses as a UUID has the one form in
+// which two keys are the same only if their text is.
+func (k Key) isCanonical() bool {
+	return len(k) == canonicalLength && !strings.ContainsAny(string(k), "ABCDEF")
+}
