--- a/cmd/banyanraild/settings.go
+++ b/cmd/banyanraild/settings.go
@@ -40,6 +40,7 @@
 	Grace         string `arg:"--grace,env:BANYANRAIL_GRACE" default:"30s" help:"longest graceful shutdown"`
 	Snapshots     string `arg:"--snapshot-interval,env:BANYANRAIL_SNAPSHOT_INTERVAL" default:"1h" help:"time between snapshots of the control stream; the log has to keep records for several times as long"`
 	Traces        string `arg:"--traces,env:BANYANRAIL_TRACES" help:"URL that takes traces by OTLP over HTTP"`
+	ClaimAppends  string `arg:"--claim-appends,env:BANYANRAIL_CLAIM_APPENDS" default:"30" help:"appends a second to the log for claims"`
 	TraceShare    string `arg:"--trace-share,env:BANYANRAIL_TRACE_SHARE" default:"0.01" help:"share of traces to keep, 0 to 1"`
 }
 
@@ -49,9 +50,11 @@
 	grace      time.Duration
 	snapshots  time.Duration
 	traceShare float64
-	callersTLS daemon.TLSFiles
-	opsTLS     daemon.TLSFiles
-	peersTLS   daemon.TLSFiles
+	// claimAppends is a number of appends a second.
+	claimAppends int
+	callersTLS   daemon.TLSFiles
+	opsTLS       daemon.TLSFiles
+	peersTLS     daemon.TLSFiles
 }
 
 func checkPlacement(v string) error {
@@ -96,6 +99,8 @@
 	all.add("grace", err)
 	c.snapshots, err = checkDuration(s.Snapshots)
 	all.add("snapshot-interval", err)
+	c.claimAppends, err = checkAppends(s.ClaimAppends)
+	all.add("claim-appends", err)
 	c.traceShare, err = checkShare(s.TraceShare)
 	all.add("trace-share", err)
 	return c, errors.Join(all...)
@@ -142,6 +147,17 @@
 	return d, nil
 }
 
+// maxClaimAppends is what the platform's log takes in a second at most.
+const maxClaimAppends = 1000
+
+func checkAppends(text string) (int, error) {
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 || n > maxClaimAppends {
+		return 0, fmt.Errorf("%q is not a whole number from 1 to %d", text, maxClaimAppends)
+	}
+	return n, nil
+}
+
 func checkShare(text string) (float64, error) {
 	share, err := strconv.ParseFloat(text, 64)
 	if err != nil || share < 0 || share > 1 {
