--- a/reduce/holding.go
+++ b/reduce/holding.go
@@ -80,6 +80,7 @@
 		Member:  a.Member,
 		Urgent:  svc.Urgent,
 		Size:    a.Size,
+		Again:   len(a.Tried) > 0,
 		Tried:   a.Tried,
 	}
 }
