Count a member's quota into the expected wait

Cause: the wait of a member that is held back by its quota was computed from the pool's slots, so its requests were accepted and then ran into their deadline. Change: the wait is at least the member's queued run time divided by its quota. Its test expects 10 s for 20 queued seconds at a quota of 2; before it got 2.5 s.

--- a/reduce/placement/admit.go
+++ b/reduce/placement/admit.go
@@ -54,7 +54,8 @@
 }
 
 // wait is the time until a new request starts: its member's work ahead at the
-// member's share of the slots, and at most all work ahead.
+// member's share of the slots, and at most all work ahead, but not less than the
+// member's quota allows.
 func (p *pool) wait(l *line, cost time.Duration, isUrgent bool) time.Duration {
 	ahead := p.classes[urgent].backlog
 	if !isUrgent {
@@ -65,7 +66,16 @@
 		return min(all, p.drain(cost))
 	}
 	fair := l.flow.backlog * time.Duration(p.weight) / time.Duration(l.flow.member.weight)
-	return min(all, p.drain(fair))
+	return max(l.flow.quotaWait(), min(all, p.drain(fair)))
+}
+
+// quotaWait is the time that the flow's work takes in the slots of its member's
+// quota.
+func (f *flow) quotaWait() time.Duration {
+	if f.member.quota == 0 {
+		return 0
+	}
+	return f.backlog / time.Duration(f.member.quota)
 }
 
 // drain is the time in which the pool starts an amount of work.
--- a/reduce/placement/placement_test.go
+++ b/reduce/placement/placement_test.go
@@ -213,6 +213,16 @@
 	must.EqOp(t, 10*time.Second, a.RetryAfter)
 }
 
+func TestExpectedWaitFollowsTheQuota(t *testing.T) {
+	b := newBench(text(8, 1, fleet.Member{Name: "lawa", Weight: 1, Quota: 2}))
+	b.add("survey", "lawa", 2)
+	first, _ := b.Next("main")
+	b.Next("main")
+	b.Observe(first, time.Second)
+	b.add("survey", "lawa", 20)
+	must.EqOp(t, 10*time.Second, b.Admit(b.ask("survey", "lawa"), 100).Wait)
+}
+
 func TestWaveOfCancellationsLeavesTheRest(t *testing.T) {
 	b := newBench(text(1, 1, fleet.Member{Name: "lawa", Weight: 1}, fleet.Member{Name: "mill", Weight: 1}))
 	b.add("survey", "lawa", 1000)
