--- a/reduce/health_test.go
+++ b/reduce/health_test.go
@@ -1,6 +1,7 @@
 package reduce_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -65,6 +66,52 @@
 	}
 }
 
+// The black hole answers a hundred times faster than the other runners, so that
+// its slots are always free when 64 callers look for one.
+func TestFastBlackHoleIsEjectedUnderLoad(t *testing.T) {
+	const callers, fast, slow = 64, 100 * time.Microsecond, 10 * time.Millisecond
+	type end struct {
+		at time.Time
+		effect.Dispatch
+	}
+	h := newHarness(runners(8, 8))
+	var ends []end
+	swallowed, answers := 0, 0
+	take := func(out []effect.Effect) {
+		for _, d := range only[effect.Dispatch](out) {
+			took := slow
+			if d.Instance == "runner-3" {
+				took = fast
+				swallowed++
+			}
+			ends = append(ends, end{h.now.Add(took), d})
+		}
+		slices.SortStableFunc(ends, func(a, b end) int { return a.at.Compare(b.at) })
+	}
+	id := fleet.RequestID(0)
+	arrive := func() {
+		id++
+		take(h.do(arrived(id)))
+	}
+	for range callers {
+		arrive()
+	}
+	for answers < 2000 {
+		e := ends[0]
+		ends = ends[1:]
+		h.now = e.at
+		ev := ended(e.Dispatch, event.AttemptAnswered)
+		ev.Status, ev.Elapsed = 200, slow
+		if e.Instance == "runner-3" {
+			ev.Status, ev.Elapsed = 500, fast
+		}
+		take(h.do(ev))
+		answers++
+		arrive()
+	}
+	must.EqOp(t, 8, swallowed)
+}
+
 func TestBlackHoleThatRefusesIsPaused(t *testing.T) {
 	b := newBlackHole(8, "runner-3")
 	b.serve(1000, time.Millisecond, event.AttemptFinished{Outcome: event.AttemptRefused})
