Let the platform's stand-in stop and reboot instances

Drains end in a stop or reboot, and nothing stood in for worker control yet. The stand-in carries out a command id once, tells how far a reboot has come, takes an endpoint down and brings it back, and takes faults: down, lost answers, instances that come back broken. Endpoints answer health checks and count requests cut off by going down.

--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -17,11 +17,13 @@
 	loop *loop.Loop[runnerEvent, runnerEffect]
 	runs *loop.Calls[RunResult]
 	asks *loop.Calls[Runs]
+
+	checks *loop.Calls[bool]
 }
 
 // NewRunner returns an endpoint with a number of slots and a work time.
 func NewRunner(slots int, work time.Duration) *Runner {
-	r := &Runner{runs: loop.NewCalls[RunResult](), asks: loop.NewCalls[Runs]()}
+	r := &Runner{runs: loop.NewCalls[RunResult](), asks: loop.NewCalls[Runs](), checks: loop.NewCalls[bool]()}
 	state := newRunnerState(slots, work)
 	r.loop = loop.New(loop.Config[runnerEvent, runnerEffect]{
 		Reduce: state.reduce,
@@ -54,11 +56,17 @@
 		r.runs.Resolve(e.call, e.result)
 	case replyRuns:
 		r.asks.Resolve(e.call, e.runs)
+	case replyHealth:
+		r.checks.Resolve(e.call, e.healthy)
 	}
 }
 
 // ServeHTTP implements http.Handler.
 func (r *Runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if req.Method == http.MethodGet && req.URL.Path == "/healthz" {
+		r.serveHealth(w, req)
+		return
+	}
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -105,3 +113,17 @@
 		panic(http.ErrAbortHandler)
 	}
 }
+
+// SetPower follows the platform's worker control. It never blocks.
+func (r *Runner) SetPower(p Power) error {
+	return r.loop.Offer(runnerFaultSet{fault: RunnerFault{Down: p == PowerDown, FailAll: p == PowerBroken}})
+}
+
+func (r *Runner) serveHealth(w http.ResponseWriter, req *http.Request) {
+	healthy, err := r.checks.Do(req.Context(), func(call uint64) error { return r.loop.Post(healthAsked{call: call}) })
+	if err != nil || !healthy {
+		http.Error(w, "not fit for work", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- a/standin/endpointstate.go
+++ b/standin/endpointstate.go
@@ -16,12 +16,14 @@
 	}
 	runnerFaultSet struct{ fault RunnerFault }
 	runsAsked      struct{ call uint64 }
+	healthAsked    struct{ call uint64 }
 	runnerTimer    struct{}
 )
 
 func (runAsked) isRunnerEvent()       {}
 func (runnerFaultSet) isRunnerEvent() {}
 func (runsAsked) isRunnerEvent()      {}
+func (healthAsked) isRunnerEvent()    {}
 func (runnerTimer) isRunnerEvent()    {}
 
 // Effects of an endpoint.
@@ -36,11 +38,16 @@
 		call uint64
 		runs Runs
 	}
+	replyHealth struct {
+		call    uint64
+		healthy bool
+	}
 	runnerSetTimer struct{ at time.Time }
 )
 
 func (replyRun) isRunnerEffect()       {}
 func (replyRuns) isRunnerEffect()      {}
+func (replyHealth) isRunnerEffect()    {}
 func (runnerSetTimer) isRunnerEffect() {}
 
 // RunResult is what an endpoint did with a request.
@@ -63,6 +70,8 @@
 	FailAll bool
 	// Leaving refuses new requests.
 	Leaving bool
+	// Down answers nothing; what runs when it is set is cut off.
+	Down bool
 	// Truncate, Break and Swap spoil this many of the next answers after the
 	// request ran.
 	Truncate, Break, Swap int
@@ -80,6 +89,8 @@
 	Refused    int
 	// AfterLeaving counts requests that came while the endpoint was leaving.
 	AfterLeaving int
+	// CutOff counts requests that ran when the endpoint went down.
+	CutOff int
 }
 
 type runnerState struct {
@@ -108,6 +119,11 @@
 		s.start(now, e)
 	case runnerFaultSet:
 		s.fault = e.fault
+		if s.fault.Down {
+			s.cutOff()
+		}
+	case healthAsked:
+		s.out = append(s.out, replyHealth{call: e.call, healthy: !s.fault.Down && !s.fault.FailAll && !s.fault.Leaving})
 	case runsAsked:
 		s.report(e.call)
 	}
@@ -120,6 +136,9 @@
 
 func (s *runnerState) start(now time.Time, e runAsked) {
 	switch {
+	case s.fault.Down:
+		s.out = append(s.out, replyRun{call: e.call, result: RunBroken})
+		return
 	case s.fault.Leaving:
 		s.runs.AfterLeaving++
 		s.out = append(s.out, replyRun{call: e.call, result: RunLeaving})
@@ -141,6 +160,15 @@
 	s.runs.MostAtOnce = max(s.runs.MostAtOnce, len(s.running))
 }
 
+// cutOff breaks everything that runs.
+func (s *runnerState) cutOff() {
+	for _, w := range s.running {
+		s.runs.CutOff++
+		s.out = append(s.out, replyRun{call: w.call, result: RunBroken})
+	}
+	s.running = nil
+}
+
 // outcome takes the next fault of an answer.
 func (s *runnerState) outcome() RunResult {
 	switch {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -23,6 +23,10 @@
 	reads   *loop.Calls[readResult]
 	lists   *loop.Calls[[]platform.Listed]
 	mux     *http.ServeMux
+
+	commands *loop.Calls[commandResult]
+	orders   *loop.Calls[[]Ordered]
+	power    func(fleet.InstanceID, Power)
 }
 
 // NewPlatform returns a stand-in with an empty log.
@@ -32,6 +36,10 @@
 		reads:   loop.NewCalls[readResult](),
 		lists:   loop.NewCalls[[]platform.Listed](),
 		mux:     http.NewServeMux(),
+
+		commands: loop.NewCalls[commandResult](),
+		orders:   loop.NewCalls[[]Ordered](),
+		power:    func(fleet.InstanceID, Power) {},
 	}
 	state := newPlatformState()
 	p.loop = loop.New(loop.Config[platformEvent, platformEffect]{
@@ -42,6 +50,7 @@
 	})
 	p.mux.HandleFunc("POST /v1/streams/{stream}/records", p.handleAppend)
 	p.mux.HandleFunc("GET /v1/instances", p.handleList)
+	p.mux.HandleFunc("PUT /v1/instances/{instance}/commands/{command}", p.handleCommand)
 	p.mux.HandleFunc("GET /v1/streams/{stream}/records", p.handleRead)
 	return p
 }
@@ -73,6 +82,12 @@
 		p.reads.Resolve(e.call, e.result)
 	case replyList:
 		p.lists.Resolve(e.call, e.rows)
+	case replyCommand:
+		p.commands.Resolve(e.call, e.result)
+	case replyOrdered:
+		p.orders.Resolve(e.call, e.ordered)
+	case changeInstance:
+		p.power(e.instance, e.power)
 	}
 }
 
--- a/standin/platformstate.go
+++ b/standin/platformstate.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"slices"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
@@ -92,6 +93,7 @@
 	readers []logReader
 	fault   LogFault
 	listed  []platform.Listed
+	workers workerState
 	out     []platformEffect
 }
 
@@ -106,7 +108,7 @@
 }
 
 func newPlatformState() *platformState {
-	return &platformState{streams: make(map[string]*logStream)}
+	return &platformState{streams: make(map[string]*logStream), workers: newWorkerState()}
 }
 
 func (s *platformState) stream(name string) *logStream {
@@ -145,7 +147,14 @@
 		s.listed = e.rows
 	case logTrimmed:
 		s.trim(e)
+	case commandAsked:
+		s.command(now, e)
+	case workerFaultSet:
+		s.workers.fault = e.fault
+	case orderedAsked:
+		s.out = append(s.out, replyOrdered{call: e.call, ordered: slices.Clone(s.workers.ordered)})
 	}
+	s.finishReboots(now)
 	s.serveReaders(now)
 	s.armTimer()
 	return s.out
@@ -197,15 +206,24 @@
 	s.readers = kept
 }
 
+// armTimer asks for a wake-up at the end of the next read or reboot.
 func (s *platformState) armTimer() {
-	if len(s.readers) == 0 {
-		return
+	var next time.Time
+	for _, r := range s.readers {
+		next = earlier(next, r.until)
 	}
-	next := s.readers[0].until
-	for _, r := range s.readers[1:] {
-		if r.until.Before(next) {
-			next = r.until
-		}
+	for _, r := range s.workers.reboots {
+		next = earlier(next, r.done)
+	}
+	if !next.IsZero() {
+		s.out = append(s.out, platformSetTimer{at: next})
+	}
+}
+
+// earlier returns the earlier of two times; zero means none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
 	}
-	s.out = append(s.out, platformSetTimer{at: next})
+	return a
 }
--- /dev/null
+++ b/standin/workers.go
@@ -0,0 +1,60 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/platform"
+)
+
+// maxCommandBody is the largest command that the worker control reads.
+const maxCommandBody = 4 << 10
+
+type orderedAsked struct{ call uint64 }
+
+type replyOrdered struct {
+	call    uint64
+	ordered []Ordered
+}
+
+func (orderedAsked) isPlatformEvent()  {}
+func (replyOrdered) isPlatformEffect() {}
+
+// SetWorkerFault changes what goes wrong at the worker control.
+func (p *Platform) SetWorkerFault(f WorkerFault) error {
+	return p.loop.Post(workerFaultSet{fault: f})
+}
+
+// OnPower sets what is called when an instance goes down or comes back. Call it
+// before Run. The function must not block.
+func (p *Platform) OnPower(power func(fleet.InstanceID, Power)) { p.power = power }
+
+// Ordered returns the commands carried out so far.
+func (p *Platform) Ordered(ctx context.Context) ([]Ordered, error) {
+	return p.orders.Do(ctx, func(call uint64) error { return p.loop.Post(orderedAsked{call: call}) })
+}
+
+func (p *Platform) handleCommand(w http.ResponseWriter, r *http.Request) {
+	var body platform.CommandBody
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCommandBody)).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	res, err := p.commands.Do(r.Context(), func(call uint64) error {
+		return p.loop.Post(commandAsked{
+			call: call, id: r.PathValue("command"), instance: fleet.InstanceID(r.PathValue("instance")), command: body.Command,
+		})
+	})
+	switch {
+	case err != nil || res == commandLost:
+		http.Error(w, "outcome unknown", http.StatusInternalServerError)
+	case res == commandDown:
+		http.Error(w, "worker control is down", http.StatusServiceUnavailable)
+	case res == commandPending:
+		w.WriteHeader(http.StatusAccepted)
+	default:
+		w.WriteHeader(http.StatusOK)
+	}
+}
