Fold drains, moves and waves from the control stream

Nothing agreed yet which instances are out of service or where they belong. Each record names the epoch of its instance or wave and counts only if that still holds at its offset, so that the first in the log wins and a repeated or late one says why it does not count. A step's size is checked against the pools' allowance at the record's offset, so that waves and operators together never take out more than the services' demand leaves. A move out of a pool that serves nothing is one record.

--- /dev/null
+++ b/reduce/control/drain.go
@@ -0,0 +1,384 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/disruption"
+)
+
+// CurrentEpoch as the base of a record stands for the epoch in force where the
+// record is proposed. Rebase replaces it before the record is appended.
+const CurrentEpoch fleet.Offset = -1
+
+// DrainReason says why an instance is drained.
+type DrainReason uint8
+
+// Reasons of a drain.
+const (
+	ReasonOperator DrainReason = iota + 1
+	ReasonWave
+	ReasonMove
+	ReasonFailure
+	ReasonRehearsal
+)
+
+var drainReasonNames = [...]string{
+	ReasonOperator:  "operator",
+	ReasonWave:      "wave",
+	ReasonMove:      "move",
+	ReasonFailure:   "failure",
+	ReasonRehearsal: "rehearsal",
+}
+
+// String returns the reason's name.
+func (r DrainReason) String() string { return nameOf(drainReasonNames[:], int(r)) }
+
+// Purpose says what happens to an instance once it is drained.
+type Purpose uint8
+
+// Purposes of a drain.
+const (
+	// PurposeHold keeps the instance out of service until it is undrained.
+	PurposeHold Purpose = iota + 1
+	// PurposeStop stops the instance.
+	PurposeStop
+	// PurposeReboot reboots the instance and brings it back into service.
+	PurposeReboot
+	// PurposeMove puts the instance into another pool.
+	PurposeMove
+)
+
+var purposeNames = [...]string{
+	PurposeHold:   "hold",
+	PurposeStop:   "stop",
+	PurposeReboot: "reboot",
+	PurposeMove:   "move",
+}
+
+// String returns the purpose's name.
+func (p Purpose) String() string { return nameOf(purposeNames[:], int(p)) }
+
+// ParsePurpose returns the purpose with this name.
+func ParsePurpose(name string) (Purpose, bool) {
+	i := slices.Index(purposeNames[:], name)
+	return Purpose(max(i, 0)), i > 0
+}
+
+// Phase is how far the maintenance of an instance has come.
+type Phase uint8
+
+// Phases of an instance.
+const (
+	// InService takes requests without restriction.
+	InService Phase = iota
+	// Draining takes no new request; those in flight finish.
+	Draining
+	// Drained has no request in flight at any entry.
+	Drained
+	// Probation takes single requests.
+	Probation
+	// Failed did not come back in working order. It takes no request until an
+	// operator undrains it.
+	Failed
+)
+
+var phaseNames = [...]string{
+	InService: "in-service",
+	Draining:  "draining",
+	Drained:   "drained",
+	Probation: "probation",
+	Failed:    "failed",
+}
+
+// String returns the phase's name.
+func (p Phase) String() string { return nameOf(phaseNames[:], int(p)) }
+
+func nameOf(names []string, i int) string {
+	if i < len(names) && names[i] != "" {
+		return names[i]
+	}
+	return "none"
+}
+
+// Drain closes an instance to new requests.
+type Drain struct {
+	Instance fleet.InstanceID
+	// Base is the instance's epoch that the record is based on.
+	Base    fleet.Offset
+	Reason  DrainReason
+	Purpose Purpose
+	// To is the pool that a PurposeMove drain leads to.
+	To fleet.PoolName
+	// Force drains the instance even if its pool can't spare it.
+	Force bool
+}
+
+// FinishDrain tells that no entry has a request in flight on the instance.
+type FinishDrain struct {
+	Instance fleet.InstanceID
+	Base     fleet.Offset
+}
+
+// Return tells that a rebooted instance is up again.
+type Return struct {
+	Instance fleet.InstanceID
+	Base     fleet.Offset
+}
+
+// Restore ends the probation of an instance that passed it.
+type Restore struct {
+	Instance fleet.InstanceID
+	Base     fleet.Offset
+}
+
+// Fail takes out an instance that did not come back in working order.
+type Fail struct {
+	Instance fleet.InstanceID
+	Base     fleet.Offset
+	Detail   string
+}
+
+// Undrain cancels a drain, or brings back an instance that was held, stopped
+// or failed.
+type Undrain struct {
+	Instance fleet.InstanceID
+	Base     fleet.Offset
+}
+
+func (Drain) isRecord()       {}
+func (FinishDrain) isRecord() {}
+func (Return) isRecord()      {}
+func (Restore) isRecord()     {}
+func (Fail) isRecord()        {}
+func (Undrain) isRecord()     {}
+
+// Maintenance is what the control stream says about one instance.
+type Maintenance struct {
+	// Epoch is the offset of the last record that changed the instance. It
+	// never decreases; a record based on another epoch does not count.
+	Epoch   fleet.Offset
+	Phase   Phase
+	Reason  DrainReason
+	Purpose Purpose
+	// To is the pool that a PurposeMove drain leads to.
+	To fleet.PoolName
+	// Wave is the wave that the instance is drained by; zero for none.
+	Wave fleet.Offset
+	// Detail says why the instance failed.
+	Detail string
+}
+
+// IsClosed reports whether the instance takes no new request.
+func (m Maintenance) IsClosed() bool {
+	return m.Phase == Draining || m.Phase == Drained || m.Phase == Failed
+}
+
+// IsReturning reports whether the instance comes back into service without an
+// operator.
+func (m Maintenance) IsReturning() bool {
+	switch m.Phase {
+	case Probation:
+		return true
+	case Draining, Drained:
+		return m.Purpose == PurposeReboot || m.Purpose == PurposeMove
+	default:
+		return false
+	}
+}
+
+// Drains holds the maintenance of each instance that a record was about.
+type Drains map[fleet.InstanceID]Maintenance
+
+// Under returns the instances that are not in service, in order.
+func (d Drains) Under() []fleet.InstanceID {
+	var ids []fleet.InstanceID
+	for id, m := range d {
+		if m.Phase != InService {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// change puts an instance into a phase and moves its epoch on.
+func (s *State) change(id fleet.InstanceID, at fleet.Offset, phase Phase) {
+	m := s.Drains[id]
+	m.Epoch, m.Phase = at, phase
+	if phase == InService || phase == Probation {
+		m.To, m.Detail = "", ""
+	}
+	if phase == InService {
+		m.Reason, m.Purpose, m.Wave = 0, 0, 0
+	}
+	s.Drains[id] = m
+}
+
+// expect checks that an instance is known, at an epoch and in one of the
+// phases.
+func (s *State) expect(id fleet.InstanceID, base fleet.Offset, phases ...Phase) (Outcome, string) {
+	if _, known := s.Pools[id]; !known {
+		return Invalid, fmt.Sprintf("unknown instance %s", id)
+	}
+	m := s.Drains[id]
+	if m.Epoch != base {
+		return Conflict, fmt.Sprintf("based on epoch %d of %s, but it is at epoch %d, %s", base, id, m.Epoch, m.Phase)
+	}
+	if !slices.Contains(phases, m.Phase) {
+		return Conflict, fmt.Sprintf("%s is %s", id, m.Phase)
+	}
+	return Accepted, ""
+}
+
+func (s *State) drain(at fleet.Offset, r Drain) (Outcome, string) {
+	if out, why := s.expect(r.Instance, r.Base, InService, Probation); out != Accepted {
+		return out, why
+	}
+	if out, why := s.checkDrain(r); out != Accepted {
+		return out, why
+	}
+	m := s.Drains[r.Instance]
+	wave := m.Wave
+	m = Maintenance{Epoch: at, Phase: Draining, Reason: r.Reason, Purpose: r.Purpose, To: r.To}
+	s.Drains[r.Instance] = m
+	s.leaveWave(wave, r.Instance)
+	return Accepted, ""
+}
+
+// checkDrain checks what a drain leads to, and that the pool can spare the
+// instance.
+func (s *State) checkDrain(r Drain) (Outcome, string) {
+	if r.Reason == 0 || r.Purpose == 0 {
+		return Invalid, "the drain names no reason or no purpose"
+	}
+	if r.Purpose == PurposeMove {
+		if out, why := s.checkTarget(r.Instance, r.To); out != Accepted {
+			return out, why
+		}
+	}
+	if r.Force || r.Reason == ReasonFailure || r.Reason == ReasonRehearsal || s.Drains[r.Instance].Phase == Probation {
+		return Accepted, ""
+	}
+	pool := s.Pools[r.Instance]
+	if s.allowance()[pool] < 1 {
+		return Conflict, fmt.Sprintf("pool %s can't spare %s now", pool, r.Instance)
+	}
+	return Accepted, ""
+}
+
+// allowance returns how many more instances each pool can spare.
+func (s *State) allowance() map[fleet.PoolName]int {
+	return disruption.Allowance(s.disruption())
+}
+
+func (s *State) disruption() disruption.Input {
+	out := make(map[fleet.InstanceID]bool)
+	for id, m := range s.Drains {
+		if m.Phase != InService {
+			out[id] = true
+		}
+	}
+	return disruption.Input{Text: s.Text, Pools: s.Pools, Out: out}
+}
+
+func (s *State) finishDrain(at fleet.Offset, r FinishDrain) (Outcome, string) {
+	if out, why := s.expect(r.Instance, r.Base, Draining); out != Accepted {
+		return out, why
+	}
+	if s.Drains[r.Instance].Purpose == PurposeMove {
+		return Invalid, "a drain for a move ends with the move"
+	}
+	s.change(r.Instance, at, Drained)
+	return Accepted, ""
+}
+
+func (s *State) returned(at fleet.Offset, r Return) (Outcome, string) {
+	if out, why := s.expect(r.Instance, r.Base, Drained); out != Accepted {
+		return out, why
+	}
+	if s.Drains[r.Instance].Purpose != PurposeReboot {
+		return Conflict, fmt.Sprintf("%s is not being rebooted", r.Instance)
+	}
+	s.change(r.Instance, at, Probation)
+	return Accepted, ""
+}
+
+func (s *State) restore(at fleet.Offset, r Restore) (Outcome, string) {
+	if out, why := s.expect(r.Instance, r.Base, Probation); out != Accepted {
+		return out, why
+	}
+	wave := s.Drains[r.Instance].Wave
+	s.change(r.Instance, at, InService)
+	s.waveRestored(wave, r.Instance)
+	return Accepted, ""
+}
+
+func (s *State) fail(at fleet.Offset, r Fail) (Outcome, string) {
+	if out, why := s.expect(r.Instance, r.Base, Drained, Probation); out != Accepted {
+		return out, why
+	}
+	m := s.Drains[r.Instance]
+	if m.Phase == Drained && m.Purpose != PurposeReboot {
+		return Conflict, fmt.Sprintf("%s is held on purpose", r.Instance)
+	}
+	s.change(r.Instance, at, Failed)
+	failed := s.Drains[r.Instance]
+	failed.Detail, failed.Wave = r.Detail, 0
+	s.Drains[r.Instance] = failed
+	s.waveFailed(m.Wave, r.Instance, at)
+	return Accepted, ""
+}
+
+// undrain opens an instance that was only closed at once. One that was out of
+// service for longer comes back by way of probation.
+func (s *State) undrain(at fleet.Offset, r Undrain) (Outcome, string) {
+	if out, why := s.expect(r.Instance, r.Base, Draining, Drained, Failed); out != Accepted {
+		return out, why
+	}
+	m := s.Drains[r.Instance]
+	if m.Phase == Drained && m.Purpose == PurposeReboot {
+		return Conflict, fmt.Sprintf("%s is being rebooted", r.Instance)
+	}
+	next := Probation
+	if m.Phase == Draining {
+		next = InService
+	}
+	s.change(r.Instance, at, next)
+	s.leaveWave(m.Wave, r.Instance)
+	return Accepted, ""
+}
+
+// Rebase fills in what an operator leaves to the entry: the epoch that the
+// record is based on, and whether a move needs a drain first.
+func (s *State) Rebase(body Body) Body {
+	switch r := body.(type) {
+	case Drain:
+		r.Base = s.epochOr(r.Base, r.Instance)
+		return r
+	case Undrain:
+		r.Base = s.epochOr(r.Base, r.Instance)
+		return r
+	case Move:
+		return s.rebaseMove(r)
+	case PauseWave:
+		r.Base = s.waveEpochOr(r.Base, r.Wave)
+		return r
+	case ResumeWave:
+		r.Base = s.waveEpochOr(r.Base, r.Wave)
+		return r
+	case AbortWave:
+		r.Base = s.waveEpochOr(r.Base, r.Wave)
+		return r
+	default:
+		return body
+	}
+}
+
+func (s *State) epochOr(base fleet.Offset, id fleet.InstanceID) fleet.Offset {
+	if base != CurrentEpoch {
+		return base
+	}
+	return s.Drains[id].Epoch
+}
--- a/reduce/control/fold.go
+++ b/reduce/control/fold.go
@@ -19,6 +19,11 @@
 	Source  string
 	// Pools holds the one pool that each instance is in.
 	Pools map[fleet.InstanceID]fleet.PoolName
+	// Drains holds the maintenance of instances, and Waves the waves.
+	Drains Drains
+	Waves  Waves
+	// Moves counts the moves between pools.
+	Moves uint64
 
 	seen     map[fleet.RecordID]struct{}
 	seenRing []fleet.RecordID
@@ -28,8 +33,9 @@
 // New returns the fold of the empty stream.
 func New() *State {
 	return &State{
-		Pools: make(map[fleet.InstanceID]fleet.PoolName),
-		seen:  make(map[fleet.RecordID]struct{}),
+		Pools:  make(map[fleet.InstanceID]fleet.PoolName),
+		Drains: make(Drains),
+		seen:   make(map[fleet.RecordID]struct{}),
 	}
 }
 
@@ -61,7 +67,7 @@
 	case Unreadable:
 		return Invalid, fmt.Sprintf("the record could not be read: %v", body.Err)
 	default:
-		return Invalid, fmt.Sprintf("unknown record type %T", body)
+		return s.applyMaintenance(p.Offset, body)
 	}
 }
 
@@ -74,6 +80,7 @@
 	}
 	s.place(p.Text)
 	s.Version, s.Text, s.Source = at, p.Text, p.Source
+	s.pruneWaves()
 	return Accepted, ""
 }
 
--- /dev/null
+++ b/reduce/control/maintenance.go
@@ -0,0 +1,46 @@
+package control
+
+import (
+	"fmt"
+
+	"github.com/banyanrail/banyanrail/fleet"
+)
+
+// applyMaintenance folds the records about drains, moves and waves.
+func (s *State) applyMaintenance(at fleet.Offset, body Body) (Outcome, string) {
+	switch r := body.(type) {
+	case Drain:
+		return s.drain(at, r)
+	case FinishDrain:
+		return s.finishDrain(at, r)
+	case Return:
+		return s.returned(at, r)
+	case Restore:
+		return s.restore(at, r)
+	case Fail:
+		return s.fail(at, r)
+	case Undrain:
+		return s.undrain(at, r)
+	case Move:
+		return s.move(at, r)
+	default:
+		return s.applyWave(at, body)
+	}
+}
+
+func (s *State) applyWave(at fleet.Offset, body Body) (Outcome, string) {
+	switch r := body.(type) {
+	case StartWave:
+		return s.startWave(at, r)
+	case StepWave:
+		return s.stepWave(at, r)
+	case PauseWave:
+		return s.pauseWave(at, r)
+	case ResumeWave:
+		return s.resumeWave(at, r)
+	case AbortWave:
+		return s.abortWave(at, r)
+	default:
+		return Invalid, fmt.Sprintf("unknown record type %T", body)
+	}
+}
--- /dev/null
+++ b/reduce/control/move.go
@@ -0,0 +1,82 @@
+package control
+
+import (
+	"fmt"
+
+	"github.com/banyanrail/banyanrail/fleet"
+)
+
+// Move puts an instance into another pool. The instance is either drained for
+// the move, or in a pool that serves nothing, so that one record is enough.
+type Move struct {
+	Instance fleet.InstanceID
+	From, To fleet.PoolName
+	// Base is the instance's epoch that the record is based on.
+	Base fleet.Offset
+}
+
+func (Move) isRecord() {}
+
+func (s *State) move(at fleet.Offset, r Move) (Outcome, string) {
+	if out, why := s.expect(r.Instance, r.Base, InService, Draining); out != Accepted {
+		return out, why
+	}
+	if pool := s.Pools[r.Instance]; pool != r.From {
+		return Conflict, fmt.Sprintf("%s is in pool %s, not in %s", r.Instance, pool, r.From)
+	}
+	if out, why := s.checkTarget(r.Instance, r.To); out != Accepted {
+		return out, why
+	}
+	m := s.Drains[r.Instance]
+	switch {
+	case m.Phase == Draining && (m.Purpose != PurposeMove || m.To != r.To):
+		return Conflict, fmt.Sprintf("%s is drained for another purpose: %s", r.Instance, m.Purpose)
+	case m.Phase == InService && !s.isIdle(r.From):
+		return Conflict, fmt.Sprintf("%s serves pool %s and has to be drained first", r.Instance, r.From)
+	}
+	s.Pools[r.Instance] = r.To
+	s.change(r.Instance, at, Probation)
+	s.Moves++
+	return Accepted, ""
+}
+
+func (s *State) checkTarget(id fleet.InstanceID, to fleet.PoolName) (Outcome, string) {
+	if s.Text == nil {
+		return Invalid, "no services text is in force"
+	}
+	if _, ok := s.Text.Pool(to); !ok {
+		return Invalid, fmt.Sprintf("unknown pool %q", to)
+	}
+	if s.Pools[id] == to {
+		return Conflict, fmt.Sprintf("%s is in pool %s already", id, to)
+	}
+	return Accepted, ""
+}
+
+// isIdle reports whether a pool serves nothing, so that its instances have no
+// request in flight.
+func (s *State) isIdle(pool fleet.PoolName) bool {
+	p, ok := s.Text.Pool(pool)
+	if !ok || !p.Spare {
+		return false
+	}
+	for i := range s.Text.Services {
+		if s.Text.Services[i].Pool == pool {
+			return false
+		}
+	}
+	return true
+}
+
+// rebaseMove completes an operator's move. An instance at work is drained
+// first; the move then follows on its own.
+func (s *State) rebaseMove(r Move) Body {
+	r.Base = s.epochOr(r.Base, r.Instance)
+	if r.From == "" {
+		r.From = s.Pools[r.Instance]
+	}
+	if s.Text == nil || s.isIdle(r.From) {
+		return r
+	}
+	return Drain{Instance: r.Instance, Base: r.Base, Reason: ReasonMove, Purpose: PurposeMove, To: r.To}
+}
--- /dev/null
+++ b/reduce/control/wave.go
@@ -0,0 +1,379 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/disruption"
+)
+
+const (
+	// maxFailedInStep is the number of failures in one step that pauses a wave.
+	maxFailedInStep = 2
+	// maxFailedSteps is the number of steps in a row with a failure that pauses
+	// a wave.
+	maxFailedSteps = 2
+	// maxEndedWaves is the number of ended waves that are remembered.
+	maxEndedWaves = 16
+)
+
+// Scope selects the instances of a wave. Empty fields select everything.
+type Scope struct {
+	Pools      []fleet.PoolName
+	DataCentre fleet.DataCentre
+}
+
+// StartWave reboots all instances of a scope, step by step.
+type StartWave struct {
+	Scope Scope
+	// Note says why, for people.
+	Note string
+}
+
+// StepWave drains the next instances of a wave.
+type StepWave struct {
+	Wave fleet.Offset
+	// Base is the wave's epoch that the record is based on.
+	Base      fleet.Offset
+	Instances []fleet.InstanceID
+}
+
+// PauseWave starts no further step until the wave is resumed.
+type PauseWave struct {
+	Wave, Base fleet.Offset
+	Detail     string
+}
+
+// ResumeWave goes on with a paused wave.
+type ResumeWave struct{ Wave, Base fleet.Offset }
+
+// AbortWave ends a wave. Instances already drained by it still come back.
+type AbortWave struct{ Wave, Base fleet.Offset }
+
+func (StartWave) isRecord()  {}
+func (StepWave) isRecord()   {}
+func (PauseWave) isRecord()  {}
+func (ResumeWave) isRecord() {}
+func (AbortWave) isRecord()  {}
+
+// WavePhase is how far a wave has come.
+type WavePhase uint8
+
+// Phases of a wave.
+const (
+	WaveRunning WavePhase = iota + 1
+	WavePaused
+	WaveAborted
+	WaveDone
+)
+
+var wavePhaseNames = [...]string{
+	WaveRunning: "running",
+	WavePaused:  "paused",
+	WaveAborted: "aborted",
+	WaveDone:    "done",
+}
+
+// String returns the phase's name.
+func (p WavePhase) String() string { return nameOf(wavePhaseNames[:], int(p)) }
+
+// Wave is the state of one wave.
+type Wave struct {
+	// ID is the offset of its StartWave record.
+	ID fleet.Offset
+	// Epoch is the offset of the last record that changed the wave.
+	Epoch fleet.Offset
+	Phase WavePhase
+	Note  string
+	// Detail says why the wave is paused.
+	Detail string
+	// Steps counts the steps started.
+	Steps int
+	// Pending have not been drained yet, Current are in the step under way.
+	Pending, Current []fleet.InstanceID
+	Done             []fleet.InstanceID
+	// Failed did not come back; Skipped were taken out by an operator or a
+	// new text.
+	Failed, Skipped []fleet.InstanceID
+
+	// FailedInStep counts the failures of the step under way.
+	FailedInStep int
+	// FailedSteps counts the steps in a row, up to the last, with a failure.
+	FailedSteps int
+}
+
+// Waves holds the waves that have not ended, and the last that have, in the
+// order of their ids.
+type Waves struct {
+	Active []*Wave
+	Ended  []*Wave
+}
+
+// Get returns a wave that has not ended.
+func (w *Waves) Get(id fleet.Offset) (*Wave, bool) {
+	for _, wave := range w.Active {
+		if wave.ID == id {
+			return wave, true
+		}
+	}
+	return nil, false
+}
+
+func (s *State) startWave(at fleet.Offset, r StartWave) (Outcome, string) {
+	if s.Text == nil {
+		return Invalid, "no services text is in force"
+	}
+	pending := s.scope(r.Scope)
+	if len(pending) == 0 {
+		return Invalid, "the wave selects no instance"
+	}
+	for _, w := range s.Waves.Active {
+		for _, id := range pending {
+			if slices.Contains(w.Pending, id) || slices.Contains(w.Current, id) {
+				return Conflict, fmt.Sprintf("%s is in wave %d already", id, w.ID)
+			}
+		}
+	}
+	s.Waves.Active = append(s.Waves.Active, &Wave{ID: at, Epoch: at, Phase: WaveRunning, Note: r.Note, Pending: pending})
+	return Accepted, ""
+}
+
+// scope returns the instances that a wave selects, by failure domain.
+func (s *State) scope(sc Scope) []fleet.InstanceID {
+	var chosen []fleet.Instance
+	for _, in := range s.Text.Instances {
+		pool, known := s.Pools[in.ID]
+		inPool := len(sc.Pools) == 0 || slices.Contains(sc.Pools, pool)
+		inCentre := sc.DataCentre == "" || sc.DataCentre == in.DataCentre
+		if known && inPool && inCentre {
+			chosen = append(chosen, in)
+		}
+	}
+	slices.SortFunc(chosen, byDomain)
+	ids := make([]fleet.InstanceID, 0, len(chosen))
+	for _, in := range chosen {
+		ids = append(ids, in.ID)
+	}
+	return ids
+}
+
+func byDomain(a, b fleet.Instance) int {
+	if c := strings.Compare(string(a.DataCentre), string(b.DataCentre)); c != 0 {
+		return c
+	}
+	if c := strings.Compare(string(a.Rack), string(b.Rack)); c != 0 {
+		return c
+	}
+	return strings.Compare(string(a.ID), string(b.ID))
+}
+
+// stepWave starts a step. The pools' allowance is checked here, at the
+// record's offset, so that waves and operators together never take out more.
+func (s *State) stepWave(at fleet.Offset, r StepWave) (Outcome, string) {
+	w, out, why := s.expectWave(r.Wave, r.Base, WaveRunning)
+	if out != Accepted {
+		return out, why
+	}
+	if out, why := s.checkStep(w, r.Instances); out != Accepted {
+		return out, why
+	}
+	for _, id := range r.Instances {
+		s.Drains[id] = Maintenance{Epoch: at, Phase: Draining, Reason: ReasonWave, Purpose: PurposeReboot, Wave: w.ID}
+	}
+	w.Pending = slices.DeleteFunc(w.Pending, func(id fleet.InstanceID) bool { return slices.Contains(r.Instances, id) })
+	w.Current = slices.Clone(r.Instances)
+	w.Epoch = at
+	w.Steps++
+	w.FailedInStep = 0
+	return Accepted, ""
+}
+
+func (s *State) checkStep(w *Wave, ids []fleet.InstanceID) (Outcome, string) {
+	if len(ids) == 0 || len(ids) > max(1, s.Text.Maintenance.MaxStep) {
+		return Invalid, fmt.Sprintf("a step of %d instances", len(ids))
+	}
+	if len(w.Current) > 0 {
+		return Conflict, fmt.Sprintf("step %d of wave %d is under way", w.Steps, w.ID)
+	}
+	left := s.allowance()
+	seen := make(map[fleet.InstanceID]bool, len(ids))
+	for _, id := range ids {
+		if seen[id] || !slices.Contains(w.Pending, id) {
+			return Conflict, fmt.Sprintf("%s is not pending in wave %d", id, w.ID)
+		}
+		seen[id] = true
+		if phase := s.Drains[id].Phase; phase != InService {
+			return Conflict, fmt.Sprintf("%s is %s", id, phase)
+		}
+		pool := s.Pools[id]
+		left[pool]--
+		if left[pool] < 0 {
+			return Conflict, fmt.Sprintf("pool %s can't spare %s now", pool, id)
+		}
+	}
+	return Accepted, ""
+}
+
+// NextStep returns the instances that a wave drains next; none while a step is
+// under way or the pools can't spare any.
+func (s *State) NextStep(w *Wave) []fleet.InstanceID {
+	if w.Phase != WaveRunning || len(w.Current) > 0 || s.Text == nil {
+		return nil
+	}
+	return disruption.Step(s.disruption(), w.Pending)
+}
+
+func (s *State) pauseWave(at fleet.Offset, r PauseWave) (Outcome, string) {
+	w, out, why := s.expectWave(r.Wave, r.Base, WaveRunning)
+	if out != Accepted {
+		return out, why
+	}
+	w.Phase, w.Epoch, w.Detail = WavePaused, at, r.Detail
+	return Accepted, ""
+}
+
+func (s *State) resumeWave(at fleet.Offset, r ResumeWave) (Outcome, string) {
+	w, out, why := s.expectWave(r.Wave, r.Base, WavePaused)
+	if out != Accepted {
+		return out, why
+	}
+	w.Phase, w.Epoch, w.Detail = WaveRunning, at, ""
+	w.FailedInStep, w.FailedSteps = 0, 0
+	return Accepted, ""
+}
+
+func (s *State) abortWave(at fleet.Offset, r AbortWave) (Outcome, string) {
+	w, out, why := s.expectWave(r.Wave, r.Base, WaveRunning, WavePaused)
+	if out != Accepted {
+		return out, why
+	}
+	w.Phase, w.Epoch = WaveAborted, at
+	w.Skipped = append(w.Skipped, w.Pending...)
+	w.Pending = nil
+	s.settleWave(w)
+	return Accepted, ""
+}
+
+func (s *State) expectWave(id, base fleet.Offset, phases ...WavePhase) (*Wave, Outcome, string) {
+	w, ok := s.Waves.Get(id)
+	if !ok {
+		return nil, Conflict, fmt.Sprintf("there is no wave %d under way", id)
+	}
+	if w.Epoch != base {
+		return nil, Conflict, fmt.Sprintf("based on epoch %d of wave %d, but it is at epoch %d", base, id, w.Epoch)
+	}
+	if !slices.Contains(phases, w.Phase) {
+		return nil, Conflict, fmt.Sprintf("wave %d is %s", id, w.Phase)
+	}
+	return w, Accepted, ""
+}
+
+func (s *State) waveEpochOr(base, id fleet.Offset) fleet.Offset {
+	w, ok := s.Waves.Get(id)
+	if base != CurrentEpoch || !ok {
+		return base
+	}
+	return w.Epoch
+}
+
+// waveRestored notes that an instance of a step passed probation.
+func (s *State) waveRestored(id fleet.Offset, instance fleet.InstanceID) {
+	w, ok := s.Waves.Get(id)
+	if !ok || !w.takeCurrent(instance) {
+		return
+	}
+	w.Done = append(w.Done, instance)
+	s.settleWave(w)
+}
+
+// waveFailed notes that an instance of a step did not come back, and pauses
+// the wave when failures look correlated.
+func (s *State) waveFailed(id fleet.Offset, instance fleet.InstanceID, at fleet.Offset) {
+	w, ok := s.Waves.Get(id)
+	if !ok || !w.takeCurrent(instance) {
+		return
+	}
+	w.Failed = append(w.Failed, instance)
+	w.FailedInStep++
+	if w.Phase == WaveRunning && (w.FailedInStep >= maxFailedInStep || w.FailedSteps+1 >= maxFailedSteps) {
+		w.Phase, w.Epoch = WavePaused, at
+		w.Detail = fmt.Sprintf("correlated failures: %s failed in step %d after others", instance, w.Steps)
+	}
+	s.settleWave(w)
+}
+
+// leaveWave takes an instance that an operator drained or undrained out of its
+// wave's step.
+func (s *State) leaveWave(id fleet.Offset, instance fleet.InstanceID) {
+	w, ok := s.Waves.Get(id)
+	if !ok || !w.takeCurrent(instance) {
+		return
+	}
+	m := s.Drains[instance]
+	m.Wave = 0
+	s.Drains[instance] = m
+	w.Skipped = append(w.Skipped, instance)
+	s.settleWave(w)
+}
+
+// takeCurrent takes an instance out of the step under way. It returns false
+// when the instance is not in it.
+func (w *Wave) takeCurrent(id fleet.InstanceID) bool {
+	i := slices.Index(w.Current, id)
+	if i < 0 {
+		return false
+	}
+	w.Current = slices.Delete(w.Current, i, i+1)
+	if len(w.Current) == 0 {
+		w.Current = nil
+	}
+	return true
+}
+
+// settleWave closes a step whose instances are all through, and the wave when
+// nothing is left to do.
+func (s *State) settleWave(w *Wave) {
+	if len(w.Current) > 0 {
+		return
+	}
+	if w.FailedInStep > 0 {
+		w.FailedSteps++
+	} else {
+		w.FailedSteps = 0
+	}
+	w.FailedInStep = 0
+	if len(w.Pending) > 0 {
+		return
+	}
+	if w.Phase != WaveAborted {
+		w.Phase = WaveDone
+	}
+	s.Waves.Active = slices.DeleteFunc(s.Waves.Active, func(o *Wave) bool { return o == w })
+	s.Waves.Ended = append(s.Waves.Ended, w)
+	if extra := len(s.Waves.Ended) - maxEndedWaves; extra > 0 {
+		s.Waves.Ended = slices.Delete(s.Waves.Ended, 0, extra)
+	}
+}
+
+// pruneWaves takes instances that a new text no longer has out of all waves.
+func (s *State) pruneWaves() {
+	for _, w := range slices.Clone(s.Waves.Active) {
+		gone := func(id fleet.InstanceID) bool {
+			_, known := s.Pools[id]
+			return !known
+		}
+		for _, id := range slices.Concat(w.Pending, w.Current) {
+			if gone(id) {
+				w.Skipped = append(w.Skipped, id)
+			}
+		}
+		hadStep := len(w.Current) > 0
+		w.Pending = slices.DeleteFunc(w.Pending, gone)
+		w.Current = slices.DeleteFunc(w.Current, gone)
+		if len(w.Current) == 0 && (hadStep || len(w.Pending) == 0) {
+			s.settleWave(w)
+		}
+	}
+}
