Drain, move and reboot instances without cutting off a request

Entries close an instance when they fold its drain, or hear of it from a peer or the platform's list, and tell one another what has nothing in flight. Once all have acknowledged the epoch, any entry takes the next step from the fold: the command to worker control, health checks, return, probation with single requests, restoration. Rank by rendezvous hash staggers the proposals and the fold voids repeats. An entry that is silent is waited for as long as what it took last may run. Operators get endpoints and subcommands for all of it.

--- a/cmd/banyanrail/main.go
+++ b/cmd/banyanrail/main.go
@@ -26,6 +26,10 @@
 	Check   *checkCmd   `arg:"subcommand:check" help:"check a services text"`
 	Publish *publishCmd `arg:"subcommand:publish" help:"bring a services text into force"`
 	Status  *statusCmd  `arg:"subcommand:status" help:"show what an entry sees"`
+	Drain   *drainCmd   `arg:"subcommand:drain" help:"take an instance out of service"`
+	Undrain *undrainCmd `arg:"subcommand:undrain" help:"bring an instance back into service"`
+	Move    *moveCmd    `arg:"subcommand:move" help:"move an instance to another pool"`
+	Wave    *waveCmd    `arg:"subcommand:wave" help:"reboot instances step by step"`
 	Dev     *devCmd     `arg:"subcommand:dev" help:"run a whole fleet in this process"`
 
 	Entry string `arg:"--entry,env:BANYANRAIL_ENTRY" default:"http://127.0.0.1:8081" help:"base URL of an entry's operators' interface"`
--- a/cmd/banyanraild/main.go
+++ b/cmd/banyanraild/main.go
@@ -49,7 +49,7 @@
 		ID:            fleet.EntryID(s.ID),
 		DataCentre:    fleet.DataCentre(s.DataCentre),
 		OperatorToken: s.OperatorToken,
-	}, entry.Deps{Log: client, Instances: client, Logger: logger})
+	}, entry.Deps{Log: client, Instances: client, Workers: client, Logger: logger})
 
 	serving, closeListeners := context.WithCancel(context.Background())
 	group, groupCtx := errgroup.WithContext(serving)
--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -41,6 +42,7 @@
 	Runners  []*Runner
 	Nodes    []*Node
 
+	logger *slog.Logger
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 }
@@ -68,7 +70,8 @@
 // Start starts a fleet. Stop it when done.
 func Start(cfg Config) (*Fleet, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Fleet{Platform: standin.NewPlatform(), cancel: cancel}
+	f := &Fleet{Platform: standin.NewPlatform(), cancel: cancel, logger: cfg.Deps.Logger}
+	f.Platform.OnPower(f.setPower)
 	if err := f.start(ctx, cfg); err != nil {
 		f.Stop()
 		return nil, err
@@ -104,7 +107,7 @@
 	ctx, kill := context.WithCancel(ctx)
 	deps := cfg.Deps
 	client := platform.NewClient(platformURL)
-	deps.Log, deps.Instances = client, client
+	deps.Log, deps.Instances, deps.Workers = client, client, client
 	node := &Node{ID: fleet.EntryID(id), Entry: entry.New(entry.Config{ID: fleet.EntryID(id), Seed: uint64(len(f.Nodes) + 1)}, deps), Kill: kill}
 	f.spawn(func() { node.Entry.Run(ctx) })
 	callers, err := f.serve(ctx, node.Entry.Callers())
@@ -122,6 +125,18 @@
 	return node, nil
 }
 
+// setPower passes on what the worker control did to an instance.
+func (f *Fleet) setPower(id fleet.InstanceID, power standin.Power) {
+	for _, r := range f.Runners {
+		if r.ID != id {
+			continue
+		}
+		if err := r.SetPower(power); err != nil && f.logger != nil {
+			f.logger.Error("set power", "instance", id, "error", err)
+		}
+	}
+}
+
 // Stop ends everything and waits for it.
 func (f *Fleet) Stop() {
 	f.cancel()
--- a/entry/act.go
+++ b/entry/act.go
@@ -34,6 +34,8 @@
 		e.ready.Store(o.Ready)
 	case effect.Stopped:
 		e.stopOnce.Do(func() { close(e.stopped) })
+	default:
+		e.actOnWorkers(out)
 	}
 }
 
@@ -44,9 +46,11 @@
 	effect.ChangeLogUp:          "log available",
 	effect.ChangeStopping:       "stopping",
 	effect.ChangeRecordRejected: "record rejected",
+	effect.ChangeInstance:       "instance changed phase",
+	effect.ChangeWave:           "wave changed",
 }
 
 func (e *Entry) logChange(o effect.LogChange) {
 	e.deps.Logger.Info(changeNames[o.Change],
-		"entry", e.cfg.ID, "version", o.Version, "record", o.Record, "detail", o.Detail)
+		"entry", e.cfg.ID, "version", o.Version, "record", o.Record, "instance", o.Instance, "detail", o.Detail)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,9 +56,12 @@
 	Log platform.Log
 	// Instances is the platform's list; nil leaves the entry without peers.
 	Instances platform.Instances
-	Metrics   tally.Scope
-	Logger    *slog.Logger
-	Traces    trace.TracerProvider
+	// Workers is the platform's worker control; nil leaves drained instances
+	// without their stop or reboot.
+	Workers platform.Workers
+	Metrics tally.Scope
+	Logger  *slog.Logger
+	Traces  trace.TracerProvider
 	// Tap sees every event with its effects and returns the effects to carry
 	// out. Tests record runs and seed faults with it; nil passes effects on.
 	Tap Tap
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -10,6 +10,7 @@
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/banyanrail/banyanrail/services"
 	"github.com/google/uuid"
@@ -36,6 +37,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /v1/text", e.handlePublish)
 	mux.HandleFunc("GET /v1/status", e.handleStatus)
+	e.handleMaintenance(mux)
 	mux.HandleFunc("GET /healthz", e.handleLive)
 	mux.HandleFunc("GET /readyz", e.handleReady)
 	return e.authorised(mux)
@@ -113,10 +115,14 @@
 	control.Undecided: http.StatusGatewayTimeout,
 }
 
-func (e *Entry) handleStatus(w http.ResponseWriter, r *http.Request) {
-	st, err := e.statuses.Do(r.Context(), func(id uint64) error {
+func (e *Entry) askStatus(r *http.Request) (effect.Status, error) {
+	return e.statuses.Do(r.Context(), func(id uint64) error {
 		return e.loop.Offer(event.StatusAsked{ID: id})
 	})
+}
+
+func (e *Entry) handleStatus(w http.ResponseWriter, r *http.Request) {
+	st, err := e.askStatus(r)
 	if err != nil {
 		e.writeProblem(w, operatorProblem(http.StatusServiceUnavailable, "read status", err.Error()))
 		return
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -45,7 +45,8 @@
 	for e.background.Err() == nil {
 		rows, err := e.deps.Instances.List(e.background)
 		if err == nil {
-			_ = e.loop.Post(listedEntries(rows)) // fails only after the end
+			_ = e.loop.Post(listedEntries(rows))   // fails only after the end
+			_ = e.loop.Post(listedEndpoints(rows)) // fails only after the end
 		}
 		sleep(e.background, listInterval)
 	}
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -16,6 +16,8 @@
 			Version:  int64(m.Version),
 			Stopping: m.Stopping,
 		}}
+	case message.DrainAcks:
+		env.Message = &peerpb.Envelope_DrainAcks{DrainAcks: encodeDrainAcks(m)}
 	default:
 		return oops.In("peer").With("step", "encode").Errorf("unknown message type %T", m)
 	}
@@ -32,6 +34,8 @@
 			Version:  fleet.Version(m.Heartbeat.GetVersion()),
 			Stopping: m.Heartbeat.GetStopping(),
 		}, nil
+	case *peerpb.Envelope_DrainAcks:
+		return decodeDrainAcks(m.DrainAcks), nil
 	default:
 		return nil, oops.In("peer").With("step", "decode", "peer", env.GetFrom()).Errorf("unknown message")
 	}
--- /dev/null
+++ b/reduce/drain.go
@@ -0,0 +1,409 @@
+package reduce
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/drains"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/message"
+	"github.com/banyanrail/banyanrail/reduce/peers"
+	"github.com/banyanrail/banyanrail/reduce/placement"
+	"github.com/banyanrail/banyanrail/reduce/requests"
+)
+
+// probationSlots is the number of requests that an entry runs at once on an
+// instance on probation.
+const probationSlots = 1
+
+// reduceMaintenance folds the events about drains.
+func (s *State) reduceMaintenance(body event.Body) {
+	switch b := body.(type) {
+	case event.EndpointsListed:
+		s.onEndpointsListed(b)
+	case event.CommandFinished:
+		s.onCommandFinished(b)
+	case event.InstanceChecked:
+		s.onInstanceChecked(b)
+	}
+}
+
+// followMaintenance brings placement in line with the fold after a record.
+func (s *State) followMaintenance(p control.Positioned, res control.Result) {
+	if res.Outcome != control.Accepted {
+		return
+	}
+	switch r := p.Record.Body.(type) {
+	case control.Publish:
+		for _, id := range s.control.Drains.Under() {
+			s.applyPhase(id)
+		}
+	case control.Drain:
+		s.phaseChanged(r.Instance)
+	case control.FinishDrain:
+		s.phaseChanged(r.Instance)
+	case control.Return:
+		s.phaseChanged(r.Instance)
+	case control.Restore:
+		s.phaseChanged(r.Instance)
+	case control.Fail:
+		s.phaseChanged(r.Instance)
+	case control.Undrain:
+		s.phaseChanged(r.Instance)
+	case control.Move:
+		s.moved(r)
+	default:
+		s.followWave(p.Record.Body)
+	}
+	s.armSteps()
+}
+
+// phaseChanged follows the phase of one instance.
+func (s *State) phaseChanged(id fleet.InstanceID) {
+	m := s.control.Drains[id]
+	s.emit(effect.LogChange{
+		Change: effect.ChangeInstance, Instance: id, Version: s.control.Version,
+		Detail: fmt.Sprintf("%s at epoch %d", m.Phase, m.Epoch),
+	})
+	s.applyPhase(id)
+	if m.Phase == control.InService {
+		s.drains.Forget(id)
+		return
+	}
+	s.drains.At(id, m.Epoch, s.now)
+}
+
+// applyPhase closes, limits or opens an instance as the fold, the list and
+// other entries say.
+func (s *State) applyPhase(id fleet.InstanceID) {
+	m := s.control.Drains[id]
+	limit := 0
+	if m.Phase == control.Probation {
+		limit = probationSlots
+	}
+	s.placement.Limit(id, limit)
+	closed := m.IsClosed() || s.drains.IsLeaving(id, s.control.Offset)
+	changed := s.drains.SetClosed(id, closed)
+	switch {
+	case closed:
+		s.placement.Close(id)
+	case changed:
+		s.placement.Open(id)
+	}
+	if pool, ok := s.control.Pools[id]; ok && !closed {
+		s.grant(pool)
+	}
+}
+
+// armSteps keeps the timer of the next look at what is due while anything is
+// under maintenance.
+func (s *State) armSteps() {
+	if len(s.control.Drains.Under()) == 0 && len(s.control.Waves.Active) == 0 && len(s.drains.Told()) == 0 {
+		s.timers.Clear(&s.drains.Tick)
+		return
+	}
+	s.timers.Set(&s.drains.Tick, s.now.Add(drains.StepInterval), s.drains)
+}
+
+// onStepsDue takes the next step of everything under maintenance. Any entry may
+// propose it; the fold counts one.
+func (s *State) onStepsDue() {
+	for _, id := range s.drains.Told() {
+		s.applyPhase(id)
+	}
+	for _, id := range s.control.Drains.Under() {
+		if _, known := s.control.Pools[id]; known {
+			s.stepInstance(id)
+		}
+	}
+	s.sendAcks()
+	s.stepWaves()
+	s.armSteps()
+}
+
+func (s *State) stepInstance(id fleet.InstanceID) {
+	m := s.control.Drains[id]
+	it := s.drains.At(id, m.Epoch, s.now)
+	switch m.Phase {
+	case control.Draining:
+		s.stepDraining(id, m, it)
+	case control.Drained:
+		s.stepDrained(id, m, it)
+	case control.Probation:
+		s.stepProbation(id, m, it)
+	case control.InService, control.Failed:
+	}
+}
+
+// stepDraining ends the drain once no entry has a request in flight.
+func (s *State) stepDraining(id fleet.InstanceID, m control.Maintenance, it *drains.Instance) {
+	if !s.isDue(id, it, s.isQuiet(id, it)) {
+		return
+	}
+	if m.Purpose == control.PurposeMove {
+		s.propose("move", id, m.Epoch, control.Move{Instance: id, From: s.control.Pools[id], To: m.To, Base: m.Epoch})
+	} else {
+		s.propose("finish-drain", id, m.Epoch, control.FinishDrain{Instance: id, Base: m.Epoch})
+	}
+	it.Proposed = s.now
+}
+
+// isQuiet reports whether no entry can have a request in flight on the
+// instance. An entry that is alive has to acknowledge the drain; one that is
+// silent is waited for as long as what it took last may run.
+func (s *State) isQuiet(id fleet.InstanceID, it *drains.Instance) bool {
+	if s.placement.Running(id) > 0 {
+		return false
+	}
+	patience := drains.IsolationLimit + peers.SuspectAfter + s.longestRequest()
+	for _, p := range s.peers.All() {
+		if it.HasAck(p.ID, p.Incarnation) {
+			continue
+		}
+		heard := p.Heard
+		if heard.Before(it.Since) {
+			heard = it.Since
+		}
+		if s.now.Sub(heard) < patience {
+			return false
+		}
+	}
+	return true
+}
+
+// longestRequest returns the longest time limit of any service.
+func (s *State) longestRequest() time.Duration {
+	var longest time.Duration
+	if s.control.Text == nil {
+		return longest
+	}
+	for i := range s.control.Text.Services {
+		longest = max(longest, s.control.Text.Services[i].TimeLimit)
+	}
+	return longest
+}
+
+// stepDrained carries out what the instance was drained for.
+func (s *State) stepDrained(id fleet.InstanceID, m control.Maintenance, it *drains.Instance) {
+	if m.Purpose != control.PurposeReboot && m.Purpose != control.PurposeStop {
+		return
+	}
+	if it.Done {
+		s.stepReturn(id, m, it)
+		return
+	}
+	if m.Purpose == control.PurposeReboot && s.now.Sub(it.Since) >= drains.ReturnLimit && s.isDue(id, it, true) {
+		s.propose("fail", id, m.Epoch, control.Fail{Instance: id, Base: m.Epoch, Detail: "did not come back from its reboot"})
+		it.Proposed = s.now
+		return
+	}
+	if !s.isActor(id, it) || s.now.Sub(it.Commanded) < drains.CommandRetry {
+		return
+	}
+	it.Commanded = s.now
+	s.emit(effect.CommandInstance{
+		ID:       fmt.Sprintf("%s-%d-%s", id, m.Epoch, m.Purpose),
+		Instance: id,
+		Epoch:    m.Epoch,
+		Purpose:  m.Purpose,
+		Deadline: s.now.Add(drains.CommandRetry),
+	})
+}
+
+// stepReturn brings back a rebooted instance once its health checks pass, so
+// that one that came back broken gets no request.
+func (s *State) stepReturn(id fleet.InstanceID, m control.Maintenance, it *drains.Instance) {
+	if m.Purpose != control.PurposeReboot {
+		return
+	}
+	if it.IsBroken() {
+		s.proposeFail(id, m, it)
+		return
+	}
+	if s.isDue(id, it, it.Passed >= drains.ChecksToPass) {
+		s.propose("return", id, m.Epoch, control.Return{Instance: id, Base: m.Epoch})
+		it.Proposed = s.now
+	}
+	s.checkHealth(id, m, it)
+}
+
+func (s *State) onCommandFinished(ev event.CommandFinished) {
+	m := s.control.Drains[ev.Instance]
+	if m.Epoch != ev.Epoch || m.Phase != control.Drained || ev.Outcome != event.CommandDone {
+		return
+	}
+	s.drains.At(ev.Instance, m.Epoch, s.now).Done = true
+	s.stepInstance(ev.Instance)
+}
+
+// stepProbation watches an instance that came back.
+func (s *State) stepProbation(id fleet.InstanceID, m control.Maintenance, it *drains.Instance) {
+	if it.IsBroken() {
+		s.proposeFail(id, m, it)
+		return
+	}
+	passed := it.Passed >= drains.ChecksToPass && s.now.Sub(it.Since) >= s.control.Text.Maintenance.Probation
+	if s.isDue(id, it, passed) {
+		s.propose("restore", id, m.Epoch, control.Restore{Instance: id, Base: m.Epoch})
+		it.Proposed = s.now
+	}
+	s.checkHealth(id, m, it)
+}
+
+func (s *State) checkHealth(id fleet.InstanceID, m control.Maintenance, it *drains.Instance) {
+	if s.isActor(id, it) && s.now.Sub(it.Checked) >= drains.CheckInterval {
+		it.Checked = s.now
+		s.emit(effect.CheckInstance{Instance: id, Epoch: m.Epoch, Address: s.address(id)})
+	}
+}
+
+// proposeFail takes out an instance that this entry saw fail. It doesn't wait
+// for its rank: only this entry may have seen it.
+func (s *State) proposeFail(id fleet.InstanceID, m control.Maintenance, it *drains.Instance) {
+	if s.now.Sub(it.Proposed) < drains.ProposeRetry {
+		return
+	}
+	detail := fmt.Sprintf("%d health checks failed in a row", it.Missed)
+	if it.Missed < drains.ChecksToFail {
+		detail = fmt.Sprintf("%d requests failed and none was answered", it.Broken)
+	}
+	s.propose("fail", id, m.Epoch, control.Fail{Instance: id, Base: m.Epoch, Detail: detail})
+	it.Proposed = s.now
+}
+
+func (s *State) onInstanceChecked(ev event.InstanceChecked) {
+	m := s.control.Drains[ev.Instance]
+	if m.Epoch != ev.Epoch || (m.Phase != control.Probation && m.Phase != control.Drained) {
+		return
+	}
+	it := s.drains.At(ev.Instance, m.Epoch, s.now)
+	if ev.Healthy {
+		it.Passed, it.Missed = it.Passed+1, 0
+		return
+	}
+	it.Passed, it.Missed = 0, it.Missed+1
+}
+
+// observeOutcome counts the outcomes of requests on an instance on probation.
+func (s *State) observeOutcome(ev event.AttemptFinished) {
+	m := s.control.Drains[ev.Instance]
+	if m.Phase != control.Probation {
+		return
+	}
+	r, ok := s.requests.Current(ev.Attempt)
+	if !ok || r.Phase == requests.Abandoned {
+		return
+	}
+	it := s.drains.At(ev.Instance, m.Epoch, s.now)
+	switch {
+	case ev.Outcome == event.AttemptAnswered && ev.Status < firstServerError:
+		it.Answered++
+	case ev.Outcome == event.AttemptAnswered || ev.Outcome == event.AttemptBroken:
+		it.Broken++
+	}
+	if it.IsBroken() {
+		s.proposeFail(ev.Instance, m, it)
+	}
+}
+
+// firstServerError is the lowest HTTP status by which an endpoint says that it
+// failed.
+const firstServerError = 500
+
+func (s *State) address(id fleet.InstanceID) string {
+	for i := range s.control.Text.Instances {
+		if s.control.Text.Instances[i].ID == id {
+			return s.control.Text.Instances[i].Address
+		}
+	}
+	return ""
+}
+
+// isDue reports whether this entry has to propose a step now: the step is due,
+// the entries ranked before have had their time, and an earlier proposal has
+// had its own.
+func (s *State) isDue(id fleet.InstanceID, it *drains.Instance, due bool) bool {
+	since, ok := it.Due(due, s.now)
+	if !ok || since < time.Duration(s.rank(string(id)))*drains.ProposeStagger {
+		return false
+	}
+	return it.Proposed.IsZero() || s.now.Sub(it.Proposed) >= drains.ProposeRetry
+}
+
+// isActor reports whether this entry commands and checks an instance. The
+// entry ranked first does at once, the next one a little later.
+func (s *State) isActor(id fleet.InstanceID, it *drains.Instance) bool {
+	rank := s.rank(string(id))
+	return rank < drains.Actors && s.now.Sub(it.Since) >= time.Duration(rank)*drains.ProposeStagger
+}
+
+// propose appends a record that follows from the fold. Its id is the same at
+// every entry, so that the log's readers count it once.
+func (s *State) propose(step string, id fleet.InstanceID, epoch fleet.Offset, body control.Body) {
+	s.emit(effect.Append{Record: control.Record{
+		ID:     fleet.RecordID(fmt.Sprintf("%s/%s/%d", step, id, epoch)),
+		Time:   s.now,
+		Author: string(s.cfg.Entry),
+		Body:   body,
+	}})
+}
+
+// sendAcks tells the other entries on which draining instances this one has
+// nothing in flight. They learn of the drains by it too, when the log is slow.
+func (s *State) sendAcks() {
+	if s.now.Sub(s.drains.Acked) < drains.AckInterval {
+		return
+	}
+	var acks []message.DrainAck
+	for _, id := range s.control.Drains.Under() {
+		m := s.control.Drains[id]
+		if m.Phase == control.Draining && s.placement.Running(id) == 0 {
+			acks = append(acks, message.DrainAck{Instance: id, Epoch: m.Epoch})
+		}
+	}
+	for _, id := range s.drains.Told() {
+		if epoch, ok := s.drains.ToldEpoch(id); ok && s.placement.Running(id) == 0 {
+			acks = append(acks, message.DrainAck{Instance: id, Epoch: epoch})
+		}
+	}
+	if len(acks) == 0 {
+		return
+	}
+	s.drains.Acked = s.now
+	for _, p := range s.peers.All() {
+		s.send(p, message.DrainAcks{Acks: acks})
+	}
+}
+
+func (s *State) onDrainAcks(p *peers.Peer, m message.DrainAcks) {
+	for _, a := range m.Acks {
+		if a.Epoch <= s.control.Offset && a.Epoch != s.control.Drains[a.Instance].Epoch {
+			continue
+		}
+		s.drains.Ack(a.Instance, p.ID, p.Incarnation, a.Epoch)
+		if a.Epoch > s.control.Offset {
+			s.drains.Tell(a.Instance, a.Epoch)
+			s.applyPhase(a.Instance)
+			s.armSteps()
+		}
+	}
+}
+
+// onEndpointsListed follows the platform's list. It lags, so that it only ever
+// closes: an instance that the control stream drains stays closed.
+func (s *State) onEndpointsListed(ev event.EndpointsListed) {
+	for _, id := range s.drains.List(ev.Leaving) {
+		s.applyPhase(id)
+	}
+}
+
+func (s *State) instanceStatus(l placement.Load) effect.InstanceStatus {
+	m := s.control.Drains[l.Instance]
+	return effect.InstanceStatus{
+		ID: l.Instance, Pool: l.Pool, Running: l.Running,
+		Phase: m.Phase.String(), Epoch: m.Epoch, Detail: m.Detail,
+	}
+}
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -80,6 +80,7 @@
 	Running   int                    `json:"running"`
 	Peers     []fleet.EntryID        `json:"peers"`
 	Instances []InstanceStatus       `json:"instances"`
+	Waves     []WaveStatus           `json:"waves"`
 	Totals    map[string]uint64      `json:"totals"`
 	Pools     map[fleet.PoolName]int `json:"pools"`
 }
@@ -89,6 +90,26 @@
 	ID      fleet.InstanceID `json:"id"`
 	Pool    fleet.PoolName   `json:"pool"`
 	Running int              `json:"running"`
+	// Phase is how far the instance's maintenance has come, and Epoch the
+	// offset of the record that it follows from.
+	Phase string       `json:"phase"`
+	Epoch fleet.Offset `json:"epoch"`
+	// Detail says why the instance failed.
+	Detail string `json:"detail,omitempty"`
+}
+
+// WaveStatus is one wave.
+type WaveStatus struct {
+	ID      fleet.Offset       `json:"id"`
+	Phase   string             `json:"phase"`
+	Note    string             `json:"note,omitempty"`
+	Detail  string             `json:"detail,omitempty"`
+	Steps   int                `json:"steps"`
+	Pending int                `json:"pending"`
+	Done    int                `json:"done"`
+	Current []fleet.InstanceID `json:"current,omitempty"`
+	Failed  []fleet.InstanceID `json:"failed,omitempty"`
+	Skipped []fleet.InstanceID `json:"skipped,omitempty"`
 }
 
 // Count adds to a counter.
@@ -121,14 +142,37 @@
 	ChangeLogUp
 	ChangeStopping
 	ChangeRecordRejected
+	ChangeInstance
+	ChangeWave
 )
 
 // LogChange writes a log line for a change of state.
 type LogChange struct {
-	Change  Change
-	Version fleet.Version
-	Record  fleet.RecordID
-	Detail  string
+	Change Change
+	// Instance is what a ChangeInstance is about.
+	Instance fleet.InstanceID
+	Version  fleet.Version
+	Record   fleet.RecordID
+	Detail   string
+}
+
+// CommandInstance orders something from the platform's worker control. The
+// driver checks Deadline just before it sends, so that a paused process sends
+// nothing stale.
+type CommandInstance struct {
+	// ID makes the command idempotent: the same at every entry.
+	ID       string
+	Instance fleet.InstanceID
+	Epoch    fleet.Offset
+	Purpose  control.Purpose
+	Deadline time.Time
+}
+
+// CheckInstance asks an endpoint that comes back for its health.
+type CheckInstance struct {
+	Instance fleet.InstanceID
+	Epoch    fleet.Offset
+	Address  string
 }
 
 // SendPeer sends a message to another entry. It may be lost.
@@ -147,17 +191,19 @@
 // Stopped reports that a graceful shutdown has nothing left in flight.
 type Stopped struct{}
 
-func (Dispatch) isEffect()      {}
-func (CancelAttempt) isEffect() {}
-func (Answer) isEffect()        {}
-func (Refuse) isEffect()        {}
-func (Append) isEffect()        {}
-func (Read) isEffect()          {}
-func (Reply) isEffect()         {}
-func (ReplyStatus) isEffect()   {}
-func (Count) isEffect()         {}
-func (LogChange) isEffect()     {}
-func (SendPeer) isEffect()      {}
-func (SetReady) isEffect()      {}
-func (SetTimer) isEffect()      {}
-func (Stopped) isEffect()       {}
+func (Dispatch) isEffect()        {}
+func (CancelAttempt) isEffect()   {}
+func (Answer) isEffect()          {}
+func (Refuse) isEffect()          {}
+func (Append) isEffect()          {}
+func (Read) isEffect()            {}
+func (Reply) isEffect()           {}
+func (ReplyStatus) isEffect()     {}
+func (Count) isEffect()           {}
+func (LogChange) isEffect()       {}
+func (CommandInstance) isEffect() {}
+func (CheckInstance) isEffect()   {}
+func (SendPeer) isEffect()        {}
+func (SetReady) isEffect()        {}
+func (SetTimer) isEffect()        {}
+func (Stopped) isEffect()         {}
--- a/reduce/event/event.go
+++ b/reduce/event/event.go
@@ -131,6 +131,40 @@
 // EntriesListed reports the entries in the platform's list, which lags.
 type EntriesListed struct{ Entries []ListedEntry }
 
+// EndpointsListed reports the endpoints that the platform's list, which lags,
+// shows as leaving.
+type EndpointsListed struct{ Leaving []fleet.InstanceID }
+
+// CommandOutcome says how a command to the platform's worker control ended.
+type CommandOutcome uint8
+
+// Outcomes of a command.
+const (
+	// CommandDone means that the platform has carried out the command.
+	CommandDone CommandOutcome = iota + 1
+	// CommandPending means that the platform is still at it.
+	CommandPending
+	// CommandUnknown means that the command may or may not take effect.
+	CommandUnknown
+)
+
+// CommandFinished reports the end of a command about an instance.
+type CommandFinished struct {
+	Instance fleet.InstanceID
+	// Epoch is the instance's epoch that the command is for.
+	Epoch   fleet.Offset
+	Outcome CommandOutcome
+	Err     error
+}
+
+// InstanceChecked reports whether an instance that comes back answered a check
+// of its health.
+type InstanceChecked struct {
+	Instance fleet.InstanceID
+	Epoch    fleet.Offset
+	Healthy  bool
+}
+
 // PeerReceived reports a message of another entry.
 type PeerReceived struct {
 	From        fleet.EntryID
@@ -154,6 +188,9 @@
 func (OperatorCommanded) isEvent() {}
 func (StatusAsked) isEvent()       {}
 func (EntriesListed) isEvent()     {}
+func (EndpointsListed) isEvent()   {}
+func (CommandFinished) isEvent()   {}
+func (InstanceChecked) isEvent()   {}
 func (PeerReceived) isEvent()      {}
 func (TimerFired) isEvent()        {}
 func (StopAsked) isEvent()         {}
--- a/reduce/log.go
+++ b/reduce/log.go
@@ -42,6 +42,7 @@
 			s.grant(pool)
 		}
 	}
+	s.followMaintenance(p, res)
 	s.settle(res)
 }
 
--- a/reduce/message/message.go
+++ b/reduce/message/message.go
@@ -17,4 +17,15 @@
 	Stopping bool
 }
 
+// DrainAcks tells on which draining instances the sender has nothing in flight.
+// It is sent again while the drains last, so that a lost one does no harm.
+type DrainAcks struct{ Acks []DrainAck }
+
+// DrainAck tells about one instance at the epoch of its drain.
+type DrainAck struct {
+	Instance fleet.InstanceID
+	Epoch    fleet.Offset
+}
+
 func (Heartbeat) isMessage() {}
+func (DrainAcks) isMessage() {}
--- /dev/null
+++ b/reduce/move.go
@@ -0,0 +1,18 @@
+package reduce
+
+import (
+	"fmt"
+
+	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+)
+
+// moved follows an instance into its new pool, where it begins on probation.
+func (s *State) moved(r control.Move) {
+	s.emit(effect.LogChange{
+		Change: effect.ChangeInstance, Instance: r.Instance, Version: s.control.Version,
+		Detail: fmt.Sprintf("moved from %s to %s", r.From, r.To),
+	})
+	s.placement.Configure(s.control.Text, s.control.Pools)
+	s.phaseChanged(r.Instance)
+}
--- a/reduce/peer.go
+++ b/reduce/peer.go
@@ -32,6 +32,8 @@
 	switch m := ev.Message.(type) {
 	case message.Heartbeat:
 		p.Offset, p.Version, p.Stopping = m.Offset, m.Version, m.Stopping
+	case message.DrainAcks:
+		s.onDrainAcks(p, m)
 	}
 }
 
--- a/reduce/placement/placement.go
+++ b/reduce/placement/placement.go
@@ -49,6 +49,16 @@
 	running int
 	gone    bool
 	closed  bool
+	// limit bounds the slots that this entry uses; zero means no bound.
+	limit int
+}
+
+// isFree reports whether the instance can take one more request.
+func (it *instance) isFree() bool {
+	if it.closed || it.running >= it.slots {
+		return false
+	}
+	return it.limit == 0 || it.running < it.limit
 }
 
 // New returns an empty state. The seed spreads choices between entries.
@@ -150,6 +160,14 @@
 	}
 }
 
+// Limit bounds the slots that this entry uses on an instance; zero lifts the
+// bound.
+func (s *State) Limit(id fleet.InstanceID, slots int) {
+	if it, ok := s.instances[id]; ok {
+		it.limit = slots
+	}
+}
+
 // Running returns the number of slots in use on an instance.
 func (s *State) Running(id fleet.InstanceID) int {
 	it, ok := s.instances[id]
@@ -185,7 +203,7 @@
 	for i := range n {
 		it := p.instances[(start+i)%n]
 		switch {
-		case it.closed || it.running >= it.slots:
+		case !it.isFree():
 		case it.id == avoid:
 			last = it
 		case first == nil:
--- a/reduce/proposal.go
+++ b/reduce/proposal.go
@@ -22,6 +22,7 @@
 func newProposals() proposals { return make(proposals) }
 
 func (s *State) onOperatorCommanded(ev event.OperatorCommanded) {
+	ev.Record.Body = s.control.Rebase(ev.Record.Body)
 	p := &proposal{record: ev.Record.ID, reply: ev.ID}
 	s.proposals[p.record] = p
 	s.timers.Set(&p.expiry, ev.Deadline, p)
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/banyanrail/banyanrail/reduce/drains"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/banyanrail/banyanrail/reduce/peers"
@@ -41,6 +42,8 @@
 		s.armed = time.Time{}
 	case event.StopAsked:
 		s.onStopAsked()
+	default:
+		s.reduceMaintenance(b)
 	}
 	s.fireTimers()
 	s.finishStop()
@@ -62,6 +65,8 @@
 			s.onProposalExpired(o)
 		case *peers.State:
 			s.onHeartbeatDue()
+		case *drains.State:
+			s.onStepsDue()
 		}
 	}
 }
--- a/reduce/request.go
+++ b/reduce/request.go
@@ -119,6 +119,7 @@
 
 func (s *State) onAttemptFinished(ev event.AttemptFinished) {
 	s.placement.Release(ev.Instance)
+	s.observeOutcome(ev)
 	r, ok := s.requests.Current(ev.Attempt)
 	if !ok {
 		s.late()
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -5,6 +5,7 @@
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/drains"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/peers"
 	"github.com/banyanrail/banyanrail/reduce/placement"
@@ -30,6 +31,7 @@
 	requests  *requests.Table
 	placement *placement.State
 	peers     *peers.State
+	drains    *drains.State
 	proposals proposals
 	timers    timer.Heap
 	logDown   bool
@@ -50,6 +52,7 @@
 		requests:  requests.New(),
 		placement: placement.New(cfg.Seed),
 		peers:     peers.New(cfg.Entry),
+		drains:    drains.New(),
 		proposals: newProposals(),
 	}
 }
--- a/reduce/status.go
+++ b/reduce/status.go
@@ -27,7 +27,8 @@
 	for _, l := range s.placement.Loads() {
 		st.Running += l.Running
 		st.Pools[l.Pool]++
-		st.Instances = append(st.Instances, effect.InstanceStatus{ID: l.Instance, Pool: l.Pool, Running: l.Running})
+		st.Instances = append(st.Instances, s.instanceStatus(l))
 	}
+	st.Waves = s.waveStatuses()
 	s.emit(effect.ReplyStatus{ID: ev.ID, Status: st})
 }
--- /dev/null
+++ b/reduce/wave.go
@@ -0,0 +1,107 @@
+package reduce
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/drains"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+)
+
+// followWave brings placement in line with a record about a wave.
+func (s *State) followWave(body control.Body) {
+	switch r := body.(type) {
+	case control.StartWave:
+		active := s.control.Waves.Active
+		s.waveChanged(active[len(active)-1].ID, "started")
+	case control.StepWave:
+		s.waveChanged(r.Wave, fmt.Sprintf("step drains %v", r.Instances))
+		for _, id := range r.Instances {
+			s.phaseChanged(id)
+		}
+	case control.PauseWave:
+		s.waveChanged(r.Wave, "paused: "+r.Detail)
+	case control.ResumeWave:
+		s.waveChanged(r.Wave, "resumed")
+	case control.AbortWave:
+		s.waveChanged(r.Wave, "aborted")
+	}
+}
+
+func (s *State) waveChanged(id fleet.Offset, what string) {
+	s.emit(effect.LogChange{
+		Change: effect.ChangeWave, Version: s.control.Version,
+		Detail: fmt.Sprintf("wave %d %s", id, what),
+	})
+}
+
+// stepWaves proposes the next step of each wave that has none under way.
+func (s *State) stepWaves() {
+	active := make(map[fleet.Offset]bool, len(s.control.Waves.Active))
+	for _, w := range s.control.Waves.Active {
+		active[w.ID] = true
+		s.stepWave(w)
+	}
+	s.drains.KeepWaves(active)
+}
+
+func (s *State) stepWave(w *control.Wave) {
+	body, ok := s.nextOfWave(w)
+	if !ok {
+		s.drains.ForgetWave(w.ID)
+		return
+	}
+	known := s.drains.Wave(w.ID, w.Epoch, s.now)
+	wait := time.Duration(s.rank(fmt.Sprintf("wave-%d", w.ID))) * drains.ProposeStagger
+	if s.now.Sub(known.DueSince) < wait {
+		return
+	}
+	if !known.Proposed.IsZero() && s.now.Sub(known.Proposed) < drains.ProposeRetry {
+		return
+	}
+	known.Proposed = s.now
+	s.emit(effect.Append{Record: control.Record{
+		ID:     fleet.RecordID(fmt.Sprintf("step/%d/%d/%d", w.ID, w.Epoch, s.control.Offset)),
+		Time:   s.now,
+		Author: string(s.cfg.Entry),
+		Body:   body,
+	}})
+}
+
+// nextOfWave returns the record that takes a wave further: its next step, or a
+// pause when no instance can be spared and none is on its way back.
+func (s *State) nextOfWave(w *control.Wave) (control.Body, bool) {
+	if w.Phase != control.WaveRunning || len(w.Current) > 0 {
+		return nil, false
+	}
+	if step := s.control.NextStep(w); len(step) > 0 {
+		return control.StepWave{Wave: w.ID, Base: w.Epoch, Instances: step}, true
+	}
+	for _, id := range s.control.Drains.Under() {
+		if s.control.Drains[id].IsReturning() {
+			return nil, false
+		}
+	}
+	return control.PauseWave{Wave: w.ID, Base: w.Epoch, Detail: "no pool can spare a pending instance"}, true
+}
+
+func (s *State) waveStatuses() []effect.WaveStatus {
+	var all []effect.WaveStatus
+	for _, w := range s.control.Waves.Ended {
+		all = append(all, waveStatus(w))
+	}
+	for _, w := range s.control.Waves.Active {
+		all = append(all, waveStatus(w))
+	}
+	return all
+}
+
+func waveStatus(w *control.Wave) effect.WaveStatus {
+	return effect.WaveStatus{
+		ID: w.ID, Phase: w.Phase.String(), Note: w.Note, Detail: w.Detail, Steps: w.Steps,
+		Pending: len(w.Pending), Done: len(w.Done),
+		Current: w.Current, Failed: w.Failed, Skipped: w.Skipped,
+	}
+}
