Take each step of a drain as soon as it is due

An entry that replays the log or wakes from a pause could have ordered a reboot that was long done, had the platform forgotten the command's id. It now orders nothing until it has reached the end of the log again; two tests replay and pause, and fail without the check.

--- a/dev/drain_test.go
+++ b/dev/drain_test.go
@@ -37,7 +37,7 @@
 	return f
 }
 
-func order(t *testing.T, n *dev.Node, path string, body any) (int, entry.OperatorResult) {
+func order(t testing.TB, n *dev.Node, path string, body any) (int, entry.OperatorResult) {
 	t.Helper()
 	data, err := json.Marshal(body)
 	must.NoError(t, err)
--- a/dev/fleet_test.go
+++ b/dev/fleet_test.go
@@ -25,7 +25,7 @@
 	return f
 }
 
-func publish(t *testing.T, n *dev.Node, base, text string) (int, entry.OperatorResult) {
+func publish(t testing.TB, n *dev.Node, base, text string) (int, entry.OperatorResult) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPut, n.OperatorsURL+"/v1/text?base="+base, strings.NewReader(text))
 	must.NoError(t, err)
@@ -81,7 +81,7 @@
 	}
 }
 
-func status(t *testing.T, n *dev.Node) effect.Status {
+func status(t testing.TB, n *dev.Node) effect.Status {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, n.OperatorsURL+"/v1/status", nil)
 	must.NoError(t, err)
--- a/reduce/cluster_test.go
+++ b/reduce/cluster_test.go
@@ -25,6 +25,8 @@
 	// commands counts the sendings of each command id.
 	commands map[string]int
 	broken   map[fleet.InstanceID]bool
+	// commanded counts them by entry.
+	commanded map[fleet.EntryID]int
 	// workersDown loses all commands, and logDown all appends and reads.
 	workersDown, logDown bool
 	mostOut              int
@@ -43,7 +45,7 @@
 }
 
 func newCluster(t *testing.T, n int, text *fleet.Text) *cluster {
-	c := &cluster{t: t, now: epoch, commands: make(map[string]int), broken: make(map[fleet.InstanceID]bool)}
+	c := &cluster{t: t, now: epoch, commands: make(map[string]int), commanded: make(map[fleet.EntryID]int), broken: make(map[fleet.InstanceID]bool)}
 	var listed []event.ListedEntry
 	for i := range n {
 		id := fleet.EntryID(fmt.Sprintf("entry-%d", i+1))
@@ -87,6 +89,7 @@
 		}
 	case effect.CommandInstance:
 		c.commands[e.ID]++
+		c.commanded[m.id]++
 		if !c.workersDown {
 			c.do(m, event.CommandFinished{Instance: e.Instance, Epoch: e.Epoch, Outcome: event.CommandDone})
 		}
@@ -125,7 +128,7 @@
 }
 
 func (c *cluster) read(m *member) {
-	if m.dead || m.noLog || c.logDown || m.next == len(c.log) {
+	if m.dead || m.noLog || c.logDown {
 		return
 	}
 	page := c.log[m.next:]
--- a/reduce/drain.go
+++ b/reduce/drain.go
@@ -58,6 +58,8 @@
 	default:
 		s.followWave(p.Record.Body)
 	}
+	s.sendAcks()
+	s.stepWaves()
 	s.armSteps()
 }
 
@@ -74,6 +76,46 @@
 		return
 	}
 	s.drains.At(id, m.Epoch, s.now)
+	s.quieted(id)
+	s.stepInstance(id)
+}
+
+// quieted lets the next acknowledgements go out at once when nothing is in
+// flight on a draining instance any more.
+func (s *State) quieted(id fleet.InstanceID) {
+	if s.control.Drains[id].Phase == control.Draining && s.placement.Running(id) == 0 {
+		s.drains.Acked = time.Time{}
+	}
+}
+
+// advance moves the time on, and notes when the process was paused.
+func (s *State) advance(now time.Time) {
+	if now.Sub(s.now) > drains.PauseLimit {
+		s.drains.Current = false
+	}
+	s.now = now
+}
+
+// reachedEnd notes that a read found nothing new.
+func (s *State) reachedEnd(ev event.RecordsRead) {
+	if len(ev.Records) == 0 {
+		s.drains.Current = true
+	}
+}
+
+// isCurrent reports whether the fold is known to reach the end of the log. An
+// entry that replays the log, or was paused, must not order what others have
+// ordered long ago.
+func (s *State) isCurrent() bool {
+	if !s.drains.Current {
+		return false
+	}
+	for _, p := range s.peers.All() {
+		if p.Offset > s.control.Offset && s.now.Sub(p.Heard) < peers.SuspectAfter {
+			return false
+		}
+	}
+	return true
 }
 
 // applyPhase closes, limits or opens an instance as the fold, the list and
@@ -115,9 +157,7 @@
 		s.applyPhase(id)
 	}
 	for _, id := range s.control.Drains.Under() {
-		if _, known := s.control.Pools[id]; known {
-			s.stepInstance(id)
-		}
+		s.stepInstance(id)
 	}
 	s.sendAcks()
 	s.stepWaves()
@@ -127,6 +167,9 @@
 func (s *State) stepInstance(id fleet.InstanceID) {
 	m := s.control.Drains[id]
 	it := s.drains.At(id, m.Epoch, s.now)
+	if _, known := s.control.Pools[id]; !known || !s.isCurrent() {
+		return
+	}
 	switch m.Phase {
 	case control.Draining:
 		s.stepDraining(id, m, it)
@@ -290,6 +333,11 @@
 // observeOutcome counts the outcomes of requests on an instance on probation.
 func (s *State) observeOutcome(ev event.AttemptFinished) {
 	m := s.control.Drains[ev.Instance]
+	if m.Phase == control.Draining && s.placement.Running(ev.Instance) == 0 {
+		s.quieted(ev.Instance)
+		s.sendAcks()
+		s.stepInstance(ev.Instance)
+	}
 	if m.Phase != control.Probation {
 		return
 	}
@@ -388,7 +436,9 @@
 			s.drains.Tell(a.Instance, a.Epoch)
 			s.applyPhase(a.Instance)
 			s.armSteps()
+			continue
 		}
+		s.stepInstance(a.Instance)
 	}
 }
 
--- a/reduce/drain_test.go
+++ b/reduce/drain_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/drains"
 	"github.com/banyanrail/banyanrail/reduce/event"
@@ -212,3 +213,39 @@
 	forced.Force = true
 	must.EqOp(t, control.Accepted, c.command(0, forced).Outcome)
 }
+
+// TestReplayOrdersNothing starts an entry anew after a reboot: it reads all the
+// records again, page by page, and must not reboot the instance again.
+func TestReplayOrdersNothing(t *testing.T) {
+	c := newCluster(t, 1, fleetText(4, 1, 0))
+	c.command(0, drainOf("runner-1", control.PurposeReboot))
+	c.until(0, "runner-1", "in-service")
+	must.EqOp(t, 1, c.commanded["entry-1"])
+	fresh := &member{id: "entry-1", state: reduce.New(reduce.Config{Entry: "entry-1", MaxRequests: 1})}
+	c.do(fresh, event.Started{})
+	for i, p := range c.log {
+		c.do(fresh, event.RecordsRead{Records: c.log[i : i+1], Next: p.Offset + 1, Oldest: 1})
+		c.now = c.now.Add(drains.StepInterval)
+		c.do(fresh, event.TimerFired{})
+	}
+	must.EqOp(t, 1, c.commanded["entry-1"])
+}
+
+// TestPausedEntryOrdersNothing lets an entry sleep while another carries out
+// the reboot that both were about to order.
+func TestPausedEntryOrdersNothing(t *testing.T) {
+	c := newCluster(t, 2, fleetText(4, 1, 0))
+	c.workersDown = true
+	c.command(0, drainOf("runner-1", control.PurposeReboot))
+	c.until(0, "runner-1", "drained")
+	c.until(1, "runner-1", "drained")
+	for paused := range c.entries {
+		m := c.entries[paused]
+		c.now = c.now.Add(time.Minute)
+		before := c.commanded[m.id]
+		c.do(m, event.TimerFired{})
+		must.EqOp(t, before, c.commanded[m.id])
+	}
+	c.workersDown = false
+	c.until(0, "runner-1", "in-service")
+}
--- a/reduce/drains/drains.go
+++ b/reduce/drains/drains.go
@@ -30,6 +30,9 @@
 	Actors = 2
 	// AckInterval is the time between acknowledgements of the same drains.
 	AckInterval = 500 * time.Millisecond
+	// PauseLimit is the time between two events after which the process counts
+	// as paused and its fold as old. Heartbeats keep events closer together.
+	PauseLimit = 2 * time.Second
 	// IsolationLimit is how long an entry that hears neither log nor peers may
 	// still take new work that others don't know of.
 	IsolationLimit = 5 * time.Second
@@ -81,6 +84,9 @@
 type State struct {
 	// Tick is the timer of the next look at what is due.
 	Tick timer.Timer
+	// Current is set once the fold has reached the end of the log, and cleared
+	// when the log can't be read or the process was paused.
+	Current bool
 	// Acked is when acknowledgements were last sent.
 	Acked time.Time
 
--- a/reduce/log.go
+++ b/reduce/log.go
@@ -25,6 +25,7 @@
 	for _, p := range ev.Records {
 		s.fold(p)
 	}
+	s.reachedEnd(ev)
 	if !s.ready && !s.stopping && s.control.Text != nil {
 		s.ready = true
 		s.emit(effect.SetReady{Ready: true})
@@ -47,6 +48,7 @@
 }
 
 func (s *State) onReadFailed(ev event.ReadFailed) {
+	s.drains.Current = false
 	if s.logDown {
 		return
 	}
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -14,7 +14,7 @@
 // returned slice is valid until the next call.
 func Reduce(s *State, ev event.Event) []effect.Effect {
 	s.out = s.out[:0]
-	s.now = ev.Now
+	s.advance(ev.Now)
 	switch b := ev.Body.(type) {
 	case event.Started:
 		s.onStarted()
--- a/reduce/wave.go
+++ b/reduce/wave.go
@@ -49,7 +49,7 @@
 
 func (s *State) stepWave(w *control.Wave) {
 	body, ok := s.nextOfWave(w)
-	if !ok {
+	if !ok || !s.isCurrent() {
 		s.drains.ForgetWave(w.ID)
 		return
 	}
