--- a/entry/entry.go
+++ b/entry/entry.go
@@ -173,6 +173,9 @@
 	_ = e.loop.Post(event.Started{}) // fails only after the end
 	if e.deps.Instances != nil {
 		go e.followList()
+	} else {
+		alone := event.EntriesListed{Entries: []event.ListedEntry{{ID: e.cfg.ID}}}
+		_ = e.loop.Post(alone) // fails only after the end
 	}
 	<-ctx.Done()
 	e.end()
--- a/reduce/drain.go
+++ b/reduce/drain.go
@@ -198,7 +198,7 @@
 // instance. An entry that is alive has to acknowledge the drain; one that is
 // silent is waited for as long as what it took last may run.
 func (s *State) isQuiet(id fleet.InstanceID, it *drains.Instance) bool {
-	if s.placement.Running(id) > 0 {
+	if s.placement.Running(id) > 0 || !s.knowsPeers() {
 		return false
 	}
 	patience := drains.IsolationLimit + peers.SuspectAfter + s.longestRequest()
@@ -217,6 +217,13 @@
 	return true
 }
 
+// knowsPeers reports whether this entry can tell which other entries there are:
+// the list shows it, and entries that started with it have had time to show up
+// as well.
+func (s *State) knowsPeers() bool {
+	return !s.drains.Listed.IsZero() && s.now.Sub(s.drains.Listed) >= peers.SuspectAfter
+}
+
 // longestRequest returns the longest time limit of any service.
 func (s *State) longestRequest() time.Duration {
 	var longest time.Duration
--- a/reduce/drain_test.go
+++ b/reduce/drain_test.go
@@ -249,3 +249,17 @@
 	c.workersDown = false
 	c.until(0, "runner-1", "in-service")
 }
+
+// TestEntryThatDoesNotKnowItsPeersEndsNoDrain starts an entry that sees no list
+// and hears nobody, while another has a request in flight.
+func TestEntryThatDoesNotKnowItsPeersEndsNoDrain(t *testing.T) {
+	c := newCluster(t, 1, fleetText(4, 1, 0))
+	fresh := &member{id: "entry-9", state: reduce.New(reduce.Config{Entry: "entry-9", MaxRequests: 1})}
+	c.occupy(0, "runner-1")
+	c.command(0, drainOf("runner-1", control.PurposeReboot))
+	c.do(fresh, event.Started{})
+	c.entries = append(c.entries, fresh)
+	c.run(time.Minute)
+	must.EqOp(t, "draining", c.phase(0, "runner-1"))
+	must.MapEmpty(t, c.commands)
+}
--- a/reduce/drains/drains.go
+++ b/reduce/drains/drains.go
@@ -87,6 +87,8 @@
 	// Current is set once the fold has reached the end of the log, and cleared
 	// when the log can't be read or the process was paused.
 	Current bool
+	// Listed is when the platform's list first showed this entry; zero before.
+	Listed time.Time
 	// Acked is when acknowledgements were last sent.
 	Acked time.Time
 
--- a/reduce/peer.go
+++ b/reduce/peer.go
@@ -13,6 +13,9 @@
 	listed := make(map[fleet.EntryID]bool, len(ev.Entries))
 	for _, e := range ev.Entries {
 		listed[e.ID] = true
+		if e.ID == s.cfg.Entry && s.drains.Listed.IsZero() {
+			s.drains.Listed = s.now
+		}
 		s.peers.Learn(e.ID, e.Address)
 	}
 	for _, p := range s.peers.All() {
