--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,7 +55,7 @@
 	// ClaimAppends is the number of groups of claims that the entry appends to
 	// the log in a second.
 	ClaimAppends int
-	// Placement says who grants slots; empty means reduce.PlacementLocal.
+	// Placement says who grants slots; empty means reduce.PlacementHolder.
 	Placement reduce.Placement
 	// SnapshotInterval is the time between snapshots of the control stream;
 	// zero means reduce.DefaultSnapshotInterval.
@@ -100,7 +100,7 @@
 	client    *endpoint.Client
 	tracer    trace.Tracer
 	metrics   *metrics
-	traffic   pond.Pool
+	traffic   *workers
 	logPool   pond.Pool
 	peerPool  pond.Pool
 	peers     *peer.Client
@@ -133,7 +133,7 @@
 		client:     endpoint.NewClient(fleet.DefaultConnections),
 		tracer:     deps.Traces.Tracer("github.com/banyanrail/banyanrail/entry"),
 		metrics:    newMetrics(deps.Metrics),
-		traffic:    pond.NewPool(cfg.Traffic),
+		traffic:    newWorkers(cfg.Traffic),
 		logPool:    pond.NewPool(logWorkers),
 		peerPool:   pond.NewPool(peerWorkers, pond.WithQueueSize(peerQueue), pond.WithNonBlocking(true)),
 		stopped:    make(chan struct{}),
@@ -177,6 +177,9 @@
 	if cfg.ClaimAppends == 0 {
 		cfg.ClaimAppends = DefaultClaimAppends
 	}
+	if cfg.Placement == "" {
+		cfg.Placement = reduce.PlacementHolder
+	}
 	if cfg.Incarnation == 0 {
 		cfg.Incarnation = uint64(time.Now().UnixNano())
 	}
@@ -212,7 +215,7 @@
 	<-ctx.Done()
 	e.end()
 	<-e.loop.Done()
-	e.traffic.StopAndWait()
+	e.traffic.Stop()
 	e.logPool.StopAndWait()
 	e.peerPool.StopAndWait()
 	e.peers.Close()
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -29,6 +29,14 @@
 		env.Message = &peerpb.Envelope_Records{Records: &peerpb.Records{After: int64(m.After), Records: records}}
 	case message.DrainAcks:
 		env.Message = &peerpb.Envelope_DrainAcks{DrainAcks: encodeDrainAcks(m)}
+	case message.Snapshot:
+		data, err := codec.Encode(control.Record{Body: m.Fold})
+		if err != nil {
+			return oops.In("peer").With("step", "encode").Wrap(err)
+		}
+		env.Message = &peerpb.Envelope_Snapshot{Snapshot: &peerpb.Snapshot{Data: data}}
+	case message.Totals:
+		env.Message = &peerpb.Envelope_Totals{Totals: encodeTotals(m)}
 	default:
 		return encodeHolding(env, m)
 	}
@@ -64,11 +72,28 @@
 		return decodeRecords(m.Records), nil
 	case *peerpb.Envelope_DrainAcks:
 		return decodeDrainAcks(m.DrainAcks), nil
+	case *peerpb.Envelope_Snapshot:
+		return decodeSnapshot(m.Snapshot)
+	case *peerpb.Envelope_Totals:
+		return decodeTotals(m.Totals), nil
 	default:
 		return decodeHolding(env)
 	}
 }
 
+func decodeSnapshot(m *peerpb.Snapshot) (message.Message, error) {
+	fail := oops.In("peer").With("step", "decode")
+	rec, err := codec.Decode(m.GetData())
+	if err != nil {
+		return nil, fail.Wrap(err)
+	}
+	fold, ok := rec.Body.(control.Snapshot)
+	if !ok {
+		return nil, fail.Errorf("record of type %T is no snapshot", rec.Body)
+	}
+	return message.Snapshot{Fold: fold}, nil
+}
+
 // decodeRecords reads records as the reader of the log does: one that cannot be
 // read keeps its place in the stream.
 func decodeRecords(m *peerpb.Records) message.Records {
--- a/reduce/drain.go
+++ b/reduce/drain.go
@@ -40,6 +40,9 @@
 
 // followSnapshot brings placement in line with a fold taken from a snapshot.
 func (s *State) followSnapshot() {
+	for _, id := range s.drains.Closed() {
+		s.applyPhase(id)
+	}
 	for _, id := range s.control.Drains.Under() {
 		s.applyPhase(id)
 	}
--- a/reduce/drains/drains.go
+++ b/reduce/drains/drains.go
@@ -5,6 +5,7 @@
 package drains
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -237,12 +238,12 @@
 
 // Told returns the instances that other entries spoke of ahead of the own fold.
 func (s *State) Told() []fleet.InstanceID {
-	ids := make([]fleet.InstanceID, 0, len(s.told))
-	for id := range s.told {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
+	return slices.Sorted(maps.Keys(s.told))
+}
+
+// Closed returns the instances that are closed here, in order.
+func (s *State) Closed() []fleet.InstanceID {
+	return slices.Sorted(maps.Keys(s.closed))
 }
 
 // SetClosed notes whether an instance is closed here and reports whether that
--- a/reduce/message/message.go
+++ b/reduce/message/message.go
@@ -45,7 +45,13 @@
 	Epoch    fleet.Offset
 }
 
-func (DrainAcks) isMessage()    {}
+func (DrainAcks) isMessage() {}
+
+// Snapshot passes a whole fold on, to a peer that lacks records which the sender
+// no longer keeps.
+type Snapshot struct{ Fold control.Snapshot }
+
 func (Heartbeat) isMessage()    {}
 func (RecordsAsked) isMessage() {}
 func (Records) isMessage()      {}
+func (Snapshot) isMessage()     {}
--- a/reduce/peer.go
+++ b/reduce/peer.go
@@ -76,6 +76,10 @@
 		s.onRecordsAsked(p, m)
 	case message.Records:
 		s.onPeerRecords(p, m)
+	case message.Snapshot:
+		s.onPeerSnapshot(p, m)
+	case message.Totals:
+		s.usage.Hear(p.ID, p.Incarnation, m.Services)
 	case message.SlotsAsked:
 		s.onSlotsAsked(p, m)
 	case message.SlotsGranted:
--- a/reduce/relay.go
+++ b/reduce/relay.go
@@ -1,6 +1,8 @@
 package reduce
 
 import (
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/message"
 	"github.com/banyanrail/banyanrail/reduce/peers"
@@ -8,8 +10,11 @@
 
 // onHeartbeat compares the fold of a peer with this entry's own.
 func (s *State) onHeartbeat(p *peers.Peer, m message.Heartbeat) {
+	before := mayHold(p)
 	p.Offset, p.Version, p.Digest, p.Stopping = m.Offset, m.Version, m.Digest, m.Stopping
-	s.followHolders()
+	if mayHold(p) != before {
+		s.followHolders()
+	}
 	switch {
 	case m.Offset > s.control.Offset:
 		if s.relay.ShouldAsk(p.ID, s.logDown, s.now) {
@@ -46,18 +51,23 @@
 // onRecordsAsked passes records on to a peer that is behind.
 func (s *State) onRecordsAsked(p *peers.Peer, m message.RecordsAsked) {
 	before, records, ok := s.relay.After(m.After)
-	if !ok || len(records) == 0 {
+	if !ok && m.After < s.control.Offset && s.control.Text != nil {
+		s.send(p, message.Snapshot{Fold: s.control.Snapshot()})
+		return
+	}
+	if len(records) == 0 {
 		return
 	}
 	s.send(p, message.Records{After: before, Records: records})
 }
 
-// closeGap reads the log again once peers have passed on the records that had
-// expired there.
-func (s *State) closeGap() {
-	if s.gap && s.control.Offset+1 >= s.oldest {
-		s.gap = false
-		s.emit(effect.Read{From: s.control.Offset + 1})
+// onPeerSnapshot takes over the fold of a peer, if it is newer than this entry's.
+func (s *State) onPeerSnapshot(p *peers.Peer, m message.Snapshot) {
+	s.relay.Answered(p.ID)
+	record := control.Record{ID: fleet.RecordID("fold of " + p.ID), Body: m.Fold}
+	if s.adoptSnapshot(control.Positioned{Offset: m.Fold.Offset + 1, Record: record}, firstOffset) {
+		s.hastenHeartbeat()
+		s.updateReady()
 	}
 }
 
@@ -74,8 +84,7 @@
 			s.emit(effect.Count{Name: effect.RecordsRelayed, N: 1})
 		}
 	}
-	s.closeGap()
-	s.becomeReady()
+	s.updateReady()
 	if s.control.Offset < p.Offset && s.relay.ShouldAsk(p.ID, s.logDown, s.now) {
 		s.send(p, message.RecordsAsked{After: s.control.Offset})
 	}
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -14,6 +14,7 @@
 	"github.com/banyanrail/banyanrail/reduce/relay"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 	"github.com/banyanrail/banyanrail/reduce/timer"
+	"github.com/banyanrail/banyanrail/reduce/usage"
 )
 
 // Config is what an entry knows before its first event.
@@ -45,6 +46,8 @@
 	placement *placement.State
 	health    *health.State
 	budgets   *requests.Budgets
+	usage     *usage.State
+	usageTick usageTick
 	peers     *peers.State
 	claiming  *claiming
 	drains    *drains.State
@@ -54,6 +57,8 @@
 	outbox    outbox
 	// reask holds the requests whose grants could not be used.
 	reask []fleet.RequestID
+	// touched is kept between events for its memory.
+	touched []fleet.PoolName
 	// digestValue is the digest of the fold up to digestOffset.
 	digestOffset fleet.Offset
 	digestValue  uint64
@@ -61,9 +66,7 @@
 	snapshots    snapshots
 	logDown      bool
 	// gap is set while records that the fold needs have expired.
-	gap bool
-	// oldest is the first record that the log kept when it was last read.
-	oldest   fleet.Offset
+	gap      bool
 	ready    bool
 	stopping bool
 	stopped  bool
@@ -85,6 +88,7 @@
 		placement: placement.New(cfg.Seed),
 		health:    health.New(),
 		budgets:   requests.NewBudgets(),
+		usage:     usage.New(),
 		peers:     peers.New(cfg.Entry),
 		claiming:  newClaiming(cfg),
 		drains:    drains.New(),
