--- a/dev/publish_test.go
+++ b/dev/publish_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -23,19 +22,26 @@
 	"github.com/shoenig/test/wait"
 )
 
-// textInForce returns the text that an entry has in force, and its version.
-func textInForce(t *testing.T, n *dev.Node) (string, fleet.Version) {
+// ask calls an operators' interface and returns the answer with its body.
+func ask(t *testing.T, method, url string, body []byte) (*http.Response, string) {
 	t.Helper()
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, n.OperatorsURL+"/v1/text", nil)
+	req, err := http.NewRequestWithContext(t.Context(), method, url, bytes.NewReader(body))
 	must.NoError(t, err)
 	resp, err := http.DefaultClient.Do(req)
 	must.NoError(t, err)
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	got, err := io.ReadAll(resp.Body)
 	must.NoError(t, err)
+	return resp, string(got)
+}
+
+// textInForce returns the text that an entry has in force, and its version.
+func textInForce(t *testing.T, n *dev.Node) (string, fleet.Version) {
+	t.Helper()
+	resp, body := ask(t, http.MethodGet, n.OperatorsURL+"/v1/text", nil)
 	version, err := strconv.ParseInt(resp.Header.Get(entry.HeaderVersion), 10, 64)
 	must.NoError(t, err)
-	return string(body), fleet.Version(version)
+	return body, fleet.Version(version)
 }
 
 func waitVersion(t testing.TB, n *dev.Node, version fleet.Version) {
@@ -109,17 +115,11 @@
 
 func TestFaultyTextIsRefusedWithAllFaults(t *testing.T) {
 	f := startFleet(t)
-	body := strings.NewReader("pool \"p\" { slots = 0 }\nmember \"m\" { weight = 0 }\n")
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPut, f.Nodes[0].OperatorsURL+"/v1/text?base=0", body)
-	must.NoError(t, err)
-	resp, err := http.DefaultClient.Do(req)
-	must.NoError(t, err)
-	defer resp.Body.Close()
+	text := []byte("pool \"p\" { slots = 0 }\nmember \"m\" { weight = 0 }\n")
+	resp, detail := ask(t, http.MethodPut, f.Nodes[0].OperatorsURL+"/v1/text?base=0", text)
 	must.EqOp(t, http.StatusUnprocessableEntity, resp.StatusCode)
-	detail, err := io.ReadAll(resp.Body)
-	must.NoError(t, err)
-	must.StrContains(t, string(detail), `"line":1,"column":20`)
-	must.StrContains(t, string(detail), `"line":2,"column":23`)
+	must.StrContains(t, detail, `"line":1,"column":20`)
+	must.StrContains(t, detail, `"line":2,"column":23`)
 }
 
 func TestEntryStartedAfterTrimTakesTheSnapshot(t *testing.T) {
@@ -148,15 +148,8 @@
 	t.Helper()
 	data, err := codec.EncodeDelta(d)
 	must.NoError(t, err)
-	url := fmt.Sprintf("%s/v1/text?base=%d", n.OperatorsURL, base)
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPatch, url, bytes.NewReader(data))
-	must.NoError(t, err)
-	resp, err := http.DefaultClient.Do(req)
-	must.NoError(t, err)
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	must.NoError(t, err)
-	return resp.StatusCode, string(body)
+	resp, body := ask(t, http.MethodPatch, fmt.Sprintf("%s/v1/text?base=%d", n.OperatorsURL, base), data)
+	return resp.StatusCode, body
 }
 
 func TestPatchChangesTheTextInForce(t *testing.T) {
--- a/reduce/control_test.go
+++ b/reduce/control_test.go
@@ -159,6 +159,14 @@
 	snapshotAfter(t, h, reduce.DefaultSnapshotInterval/2)
 }
 
+func TestRefusedSnapshotIsTriedAgainSoon(t *testing.T) {
+	h := newHarness(oneRunner(1))
+	refused := snapshotAfter(t, h, reduce.DefaultSnapshotInterval)
+	must.Len(t, 0, only[effect.Append](h.after(time.Minute, event.TimerFired{})))
+	h.do(event.AppendFinished{ID: refused.ID, Outcome: event.AppendFailed, Err: errors.New("down")})
+	snapshotAfter(t, h, time.Minute)
+}
+
 func TestOnlyOneEntryWritesWhenAllAreAlive(t *testing.T) {
 	ids := []fleet.EntryID{"entry-1", "entry-2", "entry-3"}
 	writers := 0
--- a/reduce/proposal.go
+++ b/reduce/proposal.go
@@ -85,6 +85,7 @@
 
 func (s *State) onAppendFinished(ev event.AppendFinished) {
 	s.onClaimsAppended(ev)
+	s.onSnapshotAppended(ev)
 	p, ok := s.proposals[ev.ID]
 	if !ok || ev.Outcome != event.AppendFailed {
 		return
--- a/reduce/snapshot.go
+++ b/reduce/snapshot.go
@@ -7,6 +7,7 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/banyanrail/banyanrail/reduce/timer"
 )
 
@@ -17,6 +18,9 @@
 	// snapshotStagger keeps the entries' attempts apart, so that one snapshot
 	// is usually read back before the next entry's turn.
 	snapshotStagger = 10 * time.Second
+	// snapshotRetry is the time until another attempt when the log refused a
+	// snapshot.
+	snapshotRetry = time.Minute
 	// snapshotShare is the part of the interval after which an entry whose
 	// snapshot did not come back tries again.
 	snapshotShare = 8
@@ -29,6 +33,8 @@
 	kept fleet.Offset
 	// since is when that snapshot was written; zero before the first text.
 	since time.Time
+	// sent is the last snapshot that this entry appended.
+	sent fleet.RecordID
 }
 
 // scheduleSnapshot arms the timer when a snapshot came, or the first record.
@@ -67,9 +73,10 @@
 	if s.gap || s.stopping {
 		return
 	}
+	s.snapshots.sent = fleet.RecordID(fmt.Sprintf("snapshot-%s-%d-%d", s.cfg.Entry, s.control.Offset, s.now.UnixMilli()))
 	s.emit(effect.Append{
 		Record: control.Record{
-			ID:     fleet.RecordID(fmt.Sprintf("snapshot-%s-%d-%d", s.cfg.Entry, s.control.Offset, s.now.UnixMilli())),
+			ID:     s.snapshots.sent,
 			Time:   s.now,
 			Author: string(s.cfg.Entry),
 			Body:   s.control.Snapshot(),
@@ -77,3 +84,13 @@
 		Deadline: s.now.Add(s.cfg.SnapshotInterval),
 	})
 }
+
+// onSnapshotAppended tries again soon when the log refused the snapshot, so
+// that the stream has one again shortly after an outage.
+func (s *State) onSnapshotAppended(ev event.AppendFinished) {
+	if s.snapshots.sent == "" || ev.ID != s.snapshots.sent || ev.Outcome != event.AppendFailed {
+		return
+	}
+	retry := min(snapshotRetry, s.cfg.SnapshotInterval/snapshotShare)
+	s.timers.Set(&s.snapshots.timer, s.now.Add(retry), &s.snapshots)
+}
