Send each request of the load tool once

Cause: net/http repeats a request with an idempotency key when its connection breaks, so the load tool hid requests that were cut off.

Change: the body can't be read again, which keeps net/http from repeating.

Measured: TestRequestIsSentOnceThoughItsConnectionBreaks failed before (no request counted as cut off) and passes after, 3 runs of 3 with the race detector.

Conclusion: a broken connection counts as cut off.

--- a/load/driver.go
+++ b/load/driver.go
@@ -39,7 +39,7 @@
 	d := &driver{
 		target:   target,
 		run:      fmt.Sprintf("%d", cfg.Seed),
-		http:     resty.NewWithClient(&http.Client{Transport: transport(cfg.MaxInFlight), Timeout: maxLatency}),
+		http:     newClient(cfg.MaxInFlight),
 		calls:    pond.NewPool(cfg.MaxInFlight),
 		finished: make(chan Summary, 1),
 		failed:   make(chan error, 1),
@@ -73,6 +73,17 @@
 	background context.Context
 }
 
+// newClient returns a client that sends each request once. Without a way to
+// get the body again, net/http does not repeat a request after its connection
+// broke, as it otherwise does for one with an idempotency key.
+func newClient(connections int) *resty.Client {
+	c := resty.NewWithClient(&http.Client{Transport: transport(connections), Timeout: maxLatency})
+	return c.SetPreRequestHook(func(_ *resty.Client, req *http.Request) error {
+		req.GetBody = nil
+		return nil
+	})
+}
+
 func transport(connections int) *http.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.MaxIdleConns, t.MaxIdleConnsPerHost = connections, connections
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -191,3 +193,22 @@
 	must.NoError(t, err)
 	must.EqOp(t, sum.Requests, sum.Unreachable+sum.NotSent)
 }
+
+func TestRequestIsSentOnceThoughItsConnectionBreaks(t *testing.T) {
+	var received atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if received.Add(1)%2 == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Banyanrail-Ran", "no")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(srv.Close)
+	cfg := config()
+	cfg.Duration, cfg.MaxInFlight = 200*time.Millisecond, 1
+	sum, err := load.Run(t.Context(), cfg, load.Target{Entries: []string{srv.URL}})
+	must.NoError(t, err)
+	must.Positive(t, sum.CutOff)
+	must.EqOp(t, received.Load(), int64(sum.Requests-sum.NotSent))
+	must.EqOp(t, sum.Requests, sum.CutOff+sum.RefusedNotRun+sum.NotSent)
+}
