--- a/reduce/claim.go
+++ b/reduce/claim.go
@@ -143,7 +143,8 @@
 }
 
 // stake claims the scope of a request, unless another request of this entry
-// has a claim on its way.
+// has a claim on its way. An overloaded queue refuses it before it costs the log
+// anything.
 func (s *State) stake(r *requests.Request) {
 	scope := scopeOf(r)
 	if st, ok := s.claiming.own[scope]; ok {
@@ -155,6 +156,9 @@
 		s.waitForOutcome(r)
 		return
 	}
+	if s.refuseFull(r, askOf(r)) {
+		return
+	}
 	record := s.claiming.outbox.Add(claims.Claim{Scope: scope, BodyHash: r.BodyHash, Deadline: r.Deadline})
 	s.claiming.own[scope] = stake{request: r.ID, ref: claims.Ref{Scope: scope, Record: record}}
 }
@@ -245,14 +249,11 @@
 
 // claimReason says why a request ended at its deadline.
 func (s *State) claimReason(r *requests.Request) fleet.Reason {
-	if r.Phase != requests.Claiming {
+	switch {
+	case r.Phase != requests.Claiming || r.Fence != 0 || r.Elsewhere == requests.RanElsewhere:
 		return fleet.ReasonDeadline
-	}
-	switch r.Elsewhere {
-	case requests.MaybeElsewhere:
+	case r.Elsewhere == requests.MaybeElsewhere:
 		return fleet.ReasonInDoubt
-	case requests.RanElsewhere:
-		return fleet.ReasonDeadline
 	default:
 		return fleet.ReasonLogUnavailable
 	}
--- a/reduce/request.go
+++ b/reduce/request.go
@@ -42,6 +42,7 @@
 	}
 	s.requests.Add(r)
 	s.budgets.Deposit(svc.Name)
+	s.usage.Arrive(svc.Name)
 	s.timers.Set(&r.Expiry, r.Deadline, r)
 	if !svc.Idempotent {
 		s.claim(r)
@@ -93,7 +94,22 @@
 // enqueue asks for a slot. A new request is refused early when its queue is
 // full or its deadline would pass in it.
 func (s *State) enqueue(r *requests.Request) {
-	ask := placement.Ask{
+	ask := askOf(r)
+	if r.Attempts == 0 && s.refuseFull(r, ask) {
+		return
+	}
+	if !s.placement.Add(ask) {
+		s.refuseRequest(r, fleet.ReasonNoCapacity)
+		return
+	}
+	r.Phase = requests.Queued
+	s.ask(r)
+	s.grant(ask.Pool)
+}
+
+// askOf returns what a request asks of placement.
+func askOf(r *requests.Request) placement.Ask {
+	return placement.Ask{
 		Request: r.ID,
 		Pool:    r.Service.Pool,
 		Service: r.Service.Name,
@@ -102,20 +118,16 @@
 		Size:    r.Size,
 		Tried:   r.Tried,
 	}
-	if r.Attempts == 0 {
-		if wait, full := s.overloaded(r, ask); full {
-			s.refuse(refusalAfter(r, fleet.ReasonQueueFull, wait), r.Service.Name)
-			s.forget(r)
-			return
-		}
-	}
-	if !s.placement.Add(ask) {
-		s.refuseRequest(r, fleet.ReasonNoCapacity)
-		return
+}
+
+// refuseFull refuses a request when its queue is overloaded.
+func (s *State) refuseFull(r *requests.Request, ask placement.Ask) bool {
+	wait, full := s.overloaded(r, ask)
+	if full {
+		s.refuse(refusalAfter(r, fleet.ReasonQueueFull, wait), r.Service.Name)
+		s.forget(r)
 	}
-	r.Phase = requests.Queued
-	s.ask(r)
-	s.grant(ask.Pool)
+	return full
 }
 
 // overloaded reports whether a new request has to be refused, and when a retry
@@ -185,6 +197,7 @@
 	}
 	g := r.Grant
 	s.placement.Finish(g, ev.Elapsed)
+	s.usage.Run(r.Service.Name, ev.Elapsed)
 	s.giveBack(r, s.judge(r, ev))
 	s.conclude(r, ev)
 	s.grant(g.Ask.Pool)
@@ -224,6 +237,7 @@
 func (s *State) answer(r *requests.Request, ev event.AttemptFinished) {
 	s.claimAnswered(r, ev)
 	s.totals.answered++
+	s.countAnswer(r.Service.Name, ev.Status)
 	s.emit(effect.Answer{Request: r.ID, Attempt: ev.Attempt, Attempts: r.Attempts, Service: r.Service.Name})
 	s.forget(r)
 }
@@ -303,6 +317,7 @@
 
 func (s *State) refuse(e effect.Refuse, service fleet.ServiceName) {
 	s.totals.refused++
+	s.countRefusal(service, e.Reason)
 	e.Service = service
 	s.emit(e)
 }
