--- a/cmd/banyanrail/exit.go
+++ b/cmd/banyanrail/exit.go
@@ -14,6 +14,8 @@
 
 // Kinds of failures, by what an operator can do about them.
 var (
+	// errUsage means that the command line is wrong.
+	errUsage = errors.New("usage")
 	// errConflict means that another change came first.
 	errConflict = errors.New("conflict")
 	// errInvalid means that the services text has faults.
@@ -29,6 +31,7 @@
 	err  error
 	code int
 }{
+	{errUsage, exitUsage},
 	{errConflict, exitConflict},
 	{errInvalid, exitInvalid},
 	{errUnavailable, exitUnavailable},
--- a/cmd/banyanrail/load.go
+++ b/cmd/banyanrail/load.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -69,10 +68,10 @@
 
 func (c *loadCmd) config() (load.Config, error) {
 	if !c.Dev && len(c.Callers) == 0 {
-		return load.Config{}, errors.New("load needs --dev or --callers")
+		return load.Config{}, fmt.Errorf("%w: load needs --dev or --callers", errUsage)
 	}
 	if c.Rate <= 0 || c.For <= 0 || c.Burst <= 0 || c.Factor <= 0 || c.Quiet <= 0 || c.InFlight <= 0 {
-		return load.Config{}, errors.New("rates, factors, times and calls at once must be positive")
+		return load.Config{}, fmt.Errorf("%w: rates, factors, times and calls at once must be positive", errUsage)
 	}
 	if len(c.Services) == 0 {
 		c.Services = defaultServices
--- a/cmd/banyanrail/main_test.go
+++ b/cmd/banyanrail/main_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/alexflint/go-arg"
 	"github.com/banyanrail/banyanrail/dev"
+	"github.com/banyanrail/banyanrail/load"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/services"
 	"github.com/banyanrail/banyanrail/standin"
@@ -146,3 +147,19 @@
 	must.EqOp(t, exitInvalid, code)
 	must.StrContains(t, out, "services.hcl:1,")
 }
+
+func TestLoadEndsWithASummaryLine(t *testing.T) {
+	c := &cli{t: t}
+	out, code := c.run("load")
+	must.EqOp(t, exitUsage, code, must.Sprint(out))
+	_, code = c.run("load", "--dev", "--rate", "0")
+	must.EqOp(t, exitUsage, code)
+
+	out, code = c.run("load", "--dev", "--entries", "2", "--runners", "5", "--work", "1ms", "--for", "300ms", "--burst", "50ms")
+	must.EqOp(t, 0, code, must.Sprint(out))
+	var sum load.Summary
+	must.NoError(t, json.Unmarshal([]byte(out), &sum))
+	must.Positive(t, sum.Requests)
+	must.MapLen(t, len(defaultServices), sum.Services)
+	must.EqOp(t, 0, sum.Crossed+sum.Lost+sum.CutOff+*sum.Doubled+*sum.RanThoughRefused)
+}
