--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -38,6 +38,8 @@
 	SnapshotInterval time.Duration
 	// Deps are handed to every entry; Log is set by the fleet.
 	Deps entry.Deps
+	// Tap makes the tap of an entry; nil uses that of Deps.
+	Tap func(fleet.EntryID) entry.Tap
 }
 
 // Fleet is a running fleet.
@@ -51,6 +53,8 @@
 	ctx         context.Context
 	cancel      context.CancelFunc
 	wg          sync.WaitGroup
+	// started is the number of entries started so far.
+	started int
 }
 
 // Runner is an endpoint stand-in with its address.
@@ -101,8 +105,8 @@
 		}
 		f.Runners = append(f.Runners, r)
 	}
-	for i := range cfg.Entries {
-		if _, err := f.addNode(fmt.Sprintf("entry-%d", i+1), false); err != nil {
+	for range cfg.Entries {
+		if _, err := f.addNode(false); err != nil {
 			return err
 		}
 	}
@@ -111,16 +115,16 @@
 
 // AddNode starts one more entry and puts it on the platform's list. With cut
 // set it cannot reach the log until its LogSwitch is closed.
-func (f *Fleet) AddNode(id string, cut bool) (*Node, error) {
-	node, err := f.addNode(id, cut)
+func (f *Fleet) AddNode(cut bool) (*Node, error) {
+	node, err := f.addNode(cut)
 	if err != nil {
 		return nil, err
 	}
 	return node, f.list()
 }
 
-func (f *Fleet) addNode(id string, cut bool) (*Node, error) {
-	node, err := f.startNode(id, cut)
+func (f *Fleet) addNode(cut bool) (*Node, error) {
+	node, err := f.newNode(cut)
 	if err != nil {
 		return nil, err
 	}
@@ -128,6 +132,12 @@
 	return node, nil
 }
 
+// newNode starts an entry under an id that none had before.
+func (f *Fleet) newNode(cut bool) (*Node, error) {
+	f.started++
+	return f.startNode(fmt.Sprintf("entry-%d", f.started), cut)
+}
+
 func (f *Fleet) startNode(id string, cut bool) (*Node, error) {
 	ctx, kill := context.WithCancel(f.ctx)
 	peersListener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -144,10 +154,13 @@
 	}
 	node.Log.Cut(cut)
 	deps := f.cfg.Deps
+	if f.cfg.Tap != nil {
+		deps.Tap = f.cfg.Tap(node.ID)
+	}
 	deps.Log, deps.Instances = node.Log, client
 	node.Entry = entry.New(entry.Config{
 		ID:               node.ID,
-		Seed:             uint64(len(f.Nodes) + 1),
+		Seed:             uint64(f.started),
 		PeerAddress:      node.PeerAddress,
 		Placement:        f.cfg.Placement,
 		SnapshotInterval: f.cfg.SnapshotInterval,
@@ -238,13 +251,19 @@
   idempotent = true
 }
 
+service "permit" {
+  pool       = "main"
+  idempotent = false
+}
+
 member "lawa" {
   weight = 1
 }
 `))
 
-// Text returns a services text for the fleet: one pool of all runners, one
-// service "survey" and one member "lawa".
+// Text returns a services text for the fleet: one pool of all runners, an
+// idempotent service "survey", a non-idempotent service "permit" and one member
+// "lawa".
 func (f *Fleet) Text(slots int) string {
 	var out bytes.Buffer
 	_ = textTemplate.Execute(&out, struct { // the template is fixed and writes to memory
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -115,15 +115,34 @@
 	}
 }
 
-// answer hands the response of an attempt to the caller.
+// answer hands the response of an attempt to the caller. The attempt is that of
+// another request when two had the same idempotency key.
 func (t *exchanges) answer(o effect.Answer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	x, ok := t.byID[o.Request]
-	if !ok || x.answered != o.Attempt.Number {
+	if !ok {
 		return
 	}
-	x.send(reply{response: x.response, attempts: o.Attempts})
+	if resp := t.responseOf(o.Attempt); resp != nil {
+		x.send(reply{response: resp, attempts: o.Attempts})
+	}
+}
+
+// response returns what an attempt was answered with.
+func (t *exchanges) response(a fleet.AttemptID) (*endpoint.Response, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	resp := t.responseOf(a)
+	return resp, resp != nil
+}
+
+func (t *exchanges) responseOf(a fleet.AttemptID) *endpoint.Response {
+	x, ok := t.byID[a.Request]
+	if !ok || x.answered != a.Number {
+		return nil
+	}
+	return x.response
 }
 
 // refuse hands a refusal to the caller.
--- a/reduce/relay.go
+++ b/reduce/relay.go
@@ -61,22 +61,13 @@
 	s.send(p, message.Records{After: before, Records: records})
 }
 
-// closeGap reads the log again once peers have passed on the records that had
-// expired there.
-func (s *State) closeGap() {
-	if s.gap && s.control.Offset+1 >= s.oldest {
-		s.gap = false
-		s.emit(effect.Read{From: s.control.Offset + 1})
-	}
-}
-
 // onPeerSnapshot takes over the fold of a peer, if it is newer than this entry's.
 func (s *State) onPeerSnapshot(p *peers.Peer, m message.Snapshot) {
 	s.relay.Answered(p.ID)
 	record := control.Record{ID: fleet.RecordID("fold of " + p.ID), Body: m.Fold}
 	if s.adoptSnapshot(control.Positioned{Offset: m.Fold.Offset + 1, Record: record}, firstOffset) {
 		s.hastenHeartbeat()
-		s.becomeReady()
+		s.updateReady()
 	}
 }
 
@@ -93,8 +84,7 @@
 			s.emit(effect.Count{Name: effect.RecordsRelayed, N: 1})
 		}
 	}
-	s.closeGap()
-	s.becomeReady()
+	s.updateReady()
 	if s.control.Offset < p.Offset && s.relay.ShouldAsk(p.ID, s.logDown, s.now) {
 		s.send(p, message.RecordsAsked{After: s.control.Offset})
 	}
--- a/reduce/request.go
+++ b/reduce/request.go
@@ -43,6 +43,10 @@
 	s.requests.Add(r)
 	s.budgets.Deposit(svc.Name)
 	s.timers.Set(&r.Expiry, r.Deadline, r)
+	if !svc.Idempotent {
+		s.claim(r)
+		return
+	}
 	s.enqueue(r)
 }
 
@@ -83,7 +87,7 @@
 	if ev.Size > pool.MaxSize {
 		return svc, fleet.ReasonSizeTooLarge
 	}
-	return svc, fleet.ReasonNone
+	return svc, s.checkKey(svc, ev.Key)
 }
 
 // enqueue asks for a slot. A new request is refused early when its queue is
@@ -203,6 +207,7 @@
 	switch {
 	case phase == requests.Abandoned:
 		s.late()
+		s.claimAbandoned(r, ev)
 		s.forget(r)
 	case ev.Outcome == event.AttemptAnswered:
 		s.answer(r, ev)
@@ -217,6 +222,7 @@
 }
 
 func (s *State) answer(r *requests.Request, ev event.AttemptFinished) {
+	s.claimAnswered(r, ev)
 	s.totals.answered++
 	s.emit(effect.Answer{Request: r.ID, Attempt: ev.Attempt, Attempts: r.Attempts, Service: r.Service.Name})
 	s.forget(r)
@@ -271,7 +277,7 @@
 	case requests.Expiring:
 		s.abandon(r, fleet.ReasonDeadline)
 	default:
-		s.withdraw(r, fleet.ReasonDeadline)
+		s.withdraw(r, s.claimReason(r))
 	}
 }
 
@@ -304,6 +310,7 @@
 func (s *State) forget(r *requests.Request) {
 	s.timers.Clear(&r.Expiry)
 	s.requests.Remove(r.ID)
+	s.leaveClaim(r)
 }
 
 func (s *State) late() {
--- a/reduce/status.go
+++ b/reduce/status.go
@@ -19,6 +19,7 @@
 		Queued:   s.placement.Queued(),
 		Peers:    s.peers.Alive(),
 		Versions: s.versions(),
+		Claims:   s.claimStatus(),
 		Pools:    make(map[fleet.PoolName]int),
 		Totals: map[string]uint64{
 			"answered": s.totals.answered,
