Fall back from a holder as soon as its connection fails

Cause: a killed holder stopped its pool for the other entries until they missed its heartbeats: the longest wait was 3.1 s. Change: a message that cannot be handed over is an event; the entry falls back to its share at once, and keeps it until the next holder has answered.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -42,7 +42,10 @@
 		Address:     e.cfg.PeerAddress,
 		TLS:         e.cfg.PeersTLS,
 		Run:         e.peerPool.Go,
-		Failed:      func(to fleet.EntryID, _ error) { e.metrics.peerFailed(to) },
+		Failed: func(to fleet.EntryID, _ error) {
+			e.metrics.peerFailed(to)
+			_ = e.loop.Offer(event.PeerUnreachable{Peer: to}) // silence tells the same, later
+		},
 	})
 }
 
--- a/reduce/event/event.go
+++ b/reduce/event/event.go
@@ -175,6 +175,9 @@
 	Message  message.Message
 }
 
+// PeerUnreachable reports that a message could not be handed to a peer.
+type PeerUnreachable struct{ Peer fleet.EntryID }
+
 // TimerFired reports that the time of the last SetTimer effect has come.
 type TimerFired struct{}
 
@@ -196,5 +199,6 @@
 func (TextAsked) isEvent()         {}
 func (EntriesListed) isEvent()     {}
 func (PeerReceived) isEvent()      {}
+func (PeerUnreachable) isEvent()   {}
 func (TimerFired) isEvent()        {}
 func (StopAsked) isEvent()         {}
--- a/reduce/grant.go
+++ b/reduce/grant.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/banyanrail/banyanrail/reduce/holder"
 	"github.com/banyanrail/banyanrail/reduce/message"
 	"github.com/banyanrail/banyanrail/reduce/peers"
@@ -104,9 +105,12 @@
 		s.startHolding(l, started)
 		return
 	}
+	s.report(l)
+	if l.Phase == holder.Fallback {
+		return // until the new holder answers
+	}
 	l.Phase = holder.Reporting
 	s.timers.Set(&l.Timer, s.now.Add(holder.AnswerLimit), l)
-	s.report(l)
 }
 
 func (s *State) leaveHolder(l *holder.Link) {
@@ -171,6 +175,20 @@
 	s.grant(l.Pool)
 }
 
+// onPeerUnreachable falls back from a holder that takes no messages. Its silence
+// would tell the same, but later.
+func (s *State) onPeerUnreachable(ev event.PeerUnreachable) {
+	if s.cfg.Placement != PlacementHolder {
+		return
+	}
+	for _, l := range s.holders.Links() {
+		if l.Holder == ev.Peer && l.IsRemote() {
+			s.timers.Clear(&l.Timer)
+			s.fallBack(l)
+		}
+	}
+}
+
 // setShare gives this entry all slots of a pool, or its share.
 func (s *State) setShare(pool fleet.PoolName, shared bool) {
 	entries := max(1, len(s.peers.Alive()))
--- a/reduce/holding_test.go
+++ b/reduce/holding_test.go
@@ -231,3 +231,20 @@
 	must.EqOp(t, 2, c.refused)
 	must.EqOp(t, 1, c.total())
 }
+
+func TestUnreachableHolderIsNotWaitedFor(t *testing.T) {
+	c := newEntries(t, 3, longText(8))
+	held, id := c.holder(t), c.other(t)
+	c.lose = func(_ fleet.EntryID, e effect.SendPeer) bool { return e.To == held }
+	c.arrive(id, 1, 5)
+	must.EqOp(t, 0, c.total())
+	c.do(id, event.PeerUnreachable{Peer: held})
+	must.EqOp(t, 2, c.total())
+
+	c.lose = nil
+	c.pass(time.Second)
+	must.EqOp(t, 5, c.total())
+	c.finishAll()
+	must.EqOp(t, 5, c.answered)
+	c.checkRuns(t)
+}
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -39,6 +39,8 @@
 		s.onEntriesListed(b)
 	case event.PeerReceived:
 		s.onPeerReceived(b)
+	case event.PeerUnreachable:
+		s.onPeerUnreachable(b)
 	case event.TimerFired:
 		s.armed = time.Time{}
 	case event.StopAsked:
