Drive claims in any order, and cover what mutants passed

Change: a rapid test with entries, a log that loses, delays and repeats appends, crashes and pauses; tests of the fold and of the cases the mutants broke.

--- a/reduce/claim.go
+++ b/reduce/claim.go
@@ -249,14 +249,11 @@
 
 // claimReason says why a request ended at its deadline.
 func (s *State) claimReason(r *requests.Request) fleet.Reason {
-	if r.Phase != requests.Claiming {
+	switch {
+	case r.Phase != requests.Claiming || r.Fence != 0 || r.Elsewhere == requests.RanElsewhere:
 		return fleet.ReasonDeadline
-	}
-	switch r.Elsewhere {
-	case requests.MaybeElsewhere:
+	case r.Elsewhere == requests.MaybeElsewhere:
 		return fleet.ReasonInDoubt
-	case requests.RanElsewhere:
-		return fleet.ReasonDeadline
 	default:
 		return fleet.ReasonLogUnavailable
 	}
--- a/reduce/claim_test.go
+++ b/reduce/claim_test.go
@@ -263,6 +263,7 @@
 	out := c.catchUp()
 	must.Len(t, 0, only[effect.Dispatch](out))
 	must.EqOp(t, fleet.RanNo, refusal(t, out).Ran)
+	must.EqOp(t, fleet.ReasonDeadline, refusal(t, out).Reason)
 	out = append(out, c.tick()...)
 	released := only[effect.AppendClaims](out)
 	must.Len(t, 1, released)
@@ -336,6 +337,57 @@
 	return claims.Group{}
 }
 
+// A claim that may be in the log holds its key until its release.
+func TestClaimThatMayBeInTheLogIsReleased(t *testing.T) {
+	cases := map[string][]event.AppendOutcome{
+		"under way":           nil,
+		"unknown":             {event.AppendUnknown},
+		"unknown then failed": {event.AppendUnknown, event.AppendFailed},
+	}
+	for name, outcomes := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newClaimant(newClaimLog(), "entry-1")
+			out := append(c.do(permit(1, keyAt(epoch, 1))), c.tick()...)
+			group := only[effect.AppendClaims](out)[0].Group
+			for _, o := range outcomes {
+				c.do(event.AppendFinished{ID: group.ID, Outcome: o, Err: errors.New("fault")})
+			}
+			out = c.do(event.RequestCancelled{ID: 1})
+			must.EqOp(t, fleet.RanNo, refusal(t, out).Ran)
+			releaseOf(t, append(out, c.tick()...))
+		})
+	}
+}
+
+// A claim that comes after another's release is the first that counts.
+func TestClaimCountsWhenTheOneBeforeItWasReleased(t *testing.T) {
+	log := newClaimLog()
+	a, b := newClaimant(log, "entry-1"), newClaimant(log, "entry-2")
+	key := keyAt(epoch, 1)
+	late := only[effect.AppendClaims](append(a.do(permit(1, key)), a.tick()...))[0].Group
+	b.appendAll(append(b.do(permit(1, key)), b.tick()...))
+	a.catchUp()
+	b.appendAll(append(b.do(event.RequestCancelled{ID: 1}), b.tick()...))
+	a.catchUp()
+	log.append(late)
+	must.Len(t, 1, only[effect.Dispatch](a.catchUp()))
+}
+
+// Near the end of its window an earlier claim of the key may be forgotten.
+func TestClaimReadBackAfterItsWindowDoesNotRun(t *testing.T) {
+	text := permitText()
+	text.Services[1].TimeLimit = 5 * time.Minute
+	c := newClaimantOf(newClaimLog(), "entry-1", text)
+	c.now = epoch.Add(claims.Window)
+	c.catchUp()
+	c.appendAll(append(c.do(permit(1, keyAt(epoch, 1))), c.tick()...))
+	c.now = epoch.Add(claims.Window + claims.MaxSkew + time.Second)
+	out := c.catchUp()
+	must.Len(t, 0, only[effect.Dispatch](out))
+	must.EqOp(t, fleet.ReasonKeyExpired, refusal(t, out).Reason)
+	must.EqOp(t, fleet.RanNo, refusal(t, out).Ran)
+}
+
 func TestLogOutageRefusesAsNotRunAndLeavesNothingBehind(t *testing.T) {
 	c := newClaimant(newClaimLog(), "entry-1")
 	out := append(c.do(permit(1, keyAt(epoch, 1))), c.tick()...)
@@ -372,9 +424,11 @@
 		Record: control.Record{ID: "text", Body: control.Publish{Text: permitText()}},
 	}}, Next: 2, Oldest: 1})
 	must.EqOp(t, fleet.ReasonLogUnavailable, refusal(t, c.do(permit(1, key))).Reason)
-	log.append(marker)
 	c.log, c.read = log, 0
 	c.catchUp()
+	must.EqOp(t, fleet.ReasonLogUnavailable, refusal(t, c.do(permit(1, key))).Reason)
+	log.append(marker)
+	c.catchUp()
 	must.Len(t, 0, only[effect.Refuse](c.do(permit(2, key))))
 	must.Len(t, 0, only[effect.Dispatch](c.tick()))
 }
--- /dev/null
+++ b/reduce/claimworld_test.go
@@ -0,0 +1,266 @@
+package reduce_test
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/claims"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// sending identifies a request of an entry over the whole world.
+type sending struct {
+	entry fleet.EntryID
+	id    fleet.RequestID
+}
+
+// appending is a group whose append has not ended.
+type appending struct {
+	by    *claimant
+	group claims.Group
+}
+
+// attempting is a dispatch whose attempt has not ended.
+type attempting struct {
+	by *claimant
+	effect.Dispatch
+}
+
+// claimWorld is several entries, a log that loses, delays and repeats appends,
+// and endpoints, all at virtual times.
+type claimWorld struct {
+	t        *rapid.T
+	log      *claimLog
+	now      time.Time
+	entries  []*claimant
+	ids      map[*claimant]fleet.EntryID
+	started  int
+	sent     fleet.RequestID
+	appends  []appending
+	late     []claims.Group
+	attempts []attempting
+	keys     []fleet.Key
+	keyOf    map[sending]fleet.Key
+	runOf    map[fleet.Key]sending
+	notRun   map[sending]bool
+}
+
+// worldEntries and worldKeys keep the world small, so that entries meet.
+const (
+	worldEntries = 3
+	worldKeys    = 2
+)
+
+func newClaimWorld(t *rapid.T) *claimWorld {
+	w := &claimWorld{
+		t: t, log: newClaimLog(), now: epoch,
+		ids: make(map[*claimant]fleet.EntryID), keyOf: make(map[sending]fleet.Key),
+		runOf: make(map[fleet.Key]sending), notRun: make(map[sending]bool),
+	}
+	for range worldEntries {
+		w.entries = append(w.entries, w.newEntry())
+	}
+	for i := range worldKeys {
+		w.keys = append(w.keys, keyAt(epoch, i))
+	}
+	return w
+}
+
+func (w *claimWorld) newEntry() *claimant {
+	w.started++
+	id := fleet.EntryID(fmt.Sprintf("entry-%d", w.started))
+	c := newClaimant(w.log, id)
+	c.now = w.now
+	w.ids[c] = id
+	return c
+}
+
+// follow carries out the effects of an entry, or leaves them pending.
+func (w *claimWorld) follow(c *claimant, out []effect.Effect) {
+	for _, e := range out {
+		switch e := e.(type) {
+		case effect.AppendClaims:
+			w.appends = append(w.appends, appending{by: c, group: e.Group})
+		case effect.Dispatch:
+			w.attempts = append(w.attempts, attempting{by: c, Dispatch: e})
+		case effect.FetchAnswer:
+			w.follow(c, c.do(event.AnswerFetched{Request: e.Request, Found: true}))
+		case effect.Answer:
+			w.checkAnswer(sending{w.ids[c], e.Request})
+		case effect.Refuse:
+			w.checkRefusal(sending{w.ids[c], e.Request}, e)
+		}
+	}
+}
+
+func (w *claimWorld) checkAnswer(s sending) {
+	_, ran := w.runOf[w.keyOf[s]]
+	must.True(w.t, ran, must.Sprintf("%v answered, but its key did not run", s))
+}
+
+func (w *claimWorld) checkRefusal(s sending, r effect.Refuse) {
+	if r.Ran == fleet.RanNo {
+		must.NotEqOp(w.t, s, w.runOf[w.keyOf[s]], must.Sprintf("refused as not run: %v", r.Reason))
+		w.notRun[s] = true
+	}
+	if r.Ran == fleet.RanYes {
+		w.checkAnswer(s)
+	}
+}
+
+func (w *claimWorld) run(s sending) {
+	key := w.keyOf[s]
+	first, ran := w.runOf[key]
+	must.False(w.t, ran, must.Sprintf("%s ran for %v and then for %v", key, first, s))
+	must.False(w.t, w.notRun[s], must.Sprintf("%v ran after it was refused as not run", s))
+	w.runOf[key] = s
+}
+
+// entry draws an entry and lets its clock catch up.
+func (w *claimWorld) entry() *claimant {
+	c := rapid.SampledFrom(w.entries).Draw(w.t, "entry")
+	c.now = w.now
+	return c
+}
+
+// take removes a random element.
+func take[T any](t *rapid.T, from *[]T) T {
+	if len(*from) == 0 {
+		t.Skip("nothing to take")
+	}
+	i := rapid.IntRange(0, len(*from)-1).Draw(t, "index")
+	v := (*from)[i]
+	*from = append((*from)[:i:i], (*from)[i+1:]...)
+	return v
+}
+
+func (w *claimWorld) send(*rapid.T) {
+	c, key := w.entry(), rapid.SampledFrom(w.keys).Draw(w.t, "key")
+	w.sent++
+	w.keyOf[sending{w.ids[c], w.sent}] = key
+	w.follow(c, c.do(permit(w.sent, key)))
+}
+
+func (w *claimWorld) pass(*rapid.T) {
+	w.now = w.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(w.t, "ms")) * time.Millisecond)
+}
+
+func (w *claimWorld) wake(*rapid.T) {
+	c := w.entry()
+	w.follow(c, c.do(event.TimerFired{}))
+}
+
+func (w *claimWorld) read(*rapid.T) {
+	c := w.entry()
+	to := rapid.IntRange(c.read, len(w.log.groups)).Draw(w.t, "to")
+	page := w.log.groups[c.read:to]
+	c.read = to
+	w.follow(c, c.do(event.ClaimsRead{Groups: page, Oldest: 1}))
+}
+
+// endAppend lets an append take effect or not, now or later, and tells its
+// entry the outcome or that it is unknown.
+func (w *claimWorld) endAppend(*rapid.T) {
+	a := take(w.t, &w.appends)
+	outcome := event.Appended
+	switch rapid.SampledFrom([]string{"done", "failed", "lost", "late", "both"}).Draw(w.t, "append") {
+	case "done":
+		w.log.append(a.group)
+	case "failed":
+		outcome = event.AppendFailed
+	case "lost":
+		outcome = event.AppendUnknown
+		w.log.append(a.group)
+	case "late":
+		outcome = event.AppendUnknown
+		w.late = append(w.late, a.group)
+	case "both":
+		outcome = event.AppendUnknown
+		w.log.append(a.group)
+		w.late = append(w.late, a.group)
+	}
+	a.by.now = w.now
+	w.follow(a.by, a.by.do(event.AppendFinished{ID: a.group.ID, Outcome: outcome, Err: errors.New("fault")}))
+}
+
+func (w *claimWorld) appendLate(*rapid.T) { w.log.append(take(w.t, &w.late)) }
+
+func (w *claimWorld) endAttempt(*rapid.T) {
+	a := take(w.t, &w.attempts)
+	outcome := rapid.SampledFrom([]event.AttemptOutcome{
+		event.AttemptAnswered, event.AttemptAnswered, event.AttemptNotSent, event.AttemptRefused, event.AttemptBroken,
+	}).Draw(w.t, "attempt")
+	if !w.now.Before(a.Deadline) {
+		outcome = event.AttemptSkipped
+	}
+	broken := outcome == event.AttemptBroken
+	if outcome == event.AttemptAnswered || broken && rapid.Bool().Draw(w.t, "ran") {
+		w.run(sending{w.ids[a.by], a.Attempt.Request})
+	}
+	a.by.now = w.now
+	w.follow(a.by, a.by.do(finished(a.Attempt, outcome)))
+}
+
+func (w *claimWorld) cancel(*rapid.T) {
+	if w.sent == 0 {
+		w.t.Skip("nothing was sent")
+	}
+	c := w.entry()
+	w.follow(c, c.do(event.RequestCancelled{ID: fleet.RequestID(rapid.IntRange(1, int(w.sent)).Draw(w.t, "id"))}))
+}
+
+// crash replaces an entry. What it had sent goes on without it.
+func (w *claimWorld) crash(*rapid.T) {
+	i := rapid.IntRange(0, len(w.entries)-1).Draw(w.t, "entry")
+	w.entries[i] = w.newEntry()
+}
+
+func TestClaimsHoldUnderAnyOrder(t *testing.T) {
+	setRapid(t, "rapid.seed", "0", "1")
+	setRapid(t, "rapid.steps", "30", "100")
+	setRapid(t, "rapid.checks", "100", "1000")
+	ran := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newClaimWorld(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"send": w.send, "pass": w.pass, "wake": w.wake, "read": w.read, "append": w.endAppend,
+			"late": w.appendLate, "attempt": w.endAttempt, "cancel": w.cancel, "crash": w.crash, "settle": w.settle,
+		})
+		ran += len(w.runOf)
+	})
+	must.Positive(t, ran)
+	t.Logf("%d keys ran", ran)
+}
+
+// settle lets everything under way at the log end well, for all entries.
+func (w *claimWorld) settle(*rapid.T) {
+	for _, c := range w.entries {
+		c.now = w.now
+		w.follow(c, c.do(event.TimerFired{}))
+	}
+	for _, a := range w.appends {
+		w.log.append(a.group)
+	}
+	w.appends = nil
+	for _, c := range w.entries {
+		w.follow(c, c.catchUp())
+	}
+}
+
+// setRapid gives every run the same sequences, unless a flag says otherwise.
+func setRapid(t *testing.T, name, def, value string) {
+	t.Helper()
+	f := flag.Lookup(name)
+	if f.Value.String() == def {
+		must.NoError(t, f.Value.Set(value))
+		t.Cleanup(func() { _ = f.Value.Set(def) }) // it had this value before
+	}
+	t.Logf("-%s=%s", name, f.Value)
+}
