--- a/Makefile
+++ b/Makefile
@@ -47,4 +47,4 @@
 
 lint: tools
 	go vet ./...
-	$(BIN)/golangci-lint run
+	$(BIN)/golangci-lint run --allow-parallel-runners
--- a/cmd/banyanraild/main.go
+++ b/cmd/banyanraild/main.go
@@ -16,6 +16,7 @@
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/platform"
+	"github.com/banyanrail/banyanrail/reduce"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -58,12 +59,14 @@
 	}
 	client := platform.NewClient(c.Platform)
 	e := entry.New(entry.Config{
-		ID:            fleet.EntryID(c.ID),
-		DataCentre:    fleet.DataCentre(c.DataCentre),
-		OperatorToken: c.OperatorToken,
-		PeerAddress:   c.Peers,
-		PeersTLS:      peersTLS,
-		ClaimAppends:  c.claimAppends,
+		ID:               fleet.EntryID(c.ID),
+		DataCentre:       fleet.DataCentre(c.DataCentre),
+		OperatorToken:    c.OperatorToken,
+		PeerAddress:      c.Peers,
+		Placement:        reduce.Placement(c.Placement),
+		PeersTLS:         peersTLS,
+		SnapshotInterval: c.snapshots,
+		ClaimAppends:     c.claimAppends,
 	}, entry.Deps{Log: client, Instances: client, Logger: logger, Metrics: scope, Traces: traces})
 	return serve(ctx, c, e, metrics)
 }
--- a/cmd/banyanraild/settings.go
+++ b/cmd/banyanraild/settings.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/daemon"
+	"github.com/banyanrail/banyanrail/reduce"
 )
 
 // settings are read from flags and the environment. Values are taken as text,
@@ -35,7 +36,9 @@
 	// OperatorToken comes from the environment only, so that it shows in no
 	// list of processes.
 	OperatorToken string `arg:"--,env:BANYANRAIL_OPERATOR_TOKEN" help:"bearer token of operators"`
+	Placement     string `arg:"--placement,env:BANYANRAIL_PLACEMENT" default:"holder" help:"who grants slots: holder (one entry a pool, for all) or local (each entry by its own view)"`
 	Grace         string `arg:"--grace,env:BANYANRAIL_GRACE" default:"30s" help:"longest graceful shutdown"`
+	Snapshots     string `arg:"--snapshot-interval,env:BANYANRAIL_SNAPSHOT_INTERVAL" default:"1h" help:"time between snapshots of the control stream; the log has to keep records for several times as long"`
 	Traces        string `arg:"--traces,env:BANYANRAIL_TRACES" help:"URL that takes traces by OTLP over HTTP"`
 	ClaimAppends  string `arg:"--claim-appends,env:BANYANRAIL_CLAIM_APPENDS" default:"30" help:"appends a second to the log for claims"`
 	TraceShare    string `arg:"--trace-share,env:BANYANRAIL_TRACE_SHARE" default:"0.01" help:"share of traces to keep, 0 to 1"`
@@ -45,6 +48,7 @@
 type config struct {
 	settings
 	grace      time.Duration
+	snapshots  time.Duration
 	traceShare float64
 	// claimAppends is a number of appends a second.
 	claimAppends int
@@ -53,6 +57,15 @@
 	peersTLS     daemon.TLSFiles
 }
 
+func checkPlacement(v string) error {
+	switch reduce.Placement(v) {
+	case reduce.PlacementHolder, reduce.PlacementLocal:
+		return nil
+	default:
+		return fmt.Errorf("%q is neither holder nor local", v)
+	}
+}
+
 // faults collects the faults of settings under their names.
 type faults []error
 
@@ -76,15 +89,18 @@
 	all.add("operators", checkAddress(s.Operators))
 	all.add("peers", checkAddress(s.Peers))
 	all.add("platform", checkURL(s.Platform, true))
+	all.add("placement", checkPlacement(s.Placement))
 	all.add("traces", checkURL(s.Traces, false))
 	all.add("callers-cert", checkTLS(c.callersTLS))
 	all.add("operators-cert", checkTLS(c.opsTLS))
 	all.add("peers-cert", checkTLS(c.peersTLS))
 	var err error
-	c.grace, err = checkGrace(s.Grace)
+	c.grace, err = checkDuration(s.Grace)
 	all.add("grace", err)
 	c.claimAppends, err = checkAppends(s.ClaimAppends)
 	all.add("claim-appends", err)
+	c.snapshots, err = checkDuration(s.Snapshots)
+	all.add("snapshot-interval", err)
 	c.traceShare, err = checkShare(s.TraceShare)
 	all.add("trace-share", err)
 	return c, errors.Join(all...)
@@ -123,7 +139,7 @@
 	return err
 }
 
-func checkGrace(text string) (time.Duration, error) {
+func checkDuration(text string) (time.Duration, error) {
 	d, err := time.ParseDuration(text)
 	if err != nil || d <= 0 {
 		return 0, fmt.Errorf("%q is not a positive duration such as 30s", text)
--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -34,6 +34,8 @@
 	Work time.Duration
 	// Placement says who grants slots.
 	Placement reduce.Placement
+	// SnapshotInterval is the time between snapshots; zero means the default.
+	SnapshotInterval time.Duration
 	// Deps are handed to every entry; Log is set by the fleet.
 	Deps entry.Deps
 	// Tap makes the tap of an entry; nil uses that of Deps.
@@ -157,10 +159,11 @@
 	}
 	deps.Log, deps.Instances = node.Log, client
 	node.Entry = entry.New(entry.Config{
-		ID:          node.ID,
-		Seed:        uint64(f.started),
-		PeerAddress: node.PeerAddress,
-		Placement:   f.cfg.Placement,
+		ID:               node.ID,
+		Seed:             uint64(f.started),
+		PeerAddress:      node.PeerAddress,
+		Placement:        f.cfg.Placement,
+		SnapshotInterval: f.cfg.SnapshotInterval,
 	}, deps)
 	f.servePeers(ctx, node.Entry, peersListener)
 	f.spawn(func() { node.Entry.Run(ctx) })
--- a/entry/act.go
+++ b/entry/act.go
@@ -24,10 +24,6 @@
 		e.append(o)
 	case effect.Read:
 		e.reader.start(o.From)
-	case effect.Reply:
-		e.replies.Resolve(o.ID, o.Result)
-	case effect.ReplyStatus:
-		e.statuses.Resolve(o.ID, o.Status)
 	case effect.Count:
 		e.metrics.count(o)
 	case effect.LogChange:
@@ -39,6 +35,19 @@
 	default:
 		e.actPeers(out)
 		e.actClaims(out)
+		e.replyOperator(out)
+	}
+}
+
+// replyOperator hands a reply to the operator that waits for it.
+func (e *Entry) replyOperator(out effect.Effect) {
+	switch o := out.(type) {
+	case effect.Reply:
+		e.replies.Resolve(o.ID, o.Result)
+	case effect.ReplyStatus:
+		e.statuses.Resolve(o.ID, o.Status)
+	case effect.ReplyText:
+		e.texts.Resolve(o.ID, o)
 	}
 }
 
@@ -54,6 +63,8 @@
 	effect.ChangeDigestMismatch: "fold differs from a peer's",
 	effect.ChangePeerSuspect:    "peer suspected",
 	effect.ChangePeerDead:       "peer dead",
+	effect.ChangeGap:            "gap in the control stream",
+	effect.ChangeSnapshot:       "state taken from snapshot",
 	effect.ChangeHealth:         "endpoint health",
 }
 
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"context"
 	"net/http"
 
@@ -50,7 +52,7 @@
 // appendClaims writes a group to the claims stream, with the answers that are
 // still kept.
 func (e *Entry) appendClaims(o effect.AppendClaims) {
-	e.appendTo(platform.StreamClaims, o.Group.ID, func() ([]byte, error) {
+	e.appendTo(platform.StreamClaims, o.Group.ID, time.Time{}, func() ([]byte, error) {
 		return codec.EncodeClaims(codec.ClaimsRecord{Group: o.Group, Answers: e.answers.of(o.Group)})
 	})
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,8 +55,11 @@
 	// ClaimAppends is the number of groups of claims that the entry appends to
 	// the log in a second.
 	ClaimAppends int
-	// Placement says who grants slots; empty means reduce.PlacementLocal.
+	// Placement says who grants slots; empty means reduce.PlacementHolder.
 	Placement reduce.Placement
+	// SnapshotInterval is the time between snapshots of the control stream;
+	// zero means reduce.DefaultSnapshotInterval.
+	SnapshotInterval time.Duration
 	// OperatorToken is the bearer token of operators; empty allows anyone who
 	// reaches the operators' listener.
 	OperatorToken string
@@ -90,10 +93,11 @@
 	exchanges *exchanges
 	replies   *loop.Calls[control.Result]
 	statuses  *loop.Calls[effect.Status]
+	texts     *loop.Calls[effect.ReplyText]
 	client    *endpoint.Client
 	tracer    trace.Tracer
 	metrics   *metrics
-	traffic   pond.Pool
+	traffic   *workers
 	logPool   pond.Pool
 	peerPool  pond.Pool
 	peers     *peer.Client
@@ -122,10 +126,11 @@
 		answers:    newAnswers(),
 		replies:    loop.NewCalls[control.Result](),
 		statuses:   loop.NewCalls[effect.Status](),
+		texts:      loop.NewCalls[effect.ReplyText](),
 		client:     endpoint.NewClient(fleet.DefaultConnections),
 		tracer:     deps.Traces.Tracer("github.com/banyanrail/banyanrail/entry"),
 		metrics:    newMetrics(deps.Metrics),
-		traffic:    pond.NewPool(cfg.Traffic),
+		traffic:    newWorkers(cfg.Traffic),
 		logPool:    pond.NewPool(logWorkers),
 		peerPool:   pond.NewPool(peerWorkers, pond.WithQueueSize(peerQueue), pond.WithNonBlocking(true)),
 		stopped:    make(chan struct{}),
@@ -141,9 +146,10 @@
 		Seed:        cfg.Seed,
 		Incarnation: cfg.Incarnation,
 		// One group an interval is the entry's share of the log's appends.
-		ClaimInterval: time.Second / time.Duration(cfg.ClaimAppends),
-		MaxRequests:   cfg.MaxRequests,
-		Placement:     cfg.Placement,
+		ClaimInterval:    time.Second / time.Duration(cfg.ClaimAppends),
+		MaxRequests:      cfg.MaxRequests,
+		Placement:        cfg.Placement,
+		SnapshotInterval: cfg.SnapshotInterval,
 	})
 	e.loop = loop.New(loop.Config[event.Body, effect.Effect]{
 		Reduce: func(now time.Time, body event.Body) []effect.Effect {
@@ -168,6 +174,9 @@
 	if cfg.ClaimAppends == 0 {
 		cfg.ClaimAppends = DefaultClaimAppends
 	}
+	if cfg.Placement == "" {
+		cfg.Placement = reduce.PlacementHolder
+	}
 	if cfg.Incarnation == 0 {
 		cfg.Incarnation = uint64(time.Now().UnixNano())
 	}
@@ -200,7 +209,7 @@
 	<-ctx.Done()
 	e.end()
 	<-e.loop.Done()
-	e.traffic.StopAndWait()
+	e.traffic.Stop()
 	e.logPool.StopAndWait()
 	e.peerPool.StopAndWait()
 	e.peers.Close()
--- a/entry/logdriver.go
+++ b/entry/logdriver.go
@@ -25,15 +25,15 @@
 
 // append writes a record to the control stream.
 func (e *Entry) append(o effect.Append) {
-	e.appendTo(platform.StreamControl, o.Record.ID, func() ([]byte, error) {
+	e.appendTo(platform.StreamControl, o.Record.ID, o.Deadline, func() ([]byte, error) {
 		return codec.Encode(o.Record)
 	})
 }
 
 // appendTo queues an append of a record that is encoded on the way.
-func (e *Entry) appendTo(stream string, id fleet.RecordID, encode func() ([]byte, error)) {
+func (e *Entry) appendTo(stream string, id fleet.RecordID, deadline time.Time, encode func() ([]byte, error)) {
 	err := e.logPool.Go(func() {
-		outcome, err := e.appendOnce(stream, encode)
+		outcome, err := e.appendInTime(stream, deadline, encode)
 		_ = e.loop.Post(event.AppendFinished{ID: id, Outcome: outcome, Err: err}) // fails only after the end
 	})
 	if err != nil {
@@ -41,6 +41,15 @@
 	}
 }
 
+// appendInTime appends nothing once the deadline has passed: the process may
+// have been paused in between. A zero deadline never passes.
+func (e *Entry) appendInTime(stream string, deadline time.Time, encode func() ([]byte, error)) (event.AppendOutcome, error) {
+	if !deadline.IsZero() && e.clock().After(deadline) {
+		return event.AppendFailed, context.DeadlineExceeded
+	}
+	return e.appendOnce(stream, encode)
+}
+
 func (e *Entry) appendOnce(stream string, encode func() ([]byte, error)) (event.AppendOutcome, error) {
 	data, err := encode()
 	if err != nil {
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -3,25 +3,23 @@
 import (
 	"crypto/subtle"
 	"encoding/json"
-	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/event"
-	"github.com/banyanrail/banyanrail/services"
 	"github.com/google/uuid"
 )
 
 const (
-	// maxText bounds a services text, in bytes.
-	maxText = 4 << 20
 	// commandTimeout is how long an operator waits for a record to be read back.
 	commandTimeout = 10 * time.Second
 )
 
+// HeaderVersion tells the version of the services text in an answer.
+const HeaderVersion = "Banyanrail-Version"
+
 // OperatorResult is the body of the answer to an operator's command.
 type OperatorResult struct {
 	Record  fleet.RecordID `json:"record"`
@@ -35,6 +33,8 @@
 func (e *Entry) Operators() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /v1/text", e.handlePublish)
+	mux.HandleFunc("PATCH /v1/text", e.handlePatch)
+	mux.HandleFunc("GET /v1/text", e.handleText)
 	mux.HandleFunc("GET /v1/status", e.handleStatus)
 	mux.HandleFunc("GET /healthz", e.handleLive)
 	mux.HandleFunc("GET /readyz", e.handleReady)
@@ -60,25 +60,6 @@
 
 // handlePublish proposes a services text; the query parameter base names the
 // version that it was made from.
-func (e *Entry) handlePublish(w http.ResponseWriter, r *http.Request) {
-	base, err := strconv.ParseInt(r.URL.Query().Get("base"), 10, 64)
-	if err != nil {
-		e.writeProblem(w, operatorProblem(http.StatusBadRequest, "read request", "base is not a version number"))
-		return
-	}
-	src, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxText))
-	if err != nil {
-		e.writeProblem(w, operatorProblem(http.StatusRequestEntityTooLarge, "read request", err.Error()))
-		return
-	}
-	text, err := services.Parse("services.hcl", src)
-	if err != nil {
-		e.writeProblem(w, operatorProblem(http.StatusUnprocessableEntity, "check text", err.Error()))
-		return
-	}
-	e.command(w, r, control.Publish{Base: fleet.Version(base), Text: text})
-}
-
 // command proposes a record and answers with what became of it.
 func (e *Entry) command(w http.ResponseWriter, r *http.Request, body control.Body) {
 	now := e.clock()
@@ -111,6 +92,8 @@
 	control.Invalid:   http.StatusUnprocessableEntity,
 	control.LogDown:   http.StatusServiceUnavailable,
 	control.Undecided: http.StatusGatewayTimeout,
+	control.Voided:    http.StatusServiceUnavailable,
+	control.NotReady:  http.StatusServiceUnavailable,
 }
 
 func (e *Entry) handleStatus(w http.ResponseWriter, r *http.Request) {
--- a/reduce/claim_test.go
+++ b/reduce/claim_test.go
@@ -273,7 +273,7 @@
 	}}), released[0].Group.Items[0])
 }
 
-func TestLostAppendAnswerIsSettledByReading(t *testing.T) {
+func TestLostClaimAppendAnswerIsSettledByReading(t *testing.T) {
 	for _, inLog := range []bool{true, false} {
 		t.Run(fmt.Sprintf("in log %t", inLog), func(t *testing.T) {
 			c := newClaimant(newClaimLog(), "entry-1")
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -60,8 +60,12 @@
 	Instance fleet.InstanceID
 }
 
-// Append appends a record to the control stream.
-type Append struct{ Record control.Record }
+// Append appends a record to the control stream. The driver checks Deadline
+// just before it appends; the zero time means none.
+type Append struct {
+	Record   control.Record
+	Deadline time.Time
+}
 
 // Read starts reading the control stream from an offset on. A later Read
 // replaces it.
@@ -104,21 +108,35 @@
 	Status Status
 }
 
+// ReplyText answers a question for the services text in force.
+type ReplyText struct {
+	ID      uint64
+	Version fleet.Version
+	// Text is nil when no text is in force.
+	Text *fleet.Text
+}
+
 // Status is a summary of an entry's state.
 type Status struct {
-	Entry     fleet.EntryID          `json:"entry"`
-	Ready     bool                   `json:"ready"`
-	Stopping  bool                   `json:"stopping"`
-	Version   fleet.Version          `json:"version"`
-	Offset    fleet.Offset           `json:"offset"`
-	Requests  int                    `json:"requests"`
-	Queued    int                    `json:"queued"`
-	Running   int                    `json:"running"`
-	Peers     []fleet.EntryID        `json:"peers"`
-	Instances []InstanceStatus       `json:"instances"`
-	Claims    ClaimStatus            `json:"claims"`
-	Totals    map[string]uint64      `json:"totals"`
-	Pools     map[fleet.PoolName]int `json:"pools"`
+	Entry    fleet.EntryID `json:"entry"`
+	Ready    bool          `json:"ready"`
+	Stopping bool          `json:"stopping"`
+	// Gap is set while records that the entry needs have expired in the log.
+	Gap bool `json:"gap"`
+	// LogDown is set while the log cannot be read.
+	LogDown  bool            `json:"log_down"`
+	Version  fleet.Version   `json:"version"`
+	Offset   fleet.Offset    `json:"offset"`
+	Requests int             `json:"requests"`
+	Queued   int             `json:"queued"`
+	Running  int             `json:"running"`
+	Peers    []fleet.EntryID `json:"peers"`
+	// Versions holds the version in force at each entry alive, as last heard.
+	Versions  map[fleet.EntryID]fleet.Version `json:"versions"`
+	Instances []InstanceStatus                `json:"instances"`
+	Totals    map[string]uint64               `json:"totals"`
+	Pools     map[fleet.PoolName]int          `json:"pools"`
+	Claims    ClaimStatus                     `json:"claims"`
 	// Holds lists the pools whose slots this entry grants.
 	Holds []fleet.PoolName `json:"holds,omitempty"`
 }
@@ -197,6 +215,10 @@
 	ChangeDigestMismatch
 	ChangePeerSuspect
 	ChangePeerDead
+	// ChangeGap means that records the fold needs have expired in the log.
+	ChangeGap
+	// ChangeSnapshot means that the state was taken from a snapshot.
+	ChangeSnapshot
 	ChangeHealth
 )
 
@@ -243,6 +265,7 @@
 func (SetClaims) isEffect()     {}
 func (Reply) isEffect()         {}
 func (ReplyStatus) isEffect()   {}
+func (ReplyText) isEffect()     {}
 func (Count) isEffect()         {}
 func (LogChange) isEffect()     {}
 func (SendPeer) isEffect()      {}
--- a/reduce/event/event.go
+++ b/reduce/event/event.go
@@ -151,6 +151,9 @@
 // StatusAsked asks for a summary of the state.
 type StatusAsked struct{ ID uint64 }
 
+// TextAsked asks for the services text in force.
+type TextAsked struct{ ID uint64 }
+
 // ListedEntry is an entry in the platform's list.
 type ListedEntry struct {
 	ID      fleet.EntryID
@@ -190,6 +193,7 @@
 func (AppendFinished) isEvent()    {}
 func (OperatorCommanded) isEvent() {}
 func (StatusAsked) isEvent()       {}
+func (TextAsked) isEvent()         {}
 func (EntriesListed) isEvent()     {}
 func (PeerReceived) isEvent()      {}
 func (TimerFired) isEvent()        {}
--- a/reduce/log.go
+++ b/reduce/log.go
@@ -15,6 +15,7 @@
 func (s *State) onStarted() {
 	s.emit(effect.Read{From: firstOffset})
 	s.startClaims()
+	s.onUsageDue()
 	s.onHeartbeatDue()
 }
 
@@ -23,33 +24,91 @@
 		s.logDown = false
 		s.emit(effect.LogChange{Change: effect.ChangeLogUp})
 	}
+	s.followGap(ev.Oldest)
 	for _, p := range ev.Records {
-		s.fold(p)
+		if !s.gap {
+			s.fold(p)
+			continue
+		}
+		if s.adoptSnapshot(p, ev.Oldest) {
+			break
+		}
 	}
 	s.updateReady()
 }
 
-// updateReady makes the entry ready once a services text is in force.
+// followGap notes when records that the fold needs have expired in the log.
+// Peers may close the gap by passing them on.
+func (s *State) followGap(oldest fleet.Offset) {
+	gap := oldest > s.control.Offset+1
+	switch {
+	case gap && !s.gap:
+		s.emit(effect.LogChange{
+			Change:  effect.ChangeGap,
+			Version: s.control.Version,
+			Detail:  fmt.Sprintf("records %d to %d have expired", s.control.Offset+1, oldest-1),
+		})
+	case !gap && s.gap:
+		s.emit(effect.Read{From: s.control.Offset + 1})
+	}
+	s.gap = gap
+}
+
+// adoptSnapshot closes a gap with a snapshot, and reads on from where it ends.
+func (s *State) adoptSnapshot(p control.Positioned, oldest fleet.Offset) bool {
+	before := s.control.Version
+	if !s.control.Adopt(p, oldest) {
+		return false
+	}
+	s.gap = false
+	s.relay.Reset(s.control.Offset)
+	s.emit(effect.LogChange{
+		Change:  effect.ChangeSnapshot,
+		Version: s.control.Version,
+		Record:  p.Record.ID,
+		Detail:  fmt.Sprintf("folds records up to %d", s.control.Offset),
+	})
+	s.emit(effect.Read{From: s.control.Offset + 1})
+	s.followText(before, p.Record.ID)
+	return true
+}
+
+// updateReady makes the entry ready once a services text is in force and none
+// of the records that it needs are missing.
 func (s *State) updateReady() {
-	if !s.ready && !s.stopping && s.control.Text != nil {
-		s.ready = true
-		s.emit(effect.SetReady{Ready: true})
-		s.followHolders()
-		s.emit(effect.LogChange{Change: effect.ChangeReady, Version: s.control.Version})
+	if s.ready || s.stopping || s.gap || s.control.Text == nil {
+		return
 	}
+	s.ready = true
+	s.emit(effect.SetReady{Ready: true})
+	s.followHolders()
+	s.emit(effect.LogChange{Change: effect.ChangeReady, Version: s.control.Version})
 }
 
 func (s *State) fold(p control.Positioned) {
 	before := s.control.Version
 	res := s.control.Apply(p)
+	if res.Outcome == control.Gap {
+		return
+	}
 	s.relay.Add(p)
 	s.hastenHeartbeat()
-	if s.control.Version != before {
-		s.configure()
-		s.emit(effect.LogChange{Change: effect.ChangeText, Version: s.control.Version, Record: p.Record.ID})
-		s.grantAll()
-	}
+	s.followText(before, p.Record.ID)
+	s.scheduleSnapshot()
 	s.settle(res)
+	if v, ok := p.Record.Body.(control.Void); ok && res.Outcome == control.Accepted {
+		s.settle(control.Result{Record: v.Record, Outcome: control.Voided, Offset: p.Offset, Version: res.Version})
+	}
+}
+
+// followText makes the rest of the state follow a text that came into force.
+func (s *State) followText(before fleet.Version, record fleet.RecordID) {
+	if s.control.Version == before {
+		return
+	}
+	s.configure()
+	s.emit(effect.LogChange{Change: effect.ChangeText, Version: s.control.Version, Record: record})
+	s.grantAll()
 }
 
 func (s *State) onReadFailed(ev event.ReadFailed) {
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -35,10 +35,6 @@
 		s.onReadFailed(b)
 	case event.AppendFinished:
 		s.onAppendFinished(b)
-	case event.OperatorCommanded:
-		s.onOperatorCommanded(b)
-	case event.StatusAsked:
-		s.onStatusAsked(b)
 	case event.EntriesListed:
 		s.onEntriesListed(b)
 	case event.PeerReceived:
@@ -48,6 +44,7 @@
 	case event.StopAsked:
 		s.onStopAsked()
 	default:
+		s.onOperatorEvent(b)
 		s.reduceClaims(b)
 	}
 	s.fireTimers()
@@ -58,6 +55,18 @@
 	return s.out
 }
 
+// onOperatorEvent handles what operators command and ask.
+func (s *State) onOperatorEvent(body event.Body) {
+	switch b := body.(type) {
+	case event.OperatorCommanded:
+		s.onOperatorCommanded(b)
+	case event.StatusAsked:
+		s.onStatusAsked(b)
+	case event.TextAsked:
+		s.onTextAsked(b)
+	}
+}
+
 // fireTimers runs all timers that are due. Their owners say what they mean.
 func (s *State) fireTimers() {
 	for {
@@ -76,11 +85,15 @@
 		case *health.Instance:
 			s.onHealthDue(o)
 		case *proposal:
-			s.onProposalExpired(o)
+			s.onProposalTimer(o)
+		case *usageTick:
+			s.onUsageDue()
 		case *peers.State:
 			s.onHeartbeatDue()
 		case *holder.Link:
 			s.onHolderTimer(o)
+		case *snapshots:
+			s.onSnapshotTimer()
 		}
 	}
 }
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -13,6 +13,7 @@
 	"github.com/banyanrail/banyanrail/reduce/relay"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 	"github.com/banyanrail/banyanrail/reduce/timer"
+	"github.com/banyanrail/banyanrail/reduce/usage"
 )
 
 // Config is what an entry knows before its first event.
@@ -30,6 +31,9 @@
 	MaxRequests int
 	// Placement says who grants slots; empty means PlacementLocal.
 	Placement Placement
+	// SnapshotInterval is the time between snapshots of the control stream;
+	// zero means DefaultSnapshotInterval.
+	SnapshotInterval time.Duration
 }
 
 // State is the whole control state of an entry. Only Reduce changes it.
@@ -41,6 +45,8 @@
 	placement *placement.State
 	health    *health.State
 	budgets   *requests.Budgets
+	usage     *usage.State
+	usageTick usageTick
 	peers     *peers.State
 	claiming  *claiming
 	proposals proposals
@@ -49,15 +55,20 @@
 	outbox    outbox
 	// reask holds the requests whose grants could not be used.
 	reask []fleet.RequestID
+	// touched is kept between events for its memory.
+	touched []fleet.PoolName
 	// digestValue is the digest of the fold up to digestOffset.
 	digestOffset fleet.Offset
 	digestValue  uint64
 	timers       timer.Heap
+	snapshots    snapshots
 	logDown      bool
-	ready        bool
-	stopping     bool
-	stopped      bool
-	totals       totals
+	// gap is set while records that the fold needs have expired.
+	gap      bool
+	ready    bool
+	stopping bool
+	stopped  bool
+	totals   totals
 	// armed is the time of the last SetTimer effect.
 	armed time.Time
 	out   []effect.Effect
@@ -65,6 +76,9 @@
 
 // New returns the state of an entry that has seen no event.
 func New(cfg Config) *State {
+	if cfg.SnapshotInterval == 0 {
+		cfg.SnapshotInterval = DefaultSnapshotInterval
+	}
 	return &State{
 		cfg:       cfg,
 		control:   control.New(),
@@ -72,6 +86,7 @@
 		placement: placement.New(cfg.Seed),
 		health:    health.New(),
 		budgets:   requests.NewBudgets(),
+		usage:     usage.New(),
 		peers:     peers.New(cfg.Entry),
 		claiming:  newClaiming(cfg),
 		proposals: newProposals(),
