Count claims, and kill entries between two effects

Cause: operators could not see how many claims were released or left in doubt, and no test ended an entry within the effects of one event.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,8 @@
 
 soak: ## longer runs of the history checks
 	go test -run '^TestClaimHistory$$' -count=1 -timeout 30m -v ./dev -keys=$(KEYS) -entries=9 -rounds=10 -seed=$(SEED)
+	go test -run '^TestClaimHistory$$' -count=1 -timeout 30m -v ./dev -keys=$(KEYS) -entries=9 -rounds=10 -seed=$(SEED) -holder
+	go test -run '^TestClaimsHoldUnderAnyOrder$$' -count=1 -timeout 30m -v ./reduce -rapid.checks=20000 -rapid.seed=$(SEED)
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
--- a/dev/claimhistory_test.go
+++ b/dev/claimhistory_test.go
@@ -19,6 +19,7 @@
 	claimKeys    = flag.Int("keys", 60, "keys of the claim history")
 	claimEntries = flag.Int("entries", 3, "entries of the claim history")
 	claimRounds  = flag.Int("rounds", 1, "times that the faults of the claim history happen")
+	claimHolder  = flag.Bool("holder", false, "let holders grant slots in the claim history")
 	claimSeed    = flag.Uint64("seed", 1, "seed of the claim history")
 )
 
@@ -49,7 +50,7 @@
 }
 
 func TestClaimHistory(t *testing.T) {
-	t.Logf("keys %d, entries %d, rounds %d, seed %d", *claimKeys, *claimEntries, *claimRounds, *claimSeed)
+	t.Logf("keys %d, entries %d, rounds %d, holder %t, seed %d", *claimKeys, *claimEntries, *claimRounds, *claimHolder, *claimSeed)
 	r := newClaimRun(t, *claimEntries, *claimKeys, *claimSeed, nil)
 	history := r.run(claimFaults(*claimRounds, *claimEntries))
 	must.EqOp(t, porcupine.Ok, checkClaims(history))
--- a/dev/claimrun_test.go
+++ b/dev/claimrun_test.go
@@ -15,6 +15,7 @@
 	"github.com/banyanrail/banyanrail/dev"
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/banyanrail/banyanrail/standin"
@@ -50,8 +51,12 @@
 func newClaimRun(t *testing.T, entries, keys int, seed uint64, tap entry.Tap) *claimRun {
 	t.Helper()
 	r := &claimRun{t: t, keys: keys, seed: seed}
+	placement := reduce.PlacementLocal
+	if *claimHolder {
+		placement = reduce.PlacementHolder
+	}
 	f, err := dev.Start(dev.Config{
-		Entries: entries, Runners: 4, Slots: 8, Work: 2 * time.Millisecond,
+		Entries: entries, Runners: 4, Slots: 8, Work: 2 * time.Millisecond, Placement: placement,
 		Tap: func(id fleet.EntryID) entry.Tap { return r.tap(id, tap) },
 	})
 	must.NoError(t, err)
--- a/reduce/claim.go
+++ b/reduce/claim.go
@@ -160,6 +160,7 @@
 		return
 	}
 	record := s.claiming.outbox.Add(claims.Claim{Scope: scope, BodyHash: r.BodyHash, Deadline: r.Deadline})
+	s.countClaim(effect.ClaimsMade, r)
 	s.claiming.own[scope] = stake{request: r.ID, ref: claims.Ref{Scope: scope, Record: record}}
 }
 
@@ -227,13 +228,19 @@
 	switch {
 	case r.Sent || r.UnderWay():
 		s.claiming.outbox.Add(claims.InDoubt{Ref: st.ref})
+		s.countClaim(effect.ClaimsInDoubt, r)
 	case s.claiming.outbox.Withdraw(st.ref):
 		s.revisitWaiting(scope)
 	default:
 		s.claiming.outbox.Add(claims.Released{Ref: st.ref})
+		s.countClaim(effect.ClaimsReleased, r)
 	}
 }
 
+func (s *State) countClaim(name effect.Counter, r *requests.Request) {
+	s.emit(effect.Count{Name: name, Service: r.Service.Name, N: 1})
+}
+
 func (s *State) stopWaiting(scope claims.Scope, id fleet.RequestID) {
 	ids, ok := s.claiming.waiting[scope]
 	if !ok {
@@ -320,6 +327,7 @@
 	case !ev.Found:
 		s.refuseRequest(r, fleet.ReasonAnswerNotKept)
 	default:
+		s.countClaim(effect.AnswersReplayed, r)
 		s.answer(r, event.AttemptFinished{Attempt: r.Attempt()})
 	}
 }
--- a/reduce/claimworld_test.go
+++ b/reduce/claimworld_test.go
@@ -216,6 +216,17 @@
 	w.follow(c, c.do(event.RequestCancelled{ID: fleet.RequestID(rapid.IntRange(1, int(w.sent)).Draw(w.t, "id"))}))
 }
 
+// crashInBatch replaces an entry that has carried out only some of the effects
+// of an event.
+func (w *claimWorld) crashInBatch(*rapid.T) {
+	i := rapid.IntRange(0, len(w.entries)-1).Draw(w.t, "entry")
+	c := w.entries[i]
+	c.now = w.now
+	out := append(c.do(event.TimerFired{}), c.catchUp()...)
+	w.follow(c, out[:rapid.IntRange(0, len(out)).Draw(w.t, "effects")])
+	w.entries[i] = w.newEntry()
+}
+
 // crash replaces an entry. What it had sent goes on without it.
 func (w *claimWorld) crash(*rapid.T) {
 	i := rapid.IntRange(0, len(w.entries)-1).Draw(w.t, "entry")
@@ -231,7 +242,7 @@
 		w := newClaimWorld(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"send": w.send, "pass": w.pass, "wake": w.wake, "read": w.read, "append": w.endAppend,
-			"late": w.appendLate, "attempt": w.endAttempt, "cancel": w.cancel, "crash": w.crash, "settle": w.settle,
+			"late": w.appendLate, "attempt": w.endAttempt, "cancel": w.cancel, "crash": w.crash, "settle": w.settle, "crash in batch": w.crashInBatch,
 		})
 		ran += len(w.runOf)
 	})
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -179,6 +179,10 @@
 	RequestsRefused
 	AttemptsRetried
 	LateAnswers
+	ClaimsMade
+	ClaimsReleased
+	ClaimsInDoubt
+	AnswersReplayed
 	// DigestMismatches counts peers whose fold of the same records differs.
 	DigestMismatches
 	// RecordsRelayed counts records that came from a peer before the log.
