--- a/cmd/banyanrail/main.go
+++ b/cmd/banyanrail/main.go
@@ -18,6 +18,10 @@
 	Publish *publishCmd `arg:"subcommand:publish" help:"bring a services text into force"`
 	Status  *statusCmd  `arg:"subcommand:status" help:"show what an entry sees"`
 	Watch   *watchCmd   `arg:"subcommand:watch" help:"show changes of an entry's state as they happen"`
+	Drain   *drainCmd   `arg:"subcommand:drain" help:"take an instance out of service"`
+	Undrain *undrainCmd `arg:"subcommand:undrain" help:"bring an instance back into service"`
+	Move    *moveCmd    `arg:"subcommand:move" help:"move an instance to another pool"`
+	Wave    *waveCmd    `arg:"subcommand:wave" help:"reboot instances step by step"`
 	Dev     *devCmd     `arg:"subcommand:dev" help:"run a whole fleet in this process"`
 	Load    *loadCmd    `arg:"subcommand:load" help:"drive a fleet with requests and count what became of them"`
 	Version *versionCmd `arg:"subcommand:version" help:"show the version of this program"`
--- a/cmd/banyanraild/main.go
+++ b/cmd/banyanraild/main.go
@@ -67,7 +67,7 @@
 		PeersTLS:         peersTLS,
 		SnapshotInterval: c.snapshots,
 		ClaimAppends:     c.claimAppends,
-	}, entry.Deps{Log: client, Instances: client, Logger: logger, Metrics: scope, Traces: traces})
+	}, entry.Deps{Log: client, Instances: client, Workers: client, Logger: logger, Metrics: scope, Traces: traces})
 	return serve(ctx, c, e, metrics)
 }
 
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -42,7 +42,10 @@
 		Address:     e.cfg.PeerAddress,
 		TLS:         e.cfg.PeersTLS,
 		Run:         e.peerPool.Go,
-		Failed:      func(to fleet.EntryID, _ error) { e.metrics.peerFailed(to) },
+		Failed: func(to fleet.EntryID, _ error) {
+			e.metrics.peerFailed(to)
+			_ = e.loop.Offer(event.PeerUnreachable{Peer: to}) // silence tells the same, later
+		},
 	})
 }
 
@@ -61,7 +64,8 @@
 	for e.background.Err() == nil {
 		rows, err := e.deps.Instances.List(e.background)
 		if err == nil {
-			_ = e.loop.Post(listedEntries(rows)) // fails only after the end
+			_ = e.loop.Post(listedEntries(rows))   // fails only after the end
+			_ = e.loop.Post(listedEndpoints(rows)) // fails only after the end
 		}
 		sleep(e.background, listInterval)
 	}
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -27,6 +27,8 @@
 			return err
 		}
 		env.Message = &peerpb.Envelope_Records{Records: &peerpb.Records{After: int64(m.After), Records: records}}
+	case message.DrainAcks:
+		env.Message = &peerpb.Envelope_DrainAcks{DrainAcks: encodeDrainAcks(m)}
 	case message.Snapshot:
 		data, err := codec.Encode(control.Record{Body: m.Fold})
 		if err != nil {
@@ -68,6 +70,8 @@
 		return message.RecordsAsked{After: fleet.Offset(m.RecordsAsked.GetAfter())}, nil
 	case *peerpb.Envelope_Records:
 		return decodeRecords(m.Records), nil
+	case *peerpb.Envelope_DrainAcks:
+		return decodeDrainAcks(m.DrainAcks), nil
 	case *peerpb.Envelope_Snapshot:
 		return decodeSnapshot(m.Snapshot)
 	case *peerpb.Envelope_Totals:
--- a/reduce/control/snapshot.go
+++ b/reduce/control/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
@@ -16,6 +17,10 @@
 	Text    *fleet.Text
 	// Moved holds the instances that are in another pool than Text says.
 	Moved map[fleet.InstanceID]fleet.PoolName
+	// Drains, Waves and Moves are those of the state.
+	Drains Drains
+	Waves  Waves
+	Moves  uint64
 	// Seen holds the newest record ids, oldest first.
 	Seen []Remembered
 }
@@ -40,6 +45,9 @@
 		Version: s.Version,
 		Text:    s.Text,
 		Moved:   make(map[fleet.InstanceID]fleet.PoolName),
+		Drains:  maps.Clone(s.Drains),
+		Waves:   s.Waves.clone(),
+		Moves:   s.Moves,
 		Seen:    s.seen.list(),
 	}
 	if s.Text == nil {
@@ -89,6 +97,8 @@
 	for id, pool := range snap.Moved {
 		next.Pools[id] = pool
 	}
+	maps.Copy(next.Drains, snap.Drains)
+	next.Waves, next.Moves = snap.Waves.clone(), snap.Moves
 	for _, r := range snap.Seen {
 		next.seen.add(r.ID, r.Outcome)
 	}
--- a/reduce/peer.go
+++ b/reduce/peer.go
@@ -20,6 +20,9 @@
 	listed := make(map[fleet.EntryID]bool, len(ev.Entries))
 	for _, e := range ev.Entries {
 		listed[e.ID] = true
+		if e.ID == s.cfg.Entry && s.drains.Listed.IsZero() {
+			s.drains.Listed = s.now
+		}
 		_, known := s.peers.Get(e.ID)
 		s.peers.Learn(e.ID, e.Address, s.now)
 		if p, ok := s.peers.Get(e.ID); ok && !known {
@@ -87,6 +90,8 @@
 		s.onReportWanted(p)
 	case message.ReportTaken:
 		s.onReportTaken(p, m)
+	case message.DrainAcks:
+		s.onDrainAcks(p, m)
 	}
 }
 
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/reduce/claims"
+	"github.com/banyanrail/banyanrail/reduce/drains"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/banyanrail/banyanrail/reduce/health"
@@ -16,7 +17,7 @@
 // returned slice is valid until the next call.
 func Reduce(s *State, ev event.Event) []effect.Effect {
 	s.out = s.out[:0]
-	s.now = ev.Now
+	s.advance(ev.Now)
 	s.placement.Advance(ev.Now)
 	switch b := ev.Body.(type) {
 	case event.Started:
@@ -39,12 +40,15 @@
 		s.onEntriesListed(b)
 	case event.PeerReceived:
 		s.onPeerReceived(b)
+	case event.PeerUnreachable:
+		s.onPeerUnreachable(b)
 	case event.TimerFired:
 		s.armed = time.Time{}
 	case event.StopAsked:
 		s.onStopAsked()
 	default:
 		s.onOperatorEvent(b)
+		s.reduceMaintenance(b)
 		s.reduceClaims(b)
 	}
 	s.fireTimers()
@@ -90,6 +94,8 @@
 			s.onUsageDue()
 		case *peers.State:
 			s.onHeartbeatDue()
+		case *drains.State:
+			s.onStepsDue()
 		case *holder.Link:
 			s.onHolderTimer(o)
 		case *snapshots:
--- a/reduce/request.go
+++ b/reduce/request.go
@@ -199,8 +199,10 @@
 	g := r.Grant
 	s.placement.Finish(g, ev.Elapsed)
 	s.usage.Run(r.Service.Name, ev.Elapsed)
-	s.giveBack(r, s.judge(r, ev))
+	done := s.judge(r, ev)
+	s.giveBack(r, done)
 	s.conclude(r, ev)
+	s.attemptEnded(done)
 	s.grant(g.Ask.Pool)
 	s.grantUnblocked()
 }
--- a/standin/endpointstate.go
+++ b/standin/endpointstate.go
@@ -68,6 +68,8 @@
 	Hang bool
 	// Leaving refuses new requests.
 	Leaving bool
+	// Down answers nothing; what runs when it is set is cut off.
+	Down bool
 	// Truncate, Break and Swap spoil this many of the next answers after the
 	// request ran.
 	Truncate, Break, Swap int
@@ -89,6 +91,8 @@
 	Refused    int
 	// AfterLeaving counts requests that came while the endpoint was leaving.
 	AfterLeaving int
+	// CutOff counts requests that ran when the endpoint went down.
+	CutOff int
 }
 
 type runnerState struct {
@@ -119,6 +123,9 @@
 		s.out = append(s.out, replyRun{call: e.call, result: s.health()})
 	case runnerFaultSet:
 		s.fault = e.fault
+		if s.fault.Down {
+			s.cutOff()
+		}
 	case runsAsked:
 		s.report(e.call)
 	}
@@ -131,6 +138,9 @@
 
 func (s *runnerState) start(now time.Time, e runAsked) {
 	switch {
+	case s.fault.Down:
+		s.out = append(s.out, replyRun{call: e.call, result: RunBroken})
+		return
 	case s.fault.Leaving:
 		s.runs.AfterLeaving++
 		s.out = append(s.out, replyRun{call: e.call, result: RunLeaving})
@@ -160,6 +170,8 @@
 // health is the answer to a probe.
 func (s *runnerState) health() RunResult {
 	switch {
+	case s.fault.Down:
+		return RunFailed
 	case s.fault.Leaving:
 		return RunLeaving
 	case s.fault.FailAll, s.fault.Hang:
@@ -169,6 +181,15 @@
 	}
 }
 
+// cutOff breaks everything that runs.
+func (s *runnerState) cutOff() {
+	for _, w := range s.running {
+		s.runs.CutOff++
+		s.out = append(s.out, replyRun{call: w.call, result: RunBroken})
+	}
+	s.running = nil
+}
+
 // outcome takes the next fault of an answer.
 func (s *runnerState) outcome() RunResult {
 	switch {
