--- a/reduce/grant.go
+++ b/reduce/grant.go
@@ -191,7 +191,7 @@
 
 // setShare gives this entry all slots of a pool, or its share.
 func (s *State) setShare(pool fleet.PoolName, shared bool) {
-	entries := max(1, len(s.peers.Alive()))
+	entries := s.peers.Present()
 	s.placement.SetShare(pool, func(slots int) int {
 		if !shared {
 			return slots
--- a/reduce/peers/peers.go
+++ b/reduce/peers/peers.go
@@ -231,6 +231,17 @@
 	}
 }
 
+// Present returns the number of entries that are not dead, this one included.
+func (s *State) Present() int {
+	n := 1
+	for _, p := range s.byID {
+		if p.Status == Alive || p.Status == Suspect {
+			n++
+		}
+	}
+	return n
+}
+
 // Alive returns the ids of the entries that are alive, this one included, in
 // order.
 func (s *State) Alive() []fleet.EntryID {
--- a/reduce/peers/peers_test.go
+++ b/reduce/peers/peers_test.go
@@ -60,6 +60,7 @@
 	must.Len(t, 1, changed)
 	must.EqOp(t, peers.Suspect, changed[0].Status)
 	must.Eq(t, []fleet.EntryID{"entry-1"}, s.Alive())
+	must.EqOp(t, 2, s.Present())
 
 	changed = s.Judge(epoch.Add(5 * time.Second))
 	must.EqOp(t, peers.Dead, changed[0].Status)
