--- a/Makefile
+++ b/Makefile
@@ -16,11 +16,12 @@
 test: ## all tests, with the race detector
 	go test -race $(SKIP) ./...
 
-soak: ## longer runs of the history checks
+soak: ## longer runs of the history checks, and waves under load; takes minutes
+	go test -run '^$$' -bench 'Wave|Move' -benchtime 1x -timeout 20m ./dev
 	go test -run '^TestClaimHistory$$' -count=1 -timeout 30m -v ./dev -keys=$(KEYS) -entries=9 -rounds=10 -seed=$(SEED)
 
 bench:
-	go test -run '^$$' -bench . -benchmem ./...
+	go test -short -run '^$$' -bench . -benchmem ./...
 
 bench-placement: ## the brief's burst under both placements, about a minute
 	go test -run '^$$' -bench BenchmarkBurst -benchtime 1x -timeout 5m ./dev
--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -83,6 +83,7 @@
 func Start(cfg Config) (*Fleet, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Fleet{Platform: standin.NewPlatform(), cfg: cfg, ctx: ctx, cancel: cancel}
+	f.Platform.OnPower(f.setPower)
 	if err := f.start(ctx, cfg); err != nil {
 		f.Stop()
 		return nil, err
@@ -157,7 +158,7 @@
 	if f.cfg.Tap != nil {
 		deps.Tap = f.cfg.Tap(node.ID)
 	}
-	deps.Log, deps.Instances = node.Log, client
+	deps.Log, deps.Instances, deps.Workers = node.Log, client, client
 	node.Entry = entry.New(entry.Config{
 		ID:               node.ID,
 		Seed:             uint64(f.started),
@@ -179,6 +180,18 @@
 	return node, nil
 }
 
+// setPower passes on what the worker control did to an instance.
+func (f *Fleet) setPower(id fleet.InstanceID, power standin.Power) {
+	for _, r := range f.Runners {
+		if r.ID != id {
+			continue
+		}
+		if err := r.SetPower(power); err != nil && f.cfg.Deps.Logger != nil {
+			f.cfg.Deps.Logger.Error("set power", "instance", id, "error", err)
+		}
+	}
+}
+
 // Stop ends everything and waits for it.
 func (f *Fleet) Stop() {
 	f.cancel()
--- a/entry/act.go
+++ b/entry/act.go
@@ -35,6 +35,7 @@
 	default:
 		e.actPeers(out)
 		e.actClaims(out)
+		e.actOnWorkers(out)
 		e.replyOperator(out)
 	}
 }
@@ -58,6 +59,8 @@
 	effect.ChangeLogUp:          "log available",
 	effect.ChangeStopping:       "stopping",
 	effect.ChangeRecordRejected: "record rejected",
+	effect.ChangeInstance:       "instance changed phase",
+	effect.ChangeWave:           "wave changed",
 	effect.ChangeClaimsOpen:     "taking non-idempotent requests",
 	effect.ChangeClaimsClosed:   "refusing non-idempotent requests",
 	effect.ChangeDigestMismatch: "fold differs from a peer's",
@@ -70,5 +73,5 @@
 
 func (e *Entry) logChange(o effect.LogChange) {
 	e.deps.Logger.Info(changeNames[o.Change],
-		"entry", e.cfg.ID, "version", o.Version, "record", o.Record, "detail", o.Detail)
+		"entry", e.cfg.ID, "version", o.Version, "record", o.Record, "instance", o.Instance, "detail", o.Detail)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -72,9 +72,12 @@
 	Log platform.Log
 	// Instances is the platform's list; nil leaves the entry without peers.
 	Instances platform.Instances
-	Metrics   tally.Scope
-	Logger    *slog.Logger
-	Traces    trace.TracerProvider
+	// Workers is the platform's worker control; nil leaves drained instances
+	// without their stop or reboot.
+	Workers platform.Workers
+	Metrics tally.Scope
+	Logger  *slog.Logger
+	Traces  trace.TracerProvider
 	// Tap sees every event with its effects and returns the effects to carry
 	// out. Tests record runs and seed faults with it; nil passes effects on.
 	Tap Tap
@@ -205,6 +208,9 @@
 	_ = e.loop.Post(event.Started{}) // fails only after the end
 	if e.deps.Instances != nil {
 		go e.followList()
+	} else {
+		alone := event.EntriesListed{Entries: []event.ListedEntry{{ID: e.cfg.ID}}}
+		_ = e.loop.Post(alone) // fails only after the end
 	}
 	<-ctx.Done()
 	e.end()
--- a/reduce/message/message.go
+++ b/reduce/message/message.go
@@ -35,6 +35,18 @@
 	Records []control.Positioned
 }
 
+// DrainAcks tells on which draining instances the sender has nothing in flight.
+// It is sent again while the drains last, so that a lost one does no harm.
+type DrainAcks struct{ Acks []DrainAck }
+
+// DrainAck tells about one instance at the epoch of its drain.
+type DrainAck struct {
+	Instance fleet.InstanceID
+	Epoch    fleet.Offset
+}
+
+func (DrainAcks) isMessage() {}
+
 // Snapshot passes a whole fold on, to a peer that lacks records which the sender
 // no longer keeps.
 type Snapshot struct{ Fold control.Snapshot }
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -5,6 +5,7 @@
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/drains"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/health"
 	"github.com/banyanrail/banyanrail/reduce/holder"
@@ -49,6 +50,7 @@
 	usageTick usageTick
 	peers     *peers.State
 	claiming  *claiming
+	drains    *drains.State
 	proposals proposals
 	relay     relay.State
 	holders   *holder.State
@@ -89,6 +91,7 @@
 		usage:     usage.New(),
 		peers:     peers.New(cfg.Entry),
 		claiming:  newClaiming(cfg),
+		drains:    drains.New(),
 		proposals: newProposals(),
 		holders:   holder.New(),
 	}
