Let an isolated entry leave the balancer; copy what status reports

A drain waits for a silent entry for a bounded time, and nothing made an entry that hears neither log nor peers stop taking work by then. It now leaves the balancer 8 s after its last read of the log, and drains wait 10 s and the longest time limit from when it was last heard.

Status handed the state's own slices of a wave to the HTTP side: a data race, which failed TestWaveUnderLoadWithABrokenInstance under -race. It copies them now.

--- a/entry/act.go
+++ b/entry/act.go
@@ -60,6 +60,7 @@
 	effect.ChangeStopping:       "stopping",
 	effect.ChangeRecordRejected: "record rejected",
 	effect.ChangeInstance:       "instance changed phase",
+	effect.ChangeIsolated:       "isolated from log and peers",
 	effect.ChangeWave:           "wave changed",
 	effect.ChangeClaimsOpen:     "taking non-idempotent requests",
 	effect.ChangeClaimsClosed:   "refusing non-idempotent requests",
--- a/reduce/cluster_test.go
+++ b/reduce/cluster_test.go
@@ -38,6 +38,7 @@
 	next  int
 	// dead runs nothing; noLog and noPeers cut it off.
 	dead, noLog, noPeers bool
+	ready                bool
 	running              map[fleet.AttemptID]fleet.InstanceID
 	status               effect.Status
 	last                 control.Result
@@ -95,6 +96,8 @@
 		}
 	case effect.CheckInstance:
 		c.do(m, event.InstanceChecked{Instance: e.Instance, Epoch: e.Epoch, Healthy: !c.broken[e.Instance]})
+	case effect.SetReady:
+		m.ready = e.Ready
 	case effect.Dispatch:
 		m.running[e.Attempt] = e.Instance
 	case effect.ReplyStatus:
--- a/reduce/drain.go
+++ b/reduce/drain.go
@@ -215,7 +215,7 @@
 	if s.requests.RunsOn(id) || !s.knowsPeers() {
 		return false
 	}
-	patience := drains.IsolationLimit + peers.DeadIntervals*s.peers.Interval() + s.longestRequest()
+	patience := drains.IsolationLimit + s.longestRequest()
 	for _, p := range s.peers.All() {
 		if it.HasAck(p.ID, p.Incarnation) {
 			continue
--- a/reduce/drain_test.go
+++ b/reduce/drain_test.go
@@ -10,7 +10,6 @@
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/drains"
 	"github.com/banyanrail/banyanrail/reduce/event"
-	"github.com/banyanrail/banyanrail/reduce/peers"
 	"github.com/shoenig/test/must"
 )
 
@@ -42,7 +41,7 @@
 	c.occupy(2, "runner-1")
 	c.entries[2].noLog, c.entries[2].noPeers = true, true
 	c.command(0, drainOf("runner-1", control.PurposeReboot))
-	patience := 10*time.Second + drains.IsolationLimit + peers.DeadIntervals*peers.HeartbeatInterval
+	patience := 10*time.Second + drains.IsolationLimit
 	c.run(patience - time.Second)
 	must.EqOp(t, "draining", c.phase(0, "runner-1"))
 	c.run(4 * time.Second)
@@ -263,3 +262,19 @@
 	must.EqOp(t, "draining", c.phase(0, "runner-1"))
 	must.MapEmpty(t, c.commands)
 }
+
+// TestIsolatedEntryLeavesTheBalancer cuts an entry off from log and peers: it
+// must have stopped taking new work by the time that others no longer wait.
+func TestIsolatedEntryLeavesTheBalancer(t *testing.T) {
+	c := newCluster(t, 3, fleetText(4, 1, 0))
+	m := c.entries[2]
+	m.noLog = true
+	c.run(time.Minute)
+	must.True(t, m.ready) // it still hears its peers
+	m.noPeers = true
+	c.run(drains.IsolationLimit - time.Second)
+	must.False(t, m.ready)
+	m.noPeers = false
+	c.run(2 * time.Second)
+	must.True(t, m.ready)
+}
--- a/reduce/drains/drains.go
+++ b/reduce/drains/drains.go
@@ -34,9 +34,13 @@
 	// PauseLimit is the time between two events after which the process counts
 	// as paused and its fold as old. Heartbeats keep events closer together.
 	PauseLimit = 2 * time.Second
+	// ReadSilence is the time without a read of the log after which an entry
+	// that hears no peer either leaves the balancer. A read that finds nothing
+	// new returns earlier than that.
+	ReadSilence = 8 * time.Second
 	// IsolationLimit is how long an entry that hears neither log nor peers may
 	// still take new work that others don't know of.
-	IsolationLimit = 5 * time.Second
+	IsolationLimit = 10 * time.Second
 	// ReturnLimit is how long a rebooted instance may stay away.
 	ReturnLimit = 15 * time.Minute
 	// ChecksToPass is the number of health checks in a row that probation asks
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -232,6 +232,7 @@
 	ChangeStopping
 	ChangeRecordRejected
 	ChangeInstance
+	ChangeIsolated
 	ChangeWave
 	ChangeClaimsOpen
 	ChangeClaimsClosed
--- a/reduce/log.go
+++ b/reduce/log.go
@@ -34,6 +34,7 @@
 			break
 		}
 	}
+	s.isolation.lastRead = s.now
 	s.reachedEnd(ev)
 	s.updateReady()
 }
--- a/reduce/peer.go
+++ b/reduce/peer.go
@@ -105,6 +105,7 @@
 	}
 	s.followHolders()
 	s.checkHolders()
+	s.followIsolation()
 	beat := s.heartbeat()
 	for _, p := range s.peers.Due() {
 		s.send(p, beat)
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -51,6 +51,7 @@
 	peers     *peers.State
 	claiming  *claiming
 	drains    *drains.State
+	isolation isolation
 	proposals proposals
 	relay     relay.State
 	holders   *holder.State
--- a/reduce/wave.go
+++ b/reduce/wave.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
@@ -98,10 +99,11 @@
 	return all
 }
 
+// waveStatus shares nothing with the state: its reader is another goroutine.
 func waveStatus(w *control.Wave) effect.WaveStatus {
 	return effect.WaveStatus{
 		ID: w.ID, Phase: w.Phase.String(), Note: w.Note, Detail: w.Detail, Steps: w.Steps,
 		Pending: len(w.Pending), Done: len(w.Done),
-		Current: w.Current, Failed: w.Failed, Skipped: w.Skipped,
+		Current: slices.Clone(w.Current), Failed: slices.Clone(w.Failed), Skipped: slices.Clone(w.Skipped),
 	}
 }
--- a/reduce/wave_test.go
+++ b/reduce/wave_test.go
@@ -178,3 +178,13 @@
 		}
 	}
 }
+
+func TestStatusSharesNothingWithTheState(t *testing.T) {
+	c := newCluster(t, 1, fleetText(8, 2, 0))
+	c.command(0, wholeMain)
+	c.until(0, "runner-1", "probation")
+	st := c.wave(0)
+	must.Eq(t, []fleet.InstanceID{"runner-1", "runner-2"}, st.Current)
+	c.untilWave(0, isIn("done"))
+	must.Eq(t, []fleet.InstanceID{"runner-1", "runner-2"}, st.Current)
+}
