--- a/cmd/banyanraild/settings.go
+++ b/cmd/banyanraild/settings.go
@@ -97,10 +97,10 @@
 	var err error
 	c.grace, err = checkDuration(s.Grace)
 	all.add("grace", err)
-	c.snapshots, err = checkDuration(s.Snapshots)
-	all.add("snapshot-interval", err)
 	c.claimAppends, err = checkAppends(s.ClaimAppends)
 	all.add("claim-appends", err)
+	c.snapshots, err = checkDuration(s.Snapshots)
+	all.add("snapshot-interval", err)
 	c.traceShare, err = checkShare(s.TraceShare)
 	all.add("trace-share", err)
 	return c, errors.Join(all...)
--- a/reduce/event/event.go
+++ b/reduce/event/event.go
@@ -209,6 +209,9 @@
 	Message  message.Message
 }
 
+// PeerUnreachable reports that a message could not be handed to a peer.
+type PeerUnreachable struct{ Peer fleet.EntryID }
+
 // TimerFired reports that the time of the last SetTimer effect has come.
 type TimerFired struct{}
 
@@ -233,5 +236,6 @@
 func (CommandFinished) isEvent()   {}
 func (InstanceChecked) isEvent()   {}
 func (PeerReceived) isEvent()      {}
+func (PeerUnreachable) isEvent()   {}
 func (TimerFired) isEvent()        {}
 func (StopAsked) isEvent()         {}
