--- a/dev/drain_test.go
+++ b/dev/drain_test.go
@@ -41,7 +41,14 @@
 	t.Helper()
 	data, err := json.Marshal(body)
 	must.NoError(t, err)
-	resp, err := http.Post(n.OperatorsURL+path, "application/json", bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, n.OperatorsURL+path, bytes.NewReader(data))
+	must.NoError(t, err)
+	return sendOrder(t, req)
+}
+
+func sendOrder(t testing.TB, req *http.Request) (int, entry.OperatorResult) {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(req)
 	must.NoError(t, err)
 	defer resp.Body.Close()
 	var res entry.OperatorResult
--- a/dev/wave_bench_test.go
+++ b/dev/wave_bench_test.go
@@ -71,6 +71,8 @@
 	mu      sync.Mutex
 	leaving map[fleet.InstanceID]time.Time
 	late    int
+	// drained counts the instances that were seen to leave.
+	drained int
 	lastIn  time.Duration
 }
 
@@ -105,6 +107,7 @@
 			for _, id := range r.Instances {
 				if _, known := w.leaving[id]; !known {
 					w.leaving[id] = now
+					w.drained++
 				}
 			}
 		case control.Return:
@@ -169,6 +172,9 @@
 	b.ReportMetric(float64(failed), "not-answered")
 	b.ReportMetric(float64(cut), "cut-off")
 	b.ReportMetric(float64(refused), "slot-refusals")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	must.GreaterEq(b, 50, w.drained)
 	b.ReportMetric(float64(w.late), "on-leaving-after-3s")
 	b.ReportMetric(w.lastIn.Seconds(), "last-on-leaving-s")
 	b.ReportMetric(least, "least-capacity")
