--- /dev/null
+++ b/reduce/control/rebase.go
@@ -0,0 +1,36 @@
+package control
+
+import "github.com/banyanrail/banyanrail/fleet"
+
+// Rebase fills in what an operator leaves to the entry: the epoch that the
+// record is based on, and whether a move needs a drain first.
+func (s *State) Rebase(body Body) Body {
+	switch r := body.(type) {
+	case Drain:
+		r.Base = s.epochOr(r.Base, r.Instance)
+		return r
+	case Undrain:
+		r.Base = s.epochOr(r.Base, r.Instance)
+		return r
+	case Move:
+		return s.rebaseMove(r)
+	case PauseWave:
+		r.Base = s.waveEpochOr(r.Base, r.Wave)
+		return r
+	case ResumeWave:
+		r.Base = s.waveEpochOr(r.Base, r.Wave)
+		return r
+	case AbortWave:
+		r.Base = s.waveEpochOr(r.Base, r.Wave)
+		return r
+	default:
+		return body
+	}
+}
+
+func (s *State) epochOr(base fleet.Offset, id fleet.InstanceID) fleet.Offset {
+	if base != CurrentEpoch {
+		return base
+	}
+	return s.Drains[id].Epoch
+}
--- /dev/null
+++ b/reduce/drainacks.go
@@ -0,0 +1,131 @@
+package reduce
+
+import (
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/drains"
+	"github.com/banyanrail/banyanrail/reduce/message"
+	"github.com/banyanrail/banyanrail/reduce/peers"
+)
+
+// quieted lets the next acknowledgements go out at once when nothing is in
+// flight on a draining instance any more.
+func (s *State) quieted(id fleet.InstanceID) {
+	if s.control.Drains[id].Phase == control.Draining && !s.requests.RunsOn(id) {
+		s.drains.Acked = time.Time{}
+	}
+}
+
+// isQuiet reports whether no entry can have a request in flight on the
+// instance. An entry that is alive has to acknowledge the drain; one that is
+// silent is waited for as long as what it took last may run.
+func (s *State) isQuiet(id fleet.InstanceID, it *drains.Instance) bool {
+	if s.requests.RunsOn(id) || !s.knowsPeers() {
+		return false
+	}
+	patience := drains.IsolationLimit + s.longestRequest()
+	for _, p := range s.peers.All() {
+		if it.HasAck(p.ID, p.Incarnation) {
+			continue
+		}
+		heard := p.Heard
+		if heard.Before(it.Since) {
+			heard = it.Since
+		}
+		if s.now.Sub(heard) < patience {
+			return false
+		}
+	}
+	return true
+}
+
+// knowsPeers reports whether this entry can tell which other entries there are:
+// the list shows it, and entries that started with it have had time to show up
+// as well.
+func (s *State) knowsPeers() bool {
+	return !s.drains.Listed.IsZero() && s.now.Sub(s.drains.Listed) >= peers.SuspectIntervals*s.peers.Interval()
+}
+
+// longestRequest returns the longest time limit of any service.
+func (s *State) longestRequest() time.Duration {
+	var longest time.Duration
+	if s.control.Text == nil {
+		return longest
+	}
+	for i := range s.control.Text.Services {
+		longest = max(longest, s.control.Text.Services[i].TimeLimit)
+	}
+	return longest
+}
+
+// attemptEnded draws conclusions for an instance under maintenance.
+func (s *State) attemptEnded(done message.Finished) {
+	id := done.Instance
+	m := s.control.Drains[id]
+	switch m.Phase {
+	case control.Draining:
+		if !s.requests.RunsOn(id) {
+			s.quieted(id)
+			s.sendAcks()
+			s.stepInstance(id)
+		}
+	case control.Probation:
+		it := s.drains.At(id, m.Epoch, s.now)
+		switch done.Verdict {
+		case message.VerdictGood:
+			it.Answered++
+		case message.VerdictFailed:
+			it.Broken++
+		default:
+		}
+		if it.IsBroken() {
+			s.proposeFail(id, m, it)
+		}
+	case control.InService, control.Drained, control.Failed:
+	}
+}
+
+// sendAcks tells the other entries on which draining instances this one has
+// nothing in flight. They learn of the drains by it too, when the log is slow.
+func (s *State) sendAcks() {
+	if s.now.Sub(s.drains.Acked) < drains.AckInterval {
+		return
+	}
+	var acks []message.DrainAck
+	for _, id := range s.control.Drains.Under() {
+		m := s.control.Drains[id]
+		if m.Phase == control.Draining && !s.requests.RunsOn(id) {
+			acks = append(acks, message.DrainAck{Instance: id, Epoch: m.Epoch})
+		}
+	}
+	for _, id := range s.drains.Told() {
+		if epoch, ok := s.drains.ToldEpoch(id); ok && !s.requests.RunsOn(id) {
+			acks = append(acks, message.DrainAck{Instance: id, Epoch: epoch})
+		}
+	}
+	if len(acks) == 0 {
+		return
+	}
+	s.drains.Acked = s.now
+	for _, p := range s.peers.All() {
+		s.send(p, message.DrainAcks{Acks: acks})
+	}
+}
+
+func (s *State) onDrainAcks(p *peers.Peer, m message.DrainAcks) {
+	for _, a := range m.Acks {
+		if a.Epoch <= s.control.Offset && a.Epoch != s.control.Drains[a.Instance].Epoch {
+			continue
+		}
+		s.drains.Ack(a.Instance, p.ID, p.Incarnation, a.Epoch)
+		if a.Epoch > s.control.Offset {
+			s.drains.Tell(a.Instance, a.Epoch)
+			s.applyPhase(a.Instance)
+			s.armSteps()
+			continue
+		}
+		s.stepInstance(a.Instance)
+	}
+}
--- /dev/null
+++ b/reduce/drainsteps.go
@@ -0,0 +1,236 @@
+package reduce
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/drains"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/peers"
+)
+
+// advance moves the time on, and notes when the process was paused.
+func (s *State) advance(now time.Time) {
+	if now.Sub(s.now) > drains.PauseLimit {
+		s.drains.Current = false
+	}
+	s.now = now
+}
+
+// reachedEnd notes that a read found nothing new.
+func (s *State) reachedEnd(ev event.RecordsRead) {
+	if len(ev.Records) == 0 {
+		s.drains.Current = true
+	}
+}
+
+// isCurrent reports whether the fold is known to reach the end of the log. An
+// entry that replays the log, or was paused, must not order what others have
+// ordered long ago.
+func (s *State) isCurrent() bool {
+	if !s.drains.Current {
+		return false
+	}
+	for _, p := range s.peers.All() {
+		if p.Offset > s.control.Offset && p.Status == peers.Alive {
+			return false
+		}
+	}
+	return true
+}
+
+// armSteps keeps the timer of the next look at what is due while anything is
+// under maintenance.
+func (s *State) armSteps() {
+	if len(s.control.Drains.Under()) == 0 && len(s.control.Waves.Active) == 0 && len(s.drains.Told()) == 0 {
+		s.timers.Clear(&s.drains.Tick)
+		return
+	}
+	s.timers.Set(&s.drains.Tick, s.now.Add(drains.StepInterval), s.drains)
+}
+
+// onStepsDue takes the next step of everything under maintenance. Any entry may
+// propose it; the fold counts one.
+func (s *State) onStepsDue() {
+	for _, id := range s.drains.Told() {
+		s.applyPhase(id)
+	}
+	for _, id := range s.control.Drains.Under() {
+		s.stepInstance(id)
+	}
+	s.sendAcks()
+	s.stepWaves()
+	s.armSteps()
+}
+
+func (s *State) stepInstance(id fleet.InstanceID) {
+	m := s.control.Drains[id]
+	it := s.drains.At(id, m.Epoch, s.now)
+	if _, known := s.control.Pools[id]; !known || !s.isCurrent() {
+		return
+	}
+	switch m.Phase {
+	case control.Draining:
+		s.stepDraining(id, m, it)
+	case control.Drained:
+		s.stepDrained(id, m, it)
+	case control.Probation:
+		s.stepProbation(id, m, it)
+	case control.InService, control.Failed:
+	}
+}
+
+// stepDraining ends the drain once no entry has a request in flight.
+func (s *State) stepDraining(id fleet.InstanceID, m control.Maintenance, it *drains.Instance) {
+	if !s.isDue(id, it, s.isQuiet(id, it)) {
+		return
+	}
+	if m.Purpose == control.PurposeMove {
+		s.propose("move", id, m.Epoch, control.Move{Instance: id, From: s.control.Pools[id], To: m.To, Base: m.Epoch})
+	} else {
+		s.propose("finish-drain", id, m.Epoch, control.FinishDrain{Instance: id, Base: m.Epoch})
+	}
+	it.Proposed = s.now
+}
+
+// stepDrained carries out what the instance was drained for.
+func (s *State) stepDrained(id fleet.InstanceID, m control.Maintenance, it *drains.Instance) {
+	if m.Purpose != control.PurposeReboot && m.Purpose != control.PurposeStop {
+		return
+	}
+	if it.Done {
+		s.stepReturn(id, m, it)
+		return
+	}
+	if m.Purpose == control.PurposeReboot && s.now.Sub(it.Since) >= drains.ReturnLimit && s.isDue(id, it, true) {
+		s.propose("fail", id, m.Epoch, control.Fail{Instance: id, Base: m.Epoch, Detail: "did not come back from its reboot"})
+		it.Proposed = s.now
+		return
+	}
+	if !s.isActor(id, it) || s.now.Sub(it.Commanded) < drains.CommandRetry {
+		return
+	}
+	it.Commanded = s.now
+	s.emit(effect.CommandInstance{
+		ID:       fmt.Sprintf("%s-%d-%s", id, m.Epoch, m.Purpose),
+		Instance: id,
+		Epoch:    m.Epoch,
+		Purpose:  m.Purpose,
+		Deadline: s.now.Add(drains.CommandRetry),
+	})
+}
+
+// stepReturn brings back a rebooted instance once its health checks pass, so
+// that one that came back broken gets no request.
+func (s *State) stepReturn(id fleet.InstanceID, m control.Maintenance, it *drains.Instance) {
+	if m.Purpose != control.PurposeReboot {
+		return
+	}
+	if it.IsBroken() {
+		s.proposeFail(id, m, it)
+		return
+	}
+	if s.isDue(id, it, it.Passed >= drains.ChecksToPass) {
+		s.propose("return", id, m.Epoch, control.Return{Instance: id, Base: m.Epoch})
+		it.Proposed = s.now
+	}
+	s.checkHealth(id, m, it)
+}
+
+func (s *State) onCommandFinished(ev event.CommandFinished) {
+	m := s.control.Drains[ev.Instance]
+	if m.Epoch != ev.Epoch || m.Phase != control.Drained || ev.Outcome != event.CommandDone {
+		return
+	}
+	s.drains.At(ev.Instance, m.Epoch, s.now).Done = true
+	s.stepInstance(ev.Instance)
+}
+
+// stepProbation watches an instance that came back.
+func (s *State) stepProbation(id fleet.InstanceID, m control.Maintenance, it *drains.Instance) {
+	if it.IsBroken() {
+		s.proposeFail(id, m, it)
+		return
+	}
+	passed := it.Passed >= drains.ChecksToPass && s.now.Sub(it.Since) >= s.control.Text.Maintenance.Probation
+	if s.isDue(id, it, passed) {
+		s.propose("restore", id, m.Epoch, control.Restore{Instance: id, Base: m.Epoch})
+		it.Proposed = s.now
+	}
+	s.checkHealth(id, m, it)
+}
+
+func (s *State) checkHealth(id fleet.InstanceID, m control.Maintenance, it *drains.Instance) {
+	if s.isActor(id, it) && s.now.Sub(it.Checked) >= drains.CheckInterval {
+		it.Checked = s.now
+		s.emit(effect.CheckInstance{Instance: id, Epoch: m.Epoch, Address: s.address(id)})
+	}
+}
+
+// proposeFail takes out an instance that this entry saw fail. It doesn't wait
+// for its rank: only this entry may have seen it.
+func (s *State) proposeFail(id fleet.InstanceID, m control.Maintenance, it *drains.Instance) {
+	if s.now.Sub(it.Proposed) < drains.ProposeRetry {
+		return
+	}
+	detail := fmt.Sprintf("%d health checks failed in a row", it.Missed)
+	if it.Missed < drains.ChecksToFail {
+		detail = fmt.Sprintf("%d requests failed and none was answered", it.Broken)
+	}
+	s.propose("fail", id, m.Epoch, control.Fail{Instance: id, Base: m.Epoch, Detail: detail})
+	it.Proposed = s.now
+}
+
+func (s *State) onInstanceChecked(ev event.InstanceChecked) {
+	m := s.control.Drains[ev.Instance]
+	if m.Epoch != ev.Epoch || (m.Phase != control.Probation && m.Phase != control.Drained) {
+		return
+	}
+	it := s.drains.At(ev.Instance, m.Epoch, s.now)
+	if ev.Healthy {
+		it.Passed, it.Missed = it.Passed+1, 0
+		return
+	}
+	it.Passed, it.Missed = 0, it.Missed+1
+}
+
+func (s *State) address(id fleet.InstanceID) string {
+	for i := range s.control.Text.Instances {
+		if s.control.Text.Instances[i].ID == id {
+			return s.control.Text.Instances[i].Address
+		}
+	}
+	return ""
+}
+
+// isDue reports whether this entry has to propose a step now: the step is due,
+// the entries ranked before have had their time, and an earlier proposal has
+// had its own.
+func (s *State) isDue(id fleet.InstanceID, it *drains.Instance, due bool) bool {
+	since, ok := it.Due(due, s.now)
+	if !ok || since < time.Duration(s.peers.Rank(string(id)))*drains.ProposeStagger {
+		return false
+	}
+	return it.Proposed.IsZero() || s.now.Sub(it.Proposed) >= drains.ProposeRetry
+}
+
+// isActor reports whether this entry commands and checks an instance. The
+// entry ranked first does at once, the next one a little later.
+func (s *State) isActor(id fleet.InstanceID, it *drains.Instance) bool {
+	rank := s.peers.Rank(string(id))
+	return rank < drains.Actors && s.now.Sub(it.Since) >= time.Duration(rank)*drains.ProposeStagger
+}
+
+// propose appends a record that follows from the fold. Its id is the same at
+// every entry, so that the log's readers count it once.
+func (s *State) propose(step string, id fleet.InstanceID, epoch fleet.Offset, body control.Body) {
+	s.emit(effect.Append{Record: control.Record{
+		ID:     fleet.RecordID(fmt.Sprintf("%s/%s/%d", step, id, epoch)),
+		Time:   s.now,
+		Author: string(s.cfg.Entry),
+		Body:   body,
+	}, Deadline: s.now.Add(drains.ProposeRetry)})
+}
