Let waves wait while an availability budget burns

The size of a step followed from declared demand only, so that a wave went on while callers saw failures. No step starts now while a service burns its budget at more than twice the rate at which it lasts, over both windows; status says so. The test fails without the check.

--- a/reduce/wave.go
+++ b/reduce/wave.go
@@ -71,12 +71,34 @@
 	}, Deadline: s.now.Add(drains.ProposeRetry)})
 }
 
+// maxBurn is the rate of a service's availability budget, over both windows,
+// above which a wave starts no further step. At 1 the budget lasts its period.
+const maxBurn = 2.0
+
+// burning returns a service whose availability budget burns too fast.
+func (s *State) burning() (fleet.ServiceName, bool) {
+	if s.control.Text == nil {
+		return "", false
+	}
+	for i := range s.control.Text.Services {
+		svc := &s.control.Text.Services[i]
+		if s.usage.Burn(svc, s.now).Exceeds(maxBurn) {
+			return svc.Name, true
+		}
+	}
+	return "", false
+}
+
 // nextOfWave returns the record that takes a wave further: its next step, or a
-// pause when no instance can be spared and none is on its way back.
+// pause when no instance can be spared and none is on its way back. A wave waits
+// while a budget burns too fast.
 func (s *State) nextOfWave(w *control.Wave) (control.Body, bool) {
 	if w.Phase != control.WaveRunning || len(w.Current) > 0 {
 		return nil, false
 	}
+	if _, burning := s.burning(); burning {
+		return nil, false
+	}
 	if step := s.control.NextStep(w); len(step) > 0 {
 		return control.StepWave{Wave: w.ID, Base: w.Epoch, Instances: step}, true
 	}
@@ -93,8 +115,13 @@
 	for _, w := range s.control.Waves.Ended {
 		all = append(all, waveStatus(w))
 	}
+	svc, burning := s.burning()
 	for _, w := range s.control.Waves.Active {
-		all = append(all, waveStatus(w))
+		st := waveStatus(w)
+		if burning && w.Phase == control.WaveRunning {
+			st.Detail = fmt.Sprintf("waits: the availability budget of %s burns too fast", svc)
+		}
+		all = append(all, st)
 	}
 	return all
 }
--- a/reduce/wave_test.go
+++ b/reduce/wave_test.go
@@ -188,3 +188,20 @@
 	c.untilWave(0, isIn("done"))
 	must.Eq(t, []fleet.InstanceID{"runner-1", "runner-2"}, st.Current)
 }
+
+func TestWaveWaitsWhileABudgetBurns(t *testing.T) {
+	text := fleetText(8, 2, 0)
+	text.Services[0].Availability = 0.999
+	c := newCluster(t, 1, text)
+	c.command(0, wholeMain)
+	c.until(0, "runner-1", "draining")
+	for range 240 {
+		if a, on := c.request(0); on != "" {
+			c.finish(0, a, 500)
+		}
+		c.run(drains.StepInterval)
+	}
+	must.EqOp(t, 1, c.wave(0).Steps)
+	must.StrContains(t, c.wave(0).Detail, "budget of survey")
+	c.untilWave(0, isIn("done"))
+}
