--- a/reduce/wave.go
+++ b/reduce/wave.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
@@ -70,12 +71,34 @@
 	}, Deadline: s.now.Add(drains.ProposeRetry)})
 }
 
+// maxBurn is the rate of a service's availability budget, over both windows,
+// above which a wave starts no further step. At 1 the budget lasts its period.
+const maxBurn = 2.0
+
+// burning returns a service whose availability budget burns too fast.
+func (s *State) burning() (fleet.ServiceName, bool) {
+	if s.control.Text == nil {
+		return "", false
+	}
+	for i := range s.control.Text.Services {
+		svc := &s.control.Text.Services[i]
+		if s.usage.Burn(svc, s.now).Exceeds(maxBurn) {
+			return svc.Name, true
+		}
+	}
+	return "", false
+}
+
 // nextOfWave returns the record that takes a wave further: its next step, or a
-// pause when no instance can be spared and none is on its way back.
+// pause when no instance can be spared and none is on its way back. A wave waits
+// while a budget burns too fast.
 func (s *State) nextOfWave(w *control.Wave) (control.Body, bool) {
 	if w.Phase != control.WaveRunning || len(w.Current) > 0 {
 		return nil, false
 	}
+	if _, burning := s.burning(); burning {
+		return nil, false
+	}
 	if step := s.control.NextStep(w); len(step) > 0 {
 		return control.StepWave{Wave: w.ID, Base: w.Epoch, Instances: step}, true
 	}
@@ -92,16 +115,22 @@
 	for _, w := range s.control.Waves.Ended {
 		all = append(all, waveStatus(w))
 	}
+	svc, burning := s.burning()
 	for _, w := range s.control.Waves.Active {
-		all = append(all, waveStatus(w))
+		st := waveStatus(w)
+		if burning && w.Phase == control.WaveRunning {
+			st.Detail = fmt.Sprintf("waits: the availability budget of %s burns too fast", svc)
+		}
+		all = append(all, st)
 	}
 	return all
 }
 
+// waveStatus shares nothing with the state: its reader is another goroutine.
 func waveStatus(w *control.Wave) effect.WaveStatus {
 	return effect.WaveStatus{
 		ID: w.ID, Phase: w.Phase.String(), Note: w.Note, Detail: w.Detail, Steps: w.Steps,
 		Pending: len(w.Pending), Done: len(w.Done),
-		Current: w.Current, Failed: w.Failed, Skipped: w.Skipped,
+		Current: slices.Clone(w.Current), Failed: slices.Clone(w.Failed), Skipped: slices.Clone(w.Skipped),
 	}
 }
