--- a/dev/claimhistory_test.go
+++ b/dev/claimhistory_test.go
@@ -55,6 +55,7 @@
 	history := r.run(claimFaults(*claimRounds, *claimEntries))
 	must.EqOp(t, porcupine.Ok, checkClaims(history))
 	report(t, history)
+	r.waitIdle()
 }
 
 // claimFigures counts a history.
--- a/dev/claimrun_test.go
+++ b/dev/claimrun_test.go
@@ -114,6 +114,16 @@
 	return r.history
 }
 
+// waitIdle waits until no entry holds a request, a claim or a group.
+func (r *claimRun) waitIdle() {
+	for _, n := range r.nodes {
+		must.Wait(r.t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+			st := status(r.t, n)
+			return st.Requests == 0 && st.Queued == 0 && st.Running == 0 && st.Claims.Held == 0 && st.Claims.Groups == 0
+		}), wait.Timeout(20*time.Second)), must.Sprintf("%s is not idle: %+v", n.ID, status(r.t, n)))
+	}
+}
+
 func (r *claimRun) sendKey(order []int) {
 	key := uuid.Must(uuid.NewV7()).String()
 	var wg sync.WaitGroup
--- a/reduce/control/digest.go
+++ b/reduce/control/digest.go
@@ -17,6 +17,13 @@
 	for id, pool := range s.Pools {
 		sum += digestItem("in", string(id), string(pool))
 	}
+	for _, id := range s.Drains.Under() {
+		m := s.Drains[id]
+		sum += digestItem("maintenance", string(id), fmt.Sprint(m.Epoch, m.Phase))
+	}
+	for _, w := range s.Waves.Active {
+		sum += digestItem("wave", fmt.Sprint(w.ID, w.Epoch, w.Phase, len(w.Pending), len(w.Current)))
+	}
 	return sum
 }
 
--- a/reduce/control/fold.go
+++ b/reduce/control/fold.go
@@ -16,6 +16,12 @@
 	// Pools holds the one pool that each instance is in.
 	Pools map[fleet.InstanceID]fleet.PoolName
 
+	// Drains holds the maintenance of instances, and Waves the waves.
+	Drains Drains
+	Waves  Waves
+	// Moves counts the moves between pools.
+	Moves uint64
+
 	// Kept is the newest snapshot in the stream.
 	Kept Kept
 
@@ -25,8 +31,9 @@
 // New returns the fold of the empty stream.
 func New() *State {
 	return &State{
-		Pools: make(map[fleet.InstanceID]fleet.PoolName),
-		seen:  newHistory(),
+		Pools:  make(map[fleet.InstanceID]fleet.PoolName),
+		Drains: make(Drains),
+		seen:   newHistory(),
 	}
 }
 
@@ -69,7 +76,7 @@
 	case Unreadable:
 		return Invalid, fmt.Sprintf("the record could not be read: %v", body.Err)
 	default:
-		return Invalid, fmt.Sprintf("unknown record type %T", body)
+		return s.applyMaintenance(p.Offset, body)
 	}
 }
 
@@ -104,6 +111,7 @@
 		}
 	}
 	s.Version, s.Text = at, next
+	s.pruneWaves()
 }
 
 // poolsInText returns the pools that the text in force gives to some instances.
--- a/reduce/health.go
+++ b/reduce/health.go
@@ -46,7 +46,7 @@
 func (s *State) limit(it *health.Instance) {
 	pool, ok := s.control.Text.Pool(it.Pool)
 	if ok {
-		s.placement.SetLimit(it.ID, it.Limit(pool.Slots))
+		s.placement.SetLimit(it.ID, s.probationLimit(it.ID, it.Limit(pool.Slots)))
 	}
 }
 
--- a/reduce/log.go
+++ b/reduce/log.go
@@ -34,6 +34,7 @@
 			break
 		}
 	}
+	s.reachedEnd(ev)
 	s.updateReady()
 }
 
@@ -70,6 +71,7 @@
 	})
 	s.emit(effect.Read{From: s.control.Offset + 1})
 	s.followText(before, p.Record.ID)
+	s.followSnapshot()
 	return true
 }
 
@@ -94,6 +96,7 @@
 	s.relay.Add(p)
 	s.hastenHeartbeat()
 	s.followText(before, p.Record.ID)
+	s.followMaintenance(p, res)
 	s.scheduleSnapshot()
 	s.settle(res)
 	if v, ok := p.Record.Body.(control.Void); ok && res.Outcome == control.Accepted {
@@ -112,6 +115,7 @@
 }
 
 func (s *State) onReadFailed(ev event.ReadFailed) {
+	s.drains.Current = false
 	if s.logDown {
 		return
 	}
--- a/reduce/proposal.go
+++ b/reduce/proposal.go
@@ -48,6 +48,7 @@
 		}
 		ev.Record.Body = s.compact(body)
 	}
+	ev.Record.Body = s.control.Rebase(ev.Record.Body)
 	p := &proposal{record: ev.Record.ID, reply: ev.ID, deadline: ev.Deadline}
 	s.proposals[p.record] = p
 	s.timers.Set(&p.timer, ev.Deadline.Add(-voidLead), p)
@@ -80,11 +81,13 @@
 	if !ok {
 		return
 	}
+	s.drains.Current = true // the record is new, so its offset was the end
 	s.reply(p, res)
 }
 
 func (s *State) onAppendFinished(ev event.AppendFinished) {
 	s.onClaimsAppended(ev)
+	s.onSnapshotAppended(ev)
 	p, ok := s.proposals[ev.ID]
 	if !ok || ev.Outcome != event.AppendFailed {
 		return
--- a/reduce/requests/table.go
+++ b/reduce/requests/table.go
@@ -156,6 +156,16 @@
 	return all
 }
 
+// RunsOn reports whether an attempt is under way on an instance.
+func (t *Table) RunsOn(id fleet.InstanceID) bool {
+	for _, r := range t.byID {
+		if r.Instance == id && r.UnderWay() {
+			return true
+		}
+	}
+	return false
+}
+
 // Len returns the number of requests in the table.
 func (t *Table) Len() int { return len(t.byID) }
 
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -128,3 +128,8 @@
 		panic(http.ErrAbortHandler)
 	}
 }
+
+// SetPower follows the platform's worker control. It never blocks.
+func (r *Runner) SetPower(p Power) error {
+	return r.loop.Offer(runnerFaultSet{fault: RunnerFault{Down: p == PowerDown, FailAll: p == PowerBroken}})
+}
