Check claims under the placement that the daemon uses by default

Cause: the history of claims ran with local placement, the daemon with holders. Change: holders by default; make soak runs both.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 soak: ## longer runs of the history checks, and waves under load; takes minutes
 	go test -run '^$$' -bench 'Wave|Move' -benchtime 1x -timeout 20m ./dev
 	go test -run '^TestClaimHistory$$' -count=1 -timeout 30m -v ./dev -keys=$(KEYS) -entries=9 -rounds=10 -seed=$(SEED)
-	go test -run '^TestClaimHistory$$' -count=1 -timeout 30m -v ./dev -keys=$(KEYS) -entries=9 -rounds=10 -seed=$(SEED) -holder
+	go test -run '^TestClaimHistory$$' -count=1 -timeout 30m -v ./dev -keys=$(KEYS) -entries=9 -rounds=10 -seed=$(SEED) -holder=false
 	go test -run '^TestClaimsHoldUnderAnyOrder$$' -count=1 -timeout 30m -v ./reduce -rapid.checks=20000 -rapid.seed=$(SEED)
 
 bench:
--- a/dev/claimhistory_test.go
+++ b/dev/claimhistory_test.go
@@ -19,7 +19,7 @@
 	claimKeys    = flag.Int("keys", 60, "keys of the claim history")
 	claimEntries = flag.Int("entries", 3, "entries of the claim history")
 	claimRounds  = flag.Int("rounds", 1, "times that the faults of the claim history happen")
-	claimHolder  = flag.Bool("holder", false, "let holders grant slots in the claim history")
+	claimHolder  = flag.Bool("holder", true, "let holders grant slots in the claim history")
 	claimSeed    = flag.Uint64("seed", 1, "seed of the claim history")
 )
 
