--- a/reduce/claimworld_test.go
+++ b/reduce/claimworld_test.go
@@ -106,12 +106,13 @@
 }
 
 func (w *claimWorld) checkRefusal(s sending, r effect.Refuse) {
-	if r.Ran == fleet.RanNo {
+	switch r.Ran {
+	case fleet.RanNo:
 		must.NotEqOp(w.t, s, w.runOf[w.keyOf[s]], must.Sprintf("refused as not run: %v", r.Reason))
 		w.notRun[s] = true
-	}
-	if r.Ran == fleet.RanYes {
+	case fleet.RanYes:
 		w.checkAnswer(s)
+	case fleet.RanUnknown:
 	}
 }
 
@@ -200,9 +201,14 @@
 	if !w.now.Before(a.Deadline) {
 		outcome = event.AttemptSkipped
 	}
-	broken := outcome == event.AttemptBroken
-	if outcome == event.AttemptAnswered || broken && rapid.Bool().Draw(w.t, "ran") {
+	switch outcome {
+	case event.AttemptAnswered:
 		w.run(sending{w.ids[a.by], a.Attempt.Request})
+	case event.AttemptBroken:
+		if rapid.Bool().Draw(w.t, "ran") {
+			w.run(sending{w.ids[a.by], a.Attempt.Request})
+		}
+	case event.AttemptNotSent, event.AttemptRefused, event.AttemptSkipped:
 	}
 	a.by.now = w.now
 	w.follow(a.by, a.by.do(finished(a.Attempt, outcome)))
