Find peer connections that were cut without being closed

Cause: after a partition, messages waited for TCP's next repeat, and gRPC paused for up to two minutes before a new connection. Change: clients ping after 10 s of silence and give up 2 s later; the pause before a new connection is at most a second. Servers of peers allow the pings. Measured: the tests of peer, daemon and dev pass; a partition without closed connections was not measured.

--- a/cmd/banyanraild/main.go
+++ b/cmd/banyanraild/main.go
@@ -15,6 +15,7 @@
 	"github.com/banyanrail/banyanrail/daemon"
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/peer"
 	"github.com/banyanrail/banyanrail/platform"
 	"github.com/banyanrail/banyanrail/reduce"
 	"golang.org/x/sync/errgroup"
@@ -89,7 +90,9 @@
 	group, groupCtx := errgroup.WithContext(serving)
 	group.Go(func() error { return daemon.Serve(groupCtx, c.Callers, callersTLS, e.Callers(), c.grace) })
 	group.Go(func() error { return daemon.Serve(groupCtx, c.Operators, opsTLS, operators, c.grace) })
-	group.Go(func() error { return daemon.ServeGRPC(groupCtx, c.Peers, peersTLS, e.RegisterPeers) })
+	group.Go(func() error {
+		return daemon.ServeGRPC(groupCtx, c.Peers, peersTLS, e.RegisterPeers, peer.ServerOptions()...)
+	})
 	group.Go(func() error {
 		e.Run(groupCtx)
 		return nil
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -71,13 +71,13 @@
 
 // ServeGRPC serves gRPC at an address until the context ends. Register puts
 // the services on the server.
-func ServeGRPC(ctx context.Context, address string, tlsConfig *tls.Config, register func(*grpc.Server)) error {
+func ServeGRPC(ctx context.Context, address string, tlsConfig *tls.Config, register func(*grpc.Server), options ...grpc.ServerOption) error {
 	fail := oops.In("daemon").With("step", "listen", "peer", address)
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return fail.Wrap(err)
 	}
-	srv := grpc.NewServer(grpcOptions(tlsConfig)...)
+	srv := grpc.NewServer(append(grpcOptions(tlsConfig), options...)...)
 	register(srv)
 	stop := context.AfterFunc(ctx, srv.Stop)
 	defer stop()
--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -15,6 +15,7 @@
 
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/peer"
 	"github.com/banyanrail/banyanrail/platform"
 	"github.com/banyanrail/banyanrail/reduce"
 	"github.com/banyanrail/banyanrail/standin"
@@ -223,7 +224,7 @@
 
 // servePeers takes in the messages of other entries.
 func (f *Fleet) servePeers(ctx context.Context, e *entry.Entry, ln net.Listener) {
-	srv := grpc.NewServer()
+	srv := grpc.NewServer(peer.ServerOptions()...)
 	e.RegisterPeers(srv)
 	f.spawn(func() { _ = srv.Serve(ln) }) // returns once the server is stopped
 	f.spawn(func() {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -15,8 +15,10 @@
 	"github.com/banyanrail/banyanrail/reduce/message"
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
 )
 
@@ -26,6 +28,14 @@
 	outboxSize = 4096
 	// sendTimeout bounds the opening of a stream and each write to it.
 	sendTimeout = time.Second
+	// pingInterval and pingTimeout find connections that a network fault has
+	// cut without closing them; gRPC pings no more often.
+	pingInterval = 10 * time.Second
+	pingTimeout  = 2 * time.Second
+	// connectBase and connectMax bound the pause before a new connection, so
+	// that a peer that is back is soon heard.
+	connectBase = 100 * time.Millisecond
+	connectMax  = time.Second
 )
 
 // Errors of Client.
@@ -73,7 +83,8 @@
 	if cfg.TLS != nil {
 		secure = credentials.NewTLS(cfg.TLS)
 	}
-	options := append([]grpc.DialOption{grpc.WithTransportCredentials(secure)}, cfg.Options...)
+	options := append(dialOptions(), grpc.WithTransportCredentials(secure))
+	options = append(options, cfg.Options...)
 	return &Client{
 		ctx:     metadata.NewOutgoingContext(ctx, md),
 		run:     cfg.Run,
@@ -83,6 +94,15 @@
 	}
 }
 
+func dialOptions() []grpc.DialOption {
+	pause := backoff.DefaultConfig
+	pause.BaseDelay, pause.MaxDelay = connectBase, connectMax
+	return []grpc.DialOption{
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: pause, MinConnectTimeout: connectMax}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout}),
+	}
+}
+
 // Send queues a message for the entry at an address and returns at once.
 // Messages to one address leave in the order of the calls.
 func (c *Client) Send(to fleet.EntryID, address string, sequence uint64, m message.Message) {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -34,7 +34,7 @@
 	t.Helper()
 	ln, err := net.Listen("tcp", address)
 	must.NoError(t, err)
-	r := &receiver{address: ln.Addr().String(), got: make(chan peer.Received, 10_000), server: grpc.NewServer()}
+	r := &receiver{address: ln.Addr().String(), got: make(chan peer.Received, 10_000), server: grpc.NewServer(peer.ServerOptions()...)}
 	peer.Register(r.server, func(m peer.Received) error {
 		r.got <- m
 		return nil
--- a/peer/server.go
+++ b/peer/server.go
@@ -10,6 +10,7 @@
 	"github.com/banyanrail/banyanrail/reduce/message"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 )
@@ -38,6 +39,17 @@
 	dropped func(from fleet.EntryID, err error)
 }
 
+// minPing is the least time between pings of a client.
+const minPing = pingInterval / 2
+
+// ServerOptions returns the options that a server of peers needs: clients ping
+// it to find connections that are cut.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPing, PermitWithoutStream: true}),
+	}
+}
+
 // Register puts a server that hands messages to take on a gRPC server. Take may
 // wait, which holds back the sender. Its error ends the stream. Messages that
 // cannot be read, as those of a newer version, go to dropped; the receiver sees
