--- a/reduce/claimworld_test.go
+++ b/reduce/claimworld_test.go
@@ -106,13 +106,12 @@
 }
 
 func (w *claimWorld) checkRefusal(s sending, r effect.Refuse) {
-	switch r.Ran {
-	case fleet.RanNo:
+	if r.Ran == fleet.RanNo {
 		must.NotEqOp(w.t, s, w.runOf[w.keyOf[s]], must.Sprintf("refused as not run: %v", r.Reason))
 		w.notRun[s] = true
-	case fleet.RanYes:
+	}
+	if r.Ran == fleet.RanYes {
 		w.checkAnswer(s)
-	case fleet.RanUnknown:
 	}
 }
 
@@ -201,14 +200,9 @@
 	if !w.now.Before(a.Deadline) {
 		outcome = event.AttemptSkipped
 	}
-	switch outcome {
-	case event.AttemptAnswered:
+	broken := outcome == event.AttemptBroken
+	if outcome == event.AttemptAnswered || broken && rapid.Bool().Draw(w.t, "ran") {
 		w.run(sending{w.ids[a.by], a.Attempt.Request})
-	case event.AttemptBroken:
-		if rapid.Bool().Draw(w.t, "ran") {
-			w.run(sending{w.ids[a.by], a.Attempt.Request})
-		}
-	case event.AttemptNotSent, event.AttemptRefused, event.AttemptSkipped:
 	}
 	a.by.now = w.now
 	w.follow(a.by, a.by.do(finished(a.Attempt, outcome)))
@@ -222,6 +216,17 @@
 	w.follow(c, c.do(event.RequestCancelled{ID: fleet.RequestID(rapid.IntRange(1, int(w.sent)).Draw(w.t, "id"))}))
 }
 
+// crashInBatch replaces an entry that has carried out only some of the effects
+// of an event.
+func (w *claimWorld) crashInBatch(*rapid.T) {
+	i := rapid.IntRange(0, len(w.entries)-1).Draw(w.t, "entry")
+	c := w.entries[i]
+	c.now = w.now
+	out := append(c.do(event.TimerFired{}), c.catchUp()...)
+	w.follow(c, out[:rapid.IntRange(0, len(out)).Draw(w.t, "effects")])
+	w.entries[i] = w.newEntry()
+}
+
 // crash replaces an entry. What it had sent goes on without it.
 func (w *claimWorld) crash(*rapid.T) {
 	i := rapid.IntRange(0, len(w.entries)-1).Draw(w.t, "entry")
@@ -237,7 +242,7 @@
 		w := newClaimWorld(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"send": w.send, "pass": w.pass, "wake": w.wake, "read": w.read, "append": w.endAppend,
-			"late": w.appendLate, "attempt": w.endAttempt, "cancel": w.cancel, "crash": w.crash, "settle": w.settle,
+			"late": w.appendLate, "attempt": w.endAttempt, "cancel": w.cancel, "crash": w.crash, "settle": w.settle, "crash in batch": w.crashInBatch,
 		})
 		ran += len(w.runOf)
 	})
