Look up a pool's slots once for a services text

Cause: following a text looked the pool up by a scan of all pools for each instance, in placement, in health and for each limit. Change: pools and health keep the number of slots.

--- a/reduce/health.go
+++ b/reduce/health.go
@@ -44,10 +44,7 @@
 
 // limit applies what is known of an instance's health to placement.
 func (s *State) limit(it *health.Instance) {
-	pool, ok := s.control.Text.Pool(it.Pool)
-	if ok {
-		s.placement.SetLimit(it.ID, s.probationLimit(it.ID, it.Limit(pool.Slots)))
-	}
+	s.placement.SetLimit(it.ID, s.probationLimit(it.ID, it.Limit()))
 }
 
 // judge draws conclusions from the end of an attempt about its instance, and
--- a/reduce/health/health.go
+++ b/reduce/health/health.go
@@ -122,6 +122,10 @@
 func (s *State) Configure(text *fleet.Text, member map[fleet.InstanceID]fleet.PoolName) []*Instance {
 	old := s.byID
 	*s = *New()
+	slots := make(map[fleet.PoolName]int, len(text.Pools))
+	for _, pool := range text.Pools {
+		slots[pool.Name] = pool.Slots
+	}
 	for _, cfg := range text.Instances {
 		it, ok := old[cfg.ID]
 		if ok && it.address == cfg.Address {
@@ -130,9 +134,7 @@
 			it = &Instance{ID: cfg.ID, address: cfg.Address}
 		}
 		it.Pool = member[cfg.ID]
-		if pool, ok := text.Pool(it.Pool); ok {
-			it.slots = pool.Slots
-		}
+		it.slots = slots[it.Pool]
 		s.byID[cfg.ID] = it
 		s.size[it.Pool]++
 		if it.out() {
@@ -154,9 +156,9 @@
 
 func (it *Instance) out() bool { return it.Phase == Ejected || it.Phase == Leaving }
 
-// Limit returns the slots that may be used, of those that the instance has.
+// Limit returns how many of the instance's slots may be used.
 // Each consecutive failure halves it.
-func (it *Instance) Limit(slots int) int {
+func (it *Instance) Limit() int {
 	switch it.Phase {
 	case Paused, Ejected, Leaving:
 		return 0
@@ -164,7 +166,7 @@
 		return 1
 	default:
 	}
-	limit := max(1, slots>>min(it.failures, ejectAfter))
+	limit := max(1, it.slots>>min(it.failures, ejectAfter))
 	if it.windowed {
 		return min(limit, it.window)
 	}
--- a/reduce/placement/configure.go
+++ b/reduce/placement/configure.go
@@ -100,9 +100,12 @@
 		}
 	}
 	for _, cfg := range text.Pools {
-		if _, ok := s.pools[cfg.Name]; !ok {
-			s.pools[cfg.Name] = newPool(cfg.Name)
+		p, ok := s.pools[cfg.Name]
+		if !ok {
+			p = newPool(cfg.Name)
+			s.pools[cfg.Name] = p
 		}
+		p.instanceSlots = cfg.Slots
 	}
 	return orphans
 }
@@ -131,8 +134,7 @@
 			it = &instance{id: cfg.ID, limit: NoLimit, share: NoLimit}
 			s.instances[cfg.ID] = it
 		}
-		pool, _ := text.Pool(p.name)
-		it.address, it.pool, it.slots = cfg.Address, p, pool.Slots
+		it.address, it.pool, it.slots = cfg.Address, p, p.instanceSlots
 		p.instances = append(p.instances, it)
 		p.free += it.free()
 		p.slots += it.usable()
--- a/reduce/placement/pool.go
+++ b/reduce/placement/pool.go
@@ -23,6 +23,8 @@
 type pool struct {
 	name      fleet.PoolName
 	instances []*instance
+	// instanceSlots is the number of slots of one instance.
+	instanceSlots int
 	// free is the number of slots that may be granted.
 	free int
 	// slots is the number of slots that may be in use.
