Keep names of requests apart over restarts; bound the bytes of totals

An entry restarted under its id began its request names anew, so an endpoint's late answer to the earlier one could carry the name of another attempt.

Totals went to every peer every 5 s: worked out at 41 B a service, 37 services and 8 peers that is 2.4 KB/s of the 5 KB/s a node may spend. Their interval now grows so that they stay at 1 KB/s.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -105,7 +105,7 @@
 
 // requestName is the request's id for people and logs, unique over all entries.
 func (e *Entry) requestName(id fleet.RequestID) string {
-	return string(e.cfg.ID) + "-" + strconv.FormatUint(uint64(id), 10)
+	return e.name + "-" + strconv.FormatUint(uint64(id), 10)
 }
 
 // copyHeader passes on the headers that describe the answer, and not those of
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -53,7 +53,7 @@
 		return endpoint.Result{Outcome: event.AttemptSkipped}
 	}
 	res := e.client.Do(ctx, endpoint.Request{
-		Attempt:     string(e.cfg.ID) + "-" + o.Attempt.String(),
+		Attempt:     e.name + "-" + o.Attempt.String(),
 		Service:     o.Service,
 		Address:     o.Address,
 		Member:      x.member,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"log/slog"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -89,10 +90,12 @@
 
 // Entry is one entry instance.
 type Entry struct {
-	cfg       Config
-	deps      Deps
-	loop      *loop.Loop[event.Body, effect.Effect]
-	clock     func() time.Time
+	cfg   Config
+	deps  Deps
+	loop  *loop.Loop[event.Body, effect.Effect]
+	clock func() time.Time
+	// name is unique over all entries and their restarts.
+	name      string
 	exchanges *exchanges
 	replies   *loop.Calls[control.Result]
 	statuses  *loop.Calls[effect.Status]
@@ -125,6 +128,7 @@
 		cfg:        cfg,
 		deps:       deps,
 		clock:      loop.MonotonicClock(),
+		name:       string(cfg.ID) + "-" + strconv.FormatUint(cfg.Incarnation, 36),
 		exchanges:  newExchanges(),
 		answers:    newAnswers(),
 		replies:    loop.NewCalls[control.Result](),
--- a/reduce/usage.go
+++ b/reduce/usage.go
@@ -10,8 +10,14 @@
 	"github.com/banyanrail/banyanrail/reduce/usage"
 )
 
-// totalsInterval is the time between messages with this entry's totals.
-const totalsInterval = 5 * time.Second
+const (
+	// totalsInterval is the least time between messages with this entry's totals.
+	totalsInterval = 5 * time.Second
+	// totalsSize is about what one service takes in such a message, in bytes.
+	totalsSize = 41
+	// totalsRate bounds these messages to all peers, in bytes a second.
+	totalsRate = 1 << 10
+)
 
 // usageTick is the timer of the next sample.
 type usageTick struct {
@@ -23,16 +29,22 @@
 // onUsageDue samples the totals, and tells peers this entry's own.
 func (s *State) onUsageDue() {
 	s.usage.Sample(s.now)
-	if s.now.Sub(s.usageTick.sent) >= totalsInterval {
-		s.usageTick.sent = s.now
-		s.sendTotals()
-	}
+	s.sendTotals()
 	s.timers.Set(&s.usageTick.timer, s.now.Add(usage.SampleInterval), &s.usageTick)
 }
 
+// sendTotals tells all peers this entry's totals when it is time again. With
+// more services or peers it is time less often, so that the bytes stay bounded.
 func (s *State) sendTotals() {
 	m := message.Totals{Services: s.usage.Local()}
-	for _, p := range s.peers.All() {
+	all := s.peers.All()
+	bytes := totalsSize * len(m.Services) * len(all)
+	interval := max(totalsInterval, time.Duration(bytes)*time.Second/totalsRate)
+	if s.now.Sub(s.usageTick.sent) < interval {
+		return
+	}
+	s.usageTick.sent = s.now
+	for _, p := range all {
 		if p.Status == peers.Alive {
 			s.send(p, m)
 		}
