--- /dev/null
+++ b/daemon/main_test.go
@@ -0,0 +1,10 @@
+package daemon_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// TestMain fails when a goroutine is left after the tests.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -162,6 +162,7 @@
 	node.Entry = entry.New(entry.Config{
 		ID:               node.ID,
 		Seed:             uint64(f.started),
+		Incarnation:      uint64(f.started),
 		PeerAddress:      node.PeerAddress,
 		Placement:        f.cfg.Placement,
 		SnapshotInterval: f.cfg.SnapshotInterval,
