--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -236,6 +236,7 @@
 	ChangeStopping
 	ChangeRecordRejected
 	ChangeInstance
+	ChangeIsolated
 	ChangeWave
 	ChangeClaimsOpen
 	ChangeClaimsClosed
