Fold rehearsals of the loss of a failure domain

Cause: the forecast of a rehearsal could not be tried, since the control stream had no record that takes a failure domain out and brings it back.

Change: one record drains all instances of a data centre or rack, and one undrains them, whatever the number. The fold makes the forecast where the record stands, from the demand and health that its proposer saw, and refuses a rehearsal that breaks a service unless it is forced. One rehearsal runs at a time, and none in the pools of a wave.

The property test of the fold draws both records, and checks in addition that no drain outlives its rehearsal, that no instance is in a wave and a rehearsal, and that digests agree.

--- a/reduce/control/digest.go
+++ b/reduce/control/digest.go
@@ -24,6 +24,9 @@
 	for _, w := range s.Waves.Active {
 		sum += digestItem("wave", fmt.Sprint(w.ID, w.Epoch, w.Phase, len(w.Pending), len(w.Current)))
 	}
+	if r := s.Rehearsals.Active; r != nil {
+		sum += digestItem("rehearsal", fmt.Sprint(r.ID, r.Epoch, r.Instances))
+	}
 	return sum
 }
 
--- a/reduce/control/drain.go
+++ b/reduce/control/drain.go
@@ -371,6 +371,9 @@
 	case AbortWave:
 		r.Base = s.waveEpochOr(r.Base, r.Wave)
 		return r
+	case EndRehearsal:
+		r.Base = s.rehearsalEpochOr(r.Base, r.Rehearsal)
+		return r
 	default:
 		return body
 	}
--- a/reduce/control/fold.go
+++ b/reduce/control/fold.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
 )
@@ -19,6 +20,8 @@
 	// Drains holds the maintenance of instances, and Waves the waves.
 	Drains Drains
 	Waves  Waves
+	// Rehearsals holds the rehearsal under way and those that ended.
+	Rehearsals Rehearsals
 	// Moves counts the moves between pools.
 	Moves uint64
 
@@ -26,6 +29,8 @@
 	Kept Kept
 
 	seen history
+	// time is that of the record being folded, by its writer's clock.
+	time time.Time
 }
 
 // New returns the fold of the empty stream.
@@ -54,7 +59,7 @@
 	case p.Offset > s.Offset+1:
 		return Gap, fmt.Sprintf("the record at %d is missing", s.Offset+1)
 	}
-	s.Offset = p.Offset
+	s.Offset, s.time = p.Offset, p.Record.Time
 	if s.Kept.Time.IsZero() {
 		s.Kept.Time = p.Record.Time
 	}
@@ -112,6 +117,7 @@
 	}
 	s.Version, s.Text = at, next
 	s.pruneWaves()
+	s.pruneRehearsal(at)
 }
 
 // poolsInText returns the pools that the text in force gives to some instances.
--- a/reduce/control/fold_property_test.go
+++ b/reduce/control/fold_property_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/rehearsal"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 )
@@ -19,7 +21,7 @@
 		Maintenance: fleet.Maintenance{MaxStep: 2},
 	}
 	for i := range fleetSize {
-		t.Instances = append(t.Instances, fleet.Instance{ID: instance(i), Pool: t.Pools[i%3].Name, Rack: fleet.Rack(fmt.Sprint(i % 2))})
+		t.Instances = append(t.Instances, fleet.Instance{ID: instance(i), Pool: t.Pools[i%3].Name, DataCentre: "dc1", Rack: fleet.Rack(fmt.Sprint(i % 2))})
 	}
 	return t
 }
@@ -39,7 +41,11 @@
 		w := s.Waves.Active[rapid.IntRange(0, n-1).Draw(t, "wave")]
 		wave, waveBase = w.ID, w.Epoch
 	}
-	switch rapid.IntRange(0, 11).Draw(t, "kind") {
+	rehearsalID, rehearsalBase := fleet.Offset(0), base
+	if r := s.Rehearsals.Active; r != nil {
+		rehearsalID, rehearsalBase = r.ID, r.Epoch
+	}
+	switch rapid.IntRange(0, 13).Draw(t, "kind") {
 	case 0:
 		return control.Drain{
 			Instance: id, Base: base, Reason: control.ReasonOperator, To: pools.Draw(t, "to"),
@@ -65,6 +71,16 @@
 		return control.PauseWave{Wave: wave, Base: waveBase}
 	case 10:
 		return control.ResumeWave{Wave: wave, Base: waveBase}
+	case 11:
+		return control.StartRehearsal{
+			Domain:   rehearsal.Domain{DataCentre: "dc1", Rack: fleet.Rack(rapid.SampledFrom([]string{"", "0", "1"}).Draw(t, "rack"))},
+			Duration: time.Second, Force: rapid.Bool().Draw(t, "force"),
+		}
+	case 12:
+		return control.EndRehearsal{
+			Rehearsal: rehearsalID, Base: rehearsalBase,
+			Reason: control.RehearsalEnd(rapid.IntRange(0, 5).Draw(t, "reason")),
+		}
 	default:
 		return control.AbortWave{Wave: wave, Base: waveBase}
 	}
@@ -96,6 +112,8 @@
 		must.Eq(t, s.Pools, twin.Pools)
 		must.Eq(t, s.Drains, twin.Drains)
 		must.Eq(t, s.Waves, twin.Waves)
+		must.Eq(t, s.Rehearsals, twin.Rehearsals)
+		must.EqOp(t, s.Digest(), twin.Digest())
 	})
 }
 
@@ -112,8 +130,16 @@
 			inWaves[id]++
 		}
 	}
+	if r := s.Rehearsals.Active; r != nil {
+		for _, id := range r.Instances {
+			must.EqOp(t, 0, inWaves[id], must.Sprintf("%s is in a wave and a rehearsal", id))
+		}
+	}
 	for i := range fleetSize {
 		id := instance(i)
+		if m := s.Drains[id]; s.Rehearsals.Active == nil && (m.Phase == control.Draining || m.Phase == control.Drained) {
+			must.NotEqOp(t, control.ReasonRehearsal, m.Reason)
+		}
 		_, known := s.Text.Pool(s.Pools[id])
 		must.True(t, known)
 		must.GreaterEq(t, before[id].Epoch, s.Drains[id].Epoch)
--- a/reduce/control/maintenance.go
+++ b/reduce/control/maintenance.go
@@ -6,7 +6,8 @@
 	"github.com/banyanrail/banyanrail/fleet"
 )
 
-// applyMaintenance folds the records about drains, moves and waves.
+// applyMaintenance folds the records about drains, moves, waves and
+// rehearsals.
 func (s *State) applyMaintenance(at fleet.Offset, body Body) (Outcome, string) {
 	switch r := body.(type) {
 	case Drain:
@@ -40,7 +41,17 @@
 		return s.resumeWave(at, r)
 	case AbortWave:
 		return s.abortWave(at, r)
+	case StartRehearsal:
+		return s.startRehearsal(at, r)
+	case EndRehearsal:
+		return s.endRehearsal(at, r)
 	default:
 		return Invalid, fmt.Sprintf("unknown record type %T", body)
 	}
 }
+
+// IsUnderMaintenance reports whether any instance, wave or rehearsal has a step
+// left to take.
+func (s *State) IsUnderMaintenance() bool {
+	return len(s.Drains.Under()) > 0 || len(s.Waves.Active) > 0 || s.Rehearsals.Active != nil
+}
--- a/reduce/control/snapshot.go
+++ b/reduce/control/snapshot.go
@@ -21,6 +21,8 @@
 	Drains Drains
 	Waves  Waves
 	Moves  uint64
+	// Rehearsals are those of the state.
+	Rehearsals Rehearsals
 	// Seen holds the newest record ids, oldest first.
 	Seen []Remembered
 }
@@ -48,7 +50,10 @@
 		Drains:  maps.Clone(s.Drains),
 		Waves:   s.Waves.clone(),
 		Moves:   s.Moves,
-		Seen:    s.seen.list(),
+
+		Rehearsals: s.Rehearsals.clone(),
+
+		Seen: s.seen.list(),
 	}
 	if s.Text == nil {
 		return snap
@@ -99,6 +104,7 @@
 	}
 	maps.Copy(next.Drains, snap.Drains)
 	next.Waves, next.Moves = snap.Waves.clone(), snap.Moves
+	next.Rehearsals = snap.Rehearsals.clone()
 	for _, r := range snap.Seen {
 		next.seen.add(r.ID, r.Outcome)
 	}
--- a/reduce/control/wave.go
+++ b/reduce/control/wave.go
@@ -145,6 +145,9 @@
 	if len(pending) == 0 {
 		return Invalid, "the wave selects no instance"
 	}
+	if why := s.rehearsalInPools(s.poolsOf(pending)); why != "" {
+		return Conflict, why
+	}
 	for _, w := range s.Waves.Active {
 		for _, id := range pending {
 			if slices.Contains(w.Pending, id) || slices.Contains(w.Current, id) {
--- a/reduce/rehearsal/forecast.go
+++ b/reduce/rehearsal/forecast.go
@@ -17,9 +17,9 @@
 
 // Domain is a failure domain: a data centre, or a rack within one.
 type Domain struct {
-	DataCentre fleet.DataCentre
+	DataCentre fleet.DataCentre `json:"data_centre"`
 	// Rack is empty for a whole data centre.
-	Rack fleet.Rack
+	Rack fleet.Rack `json:"rack,omitempty"`
 }
 
 // Holds reports whether an instance is in the domain.
@@ -48,23 +48,24 @@
 
 // Service is the forecast for one service.
 type Service struct {
-	Name fleet.ServiceName
-	Pool fleet.PoolName
+	Name fleet.ServiceName `json:"name"`
+	Pool fleet.PoolName    `json:"pool"`
 	// Slots are left in the service's pool, out of Before.
-	Slots, Before int
+	Slots  int `json:"slots"`
+	Before int `json:"before"`
 	// PoolDemand is the demand on these slots.
-	PoolDemand float64
+	PoolDemand float64 `json:"pool_demand"`
 	// Availability is the share of requests that can be answered, with that of
 	// all services that it depends on.
-	Availability float64
+	Availability float64 `json:"availability"`
 	// Breaks is set when Availability is below the service's budget.
-	Breaks bool
+	Breaks bool `json:"breaks"`
 	// Cause is the service whose pool is short: this one, or one that it depends
 	// on. It is empty when nothing is short.
-	Cause fleet.ServiceName
+	Cause fleet.ServiceName `json:"cause,omitempty"`
 	// Exhausted is how long the loss may last before the budget of 30 days is
 	// spent; zero means that the budget is not touched.
-	Exhausted time.Duration
+	Exhausted time.Duration `json:"exhausted,omitempty"`
 }
 
 // Forecast returns the forecast for every service, ordered by name.
