Run rehearsals and back out when a budget burns too fast

Cause: nobody watched a rehearsal, so an operator had to.

Change: every entry watches all services while a rehearsal runs. When its time is up, or both windows of a service burn its budget faster than 14.4 times the allowed rate, the entries propose its end, staggered by rank. The record carries what happened: answered, failed, least slots, highest burn.

--- a/reduce/cluster_test.go
+++ b/reduce/cluster_test.go
@@ -41,6 +41,7 @@
 	running              map[fleet.AttemptID]fleet.InstanceID
 	status               effect.Status
 	last                 control.Result
+	forecast             effect.Forecast
 	requests             fleet.RequestID
 }
 
@@ -99,6 +100,8 @@
 		m.running[e.Attempt] = e.Instance
 	case effect.ReplyStatus:
 		m.status = e.Status
+	case effect.ReplyForecast:
+		m.forecast = e.Forecast
 	case effect.Reply:
 		m.last = e.Result
 	}
--- a/reduce/drain.go
+++ b/reduce/drain.go
@@ -76,6 +76,7 @@
 	}
 	s.sendAcks()
 	s.stepWaves()
+	s.stepRehearsal()
 	s.armSteps()
 }
 
@@ -157,7 +158,7 @@
 // armSteps keeps the timer of the next look at what is due while anything is
 // under maintenance.
 func (s *State) armSteps() {
-	if len(s.control.Drains.Under()) == 0 && len(s.control.Waves.Active) == 0 && len(s.drains.Told()) == 0 {
+	if !s.control.IsUnderMaintenance() && len(s.drains.Told()) == 0 {
 		s.timers.Clear(&s.drains.Tick)
 		return
 	}
@@ -175,6 +176,7 @@
 	}
 	s.sendAcks()
 	s.stepWaves()
+	s.stepRehearsal()
 	s.armSteps()
 }
 
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -9,6 +9,7 @@
 	"github.com/banyanrail/banyanrail/reduce/claims"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/message"
+	"github.com/banyanrail/banyanrail/reduce/rehearsal"
 )
 
 // Effect is one output of the reducer. Its implementations are the types of
@@ -116,6 +117,40 @@
 	Text *fleet.Text
 }
 
+// ReplyForecast answers a question for a forecast.
+type ReplyForecast struct {
+	ID       uint64
+	Forecast Forecast
+}
+
+// Forecast says what the loss of a failure domain would do.
+type Forecast struct {
+	Domain rehearsal.Domain `json:"domain"`
+	// Instances is the number in the domain.
+	Instances int                 `json:"instances"`
+	Services  []rehearsal.Service `json:"services"`
+}
+
+// RehearsalStatus is one rehearsal.
+type RehearsalStatus struct {
+	ID     fleet.Offset     `json:"id"`
+	Domain rehearsal.Domain `json:"domain"`
+	Note   string           `json:"note,omitempty"`
+	Forced bool             `json:"forced,omitempty"`
+	// Phase is running or ended, and Reason says why it ended.
+	Phase     string              `json:"phase"`
+	Reason    string              `json:"reason,omitempty"`
+	Detail    string              `json:"detail,omitempty"`
+	Started   time.Time           `json:"started"`
+	Ended     time.Time           `json:"ended,omitzero"`
+	Duration  time.Duration       `json:"duration"`
+	Instances []fleet.InstanceID  `json:"instances"`
+	Forecast  []rehearsal.Service `json:"forecast"`
+	// Watched is how much of the rehearsal Observed is about.
+	Watched  time.Duration        `json:"watched"`
+	Observed []rehearsal.Observed `json:"observed"`
+}
+
 // Status is a summary of an entry's state.
 type Status struct {
 	Entry    fleet.EntryID `json:"entry"`
@@ -132,12 +167,13 @@
 	Running  int             `json:"running"`
 	Peers    []fleet.EntryID `json:"peers"`
 	// Versions holds the version in force at each entry alive, as last heard.
-	Versions  map[fleet.EntryID]fleet.Version `json:"versions"`
-	Instances []InstanceStatus                `json:"instances"`
-	Waves     []WaveStatus                    `json:"waves"`
-	Totals    map[string]uint64               `json:"totals"`
-	Pools     map[fleet.PoolName]int          `json:"pools"`
-	Claims    ClaimStatus                     `json:"claims"`
+	Versions   map[fleet.EntryID]fleet.Version `json:"versions"`
+	Instances  []InstanceStatus                `json:"instances"`
+	Waves      []WaveStatus                    `json:"waves"`
+	Rehearsals []RehearsalStatus               `json:"rehearsals"`
+	Totals     map[string]uint64               `json:"totals"`
+	Pools      map[fleet.PoolName]int          `json:"pools"`
+	Claims     ClaimStatus                     `json:"claims"`
 	// Holds lists the pools whose slots this entry grants.
 	Holds []fleet.PoolName `json:"holds,omitempty"`
 }
@@ -237,6 +273,7 @@
 	ChangeRecordRejected
 	ChangeInstance
 	ChangeWave
+	ChangeRehearsal
 	ChangeClaimsOpen
 	ChangeClaimsClosed
 	ChangeDigestMismatch
@@ -313,6 +350,7 @@
 func (SetClaims) isEffect()       {}
 func (Reply) isEffect()           {}
 func (ReplyStatus) isEffect()     {}
+func (ReplyForecast) isEffect()   {}
 func (ReplyText) isEffect()       {}
 func (Count) isEffect()           {}
 func (LogChange) isEffect()       {}
--- a/reduce/event/event.go
+++ b/reduce/event/event.go
@@ -10,6 +10,7 @@
 	"github.com/banyanrail/banyanrail/reduce/claims"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/message"
+	"github.com/banyanrail/banyanrail/reduce/rehearsal"
 )
 
 // Event is one input of the reducer.
@@ -151,6 +152,12 @@
 // StatusAsked asks for a summary of the state.
 type StatusAsked struct{ ID uint64 }
 
+// ForecastAsked asks what the loss of a failure domain would do.
+type ForecastAsked struct {
+	ID     uint64
+	Domain rehearsal.Domain
+}
+
 // TextAsked asks for the services text in force.
 type TextAsked struct{ ID uint64 }
 
@@ -230,6 +237,7 @@
 func (AppendFinished) isEvent()    {}
 func (OperatorCommanded) isEvent() {}
 func (StatusAsked) isEvent()       {}
+func (ForecastAsked) isEvent()     {}
 func (TextAsked) isEvent()         {}
 func (EntriesListed) isEvent()     {}
 func (EndpointsListed) isEvent()   {}
--- a/reduce/proposal.go
+++ b/reduce/proposal.go
@@ -48,7 +48,7 @@
 		}
 		ev.Record.Body = s.compact(body)
 	}
-	ev.Record.Body = s.control.Rebase(ev.Record.Body)
+	ev.Record.Body = s.complete(s.control.Rebase(ev.Record.Body))
 	p := &proposal{record: ev.Record.ID, reply: ev.ID, deadline: ev.Deadline}
 	s.proposals[p.record] = p
 	s.timers.Set(&p.timer, ev.Deadline.Add(-voidLead), p)
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -66,6 +66,8 @@
 		s.onOperatorCommanded(b)
 	case event.StatusAsked:
 		s.onStatusAsked(b)
+	case event.ForecastAsked:
+		s.onForecastAsked(b)
 	case event.TextAsked:
 		s.onTextAsked(b)
 	}
--- /dev/null
+++ b/reduce/rehearse.go
@@ -0,0 +1,256 @@
+package reduce
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/drains"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/health"
+	"github.com/banyanrail/banyanrail/reduce/planner"
+	"github.com/banyanrail/banyanrail/reduce/rehearsal"
+)
+
+// onForecastAsked says what the loss of a domain would do. It changes nothing.
+func (s *State) onForecastAsked(ev event.ForecastAsked) {
+	reply := effect.ReplyForecast{ID: ev.ID, Forecast: effect.Forecast{Domain: ev.Domain}}
+	if s.control.Text != nil {
+		reply.Forecast.Instances = s.instancesIn(ev.Domain)
+		reply.Forecast.Services = s.control.ForecastLoss(ev.Domain, s.observedDemand(), s.unhealthy())
+	}
+	s.emit(reply)
+}
+
+func (s *State) instancesIn(d rehearsal.Domain) int {
+	n := 0
+	for i := range s.control.Text.Instances {
+		if d.Holds(&s.control.Text.Instances[i]) {
+			n++
+		}
+	}
+	return n
+}
+
+// observedDemand returns the demand of the services that were asked for over
+// the whole long window.
+func (s *State) observedDemand() planner.Demand {
+	demand := make(planner.Demand)
+	if s.control.Text == nil || !s.usage.Covers(s.now) {
+		return demand
+	}
+	for i := range s.control.Text.Services {
+		name := s.control.Text.Services[i].Name
+		if d := s.usage.Demand(name, s.now); d > 0 {
+			demand[name] = d
+		}
+	}
+	return demand
+}
+
+// unhealthy returns the instances that this entry gives no full work to, in the
+// order of the text.
+func (s *State) unhealthy() []fleet.InstanceID {
+	var ids []fleet.InstanceID
+	if s.control.Text == nil {
+		return ids
+	}
+	for i := range s.control.Text.Instances {
+		id := s.control.Text.Instances[i].ID
+		it, ok := s.health.Get(id)
+		switch {
+		case s.drains.IsLeaving(id, s.control.Offset):
+			ids = append(ids, id)
+		case ok && (it.Phase == health.Ejected || it.Phase == health.Probation || it.Phase == health.Leaving):
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// unavailable returns the instances that are out of service, on probation, or
+// unhealthy.
+func (s *State) unavailable() map[fleet.InstanceID]bool {
+	out := make(map[fleet.InstanceID]bool)
+	for _, id := range s.control.Drains.Under() {
+		out[id] = true
+	}
+	for _, id := range s.unhealthy() {
+		out[id] = true
+	}
+	return out
+}
+
+// complete adds what this entry has seen to an operator's record about a
+// rehearsal.
+func (s *State) complete(body control.Body) control.Body {
+	switch r := body.(type) {
+	case control.StartRehearsal:
+		r.Demand, r.Unhealthy = s.observedDemand(), s.unhealthy()
+		return r
+	case control.EndRehearsal:
+		if active := s.control.Rehearsals.Active; active != nil && active.ID == r.Rehearsal {
+			s.watchRehearsal()
+			r.Watched, r.Observed = s.now.Sub(s.rehearsal.Since), s.observed()
+		}
+		return r
+	default:
+		return body
+	}
+}
+
+// followRehearsal brings placement in line with a record about a rehearsal.
+func (s *State) followRehearsal(body control.Body) {
+	switch r := body.(type) {
+	case control.StartRehearsal:
+		active := s.control.Rehearsals.Active
+		s.rehearsalChanged(active, "started in "+r.Domain.String())
+		s.watchRehearsal()
+	case control.EndRehearsal:
+		ended := s.control.Rehearsals.Ended
+		last := ended[len(ended)-1]
+		s.rehearsalChanged(last, "ended: "+last.Reason.String()+" "+last.Detail)
+	}
+}
+
+func (s *State) rehearsalChanged(r *control.Rehearsal, what string) {
+	s.emit(effect.LogChange{
+		Change: effect.ChangeRehearsal, Version: s.control.Version,
+		Detail: fmt.Sprintf("rehearsal %d %s", r.ID, what),
+	})
+	for _, id := range r.Instances {
+		if _, known := s.control.Pools[id]; known {
+			s.phaseChanged(id)
+		}
+	}
+}
+
+// watchRehearsal takes a sample of every service while a rehearsal is under
+// way.
+func (s *State) watchRehearsal() {
+	r := s.control.Rehearsals.Active
+	if r == nil {
+		return
+	}
+	s.rehearsal.Follow(r.ID, s.now)
+	slots := s.openSlots()
+	for i := range s.control.Text.Services {
+		svc := &s.control.Text.Services[i]
+		total := s.usage.Total(svc.Name)
+		s.rehearsal.Observe(svc.Name, rehearsal.Sample{
+			Answered: total.Answered,
+			Failed:   total.Failed,
+			Slots:    slots[svc.Pool],
+			Burn:     s.usage.Burn(svc, s.now).Long,
+		})
+	}
+}
+
+// openSlots returns the slots of the available instances of each pool.
+func (s *State) openSlots() map[fleet.PoolName]int {
+	slots := make(map[fleet.PoolName]int)
+	out := s.unavailable()
+	for i := range s.control.Text.Instances {
+		id := s.control.Text.Instances[i].ID
+		if pool, ok := s.control.Text.Pool(s.control.Pools[id]); ok && !out[id] {
+			slots[pool.Name] += pool.Slots
+		}
+	}
+	return slots
+}
+
+// observed returns what was seen of each service, in the order of the text.
+func (s *State) observed() []rehearsal.Observed {
+	var all []rehearsal.Observed
+	for i := range s.control.Text.Services {
+		if o, ok := s.rehearsal.Observed(s.control.Text.Services[i].Name); ok {
+			all = append(all, o)
+		}
+	}
+	return all
+}
+
+// stepRehearsal ends the rehearsal when its time is up or a budget burns too
+// fast. Any entry may propose it; the fold counts one.
+func (s *State) stepRehearsal() {
+	r := s.control.Rehearsals.Active
+	if r == nil {
+		return
+	}
+	s.rehearsal.Follow(r.ID, s.now)
+	reason, detail := s.endOf(r)
+	if reason == 0 || !s.isCurrent() {
+		s.rehearsal.DueSince = time.Time{}
+		return
+	}
+	w := &s.rehearsal
+	if w.DueSince.IsZero() {
+		w.DueSince = s.now
+	}
+	wait := time.Duration(s.peers.Rank(fmt.Sprintf("rehearsal-%d", r.ID))) * drains.ProposeStagger
+	if s.now.Sub(w.DueSince) < wait || s.now.Sub(w.Proposed) < drains.ProposeRetry {
+		return
+	}
+	w.Proposed = s.now
+	s.watchRehearsal()
+	s.emit(effect.Append{Record: control.Record{
+		ID:     fleet.RecordID(fmt.Sprintf("end-rehearsal/%d/%s/%d", r.ID, reason, s.control.Offset)),
+		Time:   s.now,
+		Author: string(s.cfg.Entry),
+		Body: control.EndRehearsal{
+			Rehearsal: r.ID, Base: r.Epoch, Reason: reason, Detail: detail,
+			Watched: s.now.Sub(w.Since), Observed: s.observed(),
+		},
+	}, Deadline: s.now.Add(drains.ProposeRetry)})
+}
+
+// endOf returns why a rehearsal has to end now, or zero. The record's time is
+// another entry's; what this entry saw itself bounds the time when that clock
+// is ahead.
+func (s *State) endOf(r *control.Rehearsal) (control.RehearsalEnd, string) {
+	for i := range s.control.Text.Services {
+		svc := &s.control.Text.Services[i]
+		if s.usage.BurnsTooFast(svc, s.now) {
+			burn := s.usage.Burn(svc, s.now)
+			return control.EndBudget, fmt.Sprintf("%s burns its budget at %.0f times the allowed rate", svc.Name, burn.Long)
+		}
+	}
+	started := r.Started
+	if started.IsZero() || started.After(s.rehearsal.Since) {
+		started = s.rehearsal.Since
+	}
+	if s.now.Sub(started) >= r.Duration {
+		return control.EndDone, ""
+	}
+	return 0, ""
+}
+
+func (s *State) rehearsalStatuses() []effect.RehearsalStatus {
+	var all []effect.RehearsalStatus
+	for _, r := range s.control.Rehearsals.Ended {
+		all = append(all, rehearsalStatus(r))
+	}
+	if r := s.control.Rehearsals.Active; r != nil {
+		st := rehearsalStatus(r)
+		st.Phase = "running"
+		if s.rehearsal.ID == r.ID {
+			st.Watched, st.Observed = s.now.Sub(s.rehearsal.Since), s.observed()
+		}
+		all = append(all, st)
+	}
+	return all
+}
+
+func rehearsalStatus(r *control.Rehearsal) effect.RehearsalStatus {
+	st := effect.RehearsalStatus{
+		ID: r.ID, Domain: r.Domain, Note: r.Note, Forced: r.Forced, Phase: "ended",
+		Started: r.Started, Duration: r.Duration, Detail: r.Detail,
+		Instances: r.Instances, Forecast: r.Forecast, Watched: r.Watched, Observed: r.Observed,
+	}
+	if r.Reason != 0 {
+		st.Reason, st.Ended = r.Reason.String(), r.Ended
+	}
+	return st
+}
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -11,6 +11,7 @@
 	"github.com/banyanrail/banyanrail/reduce/holder"
 	"github.com/banyanrail/banyanrail/reduce/peers"
 	"github.com/banyanrail/banyanrail/reduce/placement"
+	"github.com/banyanrail/banyanrail/reduce/rehearsal"
 	"github.com/banyanrail/banyanrail/reduce/relay"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 	"github.com/banyanrail/banyanrail/reduce/timer"
@@ -48,6 +49,7 @@
 	budgets   *requests.Budgets
 	usage     *usage.State
 	usageTick usageTick
+	rehearsal rehearsal.Watch
 	peers     *peers.State
 	claiming  *claiming
 	drains    *drains.State
--- a/reduce/usage.go
+++ b/reduce/usage.go
@@ -23,6 +23,7 @@
 // onUsageDue samples the totals, and tells peers this entry's own.
 func (s *State) onUsageDue() {
 	s.usage.Sample(s.now)
+	s.watchRehearsal()
 	if s.now.Sub(s.usageTick.sent) >= totalsInterval {
 		s.usageTick.sent = s.now
 		s.sendTotals()
--- a/reduce/usage/burn.go
+++ b/reduce/usage/burn.go
@@ -32,3 +32,21 @@
 	}
 	return float64(t.Failed) / float64(t.Sum()) / (1 - availability)
 }
+
+const (
+	// fastBurn spends 2 % of a budget of 30 days in one hour.
+	fastBurn = 14.4
+	// maxFailedShare bounds the share of failures also for services whose
+	// budget is so wide that fastBurn can't be reached.
+	maxFailedShare = 0.25
+	// minFailed is the number of failures in the long window below which no
+	// budget counts as burning.
+	minFailed = 3
+)
+
+// BurnsTooFast reports whether what is being done to the fleet has to be undone
+// for the sake of a service.
+func (s *State) BurnsTooFast(svc *fleet.Service, now time.Time) bool {
+	limit := min(fastBurn, maxFailedShare/(1-svc.Availability))
+	return s.Burn(svc, now).Exceeds(limit) && s.Window(svc.Name, now, LongWindow).Failed >= minFailed
+}
--- a/reduce/wave.go
+++ b/reduce/wave.go
@@ -27,6 +27,8 @@
 		s.waveChanged(r.Wave, "resumed")
 	case control.AbortWave:
 		s.waveChanged(r.Wave, "aborted")
+	default:
+		s.followRehearsal(body)
 	}
 }
 
