--- a/entry/act.go
+++ b/entry/act.go
@@ -47,6 +47,8 @@
 		e.replies.Resolve(o.ID, o.Result)
 	case effect.ReplyStatus:
 		e.statuses.Resolve(o.ID, o.Status)
+	case effect.ReplyForecast:
+		e.forecasts.Resolve(o.ID, o.Forecast)
 	case effect.ReplyText:
 		e.texts.Resolve(o.ID, o)
 	}
@@ -61,6 +63,7 @@
 	effect.ChangeRecordRejected: "record rejected",
 	effect.ChangeInstance:       "instance changed phase",
 	effect.ChangeWave:           "wave changed",
+	effect.ChangeRehearsal:      "rehearsal changed",
 	effect.ChangeClaimsOpen:     "taking non-idempotent requests",
 	effect.ChangeClaimsClosed:   "refusing non-idempotent requests",
 	effect.ChangeDigestMismatch: "fold differs from a peer's",
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -97,6 +97,7 @@
 	replies   *loop.Calls[control.Result]
 	statuses  *loop.Calls[effect.Status]
 	texts     *loop.Calls[effect.ReplyText]
+	forecasts *loop.Calls[effect.Forecast]
 	client    *endpoint.Client
 	tracer    trace.Tracer
 	metrics   *metrics
@@ -130,6 +131,7 @@
 		replies:    loop.NewCalls[control.Result](),
 		statuses:   loop.NewCalls[effect.Status](),
 		texts:      loop.NewCalls[effect.ReplyText](),
+		forecasts:  loop.NewCalls[effect.Forecast](),
 		client:     endpoint.NewClient(fleet.DefaultConnections),
 		tracer:     deps.Traces.Tracer("github.com/banyanrail/banyanrail/entry"),
 		metrics:    newMetrics(deps.Metrics),
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -38,6 +38,7 @@
 	mux.HandleFunc("GET /v1/text", e.handleText)
 	mux.HandleFunc("GET /v1/status", e.handleStatus)
 	e.handleMaintenance(mux)
+	e.handleRehearsals(mux)
 	mux.HandleFunc("GET /healthz", e.handleLive)
 	mux.HandleFunc("GET /readyz", e.handleReady)
 	return e.authorised(mux)
