Plan for utilisation and bursts, and keep a shared reserve shared

Cause: three faults in the planner's sums, found while wiring it. A pool counted as carrying its demand at 100 % of its slots, where queues grow without bound; waves use 80 %. A pool gave away what its bursts need, since only the mean counted. And as soon as one spare was lent, the spares held less than the shared reserve, so every pool asked for a reserve of its own and the rest of the spares moved as well.

Change: one function says how many instances carry a demand, at 80 %, for planner and waves. Surplus is what is above the peak demand over a time limit, by usage.Peak. The reserve stays shared while a spare pool exists and prices favour it. Instances that arrive count where they go, and pools that can't give an instance now are passed over. One walk over the instances serves all pools.

The expected demand of one test follows from the 80 %; its figures are as before. Each fault has a test.

--- a/reduce/disruption/disruption.go
+++ b/reduce/disruption/disruption.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// targetUtilisation is the share of a pool's slots that its mean demand may
-	// take while instances are out.
-	targetUtilisation = 0.8
 	// strictAvailability is the availability from which on a pool also keeps a
 	// reserve for an unplanned failure during a step.
 	strictAvailability = 0.99
@@ -58,8 +55,7 @@
 	if demand <= 0 || p.Slots <= 0 {
 		return max(1, int(math.Ceil(float64(have)*undeclaredShare)))
 	}
-	carry := int(math.Ceil(demand / (float64(p.Slots) * targetUtilisation)))
-	return max(1, carry) + reserve(text, p.Name)
+	return max(1, planner.InstancesFor(demand, p.Slots)) + reserve(text, p.Name)
 }
 
 // reserve returns how many instances a pool keeps for an unplanned failure. A
--- a/reduce/planner/demand.go
+++ b/reduce/planner/demand.go
@@ -63,10 +63,14 @@
 	return pools
 }
 
-// instancesFor returns how many instances carry a demand in slots.
-func instancesFor(demand float64, slots int) int {
+// TargetUtilisation is the share of a pool's slots that its mean demand may
+// take: near all of them, queues grow without bound.
+const TargetUtilisation = 0.8
+
+// InstancesFor returns how many instances carry a mean demand in slots.
+func InstancesFor(demand float64, slots int) int {
 	if slots <= 0 {
 		return 0
 	}
-	return int(math.Ceil(demand / float64(slots)))
+	return int(math.Ceil(demand / (float64(slots) * TargetUtilisation)))
 }
--- a/reduce/planner/need.go
+++ b/reduce/planner/need.go
@@ -11,8 +11,9 @@
 	// Have is the number of available instances, and Largest those of them in
 	// the data centre with the most.
 	Have, Largest int
-	// Carry is the number that carries the demand.
-	Carry int
+	// Carry is the number that carries the demand, and CarryPeak the number that
+	// carries it in its bursts as well.
+	Carry, CarryPeak int
 	// Reserve is the number held in the pool for the loss of a data centre.
 	Reserve int
 }
@@ -20,6 +21,9 @@
 // Want is the number of instances the pool should have.
 func (n Need) Want() int { return n.Carry + n.Reserve }
 
+// Keep is the number that the pool has before it gives one away.
+func (n Need) Keep() int { return max(n.Carry, n.CarryPeak) + n.Reserve }
+
 func (n Need) missing() int { return n.Want() - n.Have }
 
 func byPool(a, b Need) int {
@@ -43,18 +47,18 @@
 // moves.
 func reserve(in Input, needs []Need) {
 	centres := max(1, len(in.Text.DataCentres))
-	own, shared, spares := 0, 0, 0
+	own, shared, canShare := 0, 0, false
 	for i := range needs {
 		n := &needs[i]
 		if n.Spare {
-			spares += n.Have
+			canShare = true
 			continue
 		}
 		n.Reserve = ownReserve(n.Carry, centres)
 		own += n.Reserve
 		shared += lossOf(n.Carry, centres)
 	}
-	if spares == 0 || !sharedIsCheaper(in.Text.Prices, own, shared) || spares < shared {
+	if !canShare || !sharedIsCheaper(in.Text.Prices, own, shared) {
 		return
 	}
 	for i := range needs {
--- a/reduce/planner/planner.go
+++ b/reduce/planner/planner.go
@@ -61,7 +61,14 @@
 	Pools map[fleet.InstanceID]fleet.PoolName
 	// Unavailable instances are drained, ejected or on probation.
 	Unavailable map[fleet.InstanceID]bool
-	Demand      Demand
+	// Arriving instances are unavailable as well, but on their way into a pool.
+	Arriving map[fleet.InstanceID]fleet.PoolName
+	// Held pools can't give an instance now.
+	Held   map[fleet.PoolName]bool
+	Demand Demand
+	// Peak is the demand in bursts. A pool that gave away what bursts need would
+	// have to refuse requests.
+	Peak Demand
 }
 
 // State remembers since when each pool has had too few or too many instances.
@@ -81,20 +88,22 @@
 // Next returns the next move, if one is due. One move at a time keeps each
 // decision on the state that the last one left.
 func (s *State) Next(in Input) (Move, bool) {
-	needs := Needs(in)
-	s.observe(in.Now, needs)
+	needs := s.Observe(in)
 	if m, ok := s.fill(in, needs); ok {
 		return m, true
 	}
 	return s.drain(in, needs)
 }
 
-// observe notes when a shortfall or surplus began or ended.
-func (s *State) observe(now time.Time, needs []Need) {
+// Observe notes when a shortfall or surplus began or ended, and returns what
+// each pool needs.
+func (s *State) Observe(in Input) []Need {
+	needs := Needs(in)
 	for _, n := range needs {
-		note(s.shortSince, n.Pool, n.Have < n.Want(), now)
-		note(s.surplusSince, n.Pool, !n.Spare && n.Have > n.Want(), now)
+		note(s.shortSince, n.Pool, n.Have < n.Want(), in.Now)
+		note(s.surplusSince, n.Pool, !n.Spare && n.Have > n.Keep(), in.Now)
 	}
+	return needs
 }
 
 func note(since map[fleet.PoolName]time.Time, pool fleet.PoolName, holds bool, now time.Time) {
@@ -142,11 +151,14 @@
 	var best *Need
 	for i := range needs {
 		n := &needs[i]
+		if in.Held[n.Pool] {
+			continue
+		}
 		if n.Spare && n.Have > 0 {
 			return n.Pool, true
 		}
 		lasting := reason == ReasonShortfall || s.surplusLasts(in, n.Pool)
-		if n.Have > n.Want() && lasting && (best == nil || n.Have-n.Want() > best.Have-best.Want()) {
+		if n.Have > n.Keep() && lasting && (best == nil || n.Have-n.Keep() > best.Have-best.Keep()) {
 			best = n
 		}
 	}
@@ -164,7 +176,7 @@
 		return Move{}, false
 	}
 	for _, n := range needs {
-		if n.Spare || n.Have <= n.Want() || !s.surplusLasts(in, n.Pool) {
+		if n.Spare || in.Held[n.Pool] || n.Have <= n.Keep() || !s.surplusLasts(in, n.Pool) {
 			continue
 		}
 		if id, ok := pick(in, n.Pool, spare); ok {
@@ -234,11 +246,24 @@
 }
 
 func byDataCentre(in Input, pool fleet.PoolName) map[fleet.DataCentre]int {
-	n := make(map[fleet.DataCentre]int)
+	return spread(in)[pool]
+}
+
+// spread counts the available and arriving instances of each pool by data
+// centre.
+func spread(in Input) map[fleet.PoolName]map[fleet.DataCentre]int {
+	n := make(map[fleet.PoolName]map[fleet.DataCentre]int, len(in.Text.Pools))
+	for i := range in.Text.Pools {
+		n[in.Text.Pools[i].Name] = make(map[fleet.DataCentre]int)
+	}
 	for i := range in.Text.Instances {
 		it := &in.Text.Instances[i]
-		if in.Pools[it.ID] == pool && !in.Unavailable[it.ID] {
-			n[it.DataCentre]++
+		pool := in.Pools[it.ID]
+		if in.Unavailable[it.ID] {
+			pool = in.Arriving[it.ID]
+		}
+		if centres, ok := n[pool]; ok {
+			centres[it.DataCentre]++
 		}
 	}
 	return n
@@ -247,12 +272,16 @@
 // Needs returns what each pool needs, ordered by name.
 func Needs(in Input) []Need {
 	demand := in.Demand.ByPool(in.Text)
+	peak := in.Peak.ByPool(in.Text)
 	needs := make([]Need, 0, len(in.Text.Pools))
+	spreads := spread(in)
 	for i := range in.Text.Pools {
 		p := &in.Text.Pools[i]
-		spread := byDataCentre(in, p.Name)
-		n := Need{Pool: p.Name, Spare: p.Spare, Carry: instancesFor(demand[p.Name], p.Slots)}
-		for _, count := range spread {
+		n := Need{
+			Pool: p.Name, Spare: p.Spare,
+			Carry: InstancesFor(demand[p.Name], p.Slots), CarryPeak: InstancesFor(peak[p.Name], p.Slots),
+		}
+		for _, count := range spreads[p.Name] {
 			n.Have += count
 			n.Largest = max(n.Largest, count)
 		}
--- a/reduce/planner/planner_test.go
+++ b/reduce/planner/planner_test.go
@@ -79,7 +79,7 @@
 
 func TestReserveCarriesTheLossOfADataCentre(t *testing.T) {
 	in := twoPools(12, 0, fleet.Prices{Buffer: 1, Move: 100})
-	in.Demand = planner.Demand{"sa": 72, "sb": 0}
+	in.Demand = planner.Demand{"sa": 72 * planner.TargetUtilisation, "sb": 0}
 	for _, n := range planner.Needs(in) {
 		if n.Pool != "a" {
 			continue
@@ -111,3 +111,26 @@
 	must.EqOp(t, 6.0, d["right"])
 	must.EqOp(t, 10.0, d["base"])
 }
+
+func TestSpareThatIsLentKeepsTheReserveShared(t *testing.T) {
+	in := twoPools(7, 4, fleet.Prices{Buffer: 10, Move: 1})
+	in.Demand = planner.Demand{"sa": 51, "sb": 44}
+	moves := run(planner.New(), &in, 10*time.Minute)
+	must.Len(t, 1, moves)
+	must.EqOp(t, planner.ReasonShortfall, moves[0].Reason)
+}
+
+func TestPoolKeepsWhatItsBurstsNeed(t *testing.T) {
+	in := twoPools(8, 1, fleet.Prices{Buffer: 60, Move: 0.5})
+	in.Demand = planner.Demand{"sa": 8, "sb": 50}
+	in.Peak = planner.Demand{"sa": 40, "sb": 50}
+	must.Len(t, 1, run(planner.New(), &in, time.Hour))
+}
+
+func TestArrivingInstancesCountWhereTheyGo(t *testing.T) {
+	in := twoPools(7, 4, fleet.Prices{Buffer: 10, Move: 1})
+	in.Demand = planner.Demand{"sa": 51, "sb": 44}
+	in.Unavailable = map[fleet.InstanceID]bool{"spare-00": true}
+	in.Arriving = map[fleet.InstanceID]fleet.PoolName{"spare-00": "a"}
+	must.Len(t, 0, run(planner.New(), &in, time.Minute))
+}
--- a/reduce/usage/usage.go
+++ b/reduce/usage/usage.go
@@ -214,6 +214,26 @@
 	return float64(t.Arrived) * mean / s.covered(now).Seconds()
 }
 
+// Peak returns the highest demand of a service over any time of length d in the
+// long window. Requests can wait for about their time limit, so that a pool
+// which carries the peak over that time answers all of a burst.
+func (s *State) Peak(service fleet.ServiceName, now time.Time, d time.Duration) float64 {
+	t := s.Window(service, now, LongWindow)
+	if t.Attempts == 0 {
+		return 0
+	}
+	mean := t.Busy.Seconds() / float64(t.Attempts)
+	highest, first := 0.0, 0
+	for i := range s.samples {
+		for first < i && s.samples[i].at.Sub(s.samples[first].at) > d {
+			first++
+		}
+		arrived := s.samples[i].totals[service].Arrived - s.samples[first].totals[service].Arrived
+		highest = max(highest, float64(arrived)/max(d, SampleInterval).Seconds())
+	}
+	return highest * mean
+}
+
 // covered returns how much of the long window there are samples for.
 func (s *State) covered(now time.Time) time.Duration {
 	if len(s.samples) == 0 {
--- a/reduce/usage/usage_test.go
+++ b/reduce/usage/usage_test.go
@@ -83,3 +83,21 @@
 	}
 	must.EqOp(t, 4, s.Demand("survey", now))
 }
+
+func TestPeakIsTheHighestDemandWithinATimeLimit(t *testing.T) {
+	s := usage.New()
+	now := epoch
+	for second := range 61 {
+		if second >= 20 && second < 25 {
+			for range 50 {
+				s.Arrive("survey")
+				s.Run("survey", 100*time.Millisecond)
+			}
+		}
+		s.Sample(now)
+		now = now.Add(time.Second)
+	}
+	must.EqOp(t, 5.0, s.Peak("survey", now, 5*time.Second))
+	must.EqOp(t, 2.5, s.Peak("survey", now, 10*time.Second))
+	must.EqOp(t, 0.0, s.Peak("barges", now, 10*time.Second))
+}
