Let the planner move instances

Cause: the planner was not connected; nobody answered a lasting shortfall.

Change: every entry follows each second how long pools have been short; the one ranked first proposes a move, by the move machinery that operators use. At most four moves are under way. The planner is off without prices, in waves that are running and in rehearsals. Instances on probation after a move keep the purpose of a move, so that moves under way can be counted.

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -24,6 +24,8 @@
 	effect.LeasesReclaimed:   "leases_reclaimed",
 	effect.GrantsReturned:    "grants_returned",
 	effect.InstancesEjected:  "instances_ejected",
+	effect.MovesProposed:     "moves_proposed",
+	effect.InstancesMoved:    "instances_moved",
 }
 
 // metrics keeps the tally counters by their labels. Only the control goroutine
--- a/reduce/control/move.go
+++ b/reduce/control/move.go
@@ -36,6 +36,9 @@
 	}
 	s.Pools[r.Instance] = r.To
 	s.change(r.Instance, at, Probation)
+	m = s.Drains[r.Instance]
+	m.Reason, m.Purpose = ReasonMove, PurposeMove
+	s.Drains[r.Instance] = m
 	s.Moves++
 	return Accepted, ""
 }
@@ -80,3 +83,35 @@
 	}
 	return Drain{Instance: r.Instance, Base: r.Base, Reason: ReasonMove, Purpose: PurposeMove, To: r.To}
 }
+
+// Arriving returns the instances that are on their way into a pool, or on
+// probation in it after a move.
+func (s *State) Arriving() map[fleet.InstanceID]fleet.PoolName {
+	arriving := make(map[fleet.InstanceID]fleet.PoolName)
+	for id, m := range s.Drains {
+		switch {
+		case m.Purpose != PurposeMove:
+		case m.Phase == Draining:
+			arriving[id] = m.To
+		case m.Phase == Probation:
+			arriving[id] = s.Pools[id]
+		}
+	}
+	return arriving
+}
+
+// Held returns the pools that can't give an instance now.
+func (s *State) Held() map[fleet.PoolName]bool {
+	held := make(map[fleet.PoolName]bool)
+	if s.Text == nil {
+		return held
+	}
+	left := s.allowance()
+	for i := range s.Text.Pools {
+		name := s.Text.Pools[i].Name
+		if !s.isIdle(name) && left[name] < 1 {
+			held[name] = true
+		}
+	}
+	return held
+}
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -258,6 +258,10 @@
 	// GrantsReturned counts grants that could not be used.
 	GrantsReturned
 	InstancesEjected
+	// MovesProposed counts moves that this entry planned.
+	MovesProposed
+	// InstancesMoved counts moves that took effect, as this entry folded them.
+	InstancesMoved
 )
 
 // Change names a change of state that is worth a log line.
--- a/reduce/move.go
+++ b/reduce/move.go
@@ -13,6 +13,7 @@
 		Change: effect.ChangeInstance, Instance: r.Instance, Version: s.control.Version,
 		Detail: fmt.Sprintf("moved from %s to %s", r.From, r.To),
 	})
+	s.emit(effect.Count{Name: effect.InstancesMoved, N: 1})
 	s.configure()
 	s.grantAll()
 	s.phaseChanged(r.Instance)
--- /dev/null
+++ b/reduce/plan.go
@@ -0,0 +1,94 @@
+package reduce
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/drains"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/planner"
+	"github.com/banyanrail/banyanrail/reduce/usage"
+)
+
+// maxPlannedMoves bounds the moves under way, whoever ordered them, while the
+// planner orders another.
+const maxPlannedMoves = 4
+
+// planning is the planner with what this entry last proposed.
+type planning struct {
+	state    *planner.State
+	proposed time.Time
+}
+
+func newPlanning() planning { return planning{state: planner.New()} }
+
+// plan looks for a move that is due. Every entry follows how long pools have
+// been short, so that another can go on when the one that proposes has died.
+func (s *State) plan() {
+	if !s.isPlanning() {
+		s.planning.state = planner.New()
+		return
+	}
+	in := s.planInput()
+	if s.peers.Rank("planner") > 0 || s.stopping || !s.isCurrent() || !s.knowsPeers() {
+		s.planning.state.Observe(in)
+		return
+	}
+	in.Held = s.control.Held()
+	move, ok := s.planning.state.Next(in)
+	if !ok || len(in.Arriving) >= maxPlannedMoves || s.now.Sub(s.planning.proposed) < drains.ProposeRetry {
+		return
+	}
+	s.planning.proposed = s.now
+	s.emit(effect.Count{Name: effect.MovesProposed, N: 1})
+	epoch := s.control.Drains[move.Instance].Epoch
+	s.emit(effect.Append{Record: control.Record{
+		ID:     fleet.RecordID(fmt.Sprintf("plan/%s/%d/%d", move.Instance, epoch, s.control.Offset)),
+		Time:   s.now,
+		Author: string(s.cfg.Entry),
+		Body:   s.control.Rebase(control.Move{Instance: move.Instance, From: move.From, To: move.To, Base: epoch}),
+	}, Deadline: s.now.Add(drains.ProposeRetry)})
+}
+
+// isPlanning reports whether the planner is on. A text without prices leaves
+// moves to operators. Waves and rehearsals take instances out for a while, and
+// what is short then is short on purpose.
+func (s *State) isPlanning() bool {
+	if s.control.Text == nil || s.control.Text.Prices == (fleet.Prices{}) || s.control.Rehearsals.Active != nil {
+		return false
+	}
+	for _, w := range s.control.Waves.Active {
+		if w.Phase == control.WaveRunning || len(w.Current) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *State) planInput() planner.Input {
+	return planner.Input{
+		Now:         s.now,
+		Text:        s.control.Text,
+		Pools:       s.control.Pools,
+		Unavailable: s.unavailable(),
+		Arriving:    s.control.Arriving(),
+		Demand:      planner.Merge(planner.Declared(s.control.Text), s.observedDemand()),
+		Peak:        s.peakDemand(),
+	}
+}
+
+// peakDemand returns the demand of each service in its bursts, once there are
+// samples of the whole long window.
+func (s *State) peakDemand() planner.Demand {
+	peak := make(planner.Demand)
+	if !s.usage.Covers(s.now) {
+		return peak
+	}
+	for i := range s.control.Text.Services {
+		svc := &s.control.Text.Services[i]
+		peak[svc.Name] = s.usage.Peak(svc.Name, s.now, min(svc.TimeLimit, usage.LongWindow))
+	}
+	return peak
+}
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -50,6 +50,7 @@
 	usage     *usage.State
 	usageTick usageTick
 	rehearsal rehearsal.Watch
+	planning  planning
 	peers     *peers.State
 	claiming  *claiming
 	drains    *drains.State
@@ -94,6 +95,7 @@
 		peers:     peers.New(cfg.Entry),
 		claiming:  newClaiming(cfg),
 		drains:    drains.New(),
+		planning:  newPlanning(),
 		proposals: newProposals(),
 		holders:   holder.New(),
 	}
--- a/reduce/usage.go
+++ b/reduce/usage.go
@@ -24,6 +24,7 @@
 func (s *State) onUsageDue() {
 	s.usage.Sample(s.now)
 	s.watchRehearsal()
+	s.plan()
 	if s.now.Sub(s.usageTick.sent) >= totalsInterval {
 		s.usageTick.sent = s.now
 		s.sendTotals()
