Measure buffer cost, roll-outs, moves and budgets

Cause: what the fleet costs its users was not counted anywhere.

Change: reduce/measure adds up idle instances over time at their price, and how long a version takes from its fold at an entry until all entries alive say in heartbeats that they have it. Waves keep the times of the records that started and ended them. Status, report, load's summary and tally gauges show them with each service's demand, burn rate and budget burnt.

An entry that replays the log counts no roll-out, since it doesn't know when the versions that it reads came; one that took the publish itself does.

--- a/cmd/banyanrail/load.go
+++ b/cmd/banyanrail/load.go
@@ -10,26 +10,28 @@
 	"github.com/banyanrail/banyanrail/dev"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/load"
+	"github.com/banyanrail/banyanrail/reduce/effect"
 )
 
 type loadCmd struct {
-	Dev      bool          `arg:"--dev" help:"drive a fleet embedded in this process"`
-	Callers  []string      `arg:"--callers" help:"base URLs of the callers' interfaces of entries"`
-	Services []string      `arg:"--service" help:"services to call; with :once the requests run at most once"`
-	Members  []string      `arg:"--member" help:"members that call"`
-	Rate     float64       `arg:"--rate" default:"100" help:"mean requests a second for each service"`
-	For      time.Duration `arg:"--for" default:"30s" help:"how long requests arrive"`
-	Burst    time.Duration `arg:"--burst" default:"3s" help:"how long each service bursts in turn"`
-	Factor   float64       `arg:"--burst-factor" default:"5" help:"rate of a burst, relative to the mean"`
-	Quiet    float64       `arg:"--quiet-factor" default:"0.05" help:"rate between bursts, relative to the mean"`
-	Limit    time.Duration `arg:"--time-limit" default:"10s" help:"time limit of each request"`
-	Body     int           `arg:"--body" default:"1024" help:"bytes in each request"`
-	InFlight int           `arg:"--in-flight" default:"1024" help:"most calls at once"`
-	Seed     uint64        `arg:"--seed" default:"1" help:"seed of arrivals"`
-	Entries  int           `arg:"--entries" default:"9" help:"entry instances of the embedded fleet"`
-	Runners  int           `arg:"--runners" default:"50" help:"endpoints of the embedded fleet"`
-	Slots    int           `arg:"--slots" default:"8" help:"requests at once on an endpoint of the embedded fleet"`
-	Work     time.Duration `arg:"--work" default:"20ms" help:"time for a request in the embedded fleet"`
+	Dev       bool          `arg:"--dev" help:"drive a fleet embedded in this process"`
+	Callers   []string      `arg:"--callers" help:"base URLs of the callers' interfaces of entries"`
+	Services  []string      `arg:"--service" help:"services to call; with :once the requests run at most once"`
+	Members   []string      `arg:"--member" help:"members that call"`
+	Rate      float64       `arg:"--rate" default:"100" help:"mean requests a second for each service"`
+	For       time.Duration `arg:"--for" default:"30s" help:"how long requests arrive"`
+	Burst     time.Duration `arg:"--burst" default:"3s" help:"how long each service bursts in turn"`
+	Factor    float64       `arg:"--burst-factor" default:"5" help:"rate of a burst, relative to the mean"`
+	Quiet     float64       `arg:"--quiet-factor" default:"0.05" help:"rate between bursts, relative to the mean"`
+	Limit     time.Duration `arg:"--time-limit" default:"10s" help:"time limit of each request"`
+	Body      int           `arg:"--body" default:"1024" help:"bytes in each request"`
+	InFlight  int           `arg:"--in-flight" default:"1024" help:"most calls at once"`
+	Operators string        `arg:"--operators" help:"base URL of an operators' interface, for what the run cost"`
+	Seed      uint64        `arg:"--seed" default:"1" help:"seed of arrivals"`
+	Entries   int           `arg:"--entries" default:"9" help:"entry instances of the embedded fleet"`
+	Runners   int           `arg:"--runners" default:"50" help:"endpoints of the embedded fleet"`
+	Slots     int           `arg:"--slots" default:"8" help:"requests at once on an endpoint of the embedded fleet"`
+	Work      time.Duration `arg:"--work" default:"20ms" help:"time for a request in the embedded fleet"`
 }
 
 // onceSuffix marks a service whose requests run at most once.
@@ -59,13 +61,49 @@
 		}
 	}
 	fmt.Fprintf(s.progress, "%d services at %d entries for %s\n", len(cfg.Services), len(target.Entries), c.For)
+	before := c.measures(ctx, s)
 	sum, err := load.Run(ctx, cfg, target)
 	if err != nil {
 		return err
 	}
+	sum.Fleet = costOf(before, c.measures(ctx, s))
 	return json.NewEncoder(s.out).Encode(sum)
 }
 
+// measures returns the fleet's own measures, or nil when it can't be asked.
+func (c *loadCmd) measures(ctx context.Context, s *settings) *effect.Measures {
+	if !c.Dev && c.Operators == "" {
+		return nil
+	}
+	at := *s
+	if c.Operators != "" {
+		at.Entry = c.Operators
+	}
+	st, err := newClient(&at).status(ctx)
+	if err != nil {
+		fmt.Fprintln(s.progress, "what the run cost is unknown:", err)
+		return nil
+	}
+	return &st.Measures
+}
+
+// costOf returns what a run cost between two looks at the measures.
+func costOf(before, after *effect.Measures) *load.FleetSummary {
+	if before == nil || after == nil {
+		return nil
+	}
+	return &load.FleetSummary{
+		BufferCost:          after.Buffer.Cost - before.Buffer.Cost,
+		BufferInstanceHours: after.Buffer.InstanceHours - before.Buffer.InstanceHours,
+		RollOuts:            after.RollOuts.Count - before.RollOuts.Count,
+		LastRollOut:         milliseconds(after.RollOuts.Last),
+		LongestRollOut:      milliseconds(after.RollOuts.Longest),
+		Moves:               after.Moves - before.Moves,
+	}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 func (c *loadCmd) config() (load.Config, error) {
 	if !c.Dev && len(c.Callers) == 0 {
 		return load.Config{}, fmt.Errorf("%w: load needs --dev or --callers", errUsage)
--- a/cmd/banyanrail/main_test.go
+++ b/cmd/banyanrail/main_test.go
@@ -111,6 +111,8 @@
 	out, code = c.run("status")
 	must.EqOp(t, 0, code)
 	must.StrContains(t, out, "runner-02")
+	must.StrContains(t, out, "buffer cost")
+	must.StrContains(t, out, "BUDGET BURNT")
 
 	out, code = c.run("watch", "--for", "50ms", "--every", "10ms")
 	must.EqOp(t, 0, code)
@@ -161,5 +163,7 @@
 	must.NoError(t, json.Unmarshal([]byte(out), &sum))
 	must.Positive(t, sum.Requests)
 	must.MapLen(t, len(defaultServices), sum.Services)
+	must.NotNil(t, sum.Fleet)
+	must.EqOp(t, 0, sum.Fleet.Moves)
 	must.EqOp(t, 0, sum.Crossed+sum.Lost+sum.CutOff+*sum.Doubled+*sum.RanThoughRefused)
 }
--- a/cmd/banyanrail/report.go
+++ b/cmd/banyanrail/report.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
+	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
@@ -18,6 +19,9 @@
 type report struct {
 	Entry      fleet.EntryID            `json:"entry"`
 	Version    fleet.Version            `json:"version"`
+	Measures   effect.Measures          `json:"measures"`
+	Services   []effect.ServiceStatus   `json:"services"`
+	Waves      []effect.WaveStatus      `json:"waves"`
 	Rehearsals []effect.RehearsalStatus `json:"rehearsals"`
 }
 
@@ -26,18 +30,46 @@
 	if err != nil {
 		return err
 	}
-	r := report{Entry: st.Entry, Version: st.Version, Rehearsals: st.Rehearsals}
+	r := report{
+		Entry: st.Entry, Version: st.Version, Measures: st.Measures,
+		Services: st.Services, Waves: st.Waves, Rehearsals: st.Rehearsals,
+	}
 	if s.JSON {
 		return json.NewEncoder(s.out).Encode(r)
 	}
+	return r.print(s.out)
+}
+
+func (r *report) print(out io.Writer) error {
+	fmt.Fprintf(out, "%s at version %d\n", r.Entry, r.Version)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	printMeasures(w, r.Measures)
+	printServices(w, r.Services)
+	fmt.Fprintln(w, "\nWAVE\tPHASE\tTOOK\tDONE\tFAILED\tSKIPPED")
+	for i := range r.Waves {
+		v := &r.Waves[i]
+		fmt.Fprintf(w, "%d\t%s\t%s\t%d\t%d\t%d\n", v.ID, v.Phase, waveTook(v), v.Done, len(v.Failed), len(v.Skipped))
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
 	for i := range r.Rehearsals {
-		if err := printRehearsal(s.out, &r.Rehearsals[i]); err != nil {
+		fmt.Fprintln(out)
+		if err := printRehearsal(out, &r.Rehearsals[i]); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// waveTook returns how long a wave took, or nothing while it runs.
+func waveTook(v *effect.WaveStatus) string {
+	if v.Ended.IsZero() {
+		return ""
+	}
+	return v.Ended.Sub(v.Started).Round(time.Millisecond).String()
+}
+
 // printRehearsal shows the forecast of each service beside what happened.
 func printRehearsal(out io.Writer, r *effect.RehearsalStatus) error {
 	observed := make(map[fleet.ServiceName]rehearsal.Observed, len(r.Observed))
--- a/cmd/banyanrail/status.go
+++ b/cmd/banyanrail/status.go
@@ -37,6 +37,8 @@
 	for _, name := range slices.Sorted(maps.Keys(st.Pools)) {
 		fmt.Fprintf(w, "%s\t%d\n", name, st.Pools[name])
 	}
+	printServices(w, st.Services)
+	printMeasures(w, st.Measures)
 	fmt.Fprintln(w, "\nINSTANCE\tPOOL\tRUNNING")
 	for _, in := range st.Instances {
 		fmt.Fprintf(w, "%s\t%s\t%d\n", in.ID, in.Pool, in.Running)
@@ -54,3 +56,18 @@
 		return "available"
 	}
 }
+
+func printServices(w io.Writer, services []effect.ServiceStatus) {
+	fmt.Fprintln(w, "\nSERVICE\tDEMAND\tOBSERVED\tANSWERED\tFAILED\tBUDGET BURNT\tBURN RATE")
+	for _, v := range services {
+		fmt.Fprintf(w, "%s\t%.1f\t%t\t%d\t%d\t%.1f %%\t%.1f\n",
+			v.Name, v.Demand, v.Observed, v.Answered, v.Failed, percent(v.Burnt), v.Burn)
+	}
+}
+
+func printMeasures(w io.Writer, m effect.Measures) {
+	fmt.Fprintf(w, "\nidle instances\t%d\nbuffer cost\t%.2f for %.2f instance hours\n",
+		m.Buffer.Idle, m.Buffer.Cost, m.Buffer.InstanceHours)
+	fmt.Fprintf(w, "roll-outs\t%d, last %s, longest %s, %d pending\nmoves\t%d\n",
+		m.RollOuts.Count, m.RollOuts.Last, m.RollOuts.Longest, m.RollOuts.Pending, m.Moves)
+}
--- a/entry/act.go
+++ b/entry/act.go
@@ -26,6 +26,8 @@
 		e.reader.start(o.From)
 	case effect.Count:
 		e.metrics.count(o)
+	case effect.Gauge:
+		e.metrics.set(o)
 	case effect.LogChange:
 		e.logChange(o)
 	case effect.SetReady:
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -28,6 +28,17 @@
 	effect.InstancesMoved:    "instances_moved",
 }
 
+var gaugeNames = map[effect.GaugeName]string{
+	effect.BufferInstances: "buffer_idle_instances",
+	effect.BufferCost:      "buffer_cost",
+	effect.RollOutSeconds:  "roll_out_seconds",
+	effect.WaveSeconds:     "wave_seconds",
+	effect.Moves:           "moves",
+	effect.ServiceDemand:   "service_demand_slots",
+	effect.BudgetBurnt:     "budget_burnt_ratio",
+	effect.BudgetBurnRate:  "budget_burn_rate",
+}
+
 // metrics keeps the tally counters by their labels. Only the control goroutine
 // uses it.
 type metrics struct {
@@ -71,3 +82,8 @@
 func (k counterKey) tags() map[string]string {
 	return map[string]string{"service": string(k.service), "reason": k.reason.String()}
 }
+
+// set sets a gauge. Its labels are the same for every gauge.
+func (m *metrics) set(o effect.Gauge) {
+	m.scope.Tagged(map[string]string{"service": string(o.Service)}).Gauge(gaugeNames[o.Name]).Update(o.Value)
+}
--- a/load/summary.go
+++ b/load/summary.go
@@ -58,6 +58,23 @@
 	Latency  Latency                              `json:"latency"`
 	Seconds  float64                              `json:"seconds"`
 	Services map[fleet.ServiceName]ServiceSummary `json:"services"`
+	// Fleet is what the run cost, by the fleet's own account. It is absent when
+	// no entry could be asked.
+	Fleet *FleetSummary `json:"fleet,omitempty"`
+}
+
+// FleetSummary is what a run cost.
+type FleetSummary struct {
+	// BufferCost is the price of idle instances during the run.
+	BufferCost          float64 `json:"buffer_cost"`
+	BufferInstanceHours float64 `json:"buffer_instance_hours"`
+	// RollOuts is the number of versions that came into force during the run;
+	// LastRollOut and LongestRollOut count from the start of the entry asked.
+	RollOuts       int     `json:"roll_outs"`
+	LastRollOut    float64 `json:"last_roll_out_ms"`
+	LongestRollOut float64 `json:"longest_roll_out_ms"`
+	// Moves is the number of moves between pools during the run.
+	Moves uint64 `json:"moves"`
 }
 
 // count takes in the end of a call.
--- a/reduce/cluster_test.go
+++ b/reduce/cluster_test.go
@@ -30,6 +30,12 @@
 	// workersDown loses all commands, and logDown all appends and reads.
 	workersDown, logDown bool
 	mostOut              int
+	gauges               map[gauge]float64
+}
+
+type gauge struct {
+	entry fleet.EntryID
+	name  effect.GaugeName
 }
 
 type member struct {
@@ -46,7 +52,7 @@
 }
 
 func newCluster(t *testing.T, n int, text *fleet.Text) *cluster {
-	c := &cluster{t: t, now: epoch, commands: make(map[string]int), commanded: make(map[fleet.EntryID]int), broken: make(map[fleet.InstanceID]bool)}
+	c := &cluster{t: t, now: epoch, gauges: make(map[gauge]float64), commands: make(map[string]int), commanded: make(map[fleet.EntryID]int), broken: make(map[fleet.InstanceID]bool)}
 	var listed []event.ListedEntry
 	for i := range n {
 		id := fleet.EntryID(fmt.Sprintf("entry-%d", i+1))
@@ -100,6 +106,8 @@
 		m.running[e.Attempt] = e.Instance
 	case effect.ReplyStatus:
 		m.status = e.Status
+	case effect.Gauge:
+		c.gauges[gauge{m.id, e.Name}] = e.Value
 	case effect.ReplyForecast:
 		m.forecast = e.Forecast
 	case effect.Reply:
@@ -193,7 +201,7 @@
 	at := len(c.log) + 1
 	c.do(m, event.OperatorCommanded{
 		ID:     1,
-		Record: control.Record{ID: fleet.RecordID(fmt.Sprintf("op-%s-%d", m.id, at)), Body: body}, Deadline: c.now.Add(time.Minute),
+		Record: control.Record{ID: fleet.RecordID(fmt.Sprintf("op-%s-%d", m.id, at)), Time: c.now, Body: body}, Deadline: c.now.Add(time.Minute),
 	})
 	c.read(m)
 	return m.last
--- a/reduce/control/wave.go
+++ b/reduce/control/wave.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/disruption"
@@ -87,6 +88,9 @@
 	Epoch fleet.Offset
 	Phase WavePhase
 	Note  string
+	// Started and Ended are the times of the records that did so, by their
+	// writers' clocks.
+	Started, Ended time.Time
 	// Detail says why the wave is paused.
 	Detail string
 	// Steps counts the steps started.
@@ -155,7 +159,7 @@
 			}
 		}
 	}
-	s.Waves.Active = append(s.Waves.Active, &Wave{ID: at, Epoch: at, Phase: WaveRunning, Note: r.Note, Pending: pending})
+	s.Waves.Active = append(s.Waves.Active, &Wave{ID: at, Epoch: at, Phase: WaveRunning, Note: r.Note, Started: s.time, Pending: pending})
 	return Accepted, ""
 }
 
@@ -369,6 +373,7 @@
 	if w.Phase != WaveAborted {
 		w.Phase = WaveDone
 	}
+	w.Ended = s.time
 	s.Waves.Active = slices.DeleteFunc(s.Waves.Active, func(o *Wave) bool { return o == w })
 	s.Waves.Ended = append(s.Waves.Ended, w)
 	if extra := len(s.Waves.Ended) - maxEndedWaves; extra > 0 {
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -8,6 +8,7 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/claims"
 	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/measure"
 	"github.com/banyanrail/banyanrail/reduce/message"
 	"github.com/banyanrail/banyanrail/reduce/rehearsal"
 )
@@ -170,6 +171,8 @@
 	Versions   map[fleet.EntryID]fleet.Version `json:"versions"`
 	Instances  []InstanceStatus                `json:"instances"`
 	Waves      []WaveStatus                    `json:"waves"`
+	Services   []ServiceStatus                 `json:"services"`
+	Measures   Measures                        `json:"measures"`
 	Rehearsals []RehearsalStatus               `json:"rehearsals"`
 	Totals     map[string]uint64               `json:"totals"`
 	Pools      map[fleet.PoolName]int          `json:"pools"`
@@ -211,6 +214,8 @@
 	Phase   string             `json:"phase"`
 	Note    string             `json:"note,omitempty"`
 	Detail  string             `json:"detail,omitempty"`
+	Started time.Time          `json:"started,omitzero"`
+	Ended   time.Time          `json:"ended,omitzero"`
 	Steps   int                `json:"steps"`
 	Pending int                `json:"pending"`
 	Done    int                `json:"done"`
@@ -219,6 +224,62 @@
 	Skipped []fleet.InstanceID `json:"skipped,omitempty"`
 }
 
+// ServiceStatus is the demand and the budget of one service, over all entries.
+type ServiceStatus struct {
+	Name fleet.ServiceName `json:"name"`
+	Pool fleet.PoolName    `json:"pool"`
+	// Demand is in slots. Observed is set when it was not only declared.
+	Demand   float64 `json:"demand"`
+	Observed bool    `json:"observed"`
+	Answered uint64  `json:"answered"`
+	Failed   uint64  `json:"failed"`
+	// Burn and BurnShort are how fast the long and the short window burn the
+	// budget: 1 is the rate that just spends it.
+	Burn      float64 `json:"burn"`
+	BurnShort float64 `json:"burn_short"`
+	// Burnt is the share spent of what the budget allows for the requests since
+	// the entries started.
+	Burnt float64 `json:"burnt"`
+}
+
+// Measures are what the fleet costs its users.
+type Measures struct {
+	Buffer   measure.Buffer   `json:"buffer"`
+	RollOuts measure.RollOuts `json:"roll_outs"`
+	// Moves counts moves between pools since the first record.
+	Moves uint64 `json:"moves"`
+}
+
+// Gauge sets a metric to a value.
+type Gauge struct {
+	Name    GaugeName
+	Service fleet.ServiceName
+	Value   float64
+}
+
+// GaugeName names a metric that is set.
+type GaugeName uint8
+
+// Gauges.
+const (
+	// BufferInstances is the number of idle instances, and BufferCost their
+	// price over time.
+	BufferInstances GaugeName = iota + 1
+	BufferCost
+	// RollOutSeconds is how long the last version took to be in force everywhere.
+	RollOutSeconds
+	// WaveSeconds is how long the last wave took.
+	WaveSeconds
+	// Moves is the number of moves between pools.
+	Moves
+	// ServiceDemand is in slots.
+	ServiceDemand
+	// BudgetBurnt is the share of the budget spent, and BudgetBurnRate how fast
+	// it burns.
+	BudgetBurnt
+	BudgetBurnRate
+)
+
 // Count adds to a counter.
 type Count struct {
 	Name    Counter
@@ -357,6 +418,7 @@
 func (ReplyForecast) isEffect()   {}
 func (ReplyText) isEffect()       {}
 func (Count) isEffect()           {}
+func (Gauge) isEffect()           {}
 func (LogChange) isEffect()       {}
 func (CommandInstance) isEffect() {}
 func (CheckInstance) isEffect()   {}
--- a/reduce/log.go
+++ b/reduce/log.go
@@ -110,6 +110,7 @@
 		return
 	}
 	s.configure()
+	s.published(record)
 	s.emit(effect.LogChange{Change: effect.ChangeText, Version: s.control.Version, Record: record})
 	s.grantAll()
 }
--- a/reduce/plan.go
+++ b/reduce/plan.go
@@ -27,17 +27,20 @@
 // plan looks for a move that is due. Every entry follows how long pools have
 // been short, so that another can go on when the one that proposes has died.
 func (s *State) plan() {
+	if s.control.Text == nil {
+		return
+	}
 	if !s.isPlanning() {
 		s.planning.state = planner.New()
-		return
 	}
 	in := s.planInput()
-	if s.peers.Rank("planner") > 0 || s.stopping || !s.isCurrent() || !s.knowsPeers() {
-		s.planning.state.Observe(in)
+	needs := s.planning.state.Observe(in)
+	s.measures.Look(s.now, needs, s.control.Text.Prices)
+	if !s.isPlanning() || s.peers.Rank("planner") > 0 || s.stopping || !s.isCurrent() || !s.knowsPeers() {
 		return
 	}
 	in.Held = s.control.Held()
-	move, ok := s.planning.state.Next(in)
+	move, ok := s.planning.state.Move(in, needs)
 	if !ok || len(in.Arriving) >= maxPlannedMoves || s.now.Sub(s.planning.proposed) < drains.ProposeRetry {
 		return
 	}
@@ -56,7 +59,7 @@
 // moves to operators. Waves and rehearsals take instances out for a while, and
 // what is short then is short on purpose.
 func (s *State) isPlanning() bool {
-	if s.control.Text == nil || s.control.Text.Prices == (fleet.Prices{}) || s.control.Rehearsals.Active != nil {
+	if s.control.Text.Prices == (fleet.Prices{}) || s.control.Rehearsals.Active != nil {
 		return false
 	}
 	for _, w := range s.control.Waves.Active {
--- a/reduce/planner/planner.go
+++ b/reduce/planner/planner.go
@@ -88,7 +88,11 @@
 // Next returns the next move, if one is due. One move at a time keeps each
 // decision on the state that the last one left.
 func (s *State) Next(in Input) (Move, bool) {
-	needs := s.Observe(in)
+	return s.Move(in, s.Observe(in))
+}
+
+// Move returns the next move, if one is due, from what each pool needs now.
+func (s *State) Move(in Input, needs []Need) (Move, bool) {
 	if m, ok := s.fill(in, needs); ok {
 		return m, true
 	}
--- a/reduce/relay.go
+++ b/reduce/relay.go
@@ -12,6 +12,7 @@
 func (s *State) onHeartbeat(p *peers.Peer, m message.Heartbeat) {
 	before := mayHold(p)
 	p.Offset, p.Version, p.Digest, p.Stopping = m.Offset, m.Version, m.Digest, m.Stopping
+	s.followRollOuts()
 	if mayHold(p) != before {
 		s.followHolders()
 	}
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -9,6 +9,7 @@
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/health"
 	"github.com/banyanrail/banyanrail/reduce/holder"
+	"github.com/banyanrail/banyanrail/reduce/measure"
 	"github.com/banyanrail/banyanrail/reduce/peers"
 	"github.com/banyanrail/banyanrail/reduce/placement"
 	"github.com/banyanrail/banyanrail/reduce/rehearsal"
@@ -51,6 +52,7 @@
 	usageTick usageTick
 	rehearsal rehearsal.Watch
 	planning  planning
+	measures  measure.State
 	peers     *peers.State
 	claiming  *claiming
 	drains    *drains.State
--- a/reduce/status.go
+++ b/reduce/status.go
@@ -36,6 +36,8 @@
 		st.Instances = append(st.Instances, s.instanceStatus(l))
 	}
 	st.Waves = s.waveStatuses()
+	st.Services = s.serviceStatuses()
+	st.Measures = s.measuresStatus()
 	st.Rehearsals = s.rehearsalStatuses()
 	s.emit(effect.ReplyStatus{ID: ev.ID, Status: st})
 }
--- a/reduce/usage.go
+++ b/reduce/usage.go
@@ -28,6 +28,7 @@
 	if s.now.Sub(s.usageTick.sent) >= totalsInterval {
 		s.usageTick.sent = s.now
 		s.sendTotals()
+		s.reportMeasures()
 	}
 	s.timers.Set(&s.usageTick.timer, s.now.Add(usage.SampleInterval), &s.usageTick)
 }
--- a/reduce/wave.go
+++ b/reduce/wave.go
@@ -103,6 +103,7 @@
 func waveStatus(w *control.Wave) effect.WaveStatus {
 	return effect.WaveStatus{
 		ID: w.ID, Phase: w.Phase.String(), Note: w.Note, Detail: w.Detail, Steps: w.Steps,
+		Started: w.Started, Ended: w.Ended,
 		Pending: len(w.Pending), Done: len(w.Done),
 		Current: w.Current, Failed: w.Failed, Skipped: w.Skipped,
 	}
