--- a/entry/entry.go
+++ b/entry/entry.go
@@ -100,6 +100,7 @@
 	replies   *loop.Calls[control.Result]
 	statuses  *loop.Calls[effect.Status]
 	texts     *loop.Calls[effect.ReplyText]
+	forecasts *loop.Calls[effect.Forecast]
 	client    *endpoint.Client
 	tracer    trace.Tracer
 	metrics   *metrics
@@ -134,6 +135,7 @@
 		replies:    loop.NewCalls[control.Result](),
 		statuses:   loop.NewCalls[effect.Status](),
 		texts:      loop.NewCalls[effect.ReplyText](),
+		forecasts:  loop.NewCalls[effect.Forecast](),
 		client:     endpoint.NewClient(fleet.DefaultConnections),
 		tracer:     deps.Traces.Tracer("github.com/banyanrail/banyanrail/entry"),
 		metrics:    newMetrics(deps.Metrics),
--- a/reduce/control/waveoutcome.go
+++ b/reduce/control/waveoutcome.go
@@ -79,6 +79,7 @@
 	if w.Phase != WaveAborted {
 		w.Phase = WaveDone
 	}
+	w.Ended = s.time
 	s.Waves.Active = slices.DeleteFunc(s.Waves.Active, func(o *Wave) bool { return o == w })
 	s.Waves.Ended = append(s.Waves.Ended, w)
 	if extra := len(s.Waves.Ended) - maxEndedWaves; extra > 0 {
--- a/reduce/drainsteps.go
+++ b/reduce/drainsteps.go
@@ -45,7 +45,7 @@
 // armSteps keeps the timer of the next look at what is due while anything is
 // under maintenance.
 func (s *State) armSteps() {
-	if len(s.control.Drains.Under()) == 0 && len(s.control.Waves.Active) == 0 && len(s.drains.Told()) == 0 {
+	if !s.control.IsUnderMaintenance() && len(s.drains.Told()) == 0 {
 		s.timers.Clear(&s.drains.Tick)
 		return
 	}
@@ -63,6 +63,7 @@
 	}
 	s.sendAcks()
 	s.stepWaves()
+	s.stepRehearsal()
 	s.armSteps()
 }
 
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -9,8 +9,10 @@
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/health"
 	"github.com/banyanrail/banyanrail/reduce/holder"
+	"github.com/banyanrail/banyanrail/reduce/measure"
 	"github.com/banyanrail/banyanrail/reduce/peers"
 	"github.com/banyanrail/banyanrail/reduce/placement"
+	"github.com/banyanrail/banyanrail/reduce/rehearsal"
 	"github.com/banyanrail/banyanrail/reduce/relay"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 	"github.com/banyanrail/banyanrail/reduce/timer"
@@ -48,6 +50,9 @@
 	budgets   *requests.Budgets
 	usage     *usage.State
 	usageTick usageTick
+	rehearsal rehearsal.Watch
+	planning  planning
+	measures  measure.State
 	peers     *peers.State
 	claiming  *claiming
 	drains    *drains.State
@@ -93,6 +98,7 @@
 		peers:     peers.New(cfg.Entry),
 		claiming:  newClaiming(cfg),
 		drains:    drains.New(),
+		planning:  newPlanning(),
 		proposals: newProposals(),
 		holders:   holder.New(),
 	}
--- a/reduce/usage.go
+++ b/reduce/usage.go
@@ -29,7 +29,10 @@
 // onUsageDue samples the totals, and tells peers this entry's own.
 func (s *State) onUsageDue() {
 	s.usage.Sample(s.now)
+	s.watchRehearsal()
+	s.plan()
 	s.sendTotals()
+	s.reportMeasures()
 	s.timers.Set(&s.usageTick.timer, s.now.Add(usage.SampleInterval), &s.usageTick)
 }
 
