--- a/cmd/banyanrail/status.go
+++ b/cmd/banyanrail/status.go
@@ -39,9 +39,9 @@
 	}
 	printServices(w, st.Services)
 	printMeasures(w, st.Measures)
-	fmt.Fprintln(w, "\nINSTANCE\tPOOL\tRUNNING")
+	fmt.Fprintln(w, "\nINSTANCE\tPOOL\tPHASE\tRUNNING")
 	for _, in := range st.Instances {
-		fmt.Fprintf(w, "%s\t%s\t%d\n", in.ID, in.Pool, in.Running)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", in.ID, in.Pool, in.Phase, in.Running)
 	}
 	return w.Flush()
 }
