Report drains that take longer than the text's drain_limit

The setting was read and printed but decided nothing. A drain never cuts off a request, so the limit now bounds silence instead: the drain is logged and counted once, with the entries that it waits for.

--- a/entry/act.go
+++ b/entry/act.go
@@ -64,6 +64,7 @@
 	effect.ChangeStopping:       "stopping",
 	effect.ChangeRecordRejected: "record rejected",
 	effect.ChangeInstance:       "instance changed phase",
+	effect.ChangeDrainOverdue:   "drain takes long",
 	effect.ChangeIsolated:       "isolated from log and peers",
 	effect.ChangeWave:           "wave changed",
 	effect.ChangeRehearsal:      "rehearsal changed",
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -26,6 +26,7 @@
 	effect.InstancesEjected:  "instances_ejected",
 	effect.MovesProposed:     "moves_proposed",
 	effect.InstancesMoved:    "instances_moved",
+	effect.DrainsOverdue:     "drains_overdue",
 }
 
 var gaugeNames = map[effect.GaugeName]string{
--- a/fleet/text.go
+++ b/fleet/text.go
@@ -96,7 +96,8 @@
 
 // Maintenance bounds drains and waves.
 type Maintenance struct {
-	// DrainLimit is how long a drain waits for requests in flight.
+	// DrainLimit is how long a drain may wait for requests in flight before it
+	// is reported. It cuts off none.
 	DrainLimit time.Duration
 	// MaxStep is the largest number of instances that a wave drains at once.
 	MaxStep int
--- a/reduce/cluster_test.go
+++ b/reduce/cluster_test.go
@@ -31,6 +31,8 @@
 	workersDown, logDown bool
 	mostOut              int
 	gauges               map[gauge]float64
+	// overdue holds what each drain that was reported waits for.
+	overdue []string
 }
 
 type gauge struct {
@@ -103,6 +105,10 @@
 		}
 	case effect.CheckInstance:
 		c.do(m, event.InstanceChecked{Instance: e.Instance, Epoch: e.Epoch, Healthy: !c.broken[e.Instance]})
+	case effect.LogChange:
+		if e.Change == effect.ChangeDrainOverdue {
+			c.overdue = append(c.overdue, string(m.id)+" "+e.Detail)
+		}
 	case effect.SetReady:
 		m.ready = e.Ready
 	case effect.Dispatch:
--- a/reduce/drain_test.go
+++ b/reduce/drain_test.go
@@ -26,6 +26,22 @@
 	c.until(2, "runner-1", "in-service")
 }
 
+func TestOverdueDrainSaysWhatItWaitsFor(t *testing.T) {
+	text := fleetText(4, 1, 0)
+	text.Maintenance.DrainLimit = 3 * time.Second
+	c := newCluster(t, 3, text)
+	slow := c.occupy(1, "runner-1")
+	c.command(0, drainOf("runner-1", control.PurposeHold))
+	c.run(2 * time.Second)
+	must.SliceEmpty(t, c.overdue)
+	c.run(5 * time.Second)
+	must.SliceContainsAll(t, c.overdue, []string{
+		"entry-1 waits for [entry-2]", "entry-2 waits for [entry-2]", "entry-3 waits for [entry-2]",
+	})
+	c.finish(1, slow, 200)
+	c.until(0, "runner-1", "drained")
+}
+
 func TestDrainingInstanceGetsNoNewRequest(t *testing.T) {
 	c := newCluster(t, 2, fleetText(4, 1, 0))
 	c.command(0, drainOf("runner-1", control.PurposeHold))
--- a/reduce/drainacks.go
+++ b/reduce/drainacks.go
@@ -1,11 +1,13 @@
 package reduce
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/drains"
+	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/message"
 	"github.com/banyanrail/banyanrail/reduce/peers"
 )
@@ -19,11 +21,18 @@
 }
 
 // isQuiet reports whether no entry can have a request in flight on the
+// instance.
+func (s *State) isQuiet(id fleet.InstanceID, it *drains.Instance) bool {
+	return s.knowsPeers() && len(s.busyEntries(id, it)) == 0
+}
+
+// busyEntries returns the entries that may have a request in flight on the
 // instance. An entry that is alive has to acknowledge the drain; one that is
 // silent is waited for as long as what it took last may run.
-func (s *State) isQuiet(id fleet.InstanceID, it *drains.Instance) bool {
-	if s.requests.RunsOn(id) || !s.knowsPeers() {
-		return false
+func (s *State) busyEntries(id fleet.InstanceID, it *drains.Instance) []fleet.EntryID {
+	var busy []fleet.EntryID
+	if s.requests.RunsOn(id) {
+		busy = append(busy, s.cfg.Entry)
 	}
 	patience := drains.IsolationLimit + s.longestRequest()
 	for _, p := range s.peers.All() {
@@ -35,10 +44,26 @@
 			heard = it.Since
 		}
 		if s.now.Sub(heard) < patience {
-			return false
+			busy = append(busy, p.ID)
 		}
 	}
-	return true
+	return busy
+}
+
+// warnOverdue logs once that a drain takes longer than the text's limit, and
+// which entries it waits for. The drain goes on: it never cuts off a request.
+func (s *State) warnOverdue(id fleet.InstanceID, it *drains.Instance) {
+	if it.Overdue || s.now.Sub(it.Since) < s.control.Text.Maintenance.DrainLimit {
+		return
+	}
+	it.Overdue = true
+	s.emit(effect.Count{Name: effect.DrainsOverdue, N: 1})
+	s.emit(effect.LogChange{
+		Change:   effect.ChangeDrainOverdue,
+		Instance: id,
+		Version:  s.control.Version,
+		Detail:   fmt.Sprintf("waits for %v", s.busyEntries(id, it)),
+	})
 }
 
 // knowsPeers reports whether this entry can tell which other entries there are:
--- a/reduce/drains/drains.go
+++ b/reduce/drains/drains.go
@@ -60,6 +60,8 @@
 	Since time.Time
 	// Proposed, Commanded and Checked tell when this entry last did so.
 	Proposed, Commanded, Checked time.Time
+	// Overdue is set once a drain was reported to take too long.
+	Overdue bool
 	// Done is set once the platform has carried out the command.
 	Done bool
 	// DueSince is when the next step became due; zero while it isn't.
--- a/reduce/drainsteps.go
+++ b/reduce/drainsteps.go
@@ -87,6 +87,7 @@
 // stepDraining ends the drain once no entry has a request in flight.
 func (s *State) stepDraining(id fleet.InstanceID, m control.Maintenance, it *drains.Instance) {
 	if !s.isDue(id, it, s.isQuiet(id, it)) {
+		s.warnOverdue(id, it)
 		return
 	}
 	if m.Purpose == control.PurposeMove {
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -323,6 +323,8 @@
 	MovesProposed
 	// InstancesMoved counts moves that took effect, as this entry folded them.
 	InstancesMoved
+	// DrainsOverdue counts drains that took longer than the text's limit.
+	DrainsOverdue
 )
 
 // Change names a change of state that is worth a log line.
@@ -350,6 +352,7 @@
 	// ChangeSnapshot means that the state was taken from a snapshot.
 	ChangeSnapshot
 	ChangeHealth
+	ChangeDrainOverdue
 )
 
 // LogChange writes a log line for a change of state.
