--- a/reduce/planner/demand.go
+++ b/reduce/planner/demand.go
@@ -74,3 +74,12 @@
 	}
 	return int(math.Ceil(demand / (float64(slots) * TargetUtilisation)))
 }
+
+// instancesAtFullUse returns how many instances carry a demand that lasts for
+// seconds, after which their queues empty again.
+func instancesAtFullUse(demand float64, slots int) int {
+	if slots <= 0 {
+		return 0
+	}
+	return int(math.Ceil(demand / float64(slots)))
+}
--- a/reduce/planner/need.go
+++ b/reduce/planner/need.go
@@ -11,9 +11,12 @@
 	// Have is the number of available instances, and Largest those of them in
 	// the data centre with the most.
 	Have, Largest int
-	// Carry is the number that carries the demand, and CarryPeak the number that
-	// carries it in its bursts as well.
-	Carry, CarryPeak int
+	// Carry is the number that carries the demand.
+	Carry int
+	// CarryPeak is the number that just carries bursts, and KeepPeak the number
+	// that does with room to spare. The distance between the two keeps an
+	// instance from going back and forth.
+	CarryPeak, KeepPeak int
 	// Reserve is the number held in the pool for the loss of a data centre.
 	Reserve int
 }
@@ -22,9 +25,9 @@
 func (n Need) Want() int { return n.Carry + n.Reserve }
 
 // Keep is the number that the pool has before it gives one away.
-func (n Need) Keep() int { return max(n.Carry, n.CarryPeak) + n.Reserve }
+func (n Need) Keep() int { return max(n.Carry, n.KeepPeak) + n.Reserve }
 
-func (n Need) missing() int { return n.Want() - n.Have }
+func (n Need) missing() int { return max(n.Want(), n.CarryPeak) - n.Have }
 
 func byPool(a, b Need) int {
 	switch {
--- a/reduce/planner/planner.go
+++ b/reduce/planner/planner.go
@@ -17,6 +17,10 @@
 const (
 	// ShortfallHold is how long a shortfall must last before a move.
 	ShortfallHold = 10 * time.Second
+	// BurstHold is how long a pool must have been too small for its bursts before
+	// a move. It is longer than a burst stays in the window of the peak, so that
+	// only bursts that come again and again count.
+	BurstHold = 3 * time.Minute
 	// minSurplusHold is the least time that a surplus must last.
 	minSurplusHold = time.Minute
 	// maxSurplusHold bounds the hold when moves are dear or buffer is free.
@@ -32,11 +36,13 @@
 	ReasonShortfall Reason = iota + 1
 	// ReasonReserve fills a pool that can't lose its largest failure domain.
 	ReasonReserve
+	// ReasonBursts fills a pool that can't carry bursts that come again.
+	ReasonBursts
 	// ReasonSurplus returns an instance that a pool has not needed for long.
 	ReasonSurplus
 )
 
-var reasonNames = [...]string{ReasonShortfall: "shortfall", ReasonReserve: "reserve", ReasonSurplus: "surplus"}
+var reasonNames = [...]string{ReasonShortfall: "shortfall", ReasonReserve: "reserve", ReasonBursts: "bursts", ReasonSurplus: "surplus"}
 
 // String returns the reason's name.
 func (r Reason) String() string {
@@ -73,15 +79,17 @@
 
 // State remembers since when each pool has had too few or too many instances.
 type State struct {
-	shortSince   map[fleet.PoolName]time.Time
-	surplusSince map[fleet.PoolName]time.Time
+	shortSince  map[fleet.PoolName]time.Time
+	burstsSince map[fleet.PoolName]time.Time
+	kept        map[fleet.PoolName]*highest
 }
 
 // New returns a state without history.
 func New() *State {
 	return &State{
-		shortSince:   make(map[fleet.PoolName]time.Time),
-		surplusSince: make(map[fleet.PoolName]time.Time),
+		shortSince:  make(map[fleet.PoolName]time.Time),
+		burstsSince: make(map[fleet.PoolName]time.Time),
+		kept:        make(map[fleet.PoolName]*highest),
 	}
 }
 
@@ -105,11 +113,22 @@
 	needs := Needs(in)
 	for _, n := range needs {
 		note(s.shortSince, n.Pool, n.Have < n.Want(), in.Now)
-		note(s.surplusSince, n.Pool, !n.Spare && n.Have > n.Keep(), in.Now)
+		note(s.burstsSince, n.Pool, n.Have < n.CarryPeak, in.Now)
+		s.keep(n, in)
 	}
 	return needs
 }
 
+// keep notes what the pool has to keep.
+func (s *State) keep(n Need, in Input) {
+	h, known := s.kept[n.Pool]
+	if !known {
+		h = &highest{since: in.Now}
+		s.kept[n.Pool] = h
+	}
+	h.add(n.Keep(), in.Now, surplusHold(in.Text.Prices))
+}
+
 func note(since map[fleet.PoolName]time.Time, pool fleet.PoolName, holds bool, now time.Time) {
 	_, known := since[pool]
 	switch {
@@ -125,8 +144,7 @@
 	var worst *Need
 	for i := range needs {
 		n := &needs[i]
-		since, short := s.shortSince[n.Pool]
-		if !short || n.Spare || in.Now.Sub(since) < ShortfallHold {
+		if n.Spare || !s.isShort(in.Now, n.Pool) {
 			continue
 		}
 		if worst == nil || n.missing() > worst.missing() {
@@ -136,10 +154,7 @@
 	if worst == nil {
 		return Move{}, false
 	}
-	reason := ReasonReserve
-	if worst.Have < worst.Carry {
-		reason = ReasonShortfall
-	}
+	reason := reasonToFill(worst)
 	from, ok := s.donor(in, needs, reason)
 	if !ok {
 		return Move{}, false
@@ -148,6 +163,26 @@
 	return Move{Instance: id, From: from, To: worst.Pool, Reason: reason}, ok
 }
 
+func (s *State) isShort(now time.Time, pool fleet.PoolName) bool {
+	since, short := s.shortSince[pool]
+	if short && now.Sub(since) >= ShortfallHold {
+		return true
+	}
+	since, short = s.burstsSince[pool]
+	return short && now.Sub(since) >= BurstHold
+}
+
+func reasonToFill(n *Need) Reason {
+	switch {
+	case n.Have < n.Carry:
+		return ReasonShortfall
+	case n.Have < n.Want():
+		return ReasonReserve
+	default:
+		return ReasonBursts
+	}
+}
+
 // donor returns the pool that gives an instance: a spare pool, else the one
 // with the largest surplus that has lasted. Reserve is not taken from another
 // pool's surplus before it has lasted, since that pool may need it back.
@@ -161,7 +196,7 @@
 		if n.Spare && n.Have > 0 {
 			return n.Pool, true
 		}
-		lasting := reason == ReasonShortfall || s.surplusLasts(in, n.Pool)
+		lasting := reason != ReasonReserve || s.surplusLasts(n)
 		if n.Have > n.Keep() && lasting && (best == nil || n.Have-n.Keep() > best.Have-best.Keep()) {
 			best = n
 		}
@@ -180,7 +215,7 @@
 		return Move{}, false
 	}
 	for _, n := range needs {
-		if n.Spare || in.Held[n.Pool] || n.Have <= n.Keep() || !s.surplusLasts(in, n.Pool) {
+		if n.Spare || in.Held[n.Pool] || n.Have <= n.Keep() || !s.surplusLasts(&n) {
 			continue
 		}
 		if id, ok := pick(in, n.Pool, spare); ok {
@@ -190,9 +225,11 @@
 	return Move{}, false
 }
 
-func (s *State) surplusLasts(in Input, pool fleet.PoolName) bool {
-	since, ok := s.surplusSince[pool]
-	return ok && in.Now.Sub(since) >= surplusHold(in.Text.Prices)
+// surplusLasts reports whether the pool has had more than it needed at any time
+// of the hold.
+func (s *State) surplusLasts(n *Need) bool {
+	h, known := s.kept[n.Pool]
+	return known && h.full && n.Have > h.value()
 }
 
 // surplusHold returns how long a surplus is kept before it is moved. Holding
@@ -283,7 +320,9 @@
 		p := &in.Text.Pools[i]
 		n := Need{
 			Pool: p.Name, Spare: p.Spare,
-			Carry: InstancesFor(demand[p.Name], p.Slots), CarryPeak: InstancesFor(peak[p.Name], p.Slots),
+			Carry:     InstancesFor(demand[p.Name], p.Slots),
+			CarryPeak: instancesAtFullUse(peak[p.Name], p.Slots),
+			KeepPeak:  InstancesFor(peak[p.Name], p.Slots),
 		}
 		for _, count := range spreads[p.Name] {
 			n.Have += count
--- a/reduce/planner/planner_test.go
+++ b/reduce/planner/planner_test.go
@@ -134,3 +134,36 @@
 	in.Arriving = map[fleet.InstanceID]fleet.PoolName{"spare-00": "a"}
 	must.Len(t, 0, run(planner.New(), &in, time.Minute))
 }
+
+func TestOnlyBurstsThatComeAgainMoveInstances(t *testing.T) {
+	in := twoPools(8, 4, fleet.Prices{Buffer: 1, Move: 1})
+	in.Demand = planner.Demand{"sa": 16, "sb": 16}
+	once, calm := planner.Demand{"sa": 80}, planner.Demand{"sa": 20}
+	s := planner.New()
+	for range 3 {
+		in.Peak = once
+		must.Len(t, 0, run(s, &in, planner.BurstHold-time.Second))
+		in.Peak = calm
+		must.Len(t, 0, run(s, &in, 10*time.Second))
+	}
+	in.Peak = once
+	moves := run(s, &in, planner.BurstHold+time.Minute)
+	must.Len(t, 2, moves)
+	must.EqOp(t, planner.ReasonBursts, moves[0].Reason)
+	must.EqOp(t, "a", moves[0].To)
+}
+
+func TestPoolKeepsWhatItNeededAtAnyTimeOfTheHold(t *testing.T) {
+	in := twoPools(8, 1, fleet.Prices{Buffer: 60, Move: 0.5})
+	in.Demand = planner.Demand{"sa": 10, "sb": 50}
+	s := planner.New()
+	moves := 0
+	for range 200 {
+		in.Demand["sa"] = 44
+		moves += len(run(s, &in, 5*time.Second))
+		in.Demand["sa"] = 38
+		moves += len(run(s, &in, 5*time.Second))
+	}
+	must.EqOp(t, 1, moves)
+	must.EqOp(t, 7, planner.Needs(in)[0].Have)
+}
--- a/reduce/usage/usage.go
+++ b/reduce/usage/usage.go
@@ -214,24 +214,26 @@
 	return float64(t.Arrived) * mean / s.covered(now).Seconds()
 }
 
-// Peak returns the highest demand of a service over any time of length d in the
-// long window. Requests can wait for about their time limit, so that a pool
-// which carries the peak over that time answers all of a burst.
-func (s *State) Peak(service fleet.ServiceName, now time.Time, d time.Duration) float64 {
+// Peak returns the slots that answer all requests of the long window when each
+// can wait for a time: of all stretches of the window, the one with most work
+// for its length and the wait together decides.
+func (s *State) Peak(service fleet.ServiceName, now time.Time, wait time.Duration) float64 {
 	t := s.Window(service, now, LongWindow)
 	if t.Attempts == 0 {
 		return 0
 	}
-	mean := t.Busy.Seconds() / float64(t.Attempts)
-	highest, first := 0.0, 0
+	arrived := make([]uint64, len(s.samples))
+	for i := range s.samples {
+		arrived[i] = s.samples[i].totals[service].Arrived
+	}
+	highest := 0.0
 	for i := range s.samples {
-		for first < i && s.samples[i].at.Sub(s.samples[first].at) > d {
-			first++
+		for j := i + 1; j < len(s.samples); j++ {
+			length := s.samples[j].at.Sub(s.samples[i].at) + wait
+			highest = max(highest, float64(arrived[j]-arrived[i])/length.Seconds())
 		}
-		arrived := s.samples[i].totals[service].Arrived - s.samples[first].totals[service].Arrived
-		highest = max(highest, float64(arrived)/max(d, SampleInterval).Seconds())
 	}
-	return highest * mean
+	return highest * t.Busy.Seconds() / float64(t.Attempts)
 }
 
 // covered returns how much of the long window there are samples for.
