--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -337,6 +337,7 @@
 	ChangeStopping
 	ChangeRecordRejected
 	ChangeInstance
+	ChangeIsolated
 	ChangeWave
 	ChangeRehearsal
 	ChangeClaimsOpen
--- a/reduce/placement/pool.go
+++ b/reduce/placement/pool.go
@@ -23,6 +23,8 @@
 type pool struct {
 	name      fleet.PoolName
 	instances []*instance
+	// instanceSlots is the number of slots of one instance.
+	instanceSlots int
 	// free is the number of slots that may be granted.
 	free int
 	// slots is the number of slots that may be in use.
@@ -142,7 +144,7 @@
 	p.classes[c].backlog += w.cost
 	f.backlog += w.cost
 	w.line.add()
-	if len(w.ask.Tried) > 0 {
+	if w.ask.Again {
 		f.queues[c].pushFront(w)
 	} else {
 		f.queues[c].pushBack(w)
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -56,6 +56,7 @@
 	peers     *peers.State
 	claiming  *claiming
 	drains    *drains.State
+	isolation isolation
 	proposals proposals
 	relay     relay.State
 	holders   *holder.State
--- a/reduce/usage/usage.go
+++ b/reduce/usage/usage.go
@@ -190,7 +190,7 @@
 
 // Window returns the requests of a service over the last d.
 func (s *State) Window(service fleet.ServiceName, now time.Time, d time.Duration) Totals {
-	current := s.sum()[service]
+	current := s.Total(service)
 	for i := len(s.samples) - 1; i >= 0; i-- {
 		if now.Sub(s.samples[i].at) >= d {
 			return current.minus(s.samples[i].totals[service])
@@ -250,4 +250,13 @@
 }
 
 // Total returns all requests of a service since the entries started.
-func (s *State) Total(service fleet.ServiceName) Totals { return s.sum()[service] }
+func (s *State) Total(service fleet.ServiceName) Totals {
+	total := s.retired[service]
+	if t, ok := s.local[service]; ok {
+		total = total.plus(*t)
+	}
+	for _, r := range s.remote {
+		total = total.plus(r.totals[service])
+	}
+	return total
+}
