--- a/reduce/usage.go
+++ b/reduce/usage.go
@@ -17,6 +17,8 @@
 	totalsSize = 41
 	// totalsRate bounds these messages to all peers, in bytes a second.
 	totalsRate = 1 << 10
+	// measuresInterval is the time between reports of the measures.
+	measuresInterval = 5 * time.Second
 )
 
 // usageTick is the timer of the next sample.
@@ -24,6 +26,8 @@
 	timer timer.Timer
 	// sent is when the totals were last sent to peers.
 	sent time.Time
+	// reported is when the measures were last reported.
+	reported time.Time
 }
 
 // onUsageDue samples the totals, and tells peers this entry's own.
@@ -32,7 +36,10 @@
 	s.watchRehearsal()
 	s.plan()
 	s.sendTotals()
-	s.reportMeasures()
+	if s.now.Sub(s.usageTick.reported) >= measuresInterval {
+		s.usageTick.reported = s.now
+		s.reportMeasures()
+	}
 	s.timers.Set(&s.usageTick.timer, s.now.Add(usage.SampleInterval), &s.usageTick)
 }
 
