Let a request that had a slot keep its place at the holder

A retry that an endpoint had refused carries no tried instance, and the holder took an ask without one as new, so that a full queue denied a request that it had granted before. So did an ask after a grant that could not be used. The ask now says that it comes again (`again` in the peer message), and the holder takes it as it takes its own retries.

Before: the extended test saw 1 request of 3 refused after an endpoint refused it. After: none refused, all 3 answered.

--- a/peer/slots.go
+++ b/peer/slots.go
@@ -29,6 +29,7 @@
 		Size:    a.Size,
 		Left:    int64(a.Left),
 		Tried:   mapped(a.Tried, func(id fleet.InstanceID) string { return string(id) }),
+		Again:   a.Again,
 	}
 }
 
@@ -40,6 +41,7 @@
 		Size:    a.GetSize(),
 		Left:    time.Duration(a.GetLeft()),
 		Tried:   mapped(a.GetTried(), func(id string) fleet.InstanceID { return fleet.InstanceID(id) }),
+		Again:   a.GetAgain(),
 	}
 }
 
--- a/peer/slots_test.go
+++ b/peer/slots_test.go
@@ -15,7 +15,7 @@
 	var failed atomic.Int64
 	c := newClient(t, &failed)
 	slot := message.Slot{Request: 1 << 60, Instance: "runner-1"}
-	ask := message.Ask{Request: 9, Service: "survey", Member: "lawa", Size: 4, Left: time.Minute, Tried: []fleet.InstanceID{"runner-2", "runner-3"}}
+	ask := message.Ask{Request: 9, Service: "survey", Member: "lawa", Size: 4, Left: time.Minute, Tried: []fleet.InstanceID{"runner-2", "runner-3"}, Again: true}
 	for i, m := range []message.Message{
 		message.SlotsAsked{
 			Finished:  []message.Finished{{Slot: slot, Held: time.Second, Ran: time.Millisecond, Verdict: message.VerdictFailed, Forgiven: "runner-9"}},
--- a/reduce/grant.go
+++ b/reduce/grant.go
@@ -261,14 +261,18 @@
 		Size:    r.Size,
 		Left:    r.Deadline.Sub(s.now),
 		Tried:   r.Tried,
+		Again:   r.Attempts > 0,
 	}
 }
 
-// ask asks the holder for a slot, when another entry holds the pool.
-func (s *State) ask(r *requests.Request) {
+// ask asks the holder for a slot, when another entry holds the pool. A request
+// that was granted one before asks again.
+func (s *State) ask(r *requests.Request, again bool) {
 	if p, ok := s.remote(r.Service.Pool); ok {
+		a := s.askOf(r)
+		a.Again = again
 		out := s.outbox.to(p.ID)
-		out.Asks = append(out.Asks, s.askOf(r))
+		out.Asks = append(out.Asks, a)
 	}
 }
 
@@ -325,7 +329,7 @@
 func (s *State) askAgain() {
 	for _, id := range s.reask {
 		if r, ok := s.requests.Get(id); ok && r.Phase == requests.Queued {
-			s.ask(r)
+			s.ask(r, true)
 		}
 	}
 	s.reask = s.reask[:0]
--- a/reduce/holding.go
+++ b/reduce/holding.go
@@ -27,7 +27,7 @@
 		s.dropWaiting(holder.Key{Entry: p.ID, Request: id})
 	}
 	for _, a := range m.Asks {
-		touched = append(touched, s.queueRemote(p, a, len(a.Tried) == 0))
+		touched = append(touched, s.queueRemote(p, a, !a.Again))
 	}
 	for i, pool := range touched {
 		if pool != "" && !slices.Contains(touched[:i], pool) {
@@ -80,7 +80,7 @@
 		Member:  a.Member,
 		Urgent:  svc.Urgent,
 		Size:    a.Size,
-		Again:   len(a.Tried) > 0,
+		Again:   a.Again,
 		Tried:   a.Tried,
 	}
 }
--- a/reduce/holding_test.go
+++ b/reduce/holding_test.go
@@ -235,22 +235,25 @@
 // A request that was granted a slot before keeps its place, also at a holder
 // whose queue has filled up since.
 func TestRetryIsNotRefusedByAFullQueueOfTheHolder(t *testing.T) {
-	text := longText(2)
-	text.Services[0].MaxQueue = 1
-	c := newEntries(t, 2, text)
-	held, other := c.holder(t), c.other(t)
-	c.arrive(other, 1, 1)
-	c.arrive(other, 2, 1)
-	must.EqOp(t, 2, c.total())
-	c.arrive(held, 1, 1)
-	failed := c.running[other][0]
-	c.running[other] = c.running[other][1:]
-	// The failure halves the runner's slots, so that nothing leaves the queue.
-	c.do(other, ended(failed, event.AttemptBroken))
-	c.pass(time.Second)
-	must.EqOp(t, 0, c.refused)
-	c.finishAll()
-	must.EqOp(t, 3, c.answered)
+	for _, end := range []event.AttemptOutcome{event.AttemptBroken, event.AttemptRefused} {
+		text := longText(2)
+		text.Services[0].MaxQueue = 1
+		c := newEntries(t, 2, text)
+		held, other := c.holder(t), c.other(t)
+		c.arrive(other, 1, 1)
+		c.arrive(other, 2, 1)
+		must.EqOp(t, 2, c.total())
+		c.arrive(held, 1, 1)
+		failed := c.running[other][0]
+		c.running[other] = c.running[other][1:]
+		// The failure halves the runner's slots, and the refusal leaves those in
+		// use, so that nothing leaves the queue.
+		c.do(other, ended(failed, end))
+		c.pass(time.Second)
+		must.EqOp(t, 0, c.refused)
+		c.finishAll()
+		must.EqOp(t, 3, c.answered)
+	}
 }
 
 func TestUnreachableHolderIsNotWaitedFor(t *testing.T) {
--- a/reduce/message/slots.go
+++ b/reduce/message/slots.go
@@ -16,6 +16,9 @@
 	Left time.Duration
 	// Tried holds instances on which the request failed.
 	Tried []fleet.InstanceID
+	// Again is set for a request that was granted a slot before. It keeps its
+	// place, also when the queue is full.
+	Again bool
 }
 
 // Slot is a slot of an instance that a request has.
--- a/reduce/request.go
+++ b/reduce/request.go
@@ -103,7 +103,7 @@
 		return
 	}
 	r.Phase = requests.Queued
-	s.ask(r)
+	s.ask(r, r.Attempts > 0)
 	s.grant(ask.Pool)
 }
 
