Count the slots of paused instances in the expected wait

An instance that refuses a request while none of the entry's runs there rests for 10 to 500 ms. Its slots were taken out of the pool's, and with no slot left the expected wait was the longest hint, a minute: while all instances rested, each new request behind a queued one was refused as queue-full, with a hint of 50 s. This happens after a start under load, when entries fall back to their shares and compete for the same slots.

Before: the new test saw its second request refused. After: it is queued and dispatched 10 ms later.

--- a/reduce/health.go
+++ b/reduce/health.go
@@ -45,6 +45,7 @@
 // limit applies what is known of an instance's health to placement.
 func (s *State) limit(it *health.Instance) {
 	s.placement.SetLimit(it.ID, s.probationLimit(it.ID, it.Limit()))
+	s.placement.SetPaused(it.ID, it.Phase == health.Paused)
 }
 
 // judge draws conclusions from the end of an attempt about its instance, and
--- a/reduce/health/health.go
+++ b/reduce/health/health.go
@@ -156,11 +156,15 @@
 
 func (it *Instance) out() bool { return it.Phase == Ejected || it.Phase == Leaving }
 
-// Limit returns how many of the instance's slots may be used.
-// Each consecutive failure halves it.
+// Limit returns how many of the instance's slots may be used, after its pause
+// if it is paused. Each consecutive failure halves it.
 func (it *Instance) Limit() int {
-	switch it.Phase {
-	case Paused, Ejected, Leaving:
+	phase := it.Phase
+	if phase == Paused {
+		phase = it.resume
+	}
+	switch phase {
+	case Ejected, Leaving:
 		return 0
 	case Probation:
 		return 1
--- a/reduce/placement/instance.go
+++ b/reduce/placement/instance.go
@@ -17,10 +17,13 @@
 	share   int
 	running int
 	closed  bool
+	// paused instances get no grant for a short time. Their slots count in
+	// expected waits.
+	paused bool
 }
 
 // open reports whether the instance may run requests at all.
-func (it *instance) open() bool { return it.usable() > 0 }
+func (it *instance) open() bool { return it.usable() > 0 && !it.paused }
 
 // usable returns the number of slots that may be in use.
 func (it *instance) usable() int {
@@ -31,7 +34,12 @@
 }
 
 // free returns the number of slots that may be granted.
-func (it *instance) free() int { return max(0, it.usable()-it.running) }
+func (it *instance) free() int {
+	if it.paused {
+		return 0
+	}
+	return max(0, it.usable()-it.running)
+}
 
 // change keeps the pool's counts of slots.
 func (it *instance) change(apply func()) {
--- a/reduce/placement/placement.go
+++ b/reduce/placement/placement.go
@@ -189,6 +189,14 @@
 	}
 }
 
+// SetPaused stops grants on an instance for a time too short to matter to the
+// expected wait of a new request, or allows them again.
+func (s *State) SetPaused(id fleet.InstanceID, paused bool) {
+	if it, ok := s.instances[id]; ok {
+		it.change(func() { it.paused = paused })
+	}
+}
+
 // Running returns the number of slots in use on an instance.
 func (s *State) Running(id fleet.InstanceID) int {
 	it, ok := s.instances[id]
--- a/reduce/retry_test.go
+++ b/reduce/retry_test.go
@@ -258,3 +258,11 @@
 	must.EqOp(t, fleet.RanNo, r.Ran)
 	must.EqOp(t, fleet.ReasonNoCapacity, r.Reason)
 }
+
+func TestPausedInstanceDoesNotCloseItsQueue(t *testing.T) {
+	h := newHarness(oneRunner(1))
+	first := only[effect.Dispatch](h.do(arrived(1)))[0]
+	h.do(ended(first, event.AttemptRefused)) // nothing runs there, so it rests
+	must.Len(t, 0, only[effect.Refuse](h.do(arrived(2))))
+	must.Len(t, 1, only[effect.Dispatch](h.after(10*time.Millisecond, event.TimerFired{})))
+}
