Keep the share of a fallback in step with the entries that are there

An entry that fell back from a holder set its share of the slots once. One that started had often heard few of the others by then, kept half of the slots or all, and so did each: the runners refused the surplus. The share is now set again with each heartbeat while the fallback lasts.

Before: the new test saw 4 requests run after a third entry came. After: 2, its share of 8 slots over three entries.

--- a/reduce/grant.go
+++ b/reduce/grant.go
@@ -225,6 +225,7 @@
 			s.fallBack(l)
 		}
 		if l.Phase == holder.Fallback {
+			s.setShare(l.Pool, true) // entries may have come or died
 			s.report(l)
 		}
 	}
--- a/reduce/holding_test.go
+++ b/reduce/holding_test.go
@@ -79,6 +79,22 @@
 	c.checkOnce(t)
 }
 
+func TestShareShrinksWhenMoreEntriesCome(t *testing.T) {
+	c := newEntries(t, 2, longText(8))
+	held, id := c.holder(t), c.other(t)
+	c.lose = func(from fleet.EntryID, e effect.SendPeer) bool { return from == held || e.To == held }
+	c.arrive(id, 1, 20)
+	c.do(id, event.PeerUnreachable{Peer: held})
+	must.EqOp(t, 4, c.total())
+	c.start("entry-3")
+	c.list()
+	c.pass(time.Second)
+	for range 4 {
+		c.finish()
+	}
+	must.EqOp(t, 2, c.total())
+}
+
 // losing loses the first message of one type.
 func losing[T message.Message]() func(fleet.EntryID, effect.SendPeer) bool {
 	lost := false
