Tell a member that waits for its quota that it is over it

ReasonQuota was defined with its status and never used: a member that held its whole quota was refused as queue-full while slots were free, and told to wait for the pool's queue. It is now refused as quota-exceeded (429), by the entry and by a holder, and told when the next of its own requests ends.

Before: queue-full in the new test. After: quota-exceeded with Retry-After.

--- a/reduce/holding.go
+++ b/reduce/holding.go
@@ -59,9 +59,9 @@
 		return ""
 	}
 	ask := remoteAsk(id, svc, a)
-	if wait, full := s.full(ask, svc.MaxQueue, a.Left); isNew && full {
+	if reason, wait := s.overloaded(ask, svc.MaxQueue, a.Left); isNew && reason != fleet.ReasonNone {
 		s.holders.Withdraw(key)
-		s.deny(p.ID, message.Denied{Request: a.Request, Reason: fleet.ReasonQueueFull, RetryAfter: wait})
+		s.deny(p.ID, message.Denied{Request: a.Request, Reason: reason, RetryAfter: wait})
 		return ""
 	}
 	if !s.placement.Add(ask) {
--- a/reduce/placement/admit.go
+++ b/reduce/placement/admit.go
@@ -13,6 +13,9 @@
 type Admission struct {
 	// Full means that the service's queue has no place for the member.
 	Full bool
+	// OverQuota means that the member waits for its own quota: it holds all
+	// slots that it may, while others are free.
+	OverQuota bool
 	// Wait is the expected time until the request starts.
 	Wait time.Duration
 	// RetryAfter is when the queue is expected to have a place.
@@ -29,11 +32,17 @@
 	}
 	l := s.line(p, a)
 	cost := l.runs.estimate(a.Size)
-	return Admission{
+	admission := Admission{
 		Full:       l.full(maxQueue, len(s.members) > 1),
+		OverQuota:  p.free > 0 && l.flow.member.atQuota(),
 		Wait:       p.wait(l, cost, a.Urgent),
 		RetryAfter: min(maxRetryAfter, p.drain(cost*time.Duration(l.service.queued))),
 	}
+	if admission.OverQuota {
+		// The member's next request starts when one of its own ends.
+		admission.RetryAfter = min(maxRetryAfter, cost/time.Duration(l.flow.member.quota))
+	}
+	return admission
 }
 
 func (l *line) full(maxQueue int, shared bool) bool {
--- a/reduce/placement/placement_test.go
+++ b/reduce/placement/placement_test.go
@@ -220,7 +220,11 @@
 	b.Next("main")
 	b.Observe(first, time.Second)
 	b.add("survey", "lawa", 20)
-	must.EqOp(t, 10*time.Second, b.Admit(b.ask("survey", "lawa"), 100).Wait)
+	a := b.Admit(b.ask("survey", "lawa"), 100)
+	must.EqOp(t, 10*time.Second, a.Wait)
+	must.True(t, a.OverQuota)
+	must.EqOp(t, 500*time.Millisecond, b.Admit(b.ask("survey", "lawa"), 20).RetryAfter)
+	must.False(t, b.Admit(b.ask("survey", "mill"), 100).OverQuota)
 }
 
 func TestWaveOfCancellationsLeavesTheRest(t *testing.T) {
--- a/reduce/request.go
+++ b/reduce/request.go
@@ -123,28 +123,31 @@
 
 // refuseFull refuses a request when its queue is overloaded.
 func (s *State) refuseFull(r *requests.Request, ask placement.Ask) bool {
-	wait, full := s.overloaded(r, ask)
-	if full {
-		s.refuse(refusalAfter(r, fleet.ReasonQueueFull, wait), r.Service.Name)
-		s.forget(r)
+	reason, wait := s.overloaded(ask, r.Service.MaxQueue, r.Deadline.Sub(s.now))
+	if reason == fleet.ReasonNone {
+		return false
 	}
-	return full
-}
-
-// overloaded reports whether a new request has to be refused, and when a retry
-// may succeed.
-func (s *State) overloaded(r *requests.Request, ask placement.Ask) (time.Duration, bool) {
-	return s.full(ask, r.Service.MaxQueue, r.Deadline.Sub(s.now))
+	s.refuse(refusalAfter(r, reason, wait), r.Service.Name)
+	s.forget(r)
+	return true
 }
 
-// full reports whether a queue has no place for a request, or none that starts
-// it in the time that is left, and when a retry may succeed.
-func (s *State) full(ask placement.Ask, maxQueue int, left time.Duration) (time.Duration, bool) {
+// overloaded says why a queue has no place for a new request, or none that
+// starts it in the time that is left, and when a retry may succeed.
+func (s *State) overloaded(ask placement.Ask, maxQueue int, left time.Duration) (fleet.Reason, time.Duration) {
 	a := s.placement.Admit(ask, maxQueue)
-	if a.Full {
-		return a.RetryAfter, true
+	retry := a.RetryAfter
+	switch {
+	case a.Full:
+	case a.Wait > left:
+		retry = a.Wait - left
+	default:
+		return fleet.ReasonNone, 0
+	}
+	if a.OverQuota {
+		return fleet.ReasonQuota, retry
 	}
-	return a.Wait - left, a.Wait > left
+	return fleet.ReasonQueueFull, retry
 }
 
 // grantAll dispatches waiting requests of all pools.
--- a/reduce/retry_test.go
+++ b/reduce/retry_test.go
@@ -232,6 +232,18 @@
 	must.Greater(t, 0, r.RetryAfter)
 }
 
+func TestMemberOverItsQuotaIsToldSo(t *testing.T) {
+	text := oneRunner(8)
+	text.Members[0].Quota = 1
+	text.Services[0].MaxQueue = 1
+	h := newHarness(text)
+	dispatched(t, h.do(arrived(1)))
+	must.Len(t, 0, only[effect.Refuse](h.do(arrived(2))))
+	r := refused(t, h.do(arrived(3)))
+	must.EqOp(t, fleet.ReasonQuota, r.Reason)
+	must.Greater(t, 0, r.RetryAfter)
+}
+
 func TestHopelessDeadlineRefusesEarly(t *testing.T) {
 	text := oneRunner(1)
 	h := newHarness(text)
