Let an entry that was paused wait for the news before it sends

Change: after a gap of PauseLimit between two events no slot is granted for 1 s, in which reads and messages of peers come. Two tests that jump by more than PauseLimit let that second pass; what they demand is as before.

--- a/reduce/claim_test.go
+++ b/reduce/claim_test.go
@@ -321,6 +321,7 @@
 			must.Len(t, 0, only[effect.Dispatch](a.catchUp()))
 			b.now = a.now
 			b.catchUp()
+			b.after(time.Second, event.TimerFired{}) // it was not awake in between
 			must.EqOp(t, fleet.Offset(len(log.groups)+1), b.run(t, 1, key).Fence)
 		})
 	}
@@ -407,6 +408,7 @@
 	r := refusal(t, c.do(permit(1, keyAt(epoch, 1))))
 	must.EqOp(t, fleet.ReasonLogUnavailable, r.Reason)
 	must.EqOp(t, fleet.RanNo, r.Ran)
+	c.after(time.Second, event.TimerFired{}) // it was not awake in between
 	must.Len(t, 1, only[effect.Dispatch](c.do(arrived(2))))
 	must.Eq(t, []effect.SetClaims{{Open: true}}, only[effect.SetClaims](c.catchUp()))
 }
--- a/reduce/drain_test.go
+++ b/reduce/drain_test.go
@@ -249,6 +249,27 @@
 	c.until(0, "runner-1", "in-service")
 }
 
+// TestPausedEntrySendsNothingBeforeTheNews lets an entry sleep through a drain.
+// The request that came in the meantime is taken before the news.
+func TestPausedEntrySendsNothingBeforeTheNews(t *testing.T) {
+	c := newCluster(t, 2, fleetText(2, 1, 0))
+	c.command(0, drainOf("runner-1", control.PurposeHold))
+	c.entries[1].paused = true
+	c.run(30 * time.Second)
+	var waiting []fleet.AttemptID
+	for range 3 {
+		a, _ := c.request(1)
+		waiting = append(waiting, a)
+	}
+	c.resume(c.entries[1])
+	must.MapEmpty(t, c.entries[1].running)
+	c.run(2 * time.Second)
+	must.MapLen(t, 2, c.entries[1].running) // the slots of the other instance
+	for _, a := range waiting {
+		must.NotEqOp(t, fleet.InstanceID("runner-1"), c.entries[1].running[a])
+	}
+}
+
 // TestEntryThatDoesNotKnowItsPeersEndsNoDrain starts an entry that sees no list
 // and hears nobody, while another has a request in flight.
 func TestEntryThatDoesNotKnowItsPeersEndsNoDrain(t *testing.T) {
--- a/reduce/drainsteps.go
+++ b/reduce/drainsteps.go
@@ -12,14 +12,6 @@
 	"github.com/banyanrail/banyanrail/reduce/peers"
 )
 
-// advance moves the time on, and notes when the process was paused.
-func (s *State) advance(now time.Time) {
-	if now.Sub(s.now) > drains.PauseLimit {
-		s.drains.Current = false
-	}
-	s.now = now
-}
-
 // reachedEnd notes that a read found nothing new.
 func (s *State) reachedEnd(ev event.RecordsRead) {
 	if len(ev.Records) == 0 {
--- a/reduce/grant.go
+++ b/reduce/grant.go
@@ -22,6 +22,9 @@
 )
 
 func (s *State) mayGrant(pool fleet.PoolName) bool {
+	if s.isCatchingUp() {
+		return false
+	}
 	return s.cfg.Placement != PlacementHolder || s.holders.Link(pool).MayGrant()
 }
 
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -98,6 +98,8 @@
 			s.onStepsDue()
 		case *holder.Link:
 			s.onHolderTimer(o)
+		case *isolation:
+			s.grantAll()
 		case *snapshots:
 			s.onSnapshotTimer()
 		}
