Check I1, I2, I6, I7 and I8 over several reducers in any order

Cause: these invariants had examples, but no check over drawn sequences with faults, and no seeded fault that shows a check can fail. Events at one instant are now taken in order; before, the answer to a message overtook the messages sent with it, which no connection does. Left out: entries that hear one another, but neither the log nor an entry that does, go on sending; to them it looks like an outage of the log.

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 	go test -run '^TestClaimHistory$$' -count=1 -timeout 30m -v ./dev -keys=$(KEYS) -entries=9 -rounds=10 -seed=$(SEED)
 	go test -run '^TestClaimHistory$$' -count=1 -timeout 30m -v ./dev -keys=$(KEYS) -entries=9 -rounds=10 -seed=$(SEED) -holder=false
 	go test -run '^TestClaimsHoldUnderAnyOrder$$' -count=1 -timeout 30m -v ./reduce -rapid.checks=20000 -rapid.seed=$(SEED)
+	go test -run '^TestFleetHoldsUnderAnyOrder$$' -count=1 -timeout 30m ./reduce -rapid.checks=4000 -rapid.seed=$(SEED)
 	go test -run 'Fold|Delta' -count=1 -timeout 30m ./reduce/control ./fleet -rapid.checks=20000 -rapid.seed=$(SEED)
 
 bench:
--- a/reduce/cluster_test.go
+++ b/reduce/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"slices"
 	"time"
 
@@ -39,13 +40,23 @@
 	after   func(*member, event.Body, []effect.Effect) []effect.Effect
 	observe func(*member, effect.Effect)
 	// started is the number of entries started so far.
-	started int
+	started   int
+	placement reduce.Placement
+	arrived   []arrival
+}
+
+// arrival is an event on its way to an entry.
+type arrival struct {
+	at   *member
+	body event.Body
 }
 
 type member struct {
 	id    fleet.EntryID
 	state *reduce.State
-	next  int
+	// twin gets the same events, and has to have the same effects.
+	twin *reduce.State
+	next int
 	// dead runs nothing; noLog and noPeers cut it off.
 	dead, noLog, noPeers bool
 	// paused entries take no event until they go on; waiting holds the events.
@@ -59,7 +70,11 @@
 }
 
 func newCluster(t must.T, n int, text *fleet.Text) *cluster {
-	c := &cluster{t: t, now: epoch, commands: make(map[string]int), commanded: make(map[fleet.EntryID]int), broken: make(map[fleet.InstanceID]bool)}
+	return newClusterWith(t, n, text, reduce.PlacementLocal)
+}
+
+func newClusterWith(t must.T, n int, text *fleet.Text, placement reduce.Placement) *cluster {
+	c := &cluster{t: t, placement: placement, now: epoch, commands: make(map[string]int), commanded: make(map[fleet.EntryID]int), broken: make(map[fleet.InstanceID]bool)}
 	for range n {
 		c.entries = append(c.entries, c.newMember())
 	}
@@ -75,9 +90,11 @@
 func (c *cluster) newMember() *member {
 	c.started++
 	id := fleet.EntryID(fmt.Sprintf("entry-%d", c.started))
+	cfg := reduce.Config{Entry: id, Seed: uint64(c.started), MaxRequests: 100, Placement: c.placement}
 	return &member{
 		id:      id,
-		state:   reduce.New(reduce.Config{Entry: id, Seed: uint64(c.started), MaxRequests: 100}),
+		state:   reduce.New(cfg),
+		twin:    reduce.New(cfg),
 		running: make(map[fleet.AttemptID]fleet.InstanceID),
 	}
 }
@@ -110,8 +127,19 @@
 	}
 }
 
-// do reduces an event at one entry and carries out its effects.
+// do reduces an event at one entry, and all that follows from it in order.
 func (c *cluster) do(m *member, body event.Body) {
+	c.arrived = append(c.arrived, arrival{m, body})
+	if len(c.arrived) > 1 {
+		return // the call that is under way comes to it
+	}
+	for ; len(c.arrived) > 0; c.arrived = c.arrived[1:] {
+		c.step(c.arrived[0].at, c.arrived[0].body)
+	}
+}
+
+// step reduces an event at one entry and carries out its effects.
+func (c *cluster) step(m *member, body event.Body) {
 	if m.dead {
 		return
 	}
@@ -122,7 +150,11 @@
 	if c.before != nil {
 		body = c.before(m, body)
 	}
-	out := slices.Clone(reduce.Reduce(m.state, event.Event{Now: c.now, Body: body}))
+	ev := event.Event{Now: c.now, Body: body}
+	out := slices.Clone(reduce.Reduce(m.state, ev))
+	if m.twin != nil && !reflect.DeepEqual(out, slices.Clone(reduce.Reduce(m.twin, ev))) {
+		c.t.Fatalf("%s: the effects of %T are not the same again", m.id, body)
+	}
 	if c.after != nil {
 		out = c.after(m, body, out)
 	}
