Read the platform's list when an unlisted entry is heard

Entries that start together first read a list without the others and read it again after 1 s. Until then they knew only entries that had written to them, chose different holders, fell back with too large shares, and the runners refused: the cold start of the load tool.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -110,6 +110,8 @@
 	ready     atomic.Bool
 	// claimsOpen tells whether non-idempotent requests are taken.
 	claimsOpen atomic.Bool
+	// listWanted asks for a look at the platform's list before it is due.
+	listWanted chan struct{}
 	stopped    chan struct{}
 	stopOnce   sync.Once
 	// background is cancelled when Run ends.
@@ -137,6 +139,7 @@
 		logPool:    pond.NewPool(logWorkers),
 		peerPool:   pond.NewPool(peerWorkers, pond.WithQueueSize(peerQueue), pond.WithNonBlocking(true)),
 		stopped:    make(chan struct{}),
+		listWanted: make(chan struct{}, 1),
 		background: background,
 		end:        end,
 	}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -30,6 +30,8 @@
 		e.peers.Send(o.To, o.Address, o.Sequence, o.Message)
 	case effect.KeepPeers:
 		e.keepPeers(o)
+	case effect.RefreshList:
+		e.refreshList()
 	}
 }
 
@@ -67,7 +69,26 @@
 			_ = e.loop.Post(listedEntries(rows))   // fails only after the end
 			_ = e.loop.Post(listedEndpoints(rows)) // fails only after the end
 		}
-		sleep(e.background, listInterval)
+		e.awaitList()
+	}
+}
+
+// awaitList waits until the list is due again, or wanted earlier.
+func (e *Entry) awaitList() {
+	t := time.NewTimer(listInterval)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-e.listWanted:
+	case <-e.background.Done():
+	}
+}
+
+// refreshList ends the wait for the next look at the list.
+func (e *Entry) refreshList() {
+	select {
+	case e.listWanted <- struct{}{}:
+	default: // wanted already
 	}
 }
 
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -291,6 +291,9 @@
 // KeepPeers closes the connections to all other addresses.
 type KeepPeers struct{ Addresses []string }
 
+// RefreshList reads the platform's list at once.
+type RefreshList struct{}
+
 // SetReady sets the entry's readiness, as the balancer sees it.
 type SetReady struct{ Ready bool }
 
@@ -321,6 +324,7 @@
 func (CheckInstance) isEffect()   {}
 func (SendPeer) isEffect()        {}
 func (KeepPeers) isEffect()       {}
+func (RefreshList) isEffect()     {}
 func (SetReady) isEffect()        {}
 func (SetTimer) isEffect()        {}
 func (Stopped) isEffect()         {}
--- a/reduce/peer.go
+++ b/reduce/peer.go
@@ -50,12 +50,17 @@
 
 // onPeerReceived handles a message of another entry.
 func (s *State) onPeerReceived(ev event.PeerReceived) {
+	_, known := s.peers.Get(ev.From)
 	p, how := s.peers.Hear(ev.From, ev.Incarnation, ev.Sequence, s.now)
 	if how == peers.Stale {
 		s.emit(effect.Count{Name: effect.StalePeerMessages, N: 1})
 		return
 	}
 	s.peers.Learn(p.ID, ev.Address, s.now)
+	if !known {
+		// The list has news, and may name other entries that started too.
+		s.emit(effect.RefreshList{})
+	}
 	switch how {
 	case peers.First:
 		s.send(p, s.heartbeat())
--- a/reduce/relay_test.go
+++ b/reduce/relay_test.go
@@ -197,6 +197,15 @@
 	must.EqOp(t, 600, statusOf(h).Version)
 }
 
+func TestUnlistedPeerRefreshesTheList(t *testing.T) {
+	h := newHarness(oneRunner(1))
+	h.do(event.EntriesListed{Entries: []event.ListedEntry{{ID: "entry-3"}}})
+	listed, unlisted := &sender{id: "entry-3", incarnation: 1}, &sender{id: peerID, incarnation: 1}
+	must.Len(t, 0, only[effect.RefreshList](h.do(listed.message(message.Heartbeat{}))))
+	must.Len(t, 1, only[effect.RefreshList](h.do(unlisted.message(message.Heartbeat{}))))
+	must.Len(t, 0, only[effect.RefreshList](h.do(unlisted.message(message.Heartbeat{}))))
+}
+
 func statusOf(h *harness) effect.Status {
 	return only[effect.ReplyStatus](h.do(event.StatusAsked{}))[0].Status
 }
