Kill and pause entries that run as processes under load

Cause: separate processes were only tried without faults; the stand-ins that run as processes had no instance list, so that their entries found no peers, and told nobody what they ran.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 KEYS ?= 1000
 SEED ?= 1
 
-.PHONY: soak bench-placement generate run test bench build fmt fmt-check lint smoke tools
+.PHONY: soak fuzz faults bench-placement generate run test bench build fmt fmt-check lint smoke tools
 
 run: ## the whole fleet on embedded stand-ins
 	go run ./cmd/banyanrail dev
@@ -24,6 +24,12 @@
 	go test -run '^TestFleetHoldsUnderAnyOrder$$' -count=1 -timeout 30m ./reduce -rapid.checks=4000 -rapid.seed=$(SEED)
 	go test -run 'Fold|Delta' -count=1 -timeout 30m ./reduce/control ./fleet -rapid.checks=20000 -rapid.seed=$(SEED)
 
+fuzz: ## the decoders and the services text on drawn input, a minute each
+	go test -run '^$$' -fuzz '^FuzzParse$$' -fuzztime 1m ./services
+	go test -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime 1m ./platform/codec
+	go test -run '^$$' -fuzz '^FuzzDecodeClaims$$' -fuzztime 1m ./platform/codec
+	go test -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime 1m ./peer
+
 bench:
 	go test -short -run '^$$' -bench . -benchmem ./...
 
@@ -36,6 +42,9 @@
 smoke: build ## the whole path as separate processes
 	scripts/smoke
 
+faults: build ## kills and pauses entries that run as processes, under load
+	scripts/faults
+
 # Needs protoc, protoc-gen-go and protoc-gen-go-grpc.
 generate:
 	PATH="$(BIN):$$PATH" protoc -I peer --go_out=. --go_opt=module=github.com/banyanrail/banyanrail \
--- a/cmd/banyanrail/load.go
+++ b/cmd/banyanrail/load.go
@@ -10,11 +10,15 @@
 	"github.com/banyanrail/banyanrail/dev"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/load"
+	"github.com/banyanrail/banyanrail/standin"
+	"github.com/go-resty/resty/v2"
+	"github.com/samber/oops"
 )
 
 type loadCmd struct {
 	Dev      bool          `arg:"--dev" help:"drive a fleet embedded in this process"`
 	Callers  []string      `arg:"--callers" help:"base URLs of the callers' interfaces of entries"`
+	Asked    []string      `arg:"--endpoints" help:"base URLs of stand-ins for endpoints, which are asked what they ran"`
 	Services []string      `arg:"--service" help:"services to call; with :once the requests run at most once"`
 	Members  []string      `arg:"--member" help:"members that call"`
 	Rate     float64       `arg:"--rate" default:"100" help:"mean requests a second for each service"`
@@ -46,6 +50,9 @@
 		return err
 	}
 	target := load.Target{Entries: c.Callers, TimeLimit: c.Limit, BodySize: c.Body}
+	if len(c.Asked) > 0 {
+		target.Runs = c.askRuns
+	}
 	if c.Dev {
 		f, err := c.startFleet(ctx, s, cfg)
 		if err != nil {
@@ -66,6 +73,26 @@
 	return json.NewEncoder(s.out).Encode(sum)
 }
 
+// askRuns returns how often the endpoints ran the request of each key.
+func (c *loadCmd) askRuns(ctx context.Context) (map[fleet.Key]int, error) {
+	all := make(map[fleet.Key]int)
+	client := resty.New()
+	for _, url := range c.Asked {
+		var runs standin.Runs
+		resp, err := client.R().SetContext(ctx).SetResult(&runs).Get(url + standin.RunsPath)
+		if err == nil && resp.IsError() {
+			err = fmt.Errorf("status %d", resp.StatusCode())
+		}
+		if err != nil {
+			return nil, oops.In("load").With("step", "ask runs", "peer", url).Wrap(err)
+		}
+		for key, n := range runs.ByKey {
+			all[fleet.Key(key)] += n
+		}
+	}
+	return all, nil
+}
+
 func (c *loadCmd) config() (load.Config, error) {
 	if !c.Dev && len(c.Callers) == 0 {
 		return load.Config{}, fmt.Errorf("%w: load needs --dev or --callers", errUsage)
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -59,11 +59,25 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	if req.Method == http.MethodGet {
+	switch {
+	case req.Method == http.MethodGet && req.URL.Path == RunsPath:
+		r.serveRuns(w, req)
+	case req.Method == http.MethodGet:
 		r.serveHealth(w, req)
+	default:
+		r.serveRun(w, req)
+	}
+}
+
+// RunsPath is where an endpoint tells its Runs.
+const RunsPath = "/v1/runs"
+
+func (r *Runner) serveRuns(w http.ResponseWriter, req *http.Request) {
+	runs, err := r.Runs(req.Context())
+	if err != nil {
 		return
 	}
-	r.serveRun(w, req)
+	writeJSON(w, http.StatusOK, runs)
 }
 
 func (r *Runner) serveHealth(w http.ResponseWriter, req *http.Request) {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -50,6 +50,7 @@
 	})
 	p.mux.HandleFunc("POST /v1/streams/{stream}/records", p.handleAppend)
 	p.mux.HandleFunc("GET /v1/instances", p.handleList)
+	p.mux.HandleFunc("PUT /v1/instances", p.handleSetList)
 	p.mux.HandleFunc("PUT /v1/instances/{instance}/commands/{command}", p.handleCommand)
 	p.mux.HandleFunc("GET /v1/streams/{stream}/records", p.handleRead)
 	return p
@@ -142,6 +143,18 @@
 	writeJSON(w, http.StatusOK, rows)
 }
 
+// handleSetList changes the list of a stand-in that runs as a process.
+func (p *Platform) handleSetList(w http.ResponseWriter, r *http.Request) {
+	var rows []platform.Listed
+	if err := json.NewDecoder(r.Body).Decode(&rows); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if p.SetListed(rows) == nil {
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
 // SetListed changes the instance list.
 func (p *Platform) SetListed(rows []platform.Listed) error { return p.loop.Post(listSet{rows: rows}) }
 
