--- a/cmd/banyanrail/check.go
+++ b/cmd/banyanrail/check.go
@@ -8,6 +8,7 @@
 	"os"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/operator"
 	"github.com/banyanrail/banyanrail/services"
 )
 
@@ -51,7 +52,7 @@
 }
 
 // readText reads and checks a services text. Its error for a faulty one wraps
-// errInvalid.
+// operator.ErrInvalid.
 func readText(file string) (*fleet.Text, error) {
 	src, err := os.ReadFile(file)
 	if err != nil {
@@ -59,7 +60,7 @@
 	}
 	text, err := services.Parse(file, src)
 	if err != nil {
-		return nil, fmt.Errorf("%w text:\n%w", errInvalid, err)
+		return nil, fmt.Errorf("%w text:\n%w", operator.ErrInvalid, err)
 	}
 	return text, nil
 }
--- a/cmd/banyanrail/dev.go
+++ b/cmd/banyanrail/dev.go
@@ -35,7 +35,7 @@
 	}
 	defer f.Stop()
 	s.Entry = f.Nodes[0].OperatorsURL
-	if _, err := newClient(s).publish(ctx, 0, []byte(f.Text(c.Slots))); err != nil {
+	if _, err := newClient(s).Publish(ctx, 0, []byte(f.Text(c.Slots))); err != nil {
 		return err
 	}
 	for _, n := range f.Nodes {
--- a/cmd/banyanrail/exit.go
+++ b/cmd/banyanrail/exit.go
@@ -1,6 +1,10 @@
 package main
 
-import "errors"
+import (
+	"errors"
+
+	"github.com/banyanrail/banyanrail/operator"
+)
 
 // Exit codes.
 const (
@@ -12,30 +16,18 @@
 	exitUndecided   = 6
 )
 
-// Kinds of failures, by what an operator can do about them.
-var (
-	// errUsage means that the command line is wrong.
-	errUsage = errors.New("usage")
-	// errConflict means that another change came first.
-	errConflict = errors.New("conflict")
-	// errInvalid means that the services text has faults.
-	errInvalid = errors.New("invalid")
-	// errUnavailable means that an entry or the log could not be reached, and
-	// that nothing was changed.
-	errUnavailable = errors.New("unavailable")
-	// errUndecided means that it is not known whether a change took effect.
-	errUndecided = errors.New("undecided")
-)
+// errUsage means that the command line is wrong.
+var errUsage = errors.New("usage")
 
 var exitCodes = []struct {
 	err  error
 	code int
 }{
 	{errUsage, exitUsage},
-	{errConflict, exitConflict},
-	{errInvalid, exitInvalid},
-	{errUnavailable, exitUnavailable},
-	{errUndecided, exitUndecided},
+	{operator.ErrConflict, exitConflict},
+	{operator.ErrInvalid, exitInvalid},
+	{operator.ErrUnavailable, exitUnavailable},
+	{operator.ErrUndecided, exitUndecided},
 }
 
 func exitCode(err error) int {
--- a/cmd/banyanrail/follow.go
+++ b/cmd/banyanrail/follow.go
@@ -67,7 +67,7 @@
 	tick := time.NewTicker(progressInterval)
 	defer tick.Stop()
 	for {
-		st, err := c.status(ctx)
+		st, err := c.Status(ctx)
 		if err != nil {
 			return err
 		}
--- a/cmd/banyanrail/load.go
+++ b/cmd/banyanrail/load.go
@@ -86,7 +86,7 @@
 	if c.Operators != "" {
 		at.Entry = c.Operators
 	}
-	st, err := newClient(&at).status(ctx)
+	st, err := newClient(&at).Status(ctx)
 	if err != nil {
 		fmt.Fprintln(s.progress, "what the run cost is unknown:", err)
 		return nil
@@ -169,7 +169,7 @@
 		layout.Services = append(layout.Services, dev.LayoutService{Name: svc.Name, Idempotent: svc.Idempotent})
 	}
 	s.Entry = f.Nodes[0].OperatorsURL
-	if _, err := newClient(s).publish(ctx, 0, []byte(f.LayoutText(layout))); err != nil {
+	if _, err := newClient(s).Publish(ctx, 0, []byte(f.LayoutText(layout))); err != nil {
 		f.Stop()
 		return nil, err
 	}
--- a/cmd/banyanrail/main_test.go
+++ b/cmd/banyanrail/main_test.go
@@ -31,7 +31,7 @@
 	t.Cleanup(f.Stop)
 	c := &cli{t: t, entry: f.Nodes[0].OperatorsURL}
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
-		st, err := newClient(&settings{Entry: c.entry}).status(t.Context())
+		st, err := newClient(&settings{Entry: c.entry}).Status(t.Context())
 		return err == nil && len(st.Versions) == len(f.Nodes)
 	}), wait.Timeout(30*time.Second)))
 	return c, f
--- a/cmd/banyanrail/maintenance.go
+++ b/cmd/banyanrail/maintenance.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net/http"
-	"strconv"
 
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
@@ -19,7 +17,7 @@
 
 func (c *drainCmd) run(ctx context.Context, s *settings) error {
 	cl := newClient(s)
-	res, err := cl.order(ctx, "drain", "/v1/drains", entry.DrainRequest{
+	res, err := cl.Order(ctx, "drain", "/v1/drains", entry.DrainRequest{
 		Instance: fleet.InstanceID(c.Instance), Purpose: c.Then, Epoch: offset(c.Epoch), Force: c.Force,
 	})
 	if err != nil {
@@ -43,7 +41,7 @@
 
 func (c *undrainCmd) run(ctx context.Context, s *settings) error {
 	cl := newClient(s)
-	res, err := cl.undrain(ctx, c.Instance, c.Epoch)
+	res, err := cl.Undrain(ctx, c.Instance, c.Epoch)
 	if err != nil {
 		return err
 	}
@@ -62,7 +60,7 @@
 
 func (c *moveCmd) run(ctx context.Context, s *settings) error {
 	cl := newClient(s)
-	res, err := cl.order(ctx, "move", "/v1/moves", entry.MoveRequest{
+	res, err := cl.Order(ctx, "move", "/v1/moves", entry.MoveRequest{
 		Instance: fleet.InstanceID(c.Instance), To: fleet.PoolName(c.To), Epoch: offset(c.Epoch),
 	})
 	if err != nil {
@@ -73,20 +71,3 @@
 	}
 	return cl.followInstance(ctx, s, fleet.InstanceID(c.Instance), res.Offset, []string{"in-service", "failed"})
 }
-
-// order sends a command and returns what became of its record.
-func (c *client) order(ctx context.Context, step, path string, body any) (entry.OperatorResult, error) {
-	var res entry.OperatorResult
-	resp, err := c.http.R().SetContext(ctx).SetBody(body).SetResult(&res).Post(path)
-	return res, c.check(step, resp, err)
-}
-
-func (c *client) undrain(ctx context.Context, instance string, epoch *int64) (entry.OperatorResult, error) {
-	var res entry.OperatorResult
-	r := c.http.R().SetContext(ctx).SetResult(&res).SetPathParam("instance", instance)
-	if epoch != nil {
-		r.SetQueryParam("epoch", strconv.FormatInt(*epoch, 10))
-	}
-	resp, err := r.Execute(http.MethodDelete, "/v1/drains/{instance}")
-	return res, c.check("undrain", resp, err)
-}
--- a/cmd/banyanrail/plan.go
+++ b/cmd/banyanrail/plan.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	before, base, err := newClient(s).text(ctx)
+	before, base, err := newClient(s).Text(ctx)
 	if err != nil {
 		return err
 	}
--- a/cmd/banyanrail/publish.go
+++ b/cmd/banyanrail/publish.go
@@ -57,7 +57,7 @@
 // send publishes what changes against the text in force. Without one, or when
 // another version is asked for as the base, the whole text is sent.
 func (c *publishCmd) send(ctx context.Context, cl *client, text *fleet.Text) (entry.OperatorResult, error) {
-	current, version, err := cl.text(ctx)
+	current, version, err := cl.Text(ctx)
 	if err != nil {
 		return entry.OperatorResult{}, err
 	}
@@ -66,9 +66,9 @@
 		base = version
 	}
 	if current == nil || base != version {
-		return cl.publish(ctx, base, services.Print(text))
+		return cl.Publish(ctx, base, services.Print(text))
 	}
-	return cl.publishDelta(ctx, base, fleet.Compare(current, text))
+	return cl.PublishDelta(ctx, base, fleet.Compare(current, text))
 }
 
 // follow waits until all entries alive have the version, and reports progress.
@@ -77,7 +77,7 @@
 	defer cancel()
 	shown := -1
 	for {
-		st, err := cl.status(ctx)
+		st, err := cl.Status(ctx)
 		if err != nil {
 			return err
 		}
--- a/cmd/banyanrail/rehearse.go
+++ b/cmd/banyanrail/rehearse.go
@@ -32,7 +32,7 @@
 }
 
 func (c *rehearseForecastCmd) run(ctx context.Context, s *settings) error {
-	f, err := newClient(s).forecast(ctx, c.DataCentre, c.Rack)
+	f, err := newClient(s).Forecast(ctx, c.DataCentre, c.Rack)
 	if err != nil {
 		return err
 	}
@@ -71,7 +71,7 @@
 
 func (c *rehearseStartCmd) run(ctx context.Context, s *settings) error {
 	cl := newClient(s)
-	res, err := cl.order(ctx, "start rehearsal", "/v1/rehearsals", entry.RehearsalRequest{
+	res, err := cl.Order(ctx, "start rehearsal", "/v1/rehearsals", entry.RehearsalRequest{
 		DataCentre: fleet.DataCentre(c.DataCentre), Rack: fleet.Rack(c.Rack),
 		Seconds: c.For.Seconds(), Note: c.Note, Force: c.Force,
 	})
@@ -90,7 +90,7 @@
 
 func (c *rehearseStopCmd) run(ctx context.Context, s *settings) error {
 	path := "/v1/rehearsals/" + strconv.FormatInt(c.Rehearsal, 10) + "/stop"
-	res, err := newClient(s).order(ctx, "stop rehearsal", path, struct{}{})
+	res, err := newClient(s).Order(ctx, "stop rehearsal", path, struct{}{})
 	if err != nil {
 		return err
 	}
@@ -100,7 +100,7 @@
 type rehearseStatusCmd struct{}
 
 func (*rehearseStatusCmd) run(ctx context.Context, s *settings) error {
-	st, err := newClient(s).status(ctx)
+	st, err := newClient(s).Status(ctx)
 	if err != nil {
 		return err
 	}
@@ -125,13 +125,6 @@
 	return r.Ended.Sub(r.Started).Round(time.Second)
 }
 
-func (c *client) forecast(ctx context.Context, dataCentre, rack string) (effect.Forecast, error) {
-	var f effect.Forecast
-	resp, err := c.http.R().SetContext(ctx).SetResult(&f).
-		SetQueryParam("data_centre", dataCentre).SetQueryParam("rack", rack).Get("/v1/forecast")
-	return f, c.check("forecast", resp, err)
-}
-
 // followRehearsal shows each change of a rehearsal until it has ended, and what
 // happened then.
 func (c *client) followRehearsal(ctx context.Context, s *settings, id fleet.Offset) error {
--- a/cmd/banyanrail/report.go
+++ b/cmd/banyanrail/report.go
@@ -26,7 +26,7 @@
 }
 
 func (*reportCmd) run(ctx context.Context, s *settings) error {
-	st, err := newClient(s).status(ctx)
+	st, err := newClient(s).Status(ctx)
 	if err != nil {
 		return err
 	}
--- a/cmd/banyanrail/status.go
+++ b/cmd/banyanrail/status.go
@@ -15,7 +15,7 @@
 type statusCmd struct{}
 
 func (*statusCmd) run(ctx context.Context, s *settings) error {
-	st, err := newClient(s).status(ctx)
+	st, err := newClient(s).Status(ctx)
 	if err != nil {
 		return err
 	}
--- a/cmd/banyanrail/watch.go
+++ b/cmd/banyanrail/watch.go
@@ -39,7 +39,7 @@
 	cl := newClient(s)
 	var last watchLine
 	for {
-		st, err := cl.status(ctx)
+		st, err := cl.Status(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
