--- /dev/null
+++ b/cmd/banyanrail/experiment.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/banyanrail/banyanrail/experiment"
+	"github.com/banyanrail/banyanrail/reduce"
+	"github.com/banyanrail/banyanrail/services"
+)
+
+type experimentCmd struct {
+	Burst   *burstCmd   `arg:"subcommand:burst" help:"a burst of demand with a greedy member on one pool"`
+	Wave    *waveRunCmd `arg:"subcommand:wave" help:"a wave over 50 instances under load"`
+	Reserve *reserveCmd `arg:"subcommand:reserve" help:"the planner against pools that stay, in virtual time"`
+}
+
+func (*experimentCmd) run(context.Context, *settings) error {
+	return fmt.Errorf("%w: name one of experiment burst, wave, reserve", errUsage)
+}
+
+type burstCmd struct {
+	Placement string        `arg:"--placement" default:"holder" help:"who grants slots: holder or local"`
+	Rate      float64       `arg:"--rate" default:"2000" help:"requests a second; the slots can do 800"`
+	For       time.Duration `arg:"--for" default:"10s" help:"how long the burst lasts"`
+	KillAfter time.Duration `arg:"--kill-after" help:"when the entry that grants the slots is killed; never when absent"`
+	Entries   int           `arg:"--entries" default:"9" help:"entry instances"`
+}
+
+func (c *burstCmd) run(ctx context.Context, s *settings) error {
+	res, err := experiment.Burst{
+		Entries: c.Entries, Placement: reduce.Placement(c.Placement), Rate: c.Rate, Duration: c.For, KillAfter: c.KillAfter,
+	}.Run(ctx)
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(s.out).Encode(res)
+}
+
+type waveRunCmd struct {
+	MaxStep int `arg:"--max-step" default:"4" help:"instances out at once"`
+	Entries int `arg:"--entries" default:"9" help:"entry instances"`
+}
+
+func (c *waveRunCmd) run(ctx context.Context, s *settings) error {
+	res, err := experiment.Wave{Entries: c.Entries, MaxStep: c.MaxStep}.Run(ctx)
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(s.out).Encode(res)
+}
+
+type reserveCmd struct {
+	File  string `arg:"positional,required" help:"services text"`
+	Fixed bool   `arg:"--fixed" help:"leave every instance where it is"`
+	Shift bool   `arg:"--shift" help:"let the demand of the first service grow for good"`
+}
+
+func (c *reserveCmd) run(_ context.Context, s *settings) error {
+	src, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	text, err := services.Parse(c.File, src)
+	if err != nil {
+		return err
+	}
+	res := experiment.Reserve{Text: text, Fixed: c.Fixed, Shift: c.Shift}.Run()
+	return json.NewEncoder(s.out).Encode(res)
+}
--- a/cmd/banyanrail/load.go
+++ b/cmd/banyanrail/load.go
@@ -11,6 +11,7 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/load"
 	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/services"
 	"github.com/banyanrail/banyanrail/standin"
 	"github.com/go-resty/resty/v2"
 	"github.com/samber/oops"
@@ -169,7 +170,7 @@
 		layout.Services = append(layout.Services, dev.LayoutService{Name: svc.Name, Idempotent: svc.Idempotent})
 	}
 	s.Entry = f.Nodes[0].OperatorsURL
-	if _, err := newClient(s).Publish(ctx, 0, []byte(f.LayoutText(layout))); err != nil {
+	if _, err := newClient(s).Publish(ctx, 0, services.Print(f.LayoutText(layout))); err != nil {
 		f.Stop()
 		return nil, err
 	}
--- a/cmd/banyanrail/main.go
+++ b/cmd/banyanrail/main.go
@@ -13,20 +13,21 @@
 )
 
 type settings struct {
-	Check    *checkCmd    `arg:"subcommand:check" help:"check a services text"`
-	Plan     *planCmd     `arg:"subcommand:plan" help:"show what a services text would change"`
-	Publish  *publishCmd  `arg:"subcommand:publish" help:"bring a services text into force"`
-	Status   *statusCmd   `arg:"subcommand:status" help:"show what an entry sees"`
-	Watch    *watchCmd    `arg:"subcommand:watch" help:"show changes of an entry's state as they happen"`
-	Drain    *drainCmd    `arg:"subcommand:drain" help:"take an instance out of service"`
-	Undrain  *undrainCmd  `arg:"subcommand:undrain" help:"bring an instance back into service"`
-	Move     *moveCmd     `arg:"subcommand:move" help:"move an instance to another pool"`
-	Wave     *waveCmd     `arg:"subcommand:wave" help:"reboot instances step by step"`
-	Rehearse *rehearseCmd `arg:"subcommand:rehearse" help:"forecast and rehearse the loss of a failure domain"`
-	Report   *reportCmd   `arg:"subcommand:report" help:"show measures, budgets and rehearsals"`
-	Dev      *devCmd      `arg:"subcommand:dev" help:"run a whole fleet in this process"`
-	Load     *loadCmd     `arg:"subcommand:load" help:"drive a fleet with requests and count what became of them"`
-	Version  *versionCmd  `arg:"subcommand:version" help:"show the version of this program"`
+	Check      *checkCmd      `arg:"subcommand:check" help:"check a services text"`
+	Plan       *planCmd       `arg:"subcommand:plan" help:"show what a services text would change"`
+	Publish    *publishCmd    `arg:"subcommand:publish" help:"bring a services text into force"`
+	Status     *statusCmd     `arg:"subcommand:status" help:"show what an entry sees"`
+	Watch      *watchCmd      `arg:"subcommand:watch" help:"show changes of an entry's state as they happen"`
+	Drain      *drainCmd      `arg:"subcommand:drain" help:"take an instance out of service"`
+	Undrain    *undrainCmd    `arg:"subcommand:undrain" help:"bring an instance back into service"`
+	Move       *moveCmd       `arg:"subcommand:move" help:"move an instance to another pool"`
+	Wave       *waveCmd       `arg:"subcommand:wave" help:"reboot instances step by step"`
+	Rehearse   *rehearseCmd   `arg:"subcommand:rehearse" help:"forecast and rehearse the loss of a failure domain"`
+	Report     *reportCmd     `arg:"subcommand:report" help:"show measures, budgets and rehearsals"`
+	Dev        *devCmd        `arg:"subcommand:dev" help:"run a whole fleet in this process"`
+	Experiment *experimentCmd `arg:"subcommand:experiment" help:"measure a policy on a fleet of its own"`
+	Load       *loadCmd       `arg:"subcommand:load" help:"drive a fleet with requests and count what became of them"`
+	Version    *versionCmd    `arg:"subcommand:version" help:"show the version of this program"`
 
 	Entry string `arg:"--entry,env:BANYANRAIL_ENTRY" default:"http://127.0.0.1:8081" help:"base URL of an entry's operators' interface"`
 	Token string `arg:"--,env:BANYANRAIL_OPERATOR_TOKEN" help:"bearer token"`
--- a/dev/layout.go
+++ b/dev/layout.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
-	"github.com/banyanrail/banyanrail/services"
 )
 
 // Sizes of a layout.
@@ -16,6 +15,8 @@
 	timeLimit   = 10 * time.Second
 	drainLimit  = 30 * time.Second
 	probation   = 5 * time.Second
+	// sparePool is the name of the spare pool.
+	sparePool fleet.PoolName = "spare"
 )
 
 // Layout spreads a fleet's runners over several services.
@@ -23,7 +24,9 @@
 	// Services share the runners in equal parts, a pool for each.
 	Services []LayoutService
 	Members  []fleet.MemberName
-	Slots    int
+	// Spares of the runners go to a spare pool.
+	Spares int
+	Slots  int
 }
 
 // LayoutService is a service of a layout.
@@ -34,7 +37,7 @@
 
 // LayoutText returns a services text that puts each service's instances into
 // all data centres in turn.
-func (f *Fleet) LayoutText(l Layout) string {
+func (f *Fleet) LayoutText(l Layout) *fleet.Text {
 	text := &fleet.Text{Maintenance: fleet.Maintenance{DrainLimit: drainLimit, MaxStep: 1, Probation: probation}}
 	for i := range dataCentres {
 		text.DataCentres = append(text.DataCentres, fleet.DataCentre(fmt.Sprintf("dc%d", i+1)))
@@ -57,10 +60,23 @@
 			Address:    r.Address,
 			DataCentre: text.DataCentres[i/len(l.Services)%dataCentres],
 			Rack:       fleet.Rack(fmt.Sprintf("r%d", i/(rackSize*dataCentres)+1)),
-			Pool:       text.Pools[i%len(l.Services)].Name,
+			Pool:       l.pool(i, len(f.Runners)),
 		})
 	}
-	return string(services.Print(text))
+	if l.Spares > 0 {
+		text.Pools = append(text.Pools, fleet.Pool{
+			Name: sparePool, Spare: true, Slots: l.Slots, Connections: fleet.DefaultConnections, MaxSize: 1,
+		})
+	}
+	return text
+}
+
+// pool returns the pool of a runner.
+func (l Layout) pool(runner, runners int) fleet.PoolName {
+	if runner >= runners-l.Spares {
+		return sparePool
+	}
+	return fleet.PoolName(l.Services[runner%len(l.Services)].Name)
 }
 
 // Runs returns how often the runners ran the request of each key.
--- /dev/null
+++ b/experiment/burst.go
@@ -0,0 +1,131 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/banyanrail/banyanrail/dev"
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/load"
+	"github.com/banyanrail/banyanrail/reduce"
+)
+
+// The burst: one member of ten sends half of the demand on one pool.
+const (
+	burstRunners   = 10
+	burstSlots     = 8
+	burstWork      = 100 * time.Millisecond
+	burstMembers   = 10
+	burstTimeLimit = 40 * time.Second
+	burstQueue     = 4000
+	burstInFlight  = 20_000
+	greedyShare    = 0.5
+	burstService   = fleet.ServiceName("survey")
+)
+
+// Burst sizes the experiment with a burst of demand.
+type Burst struct {
+	Entries   int
+	Placement reduce.Placement
+	// Rate is the demand in requests a second.
+	Rate float64
+	// Duration is how long the burst lasts.
+	Duration time.Duration
+	// KillAfter is when the entry that grants the pool's slots is killed; zero
+	// means never. That entry gets no requests.
+	KillAfter time.Duration
+}
+
+// BurstResult is what became of a burst.
+type BurstResult struct {
+	Load load.Summary `json:"load"`
+	// Goodput is what was answered within the burst, over the slots' limit.
+	Goodput float64 `json:"goodput"`
+	// Jain is Jain's index over what the members got within the burst.
+	Jain      float64   `json:"jain"`
+	Endpoints Endpoints `json:"endpoints"`
+}
+
+// Run runs the experiment on a fleet of its own.
+func (e Burst) Run(ctx context.Context) (BurstResult, error) {
+	f, err := start(ctx, dev.Config{
+		Entries: e.Entries, Runners: burstRunners, Slots: burstSlots, Work: burstWork, Placement: e.Placement,
+	}, burstText)
+	if err != nil {
+		return BurstResult{}, err
+	}
+	defer f.Stop()
+	nodes, err := e.spare(ctx, f)
+	if err != nil {
+		return BurstResult{}, err
+	}
+	sum, err := load.Run(ctx, e.load(), load.Target{Entries: callers(nodes), Runs: f.Runs, TimeLimit: burstTimeLimit})
+	if err != nil {
+		return BurstResult{}, err
+	}
+	limit := burstRunners * burstSlots / burstWork.Seconds() * e.Duration.Seconds()
+	res := BurstResult{Load: sum, Goodput: float64(sum.InTime) / limit, Jain: jain(sum.Members)}
+	res.Endpoints, err = endpointsOf(ctx, f)
+	return res, err
+}
+
+func (e Burst) load() load.Config {
+	cfg := load.Config{
+		Services: []load.Service{{Name: burstService, Idempotent: true, Rate: e.Rate}},
+		Duration: e.Duration, Burst: e.Duration, BurstFactor: 1, QuietFactor: 1,
+		MaxInFlight: burstInFlight, GreedyShare: greedyShare, Seed: 1,
+	}
+	for i := range burstMembers {
+		cfg.Members = append(cfg.Members, burstMember(i))
+	}
+	return cfg
+}
+
+func burstMember(i int) fleet.MemberName { return fleet.MemberName(fmt.Sprintf("member-%d", i)) }
+
+// spare returns the entries that get requests. An entry that is to be killed
+// gets none, so that no caller loses its connection with it.
+func (e Burst) spare(ctx context.Context, f *dev.Fleet) ([]*dev.Node, error) {
+	if e.KillAfter == 0 {
+		return f.Nodes, nil
+	}
+	for i, n := range f.Nodes {
+		st, err := operators(f, i).Status(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if slices.Contains(st.Holds, fleet.PoolName(burstService)) {
+			time.AfterFunc(e.KillAfter, n.Kill)
+			return slices.Delete(slices.Clone(f.Nodes), i, i+1), nil
+		}
+	}
+	return f.Nodes, nil
+}
+
+// burstText has one pool and equal members.
+func burstText(f *dev.Fleet) *fleet.Text {
+	layout := dev.Layout{Services: []dev.LayoutService{{Name: burstService, Idempotent: true}}, Slots: burstSlots}
+	for i := range burstMembers {
+		layout.Members = append(layout.Members, burstMember(i))
+	}
+	text := f.LayoutText(layout)
+	text.Services[0].TimeLimit = burstTimeLimit
+	text.Services[0].MaxQueue = burstQueue
+	return text
+}
+
+// jain is Jain's fairness index: 1 when all members got the same.
+func jain(members map[fleet.MemberName]load.MemberSummary) float64 {
+	var sum, squares float64
+	for _, m := range members {
+		n := float64(m.InTime)
+		sum += n
+		squares += n * n
+	}
+	if squares == 0 {
+		return 0
+	}
+	return sum * sum / (float64(len(members)) * squares)
+}
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -1,10 +1,10 @@
 package load_test
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,6 +12,7 @@
 	"github.com/banyanrail/banyanrail/dev"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/load"
+	"github.com/banyanrail/banyanrail/services"
 	"github.com/banyanrail/banyanrail/standin"
 	"github.com/google/uuid"
 	"github.com/shoenig/test/must"
@@ -160,7 +161,7 @@
 		Members:  cfg.Members,
 		Slots:    8,
 	}
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPut, f.Nodes[0].OperatorsURL+"/v1/text?base=0", strings.NewReader(f.LayoutText(layout)))
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPut, f.Nodes[0].OperatorsURL+"/v1/text?base=0", bytes.NewReader(services.Print(f.LayoutText(layout))))
 	must.NoError(t, err)
 	resp, err := http.DefaultClient.Do(req)
 	must.NoError(t, err)
--- a/load/state.go
+++ b/load/state.go
@@ -40,6 +40,9 @@
 	QuietFactor float64
 	// MaxInFlight bounds calls at once; arrivals beyond it are not sent.
 	MaxInFlight int
+	// GreedyShare is the share of requests that the first member sends; zero
+	// lets all members send alike.
+	GreedyShare float64
 	Seed        uint64
 }
 
@@ -58,6 +61,7 @@
 	lastID  uint64
 	calls   map[uint64]*call
 	sources []*source
+	members map[fleet.MemberName]*MemberSummary
 	ending  bool
 	counted bool
 	out     []Effect
@@ -77,12 +81,16 @@
 
 type call struct {
 	source *source
+	member fleet.MemberName
 	key    fleet.Key
 }
 
 // New returns the state of a run that has not begun.
 func New(cfg Config) *State {
-	s := &State{cfg: cfg, random: cfg.Seed | 1, calls: make(map[uint64]*call)}
+	s := &State{cfg: cfg, random: cfg.Seed | 1, calls: make(map[uint64]*call), members: make(map[fleet.MemberName]*MemberSummary)}
+	for _, name := range cfg.Members {
+		s.members[name] = &MemberSummary{}
+	}
 	for _, svc := range cfg.Services {
 		s.sources = append(s.sources, &source{
 			Service: svc,
@@ -178,7 +186,7 @@
 		return
 	}
 	s.lastID++
-	c := &call{source: src, key: s.key()}
+	c := &call{source: src, member: s.member(), key: s.key()}
 	s.calls[s.lastID] = c
 	if !src.Idempotent {
 		src.once = append(src.once, c.key)
@@ -187,7 +195,7 @@
 		ID:      s.lastID,
 		Entry:   int(s.lastID % uint64(s.cfg.Entries)),
 		Service: src.Name,
-		Member:  s.cfg.Members[s.next()%uint64(len(s.cfg.Members))],
+		Member:  c.member,
 		Key:     c.key,
 	})
 }
@@ -198,7 +206,32 @@
 		return
 	}
 	delete(s.calls, e.ID)
+	answered := c.source.counts.Answered
 	c.source.count(e, c.key)
+	if c.source.counts.Answered > answered {
+		s.countMember(c.member)
+	}
+}
+
+// countMember counts an answer, and whether it came while requests arrived.
+func (s *State) countMember(name fleet.MemberName) {
+	m := s.members[name]
+	m.Answered++
+	if s.now.Sub(s.start) <= s.cfg.Duration {
+		m.InTime++
+	}
+}
+
+// member draws who sends the next request.
+func (s *State) member() fleet.MemberName {
+	members := s.cfg.Members
+	if s.cfg.GreedyShare == 0 || len(members) == 1 {
+		return members[s.next()%uint64(len(members))]
+	}
+	if s.uniform() <= s.cfg.GreedyShare {
+		return members[0]
+	}
+	return members[1+s.next()%uint64(len(members)-1)]
 }
 
 // finish asks for the endpoints' counts once all calls have ended.
--- a/load/summary.go
+++ b/load/summary.go
@@ -52,12 +52,22 @@
 	Latency Latency `json:"latency"`
 }
 
+// MemberSummary is the part of one member.
+type MemberSummary struct {
+	Answered int `json:"answered"`
+	// InTime were answered while requests still arrived.
+	InTime int `json:"in_time"`
+}
+
 // Summary is the result of a run.
 type Summary struct {
 	Counts
 	Latency  Latency                              `json:"latency"`
 	Seconds  float64                              `json:"seconds"`
 	Services map[fleet.ServiceName]ServiceSummary `json:"services"`
+	// InTime were answered while requests still arrived.
+	InTime  int                                `json:"in_time"`
+	Members map[fleet.MemberName]MemberSummary `json:"members"`
 	// Fleet is what the run cost, by the fleet's own account. It is absent when
 	// no entry could be asked.
 	Fleet *FleetSummary `json:"fleet,omitempty"`
@@ -105,7 +115,7 @@
 // summarise adds up the services. Runs is nil when the endpoints were not
 // asked.
 func (s *State) summarise(runs map[fleet.Key]int) Summary {
-	sum := Summary{Seconds: s.now.Sub(s.start).Seconds(), Services: make(map[fleet.ServiceName]ServiceSummary)}
+	sum := Summary{Seconds: s.now.Sub(s.start).Seconds(), Services: make(map[fleet.ServiceName]ServiceSummary), Members: make(map[fleet.MemberName]MemberSummary)}
 	all := hdrhistogram.New(1, maxLatency.Microseconds(), latencyPrecision)
 	for _, src := range s.sources {
 		if runs != nil {
@@ -117,6 +127,10 @@
 		sum.Services[src.Name] = ServiceSummary{Counts: src.counts, Latency: latencyOf(src.latency)}
 	}
 	sum.Latency = latencyOf(all)
+	for name, m := range s.members {
+		sum.Members[name] = *m
+		sum.InTime += m.InTime
+	}
 	return sum
 }
 
