Hand bodies to resty as readers

Resty copies a body of bytes twice: into a buffer, and from that into the request. A reader goes to net/http as it is.

--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -3,6 +3,7 @@
 package endpoint
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -164,7 +165,7 @@
 		SetHeader("Content-Type", contentType).
 		SetHeader(HeaderAttempt, req.Attempt).
 		SetHeader(HeaderMember, string(req.Member)).
-		SetBody(req.Body)
+		SetBody(bytes.NewReader(req.Body))
 	if req.Key != "" {
 		r.SetHeader(HeaderKey, string(req.Key))
 		r.SetHeader(HeaderFence, strconv.FormatInt(int64(req.Fence), 10))
