Ask endpoints for any type of answer

Without an Accept header resty matches the body's type against two expressions, and for JSON and XML bodies asks for the same type back, which no caller asked for.

--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -145,6 +145,10 @@
 // defaultContentType stands for a body whose caller named no type.
 const defaultContentType = "application/octet-stream"
 
+// anyType is the Accept header. Without one resty compares the type of the body
+// with expressions for JSON and XML, to ask for the same.
+const anyType = "*/*"
+
 // answer is what came back. It is whole if its end was marked, by a length or
 // by chunks, since reading fails when the mark is not reached.
 type answer struct {
@@ -162,6 +166,7 @@
 	r := c.client(req.Address).R().
 		SetContext(ctx).
 		SetDoNotParseResponse(true).
+		SetHeader("Accept", anyType).
 		SetHeader("Content-Type", contentType).
 		SetHeader(HeaderAttempt, req.Attempt).
 		SetHeader(HeaderMember, string(req.Member)).
