Leave the deadline of an attempt to the reducer

The reducer cancels an attempt at its deadline, and the caller's context ends it when the caller is answered, at most 250 ms later. The context's own timer told the same a second time. The check before an attempt is sent stays.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -41,7 +41,9 @@
 	if !ok || !e.clock().Before(o.Deadline) {
 		return endpoint.Result{Outcome: event.AttemptSkipped}
 	}
-	ctx, cancel := context.WithTimeout(x.ctx, o.Deadline.Sub(e.clock()))
+	// The reducer cancels the attempt at its deadline, so the context needs no
+	// timer of its own.
+	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	ctx, span := e.tracer.Start(ctx, "endpoint attempt", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(
