Let a paused entry wait for news that came after the pause

Change: after a pause slots are granted only once a peer or the log is heard more than 1 s after it; an entry without peers goes on after that second.

--- a/reduce/drain_test.go
+++ b/reduce/drain_test.go
@@ -261,9 +261,12 @@
 		a, _ := c.request(1)
 		waiting = append(waiting, a)
 	}
+	c.entries[1].noLog, c.entries[1].noPeers = true, true
 	c.resume(c.entries[1])
-	must.MapEmpty(t, c.entries[1].running)
 	c.run(2 * time.Second)
+	must.MapEmpty(t, c.entries[1].running)
+	c.entries[1].noLog, c.entries[1].noPeers = false, false
+	c.run(time.Second)
 	must.MapLen(t, 2, c.entries[1].running) // the slots of the other instance
 	for _, a := range waiting {
 		must.NotEqOp(t, fleet.InstanceID("runner-1"), c.entries[1].running[a])
--- a/reduce/isolation.go
+++ b/reduce/isolation.go
@@ -18,12 +18,14 @@
 	// lastRead is when the control stream was last read.
 	lastRead time.Time
 	isolated bool
-	// timer runs for catchUpTime after a pause.
-	timer timer.Timer
+	// holding is set from a pause to the news after it; timer runs for
+	// catchUpTime before such news counts.
+	holding bool
+	timer   timer.Timer
 }
 
-// catchUpTime is how long an entry that was paused sends nothing new. Its reads
-// and the messages of its peers come in that time.
+// catchUpTime is how long after a pause an entry may still be taking in what
+// was sent to it before.
 const catchUpTime = time.Second
 
 // advance moves the time on, and notes when the process was paused.
@@ -35,16 +37,35 @@
 	s.now = now
 }
 
-// catchUp holds back what is new after a pause. An entry that starts has had
-// none.
+// catchUp holds back what is new after a pause, until the entry hears the log or
+// a peer again. An entry that starts has had no pause.
 func (s *State) catchUp(now time.Time) {
 	if s.now.IsZero() {
 		return
 	}
+	s.isolation.holding = true
 	s.timers.Set(&s.isolation.timer, now.Add(catchUpTime), &s.isolation)
 }
 
-func (s *State) isCatchingUp() bool { return s.isolation.timer.IsSet() }
+// onCaughtUp ends the wait of an entry that has no peer to hear. Others wait on
+// for news: what they took in so far may be as old as the pause.
+func (s *State) onCaughtUp() {
+	if len(s.peers.All()) == 0 {
+		s.release()
+	}
+}
+
+// hearNews notes a message of a peer, or a read of the log.
+func (s *State) hearNews() {
+	if s.isolation.holding && !s.isolation.timer.IsSet() {
+		s.release()
+	}
+}
+
+func (s *State) release() {
+	s.isolation.holding = false
+	s.grantAll()
+}
 
 // followIsolation changes the entry's readiness when it becomes isolated, or is
 // no longer.
--- a/reduce/log.go
+++ b/reduce/log.go
@@ -37,6 +37,7 @@
 	s.isolation.lastRead = s.now
 	s.reachedEnd(ev)
 	s.updateReady()
+	s.hearNews()
 }
 
 // followGap notes when records that the fold needs have expired in the log.
--- a/reduce/peer.go
+++ b/reduce/peer.go
@@ -66,6 +66,7 @@
 	case peers.Next, peers.Stale:
 	}
 	s.onPeerMessage(p, ev.Message)
+	s.hearNews()
 }
 
 func (s *State) onPeerMessage(p *peers.Peer, m message.Message) {
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -99,7 +99,7 @@
 		case *holder.Link:
 			s.onHolderTimer(o)
 		case *isolation:
-			s.grantAll()
+			s.onCaughtUp()
 		case *snapshots:
 			s.onSnapshotTimer()
 		}
