--- a/dev/claimhistory_test.go
+++ b/dev/claimhistory_test.go
@@ -158,12 +158,25 @@
 	must.EqOp(t, porcupine.Illegal, checkClaims(r.run(nil)))
 }
 
-// The check has to notice an answer that is not the caller's own.
+// The check has to notice answers that are not the callers' own.
 func TestClaimHistoryFindsACrossedAnswer(t *testing.T) {
-	op := func(in claimOp) porcupine.Operation { return porcupine.Operation{Input: in, Call: 0, Return: 1} }
-	history := []porcupine.Operation{
-		op(claimOp{key: "a", attempt: "entry-1-1.1"}),
-		op(claimOp{key: "a", ran: "yes", run: "entry-1-1.1", sent: "permit a", answer: "permit b"}),
+	var kept []effect.Answer
+	cross := func(_ event.Event, out []effect.Effect) []effect.Effect {
+		var next []effect.Effect
+		for _, e := range out {
+			a, ok := e.(effect.Answer)
+			if !ok {
+				next = append(next, e)
+				continue
+			}
+			kept = append(kept, a)
+			if len(kept) == 2 {
+				kept[0].Attempt, kept[1].Attempt = kept[1].Attempt, kept[0].Attempt
+				next, kept = append(next, kept[0], kept[1]), nil
+			}
+		}
+		return next
 	}
-	must.EqOp(t, porcupine.Illegal, checkClaims(history))
+	r := newClaimRun(t, 1, 20, 1, cross)
+	must.EqOp(t, porcupine.Illegal, checkClaims(r.run(nil)))
 }
