--- a/dev/drain_test.go
+++ b/dev/drain_test.go
@@ -119,7 +119,7 @@
 
 func TestRebootUnderLoadCutsOffNoRequest(t *testing.T) {
 	f := startMaintenanceFleet(t, 200*time.Millisecond)
-	stop := load(t, f.Nodes, 8)
+	stop := load(t, f.Nodes, 18)
 	code, _ := order(t, f.Nodes[1], "/v1/drains", entry.DrainRequest{Instance: "runner-01", Purpose: "reboot"})
 	must.EqOp(t, http.StatusOK, code)
 	waitPhase(t, f.Nodes[0], "runner-01", "probation")
@@ -138,7 +138,7 @@
 		{ID: string(f.Nodes[0].ID), Role: platform.RoleEntry, Address: f.Nodes[0].PeerAddress},
 		{ID: string(f.Nodes[1].ID), Role: platform.RoleEntry, Address: f.Nodes[1].PeerAddress},
 	}))
-	stop := load(t, f.Nodes[:2], 8)
+	stop := load(t, f.Nodes[:2], 18)
 	order(t, f.Nodes[0], "/v1/drains", entry.DrainRequest{Instance: "runner-01", Purpose: "reboot"})
 	waitPhase(t, f.Nodes[1], "runner-01", "probation")
 	waitPhase(t, f.Nodes[1], "runner-01", "in-service")
--- a/entry/act.go
+++ b/entry/act.go
@@ -26,6 +26,8 @@
 		e.reader.start(o.From)
 	case effect.Count:
 		e.metrics.count(o)
+	case effect.Gauge:
+		e.metrics.set(o)
 	case effect.LogChange:
 		e.logChange(o)
 	case effect.SetReady:
@@ -47,6 +49,8 @@
 		e.replies.Resolve(o.ID, o.Result)
 	case effect.ReplyStatus:
 		e.statuses.Resolve(o.ID, o.Status)
+	case effect.ReplyForecast:
+		e.forecasts.Resolve(o.ID, o.Forecast)
 	case effect.ReplyText:
 		e.texts.Resolve(o.ID, o)
 	}
@@ -60,8 +64,10 @@
 	effect.ChangeStopping:       "stopping",
 	effect.ChangeRecordRejected: "record rejected",
 	effect.ChangeInstance:       "instance changed phase",
+	effect.ChangeDrainOverdue:   "drain takes long",
 	effect.ChangeIsolated:       "isolated from log and peers",
 	effect.ChangeWave:           "wave changed",
+	effect.ChangeRehearsal:      "rehearsal changed",
 	effect.ChangeClaimsOpen:     "taking non-idempotent requests",
 	effect.ChangeClaimsClosed:   "refusing non-idempotent requests",
 	effect.ChangeDigestMismatch: "fold differs from a peer's",
--- a/reduce/cluster_test.go
+++ b/reduce/cluster_test.go
@@ -43,6 +43,14 @@
 	started   int
 	placement reduce.Placement
 	arrived   []arrival
+	gauges    map[gauge]float64
+	// overdue holds what each drain that was reported waits for.
+	overdue []string
+}
+
+type gauge struct {
+	entry fleet.EntryID
+	name  effect.GaugeName
 }
 
 // arrival is an event on its way to an entry.
@@ -66,6 +74,7 @@
 	running  map[fleet.AttemptID]fleet.InstanceID
 	status   effect.Status
 	last     control.Result
+	forecast effect.Forecast
 	requests fleet.RequestID
 }
 
@@ -74,7 +83,7 @@
 }
 
 func newClusterWith(t must.T, n int, text *fleet.Text, placement reduce.Placement) *cluster {
-	c := &cluster{t: t, placement: placement, now: epoch, commands: make(map[string]int), commanded: make(map[fleet.EntryID]int), broken: make(map[fleet.InstanceID]bool)}
+	c := &cluster{t: t, placement: placement, now: epoch, gauges: make(map[gauge]float64), commands: make(map[string]int), commanded: make(map[fleet.EntryID]int), broken: make(map[fleet.InstanceID]bool)}
 	for range n {
 		c.entries = append(c.entries, c.newMember())
 	}
@@ -213,10 +222,18 @@
 		}
 	case effect.CheckInstance:
 		c.do(m, event.InstanceChecked{Instance: e.Instance, Epoch: e.Epoch, Healthy: !c.broken[e.Instance]})
+	case effect.LogChange:
+		if e.Change == effect.ChangeDrainOverdue {
+			c.overdue = append(c.overdue, string(m.id)+" "+e.Detail)
+		}
 	case effect.Dispatch:
 		m.running[e.Attempt] = e.Instance
 	case effect.ReplyStatus:
 		m.status = e.Status
+	case effect.Gauge:
+		c.gauges[gauge{m.id, e.Name}] = e.Value
+	case effect.ReplyForecast:
+		m.forecast = e.Forecast
 	case effect.Reply:
 		m.last = e.Result
 	}
@@ -312,7 +329,7 @@
 	at := len(c.log) + 1
 	c.do(m, event.OperatorCommanded{
 		ID:     1,
-		Record: control.Record{ID: fleet.RecordID(fmt.Sprintf("op-%s-%d", m.id, at)), Body: body}, Deadline: c.now.Add(time.Minute),
+		Record: control.Record{ID: fleet.RecordID(fmt.Sprintf("op-%s-%d", m.id, at)), Time: c.now, Body: body}, Deadline: c.now.Add(time.Minute),
 	})
 	c.read(m)
 	return m.last
--- a/reduce/drainsteps.go
+++ b/reduce/drainsteps.go
@@ -37,7 +37,7 @@
 // armSteps keeps the timer of the next look at what is due while anything is
 // under maintenance.
 func (s *State) armSteps() {
-	if len(s.control.Drains.Under()) == 0 && len(s.control.Waves.Active) == 0 && len(s.drains.Told()) == 0 {
+	if !s.control.IsUnderMaintenance() && len(s.drains.Told()) == 0 {
 		s.timers.Clear(&s.drains.Tick)
 		return
 	}
@@ -55,6 +55,7 @@
 	}
 	s.sendAcks()
 	s.stepWaves()
+	s.stepRehearsal()
 	s.armSteps()
 }
 
@@ -78,6 +79,7 @@
 // stepDraining ends the drain once no entry has a request in flight.
 func (s *State) stepDraining(id fleet.InstanceID, m control.Maintenance, it *drains.Instance) {
 	if !s.isDue(id, it, s.isQuiet(id, it)) {
+		s.warnOverdue(id, it)
 		return
 	}
 	if m.Purpose == control.PurposeMove {
--- a/reduce/holding.go
+++ b/reduce/holding.go
@@ -27,7 +27,7 @@
 		s.dropWaiting(holder.Key{Entry: p.ID, Request: id})
 	}
 	for _, a := range m.Asks {
-		touched = append(touched, s.queueRemote(p, a, len(a.Tried) == 0))
+		touched = append(touched, s.queueRemote(p, a, !a.Again))
 	}
 	for i, pool := range touched {
 		if pool != "" && !slices.Contains(touched[:i], pool) {
@@ -59,9 +59,9 @@
 		return ""
 	}
 	ask := remoteAsk(id, svc, a)
-	if wait, full := s.full(ask, svc.MaxQueue, a.Left); isNew && full {
+	if reason, wait := s.overloaded(ask, svc.MaxQueue, a.Left); isNew && reason != fleet.ReasonNone {
 		s.holders.Withdraw(key)
-		s.deny(p.ID, message.Denied{Request: a.Request, Reason: fleet.ReasonQueueFull, RetryAfter: wait})
+		s.deny(p.ID, message.Denied{Request: a.Request, Reason: reason, RetryAfter: wait})
 		return ""
 	}
 	if !s.placement.Add(ask) {
@@ -80,7 +80,7 @@
 		Member:  a.Member,
 		Urgent:  svc.Urgent,
 		Size:    a.Size,
-		Again:   len(a.Tried) > 0,
+		Again:   a.Again,
 		Tried:   a.Tried,
 	}
 }
--- a/reduce/planner/need.go
+++ b/reduce/planner/need.go
@@ -13,6 +13,10 @@
 	Have, Largest int
 	// Carry is the number that carries the demand.
 	Carry int
+	// CarryPeak is the number that just carries bursts, and KeepPeak the number
+	// that does with room to spare. The distance between the two keeps an
+	// instance from going back and forth.
+	CarryPeak, KeepPeak int
 	// Reserve is the number held in the pool for the loss of a data centre.
 	Reserve int
 }
@@ -20,7 +24,10 @@
 // Want is the number of instances the pool should have.
 func (n Need) Want() int { return n.Carry + n.Reserve }
 
-func (n Need) missing() int { return n.Want() - n.Have }
+// Keep is the number that the pool has before it gives one away.
+func (n Need) Keep() int { return max(n.Carry, n.KeepPeak) + n.Reserve }
+
+func (n Need) missing() int { return max(n.Want(), n.CarryPeak) - n.Have }
 
 func byPool(a, b Need) int {
 	switch {
@@ -43,18 +50,18 @@
 // moves.
 func reserve(in Input, needs []Need) {
 	centres := max(1, len(in.Text.DataCentres))
-	own, shared, spares := 0, 0, 0
+	own, shared, canShare := 0, 0, false
 	for i := range needs {
 		n := &needs[i]
 		if n.Spare {
-			spares += n.Have
+			canShare = true
 			continue
 		}
 		n.Reserve = ownReserve(n.Carry, centres)
 		own += n.Reserve
 		shared += lossOf(n.Carry, centres)
 	}
-	if spares == 0 || !sharedIsCheaper(in.Text.Prices, own, shared) || spares < shared {
+	if !canShare || !sharedIsCheaper(in.Text.Prices, own, shared) {
 		return
 	}
 	for i := range needs {
--- a/reduce/usage/usage.go
+++ b/reduce/usage/usage.go
@@ -190,7 +190,7 @@
 
 // Window returns the requests of a service over the last d.
 func (s *State) Window(service fleet.ServiceName, now time.Time, d time.Duration) Totals {
-	current := s.sum()[service]
+	current := s.Total(service)
 	for i := len(s.samples) - 1; i >= 0; i-- {
 		if now.Sub(s.samples[i].at) >= d {
 			return current.minus(s.samples[i].totals[service])
@@ -214,6 +214,28 @@
 	return float64(t.Arrived) * mean / s.covered(now).Seconds()
 }
 
+// Peak returns the slots that answer all requests of the long window when each
+// can wait for a time: of all stretches of the window, the one with most work
+// for its length and the wait together decides.
+func (s *State) Peak(service fleet.ServiceName, now time.Time, wait time.Duration) float64 {
+	t := s.Window(service, now, LongWindow)
+	if t.Attempts == 0 {
+		return 0
+	}
+	arrived := make([]uint64, len(s.samples))
+	for i := range s.samples {
+		arrived[i] = s.samples[i].totals[service].Arrived
+	}
+	highest := 0.0
+	for i := range s.samples {
+		for j := i + 1; j < len(s.samples); j++ {
+			length := s.samples[j].at.Sub(s.samples[i].at) + wait
+			highest = max(highest, float64(arrived[j]-arrived[i])/length.Seconds())
+		}
+	}
+	return highest * t.Busy.Seconds() / float64(t.Attempts)
+}
+
 // covered returns how much of the long window there are samples for.
 func (s *State) covered(now time.Time) time.Duration {
 	if len(s.samples) == 0 {
@@ -228,4 +250,13 @@
 }
 
 // Total returns all requests of a service since the entries started.
-func (s *State) Total(service fleet.ServiceName) Totals { return s.sum()[service] }
+func (s *State) Total(service fleet.ServiceName) Totals {
+	total := s.retired[service]
+	if t, ok := s.local[service]; ok {
+		total = total.plus(*t)
+	}
+	for _, r := range s.remote {
+		total = total.plus(r.totals[service])
+	}
+	return total
+}
