Count instances that fail on their own before a wave's next step

A step counts what the control stream has drained, and a lost instance is in no record.

Change: the entry that proposes a step counts the instances that it sees ejected or leaving as out. The wave waits while only they keep it from a step, says so, and goes on when they are back. The fold's check is as before, since health is each entry's own view.

The cluster of the tests answers probes, as endpoints do. The test loses most of a data centre: one step instead of eight; without the change it fails.

Fields of JSON that hold nanoseconds say so in their names.

--- a/reduce/cluster_test.go
+++ b/reduce/cluster_test.go
@@ -105,6 +105,8 @@
 		c.do(m, event.InstanceChecked{Instance: e.Instance, Epoch: e.Epoch, Healthy: !c.broken[e.Instance]})
 	case effect.SetReady:
 		m.ready = e.Ready
+	case effect.Probe:
+		c.do(m, event.ProbeFinished{Instance: e.Instance, OK: !c.broken[e.Instance]})
 	case effect.Dispatch:
 		m.running[e.Attempt] = e.Instance
 	case effect.ReplyStatus:
--- a/reduce/control/wave.go
+++ b/reduce/control/wave.go
@@ -240,12 +240,17 @@
 }
 
 // NextStep returns the instances that a wave drains next; none while a step is
-// under way or the pools can't spare any.
-func (s *State) NextStep(w *Wave) []fleet.InstanceID {
+// under way or the pools can't spare any. Instances that the caller sees fail
+// count as out of service.
+func (s *State) NextStep(w *Wave, unhealthy []fleet.InstanceID) []fleet.InstanceID {
 	if w.Phase != WaveRunning || len(w.Current) > 0 || s.Text == nil {
 		return nil
 	}
-	return disruption.Step(s.disruption(), w.Pending)
+	in := s.disruption()
+	for _, id := range unhealthy {
+		in.Out[id] = true
+	}
+	return disruption.Step(in, w.Pending)
 }
 
 func (s *State) pauseWave(at fleet.Offset, r PauseWave) (Outcome, string) {
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -144,11 +144,11 @@
 	Detail    string              `json:"detail,omitempty"`
 	Started   time.Time           `json:"started"`
 	Ended     time.Time           `json:"ended,omitzero"`
-	Duration  time.Duration       `json:"duration"`
+	Duration  time.Duration       `json:"duration_ns"`
 	Instances []fleet.InstanceID  `json:"instances"`
 	Forecast  []rehearsal.Service `json:"forecast"`
 	// Watched is how much of the rehearsal Observed is about.
-	Watched  time.Duration        `json:"watched"`
+	Watched  time.Duration        `json:"watched_ns"`
 	Observed []rehearsal.Observed `json:"observed"`
 }
 
--- a/reduce/measure/measure.go
+++ b/reduce/measure/measure.go
@@ -30,8 +30,8 @@
 // until all entries alive had them in force.
 type RollOuts struct {
 	Count   int           `json:"count"`
-	Last    time.Duration `json:"last"`
-	Longest time.Duration `json:"longest"`
+	Last    time.Duration `json:"last_ns"`
+	Longest time.Duration `json:"longest_ns"`
 	// Pending versions are not in force everywhere yet.
 	Pending int `json:"pending"`
 }
--- a/reduce/rehearsal/forecast.go
+++ b/reduce/rehearsal/forecast.go
@@ -65,7 +65,7 @@
 	Cause fleet.ServiceName `json:"cause,omitempty"`
 	// Exhausted is how long the loss may last before the budget of 30 days is
 	// spent; zero means that the budget is not touched.
-	Exhausted time.Duration `json:"exhausted,omitempty"`
+	Exhausted time.Duration `json:"exhausted_ns,omitempty"`
 }
 
 // Forecast returns the forecast for every service, ordered by name.
--- a/reduce/rehearse.go
+++ b/reduce/rehearse.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
@@ -50,6 +51,15 @@
 	return demand
 }
 
+// failing returns the instances that answer nothing or are leaving, in the order
+// of the text.
+func (s *State) failing() []fleet.InstanceID {
+	return slices.DeleteFunc(s.unhealthy(), func(id fleet.InstanceID) bool {
+		it, ok := s.health.Get(id)
+		return ok && it.Phase == health.Probation
+	})
+}
+
 // unhealthy returns the instances that this entry gives no full work to, in the
 // order of the text.
 func (s *State) unhealthy() []fleet.InstanceID {
--- a/reduce/wave.go
+++ b/reduce/wave.go
@@ -93,7 +93,8 @@
 
 // nextOfWave returns the record that takes a wave further: its next step, or a
 // pause when no instance can be spared and none is on its way back. A wave waits
-// while a budget burns too fast.
+// while a budget burns too fast, and while it is only for instances that fail on
+// their own that none can be spared.
 func (s *State) nextOfWave(w *control.Wave) (control.Body, bool) {
 	if w.Phase != control.WaveRunning || len(w.Current) > 0 {
 		return nil, false
@@ -101,9 +102,12 @@
 	if _, burning := s.burning(); burning {
 		return nil, false
 	}
-	if step := s.control.NextStep(w); len(step) > 0 {
+	if step := s.control.NextStep(w, s.failing()); len(step) > 0 {
 		return control.StepWave{Wave: w.ID, Base: w.Epoch, Instances: step}, true
 	}
+	if s.waitsForFailing(w) {
+		return nil, false
+	}
 	for _, id := range s.control.Drains.Under() {
 		if s.control.Drains[id].IsReturning() {
 			return nil, false
@@ -112,6 +116,13 @@
 	return control.PauseWave{Wave: w.ID, Base: w.Epoch, Detail: "no pool can spare a pending instance"}, true
 }
 
+// waitsForFailing reports whether a wave would take a step if no instance failed
+// on its own.
+func (s *State) waitsForFailing(w *control.Wave) bool {
+	failing := s.failing()
+	return len(failing) > 0 && len(s.control.NextStep(w, failing)) == 0 && len(s.control.NextStep(w, nil)) > 0
+}
+
 func (s *State) waveStatuses() []effect.WaveStatus {
 	var all []effect.WaveStatus
 	for _, w := range s.control.Waves.Ended {
@@ -120,8 +131,11 @@
 	svc, burning := s.burning()
 	for _, w := range s.control.Waves.Active {
 		st := waveStatus(w)
-		if burning && w.Phase == control.WaveRunning {
+		switch {
+		case burning && w.Phase == control.WaveRunning:
 			st.Detail = fmt.Sprintf("waits: the availability budget of %s burns too fast", svc)
+		case s.waitsForFailing(w):
+			st.Detail = "waits: no pool can spare an instance while others fail"
 		}
 		all = append(all, st)
 	}
--- a/reduce/wave_test.go
+++ b/reduce/wave_test.go
@@ -205,3 +205,41 @@
 	must.StrContains(t, c.wave(0).Detail, "budget of survey")
 	c.untilWave(0, isIn("done"))
 }
+
+// TestStepCountsInstancesThatFailOnTheirOwn loses the second data centre while
+// the first is in a wave: its pool has none to spare any more.
+func TestStepCountsInstancesThatFailOnTheirOwn(t *testing.T) {
+	c := newCluster(t, 1, fleetText(8, 1, 7))
+	c.command(0, wholeMain)
+	c.until(0, "runner-1", "probation")
+	for _, id := range []fleet.InstanceID{"runner-5", "runner-6", "runner-7"} {
+		c.broken[id] = true
+		c.eject(0, id)
+	}
+	c.run(5 * time.Minute)
+	must.EqOp(t, 1, c.wave(0).Steps)
+	must.EqOp(t, "running", c.wave(0).Phase)
+	must.StrContains(t, c.wave(0).Detail, "while others fail")
+	clear(c.broken)
+	c.untilWave(0, isIn("done"))
+	must.EqOp(t, 8, c.wave(0).Done)
+}
+
+// eject fails requests on an instance until it is ejected.
+func (c *cluster) eject(i int, id fleet.InstanceID) {
+	c.t.Helper()
+	const failuresToEject = 5
+	failed := 0
+	for range 500 {
+		a, on := c.request(i)
+		if on != id {
+			c.finish(i, a, 200)
+			continue
+		}
+		c.finish(i, a, 500)
+		if failed++; failed == failuresToEject {
+			return
+		}
+	}
+	c.t.Fatalf("%s is not ejected", id)
+}
