--- a/reduce/drainsteps.go
+++ b/reduce/drainsteps.go
@@ -12,14 +12,6 @@
 	"github.com/banyanrail/banyanrail/reduce/peers"
 )
 
-// advance moves the time on, and notes when the process was paused.
-func (s *State) advance(now time.Time) {
-	if now.Sub(s.now) > drains.PauseLimit {
-		s.drains.Current = false
-	}
-	s.now = now
-}
-
 // reachedEnd notes that a read found nothing new.
 func (s *State) reachedEnd(ev event.RecordsRead) {
 	if len(ev.Records) == 0 {
@@ -87,6 +79,7 @@
 // stepDraining ends the drain once no entry has a request in flight.
 func (s *State) stepDraining(id fleet.InstanceID, m control.Maintenance, it *drains.Instance) {
 	if !s.isDue(id, it, s.isQuiet(id, it)) {
+		s.warnOverdue(id, it)
 		return
 	}
 	if m.Purpose == control.PurposeMove {
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -323,6 +323,8 @@
 	MovesProposed
 	// InstancesMoved counts moves that took effect, as this entry folded them.
 	InstancesMoved
+	// DrainsOverdue counts drains that took longer than the text's limit.
+	DrainsOverdue
 )
 
 // Change names a change of state that is worth a log line.
@@ -350,6 +352,7 @@
 	// ChangeSnapshot means that the state was taken from a snapshot.
 	ChangeSnapshot
 	ChangeHealth
+	ChangeDrainOverdue
 )
 
 // LogChange writes a log line for a change of state.
@@ -393,6 +396,9 @@
 // KeepPeers closes the connections to all other addresses.
 type KeepPeers struct{ Addresses []string }
 
+// RefreshList reads the platform's list at once.
+type RefreshList struct{}
+
 // SetReady sets the entry's readiness, as the balancer sees it.
 type SetReady struct{ Ready bool }
 
@@ -425,6 +431,7 @@
 func (CheckInstance) isEffect()   {}
 func (SendPeer) isEffect()        {}
 func (KeepPeers) isEffect()       {}
+func (RefreshList) isEffect()     {}
 func (SetReady) isEffect()        {}
 func (SetTimer) isEffect()        {}
 func (Stopped) isEffect()         {}
--- a/reduce/retry_test.go
+++ b/reduce/retry_test.go
@@ -232,6 +232,18 @@
 	must.Greater(t, 0, r.RetryAfter)
 }
 
+func TestMemberOverItsQuotaIsToldSo(t *testing.T) {
+	text := oneRunner(8)
+	text.Members[0].Quota = 1
+	text.Services[0].MaxQueue = 1
+	h := newHarness(text)
+	dispatched(t, h.do(arrived(1)))
+	must.Len(t, 0, only[effect.Refuse](h.do(arrived(2))))
+	r := refused(t, h.do(arrived(3)))
+	must.EqOp(t, fleet.ReasonQuota, r.Reason)
+	must.Greater(t, 0, r.RetryAfter)
+}
+
 func TestHopelessDeadlineRefusesEarly(t *testing.T) {
 	text := oneRunner(1)
 	h := newHarness(text)
@@ -258,3 +270,11 @@
 	must.EqOp(t, fleet.RanNo, r.Ran)
 	must.EqOp(t, fleet.ReasonNoCapacity, r.Reason)
 }
+
+func TestPausedInstanceDoesNotCloseItsQueue(t *testing.T) {
+	h := newHarness(oneRunner(1))
+	first := only[effect.Dispatch](h.do(arrived(1)))[0]
+	h.do(ended(first, event.AttemptRefused)) // nothing runs there, so it rests
+	must.Len(t, 0, only[effect.Refuse](h.do(arrived(2))))
+	must.Len(t, 1, only[effect.Dispatch](h.after(10*time.Millisecond, event.TimerFired{})))
+}
