--- a/reduce/cluster_test.go
+++ b/reduce/cluster_test.go
@@ -222,6 +222,8 @@
 		}
 	case effect.CheckInstance:
 		c.do(m, event.InstanceChecked{Instance: e.Instance, Epoch: e.Epoch, Healthy: !c.broken[e.Instance]})
+	case effect.Probe:
+		c.do(m, event.ProbeFinished{Instance: e.Instance, OK: !c.broken[e.Instance]})
 	case effect.LogChange:
 		if e.Change == effect.ChangeDrainOverdue {
 			c.overdue = append(c.overdue, string(m.id)+" "+e.Detail)
