Serve only once the control stream was read to its end

A starting entry became ready after its first page of records: it could serve an old text, and dispatch to an instance that a later record drains.

Pages now tell the offset that the next append gets, and the first read doesn't wait. Until the fold has reached the end of that read the entry is not ready, refuses requests as not run, shows peers no version (so that it holds no pool) and keeps operators' commands. Without the log the newest offset of the peers alive stands for the end.

TestStartingEntryServesOnlyAtTheEndOfTheLog and TestHeldCommandIsRefusedInTime fail without the change (trial on a scratch copy).

--- a/entry/claims.go
+++ b/entry/claims.go
@@ -17,7 +17,7 @@
 )
 
 func newClaimsReader(e *Entry) *reader {
-	return &reader{entry: e, stream: platform.StreamClaims, read: e.claimsRead}
+	return &reader{entry: e, stream: platform.StreamClaims, read: e.claimsRead, firstWait: readWait}
 }
 
 // actClaims hands an effect of the claims stream to its driver.
--- a/entry/logdriver.go
+++ b/entry/logdriver.go
@@ -76,10 +76,14 @@
 	// reports nothing.
 	read   func(platform.Page) event.Body
 	failed func(error) event.Body
-	mu     sync.Mutex
-	stop   context.CancelFunc
+	// firstWait is how long the first read waits for new records.
+	firstWait time.Duration
+	mu        sync.Mutex
+	stop      context.CancelFunc
 }
 
+// newControlReader returns the reader of the control stream. Its first read
+// does not wait, since a starting entry needs to know where the log ends.
 func newControlReader(e *Entry) *reader {
 	return &reader{
 		entry:  e,
@@ -105,8 +109,9 @@
 }
 
 func (r *reader) follow(ctx context.Context, from fleet.Offset) {
+	wait := r.firstWait
 	for ctx.Err() == nil {
-		page, err := r.entry.deps.Log.Read(ctx, r.stream, from, readWait)
+		page, err := r.entry.deps.Log.Read(ctx, r.stream, from, wait)
 		if ctx.Err() != nil {
 			return
 		}
@@ -115,7 +120,7 @@
 			sleep(ctx, readBackoff)
 			continue
 		}
-		from = page.Next
+		from, wait = page.Next, readWait
 		_ = r.entry.loop.Post(r.read(page)) // fails only after the end
 	}
 }
@@ -127,7 +132,7 @@
 }
 
 func recordsRead(page platform.Page) event.Body {
-	ev := event.RecordsRead{Next: page.Next, Oldest: page.Oldest}
+	ev := event.RecordsRead{Next: page.Next, Oldest: page.Oldest, End: page.End}
 	for _, stored := range page.Records {
 		rec, err := codec.Decode(stored.Data)
 		if err != nil {
--- a/reduce/event/event.go
+++ b/reduce/event/event.go
@@ -96,6 +96,9 @@
 	Next fleet.Offset
 	// Oldest is the first offset that the log still keeps.
 	Oldest fleet.Offset
+	// End is the offset that the next append gets; zero when the log does not
+	// tell.
+	End fleet.Offset
 }
 
 // ReadFailed reports that the control stream could not be read.
--- a/reduce/log.go
+++ b/reduce/log.go
@@ -35,6 +35,7 @@
 		}
 	}
 	s.isolation.lastRead = s.now
+	s.noteEnd(ev)
 	s.reachedEnd(ev)
 	s.updateReady()
 }
@@ -78,10 +79,11 @@
 	return true
 }
 
-// updateReady makes the entry ready once a services text is in force and none
-// of the records that it needs are missing.
+// updateReady makes the entry ready once a services text is in force and the
+// fold has caught up with the log.
 func (s *State) updateReady() {
-	if s.ready || s.stopping || s.gap || s.control.Text == nil {
+	s.updateCatchUp()
+	if s.ready || s.stopping || s.gap || s.control.Text == nil || !s.catchUp.reached {
 		return
 	}
 	s.ready = true
@@ -126,4 +128,6 @@
 	}
 	s.logDown = true
 	s.emit(effect.LogChange{Change: effect.ChangeLogDown, Detail: fmt.Sprint(ev.Err)})
+	s.updateReady()
+	s.releaseCommands()
 }
--- a/reduce/peer.go
+++ b/reduce/peer.go
@@ -122,12 +122,16 @@
 }
 
 func (s *State) heartbeat() message.Heartbeat {
-	return message.Heartbeat{
+	beat := message.Heartbeat{
 		Offset:   s.control.Offset,
-		Version:  s.control.Version,
 		Digest:   s.digest(),
 		Stopping: s.stopping,
 	}
+	// Peers take an entry without a version for one that can't hold pools yet.
+	if s.catchUp.reached {
+		beat.Version = s.control.Version
+	}
+	return beat
 }
 
 func (s *State) logPeer(p *peers.Peer) {
--- a/reduce/proposal.go
+++ b/reduce/proposal.go
@@ -25,6 +25,8 @@
 	reply    uint64
 	deadline time.Time
 	timer    timer.Timer
+	// held is set while the command waits for the fold to catch up.
+	held bool
 }
 
 type proposals map[fleet.RecordID]*proposal
@@ -41,6 +43,10 @@
 		}})
 		return
 	}
+	if s.mustHold() {
+		s.holdCommand(ev)
+		return
+	}
 	if body, ok := ev.Record.Body.(control.Publish); ok {
 		if body.Base < s.control.Version {
 			s.emit(effect.Reply{ID: ev.ID, Result: s.outdated(ev.Record.ID, body.Base)})
@@ -103,6 +109,15 @@
 // onProposalTimer voids a record that was not read back, again and again until
 // the log has decided between the two or the operator's time is up.
 func (s *State) onProposalTimer(p *proposal) {
+	if p.held {
+		s.reply(p, control.Result{
+			Record:  p.record,
+			Outcome: control.NotReady,
+			Version: s.control.Version,
+			Detail:  "the control stream was not read to its end in time",
+		})
+		return
+	}
 	if !s.now.Before(p.deadline) {
 		s.giveUp(p)
 		return
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -53,6 +53,7 @@
 	drains    *drains.State
 	isolation isolation
 	proposals proposals
+	catchUp   catchUp
 	relay     relay.State
 	holders   *holder.State
 	outbox    outbox
--- a/standin/platformstate.go
+++ b/standin/platformstate.go
@@ -124,7 +124,7 @@
 
 func (st *logStream) page(from fleet.Offset) platform.Page {
 	from = max(from, st.oldest)
-	page := platform.Page{Next: from, Oldest: st.oldest}
+	page := platform.Page{Next: from, Oldest: st.oldest, End: st.next()}
 	for at := from; at < st.next() && len(page.Records) < maxPage; at++ {
 		page.Records = append(page.Records, platform.Stored{Offset: at, Data: st.data[at-st.oldest]})
 		page.Next = at + 1
