List the instances under maintenance

Every instance is maintained once in three weeks, so the fold ends up with 27,000 records of maintenance.

The fold keeps their list in order. Checking a drain against its pool's allowance still walks all instances.

--- a/reduce/control/digest.go
+++ b/reduce/control/digest.go
@@ -15,7 +15,7 @@
 		sum += digestItem("settings", fmt.Sprintf("%+v %+v", s.Text.Prices, s.Text.Maintenance))
 	}
 	sum += s.items
-	for _, id := range s.Drains.Under() {
+	for _, id := range s.under {
 		m := s.Drains[id]
 		sum += digestItem("maintenance", string(id), fmt.Sprint(m.Epoch, m.Phase))
 	}
--- a/reduce/control/drain.go
+++ b/reduce/control/drain.go
@@ -102,15 +102,19 @@
 type Drains map[fleet.InstanceID]Maintenance
 
 // Under returns the instances that are not in service, in order.
-func (d Drains) Under() []fleet.InstanceID {
-	var ids []fleet.InstanceID
-	for id, m := range d {
-		if m.Phase != InService {
-			ids = append(ids, id)
-		}
+func (s *State) Under() []fleet.InstanceID { return slices.Clone(s.under) }
+
+// setMaintenance keeps the list of the instances that are not in service, so
+// that looking at them takes no walk over all that ever were.
+func (s *State) setMaintenance(id fleet.InstanceID, m Maintenance) {
+	s.Drains[id] = m
+	at, listed := slices.BinarySearch(s.under, id)
+	switch {
+	case m.Phase == InService && listed:
+		s.under = slices.Delete(s.under, at, at+1)
+	case m.Phase != InService && !listed:
+		s.under = slices.Insert(s.under, at, id)
 	}
-	slices.Sort(ids)
-	return ids
 }
 
 // change puts an instance into a phase and moves its epoch on.
@@ -123,7 +127,7 @@
 	if phase == InService {
 		m.Reason, m.Purpose, m.Wave = 0, 0, 0
 	}
-	s.Drains[id] = m
+	s.setMaintenance(id, m)
 }
 
 // expect checks that an instance is known, at an epoch and in one of the
@@ -152,7 +156,7 @@
 	m := s.Drains[r.Instance]
 	wave := m.Wave
 	m = Maintenance{Epoch: at, Phase: Draining, Reason: r.Reason, Purpose: r.Purpose, To: r.To}
-	s.Drains[r.Instance] = m
+	s.setMaintenance(r.Instance, m)
 	s.leaveWave(wave, r.Instance)
 	return Accepted, ""
 }
@@ -184,11 +188,9 @@
 }
 
 func (s *State) disruption() disruption.Input {
-	out := make(map[fleet.InstanceID]bool)
-	for id, m := range s.Drains {
-		if m.Phase != InService {
-			out[id] = true
-		}
+	out := make(map[fleet.InstanceID]bool, len(s.under))
+	for _, id := range s.under {
+		out[id] = true
 	}
 	return disruption.Input{Text: s.Text, Pools: s.Pools, Out: out}
 }
@@ -236,7 +238,7 @@
 	s.change(r.Instance, at, Failed)
 	failed := s.Drains[r.Instance]
 	failed.Detail, failed.Wave = r.Detail, 0
-	s.Drains[r.Instance] = failed
+	s.setMaintenance(r.Instance, failed)
 	s.waveFailed(m.Wave, r.Instance, at)
 	return Accepted, ""
 }
--- a/reduce/control/fold.go
+++ b/reduce/control/fold.go
@@ -26,6 +26,8 @@
 	Kept Kept
 
 	seen history
+	// under are the instances that are not in service, in order.
+	under []fleet.InstanceID
 	// items is the part of the digest that is kept from change to change.
 	items uint64
 	// changed is what the record being folded changed.
--- a/reduce/control/snapshot.go
+++ b/reduce/control/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
@@ -96,6 +97,12 @@
 		next.setPool(id, pool)
 	}
 	maps.Copy(next.Drains, snap.Drains)
+	for id, m := range next.Drains {
+		if m.Phase != InService {
+			next.under = append(next.under, id)
+		}
+	}
+	slices.Sort(next.under)
 	next.Waves, next.Moves = snap.Waves.clone(), snap.Moves
 	for _, r := range snap.Seen {
 		next.seen.add(r.ID, r.Outcome)
--- a/reduce/control/wave.go
+++ b/reduce/control/wave.go
@@ -196,7 +196,7 @@
 		return out, why
 	}
 	for _, id := range r.Instances {
-		s.Drains[id] = Maintenance{Epoch: at, Phase: Draining, Reason: ReasonWave, Purpose: PurposeReboot, Wave: w.ID}
+		s.setMaintenance(id, Maintenance{Epoch: at, Phase: Draining, Reason: ReasonWave, Purpose: PurposeReboot, Wave: w.ID})
 	}
 	w.Pending = slices.DeleteFunc(w.Pending, func(id fleet.InstanceID) bool { return slices.Contains(r.Instances, id) })
 	w.Current = slices.Clone(r.Instances)
--- a/reduce/control/waveoutcome.go
+++ b/reduce/control/waveoutcome.go
@@ -42,7 +42,7 @@
 	}
 	m := s.Drains[instance]
 	m.Wave = 0
-	s.Drains[instance] = m
+	s.setMaintenance(instance, m)
 	w.Skipped = append(w.Skipped, instance)
 	s.settleWave(w)
 }
--- a/reduce/control_bench_test.go
+++ b/reduce/control_bench_test.go
@@ -11,8 +11,15 @@
 )
 
 // BenchmarkChange measures how long the control goroutine takes to bring a
-// change of one instance into force, at the size to design for.
+// change of one instance into force, at the size to design for: before any
+// maintenance, and after that of every instance, with 1 of 100 under way.
 func BenchmarkChange(b *testing.B) {
+	for _, maintained := range []bool{false, true} {
+		b.Run(fmt.Sprintf("maintained=%t", maintained), func(b *testing.B) { benchmarkChange(b, maintained) })
+	}
+}
+
+func benchmarkChange(b *testing.B, maintained bool) {
 	const (
 		instances = 27_000
 		pools     = 37
@@ -29,8 +36,16 @@
 			Pool:    text.Pools[i%pools].Name,
 		})
 	}
-	h := newHarness(text)
-	h.do(event.Started{})
+	snap := control.Snapshot{Offset: 1, Version: 1, Text: text, Drains: make(control.Drains)}
+	for i := 0; maintained && i < instances; i++ {
+		m := control.Maintenance{Epoch: 1}
+		if i%100 == 0 {
+			m.Phase = control.Drained
+		}
+		snap.Drains[text.Instances[i].ID] = m
+	}
+	h := newStarting()
+	h.do(event.RecordsRead{Oldest: 2, Records: []control.Positioned{{Offset: 2, Record: control.Record{Body: snap}}}})
 	at := fleet.Offset(1)
 	for i := 0; b.Loop(); i++ {
 		in := text.Instances[i%instances]
--- a/reduce/drainsteps.go
+++ b/reduce/drainsteps.go
@@ -45,7 +45,7 @@
 // armSteps keeps the timer of the next look at what is due while anything is
 // under maintenance.
 func (s *State) armSteps() {
-	if len(s.control.Drains.Under()) == 0 && len(s.control.Waves.Active) == 0 && len(s.drains.Told()) == 0 {
+	if len(s.control.Under()) == 0 && len(s.control.Waves.Active) == 0 && len(s.drains.Told()) == 0 {
 		s.timers.Clear(&s.drains.Tick)
 		return
 	}
@@ -58,7 +58,7 @@
 	for _, id := range s.drains.Told() {
 		s.applyPhase(id)
 	}
-	for _, id := range s.control.Drains.Under() {
+	for _, id := range s.control.Under() {
 		s.stepInstance(id)
 	}
 	s.sendAcks()
--- a/reduce/wave.go
+++ b/reduce/wave.go
@@ -102,7 +102,7 @@
 	if step := s.control.NextStep(w); len(step) > 0 {
 		return control.StepWave{Wave: w.ID, Base: w.Epoch, Instances: step}, true
 	}
-	for _, id := range s.control.Drains.Under() {
+	for _, id := range s.control.Under() {
 		if s.control.Drains[id].IsReturning() {
 			return nil, false
 		}
