--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -13,6 +13,7 @@
 	"text/template"
 	"time"
 
+	"github.com/banyanrail/banyanrail/bytecount"
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/peer"
@@ -41,8 +42,14 @@
 	Deps entry.Deps
 	// Tap makes the tap of an entry; nil uses that of Deps.
 	Tap func(fleet.EntryID) entry.Tap
+	// Traffic counts what the entries send and receive; nil counts nothing.
+	Traffic *Traffic
 }
 
+// Traffic counts the bytes between entries, to the log and worker control, and
+// to the platform's list. TCP and IP headers are not in it.
+type Traffic struct{ Peers, Log, List bytecount.Counter }
+
 // Fleet is a running fleet.
 type Fleet struct {
 	Platform *standin.Platform
@@ -51,11 +58,13 @@
 
 	cfg         Config
 	platformURL string
+	listURL     string
 	ctx         context.Context
 	cancel      context.CancelFunc
 	wg          sync.WaitGroup
 	// started is the number of entries started so far.
 	started int
+	traffic *Traffic
 }
 
 // Runner is an endpoint stand-in with its address.
@@ -83,7 +92,10 @@
 // Start starts a fleet. Stop it when done.
 func Start(cfg Config) (*Fleet, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Fleet{Platform: standin.NewPlatform(), cfg: cfg, ctx: ctx, cancel: cancel}
+	f := &Fleet{Platform: standin.NewPlatform(), cfg: cfg, ctx: ctx, cancel: cancel, traffic: cfg.Traffic}
+	if f.traffic == nil {
+		f.traffic = &Traffic{}
+	}
 	f.Platform.OnPower(f.setPower)
 	if err := f.start(ctx, cfg); err != nil {
 		f.Stop()
@@ -94,11 +106,15 @@
 
 func (f *Fleet) start(ctx context.Context, cfg Config) error {
 	f.spawn(func() { f.Platform.Run(ctx) })
-	platformAddr, err := f.serve(ctx, f.Platform)
+	platformAddr, err := f.serveCounted(ctx, f.Platform, &f.traffic.Log)
 	if err != nil {
 		return err
 	}
-	f.platformURL = "http://" + platformAddr
+	listAddr, err := f.serveCounted(ctx, f.Platform, &f.traffic.List)
+	if err != nil {
+		return err
+	}
+	f.platformURL, f.listURL = "http://"+platformAddr, "http://"+listAddr
 	for i := range cfg.Runners {
 		r := &Runner{Runner: standin.NewRunner(cfg.Slots, cfg.Work), ID: fleet.InstanceID(fmt.Sprintf("runner-%02d", i+1))}
 		f.spawn(func() { r.Run(ctx) })
@@ -159,7 +175,7 @@
 	if f.cfg.Tap != nil {
 		deps.Tap = f.cfg.Tap(node.ID)
 	}
-	deps.Log, deps.Instances, deps.Workers = node.Log, client, client
+	deps.Log, deps.Instances, deps.Workers = node.Log, platform.NewClient(f.listURL), client
 	node.Entry = entry.New(entry.Config{
 		ID:               node.ID,
 		Seed:             uint64(f.started),
@@ -167,7 +183,7 @@
 		Placement:        f.cfg.Placement,
 		SnapshotInterval: f.cfg.SnapshotInterval,
 	}, deps)
-	f.servePeers(ctx, node.Entry, peersListener)
+	f.servePeers(ctx, node.Entry, f.traffic.Peers.Listener(peersListener))
 	f.spawn(func() { node.Entry.Run(ctx) })
 	callers, err := f.serve(ctx, node.Entry.Callers())
 	if err != nil {
@@ -209,10 +225,15 @@
 
 // serve listens on a free loopback port and returns its address.
 func (f *Fleet) serve(ctx context.Context, h http.Handler) (string, error) {
+	return f.serveCounted(ctx, h, &bytecount.Counter{})
+}
+
+func (f *Fleet) serveCounted(ctx context.Context, h http.Handler, wire *bytecount.Counter) (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", oops.In("dev").With("step", "listen").Wrap(err)
 	}
+	ln = wire.Listener(ln)
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	f.spawn(func() { _ = srv.Serve(ln) }) // always returns ErrServerClosed
 	f.spawn(func() {
