--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"log/slog"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -89,14 +90,17 @@
 
 // Entry is one entry instance.
 type Entry struct {
-	cfg       Config
-	deps      Deps
-	loop      *loop.Loop[event.Body, effect.Effect]
-	clock     func() time.Time
+	cfg   Config
+	deps  Deps
+	loop  *loop.Loop[event.Body, effect.Effect]
+	clock func() time.Time
+	// name is unique over all entries and their restarts.
+	name      string
 	exchanges *exchanges
 	replies   *loop.Calls[control.Result]
 	statuses  *loop.Calls[effect.Status]
 	texts     *loop.Calls[effect.ReplyText]
+	forecasts *loop.Calls[effect.Forecast]
 	client    *endpoint.Client
 	tracer    trace.Tracer
 	metrics   *metrics
@@ -110,6 +114,8 @@
 	ready     atomic.Bool
 	// claimsOpen tells whether non-idempotent requests are taken.
 	claimsOpen atomic.Bool
+	// listWanted asks for a look at the platform's list before it is due.
+	listWanted chan struct{}
 	stopped    chan struct{}
 	stopOnce   sync.Once
 	// background is cancelled when Run ends.
@@ -125,11 +131,13 @@
 		cfg:        cfg,
 		deps:       deps,
 		clock:      loop.MonotonicClock(),
+		name:       string(cfg.ID) + "-" + strconv.FormatUint(cfg.Incarnation, 36),
 		exchanges:  newExchanges(),
 		answers:    newAnswers(),
 		replies:    loop.NewCalls[control.Result](),
 		statuses:   loop.NewCalls[effect.Status](),
 		texts:      loop.NewCalls[effect.ReplyText](),
+		forecasts:  loop.NewCalls[effect.Forecast](),
 		client:     endpoint.NewClient(fleet.DefaultConnections),
 		tracer:     deps.Traces.Tracer("github.com/banyanrail/banyanrail/entry"),
 		metrics:    newMetrics(deps.Metrics),
@@ -137,6 +145,7 @@
 		logPool:    pond.NewPool(logWorkers),
 		peerPool:   pond.NewPool(peerWorkers, pond.WithQueueSize(peerQueue), pond.WithNonBlocking(true)),
 		stopped:    make(chan struct{}),
+		listWanted: make(chan struct{}, 1),
 		background: background,
 		end:        end,
 	}
--- a/reduce/control/fold.go
+++ b/reduce/control/fold.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
 )
@@ -19,6 +20,8 @@
 	// Drains holds the maintenance of instances, and Waves the waves.
 	Drains Drains
 	Waves  Waves
+	// Rehearsals holds the rehearsal under way and those that ended.
+	Rehearsals Rehearsals
 	// Moves counts the moves between pools.
 	Moves uint64
 
@@ -32,6 +35,8 @@
 	items uint64
 	// changed is what the record being folded changed.
 	changed *fleet.Delta
+	// time is that of the record being folded, by its writer's clock.
+	time time.Time
 }
 
 // New returns the fold of the empty stream.
@@ -62,7 +67,7 @@
 	case p.Offset > s.Offset+1:
 		return Gap, fmt.Sprintf("the record at %d is missing", s.Offset+1)
 	}
-	s.Offset = p.Offset
+	s.Offset, s.time = p.Offset, p.Record.Time
 	if s.Kept.Time.IsZero() {
 		s.Kept.Time = p.Record.Time
 	}
@@ -132,6 +137,7 @@
 	s.Version, s.Text = at, next
 	s.changed = s.inForce(d)
 	s.pruneWaves()
+	s.pruneRehearsal(at)
 }
 
 // void keeps a record from taking effect, unless it came before.
--- a/reduce/control/snapshot.go
+++ b/reduce/control/snapshot.go
@@ -22,6 +22,8 @@
 	Drains Drains
 	Waves  Waves
 	Moves  uint64
+	// Rehearsals are those of the state.
+	Rehearsals Rehearsals
 	// Seen holds the newest record ids, oldest first.
 	Seen []Remembered
 }
@@ -49,7 +51,10 @@
 		Drains:  maps.Clone(s.Drains),
 		Waves:   s.Waves.clone(),
 		Moves:   s.Moves,
-		Seen:    s.seen.list(),
+
+		Rehearsals: s.Rehearsals.clone(),
+
+		Seen: s.seen.list(),
 	}
 	if s.Text == nil {
 		return snap
@@ -104,6 +109,7 @@
 	}
 	slices.Sort(next.under)
 	next.Waves, next.Moves = snap.Waves.clone(), snap.Moves
+	next.Rehearsals = snap.Rehearsals.clone()
 	for _, r := range snap.Seen {
 		next.seen.add(r.ID, r.Outcome)
 	}
--- a/reduce/control/wave.go
+++ b/reduce/control/wave.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/disruption"
@@ -87,6 +88,9 @@
 	Epoch fleet.Offset
 	Phase WavePhase
 	Note  string
+	// Started and Ended are the times of the records that did so, by their
+	// writers' clocks.
+	Started, Ended time.Time
 	// Detail says why the wave is paused.
 	Detail string
 	// Steps counts the steps started.
@@ -145,6 +149,9 @@
 	if len(pending) == 0 {
 		return Invalid, "the wave selects no instance"
 	}
+	if why := s.rehearsalInPools(s.poolsOf(pending)); why != "" {
+		return Conflict, why
+	}
 	for _, w := range s.Waves.Active {
 		for _, id := range pending {
 			if slices.Contains(w.Pending, id) || slices.Contains(w.Current, id) {
@@ -152,7 +159,7 @@
 			}
 		}
 	}
-	s.Waves.Active = append(s.Waves.Active, &Wave{ID: at, Epoch: at, Phase: WaveRunning, Note: r.Note, Pending: pending})
+	s.Waves.Active = append(s.Waves.Active, &Wave{ID: at, Epoch: at, Phase: WaveRunning, Note: r.Note, Started: s.time, Pending: pending})
 	return Accepted, ""
 }
 
--- a/reduce/drain.go
+++ b/reduce/drain.go
@@ -72,6 +72,7 @@
 	}
 	s.sendAcks()
 	s.stepWaves()
+	s.stepRehearsal()
 	s.armSteps()
 }
 
--- a/reduce/effect/effect.go
+++ b/reduce/effect/effect.go
@@ -8,7 +8,9 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/claims"
 	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/reduce/measure"
 	"github.com/banyanrail/banyanrail/reduce/message"
+	"github.com/banyanrail/banyanrail/reduce/rehearsal"
 )
 
 // Effect is one output of the reducer. Its implementations are the types of
@@ -116,6 +118,40 @@
 	Text *fleet.Text
 }
 
+// ReplyForecast answers a question for a forecast.
+type ReplyForecast struct {
+	ID       uint64
+	Forecast Forecast
+}
+
+// Forecast says what the loss of a failure domain would do.
+type Forecast struct {
+	Domain rehearsal.Domain `json:"domain"`
+	// Instances is the number in the domain.
+	Instances int                 `json:"instances"`
+	Services  []rehearsal.Service `json:"services"`
+}
+
+// RehearsalStatus is one rehearsal.
+type RehearsalStatus struct {
+	ID     fleet.Offset     `json:"id"`
+	Domain rehearsal.Domain `json:"domain"`
+	Note   string           `json:"note,omitempty"`
+	Forced bool             `json:"forced,omitempty"`
+	// Phase is running or ended, and Reason says why it ended.
+	Phase     string              `json:"phase"`
+	Reason    string              `json:"reason,omitempty"`
+	Detail    string              `json:"detail,omitempty"`
+	Started   time.Time           `json:"started"`
+	Ended     time.Time           `json:"ended,omitzero"`
+	Duration  time.Duration       `json:"duration"`
+	Instances []fleet.InstanceID  `json:"instances"`
+	Forecast  []rehearsal.Service `json:"forecast"`
+	// Watched is how much of the rehearsal Observed is about.
+	Watched  time.Duration        `json:"watched"`
+	Observed []rehearsal.Observed `json:"observed"`
+}
+
 // Status is a summary of an entry's state.
 type Status struct {
 	Entry    fleet.EntryID `json:"entry"`
@@ -132,12 +168,15 @@
 	Running  int             `json:"running"`
 	Peers    []fleet.EntryID `json:"peers"`
 	// Versions holds the version in force at each entry alive, as last heard.
-	Versions  map[fleet.EntryID]fleet.Version `json:"versions"`
-	Instances []InstanceStatus                `json:"instances"`
-	Waves     []WaveStatus                    `json:"waves"`
-	Totals    map[string]uint64               `json:"totals"`
-	Pools     map[fleet.PoolName]int          `json:"pools"`
-	Claims    ClaimStatus                     `json:"claims"`
+	Versions   map[fleet.EntryID]fleet.Version `json:"versions"`
+	Instances  []InstanceStatus                `json:"instances"`
+	Waves      []WaveStatus                    `json:"waves"`
+	Services   []ServiceStatus                 `json:"services"`
+	Measures   Measures                        `json:"measures"`
+	Rehearsals []RehearsalStatus               `json:"rehearsals"`
+	Totals     map[string]uint64               `json:"totals"`
+	Pools      map[fleet.PoolName]int          `json:"pools"`
+	Claims     ClaimStatus                     `json:"claims"`
 	// Holds lists the pools whose slots this entry grants.
 	Holds []fleet.PoolName `json:"holds,omitempty"`
 }
@@ -175,6 +214,8 @@
 	Phase   string             `json:"phase"`
 	Note    string             `json:"note,omitempty"`
 	Detail  string             `json:"detail,omitempty"`
+	Started time.Time          `json:"started,omitzero"`
+	Ended   time.Time          `json:"ended,omitzero"`
 	Steps   int                `json:"steps"`
 	Pending int                `json:"pending"`
 	Done    int                `json:"done"`
@@ -183,6 +224,62 @@
 	Skipped []fleet.InstanceID `json:"skipped,omitempty"`
 }
 
+// ServiceStatus is the demand and the budget of one service, over all entries.
+type ServiceStatus struct {
+	Name fleet.ServiceName `json:"name"`
+	Pool fleet.PoolName    `json:"pool"`
+	// Demand is in slots. Observed is set when it was not only declared.
+	Demand   float64 `json:"demand"`
+	Observed bool    `json:"observed"`
+	Answered uint64  `json:"answered"`
+	Failed   uint64  `json:"failed"`
+	// Burn and BurnShort are how fast the long and the short window burn the
+	// budget: 1 is the rate that just spends it.
+	Burn      float64 `json:"burn"`
+	BurnShort float64 `json:"burn_short"`
+	// Burnt is the share spent of what the budget allows for the requests since
+	// the entries started.
+	Burnt float64 `json:"burnt"`
+}
+
+// Measures are what the fleet costs its users.
+type Measures struct {
+	Buffer   measure.Buffer   `json:"buffer"`
+	RollOuts measure.RollOuts `json:"roll_outs"`
+	// Moves counts moves between pools since the first record.
+	Moves uint64 `json:"moves"`
+}
+
+// Gauge sets a metric to a value.
+type Gauge struct {
+	Name    GaugeName
+	Service fleet.ServiceName
+	Value   float64
+}
+
+// GaugeName names a metric that is set.
+type GaugeName uint8
+
+// Gauges.
+const (
+	// BufferInstances is the number of idle instances, and BufferCost their
+	// price over time.
+	BufferInstances GaugeName = iota + 1
+	BufferCost
+	// RollOutSeconds is how long the last version took to be in force everywhere.
+	RollOutSeconds
+	// WaveSeconds is how long the last wave took.
+	WaveSeconds
+	// Moves is the number of moves between pools.
+	Moves
+	// ServiceDemand is in slots.
+	ServiceDemand
+	// BudgetBurnt is the share of the budget spent, and BudgetBurnRate how fast
+	// it burns.
+	BudgetBurnt
+	BudgetBurnRate
+)
+
 // Count adds to a counter.
 type Count struct {
 	Name    Counter
@@ -222,6 +319,12 @@
 	// GrantsReturned counts grants that could not be used.
 	GrantsReturned
 	InstancesEjected
+	// MovesProposed counts moves that this entry planned.
+	MovesProposed
+	// InstancesMoved counts moves that took effect, as this entry folded them.
+	InstancesMoved
+	// DrainsOverdue counts drains that took longer than the text's limit.
+	DrainsOverdue
 )
 
 // Change names a change of state that is worth a log line.
@@ -238,6 +341,7 @@
 	ChangeInstance
 	ChangeIsolated
 	ChangeWave
+	ChangeRehearsal
 	ChangeClaimsOpen
 	ChangeClaimsClosed
 	ChangeDigestMismatch
@@ -248,6 +352,7 @@
 	// ChangeSnapshot means that the state was taken from a snapshot.
 	ChangeSnapshot
 	ChangeHealth
+	ChangeDrainOverdue
 )
 
 // LogChange writes a log line for a change of state.
@@ -291,6 +396,9 @@
 // KeepPeers closes the connections to all other addresses.
 type KeepPeers struct{ Addresses []string }
 
+// RefreshList reads the platform's list at once.
+type RefreshList struct{}
+
 // SetReady sets the entry's readiness, as the balancer sees it.
 type SetReady struct{ Ready bool }
 
@@ -314,13 +422,16 @@
 func (SetClaims) isEffect()       {}
 func (Reply) isEffect()           {}
 func (ReplyStatus) isEffect()     {}
+func (ReplyForecast) isEffect()   {}
 func (ReplyText) isEffect()       {}
 func (Count) isEffect()           {}
+func (Gauge) isEffect()           {}
 func (LogChange) isEffect()       {}
 func (CommandInstance) isEffect() {}
 func (CheckInstance) isEffect()   {}
 func (SendPeer) isEffect()        {}
 func (KeepPeers) isEffect()       {}
+func (RefreshList) isEffect()     {}
 func (SetReady) isEffect()        {}
 func (SetTimer) isEffect()        {}
 func (Stopped) isEffect()         {}
--- a/reduce/log.go
+++ b/reduce/log.go
@@ -83,7 +83,7 @@
 // fold has caught up with the log.
 func (s *State) updateReady() {
 	s.updateCatchUp()
-	if s.ready || s.stopping || s.gap || s.control.Text == nil || !s.catchUp.reached {
+	if s.ready || s.stopping || s.gap || s.control.Text == nil || !s.logEnd.reached {
 		return
 	}
 	s.ready = true
@@ -117,6 +117,7 @@
 	if s.control.Version == before {
 		return
 	}
+	s.published(record)
 	s.emit(effect.LogChange{Change: effect.ChangeText, Version: s.control.Version, Record: record})
 	s.grantAll()
 }
--- a/reduce/move.go
+++ b/reduce/move.go
@@ -14,6 +14,7 @@
 		Change: effect.ChangeInstance, Instance: r.Instance, Version: s.control.Version,
 		Detail: fmt.Sprintf("moved from %s to %s", r.From, r.To),
 	})
+	s.emit(effect.Count{Name: effect.InstancesMoved, N: 1})
 	s.followChange(change)
 	s.grantAll()
 	s.phaseChanged(r.Instance)
--- a/reduce/planner/planner.go
+++ b/reduce/planner/planner.go
@@ -17,6 +17,10 @@
 const (
 	// ShortfallHold is how long a shortfall must last before a move.
 	ShortfallHold = 10 * time.Second
+	// BurstHold is how long a pool must have been too small for its bursts before
+	// a move. It is longer than a burst stays in the window of the peak, so that
+	// only bursts that come again and again count.
+	BurstHold = 3 * time.Minute
 	// minSurplusHold is the least time that a surplus must last.
 	minSurplusHold = time.Minute
 	// maxSurplusHold bounds the hold when moves are dear or buffer is free.
@@ -32,11 +36,13 @@
 	ReasonShortfall Reason = iota + 1
 	// ReasonReserve fills a pool that can't lose its largest failure domain.
 	ReasonReserve
+	// ReasonBursts fills a pool that can't carry bursts that come again.
+	ReasonBursts
 	// ReasonSurplus returns an instance that a pool has not needed for long.
 	ReasonSurplus
 )
 
-var reasonNames = [...]string{ReasonShortfall: "shortfall", ReasonReserve: "reserve", ReasonSurplus: "surplus"}
+var reasonNames = [...]string{ReasonShortfall: "shortfall", ReasonReserve: "reserve", ReasonBursts: "bursts", ReasonSurplus: "surplus"}
 
 // String returns the reason's name.
 func (r Reason) String() string {
@@ -61,40 +67,66 @@
 	Pools map[fleet.InstanceID]fleet.PoolName
 	// Unavailable instances are drained, ejected or on probation.
 	Unavailable map[fleet.InstanceID]bool
-	Demand      Demand
+	// Arriving instances are unavailable as well, but on their way into a pool.
+	Arriving map[fleet.InstanceID]fleet.PoolName
+	// Held pools can't give an instance now.
+	Held   map[fleet.PoolName]bool
+	Demand Demand
+	// Peak is the demand in bursts. A pool that gave away what bursts need would
+	// have to refuse requests.
+	Peak Demand
 }
 
 // State remembers since when each pool has had too few or too many instances.
 type State struct {
-	shortSince   map[fleet.PoolName]time.Time
-	surplusSince map[fleet.PoolName]time.Time
+	shortSince  map[fleet.PoolName]time.Time
+	burstsSince map[fleet.PoolName]time.Time
+	kept        map[fleet.PoolName]*highest
 }
 
 // New returns a state without history.
 func New() *State {
 	return &State{
-		shortSince:   make(map[fleet.PoolName]time.Time),
-		surplusSince: make(map[fleet.PoolName]time.Time),
+		shortSince:  make(map[fleet.PoolName]time.Time),
+		burstsSince: make(map[fleet.PoolName]time.Time),
+		kept:        make(map[fleet.PoolName]*highest),
 	}
 }
 
 // Next returns the next move, if one is due. One move at a time keeps each
 // decision on the state that the last one left.
 func (s *State) Next(in Input) (Move, bool) {
-	needs := Needs(in)
-	s.observe(in.Now, needs)
+	return s.Move(in, s.Observe(in))
+}
+
+// Move returns the next move, if one is due, from what each pool needs now.
+func (s *State) Move(in Input, needs []Need) (Move, bool) {
 	if m, ok := s.fill(in, needs); ok {
 		return m, true
 	}
 	return s.drain(in, needs)
 }
 
-// observe notes when a shortfall or surplus began or ended.
-func (s *State) observe(now time.Time, needs []Need) {
+// Observe notes when a shortfall or surplus began or ended, and returns what
+// each pool needs.
+func (s *State) Observe(in Input) []Need {
+	needs := Needs(in)
 	for _, n := range needs {
-		note(s.shortSince, n.Pool, n.Have < n.Want(), now)
-		note(s.surplusSince, n.Pool, !n.Spare && n.Have > n.Want(), now)
+		note(s.shortSince, n.Pool, n.Have < n.Want(), in.Now)
+		note(s.burstsSince, n.Pool, n.Have < n.CarryPeak, in.Now)
+		s.keep(n, in)
+	}
+	return needs
+}
+
+// keep notes what the pool has to keep.
+func (s *State) keep(n Need, in Input) {
+	h, known := s.kept[n.Pool]
+	if !known {
+		h = &highest{since: in.Now}
+		s.kept[n.Pool] = h
 	}
+	h.add(n.Keep(), in.Now, surplusHold(in.Text.Prices))
 }
 
 func note(since map[fleet.PoolName]time.Time, pool fleet.PoolName, holds bool, now time.Time) {
@@ -112,8 +144,7 @@
 	var worst *Need
 	for i := range needs {
 		n := &needs[i]
-		since, short := s.shortSince[n.Pool]
-		if !short || n.Spare || in.Now.Sub(since) < ShortfallHold {
+		if n.Spare || !s.isShort(in.Now, n.Pool) {
 			continue
 		}
 		if worst == nil || n.missing() > worst.missing() {
@@ -123,10 +154,7 @@
 	if worst == nil {
 		return Move{}, false
 	}
-	reason := ReasonReserve
-	if worst.Have < worst.Carry {
-		reason = ReasonShortfall
-	}
+	reason := reasonToFill(worst)
 	from, ok := s.donor(in, needs, reason)
 	if !ok {
 		return Move{}, false
@@ -135,6 +163,26 @@
 	return Move{Instance: id, From: from, To: worst.Pool, Reason: reason}, ok
 }
 
+func (s *State) isShort(now time.Time, pool fleet.PoolName) bool {
+	since, short := s.shortSince[pool]
+	if short && now.Sub(since) >= ShortfallHold {
+		return true
+	}
+	since, short = s.burstsSince[pool]
+	return short && now.Sub(since) >= BurstHold
+}
+
+func reasonToFill(n *Need) Reason {
+	switch {
+	case n.Have < n.Carry:
+		return ReasonShortfall
+	case n.Have < n.Want():
+		return ReasonReserve
+	default:
+		return ReasonBursts
+	}
+}
+
 // donor returns the pool that gives an instance: a spare pool, else the one
 // with the largest surplus that has lasted. Reserve is not taken from another
 // pool's surplus before it has lasted, since that pool may need it back.
@@ -142,11 +190,14 @@
 	var best *Need
 	for i := range needs {
 		n := &needs[i]
+		if in.Held[n.Pool] {
+			continue
+		}
 		if n.Spare && n.Have > 0 {
 			return n.Pool, true
 		}
-		lasting := reason == ReasonShortfall || s.surplusLasts(in, n.Pool)
-		if n.Have > n.Want() && lasting && (best == nil || n.Have-n.Want() > best.Have-best.Want()) {
+		lasting := reason != ReasonReserve || s.surplusLasts(n)
+		if n.Have > n.Keep() && lasting && (best == nil || n.Have-n.Keep() > best.Have-best.Keep()) {
 			best = n
 		}
 	}
@@ -164,7 +215,7 @@
 		return Move{}, false
 	}
 	for _, n := range needs {
-		if n.Spare || n.Have <= n.Want() || !s.surplusLasts(in, n.Pool) {
+		if n.Spare || in.Held[n.Pool] || n.Have <= n.Keep() || !s.surplusLasts(&n) {
 			continue
 		}
 		if id, ok := pick(in, n.Pool, spare); ok {
@@ -174,9 +225,11 @@
 	return Move{}, false
 }
 
-func (s *State) surplusLasts(in Input, pool fleet.PoolName) bool {
-	since, ok := s.surplusSince[pool]
-	return ok && in.Now.Sub(since) >= surplusHold(in.Text.Prices)
+// surplusLasts reports whether the pool has had more than it needed at any time
+// of the hold.
+func (s *State) surplusLasts(n *Need) bool {
+	h, known := s.kept[n.Pool]
+	return known && h.full && n.Have > h.value()
 }
 
 // surplusHold returns how long a surplus is kept before it is moved. Holding
@@ -234,11 +287,24 @@
 }
 
 func byDataCentre(in Input, pool fleet.PoolName) map[fleet.DataCentre]int {
-	n := make(map[fleet.DataCentre]int)
+	return spread(in)[pool]
+}
+
+// spread counts the available and arriving instances of each pool by data
+// centre.
+func spread(in Input) map[fleet.PoolName]map[fleet.DataCentre]int {
+	n := make(map[fleet.PoolName]map[fleet.DataCentre]int, len(in.Text.Pools))
+	for i := range in.Text.Pools {
+		n[in.Text.Pools[i].Name] = make(map[fleet.DataCentre]int)
+	}
 	for i := range in.Text.Instances {
 		it := &in.Text.Instances[i]
-		if in.Pools[it.ID] == pool && !in.Unavailable[it.ID] {
-			n[it.DataCentre]++
+		pool := in.Pools[it.ID]
+		if in.Unavailable[it.ID] {
+			pool = in.Arriving[it.ID]
+		}
+		if centres, ok := n[pool]; ok {
+			centres[it.DataCentre]++
 		}
 	}
 	return n
@@ -247,12 +313,18 @@
 // Needs returns what each pool needs, ordered by name.
 func Needs(in Input) []Need {
 	demand := in.Demand.ByPool(in.Text)
+	peak := in.Peak.ByPool(in.Text)
 	needs := make([]Need, 0, len(in.Text.Pools))
+	spreads := spread(in)
 	for i := range in.Text.Pools {
 		p := &in.Text.Pools[i]
-		spread := byDataCentre(in, p.Name)
-		n := Need{Pool: p.Name, Spare: p.Spare, Carry: instancesFor(demand[p.Name], p.Slots)}
-		for _, count := range spread {
+		n := Need{
+			Pool: p.Name, Spare: p.Spare,
+			Carry:     InstancesFor(demand[p.Name], p.Slots),
+			CarryPeak: instancesAtFullUse(peak[p.Name], p.Slots),
+			KeepPeak:  InstancesFor(peak[p.Name], p.Slots),
+		}
+		for _, count := range spreads[p.Name] {
 			n.Have += count
 			n.Largest = max(n.Largest, count)
 		}
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -9,8 +9,10 @@
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/health"
 	"github.com/banyanrail/banyanrail/reduce/holder"
+	"github.com/banyanrail/banyanrail/reduce/measure"
 	"github.com/banyanrail/banyanrail/reduce/peers"
 	"github.com/banyanrail/banyanrail/reduce/placement"
+	"github.com/banyanrail/banyanrail/reduce/rehearsal"
 	"github.com/banyanrail/banyanrail/reduce/relay"
 	"github.com/banyanrail/banyanrail/reduce/requests"
 	"github.com/banyanrail/banyanrail/reduce/timer"
@@ -48,12 +50,15 @@
 	budgets   *requests.Budgets
 	usage     *usage.State
 	usageTick usageTick
+	rehearsal rehearsal.Watch
+	planning  planning
+	measures  measure.State
 	peers     *peers.State
 	claiming  *claiming
 	drains    *drains.State
 	isolation isolation
 	proposals proposals
-	catchUp   catchUp
+	logEnd    logEnd
 	relay     relay.State
 	holders   *holder.State
 	outbox    outbox
@@ -94,6 +99,7 @@
 		peers:     peers.New(cfg.Entry),
 		claiming:  newClaiming(cfg),
 		drains:    drains.New(),
+		planning:  newPlanning(),
 		proposals: newProposals(),
 		holders:   holder.New(),
 	}
--- a/reduce/wave.go
+++ b/reduce/wave.go
@@ -28,6 +28,8 @@
 		s.waveChanged(r.Wave, "resumed")
 	case control.AbortWave:
 		s.waveChanged(r.Wave, "aborted")
+	default:
+		s.followRehearsal(body)
 	}
 }
 
@@ -130,6 +132,7 @@
 func waveStatus(w *control.Wave) effect.WaveStatus {
 	return effect.WaveStatus{
 		ID: w.ID, Phase: w.Phase.String(), Note: w.Note, Detail: w.Detail, Steps: w.Steps,
+		Started: w.Started, Ended: w.Ended,
 		Pending: len(w.Pending), Done: len(w.Done),
 		Current: slices.Clone(w.Current), Failed: slices.Clone(w.Failed), Skipped: slices.Clone(w.Skipped),
 	}
