--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,8 @@
 	go test -race $(SKIP) ./...
 
 soak: ## longer runs of the history checks, and waves under load; takes minutes
-	go test -run '^$$' -bench 'Wave|Move' -benchtime 1x -timeout 20m ./dev
+	go test -run '^$$' -bench Move -benchtime 1x -timeout 20m ./dev
+	for step in 1 4 8; do go run ./cmd/banyanrail experiment wave --max-step $$step || exit 1; done
 	go test -run '^TestClaimHistory$$' -count=1 -timeout 30m -v ./dev -keys=$(KEYS) -entries=9 -rounds=10 -seed=$(SEED)
 	go test -run '^TestClaimHistory$$' -count=1 -timeout 30m -v ./dev -keys=$(KEYS) -entries=9 -rounds=10 -seed=$(SEED) -holder=false
 	go test -run '^TestClaimsHoldUnderAnyOrder$$' -count=1 -timeout 30m -v ./reduce -rapid.checks=20000 -rapid.seed=$(SEED)
@@ -34,7 +35,8 @@
 	go test -short -run '^$$' -bench . -benchmem ./...
 
 bench-placement: ## the brief's burst under both placements, about a minute
-	go test -run '^$$' -bench BenchmarkBurst -benchtime 1x -timeout 5m ./dev
+	for p in local holder; do go run ./cmd/banyanrail experiment burst --placement $$p || exit 1; done
+	go run ./cmd/banyanrail experiment burst --rate 640 --kill-after 3s
 
 build:
 	go build -o bin/ ./cmd/...
--- a/cmd/banyanrail/experiment.go
+++ b/cmd/banyanrail/experiment.go
@@ -15,11 +15,13 @@
 type experimentCmd struct {
 	Burst   *burstCmd   `arg:"subcommand:burst" help:"a burst of demand with a greedy member on one pool"`
 	Wave    *waveRunCmd `arg:"subcommand:wave" help:"a wave over 50 instances under load"`
+	Loss    *lossCmd    `arg:"subcommand:loss" help:"the loss of a data centre in a wave, against its forecast"`
+	Idle    *idleCmd    `arg:"subcommand:idle" help:"what an entry costs that has nothing to do"`
 	Reserve *reserveCmd `arg:"subcommand:reserve" help:"the planner against pools that stay, in virtual time"`
 }
 
 func (*experimentCmd) run(context.Context, *settings) error {
-	return fmt.Errorf("%w: name one of experiment burst, wave, reserve", errUsage)
+	return fmt.Errorf("%w: name one of experiment burst, wave, loss, idle, reserve", errUsage)
 }
 
 type burstCmd struct {
@@ -53,6 +55,31 @@
 	return json.NewEncoder(s.out).Encode(res)
 }
 
+type lossCmd struct {
+	Rate    float64 `arg:"--rate" default:"140" help:"requests a second for each service"`
+	Entries int     `arg:"--entries" default:"9" help:"entry instances"`
+}
+
+func (c *lossCmd) run(ctx context.Context, s *settings) error {
+	res, err := experiment.Loss{Entries: c.Entries, Rate: c.Rate}.Run(ctx)
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(s.out).Encode(res)
+}
+
+type idleCmd struct {
+	Entries int `arg:"--entries" default:"9" help:"entry instances"`
+}
+
+func (c *idleCmd) run(ctx context.Context, s *settings) error {
+	res, err := experiment.Idle{Entries: c.Entries}.Run(ctx)
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(s.out).Encode(res)
+}
+
 type reserveCmd struct {
 	File  string `arg:"positional,required" help:"services text"`
 	Fixed bool   `arg:"--fixed" help:"leave every instance where it is"`
--- a/dev/layout.go
+++ b/dev/layout.go
@@ -15,10 +15,11 @@
 	timeLimit   = 10 * time.Second
 	drainLimit  = 30 * time.Second
 	probation   = 5 * time.Second
-	// sparePool is the name of the spare pool.
-	sparePool fleet.PoolName = "spare"
 )
 
+// SparePool is the spare pool of a layout.
+const SparePool fleet.PoolName = "spare"
+
 // Layout spreads a fleet's runners over several services.
 type Layout struct {
 	// Services share the runners in equal parts, a pool for each.
@@ -65,7 +66,7 @@
 	}
 	if l.Spares > 0 {
 		text.Pools = append(text.Pools, fleet.Pool{
-			Name: sparePool, Spare: true, Slots: l.Slots, Connections: fleet.DefaultConnections, MaxSize: 1,
+			Name: SparePool, Spare: true, Slots: l.Slots, Connections: fleet.DefaultConnections, MaxSize: 1,
 		})
 	}
 	return text
@@ -74,7 +75,7 @@
 // pool returns the pool of a runner.
 func (l Layout) pool(runner, runners int) fleet.PoolName {
 	if runner >= runners-l.Spares {
-		return sparePool
+		return SparePool
 	}
 	return fleet.PoolName(l.Services[runner%len(l.Services)].Name)
 }
--- a/dev/move_bench_test.go
+++ b/dev/move_bench_test.go
@@ -12,6 +12,12 @@
 	"github.com/shoenig/test/must"
 )
 
+const (
+	moveEntries = 9
+	// settleTime lets the entries find each other and the end of the log.
+	settleTime = 6 * time.Second
+)
+
 // BenchmarkMove moves an idle instance between pools: out of a spare pool by
 // one record, and out of a pool that a service uses by a drain and a move.
 func BenchmarkMove(b *testing.B) {
@@ -28,7 +34,7 @@
 }
 
 func benchmarkMove(b *testing.B, spare bool) {
-	f, err := dev.Start(dev.Config{Entries: waveEntries, Runners: 24, Slots: 8, Work: time.Millisecond})
+	f, err := dev.Start(dev.Config{Entries: moveEntries, Runners: 24, Slots: 8, Work: time.Millisecond})
 	must.NoError(b, err)
 	defer f.Stop()
 	text := strings.ReplaceAll(f.Text(8), "pool    = \"main\"", "pool    = \"lender\"")
--- a/dev/publish_bench_test.go
+++ b/dev/publish_bench_test.go
@@ -63,6 +63,9 @@
 // is in force on all nine entries.
 func BenchmarkPublish(b *testing.B) {
 	b.Run("normal", func(b *testing.B) { benchmarkPublish(b, func(*dev.Fleet, int) {}) })
+	b.Run("one entry cut off from the log", func(b *testing.B) {
+		benchmarkPublish(b, func(f *dev.Fleet, _ int) { f.Nodes[benchEntries-1].Log.Cut(true) })
+	})
 	b.Run("lost append answers", func(b *testing.B) {
 		benchmarkPublish(b, func(f *dev.Fleet, _ int) {
 			must.NoError(b, f.Platform.SetLogFault(standin.LogFault{LoseAnswers: 1}))
@@ -78,7 +81,7 @@
 	for i := 0; b.Loop(); i++ {
 		before(f, i)
 		started := time.Now()
-		_, res := publish(b, f.Nodes[i%benchEntries], base, f.Text(1+i))
+		_, res := publish(b, f.Nodes[i%(benchEntries-1)], base, f.Text(1+i))
 		must.EqOp(b, "accepted", res.Outcome)
 		counter.wait(res.Version, benchEntries)
 		must.NoError(b, delays.RecordValue(time.Since(started).Microseconds()))
--- a/dev/relay_test.go
+++ b/dev/relay_test.go
@@ -52,30 +52,6 @@
 	}
 }
 
-// BenchmarkPublishInForce measures from the start of a publish until the text
-// is in force on another entry.
-func BenchmarkPublishInForce(b *testing.B) {
-	for _, cut := range []bool{false, true} {
-		b.Run(fmt.Sprintf("cut=%v", cut), func(b *testing.B) {
-			f, err := dev.Start(dev.Config{Entries: 9, Runners: 10, Slots: 8, Work: time.Millisecond})
-			must.NoError(b, err)
-			defer f.Stop()
-			_, res := publish(b, f.Nodes[0], "0", f.Text(8))
-			waitReady(b, f)
-			last := f.Nodes[len(f.Nodes)-1]
-			last.Log.Cut(cut)
-			var longest time.Duration
-			for b.Loop() {
-				start := time.Now()
-				_, res = publish(b, f.Nodes[0], fmt.Sprint(res.Version), f.Text(8))
-				waitVersion(b, last, res.Version)
-				longest = max(longest, time.Since(start))
-			}
-			b.ReportMetric(float64(longest.Milliseconds()), "ms-longest")
-		})
-	}
-}
-
 // BenchmarkStartWithoutLog measures from the start of an entry that cannot
 // reach the log until it is ready.
 func BenchmarkStartWithoutLog(b *testing.B) {
--- a/experiment/fleet.go
+++ b/experiment/fleet.go
@@ -84,10 +84,13 @@
 }
 
 // leastCapacity returns the share of instances in service, of the pool with
-// the smallest.
+// the smallest that serves anything.
 func leastCapacity(st effect.Status) float64 {
 	have, inService := make(map[fleet.PoolName]int), make(map[fleet.PoolName]int)
 	for _, in := range st.Instances {
+		if in.Pool == dev.SparePool {
+			continue
+		}
 		have[in.Pool]++
 		if in.Phase == "in-service" {
 			inService[in.Pool]++
--- a/experiment/reserve.go
+++ b/experiment/reserve.go
@@ -22,9 +22,8 @@
 	maxArriving = 4
 	// Demand of the first service and of the others after a shift that lasts.
 	grownDemand, shrunkDemand = 3, 0.5
-	// reserveTime is how long the fleet runs, and steadyTime how long before a
-	// shift.
-	reserveTime, steadyTime = 4 * time.Hour, time.Hour
+	// steadyShare is the share of the time before a shift.
+	steadyShare = 4
 )
 
 // fluid is a fleet in virtual time: demand flows into a queue for each service,
@@ -160,6 +159,9 @@
 	f.moves++
 }
 
+// DefaultReserveTime is how long the experiment with the reserve runs.
+const DefaultReserveTime = 4 * time.Hour
+
 // Reserve compares the planner with pools that stay as the text has them, in
 // virtual time, under bursts in turn.
 type Reserve struct {
@@ -169,6 +171,8 @@
 	// Shift makes the demand of the first service grow and that of the others
 	// shrink, after a while and for good.
 	Shift bool
+	// Duration is how long the fleet runs; zero means DefaultReserveTime.
+	Duration time.Duration
 }
 
 // ReserveResult is what a run cost.
@@ -188,15 +192,18 @@
 
 // Run runs the experiment.
 func (e Reserve) Run() ReserveResult {
+	if e.Duration == 0 {
+		e.Duration = DefaultReserveTime
+	}
 	f := newFluid(e.Text, e.Fixed)
 	steady := func(fleet.ServiceName) float64 { return 1 }
 	if !e.Shift {
-		f.run(reserveTime, steady)
+		f.run(e.Duration, steady)
 		return f.result()
 	}
-	f.run(steadyTime, steady)
+	f.run(e.Duration/steadyShare, steady)
 	grown := e.Text.Services[0].Name
-	f.run(reserveTime-steadyTime, func(name fleet.ServiceName) float64 {
+	f.run(e.Duration-e.Duration/steadyShare, func(name fleet.ServiceName) float64 {
 		if name == grown {
 			return grownDemand
 		}
--- a/experiment/wave.go
+++ b/experiment/wave.go
@@ -68,7 +68,7 @@
 	if err := f.Platform.SetWorkerFault(standin.WorkerFault{RebootTime: waveReboot}); err != nil {
 		return WaveResult{}, err
 	}
-	loaded := startLoad(ctx, f)
+	loaded := startLoad(ctx, f, waveDemand/waveWork.Seconds())
 	res, err := roll(ctx, f)
 	if err != nil {
 		return res, err
@@ -82,16 +82,16 @@
 	return res, err
 }
 
-// startLoad starts requests of all services; the function that it returns ends
+// startLoad starts requests of all services at a rate; the function that it returns ends
 // them and waits for their answers.
-func startLoad(ctx context.Context, f *dev.Fleet) func() (load.Summary, error) {
+func startLoad(ctx context.Context, f *dev.Fleet, rate float64) func() (load.Summary, error) {
 	cfg := load.Config{
 		Members: []fleet.MemberName{"lawa"}, Duration: waveLimit, Burst: waveLimit, BurstFactor: 1, QuietFactor: 1,
 		MaxInFlight: waveInFlight, Seed: 1,
 	}
 	for i := range waveServices {
 		cfg.Services = append(cfg.Services, load.Service{
-			Name: waveService(i), Idempotent: true, Rate: waveDemand / waveWork.Seconds(),
+			Name: waveService(i), Idempotent: true, Rate: rate,
 		})
 	}
 	ctx, stop := context.WithCancel(ctx)
--- a/reduce/control/maintenance.go
+++ b/reduce/control/maintenance.go
@@ -53,5 +53,5 @@
 // IsUnderMaintenance reports whether any instance, wave or rehearsal has a step
 // left to take.
 func (s *State) IsUnderMaintenance() bool {
-	return len(s.Drains.Under()) > 0 || len(s.Waves.Active) > 0 || s.Rehearsals.Active != nil
+	return len(s.under) > 0 || len(s.Waves.Active) > 0 || s.Rehearsals.Active != nil
 }
--- a/reduce/control/rehearsal.go
+++ b/reduce/control/rehearsal.go
@@ -131,7 +131,7 @@
 		return Conflict, "forecast to break: " + rehearsal.Explain(broken)
 	}
 	for _, id := range taken {
-		s.Drains[id] = Maintenance{Epoch: at, Phase: Draining, Reason: ReasonRehearsal, Purpose: PurposeHold}
+		s.setMaintenance(id, Maintenance{Epoch: at, Phase: Draining, Reason: ReasonRehearsal, Purpose: PurposeHold})
 	}
 	s.Rehearsals.Active = &Rehearsal{
 		ID: at, Epoch: at, Domain: r.Domain, Note: r.Note, Forced: r.Force,
--- a/reduce/drain.go
+++ b/reduce/drain.go
@@ -39,7 +39,7 @@
 	for _, id := range s.drains.Closed() {
 		s.applyPhase(id)
 	}
-	for _, id := range s.control.Drains.Under() {
+	for _, id := range s.control.Under() {
 		s.applyPhase(id)
 	}
 	s.armSteps()
@@ -66,7 +66,7 @@
 	case control.Undrain:
 		s.phaseChanged(r.Instance)
 	case control.Move:
-		s.moved(r)
+		s.moved(r, res.Change)
 	default:
 		s.followWave(p.Record.Body)
 	}
--- a/reduce/log.go
+++ b/reduce/log.go
@@ -35,6 +35,7 @@
 		}
 	}
 	s.isolation.lastRead = s.now
+	s.noteEnd(ev)
 	s.reachedEnd(ev)
 	s.updateReady()
 	s.hearNews()
@@ -60,7 +61,8 @@
 // adoptSnapshot closes a gap with a snapshot, and reads on from where it ends.
 func (s *State) adoptSnapshot(p control.Positioned, oldest fleet.Offset) bool {
 	before := s.control.Version
-	if !s.control.Adopt(p, oldest) {
+	change, ok := s.control.Adopt(p, oldest)
+	if !ok {
 		return false
 	}
 	s.gap = false
@@ -72,15 +74,17 @@
 		Detail:  fmt.Sprintf("folds records up to %d", s.control.Offset),
 	})
 	s.emit(effect.Read{From: s.control.Offset + 1})
+	s.followChange(change)
 	s.followText(before, p.Record.ID)
 	s.followSnapshot()
 	return true
 }
 
-// updateReady makes the entry ready once a services text is in force and none
-// of the records that it needs are missing.
+// updateReady makes the entry ready once a services text is in force and the
+// fold has caught up with the log.
 func (s *State) updateReady() {
-	if s.ready || s.stopping || s.gap || s.control.Text == nil {
+	s.updateCatchUp()
+	if s.ready || s.stopping || s.gap || s.control.Text == nil || !s.logEnd.reached {
 		return
 	}
 	s.ready = true
@@ -97,6 +101,9 @@
 	}
 	s.relay.Add(p)
 	s.hastenHeartbeat()
+	if s.control.Version != before {
+		s.followChange(res.Change)
+	}
 	s.followText(before, p.Record.ID)
 	s.followMaintenance(p, res)
 	s.scheduleSnapshot()
@@ -106,12 +113,11 @@
 	}
 }
 
-// followText makes the rest of the state follow a text that came into force.
+// followText reports a text that came into force, and grants what it allows.
 func (s *State) followText(before fleet.Version, record fleet.RecordID) {
 	if s.control.Version == before {
 		return
 	}
-	s.configure()
 	s.published(record)
 	s.emit(effect.LogChange{Change: effect.ChangeText, Version: s.control.Version, Record: record})
 	s.grantAll()
@@ -124,4 +130,6 @@
 	}
 	s.logDown = true
 	s.emit(effect.LogChange{Change: effect.ChangeLogDown, Detail: fmt.Sprint(ev.Err)})
+	s.updateReady()
+	s.releaseCommands()
 }
--- a/reduce/rehearse.go
+++ b/reduce/rehearse.go
@@ -84,7 +84,7 @@
 // unhealthy.
 func (s *State) unavailable() map[fleet.InstanceID]bool {
 	out := make(map[fleet.InstanceID]bool)
-	for _, id := range s.control.Drains.Under() {
+	for _, id := range s.control.Under() {
 		out[id] = true
 	}
 	for _, id := range s.unhealthy() {
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -58,6 +58,7 @@
 	drains    *drains.State
 	isolation isolation
 	proposals proposals
+	logEnd    logEnd
 	relay     relay.State
 	holders   *holder.State
 	outbox    outbox
--- a/reduce/wave.go
+++ b/reduce/wave.go
@@ -108,7 +108,7 @@
 	if s.waitsForFailing(w) {
 		return nil, false
 	}
-	for _, id := range s.control.Drains.Under() {
+	for _, id := range s.control.Under() {
 		if s.control.Drains[id].IsReturning() {
 			return nil, false
 		}
