--- a/reduce/claimstream.go
+++ b/reduce/claimstream.go
@@ -14,8 +14,8 @@
 	c.marker = c.outbox.Add(claims.Marker{})
 }
 
-// reduceClaims folds the events of the claims stream.
-func (s *State) reduceClaims(body event.Body) {
+// onClaimEvent folds the events of the claims stream.
+func (s *State) onClaimEvent(body event.Body) {
 	switch b := body.(type) {
 	case event.ClaimsRead:
 		s.onClaimsRead(b)
--- a/reduce/drain.go
+++ b/reduce/drain.go
@@ -14,8 +14,8 @@
 // instance on probation.
 const probationSlots = 1
 
-// reduceMaintenance folds the events about drains.
-func (s *State) reduceMaintenance(body event.Body) {
+// onMaintenanceEvent folds the events about drains.
+func (s *State) onMaintenanceEvent(body event.Body) {
 	switch b := body.(type) {
 	case event.EndpointsListed:
 		s.onEndpointsListed(b)
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -48,8 +48,8 @@
 		s.onStopAsked()
 	default:
 		s.onOperatorEvent(b)
-		s.reduceMaintenance(b)
-		s.reduceClaims(b)
+		s.onMaintenanceEvent(b)
+		s.onClaimEvent(b)
 	}
 	s.fireTimers()
 	s.flushClaims()
--- a/reduce/request.go
+++ b/reduce/request.go
@@ -41,7 +41,7 @@
 		Deadline: s.now.Add(limit),
 	}
 	s.requests.Add(r)
-	s.budgets.Deposit(svc.Name)
+	s.retryBudgets.Deposit(svc.Name)
 	s.usage.Arrive(svc.Name)
 	s.timers.Set(&r.Expiry, r.Deadline, r)
 	if !svc.Idempotent {
@@ -277,7 +277,7 @@
 	if r.Attempts-r.Refusals >= r.Service.MaxAttempts {
 		return false
 	}
-	return last == event.AttemptNotSent || s.budgets.Withdraw(r.Service.Name)
+	return last == event.AttemptNotSent || s.retryBudgets.Withdraw(r.Service.Name)
 }
 
 func (s *State) onRequestCancelled(ev event.RequestCancelled) {
--- a/reduce/requests/budget.go
+++ b/reduce/requests/budget.go
@@ -11,16 +11,18 @@
 	retryBurst = 20 * retryCost
 )
 
-// Budgets holds a token bucket of retries for each service, so that retries
+// RetryBudgets holds a token bucket of retries for each service, so that retries
 // never multiply the load of a service that fails.
-type Budgets struct {
+type RetryBudgets struct {
 	byService map[fleet.ServiceName]*int
 }
 
-// NewBudgets returns full budgets.
-func NewBudgets() *Budgets { return &Budgets{byService: make(map[fleet.ServiceName]*int)} }
+// NewRetryBudgets returns full budgets.
+func NewRetryBudgets() *RetryBudgets {
+	return &RetryBudgets{byService: make(map[fleet.ServiceName]*int)}
+}
 
-func (b *Budgets) tokens(name fleet.ServiceName) *int {
+func (b *RetryBudgets) tokens(name fleet.ServiceName) *int {
 	t, ok := b.byService[name]
 	if !ok {
 		t = new(int)
@@ -31,13 +33,13 @@
 }
 
 // Deposit notes a new request.
-func (b *Budgets) Deposit(name fleet.ServiceName) {
+func (b *RetryBudgets) Deposit(name fleet.ServiceName) {
 	t := b.tokens(name)
 	*t = min(retryBurst, *t+retryDeposit)
 }
 
 // Withdraw takes a retry from the budget. It returns false when none is left.
-func (b *Budgets) Withdraw(name fleet.ServiceName) bool {
+func (b *RetryBudgets) Withdraw(name fleet.ServiceName) bool {
 	t := b.tokens(name)
 	if *t < retryCost {
 		return false
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -41,27 +41,27 @@
 
 // State is the whole control state of an entry. Only Reduce changes it.
 type State struct {
-	cfg       Config
-	now       time.Time
-	control   *control.State
-	requests  *requests.Table
-	placement *placement.State
-	health    *health.State
-	budgets   *requests.Budgets
-	usage     *usage.State
-	usageTick usageTick
-	rehearsal rehearsal.Watch
-	planning  planning
-	measures  measure.State
-	peers     *peers.State
-	claiming  *claiming
-	drains    *drains.State
-	isolation isolation
-	proposals proposals
-	logEnd    logEnd
-	relay     relay.State
-	holders   *holder.State
-	outbox    outbox
+	cfg          Config
+	now          time.Time
+	control      *control.State
+	requests     *requests.Table
+	placement    *placement.State
+	health       *health.State
+	retryBudgets *requests.RetryBudgets
+	usage        *usage.State
+	usageTick    usageTick
+	rehearsal    rehearsal.Watch
+	planning     planning
+	measures     measure.State
+	peers        *peers.State
+	claiming     *claiming
+	drains       *drains.State
+	isolation    isolation
+	proposals    proposals
+	logEnd       logEnd
+	relay        relay.State
+	holders      *holder.State
+	outbox       outbox
 	// reask holds the requests whose grants could not be used.
 	reask []fleet.RequestID
 	// touched is kept between events for its memory.
@@ -89,19 +89,19 @@
 		cfg.SnapshotInterval = DefaultSnapshotInterval
 	}
 	return &State{
-		cfg:       cfg,
-		control:   control.New(),
-		requests:  requests.New(),
-		placement: placement.New(cfg.Seed),
-		health:    health.New(),
-		budgets:   requests.NewBudgets(),
-		usage:     usage.New(),
-		peers:     peers.New(cfg.Entry),
-		claiming:  newClaiming(cfg),
-		drains:    drains.New(),
-		planning:  newPlanning(),
-		proposals: newProposals(),
-		holders:   holder.New(),
+		cfg:          cfg,
+		control:      control.New(),
+		requests:     requests.New(),
+		placement:    placement.New(cfg.Seed),
+		health:       health.New(),
+		retryBudgets: requests.NewRetryBudgets(),
+		usage:        usage.New(),
+		peers:        peers.New(cfg.Entry),
+		claiming:     newClaiming(cfg),
+		drains:       drains.New(),
+		planning:     newPlanning(),
+		proposals:    newProposals(),
+		holders:      holder.New(),
 	}
 }
 
