Hold a pool's connections to its limit

The setting was read and printed but decided nothing; the client's constants happened to stay below the default of 64. Slots are now bounded by it, and where it leaves no room for the idle connections of all entries, each request takes a connection of its own. Idle connections go from 6 to 5 an entry, so that the default holds while entries are replaced.

--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -42,12 +42,14 @@
 
 // Request is one attempt to send.
 type Request struct {
-	Attempt     string
-	Service     fleet.ServiceName
-	Address     string
-	Member      fleet.MemberName
-	Key         fleet.Key
-	Fence       fleet.Offset
+	Attempt string
+	Service fleet.ServiceName
+	Address string
+	Member  fleet.MemberName
+	Key     fleet.Key
+	Fence   fleet.Offset
+	// Fresh takes a connection of its own and closes it afterwards.
+	Fresh       bool
 	ContentType string
 	Body        []byte
 }
@@ -69,12 +71,8 @@
 
 const (
 	// maxAnswer is the largest body of an answer, in bytes.
-	maxAnswer = 64 << 20
-	// idleConnections bounds the idle connections of one entry to an endpoint.
-	// With nine entries and a runner's 8 slots in use, all connections to the
-	// runner together stay below 64.
-	idleConnections = 6
-	idleTimeout     = time.Minute
+	maxAnswer   = 64 << 20
+	idleTimeout = time.Minute
 )
 
 // Client sends attempts over pooled connections.
@@ -91,7 +89,7 @@
 	return &Client{
 		pooled: newHTTP(&http.Transport{
 			MaxConnsPerHost:     maxConnections,
-			MaxIdleConnsPerHost: min(maxConnections, idleConnections),
+			MaxIdleConnsPerHost: min(maxConnections, fleet.IdleConnections),
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
 		}),
@@ -134,9 +132,9 @@
 	return c.judge(req, got, conn)
 }
 
-// client returns the HTTP client for an address.
-func (c *Client) client(address string) *resty.Client {
-	if _, silent := c.silent.Load(address); silent {
+// client returns the HTTP client for a request.
+func (c *Client) client(req Request) *resty.Client {
+	if _, silent := c.silent.Load(req.Address); silent || req.Fresh {
 		return c.fresh
 	}
 	return c.pooled
@@ -163,7 +161,7 @@
 	if contentType == "" {
 		contentType = defaultContentType
 	}
-	r := c.client(req.Address).R().
+	r := c.client(req).R().
 		SetContext(ctx).
 		SetDoNotParseResponse(true).
 		SetHeader("Accept", anyType).
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -61,6 +61,7 @@
 		Member:      x.member,
 		Key:         x.key,
 		Fence:       o.Fence,
+		Fresh:       o.Fresh,
 		ContentType: x.contentType,
 		Body:        x.body,
 	})
--- a/fleet/text.go
+++ b/fleet/text.go
@@ -64,6 +64,27 @@
 	MaxSize int64
 }
 
+// IdleConnections is the number of idle connections to one instance that an
+// entry keeps where the pool's limit leaves room for those of all entries. With
+// the default slots and connections that is so for up to 11 entries: the nine of
+// a user, and two that replace others.
+const IdleConnections = 5
+
+// Capacity returns the number of requests that one instance runs at once: its
+// slots, or its connections where they are fewer. Zero Connections is no limit.
+func (p *Pool) Capacity() int {
+	if p.Connections == 0 {
+		return p.Slots
+	}
+	return min(p.Slots, p.Connections)
+}
+
+// MayReuse reports whether a number of entries may keep idle connections to an
+// instance without exceeding its limit.
+func (p *Pool) MayReuse(entries int) bool {
+	return p.Connections == 0 || p.Capacity()+entries*IdleConnections <= p.Connections
+}
+
 // Instance is a machine that runs an endpoint.
 type Instance struct {
 	ID InstanceID
--- a/reduce/disruption/disruption.go
+++ b/reduce/disruption/disruption.go
@@ -52,10 +52,10 @@
 
 // keep returns how many instances of a pool have to stay in service.
 func keep(text *fleet.Text, p fleet.Pool, have int, demand float64) int {
-	if demand <= 0 || p.Slots <= 0 {
+	if demand <= 0 || p.Capacity() <= 0 {
 		return max(1, int(math.Ceil(float64(have)*undeclaredShare)))
 	}
-	return max(1, planner.InstancesFor(demand, p.Slots)) + reserve(text, p.Name)
+	return max(1, planner.InstancesFor(demand, p.Capacity())) + reserve(text, p.Name)
 }
 
 // reserve returns how many instances a pool keeps for an unplanned failure. A
--- a/reduce/health/health.go
+++ b/reduce/health/health.go
@@ -129,7 +129,7 @@
 		delete(s.slots, pool)
 	}
 	for _, pool := range d.Pools {
-		s.slots[pool.Name] = pool.Slots
+		s.slots[pool.Name] = pool.Capacity()
 	}
 	var gone []*Instance
 	for _, id := range d.GoneInstances {
--- a/reduce/peers/peers.go
+++ b/reduce/peers/peers.go
@@ -165,6 +165,17 @@
 	return p, ok
 }
 
+// Entries returns the number of entries that are not dead, this one included.
+func (s *State) Entries() int {
+	n := 1
+	for _, p := range s.byID {
+		if p.Status != Dead && p.Status != Unheard {
+			n++
+		}
+	}
+	return n
+}
+
 // All returns all peers, ordered by id.
 func (s *State) All() []*Peer {
 	all := make([]*Peer, 0, len(s.byID))
--- a/reduce/placement/configure.go
+++ b/reduce/placement/configure.go
@@ -114,7 +114,7 @@
 			p = newPool(cfg.Name)
 			s.pools[cfg.Name] = p
 		}
-		p.instanceSlots = cfg.Slots
+		p.instanceSlots = cfg.Capacity()
 	}
 	return orphans
 }
--- a/reduce/planner/planner.go
+++ b/reduce/planner/planner.go
@@ -320,9 +320,9 @@
 		p := &in.Text.Pools[i]
 		n := Need{
 			Pool: p.Name, Spare: p.Spare,
-			Carry:     InstancesFor(demand[p.Name], p.Slots),
-			CarryPeak: instancesAtFullUse(peak[p.Name], p.Slots),
-			KeepPeak:  InstancesFor(peak[p.Name], p.Slots),
+			Carry:     InstancesFor(demand[p.Name], p.Capacity()),
+			CarryPeak: instancesAtFullUse(peak[p.Name], p.Capacity()),
+			KeepPeak:  InstancesFor(peak[p.Name], p.Capacity()),
 		}
 		for _, count := range spreads[p.Name] {
 			n.Have += count
--- a/reduce/reduce_test.go
+++ b/reduce/reduce_test.go
@@ -143,3 +143,20 @@
 	must.EqOp(t, fleet.ReasonUnknownService, out[0].Reason)
 	must.EqOp(t, "", out[0].Service)
 }
+
+func TestConnectionsBoundRequestsAndIdleConnections(t *testing.T) {
+	for connections, want := range map[int]struct {
+		running int
+		fresh   bool
+	}{0: {4, false}, 64: {4, false}, 5: {4, true}, 2: {2, true}} {
+		text := oneRunner(4)
+		text.Pools[0].Connections = connections
+		h := newHarness(text)
+		var sent []effect.Dispatch
+		for id := range fleet.RequestID(6) {
+			sent = append(sent, only[effect.Dispatch](h.do(arrived(id+1)))...)
+		}
+		must.Len(t, want.running, sent, must.Sprint(connections))
+		must.EqOp(t, want.fresh, sent[0].Fresh)
+	}
+}
--- a/reduce/rehearsal/forecast.go
+++ b/reduce/rehearsal/forecast.go
@@ -161,7 +161,7 @@
 		}
 		pool, ok := in.Text.Pool(in.Pools[it.ID])
 		if ok {
-			left[pool.Name] += pool.Slots
+			left[pool.Name] += pool.Capacity()
 		}
 	}
 	return left
--- a/reduce/rehearse.go
+++ b/reduce/rehearse.go
@@ -165,7 +165,7 @@
 	for i := range s.control.Text.Instances {
 		id := s.control.Text.Instances[i].ID
 		if pool, ok := s.control.Text.Pool(s.control.Pools[id]); ok && !out[id] {
-			slots[pool.Name] += pool.Slots
+			slots[pool.Name] += pool.Capacity()
 		}
 	}
 	return slots
--- a/reduce/request.go
+++ b/reduce/request.go
@@ -190,9 +190,16 @@
 		Address:  g.Address,
 		Deadline: r.Deadline,
 		Fence:    r.Fence,
+		Fresh:    !s.mayReuse(r.Service.Pool),
 	})
 }
 
+// mayReuse reports whether connections to a pool's instances may stay open.
+func (s *State) mayReuse(pool fleet.PoolName) bool {
+	p, ok := s.control.Text.Pool(pool)
+	return ok && p.MayReuse(s.peers.Entries())
+}
+
 func (s *State) onAttemptFinished(ev event.AttemptFinished) {
 	r, ok := s.requests.Current(ev.Attempt)
 	if !ok {
