--- a/experiment/loss.go
+++ b/experiment/loss.go
@@ -96,10 +96,7 @@
 	if err != nil {
 		return res, err
 	}
-	if err := takeDown(f, text); err != nil {
-		return res, err
-	}
-	if err := sleep(ctx, lossWindow); err != nil {
+	if err := holdDown(ctx, f, text); err != nil {
 		return res, err
 	}
 	after, err := client.Status(ctx)
@@ -119,6 +116,20 @@
 	return res, nil
 }
 
+// holdDown keeps the data centre down for the time of the loss: a reboot by the
+// wave would bring a stand-in back.
+func holdDown(ctx context.Context, f *dev.Fleet, text *fleet.Text) error {
+	for end := time.Now().Add(lossWindow); time.Now().Before(end); {
+		if err := takeDown(f, text); err != nil {
+			return err
+		}
+		if err := sleep(ctx, lookInterval); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // takeDown stops all runners of the data centre that is lost.
 func takeDown(f *dev.Fleet, text *fleet.Text) error {
 	for i, r := range f.Runners {
