--- a/cmd/banyanrail/experiment.go
+++ b/cmd/banyanrail/experiment.go
@@ -24,6 +24,14 @@
 	return fmt.Errorf("%w: name one of experiment burst, wave, loss, idle, reserve", errUsage)
 }
 
+// printMeasured prints what an experiment measured, unless it failed.
+func printMeasured(s *settings, res any, err error) error {
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(s.out).Encode(res)
+}
+
 type burstCmd struct {
 	Placement string        `arg:"--placement" default:"holder" help:"who grants slots: holder or local"`
 	Rate      float64       `arg:"--rate" default:"2000" help:"requests a second; the slots can do 800"`
@@ -36,10 +44,7 @@
 	res, err := experiment.Burst{
 		Entries: c.Entries, Placement: reduce.Placement(c.Placement), Rate: c.Rate, Duration: c.For, KillAfter: c.KillAfter,
 	}.Run(ctx)
-	if err != nil {
-		return err
-	}
-	return json.NewEncoder(s.out).Encode(res)
+	return printMeasured(s, res, err)
 }
 
 type waveRunCmd struct {
@@ -49,10 +54,7 @@
 
 func (c *waveRunCmd) run(ctx context.Context, s *settings) error {
 	res, err := experiment.Wave{Entries: c.Entries, MaxStep: c.MaxStep}.Run(ctx)
-	if err != nil {
-		return err
-	}
-	return json.NewEncoder(s.out).Encode(res)
+	return printMeasured(s, res, err)
 }
 
 type lossCmd struct {
@@ -62,10 +64,7 @@
 
 func (c *lossCmd) run(ctx context.Context, s *settings) error {
 	res, err := experiment.Loss{Entries: c.Entries, Rate: c.Rate}.Run(ctx)
-	if err != nil {
-		return err
-	}
-	return json.NewEncoder(s.out).Encode(res)
+	return printMeasured(s, res, err)
 }
 
 type idleCmd struct {
@@ -74,10 +73,7 @@
 
 func (c *idleCmd) run(ctx context.Context, s *settings) error {
 	res, err := experiment.Idle{Entries: c.Entries}.Run(ctx)
-	if err != nil {
-		return err
-	}
-	return json.NewEncoder(s.out).Encode(res)
+	return printMeasured(s, res, err)
 }
 
 type reserveCmd struct {
@@ -96,5 +92,5 @@
 		return err
 	}
 	res := experiment.Reserve{Text: text, Fixed: c.Fixed, Shift: c.Shift}.Run()
-	return json.NewEncoder(s.out).Encode(res)
+	return printMeasured(s, res, nil)
 }
