Share the wait of traffic goroutines and the reducers' generator

The cancellable wait stood three times (entry, experiment, command line) and the xorshift generator twice (placement, load): loop.Sleep and reduce/random now serve all, with the same sequences from the same seeds. Loop.Depth had no caller.

--- a/cmd/banyanrail/load.go
+++ b/cmd/banyanrail/load.go
@@ -10,6 +10,7 @@
 	"github.com/banyanrail/banyanrail/dev"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/load"
+	"github.com/banyanrail/banyanrail/loop"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/services"
 	"github.com/banyanrail/banyanrail/standin"
@@ -176,7 +177,7 @@
 	}
 	for _, n := range f.Nodes {
 		for !n.Entry.Ready() {
-			if !pause(ctx, followInterval) {
+			if loop.Sleep(ctx, followInterval) != nil {
 				f.Stop()
 				return nil, ctx.Err()
 			}
--- a/cmd/banyanrail/publish.go
+++ b/cmd/banyanrail/publish.go
@@ -8,6 +8,7 @@
 
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/loop"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/services"
 )
@@ -86,7 +87,7 @@
 			shown = res.InForce
 			fmt.Fprintf(s.progress, "version %d: in force at %d of %d entries\n", res.Version, res.InForce, res.Entries)
 		}
-		if res.InForce == res.Entries || !pause(ctx, followInterval) {
+		if res.InForce == res.Entries || loop.Sleep(ctx, followInterval) != nil {
 			return nil
 		}
 	}
@@ -101,15 +102,3 @@
 	}
 	return n
 }
-
-// pause waits, and returns false when the context ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/cmd/banyanrail/watch.go
+++ b/cmd/banyanrail/watch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/loop"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 )
 
@@ -50,7 +51,7 @@
 				return err
 			}
 		}
-		if !pause(ctx, c.Every) {
+		if loop.Sleep(ctx, c.Every) != nil {
 			return nil
 		}
 	}
--- a/entry/logdriver.go
+++ b/entry/logdriver.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/loop"
 	"github.com/banyanrail/banyanrail/platform"
 	"github.com/banyanrail/banyanrail/platform/codec"
 	"github.com/banyanrail/banyanrail/reduce/control"
@@ -117,7 +118,7 @@
 		}
 		if err != nil {
 			r.fail(err)
-			sleep(ctx, readBackoff)
+			_ = loop.Sleep(ctx, readBackoff) // the loop condition looks at the context
 			continue
 		}
 		from, wait = page.Next, readWait
@@ -142,12 +143,3 @@
 	}
 	return ev
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/experiment/fleet.go
+++ b/experiment/fleet.go
@@ -6,6 +6,7 @@
 
 	"github.com/banyanrail/banyanrail/dev"
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/loop"
 	"github.com/banyanrail/banyanrail/operator"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/services"
@@ -38,12 +39,12 @@
 	}
 	for _, n := range f.Nodes {
 		for !n.Entry.Ready() {
-			if err := sleep(ctx, readyInterval); err != nil {
+			if err := loop.Sleep(ctx, readyInterval); err != nil {
 				return err
 			}
 		}
 	}
-	return sleep(ctx, settleTime)
+	return loop.Sleep(ctx, settleTime)
 }
 
 // operators returns a client of one entry.
@@ -102,14 +103,3 @@
 	}
 	return least
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/experiment/idle.go
+++ b/experiment/idle.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/dev"
+	"github.com/banyanrail/banyanrail/loop"
 	"github.com/samber/oops"
 )
 
@@ -79,7 +80,7 @@
 			return processUse{}, err
 		}
 	}
-	if err := sleep(ctx, idleSettle); err != nil {
+	if err := loop.Sleep(ctx, idleSettle); err != nil {
 		return processUse{}, err
 	}
 	traffic.Peers.Reset()
@@ -89,7 +90,7 @@
 	if err != nil {
 		return processUse{}, err
 	}
-	if err := sleep(ctx, idleTime); err != nil {
+	if err := loop.Sleep(ctx, idleTime); err != nil {
 		return processUse{}, err
 	}
 	after, err := processorTime()
--- a/experiment/loss.go
+++ b/experiment/loss.go
@@ -8,6 +8,7 @@
 	"github.com/banyanrail/banyanrail/dev"
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/loop"
 	"github.com/banyanrail/banyanrail/reduce/usage"
 	"github.com/banyanrail/banyanrail/standin"
 )
@@ -78,14 +79,14 @@
 func (e Loss) lose(ctx context.Context, f *dev.Fleet, text *fleet.Text) (LossResult, error) {
 	var res LossResult
 	client := operators(f, 0)
-	if err := sleep(ctx, usage.LongWindow+settleTime); err != nil {
+	if err := loop.Sleep(ctx, usage.LongWindow+settleTime); err != nil {
 		return res, err
 	}
 	order, err := client.Order(ctx, "start wave", "/v1/waves", entry.WaveRequest{})
 	if err != nil {
 		return res, err
 	}
-	if err := sleep(ctx, waveLead); err != nil {
+	if err := loop.Sleep(ctx, waveLead); err != nil {
 		return res, err
 	}
 	forecast, err := client.Forecast(ctx, string(lost), "")
@@ -123,7 +124,7 @@
 		if err := takeDown(f, text); err != nil {
 			return err
 		}
-		if err := sleep(ctx, lookInterval); err != nil {
+		if err := loop.Sleep(ctx, lookInterval); err != nil {
 			return err
 		}
 	}
--- a/experiment/wave.go
+++ b/experiment/wave.go
@@ -9,6 +9,7 @@
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/load"
+	"github.com/banyanrail/banyanrail/loop"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/standin"
 	"github.com/samber/oops"
@@ -134,7 +135,7 @@
 		case known && w.Phase != "running":
 			return res, oops.In("experiment").With("step", "roll wave").Errorf("wave is %s: %s", w.Phase, w.Detail)
 		}
-		if err := sleep(ctx, lookInterval); err != nil {
+		if err := loop.Sleep(ctx, lookInterval); err != nil {
 			return res, err
 		}
 	}
--- a/load/state.go
+++ b/load/state.go
@@ -13,6 +13,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/random"
 	"github.com/google/uuid"
 )
 
@@ -57,7 +58,7 @@
 	cfg     Config
 	now     time.Time
 	start   time.Time
-	random  uint64
+	random  random.Source
 	lastID  uint64
 	calls   map[uint64]*call
 	sources []*source
@@ -87,7 +88,7 @@
 
 // New returns the state of a run that has not begun.
 func New(cfg Config) *State {
-	s := &State{cfg: cfg, random: cfg.Seed | 1, calls: make(map[uint64]*call), members: make(map[fleet.MemberName]*MemberSummary)}
+	s := &State{cfg: cfg, random: random.New(cfg.Seed), calls: make(map[uint64]*call), members: make(map[fleet.MemberName]*MemberSummary)}
 	for _, name := range cfg.Members {
 		s.members[name] = &MemberSummary{}
 	}
@@ -226,12 +227,12 @@
 func (s *State) member() fleet.MemberName {
 	members := s.cfg.Members
 	if s.cfg.GreedyShare == 0 || len(members) == 1 {
-		return members[s.next()%uint64(len(members))]
+		return members[s.random.Next()%uint64(len(members))]
 	}
 	if s.uniform() <= s.cfg.GreedyShare {
 		return members[0]
 	}
-	return members[1+s.next()%uint64(len(members)-1)]
+	return members[1+s.random.Next()%uint64(len(members)-1)]
 }
 
 // finish asks for the endpoints' counts once all calls have ended.
@@ -250,8 +251,8 @@
 		variant  = 0x80
 	)
 	var id uuid.UUID
-	binary.BigEndian.PutUint64(id[:8], uint64(s.now.UnixMilli())<<16|s.next()>>48)
-	binary.BigEndian.PutUint64(id[8:], s.next())
+	binary.BigEndian.PutUint64(id[:8], uint64(s.now.UnixMilli())<<16|s.random.Next()>>48)
+	binary.BigEndian.PutUint64(id[8:], s.random.Next())
 	id[6] = version7 | id[6]&0x0f
 	id[8] = variant | id[8]&0x3f
 	return fleet.Key(id.String())
@@ -260,13 +261,5 @@
 // uniform returns a number in (0, 1].
 func (s *State) uniform() float64 {
 	const mantissa = 1 << 53
-	return (float64(s.next()>>11) + 1) / mantissa
-}
-
-// next steps a xorshift generator.
-func (s *State) next() uint64 {
-	s.random ^= s.random << 13
-	s.random ^= s.random >> 7
-	s.random ^= s.random << 17
-	return s.random
+	return (float64(s.random.Next()>>11) + 1) / mantissa
 }
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -100,9 +100,6 @@
 	}
 }
 
-// Depth returns the number of events that wait.
-func (l *Loop[In, Out]) Depth() int { return len(l.queue) }
-
 // Done is closed when Run has returned.
 func (l *Loop[In, Out]) Done() <-chan struct{} { return l.done }
 
--- a/reduce/placement/instance.go
+++ b/reduce/placement/instance.go
@@ -66,7 +66,7 @@
 	var first, second, last *instance
 	untriedOpen := false
 	n := uint64(len(p.instances))
-	start := s.next() % n
+	start := s.random.Next() % n
 	for i := range n {
 		it := p.instances[(start+i)%n]
 		wasTried := slices.Contains(tried, it.id)
@@ -95,11 +95,3 @@
 		return first
 	}
 }
-
-// next steps a xorshift generator, seeded once by New.
-func (s *State) next() uint64 {
-	s.random ^= s.random << 13
-	s.random ^= s.random >> 7
-	s.random ^= s.random << 17
-	return s.random
-}
--- a/reduce/placement/placement.go
+++ b/reduce/placement/placement.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/random"
 )
 
 // Ask is a request that waits for a slot.
@@ -51,7 +52,7 @@
 	unblocked []fleet.PoolName
 	// idle is a list of waiters to use again.
 	idle   *waiter
-	random uint64
+	random random.Source
 }
 
 // New returns an empty state. The seed spreads choices between entries.
@@ -62,7 +63,7 @@
 		members:   make(map[fleet.MemberName]*member),
 		waiting:   make(map[fleet.RequestID]*waiter),
 		costs:     newCosts(),
-		random:    seed | 1,
+		random:    random.New(seed),
 	}
 }
 
