--- a/Makefile
+++ b/Makefile
@@ -27,8 +27,8 @@
 
 fuzz: ## the decoders and the services text on drawn input, a minute each
 	go test -run '^$$' -fuzz '^FuzzParse$$' -fuzztime 1m ./services
-	go test -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime 1m ./platform/codec
-	go test -run '^$$' -fuzz '^FuzzDecodeClaims$$' -fuzztime 1m ./platform/codec
+	go test -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime 1m ./codec
+	go test -run '^$$' -fuzz '^FuzzDecodeClaims$$' -fuzztime 1m ./codec
 	go test -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime 1m ./peer
 
 bench:
--- a/cmd/banyanraild/main.go
+++ b/cmd/banyanraild/main.go
@@ -15,8 +15,8 @@
 	"github.com/banyanrail/banyanrail/daemon"
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/infra"
 	"github.com/banyanrail/banyanrail/peer"
-	"github.com/banyanrail/banyanrail/platform"
 	"github.com/banyanrail/banyanrail/reduce"
 	"golang.org/x/sync/errgroup"
 )
@@ -58,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	client := platform.NewClient(c.Platform)
+	client := infra.NewClient(c.Platform)
 	e := entry.New(entry.Config{
 		ID:               fleet.EntryID(c.ID),
 		DataCentre:       fleet.DataCentre(c.DataCentre),
--- a/platform/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/banyanrail/banyanrail/codec"
 	"github.com/banyanrail/banyanrail/fleet"
-	"github.com/banyanrail/banyanrail/platform/codec"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/services"
 	"github.com/shoenig/test/must"
--- a/dev/drain_test.go
+++ b/dev/drain_test.go
@@ -13,7 +13,7 @@
 	"github.com/banyanrail/banyanrail/dev"
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
-	"github.com/banyanrail/banyanrail/platform"
+	"github.com/banyanrail/banyanrail/infra"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/standin"
 	"github.com/shoenig/test/must"
@@ -134,9 +134,9 @@
 func TestKilledEntryDoesNotStopADrain(t *testing.T) {
 	f := startMaintenanceFleet(t, 100*time.Millisecond)
 	f.Nodes[2].Kill()
-	must.NoError(t, f.Platform.SetListed([]platform.Listed{
-		{ID: string(f.Nodes[0].ID), Role: platform.RoleEntry, Address: f.Nodes[0].PeerAddress},
-		{ID: string(f.Nodes[1].ID), Role: platform.RoleEntry, Address: f.Nodes[1].PeerAddress},
+	must.NoError(t, f.Platform.SetListed([]infra.Listed{
+		{ID: string(f.Nodes[0].ID), Role: infra.RoleEntry, Address: f.Nodes[0].PeerAddress},
+		{ID: string(f.Nodes[1].ID), Role: infra.RoleEntry, Address: f.Nodes[1].PeerAddress},
 	}))
 	stop := load(t, f.Nodes[:2], 18)
 	order(t, f.Nodes[0], "/v1/drains", entry.DrainRequest{Instance: "runner-01", Purpose: "reboot"})
--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -16,8 +16,8 @@
 	"github.com/banyanrail/banyanrail/bytecount"
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/infra"
 	"github.com/banyanrail/banyanrail/peer"
-	"github.com/banyanrail/banyanrail/platform"
 	"github.com/banyanrail/banyanrail/reduce"
 	"github.com/banyanrail/banyanrail/standin"
 	"github.com/samber/oops"
@@ -163,7 +163,7 @@
 		kill()
 		return nil, oops.In("dev").With("step", "listen").Wrap(err)
 	}
-	client := platform.NewClient(f.platformURL)
+	client := infra.NewClient(f.platformURL)
 	node := &Node{
 		ID:          fleet.EntryID(id),
 		Kill:        kill,
@@ -175,7 +175,7 @@
 	if f.cfg.Tap != nil {
 		deps.Tap = f.cfg.Tap(node.ID)
 	}
-	deps.Log, deps.Instances, deps.Workers = node.Log, platform.NewClient(f.listURL), client
+	deps.Log, deps.Instances, deps.Workers = node.Log, infra.NewClient(f.listURL), client
 	node.Entry = entry.New(entry.Config{
 		ID:               node.ID,
 		Seed:             uint64(f.started),
@@ -257,12 +257,12 @@
 
 // list puts all entries and runners on the platform's list.
 func (f *Fleet) list() error {
-	var rows []platform.Listed
+	var rows []infra.Listed
 	for _, n := range f.Nodes {
-		rows = append(rows, platform.Listed{ID: string(n.ID), Role: platform.RoleEntry, Address: n.PeerAddress})
+		rows = append(rows, infra.Listed{ID: string(n.ID), Role: infra.RoleEntry, Address: n.PeerAddress})
 	}
 	for _, r := range f.Runners {
-		rows = append(rows, platform.Listed{ID: string(r.ID), Role: platform.RoleEndpoint, Address: r.Address})
+		rows = append(rows, infra.Listed{ID: string(r.ID), Role: infra.RoleEndpoint, Address: r.Address})
 	}
 	return f.Platform.SetListed(rows)
 }
--- a/dev/logswitch.go
+++ b/dev/logswitch.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
-	"github.com/banyanrail/banyanrail/platform"
+	"github.com/banyanrail/banyanrail/infra"
 )
 
 var errCut = errors.New("dev: cut off from the log")
@@ -15,7 +15,7 @@
 // LogSwitch is one entry's way to the log, which can be cut without harm to
 // the other entries.
 type LogSwitch struct {
-	log platform.Log
+	log infra.Log
 
 	mu sync.Mutex
 	// way is cancelled while the log is out of reach.
@@ -23,10 +23,10 @@
 	cut context.CancelFunc
 }
 
-var _ platform.Log = (*LogSwitch)(nil)
+var _ infra.Log = (*LogSwitch)(nil)
 
 // NewLogSwitch returns a way to a log that is not cut.
-func NewLogSwitch(log platform.Log) *LogSwitch {
+func NewLogSwitch(log infra.Log) *LogSwitch {
 	s := &LogSwitch{log: log}
 	s.way, s.cut = context.WithCancel(context.Background())
 	return s
@@ -59,21 +59,21 @@
 	}, nil
 }
 
-// Append implements platform.Log.
+// Append implements infra.Log.
 func (s *LogSwitch) Append(ctx context.Context, stream string, data []byte) (fleet.Offset, error) {
 	ctx, done, err := s.join(ctx)
 	if err != nil {
-		return 0, errors.Join(platform.ErrNotAppended, err)
+		return 0, errors.Join(infra.ErrNotAppended, err)
 	}
 	defer done()
 	return s.log.Append(ctx, stream, data)
 }
 
-// Read implements platform.Log.
-func (s *LogSwitch) Read(ctx context.Context, stream string, from fleet.Offset, wait time.Duration) (platform.Page, error) {
+// Read implements infra.Log.
+func (s *LogSwitch) Read(ctx context.Context, stream string, from fleet.Offset, wait time.Duration) (infra.Page, error) {
 	ctx, done, err := s.join(ctx)
 	if err != nil {
-		return platform.Page{}, errors.Join(platform.ErrUnavailable, err)
+		return infra.Page{}, errors.Join(infra.ErrUnavailable, err)
 	}
 	defer done()
 	return s.log.Read(ctx, stream, from, wait)
--- a/dev/publish_test.go
+++ b/dev/publish_test.go
@@ -10,11 +10,11 @@
 	"testing"
 	"time"
 
+	"github.com/banyanrail/banyanrail/codec"
 	"github.com/banyanrail/banyanrail/dev"
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
-	"github.com/banyanrail/banyanrail/platform"
-	"github.com/banyanrail/banyanrail/platform/codec"
+	"github.com/banyanrail/banyanrail/infra"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/banyanrail/banyanrail/standin"
@@ -133,7 +133,7 @@
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
 		return status(t, f.Nodes[1]).Offset > res.Version
 	}), wait.Timeout(30*time.Second)))
-	must.NoError(t, f.Platform.Trim(platform.StreamControl, res.Version+1))
+	must.NoError(t, f.Platform.Trim(infra.StreamControl, res.Version+1))
 	n, err := f.AddNode(false)
 	must.NoError(t, err)
 	waitReady(t, f)
--- a/entry/answers.go
+++ b/entry/answers.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"github.com/banyanrail/banyanrail/platform/codec"
+	"github.com/banyanrail/banyanrail/codec"
 	"github.com/banyanrail/banyanrail/reduce/claims"
 )
 
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -6,10 +6,10 @@
 	"context"
 	"net/http"
 
+	"github.com/banyanrail/banyanrail/codec"
 	"github.com/banyanrail/banyanrail/endpoint"
 	"github.com/banyanrail/banyanrail/fleet"
-	"github.com/banyanrail/banyanrail/platform"
-	"github.com/banyanrail/banyanrail/platform/codec"
+	"github.com/banyanrail/banyanrail/infra"
 	"github.com/banyanrail/banyanrail/reduce/claims"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
@@ -17,7 +17,7 @@
 )
 
 func newClaimsReader(e *Entry) *reader {
-	return &reader{entry: e, stream: platform.StreamClaims, read: e.claimsRead, firstWait: readWait}
+	return &reader{entry: e, stream: infra.StreamClaims, read: e.claimsRead, firstWait: readWait}
 }
 
 // actClaims hands an effect of the claims stream to its driver.
@@ -37,7 +37,7 @@
 }
 
 // claimsRead keeps the answers in a page and reports its groups.
-func (e *Entry) claimsRead(page platform.Page) event.Body {
+func (e *Entry) claimsRead(page infra.Page) event.Body {
 	ev := event.ClaimsRead{Oldest: page.Oldest}
 	for _, stored := range page.Records {
 		rec, err := codec.DecodeClaims(stored.Data)
@@ -52,7 +52,7 @@
 // appendClaims writes a group to the claims stream, with the answers that are
 // still kept.
 func (e *Entry) appendClaims(o effect.AppendClaims) {
-	e.appendTo(platform.StreamClaims, o.Group.ID, time.Time{}, func() ([]byte, error) {
+	e.appendTo(infra.StreamClaims, o.Group.ID, time.Time{}, func() ([]byte, error) {
 		return codec.EncodeClaims(codec.ClaimsRecord{Group: o.Group, Answers: e.answers.of(o.Group)})
 	})
 }
@@ -91,7 +91,7 @@
 func (e *Entry) readAnswer(o effect.FetchAnswer) (codec.Answer, bool, error) {
 	ctx, cancel := context.WithTimeout(e.background, o.Deadline.Sub(e.clock()))
 	defer cancel()
-	page, err := e.deps.Log.Read(ctx, platform.StreamClaims, o.Offset, 0)
+	page, err := e.deps.Log.Read(ctx, infra.StreamClaims, o.Offset, 0)
 	if err != nil {
 		return codec.Answer{}, false, err
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,9 +12,9 @@
 	"github.com/alitto/pond/v2"
 	"github.com/banyanrail/banyanrail/endpoint"
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/infra"
 	"github.com/banyanrail/banyanrail/loop"
 	"github.com/banyanrail/banyanrail/peer"
-	"github.com/banyanrail/banyanrail/platform"
 	"github.com/banyanrail/banyanrail/reduce"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/effect"
@@ -70,12 +70,12 @@
 
 // Deps are the outside systems that an entry uses.
 type Deps struct {
-	Log platform.Log
+	Log infra.Log
 	// Instances is the platform's list; nil leaves the entry without peers.
-	Instances platform.Instances
+	Instances infra.Instances
 	// Workers is the platform's worker control; nil leaves drained instances
 	// without their stop or reboot.
-	Workers platform.Workers
+	Workers infra.Workers
 	Metrics tally.Scope
 	Logger  *slog.Logger
 	Traces  trace.TracerProvider
--- a/entry/logdriver.go
+++ b/entry/logdriver.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
+	"github.com/banyanrail/banyanrail/codec"
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/infra"
 	"github.com/banyanrail/banyanrail/loop"
-	"github.com/banyanrail/banyanrail/platform"
-	"github.com/banyanrail/banyanrail/platform/codec"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
@@ -26,7 +26,7 @@
 
 // append writes a record to the control stream.
 func (e *Entry) append(o effect.Append) {
-	e.appendTo(platform.StreamControl, o.Record.ID, o.Deadline, func() ([]byte, error) {
+	e.appendTo(infra.StreamControl, o.Record.ID, o.Deadline, func() ([]byte, error) {
 		return codec.Encode(o.Record)
 	})
 }
@@ -62,7 +62,7 @@
 	switch {
 	case err == nil:
 		return event.Appended, nil
-	case errors.Is(err, platform.ErrNotAppended):
+	case errors.Is(err, infra.ErrNotAppended):
 		return event.AppendFailed, err
 	default:
 		return event.AppendUnknown, err
@@ -75,7 +75,7 @@
 	stream string
 	// read and failed turn the outcome of a read into an event; a nil failed
 	// reports nothing.
-	read   func(platform.Page) event.Body
+	read   func(infra.Page) event.Body
 	failed func(error) event.Body
 	// firstWait is how long the first read waits for new records.
 	firstWait time.Duration
@@ -88,7 +88,7 @@
 func newControlReader(e *Entry) *reader {
 	return &reader{
 		entry:  e,
-		stream: platform.StreamControl,
+		stream: infra.StreamControl,
 		read:   recordsRead,
 		failed: func(err error) event.Body { return event.ReadFailed{Err: err} },
 	}
@@ -132,7 +132,7 @@
 	}
 }
 
-func recordsRead(page platform.Page) event.Body {
+func recordsRead(page infra.Page) event.Body {
 	ev := event.RecordsRead{Next: page.Next, Oldest: page.Oldest, End: page.End}
 	for _, stored := range page.Records {
 		rec, err := codec.Decode(stored.Data)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/infra"
 	"github.com/banyanrail/banyanrail/peer"
-	"github.com/banyanrail/banyanrail/platform"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 	"google.golang.org/grpc"
@@ -92,10 +92,10 @@
 	}
 }
 
-func listedEntries(rows []platform.Listed) event.EntriesListed {
+func listedEntries(rows []infra.Listed) event.EntriesListed {
 	var ev event.EntriesListed
 	for _, row := range rows {
-		if row.Role == platform.RoleEntry {
+		if row.Role == infra.RoleEntry {
 			ev.Entries = append(ev.Entries, event.ListedEntry{ID: fleet.EntryID(row.ID), Address: row.Address, Leaving: row.Leaving})
 		}
 	}
--- a/entry/text.go
+++ b/entry/text.go
@@ -7,8 +7,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/banyanrail/banyanrail/codec"
 	"github.com/banyanrail/banyanrail/fleet"
-	"github.com/banyanrail/banyanrail/platform/codec"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
--- a/entry/workercontrol.go
+++ b/entry/workercontrol.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
-	"github.com/banyanrail/banyanrail/platform"
+	"github.com/banyanrail/banyanrail/infra"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
@@ -20,9 +20,9 @@
 	checkTimeout = 2 * time.Second
 )
 
-var purposeCommands = map[control.Purpose]platform.Command{
-	control.PurposeReboot: platform.CommandReboot,
-	control.PurposeStop:   platform.CommandStop,
+var purposeCommands = map[control.Purpose]infra.Command{
+	control.PurposeReboot: infra.CommandReboot,
+	control.PurposeStop:   infra.CommandStop,
 }
 
 // errStale means that an effect was carried out too late to be sent.
@@ -57,7 +57,7 @@
 		return fail.Wrap(errStale)
 	}
 	if e.deps.Workers == nil {
-		return fail.Wrap(platform.ErrUnavailable)
+		return fail.Wrap(infra.ErrUnavailable)
 	}
 	ctx, cancel := context.WithTimeout(e.background, commandInstanceTimeout)
 	defer cancel()
@@ -68,7 +68,7 @@
 	switch {
 	case err == nil:
 		return event.CommandDone
-	case errors.Is(err, platform.ErrPending):
+	case errors.Is(err, infra.ErrPending):
 		return event.CommandPending
 	default:
 		return event.CommandUnknown
@@ -88,10 +88,10 @@
 	}
 }
 
-func listedEndpoints(rows []platform.Listed) event.EndpointsListed {
+func listedEndpoints(rows []infra.Listed) event.EndpointsListed {
 	var ev event.EndpointsListed
 	for _, row := range rows {
-		if row.Role == platform.RoleEndpoint && row.Leaving {
+		if row.Role == infra.RoleEndpoint && row.Leaving {
 			ev.Leaving = append(ev.Leaving, fleet.InstanceID(row.ID))
 		}
 	}
--- a/platform/client.go
+++ b/infra/client.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"context"
@@ -61,7 +61,7 @@
 		SetResult(&out).
 		SetPathParam("stream", stream).
 		Post("/v1/streams/{stream}/records")
-	fail := oops.In("platform").With("step", "append", "peer", c.http.BaseURL, "stream", stream)
+	fail := oops.In("infra").With("step", "append", "peer", c.http.BaseURL, "stream", stream)
 	switch {
 	case isDial(err):
 		return 0, fail.Wrap(errors.Join(ErrNotAppended, err))
@@ -123,13 +123,13 @@
 		SetPathParam("id", id).
 		Put("/v1/instances/{instance}/commands/{id}")
 	if err == nil && resp.StatusCode() == http.StatusAccepted {
-		return oops.In("platform").With("step", "command instance", "peer", c.http.BaseURL).Wrap(ErrPending)
+		return oops.In("infra").With("step", "command instance", "peer", c.http.BaseURL).Wrap(ErrPending)
 	}
 	return c.check(resp, err, "command instance")
 }
 
 func (c *Client) check(resp *resty.Response, err error, step string) error {
-	fail := oops.In("platform").With("step", step, "peer", c.http.BaseURL)
+	fail := oops.In("infra").With("step", step, "peer", c.http.BaseURL)
 	if err != nil {
 		return fail.Wrap(errors.Join(ErrUnavailable, err))
 	}
--- a/platform/client_bench_test.go
+++ b/infra/client_bench_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package infra_test
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"testing"
 
 	"github.com/banyanrail/banyanrail/bytecount"
-	"github.com/banyanrail/banyanrail/platform"
+	"github.com/banyanrail/banyanrail/infra"
 	"github.com/banyanrail/banyanrail/standin"
 	"github.com/shoenig/test/must"
 )
@@ -29,15 +29,15 @@
 	srv.Listener = wire.Listener(srv.Listener)
 	srv.Start()
 	defer srv.Close()
-	lists := [2][]platform.Listed{}
+	lists := [2][]infra.Listed{}
 	for i := range size {
-		row := platform.Listed{ID: fmt.Sprintf("worker-%05d", i), Role: platform.RoleEndpoint, Address: fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255)}
+		row := infra.Listed{ID: fmt.Sprintf("worker-%05d", i), Role: infra.RoleEndpoint, Address: fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255)}
 		lists[0] = append(lists[0], row)
 		row.Leaving = i == 0
 		lists[1] = append(lists[1], row)
 	}
 	must.NoError(b, p.SetListed(lists[1]))
-	client := platform.NewClient(srv.URL)
+	client := infra.NewClient(srv.URL)
 	_, err := client.List(b.Context())
 	must.NoError(b, err)
 	wire.Reset()
--- a/platform/client_test.go
+++ b/infra/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package infra_test
 
 import (
 	"maps"
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/banyanrail/banyanrail/platform"
+	"github.com/banyanrail/banyanrail/infra"
 	"github.com/banyanrail/banyanrail/standin"
 	"github.com/samber/oops"
 	"github.com/shoenig/test/must"
@@ -17,20 +17,20 @@
 const deadURL = "http://127.0.0.1:1"
 
 func TestRefusedConnectionAppendedNothing(t *testing.T) {
-	_, err := platform.NewClient(deadURL).Append(t.Context(), "control", []byte("x"))
-	must.ErrorIs(t, err, platform.ErrNotAppended)
+	_, err := infra.NewClient(deadURL).Append(t.Context(), "control", []byte("x"))
+	must.ErrorIs(t, err, infra.ErrNotAppended)
 }
 
 func TestLostAnswerIsUnknown(t *testing.T) {
 	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 	defer srv.Close()
-	_, err := platform.NewClient(srv.URL).Append(t.Context(), "control", []byte("x"))
-	must.ErrorIs(t, err, platform.ErrUnknown)
+	_, err := infra.NewClient(srv.URL).Append(t.Context(), "control", []byte("x"))
+	must.ErrorIs(t, err, infra.ErrUnknown)
 }
 
 func TestErrorsCarryStepAndPeer(t *testing.T) {
-	_, err := platform.NewClient(deadURL).Read(t.Context(), "control", 1, time.Second)
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	_, err := infra.NewClient(deadURL).Read(t.Context(), "control", 1, time.Second)
+	must.ErrorIs(t, err, infra.ErrUnavailable)
 	e, ok := oops.AsOops(err)
 	must.True(t, ok)
 	must.Eq(t, "read", e.Context()["step"])
@@ -50,9 +50,9 @@
 		_, _ = w.Write(answer.Body.Bytes()) // the client reports a short answer
 	}))
 	defer srv.Close()
-	client := platform.NewClient(srv.URL)
+	client := infra.NewClient(srv.URL)
 	for _, id := range []string{"runner-1", "runner-1", "runner-2"} {
-		rows := []platform.Listed{{ID: id, Role: platform.RoleEndpoint}}
+		rows := []infra.Listed{{ID: id, Role: infra.RoleEndpoint}}
 		must.NoError(t, p.SetListed(rows))
 		got, err := client.List(t.Context())
 		must.NoError(t, err)
--- a/platform/platform.go
+++ b/infra/infra.go
@@ -1,7 +1,7 @@
-// Package platform defines what banyanrail needs from the platform: an
+// Package infra defines what banyanrail needs from the platform: an
 // append-only log, a list of instances that lags, and control over workers.
 // Client reaches them over HTTP; package standin serves them in tests.
-package platform
+package infra
 
 import (
 	"context"
@@ -20,14 +20,14 @@
 // Errors of the platform's services.
 var (
 	// ErrNotAppended means that the record is not in the log and never will be.
-	ErrNotAppended = errors.New("platform: record was not appended")
+	ErrNotAppended = errors.New("infra: record was not appended")
 	// ErrUnknown means that the append may or may not have taken effect.
-	ErrUnknown = errors.New("platform: outcome of the append is unknown")
+	ErrUnknown = errors.New("infra: outcome of the append is unknown")
 	// ErrUnavailable means that the service did not answer a read.
-	ErrUnavailable = errors.New("platform: service is unavailable")
+	ErrUnavailable = errors.New("infra: service is unavailable")
 	// ErrPending means that the platform has taken a command and not carried it
 	// out yet.
-	ErrPending = errors.New("platform: command is pending")
+	ErrPending = errors.New("infra: command is pending")
 )
 
 // Stored is a record as the log keeps it.
--- a/operator/client.go
+++ b/operator/client.go
@@ -12,9 +12,9 @@
 	"strings"
 	"time"
 
+	"github.com/banyanrail/banyanrail/codec"
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
-	"github.com/banyanrail/banyanrail/platform/codec"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/services"
 	"github.com/go-resty/resty/v2"
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -1,9 +1,9 @@
 package peer
 
 import (
+	"github.com/banyanrail/banyanrail/codec"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/peer/peerpb"
-	"github.com/banyanrail/banyanrail/platform/codec"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/message"
 	"github.com/samber/oops"
--- a/standin/platformstate.go
+++ b/standin/platformstate.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
-	"github.com/banyanrail/banyanrail/platform"
+	"github.com/banyanrail/banyanrail/infra"
 )
 
 // maxPage is the largest number of records in one page.
@@ -32,7 +32,7 @@
 		oldest fleet.Offset
 	}
 	listAsked     struct{ call uint64 }
-	listSet       struct{ rows []platform.Listed }
+	listSet       struct{ rows []infra.Listed }
 	platformTimer struct{}
 )
 
@@ -58,7 +58,7 @@
 	}
 	replyList struct {
 		call uint64
-		rows []platform.Listed
+		rows []infra.Listed
 	}
 	platformSetTimer struct{ at time.Time }
 )
@@ -75,7 +75,7 @@
 }
 
 type readResult struct {
-	page platform.Page
+	page infra.Page
 	down bool
 }
 
@@ -92,7 +92,7 @@
 	streams map[string]*logStream
 	readers []logReader
 	fault   LogFault
-	listed  []platform.Listed
+	listed  []infra.Listed
 	workers workerState
 	out     []platformEffect
 }
@@ -122,11 +122,11 @@
 
 func (st *logStream) next() fleet.Offset { return st.oldest + fleet.Offset(len(st.data)) }
 
-func (st *logStream) page(from fleet.Offset) platform.Page {
+func (st *logStream) page(from fleet.Offset) infra.Page {
 	from = max(from, st.oldest)
-	page := platform.Page{Next: from, Oldest: st.oldest, End: st.next()}
+	page := infra.Page{Next: from, Oldest: st.oldest, End: st.next()}
 	for at := from; at < st.next() && len(page.Records) < maxPage; at++ {
-		page.Records = append(page.Records, platform.Stored{Offset: at, Data: st.data[at-st.oldest]})
+		page.Records = append(page.Records, infra.Stored{Offset: at, Data: st.data[at-st.oldest]})
 		page.Next = at + 1
 	}
 	return page
--- a/standin/workers.go
+++ b/standin/workers.go
@@ -6,7 +6,7 @@
 	"net/http"
 
 	"github.com/banyanrail/banyanrail/fleet"
-	"github.com/banyanrail/banyanrail/platform"
+	"github.com/banyanrail/banyanrail/infra"
 )
 
 // maxCommandBody is the largest command that the worker control reads.
@@ -37,7 +37,7 @@
 }
 
 func (p *Platform) handleCommand(w http.ResponseWriter, r *http.Request) {
-	var body platform.CommandBody
+	var body infra.CommandBody
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCommandBody)).Decode(&body); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/standin/workerstate.go
+++ b/standin/workerstate.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
-	"github.com/banyanrail/banyanrail/platform"
+	"github.com/banyanrail/banyanrail/infra"
 )
 
 // defaultRebootTime is how long a reboot takes unless WorkerFault says else.
@@ -14,7 +14,7 @@
 	call     uint64
 	id       string
 	instance fleet.InstanceID
-	command  platform.Command
+	command  infra.Command
 }
 
 type workerFaultSet struct{ fault WorkerFault }
@@ -74,7 +74,7 @@
 type Ordered struct {
 	ID       string
 	Instance fleet.InstanceID
-	Command  platform.Command
+	Command  infra.Command
 }
 
 type workerState struct {
@@ -121,7 +121,7 @@
 func (s *platformState) carryOut(now time.Time, e commandAsked) time.Time {
 	w := &s.workers
 	switch e.command {
-	case platform.CommandReboot:
+	case infra.CommandReboot:
 		took := w.fault.RebootTime
 		if took == 0 {
 			took = defaultRebootTime
@@ -135,9 +135,9 @@
 		w.reboots = append(w.reboots, reboot{instance: e.instance, done: done, power: power})
 		s.out = append(s.out, changeInstance{instance: e.instance, power: PowerDown})
 		return done
-	case platform.CommandStop:
+	case infra.CommandStop:
 		s.out = append(s.out, changeInstance{instance: e.instance, power: PowerDown})
-	case platform.CommandThrottle, platform.CommandCheckpoint:
+	case infra.CommandThrottle, infra.CommandCheckpoint:
 	}
 	return now
 }
--- a/standin/workerstate_test.go
+++ b/standin/workerstate_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/banyanrail/banyanrail/platform"
+	"github.com/banyanrail/banyanrail/infra"
 	"github.com/shoenig/test/must"
 )
 
@@ -24,7 +24,7 @@
 	s := newPlatformState()
 	now := time.Unix(0, 0)
 	s.reduce(now, workerFaultSet{fault: WorkerFault{LoseAnswers: 1, RebootTime: time.Second}})
-	reboot := commandAsked{id: "1", instance: "runner-1", command: platform.CommandReboot}
+	reboot := commandAsked{id: "1", instance: "runner-1", command: infra.CommandReboot}
 	res, powers := results(s.reduce(now, reboot))
 	must.Eq(t, []commandResult{commandLost}, res)
 	must.Eq(t, []Power{PowerDown}, powers)
