--- /dev/null
+++ b/cmd/banyanrail-entry/main.go
@@ -0,0 +1,183 @@
+// Command banyanrail-entry is the daemon of an entry that manages jobs on the
+// users' platform.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/banyanrail/banyanrail/daemon"
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/jobentry"
+	"github.com/banyanrail/banyanrail/loop"
+	"github.com/banyanrail/banyanrail/peer"
+	"github.com/banyanrail/banyanrail/platform"
+	"github.com/banyanrail/banyanrail/reduce/jobs"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	var s settings
+	arg.MustParse(&s)
+	c, err := s.check()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitUsage)
+	}
+	lines := daemon.NewLogWriter(os.Stdout)
+	logger := lines.Logger(c.platform.Node)
+	err = run(c, lines, logger)
+	if err != nil {
+		logger.Error("ended", "error", err)
+	} else {
+		logger.Info("stopped")
+	}
+	lines.Close()
+	if err != nil {
+		os.Exit(exitFailed)
+	}
+}
+
+// run serves until a signal comes, then hands the jobs over, lets the calls in
+// hand finish and ends.
+func run(c config, lines *daemon.LogWriter, logger *slog.Logger) (err error) {
+	debug.SetMemoryLimit(c.platform.MemoryMB << 20 * memoryShare / percent)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	scope, metrics, closer := daemon.Metrics(map[string]string{"entry": c.platform.Node, "data_centre": c.platform.DataCentre})
+	defer func() { err = errors.Join(err, closer.Close()) }()
+	traces, flush, err := daemon.Traces(ctx, c.Traces, c.TraceShare, c.platform.Node)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, flush(context.WithoutCancel(ctx))) }()
+	peers := peer.NewJobs()
+	defer peers.Close()
+	deps := dependencies(c, peers)
+	deps.Metrics, deps.Logger, deps.Traces = scope, logger, traces
+	e := jobentry.New(jobsConfig(c), deps)
+	logger.Info("started", "data_centre", c.platform.DataCentre, "clients", c.platform.ClientAddress,
+		"peers", c.platform.PeerAddress, "store", c.platform.StoreAddress, "memory_mb", c.platform.MemoryMB)
+	go lines.LogDropped(ctx, logger)
+	go reload(ctx, c, logger)
+	return serve(ctx, c, e, metrics, signals)
+}
+
+func dependencies(c config, peers *peer.Jobs) jobentry.Deps {
+	clock := loop.BootClock()
+	deps := jobentry.Deps{
+		Store: platform.NewStore(c.platform.StoreAddress), Decoder: platform.Decoder{},
+		Runners: platform.NewRunners(clock), Peers: peers, Clock: clock,
+	}
+	if c.platform.InstancesAddress != "" {
+		deps.Instances = platform.NewMachines(c.platform.InstancesAddress, c.platform.Node)
+	}
+	if c.platform.AdviceAddress != "" {
+		deps.Advice = platform.NewAdvice(c.platform.AdviceAddress)
+	}
+	return deps
+}
+
+func jobsConfig(c config) jobs.Config {
+	p := &c.platform
+	return jobs.Config{
+		Entry: fleet.EntryID(p.Node), Incarnation: uint64(time.Now().UnixNano()), Address: p.PeerAddress,
+		Bounds: jobs.Bounds{
+			StopGrace: p.StopGrace, MachineLease: p.MachineLease, NoticeWindow: p.NoticeWindow, MoveTime: p.MoveTime,
+			MaintenanceTime: p.MaintenanceTime, StatusTime: p.StatusTime,
+			InstanceOrdersPerSecond: p.InstanceOrdersPerSecond, Instances: p.InstancesAddress != "", Advice: p.AdviceAddress != "",
+		},
+	}
+}
+
+// serve runs the entry and its listeners. When a signal comes, the listeners go
+// on while the jobs are handed over and the balancer turns away.
+func serve(ctx context.Context, c config, e *jobentry.Entry, metrics http.Handler, signals <-chan os.Signal) error {
+	ops := http.NewServeMux()
+	ops.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !e.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	scrape := http.NewServeMux()
+	scrape.Handle("GET /metrics", metrics)
+	serving, closeListeners := context.WithCancel(ctx)
+	defer closeListeners()
+	group, groupCtx := errgroup.WithContext(serving)
+	group.Go(func() error {
+		return daemon.Serve(groupCtx, c.platform.ClientAddress, nil, platform.Serve(e.Call), answerGrace)
+	})
+	group.Go(func() error { return daemon.Serve(groupCtx, c.platform.ReadyAddress, nil, ops, 0) })
+	group.Go(func() error { return daemon.Serve(groupCtx, c.Metrics, nil, scrape, 0) })
+	group.Go(func() error {
+		return daemon.ServeGRPC(groupCtx, c.platform.PeerAddress, nil, func(g *grpc.Server) { peer.RegisterJobs(g, e.Call) }, peer.ServerOptions()...)
+	})
+	running, endEntry := context.WithCancel(context.WithoutCancel(ctx))
+	defer endEntry()
+	group.Go(func() error {
+		e.Run(running)
+		return nil
+	})
+	group.Go(func() error {
+		defer endEntry()
+		defer closeListeners()
+		return stopGracefully(groupCtx, c, e, signals)
+	})
+	return group.Wait()
+}
+
+// stopGracefully waits for a signal, or for a listener to fail, and hands the
+// jobs over.
+func stopGracefully(ctx context.Context, c config, e *jobentry.Entry, signals <-chan os.Signal) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-signals:
+	}
+	handing, cancel := context.WithTimeout(ctx, c.platform.ShutdownGrace/handOverShare)
+	defer cancel()
+	handed := e.HandOver(handing)
+	if err := loop.Sleep(ctx, balancerNotice); err != nil {
+		return err
+	}
+	return handed
+}
+
+// reload checks the settings file at each SIGHUP and says what it found. What a
+// running process uses of it does not change before its next start.
+func reload(ctx context.Context, c config, logger *slog.Logger) {
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	defer signal.Stop(hups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hups:
+			fresh, err := platform.ReadSettings(c.File)
+			if err != nil {
+				logger.Error("settings not reloaded", "file", c.File, "error", err)
+				continue
+			}
+			logger.Info("settings reloaded", "file", c.File, "changed", fresh != c.platform)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/job.go
@@ -0,0 +1,134 @@
+package fleet
+
+import (
+	"strconv"
+	"time"
+)
+
+// JobID is the identifier that a client chose for its job.
+type JobID string
+
+// QueueName names a queue of jobs.
+type QueueName string
+
+// JobSpec is a job as its client handed it in. It is immutable.
+type JobSpec struct {
+	// Text is handed to each task unread; at most 4,000 bytes.
+	Text  string
+	Steps []Step
+	// Repeats is the number of occurrences; zero means once, at once.
+	Repeats int
+	// FirstAt is when the first of several occurrences is due.
+	FirstAt time.Time
+	// Interval is the time between occurrences.
+	Interval time.Duration
+}
+
+// Step is a set of tasks of one shape.
+type Step struct {
+	// Count is the number of tasks.
+	Count int
+	// Needs is what each task takes from its runner.
+	Needs Capacity
+	// Estimate is the client's rough guess of a task's run time.
+	Estimate time.Duration
+	// After lists the earlier steps whose tasks must all be done first.
+	After []int
+	// Checkpoints says that tasks save their progress.
+	Checkpoints bool
+	// Gang tasks run only together.
+	Gang bool
+	// SameRack gangs are slow when they are spread over racks.
+	SameRack bool
+	// Label is a label that a runner must have; empty means any runner.
+	Label string
+	// Affinity is the rack that holds the data; empty means none.
+	Affinity Rack
+	// MaxPerRunner bounds the step's tasks on one runner; zero means no bound.
+	MaxPerRunner int
+	// Speculative tasks may run in several copies.
+	Speculative bool
+	// Lasting tasks run until their job is cancelled.
+	Lasting bool
+	// Image names what the tasks run.
+	Image string
+	// Target bounds the tail of a serving task's response times; zero means
+	// that the task serves nobody.
+	Target time.Duration
+	// Filling tasks take only what others on their runner leave unused.
+	Filling bool
+	// MayMiss is the number of lasting tasks that may be away at once by acts
+	// of the manager.
+	MayMiss int
+}
+
+// Capacity is an amount of a runner's resources.
+type Capacity struct {
+	// CPU is in thousandths of a core.
+	CPU int64
+	// Memory is in mebibytes.
+	Memory int64
+	// Accelerators counts whole devices.
+	Accelerators int64
+}
+
+// Plus returns the sum.
+func (c Capacity) Plus(o Capacity) Capacity {
+	return Capacity{c.CPU + o.CPU, c.Memory + o.Memory, c.Accelerators + o.Accelerators}
+}
+
+// Minus returns the difference.
+func (c Capacity) Minus(o Capacity) Capacity {
+	return Capacity{c.CPU - o.CPU, c.Memory - o.Memory, c.Accelerators - o.Accelerators}
+}
+
+// Fits reports whether an amount is no larger than c in each resource.
+func (c Capacity) Fits(need Capacity) bool {
+	return need.CPU <= c.CPU && need.Memory <= c.Memory && need.Accelerators <= c.Accelerators
+}
+
+// Occupies returns what a task takes from its runner's capacity: a filling task
+// takes no processor time of its own.
+func (s *Step) Occupies() Capacity {
+	need := s.Needs
+	if s.Filling {
+		need.CPU = 0
+	}
+	return need
+}
+
+// TaskID identifies a task of a job.
+type TaskID struct {
+	Job JobID
+	// Occurrence counts from 0.
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String returns "job.occurrence.step.index".
+func (t TaskID) String() string {
+	return t.StepName() + "." + strconv.Itoa(t.Index)
+}
+
+// StepName returns "job.occurrence.step".
+func (t TaskID) StepName() string {
+	return string(t.Job) + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step)
+}
+
+// JobState is how far a job has come.
+type JobState string
+
+// States of a job.
+const (
+	JobQueued    JobState = "queued"
+	JobRunning   JobState = "running"
+	JobDone      JobState = "done"
+	JobFailed    JobState = "failed"
+	JobCancelled JobState = "cancelled"
+)
+
+// Final reports whether the state never changes again.
+func (s JobState) Final() bool {
+	return s == JobDone || s == JobFailed || s == JobCancelled
+}
--- /dev/null
+++ b/jobentry/act.go
@@ -0,0 +1,141 @@
+package jobentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/banyanrail/banyanrail/loop"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+)
+
+// act hands an effect to its driver. It runs on the control goroutine and must
+// not block.
+func (e *Entry) act(out effect.Effect) {
+	switch o := out.(type) {
+	case effect.OrderTask:
+		e.orders.Go(func() { e.order(o) })
+	case effect.Look:
+		e.looks.Go(func() { e.look(o) })
+	case effect.ReplyCall:
+		e.calls.Resolve(o.Call, o.Answer)
+	case effect.Forward:
+		e.forwards.Go(func() { e.forward(o) })
+	case effect.Decision:
+		e.log(&o)
+	case effect.CountJob:
+		e.metrics.count(o)
+	case effect.Observe:
+		e.metrics.observe(o)
+	case effect.SetReady:
+		e.ready.Store(o.Ready)
+	case effect.JobsHandedOver:
+		e.handOnce.Do(func() { close(e.handed) })
+	case effect.FollowStore:
+		go e.followTenure()
+		go e.followOperators()
+	case effect.FollowRunners:
+		e.followRunners(o.Epoch)
+	default:
+		e.actStore(out)
+	}
+}
+
+// actStore hands over effects on the store and the platform's services.
+func (e *Entry) actStore(out effect.Effect) {
+	switch o := out.(type) {
+	case effect.AppendTenure:
+		e.store.Go(func() { e.appendTenure(o) })
+	case effect.FenceLedger:
+		e.store.Go(func() { e.fenceLedger(o) })
+	case effect.LoadLedger:
+		e.store.Go(func() { e.loadLedger(o) })
+	case effect.AppendLedger:
+		e.store.Go(func() { e.appendLedger(o) })
+	case effect.WriteWaveStatus:
+		e.store.Go(func() { e.writeWaveStatus(o) })
+	case effect.ListInstances:
+		e.orders.Go(func() { e.listInstances(o) })
+	case effect.OrderInstance:
+		e.orders.Go(func() { e.orderInstance(o) })
+	case effect.AskAdvice:
+		e.orders.Go(func() { e.askAdvice(o) })
+	}
+}
+
+// order carries out an order unless its time has passed.
+func (e *Entry) order(o effect.OrderTask) {
+	if e.deps.Clock().After(o.NotAfter) {
+		e.post(event.TaskOrdered{
+			Epoch: o.Epoch, Runner: o.Runner, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderStale,
+		})
+		return
+	}
+	ctx, span := e.tracer.Start(e.background, "order")
+	defer span.End()
+	began := e.deps.Clock()
+	result := e.deps.Runners.Order(ctx, o)
+	e.metrics.took("order", e.deps.Clock().Sub(began))
+	e.post(result)
+}
+
+func (e *Entry) look(l effect.Look) {
+	if e.deps.Clock().After(l.NotAfter) {
+		e.post(event.RunnerLooked{Epoch: l.Epoch, Runner: l.Runner, Number: l.Number, Outcome: event.OrderStale})
+		return
+	}
+	ctx, span := e.tracer.Start(e.background, "look")
+	defer span.End()
+	e.post(e.deps.Runners.Look(ctx, l))
+}
+
+func (e *Entry) forward(f effect.Forward) {
+	ctx, span := e.tracer.Start(e.background, "forward")
+	defer span.End()
+	answer, sent, err := e.deps.Peers.Forward(ctx, f)
+	done := event.ForwardFinished{Call: f.Call, Answer: answer, Sent: sent}
+	if err != nil {
+		done.Failed, done.Reason = true, "no answer"
+		if !sent {
+			done.Reason = "not reached"
+		}
+		e.deps.Logger.Warn("forwarding failed", "job", f.Job, "to", f.Address, "sent", sent, "error", err)
+	}
+	e.post(done)
+}
+
+func (e *Entry) listInstances(o effect.ListInstances) {
+	rows, err := e.deps.Instances.List(e.background)
+	if err != nil {
+		e.deps.Logger.Warn("instances not listed", "error", err)
+	}
+	e.post(event.InstancesRead{Epoch: o.Epoch, Failed: err != nil, Instances: rows})
+}
+
+func (e *Entry) orderInstance(o effect.OrderInstance) {
+	done := event.InstanceOrdered{Epoch: o.Epoch, Instance: o.Instance, Kind: o.Kind, Wave: o.Wave}
+	reason := "its time has passed"
+	done.Outcome = effect.InstanceRefused
+	if !e.deps.Clock().After(o.NotAfter) {
+		done.Outcome, reason = e.deps.Instances.Order(e.background, o)
+	}
+	if done.Outcome != effect.InstanceOrderDone {
+		e.deps.Logger.Warn("instance not ordered", "instance", o.Instance, "epoch", o.Epoch, "wave", o.Wave, "reason", reason)
+	}
+	e.post(done)
+}
+
+func (e *Entry) askAdvice(o effect.AskAdvice) {
+	tickets, valid, err := e.deps.Advice.Ask(e.background, o.Step, o.Runners)
+	if err != nil {
+		e.deps.Logger.Warn("no advice", "step", o.Step, "error", err)
+	}
+	e.post(event.AdviceGiven{
+		Epoch: o.Epoch, Job: o.Job, Step: o.Step, Failed: err != nil, Tickets: tickets, Asked: o.Runners, Valid: valid,
+	})
+}
+
+// pause waits, and reports whether the entry goes on.
+func (e *Entry) pause(ctx context.Context, d time.Duration) bool {
+	return loop.Sleep(ctx, d) == nil
+}
--- /dev/null
+++ b/jobentry/log.go
@@ -0,0 +1,45 @@
+package jobentry
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/banyanrail/banyanrail/reduce/effect"
+)
+
+// log writes a decision as a line.
+func (e *Entry) log(d *effect.Decision) {
+	level := slog.LevelInfo
+	if d.Warning {
+		level = slog.LevelWarn
+	}
+	e.deps.Logger.LogAttrs(context.Background(), level, d.Name, attributes(d)...)
+}
+
+// attributes returns the fields of a decision that are set.
+func attributes(d *effect.Decision) []slog.Attr {
+	out := make([]slog.Attr, 0, 12)
+	text := func(key, value string) {
+		if value != "" {
+			out = append(out, slog.String(key, value))
+		}
+	}
+	number := func(key string, value int64) {
+		if value != 0 {
+			out = append(out, slog.Int64(key, value))
+		}
+	}
+	text("job", string(d.Job))
+	text("task", d.Task)
+	text("queue", string(d.Queue))
+	text("runner", string(d.Runner))
+	text("about", string(d.Entry))
+	text("outcome", d.Outcome)
+	text("reason", string(d.Reason))
+	number("attempt", d.Attempt)
+	number("epoch", d.Epoch)
+	number("version", d.Version)
+	number("count", int64(d.Count))
+	number("age_ms", d.Age.Milliseconds())
+	return out
+}
--- /dev/null
+++ b/jobentry/metrics.go
@@ -0,0 +1,61 @@
+package jobentry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/uber-go/tally/v4"
+)
+
+// latencyBuckets run from a millisecond to four seconds.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)
+
+// metrics keeps the tally counters and histograms by their labels.
+type metrics struct {
+	scope tally.Scope
+
+	mu         sync.Mutex
+	counters   map[counterKey]tally.Counter
+	histograms map[string]tally.Histogram
+}
+
+type counterKey struct {
+	name   string
+	reason effect.Reason
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	return &metrics{
+		scope: scope, counters: make(map[counterKey]tally.Counter), histograms: make(map[string]tally.Histogram),
+	}
+}
+
+func (m *metrics) count(c effect.CountJob) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := counterKey{c.Name, c.Reason}
+	counter, ok := m.counters[key]
+	if !ok {
+		scope := m.scope
+		if c.Reason != "" {
+			scope = scope.Tagged(map[string]string{"reason": string(c.Reason)})
+		}
+		counter = scope.Counter(c.Name)
+		m.counters[key] = counter
+	}
+	counter.Inc(c.N)
+}
+
+func (m *metrics) observe(o effect.Observe) { m.took(o.Name, o.Took) }
+
+func (m *metrics) took(name string, d time.Duration) {
+	m.mu.Lock()
+	h, ok := m.histograms[name]
+	if !ok {
+		h = m.scope.Histogram(name+"_seconds", latencyBuckets)
+		m.histograms[name] = h
+	}
+	m.mu.Unlock()
+	h.RecordDuration(d)
+}
--- /dev/null
+++ b/peer/jobs.go
@@ -0,0 +1,141 @@
+package peer
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/banyanrail/banyanrail/codec"
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/peer/peerpb"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/samber/oops"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+)
+
+// Jobs forwards clients' calls to the entry that owns the jobs.
+type Jobs struct {
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewJobs returns a client without connections.
+func NewJobs() *Jobs { return &Jobs{conns: make(map[string]*grpc.ClientConn)} }
+
+// Forward sends a call to the owner. Sent says whether the owner may have
+// received it when there is an error.
+func (j *Jobs) Forward(ctx context.Context, f effect.Forward) (answer effect.Answered, sent bool, err error) {
+	fail := oops.In("peer").With("step", "forward", "peer", f.Address)
+	req, err := encodeCall(&f)
+	if err != nil {
+		return effect.Answered{}, false, fail.Wrap(err)
+	}
+	conn, err := j.conn(f.Address)
+	if err != nil {
+		return effect.Answered{}, false, fail.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.Patience)
+	defer cancel()
+	resp, err := peerpb.NewJobsClient(conn).Call(ctx, req)
+	if err != nil {
+		if status.Code(err) == codes.DeadlineExceeded {
+			j.replace(f.Address, conn)
+		}
+		return effect.Answered{}, !neverSent(err), fail.Wrap(err)
+	}
+	return effect.Answered{
+		Kind: effect.AnswerKind(resp.GetKind()), State: fleet.JobState(resp.GetState()), Waiting: int(resp.GetWaiting()),
+		RetryAfter: time.Duration(resp.GetRetryAfterMs()) * time.Millisecond, Reason: effect.Reason(resp.GetReason()),
+	}, true, nil
+}
+
+func encodeCall(f *effect.Forward) (*peerpb.JobCall, error) {
+	req := &peerpb.JobCall{
+		Kind: uint32(f.Kind), Queue: string(f.Queue), Version: f.Version, Job: string(f.Job), PatienceMs: f.Patience.Milliseconds(),
+	}
+	if f.Spec == nil {
+		return req, nil
+	}
+	var err error
+	req.Spec, err = codec.EncodeSpec(f.Spec)
+	return req, err
+}
+
+// neverSent reports whether gRPC failed before it had a connection. It tells so
+// by its message alone.
+func neverSent(err error) bool {
+	return status.Code(err) == codes.Unavailable && strings.Contains(status.Convert(err).Message(), "connection error")
+}
+
+func (j *Jobs) conn(address string) (*grpc.ClientConn, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if c, ok := j.conns[address]; ok {
+		return c, nil
+	}
+	c, err := grpc.NewClient("passthrough:///"+address, append(dialOptions(), grpc.WithTransportCredentials(insecure.NewCredentials()))...)
+	if err == nil {
+		j.conns[address] = c
+	}
+	return c, err
+}
+
+// replace drops a connection on which a call ran out of time: it may have gone
+// silent.
+func (j *Jobs) replace(address string, conn *grpc.ClientConn) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.conns[address] == conn {
+		delete(j.conns, address)
+		_ = conn.Close() // nothing is left to do if this fails
+	}
+}
+
+// Close closes all connections.
+func (j *Jobs) Close() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for address, c := range j.conns {
+		_ = c.Close() // nothing is left to do if this fails
+		delete(j.conns, address)
+	}
+}
+
+// jobsServer serves the calls that other entries forward.
+type jobsServer struct {
+	peerpb.UnimplementedJobsServer
+	call func(context.Context, event.ClientCalled) (effect.Answered, error)
+}
+
+// RegisterJobs puts a server of forwarded calls on a gRPC server.
+func RegisterJobs(g *grpc.Server, call func(context.Context, event.ClientCalled) (effect.Answered, error)) {
+	peerpb.RegisterJobsServer(g, &jobsServer{call: call})
+}
+
+// Call implements the gRPC service.
+func (s *jobsServer) Call(ctx context.Context, req *peerpb.JobCall) (*peerpb.JobAnswer, error) {
+	c := event.ClientCalled{
+		Peer: true, Queue: fleet.QueueName(req.GetQueue()), Version: req.GetVersion(), Kind: effect.CallKind(req.GetKind()),
+		Job: fleet.JobID(req.GetJob()), Patience: time.Duration(req.GetPatienceMs()) * time.Millisecond,
+	}
+	if len(req.GetSpec()) > 0 {
+		spec, err := codec.DecodeSpec(req.GetSpec())
+		if err != nil {
+			return nil, status.Error(codes.InvalidArgument, err.Error())
+		}
+		c.Spec = spec
+	}
+	a, err := s.call(ctx, c)
+	if err != nil {
+		return nil, status.FromContextError(err).Err()
+	}
+	return &peerpb.JobAnswer{
+		Kind: uint32(a.Kind), State: string(a.State), Waiting: int64(a.Waiting),
+		RetryAfterMs: a.RetryAfter.Milliseconds(), Reason: string(a.Reason),
+	}, nil
+}
--- /dev/null
+++ b/reduce/event/jobs.go
@@ -0,0 +1,267 @@
+package event
+
+import (
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/ledger"
+	"github.com/banyanrail/banyanrail/reduce/tenure"
+)
+
+// Job is an event about jobs. Package reduce/jobs handles them.
+type Job interface {
+	Body
+	isJob()
+}
+
+// JobsStarted is the first event of a process that manages jobs.
+type JobsStarted struct{}
+
+// TenureRead reports the newest record of the tenure log.
+type TenureRead struct {
+	// Record is the zero value when the log is empty.
+	Record tenure.Record
+	// End is the offset that the next append gets.
+	End fleet.Offset
+}
+
+// TenureReadFailed reports a read of the tenure log without an answer.
+type TenureReadFailed struct{ Reason string }
+
+// TenureAppended reports the outcome of an append to the tenure log.
+type TenureAppended struct {
+	Record  tenure.Record
+	Sent    time.Time
+	Outcome effect.AppendOutcome
+	End     fleet.Offset
+}
+
+// QueuesRead reports a version of the configuration of queues.
+type QueuesRead struct{ Queues *fleet.Queues }
+
+// QueuesReadFailed reports that the configuration could not be followed.
+type QueuesReadFailed struct{ Reason string }
+
+// WavesRead reports maintenance waves that operators asked for.
+type WavesRead struct{ Waves []fleet.MaintenanceWave }
+
+// RunnersRead reports changes of the list of runners.
+type RunnersRead struct {
+	Epoch int64
+	// Whole says that Runners is the whole list.
+	Whole   bool
+	Runners []fleet.Runner
+	Gone    []fleet.RunnerID
+}
+
+// RunnersReadFailed reports that the list of runners could not be read.
+type RunnersReadFailed struct {
+	Epoch  int64
+	Reason string
+}
+
+// LedgerFenced reports the outcome of fencing the ledger.
+type LedgerFenced struct {
+	Epoch   int64
+	Outcome effect.AppendOutcome
+}
+
+// LedgerLoaded reports what the ledger holds.
+type LedgerLoaded struct {
+	Epoch int64
+	// Failed means that it could not be read; Jobs is empty then.
+	Failed bool
+	Jobs   []ledger.Stored
+}
+
+// LedgerAppended reports the outcome of an append to the ledger.
+type LedgerAppended struct {
+	Epoch    int64
+	Sequence int64
+	Outcome  effect.AppendOutcome
+	// Expected is the sequence number that the store expects, with the outcome
+	// AppendOutOfSequence.
+	Expected int64
+	Took     time.Duration
+}
+
+// ClientCalled reports a client's call.
+type ClientCalled struct {
+	Call uint64
+	// Peer is set when another entry forwarded the call; it then names the
+	// queue, and Host and Path are empty.
+	Peer    bool
+	Queue   fleet.QueueName
+	Version int64
+	Host    string
+	Path    string
+	Kind    effect.CallKind
+	Job     fleet.JobID
+	Spec    *fleet.JobSpec
+	// Patience is how long the client waits from now on; zero means the
+	// queue's limit.
+	Patience time.Duration
+}
+
+// ClientGone reports that a client waits no longer.
+type ClientGone struct{ Call uint64 }
+
+// ForwardFinished reports the outcome of forwarding a call to the owner.
+type ForwardFinished struct {
+	Call   uint64
+	Answer effect.Answered
+	// Failed means that there was no answer. Sent says whether the owner may
+	// have received the call.
+	Failed bool
+	Sent   bool
+	Reason string
+}
+
+// OrderOutcome says how an order to a runner ended.
+type OrderOutcome uint8
+
+// Outcomes of an order.
+const (
+	OrderDone OrderOutcome = iota + 1
+	// OrderUnknown means that it may have been carried out, or will be.
+	OrderUnknown
+	// OrderStale means that it was not sent, since its time had passed.
+	OrderStale
+	// OrderFenced means that the runner has seen a higher fence.
+	OrderFenced
+	// OrderSuperseded means that the run is not newer than one that ended there.
+	OrderSuperseded
+	// OrderLate means that its deadline had passed at the runner.
+	OrderLate
+	// OrderNoRoom means that the task does not fit.
+	OrderNoRoom
+	// OrderNoTicket means that the advice has expired.
+	OrderNoTicket
+	// OrderOtherIncarnation means that another runner listens at the address.
+	OrderOtherIncarnation
+	// OrderUnhealthy means that the runner refused and did nothing.
+	OrderUnhealthy
+	// OrderInvalid means that the runner could not read the order.
+	OrderInvalid
+)
+
+// Clock is a runner's steady clock as an answer told it.
+type Clock struct {
+	// Reading is in milliseconds; zero when the answer told none.
+	Reading int64
+	// Sent and Received are when the call left and its answer came.
+	Sent, Received time.Time
+}
+
+// TaskOrdered reports the outcome of an order about a task.
+type TaskOrdered struct {
+	Epoch   int64
+	Runner  fleet.RunnerID
+	Kind    effect.OrderKind
+	Task    fleet.TaskID
+	Attempt int64
+	Outcome OrderOutcome
+	Clock   Clock
+	Reason  string
+}
+
+// RunnerLooked reports what a runner runs and has ended.
+type RunnerLooked struct {
+	Epoch  int64
+	Runner fleet.RunnerID
+	// Number is the number of the look.
+	Number     uint64
+	Outcome    OrderOutcome
+	Incarnated fleet.Incarnation
+	Clock      Clock
+	Running    []fleet.RunningTask
+	Ended      []fleet.EndedTask
+	Reason     string
+}
+
+// InstancesRead reports the platform's list of instances.
+type InstancesRead struct {
+	Epoch     int64
+	Failed    bool
+	Instances []fleet.ManagedInstance
+}
+
+// InstanceOrdered reports the outcome of an order about an instance.
+type InstanceOrdered struct {
+	Epoch    int64
+	Instance fleet.InstanceID
+	Kind     effect.InstanceOrderKind
+	Wave     int64
+	Outcome  effect.InstanceOutcome
+}
+
+// AdviceGiven reports which runners may run a step.
+type AdviceGiven struct {
+	Epoch  int64
+	Job    fleet.JobID
+	Step   string
+	Failed bool
+	// Tickets holds a ticket for each runner that may run it.
+	Tickets map[fleet.RunnerID]string
+	// Asked lists the runners that were asked about.
+	Asked []fleet.RunnerID
+	Valid time.Duration
+}
+
+// StatusWritten reports the outcome of publishing a wave's state.
+type StatusWritten struct {
+	Epoch  int64
+	Wave   int64
+	Done   bool
+	Failed bool
+}
+
+// JobsStopAsked asks the process to hand over and end.
+type JobsStopAsked struct{}
+
+func (JobsStarted) isEvent()       {}
+func (TenureRead) isEvent()        {}
+func (TenureReadFailed) isEvent()  {}
+func (TenureAppended) isEvent()    {}
+func (QueuesRead) isEvent()        {}
+func (QueuesReadFailed) isEvent()  {}
+func (WavesRead) isEvent()         {}
+func (RunnersRead) isEvent()       {}
+func (RunnersReadFailed) isEvent() {}
+func (LedgerFenced) isEvent()      {}
+func (LedgerLoaded) isEvent()      {}
+func (LedgerAppended) isEvent()    {}
+func (ClientCalled) isEvent()      {}
+func (ClientGone) isEvent()        {}
+func (ForwardFinished) isEvent()   {}
+func (TaskOrdered) isEvent()       {}
+func (RunnerLooked) isEvent()      {}
+func (InstancesRead) isEvent()     {}
+func (InstanceOrdered) isEvent()   {}
+func (AdviceGiven) isEvent()       {}
+func (StatusWritten) isEvent()     {}
+func (JobsStopAsked) isEvent()     {}
+
+func (JobsStarted) isJob()       {}
+func (TenureRead) isJob()        {}
+func (TenureReadFailed) isJob()  {}
+func (TenureAppended) isJob()    {}
+func (QueuesRead) isJob()        {}
+func (QueuesReadFailed) isJob()  {}
+func (WavesRead) isJob()         {}
+func (RunnersRead) isJob()       {}
+func (RunnersReadFailed) isJob() {}
+func (LedgerFenced) isJob()      {}
+func (LedgerLoaded) isJob()      {}
+func (LedgerAppended) isJob()    {}
+func (ClientCalled) isJob()      {}
+func (ClientGone) isJob()        {}
+func (ForwardFinished) isJob()   {}
+func (TaskOrdered) isJob()       {}
+func (RunnerLooked) isJob()      {}
+func (InstancesRead) isJob()     {}
+func (InstanceOrdered) isJob()   {}
+func (AdviceGiven) isJob()       {}
+func (StatusWritten) isJob()     {}
+func (JobsStopAsked) isJob()     {}
--- /dev/null
+++ b/reduce/jobs/calls.go
@@ -0,0 +1,278 @@
+package jobs
+
+import (
+	"slices"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+)
+
+const (
+	// parkLimit is how long a call waits for an owner. A takeover after a
+	// release takes a tenth of a second; after a crash the client is told to
+	// come back.
+	parkLimit = 900 * time.Millisecond
+	// answerLimit is how long a call waits for the store or the owner before
+	// its outcome is called unknown; it leaves a client with the usual three
+	// seconds time for another try.
+	answerLimit = 1500 * time.Millisecond
+	// forwardPause is the pause before a call is forwarded again.
+	forwardPause = 60 * time.Millisecond
+	// retryAfter is what refused clients are told: about the time that a
+	// takeover still takes when parkLimit has passed.
+	retryAfter = time.Second
+	// maxCalls bounds the calls in hand, for memory.
+	maxCalls = 4000
+)
+
+// Reasons for answers.
+const (
+	reasonNoConfiguration effect.Reason = "no configuration yet"
+	reasonNoOwner         effect.Reason = "no owner"
+	reasonStoreDown       effect.Reason = "the store does not answer"
+	reasonOverloaded      effect.Reason = "too much in hand"
+	reasonNoAnswer        effect.Reason = "the owner did not answer"
+	reasonUnknownQueue    effect.Reason = "no such queue"
+	reasonInvalidID       effect.Reason = "not a job id"
+	reasonInvalidJob      effect.Reason = "not a job"
+)
+
+type callPhase uint8
+
+const (
+	// callParked waits for an owner or a configuration.
+	callParked callPhase = iota + 1
+	callForwarded
+	// callLocal waits for the ledger.
+	callLocal
+)
+
+// call is a client's call in hand.
+type call struct {
+	event.ClientCalled
+	phase   callPhase
+	arrived time.Time
+	// retryAt is when a parked call may be dispatched again.
+	retryAt time.Time
+	// reached is set once the owner may have taken the call in, so that
+	// "nothing was done" can no longer be said.
+	reached bool
+}
+
+func (s *State) onClientCalled(b event.ClientCalled) {
+	c := &call{ClientCalled: b, arrived: s.now}
+	if len(s.calls) >= maxCalls {
+		s.answerNew(c, effect.Answered{Kind: effect.AnswerRefused, RetryAfter: retryAfter, Reason: reasonOverloaded})
+		return
+	}
+	s.calls[b.Call] = c
+	if !b.Peer && !s.resolve(c) {
+		return
+	}
+	s.dispatch(c)
+}
+
+// resolve finds the queue and the job of a client's call, or answers it.
+func (s *State) resolve(c *call) bool {
+	if s.queues == nil {
+		s.answer(c, effect.Answered{Kind: effect.AnswerRefused, RetryAfter: retryAfter, Reason: reasonNoConfiguration})
+		return false
+	}
+	queue, rest := s.queues.Find(c.Host, c.Path)
+	if queue == nil {
+		s.answer(c, effect.Answered{Kind: effect.AnswerNoQueue, Reason: reasonUnknownQueue})
+		return false
+	}
+	c.Queue, c.Version = queue.Name, s.queues.Version
+	if c.Kind == effect.CallState && rest == "" {
+		c.Kind = effect.CallWaiting
+		return true
+	}
+	if !isJobID(rest) {
+		s.answer(c, effect.Answered{Kind: effect.AnswerInvalid, Reason: reasonInvalidID})
+		return false
+	}
+	if c.Kind == effect.CallSubmit && c.Spec == nil {
+		s.answer(c, effect.Answered{Kind: effect.AnswerInvalid, Reason: reasonInvalidJob})
+		return false
+	}
+	c.Job = fleet.JobID(rest)
+	return true
+}
+
+// jobIDLength is the number of hexadecimal digits of a job's id.
+const jobIDLength = 16
+
+func isJobID(id string) bool {
+	if len(id) != jobIDLength {
+		return false
+	}
+	for _, r := range id {
+		if (r < '0' || r > '9') && (r < 'a' || r > 'f') && (r < 'A' || r > 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+// dispatch serves a call here, forwards it, or parks it until either is
+// possible.
+func (s *State) dispatch(c *call) {
+	if s.queues == nil || s.queues.Version < c.Version {
+		s.park(c)
+		return
+	}
+	if s.own != nil {
+		if s.own.phase != phaseActive {
+			s.park(c)
+			return
+		}
+		c.phase = callLocal
+		s.own.serve(c)
+		return
+	}
+	if c.Peer {
+		s.answer(c, effect.Answered{Kind: effect.AnswerNotOwner})
+		return
+	}
+	newest := s.tenure.Newest()
+	if newest.Epoch == 0 || newest.Released || newest.Owner == s.cfg.Entry {
+		s.park(c)
+		return
+	}
+	c.phase = callForwarded
+	s.emit(effect.Forward{
+		Call: c.Call, Address: newest.Address, Kind: c.Kind, Queue: c.Queue, Version: c.Version,
+		Job: c.Job, Spec: c.Spec, Patience: s.limit(c).Sub(s.now),
+	})
+}
+
+// limit returns when a call has to be answered.
+func (s *State) limit(c *call) time.Time {
+	limit := answerLimit
+	if c.Patience > 0 {
+		limit = min(limit, c.Patience)
+	}
+	return c.arrived.Add(limit)
+}
+
+func (s *State) park(c *call) {
+	c.phase = callParked
+	c.retryAt = s.now.Add(forwardPause)
+	s.parked = append(s.parked, c)
+}
+
+// dispatchParked tries the parked calls again.
+func (s *State) dispatchParked() {
+	if len(s.parked) == 0 {
+		return
+	}
+	due := s.parked
+	s.parked = nil
+	for _, c := range due {
+		switch {
+		case s.calls[c.Call] != c || c.phase != callParked:
+			// answered meanwhile
+		case s.now.Before(c.retryAt):
+			s.parked = append(s.parked, c)
+		default:
+			s.dispatch(c)
+		}
+	}
+}
+
+func (s *State) onForwardFinished(b event.ForwardFinished) {
+	c, ok := s.calls[b.Call]
+	if !ok || c.phase != callForwarded {
+		return
+	}
+	if !b.Failed && b.Answer.Kind != effect.AnswerNotOwner {
+		if c.reached && b.Answer.Kind == effect.AnswerRefused {
+			// An earlier owner may have stored what this one refused.
+			b.Answer.Kind = effect.AnswerUnknown
+		}
+		s.answer(c, b.Answer)
+		return
+	}
+	c.reached = c.reached || (b.Failed && b.Sent)
+	s.count("forwards_failed", effect.Reason(b.Reason))
+	s.park(c)
+}
+
+func (s *State) onClientGone(b event.ClientGone) {
+	if c, ok := s.calls[b.Call]; ok {
+		delete(s.calls, b.Call)
+		s.decide(effect.Decision{Name: "client gone", Job: c.Job, Queue: c.Queue, Age: s.now.Sub(c.arrived)})
+	}
+}
+
+// expireCalls gives up the calls that have waited too long.
+func (s *State) expireCalls() {
+	for _, c := range s.callsInOrder() {
+		if c.phase == callParked && s.now.Sub(c.arrived) >= parkLimit || !s.now.Before(s.limit(c)) {
+			s.giveUp(c)
+		}
+	}
+}
+
+func (s *State) giveUp(c *call) {
+	reason := reasonNoOwner
+	switch c.phase {
+	case callLocal:
+		reason = reasonStoreDown
+	case callForwarded:
+		reason, c.reached = reasonNoAnswer, true
+	}
+	if c.reached || c.phase == callLocal {
+		s.answer(c, effect.Answered{Kind: effect.AnswerUnknown, Reason: reason})
+		return
+	}
+	s.answer(c, effect.Answered{Kind: effect.AnswerRefused, RetryAfter: retryAfter, Reason: reason})
+}
+
+// callsInOrder returns the calls in hand by age.
+func (s *State) callsInOrder() []*call {
+	calls := make([]*call, 0, len(s.calls))
+	for _, c := range s.calls {
+		calls = append(calls, c)
+	}
+	slices.SortFunc(calls, func(a, b *call) int { return int(int64(a.Call) - int64(b.Call)) })
+	return calls
+}
+
+var callNames = map[effect.CallKind]string{
+	effect.CallSubmit: "submit", effect.CallState: "state", effect.CallCancel: "cancel", effect.CallWaiting: "waiting",
+}
+
+var answerNames = map[effect.AnswerKind]string{
+	effect.AnswerAccepted: "accepted", effect.AnswerState: "state", effect.AnswerCancelled: "cancelled",
+	effect.AnswerWaiting: "waiting", effect.AnswerNoQueue: "no queue", effect.AnswerNoJob: "no job",
+	effect.AnswerRefused: "refused", effect.AnswerUnknown: "unknown", effect.AnswerInvalid: "invalid",
+	effect.AnswerNotOwner: "not owner",
+}
+
+func (s *State) answerNew(c *call, a effect.Answered) {
+	s.calls[c.Call] = c
+	s.answer(c, a)
+}
+
+// answer settles a call. Questions about the state are counted but, when they
+// are answered as asked, not logged: clients ask often, and nothing is decided.
+func (s *State) answer(c *call, a effect.Answered) {
+	delete(s.calls, c.Call)
+	s.emit(effect.ReplyCall{Call: c.Call, Answer: a})
+	if c.Peer {
+		return
+	}
+	s.count("calls_"+callNames[c.Kind], effect.Reason(answerNames[a.Kind]))
+	s.emit(effect.Observe{Name: "call_" + callNames[c.Kind], Took: s.now.Sub(c.arrived)})
+	if a.Kind == effect.AnswerState || a.Kind == effect.AnswerWaiting {
+		return
+	}
+	s.decide(effect.Decision{
+		Name: callNames[c.Kind], Job: c.Job, Queue: c.Queue, Outcome: answerNames[a.Kind], Reason: a.Reason,
+		Version: c.Version, Epoch: s.tenure.Newest().Epoch, Age: s.now.Sub(c.arrived),
+	})
+}
--- /dev/null
+++ b/reduce/jobs/evacuate.go
@@ -0,0 +1,61 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/banyanrail/banyanrail/reduce/effect"
+)
+
+// leaveMargin is how long before a draining runner may leave its last runs are
+// stopped, so that what they saved is known.
+const leaveMargin = 700 * time.Millisecond
+
+// evacuate stops the runs on a runner that leaves: lasting ones as soon as
+// there is room for them elsewhere, others when its time is nearly up.
+func (o *ownership) evacuate(r *runner) {
+	leaving := r.Draining && r.Remaining > 0 && o.now().Sub(r.drainSince) > r.Remaining-leaveMargin
+	for _, run := range r.sortedRuns() {
+		if run.phase != runRunning {
+			continue
+		}
+		spec := run.task.step.spec
+		switch {
+		case spec.Lasting && o.roomElsewhere(run) && (r.Draining || o.mayInterrupt(run.task)):
+		case leaving && !spec.Lasting && spec.Checkpoints:
+		default:
+			continue
+		}
+		o.s.decide(effect.Decision{
+			Name: "run evacuated", Task: run.task.id().String(), Attempt: run.attempt, Runner: r.ID, Epoch: o.epoch,
+			Age: o.now().Sub(run.since),
+		})
+		o.stop(run)
+	}
+}
+
+// roomElsewhere reports whether another runner could take a run's task now.
+func (o *ownership) roomElsewhere(run *run) bool {
+	st := run.task.step
+	for _, r := range o.order {
+		if r != run.runner && r.Service == st.occ.job.service && o.usable(r) && o.feasible(st, r, gangShare{}) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayInterrupt reports whether a lasting task may be taken from work: few
+// enough others of its step are away.
+func (o *ownership) mayInterrupt(t *task) bool {
+	spec := t.step.spec
+	if !spec.Lasting || spec.MayMiss == 0 {
+		return true
+	}
+	away := 0
+	for _, other := range t.step.tasks {
+		if other != t && (other.run == nil || other.run.phase != runRunning || !other.run.atWork) {
+			away++
+		}
+	}
+	return away < spec.MayMiss
+}
--- /dev/null
+++ b/reduce/jobs/health.go
@@ -0,0 +1,94 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+)
+
+const (
+	// maxUnproven is the number of runs on a runner that has ended none well
+	// yet: a runner that fails all it starts takes no more than that.
+	maxUnproven = 8
+	// failuresSuspect is the number of failures in a row after which one run at
+	// a time probes a runner, and failuresBad that after which it rests.
+	// Jobs that can never be done fail too, so one failure says little.
+	failuresSuspect = 2
+	failuresBad     = 3
+	// restFirst is the first rest; each further one doubles up to restMost.
+	// Troubles of runners last about five seconds.
+	restFirst = 1500 * time.Millisecond
+	restMost  = 6 * time.Second
+	// stallLimit is how long a run may make no progress: at a sixth of the usual
+	// speed the longest usual tasks still advance by a percent in half of it.
+	stallLimit = 2 * time.Second
+)
+
+// health is what the ends of runs tell about a runner.
+type health struct {
+	proven bool
+	// failures counts bad ends since the last good one.
+	failures int
+	rests    int
+	until    time.Time
+}
+
+// prove notes a good end.
+func (h *health) prove() {
+	h.proven, h.failures, h.rests = true, 0, 0
+}
+
+// fit reports whether a runner's record allows one more run.
+func (o *ownership) fit(r *runner) bool {
+	h := &r.health
+	switch {
+	case o.now().Before(h.until):
+		return false
+	case h.failures >= failuresSuspect:
+		return len(r.runs) == 0
+	case !h.proven:
+		return len(r.runs) < maxUnproven
+	default:
+		return true
+	}
+}
+
+// learn takes in how a run ended.
+func (o *ownership) learn(r *runner, run *run, how fleet.End) {
+	switch how {
+	case fleet.EndDone:
+		r.health.prove()
+	case fleet.EndFailed:
+		if !run.atWork {
+			o.strike(r, "failed a task")
+		}
+	}
+}
+
+// strike notes a bad end and lets the runner rest after several.
+func (o *ownership) strike(r *runner, reason effect.Reason) {
+	h := &r.health
+	h.failures++
+	if h.failures < failuresBad || o.now().Before(h.until) {
+		return
+	}
+	o.rest(r, reason)
+}
+
+func (o *ownership) rest(r *runner, reason effect.Reason) {
+	h := &r.health
+	pause := min(restFirst<<h.rests, restMost)
+	h.rests++
+	h.until = o.now().Add(pause)
+	o.s.decide(effect.Decision{
+		Name: "runner rests", Runner: r.ID, Reason: reason, Count: h.failures, Age: pause, Epoch: o.epoch,
+	})
+	o.s.count("runners_rested", reason)
+}
+
+// stalled reports whether a run has stood still.
+func (o *ownership) stalled(run *run) bool {
+	return run.phase == runRunning && !run.task.step.spec.Lasting && !run.progressAt.IsZero() &&
+		o.now().Sub(run.progressAt) > stallLimit
+}
--- /dev/null
+++ b/reduce/jobs/job.go
@@ -0,0 +1,430 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/ledger"
+)
+
+// job is a job that the owner knows.
+type job struct {
+	id       fleet.JobID
+	queue    fleet.QueueName
+	service  fleet.ServiceName
+	priority int
+	attempts int
+	accepted time.Time
+	// due is when the job should end, and worthless when ending earns nothing.
+	due, worthless time.Time
+	spec           *fleet.JobSpec
+	state          fleet.JobState
+	// shown is the newest stored state.
+	shown fleet.JobState
+	ended time.Time
+	// occurrences holds those that have begun.
+	occurrences []*occurrence
+	// begun is the number of occurrences that have begun, and over the number
+	// of those that have ended.
+	begun, over int
+	// starters waits for the first start, for the count of waiting jobs.
+	started bool
+	advised bool
+
+	// stored is set once the definition is on its way, dropped once its removal
+	// is, and touched once there is progress to tell.
+	stored, dropped, touched, dirty, forgotten bool
+}
+
+// occurrence is one run of a job's steps.
+type occurrence struct {
+	job    *job
+	number int
+	steps  []*step
+	// left is the number of steps that are not done.
+	left int
+}
+
+// step is a step of an occurrence.
+type step struct {
+	occ    *occurrence
+	spec   *fleet.Step
+	number int
+	// first is the number of its first task over all steps.
+	first int
+	tasks []*task
+	left  int
+	// queued is set while the step is in its pool's queue.
+	queued bool
+	// failures counts the failed runs of a gang.
+	failures int
+	// estimate is the guess of a task's run time.
+	estimate time.Duration
+	// rest is the guess of the longest chain of work from this step on.
+	rest   time.Duration
+	advice advice
+}
+
+type taskPhase uint8
+
+const (
+	taskWaiting taskPhase = iota
+	taskActive
+	taskDone
+)
+
+type task struct {
+	step     *step
+	index    int
+	phase    taskPhase
+	attempt  int64
+	failures int
+	saved    string
+	run      *run
+	// avoid is the runner on which it last ended badly.
+	avoid fleet.RunnerID
+	// awaySince is when a lasting task was last at work, for its budget.
+	awaySince time.Time
+}
+
+func (t *task) id() fleet.TaskID {
+	return fleet.TaskID{Job: t.step.occ.job.id, Occurrence: t.step.occ.number, Step: t.step.number, Index: t.index}
+}
+
+func (t *task) job() *job { return t.step.occ.job }
+
+// lateFactor times the objective is when ending earns nothing more.
+const lateFactor = 3
+
+// newJob returns a job that has not begun.
+func (o *ownership) newJob(id fleet.JobID, queue fleet.QueueName, accepted time.Time, spec *fleet.JobSpec) *job {
+	j := &job{
+		id: id, queue: queue, accepted: accepted, spec: spec,
+		state: fleet.JobQueued, shown: fleet.JobQueued,
+	}
+	o.follow(j)
+	return j
+}
+
+// follow takes what the configuration says of the job's queue. A job whose
+// queue is gone keeps what it had.
+func (o *ownership) follow(j *job) {
+	if o.s.queues == nil {
+		return
+	}
+	q, ok := o.s.queues.ByName[j.queue]
+	if !ok {
+		return
+	}
+	j.priority, j.attempts, j.advised = q.Priority, max(1, q.Attempts), q.Advised && o.s.cfg.Bounds.Advice
+	if j.service != q.Service {
+		o.reroute(j, q.Service)
+	}
+	if j.spec != nil {
+		objective := time.Duration(q.Stretch*float64(longestChain(j.spec))) + q.Slack
+		j.due = j.accepted.Add(objective)
+		j.worthless = j.accepted.Add(lateFactor * objective)
+	}
+}
+
+// reroute sends the waiting steps of a job to another pool.
+func (o *ownership) reroute(j *job, service fleet.ServiceName) {
+	old := o.pools[j.service]
+	j.service = service
+	for _, occ := range j.occurrences {
+		for _, st := range occ.steps {
+			if st.queued && old != nil {
+				old.remove(st)
+				st.queued = false
+				o.enqueue(st)
+			}
+		}
+	}
+}
+
+// longestChain returns the guess of the longest chain of work.
+func longestChain(spec *fleet.JobSpec) time.Duration {
+	var longest time.Duration
+	ends := make([]time.Duration, len(spec.Steps))
+	for i := range spec.Steps {
+		st := &spec.Steps[i]
+		var begin time.Duration
+		for _, a := range st.After {
+			begin = max(begin, ends[a])
+		}
+		ends[i] = begin + st.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// begin starts an occurrence: its steps without earlier ones are queued.
+func (o *ownership) begin(j *job) *occurrence {
+	occ := &occurrence{job: j, number: j.begun, left: len(j.spec.Steps)}
+	j.begun++
+	first := 0
+	for i := range j.spec.Steps {
+		spec := &j.spec.Steps[i]
+		st := &step{occ: occ, spec: spec, number: i, first: first, left: spec.Count, estimate: spec.Estimate}
+		for n := range spec.Count {
+			st.tasks = append(st.tasks, &task{step: st, index: n, awaySince: o.now()})
+		}
+		first += spec.Count
+		occ.steps = append(occ.steps, st)
+	}
+	for i := len(occ.steps) - 1; i >= 0; i-- {
+		st := occ.steps[i]
+		st.rest += st.estimate
+		for _, a := range st.spec.After {
+			occ.steps[a].rest = max(occ.steps[a].rest, st.rest)
+		}
+	}
+	j.occurrences = append(j.occurrences, occ)
+	return occ
+}
+
+// queueReady queues the steps whose earlier steps are done.
+func (o *ownership) queueReady(occ *occurrence) {
+	for _, st := range occ.steps {
+		if !st.queued && st.left > 0 && occ.ready(st) && st.hasWaiting() {
+			o.enqueue(st)
+		}
+	}
+}
+
+// ready reports whether all steps before st are done.
+func (occ *occurrence) ready(st *step) bool {
+	for _, a := range st.spec.After {
+		if occ.steps[a].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (st *step) hasWaiting() bool {
+	for _, t := range st.tasks {
+		if t.phase == taskWaiting {
+			return true
+		}
+	}
+	return false
+}
+
+// requeue makes a task wait for another run.
+func (o *ownership) requeue(t *task) {
+	t.run = nil
+	if t.phase == taskDone || t.job().state.Final() {
+		return
+	}
+	t.phase = taskWaiting
+	if !t.step.queued {
+		o.enqueue(t.step)
+	}
+	o.markProgress(t.job())
+}
+
+func (o *ownership) markProgress(j *job) {
+	j.touched = true
+	o.mark(j)
+}
+
+// finish notes that a task is done, with what follows from it.
+func (o *ownership) finish(t *task) {
+	t.phase, t.saved, t.run = taskDone, "", nil
+	st := t.step
+	o.markProgress(t.job())
+	if st.left--; st.left > 0 {
+		return
+	}
+	occ := st.occ
+	if occ.left--; occ.left > 0 {
+		o.queueReady(occ)
+		return
+	}
+	j := occ.job
+	j.over++
+	if j.over == max(1, j.spec.Repeats) {
+		o.end(j, fleet.JobDone)
+	}
+}
+
+// end gives a job its final state. Its runs, if any, stop once that is stored.
+func (o *ownership) end(j *job, state fleet.JobState) {
+	j.state, j.ended = state, o.now()
+	o.markProgress(j)
+	o.dequeue(j)
+	o.after(deferred{shown: j})
+	o.after(deferred{stop: j})
+	o.expiry = append(o.expiry, j)
+	o.removeActive(j)
+	o.s.count("jobs_ended", effect.Reason(state))
+	o.s.decide(effect.Decision{
+		Name: "job ended", Job: j.id, Queue: j.queue, Outcome: string(state), Epoch: o.epoch, Age: o.now().Sub(j.accepted),
+	})
+}
+
+func (o *ownership) removeActive(j *job) {
+	for i, a := range o.active {
+		if a == j {
+			o.active = append(o.active[:i], o.active[i+1:]...)
+			return
+		}
+	}
+}
+
+// dequeue takes all steps of a job out of its pool's queue.
+func (o *ownership) dequeue(j *job) {
+	p := o.pools[j.service]
+	for _, occ := range j.occurrences {
+		for _, st := range occ.steps {
+			if st.queued && p != nil {
+				p.remove(st)
+				st.queued = false
+			}
+		}
+	}
+}
+
+// progress returns what the ledger keeps of how far the job has come.
+func (j *job) progress() *ledger.Progress {
+	p := &ledger.Progress{Queue: j.queue, State: j.state, Ended: j.ended}
+	if j.state.Final() {
+		return p
+	}
+	for _, occ := range j.occurrences {
+		p.Occurrences = append(p.Occurrences, occ.progress())
+	}
+	return p
+}
+
+func (occ *occurrence) progress() ledger.Occurrence {
+	out := ledger.Occurrence{Number: occ.number}
+	for _, st := range occ.steps {
+		for _, t := range st.tasks {
+			out.Done = append(out.Done, t.phase == taskDone)
+			if r, ok := t.remembered(); ok {
+				out.Tasks = append(out.Tasks, r)
+			}
+		}
+	}
+	return out
+}
+
+func (t *task) remembered() (ledger.Task, bool) {
+	if t.phase == taskDone || t.attempt == 0 {
+		return ledger.Task{}, false
+	}
+	out := ledger.Task{Number: t.step.first + t.index, Attempt: t.attempt, Failures: t.failures, Saved: t.saved}
+	if t.run != nil {
+		out.Runner, out.Incarnated = t.run.runner.ID, t.run.incarnated
+	}
+	return out, true
+}
+
+// restore rebuilds a job from the ledger.
+func (o *ownership) restore(s *ledger.Stored) {
+	if s.Definition == nil {
+		if s.Progress != nil && s.Progress.State.Final() {
+			o.restoreEnded(s)
+		}
+		return
+	}
+	j := o.newJob(s.Job, s.Definition.Queue, s.Definition.Accepted, s.Definition.Spec)
+	j.stored = true
+	o.jobs[j.id] = j
+	if s.Progress != nil && s.Progress.State.Final() {
+		j.state, j.shown, j.ended = s.Progress.State, s.Progress.State, s.Progress.Ended
+		j.touched = true
+		o.expiry = append(o.expiry, j)
+		return
+	}
+	o.active = append(o.active, j)
+	if s.Progress != nil {
+		j.touched = true
+		for i := range s.Progress.Occurrences {
+			o.restoreOccurrence(j, &s.Progress.Occurrences[i])
+		}
+	}
+	if len(j.occurrences) == 0 {
+		o.beginDue(j)
+	}
+}
+
+func (o *ownership) restoreEnded(s *ledger.Stored) {
+	j := &job{
+		id: s.Job, queue: s.Progress.Queue, state: s.Progress.State, shown: s.Progress.State,
+		ended: s.Progress.Ended, stored: true, touched: true, dropped: true,
+	}
+	o.jobs[j.id] = j
+	o.expiry = append(o.expiry, j)
+}
+
+func (o *ownership) restoreOccurrence(j *job, r *ledger.Occurrence) {
+	occ := o.begin(j)
+	occ.number = r.Number
+	j.begun = max(j.begun, r.Number+1)
+	tasks := occ.all()
+	for i, done := range r.Done {
+		if done && i < len(tasks) {
+			tasks[i].phase = taskDone
+			tasks[i].step.left--
+		}
+	}
+	for i := range r.Tasks {
+		if n := r.Tasks[i].Number; n < len(tasks) {
+			o.restoreTask(tasks[n], &r.Tasks[i])
+		}
+	}
+	for _, st := range occ.steps {
+		if st.left == 0 {
+			occ.left--
+		}
+	}
+	if occ.left == 0 {
+		j.over++
+	}
+	o.queueReady(occ)
+}
+
+func (o *ownership) restoreTask(t *task, r *ledger.Task) {
+	t.attempt, t.failures, t.saved = r.Attempt, r.Failures, r.Saved
+	t.job().started = true
+	if r.Runner == "" {
+		return
+	}
+	o.adopt(t, r.Runner, r.Incarnated)
+}
+
+func (occ *occurrence) all() []*task {
+	var out []*task
+	for _, st := range occ.steps {
+		out = append(out, st.tasks...)
+	}
+	return out
+}
+
+// beginDue begins the occurrences of a job that are due.
+func (o *ownership) beginDue(j *job) {
+	for j.begun < max(1, j.spec.Repeats) && !o.now().Before(j.dueAt(j.begun)) {
+		o.queueReady(o.begin(j))
+	}
+}
+
+// dueAt returns when an occurrence is due.
+func (j *job) dueAt(n int) time.Time {
+	if j.spec.Repeats == 0 {
+		return j.accepted
+	}
+	return j.spec.FirstAt.Add(time.Duration(n) * j.spec.Interval)
+}
+
+// tickSchedule begins the occurrences that have become due.
+func (o *ownership) tickSchedule() {
+	for _, j := range o.active {
+		if j.spec.Repeats > 0 && j.begun < j.spec.Repeats {
+			o.beginDue(j)
+		}
+	}
+}
--- /dev/null
+++ b/reduce/jobs/look.go
@@ -0,0 +1,316 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+)
+
+const (
+	// lookWait is how long a runner may wait for an end before it answers.
+	lookWait = 1200 * time.Millisecond
+	// servingWait takes its place where filling tasks run beside serving ones,
+	// whose response times change within seconds.
+	servingWait = 500 * time.Millisecond
+	// lookLimit is how much longer than its wait a look's answer may take.
+	lookLimit = 900 * time.Millisecond
+	// lookPause is the pause after a look that failed.
+	lookPause = 150 * time.Millisecond
+	// blindPause is the pause between looks while ends cannot be stored, which
+	// runners would list again at once.
+	blindPause = time.Second
+	// endsPage is the number of ends that a runner lists at once.
+	endsPage = 500
+	// orderFreshness bounds the age of an order when it is sent, so that a
+	// process that was suspended sends nothing stale.
+	orderFreshness = 400 * time.Millisecond
+)
+
+// look is the state of the looks at one runner; there is one at a time.
+type look struct {
+	underway bool
+	number   uint64
+	sent     time.Time
+	// notBefore is when the next one may be sent.
+	notBefore time.Time
+	// since is when the lists were first complete.
+	since time.Time
+	// lost is set while the runner does not answer.
+	lost bool
+}
+
+// lookIfDue sends a look unless one is under way or none is needed.
+func (o *ownership) lookIfDue(r *runner) {
+	l := &r.look
+	if l.underway || r.Address == "" || o.phase != phaseActive || o.now().Before(l.notBefore) {
+		return
+	}
+	if r.touched && len(r.runs) == 0 && r.acked >= r.seen {
+		return
+	}
+	if !r.listed && len(r.runs) == 0 {
+		return
+	}
+	if !o.s.tenure.Valid(o.now()) {
+		return
+	}
+	o.looks++
+	l.underway, l.number, l.sent = true, o.looks, o.now()
+	e := effect.Look{
+		Epoch: o.epoch, Runner: r.ID, Address: r.Address, Number: l.number, Acknowledged: r.acked,
+		NotAfter: o.now().Add(orderFreshness),
+	}
+	if r.touched {
+		e.Deadline = r.newDeadline(o.now())
+		if r.acked >= r.seen {
+			e.Wait = o.waitFor(r)
+		}
+	}
+	o.s.emit(e)
+}
+
+func (o *ownership) waitFor(r *runner) time.Duration {
+	if r.fillsBesideServing() {
+		return servingWait
+	}
+	return lookWait
+}
+
+func (o *ownership) onRunnerLooked(b event.RunnerLooked) {
+	r, ok := o.runners[b.Runner]
+	if !ok || !r.look.underway || r.look.number != b.Number {
+		return
+	}
+	sent := r.look.sent
+	r.look.underway = false
+	if b.Outcome != event.OrderDone {
+		o.onLookFailed(r, b)
+		return
+	}
+	if r.look.lost {
+		r.look.lost = false
+		o.s.decide(effect.Decision{Name: "runner regained", Runner: r.ID, Epoch: o.epoch})
+	}
+	if r.Incarnated != 0 && b.Incarnated != 0 && b.Incarnated != r.Incarnated {
+		if b.Incarnated < r.Incarnated {
+			return
+		}
+		o.dead(r, reasonReborn)
+	}
+	if b.Incarnated != 0 {
+		o.loseOlder(r, b.Incarnated)
+		r.Incarnated = b.Incarnated
+	}
+	r.tellClock(b.Clock)
+	first := !r.touched
+	r.touched = true
+	o.takeEnds(r, b.Ended)
+	if len(b.Ended) < endsPage {
+		o.takeRunning(r, b.Running, sent)
+	}
+	if first {
+		o.pool(r.Service).dirty = true
+	}
+	o.tickPace(r)
+	o.lookAgain(r)
+}
+
+// loseOlder gives up runs of incarnations before the one that answered.
+func (o *ownership) loseOlder(r *runner, current fleet.Incarnation) {
+	for _, run := range r.sortedRuns() {
+		if run.incarnated != 0 && run.incarnated != current {
+			o.lose(run, reasonReborn)
+		}
+	}
+}
+
+// lookAgain sends the next look, at once if nothing has to be stored before.
+func (o *ownership) lookAgain(r *runner) {
+	if r.acked < r.seen {
+		// onEndsStored looks; while the store is down, the lease has to be kept.
+		r.look.notBefore = o.now().Add(blindPause)
+		return
+	}
+	r.look.notBefore = time.Time{}
+	o.lookIfDue(r)
+}
+
+func (o *ownership) onLookFailed(r *runner, b event.RunnerLooked) {
+	switch b.Outcome {
+	case event.OrderFenced:
+		o.s.endTenure(reasonRunnerFenced)
+		return
+	case event.OrderOtherIncarnation:
+		o.dead(r, reasonReplaced)
+		r.Address, r.listed = "", false
+		r.unlisted = o.now()
+		return
+	case event.OrderStale:
+		return
+	}
+	r.look.notBefore = o.now().Add(lookPause)
+	if !r.look.lost {
+		r.look.lost = true
+		o.s.decide(effect.Decision{
+			Name: "runner lost", Warning: true, Runner: r.ID, Epoch: o.epoch, Reason: effect.Reason(b.Reason), Count: len(r.runs),
+		})
+	}
+}
+
+// onEndsStored lets a runner forget ends.
+func (o *ownership) onEndsStored(r *runner, number int64) {
+	if number <= r.acked || number > r.seen {
+		return // of an earlier incarnation
+	}
+	r.acked = number
+	if r.acked >= r.seen {
+		r.look.notBefore = time.Time{}
+		o.lookIfDue(r)
+	}
+}
+
+// takeEnds takes in the ends that a runner lists.
+func (o *ownership) takeEnds(r *runner, ended []fleet.EndedTask) {
+	last := r.seen
+	for i := range ended {
+		e := &ended[i]
+		if e.Number <= r.seen {
+			continue
+		}
+		last = max(last, e.Number)
+		o.takeEnd(r, e)
+	}
+	if last > r.seen {
+		r.seen = last
+		o.after(deferred{runner: r, ack: last})
+	}
+}
+
+func (o *ownership) takeEnd(r *runner, e *fleet.EndedTask) {
+	run, ok := r.runs[e.Task]
+	if !ok || run.attempt != e.Attempt {
+		o.takeStrayEnd(r, e)
+		return
+	}
+	t := run.task
+	if e.Saved != "" {
+		t.saved = e.Saved
+	}
+	o.release(run)
+	o.logEnd(run, e.How)
+	o.learn(r, run, e.How)
+	switch e.How {
+	case fleet.EndDone:
+		o.onDone(t)
+	case fleet.EndFailed:
+		o.onFailed(t, r)
+	default:
+		o.requeue(t)
+	}
+	o.pool(r.Service).dirty = true
+}
+
+// takeStrayEnd takes in the end of a run that the owner has given up: its work
+// counts if the task has not been started since.
+func (o *ownership) takeStrayEnd(r *runner, e *fleet.EndedTask) {
+	t := o.task(e.Task)
+	if t == nil || t.phase != taskWaiting || e.Attempt != t.attempt {
+		return
+	}
+	switch e.How {
+	case fleet.EndDone:
+		o.onDone(t)
+	case fleet.EndFailed:
+		o.onFailed(t, r)
+	}
+}
+
+func (o *ownership) onDone(t *task) {
+	if t.job().state.Final() {
+		return
+	}
+	st := t.step
+	if t.phase == taskDone {
+		return
+	}
+	o.finish(t)
+	if st.spec.Gang {
+		// One member's end stands for all of them.
+		for _, other := range st.tasks {
+			if other.phase != taskDone {
+				o.finish(other)
+			}
+		}
+	}
+	if st.queued && !st.hasWaiting() {
+		o.pool(t.job().service).remove(st)
+		st.queued = false
+	}
+}
+
+// onFailed counts a failed run. A task that has failed as often as its queue
+// allows fails its job.
+func (o *ownership) onFailed(t *task, r *runner) {
+	t.avoid = r.ID
+	j := t.job()
+	if j.state.Final() {
+		return
+	}
+	failures := &t.failures
+	if t.step.spec.Gang {
+		failures = &t.step.failures
+	}
+	*failures++
+	if !t.step.spec.Lasting && *failures >= j.attempts {
+		t.run = nil
+		o.end(j, fleet.JobFailed)
+		return
+	}
+	o.requeue(t)
+}
+
+// takeRunning takes in what a runner runs. Runs that it does not list, though it
+// confirmed them before it was asked, are gone.
+func (o *ownership) takeRunning(r *runner, rows []fleet.RunningTask, sent time.Time) {
+	present := make(map[fleet.TaskID]bool, len(rows))
+	for i := range rows {
+		row := &rows[i]
+		run, ok := r.runs[row.Task]
+		if !ok || run.attempt != row.Attempt {
+			o.stopStray(r, row)
+			continue
+		}
+		present[row.Task] = true
+		run.observe(o, row)
+	}
+	for _, run := range r.sortedRuns() {
+		if !present[run.task.id()] && run.settledBefore(sent) {
+			o.lose(run, reasonVanished)
+		}
+	}
+}
+
+// stopStray stops a run that the owner did not ask for or has given up.
+func (o *ownership) stopStray(r *runner, row *fleet.RunningTask) {
+	o.s.decide(effect.Decision{Name: "stray run stopped", Task: row.Task.String(), Attempt: row.Attempt, Runner: r.ID, Epoch: o.epoch})
+	o.s.emit(effect.OrderTask{
+		Epoch: o.epoch, Kind: effect.OrderStop, Runner: r.ID, Address: r.Address, Task: row.Task, Attempt: row.Attempt,
+		NotAfter: o.now().Add(orderFreshness),
+	})
+}
+
+// task returns a task by its id, or nil.
+func (o *ownership) task(id fleet.TaskID) *task {
+	j, ok := o.jobs[id.Job]
+	if !ok {
+		return nil
+	}
+	for _, occ := range j.occurrences {
+		if occ.number == id.Occurrence && id.Step < len(occ.steps) && id.Index < len(occ.steps[id.Step].tasks) {
+			return occ.steps[id.Step].tasks[id.Index]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/reduce/jobs/ownership.go
@@ -0,0 +1,148 @@
+package jobs
+
+import (
+	"slices"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+)
+
+type phase uint8
+
+const (
+	// phaseFencing waits until earlier owners cannot write any more.
+	phaseFencing phase = iota + 1
+	// phaseLoading reads the ledger.
+	phaseLoading
+	phaseActive
+)
+
+// storeRetry is the pause after the store refused or did not answer.
+const storeRetry = 100 * time.Millisecond
+
+// ownership is what the owner of the jobs knows. It ends with the tenure.
+type ownership struct {
+	s     *State
+	epoch int64
+	since time.Time
+	phase phase
+	// retryAt is when fencing or loading is tried again; zero while it runs.
+	retryAt time.Time
+
+	jobs map[fleet.JobID]*job
+	// active holds the jobs that have not ended, in order of acceptance.
+	active  []*job
+	expiry  []*job
+	runners map[fleet.RunnerID]*runner
+	// order lists the runners by id, so that decisions do not depend on the
+	// order of a map.
+	order  []*runner
+	pools  map[fleet.ServiceName]*pool
+	outbox outbox
+	// listed is set once the whole list of runners was read, and listBlind
+	// while it cannot be read.
+	listed    bool
+	listBlind bool
+	looks     uint64
+	instances instances
+	planner   planner
+}
+
+func newOwnership(s *State, epoch int64) *ownership {
+	return &ownership{
+		s: s, epoch: epoch, since: s.now, phase: phaseFencing,
+		jobs:      make(map[fleet.JobID]*job),
+		runners:   make(map[fleet.RunnerID]*runner),
+		pools:     make(map[fleet.ServiceName]*pool),
+		instances: newInstances(),
+		planner:   newPlanner(),
+	}
+}
+
+func (o *ownership) now() time.Time { return o.s.now }
+
+// ifCurrent runs do for an event of this tenure.
+func (o *ownership) ifCurrent(epoch int64, do func()) {
+	if epoch == o.epoch {
+		do()
+	}
+}
+
+func (o *ownership) onLedgerFenced(b event.LedgerFenced) {
+	if o.phase != phaseFencing {
+		return
+	}
+	switch b.Outcome {
+	case effect.AppendDone:
+		o.phase = phaseLoading
+		o.s.emit(effect.LoadLedger{Epoch: o.epoch})
+	case effect.AppendFenced:
+		o.s.endTenure(reasonLedgerFenced)
+	default:
+		o.retryAt = o.now().Add(storeRetry)
+	}
+}
+
+func (o *ownership) onLedgerLoaded(b event.LedgerLoaded) {
+	if o.phase != phaseLoading {
+		return
+	}
+	if b.Failed {
+		o.retryAt = o.now().Add(storeRetry)
+		return
+	}
+	for i := range b.Jobs {
+		o.restore(&b.Jobs[i])
+	}
+	slices.SortStableFunc(o.active, func(a, b *job) int { return a.accepted.Compare(b.accepted) })
+	o.phase = phaseActive
+	o.outbox.storedAt = o.now()
+	o.s.decide(effect.Decision{
+		Name: "ledger loaded", Entry: o.s.cfg.Entry, Epoch: o.epoch, Count: len(o.active), Age: o.now().Sub(o.since),
+	})
+}
+
+// tick does what has become due.
+func (o *ownership) tick() {
+	if !o.retryAt.IsZero() && !o.now().Before(o.retryAt) {
+		o.retryAt = time.Time{}
+		if o.phase == phaseFencing {
+			o.s.emit(effect.FenceLedger{Epoch: o.epoch})
+		} else {
+			o.s.emit(effect.LoadLedger{Epoch: o.epoch})
+		}
+	}
+	if o.phase != phaseActive {
+		return
+	}
+	for _, r := range o.order {
+		o.tickRunner(r)
+	}
+	o.tickRuns()
+	o.tickSchedule()
+	o.expireJobs()
+	o.tickInstances()
+	for _, p := range o.pools {
+		p.dirty = true
+	}
+}
+
+func (o *ownership) onQueuesChanged() {
+	for _, j := range o.active {
+		o.follow(j)
+	}
+}
+
+// busy reports whether something is still to be stored.
+func (o *ownership) busy() bool {
+	return o.phase == phaseActive && (o.outbox.inFlight != nil || len(o.outbox.dirty) > 0)
+}
+
+func (o *ownership) onRunnersReadFailed(b event.RunnersReadFailed) {
+	if !o.listBlind {
+		o.listBlind = true
+		o.s.decide(effect.Decision{Name: "list of runners lost", Warning: true, Epoch: o.epoch, Reason: effect.Reason(b.Reason)})
+	}
+}
--- /dev/null
+++ b/reduce/jobs/place.go
@@ -0,0 +1,306 @@
+package jobs
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+)
+
+// worthClass says what a step can still earn.
+type worthClass uint8
+
+const (
+	classLasting worthClass = iota
+	classOnTime
+	classLate
+	classWorthless
+)
+
+// ranked is a step with what decides its turn.
+type ranked struct {
+	step  *step
+	class worthClass
+	// latest is when the step has to start for its job to be on time.
+	latest time.Time
+}
+
+// place starts waiting tasks where there is room for them.
+func (o *ownership) place() {
+	if o.phase != phaseActive || !o.s.tenure.Valid(o.now()) || o.storeDown() {
+		return
+	}
+	for _, name := range o.poolNames() {
+		p := o.pools[name]
+		if p.dirty && len(p.queue) > 0 {
+			o.placePool(p)
+		}
+		p.dirty = false
+	}
+}
+
+func (o *ownership) poolNames() []fleet.ServiceName {
+	names := make([]fleet.ServiceName, 0, len(o.pools))
+	for name := range o.pools {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (o *ownership) placePool(p *pool) {
+	usable := o.usableRunners(p.name)
+	if len(usable) == 0 {
+		return
+	}
+	for _, k := range o.rank(p.queue) {
+		o.placeStep(k.step, usable)
+		if !k.step.hasWaiting() {
+			p.remove(k.step)
+			k.step.queued = false
+		}
+	}
+}
+
+func (o *ownership) usableRunners(name fleet.ServiceName) []*runner {
+	var out []*runner
+	for _, r := range o.order {
+		if r.Service == name && o.usable(r) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// rank orders steps by what they can still earn, then priority, then whether
+// their job has begun, then urgency.
+func (o *ownership) rank(queue []*step) []ranked {
+	out := make([]ranked, 0, len(queue))
+	for _, st := range queue {
+		out = append(out, ranked{step: st, class: o.class(st), latest: st.occ.due().Add(-st.rest)})
+	}
+	slices.SortStableFunc(out, func(a, b ranked) int {
+		ja, jb := a.step.occ.job, b.step.occ.job
+		return cmp.Or(
+			cmp.Compare(a.class, b.class),
+			cmp.Compare(ja.priority, jb.priority),
+			compareBool(jb.started, ja.started),
+			a.latest.Compare(b.latest),
+		)
+	})
+	return out
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// due returns when an occurrence should have ended.
+func (occ *occurrence) due() time.Time {
+	j := occ.job
+	return j.due.Add(j.dueAt(occ.number).Sub(j.accepted))
+}
+
+func (o *ownership) class(st *step) worthClass {
+	if st.spec.Lasting {
+		return classLasting
+	}
+	end := o.now().Add(st.rest)
+	j := st.occ.job
+	shift := st.occ.due().Sub(j.due)
+	switch {
+	case !end.After(st.occ.due()):
+		return classOnTime
+	case !end.After(j.worthless.Add(shift)):
+		return classLate
+	default:
+		return classWorthless
+	}
+}
+
+func (o *ownership) placeStep(st *step, usable []*runner) {
+	if st.occ.job.advised && !o.advised(st, usable) {
+		return
+	}
+	if st.spec.Gang {
+		o.placeGang(st, usable)
+		return
+	}
+	for _, t := range st.tasks {
+		if t.phase != taskWaiting {
+			continue
+		}
+		r := o.choose(st, t, usable, nil)
+		if r == nil {
+			return
+		}
+		o.intend(t, r, t.attempt+1, st.advice.tickets[r.ID])
+	}
+}
+
+// choose returns the runner for a task, or nil. Extra holds what a gang's other
+// members will take.
+func (o *ownership) choose(st *step, t *task, usable []*runner, extra map[*runner]gangShare) *runner {
+	var best *runner
+	var bestScore int64
+	for _, r := range usable {
+		share := extra[r]
+		if !o.feasible(st, r, share) {
+			continue
+		}
+		score := o.score(st, t, r, share)
+		if best == nil || score > bestScore {
+			best, bestScore = r, score
+		}
+	}
+	return best
+}
+
+// gangShare is what the members of a gang take of a runner.
+type gangShare struct {
+	used  fleet.Capacity
+	tasks int
+}
+
+func (o *ownership) feasible(st *step, r *runner, share gangShare) bool {
+	if !o.fit(r) || !r.free().Minus(share.used).Fits(st.spec.Occupies()) || !r.HasLabel(st.spec.Label) {
+		return false
+	}
+	if st.occ.job.advised && st.advice.tickets[r.ID] == "" {
+		return false
+	}
+	return st.spec.MaxPerRunner == 0 || st.countOn(r)+share.tasks < st.spec.MaxPerRunner
+}
+
+// countOn returns the number of the step's runs on a runner.
+func (st *step) countOn(r *runner) int {
+	n := 0
+	for _, t := range st.tasks {
+		if t.run != nil && t.run.runner == r {
+			n++
+		}
+	}
+	return n
+}
+
+// Weights of a runner's score, in thousandths of a core, as which free
+// processor time counts: more than a whole runner each.
+const (
+	affinityScore = 1_000_000
+	avoidScore    = -10_000_000
+	spreadScore   = -100_000
+	servingScore  = -1_000_000
+)
+
+// score prefers the runner with the most room, since work that shares a runner
+// slows down, and one loss takes less. Data nearby goes before that; a runner
+// on which the task ended badly comes last. Lasting tasks of a step are spread,
+// and filling tasks keep away from serving ones.
+func (o *ownership) score(st *step, t *task, r *runner, share gangShare) int64 {
+	score := r.free().Minus(share.used).CPU
+	if st.spec.Affinity != "" && st.spec.Affinity == r.Rack {
+		score += affinityScore
+	}
+	if t.avoid == r.ID {
+		score += avoidScore
+	}
+	if st.spec.Lasting {
+		score += int64(st.countOn(r)) * spreadScore
+	}
+	if st.spec.Filling {
+		score += int64(r.count(isServing)) * servingScore
+	}
+	if st.spec.Target > 0 {
+		score += int64(r.count(isFilling)) * servingScore
+	}
+	return score
+}
+
+func isServing(s *fleet.Step) bool { return s.Target > 0 }
+func isFilling(s *fleet.Step) bool { return s.Filling }
+
+func (r *runner) count(is func(*fleet.Step) bool) int {
+	n := 0
+	for _, run := range r.runs {
+		if is(run.task.step.spec) {
+			n++
+		}
+	}
+	return n
+}
+
+// placeGang starts all tasks of a gang, or none. All carry one attempt number
+// and one saved value.
+func (o *ownership) placeGang(st *step, usable []*runner) {
+	for _, t := range st.tasks {
+		if t.phase != taskWaiting {
+			return
+		}
+	}
+	for _, group := range o.gangGroups(st, usable) {
+		if plan := o.planGang(st, group); plan != nil {
+			o.startGang(st, plan)
+			return
+		}
+	}
+}
+
+// gangGroups returns the sets of runners to try for a gang: for one that is
+// slow over several racks, each rack first.
+func (o *ownership) gangGroups(st *step, usable []*runner) [][]*runner {
+	var groups [][]*runner
+	if st.spec.SameRack {
+		byRack := make(map[fleet.Rack][]*runner)
+		var racks []fleet.Rack
+		for _, r := range usable {
+			if byRack[r.Rack] == nil {
+				racks = append(racks, r.Rack)
+			}
+			byRack[r.Rack] = append(byRack[r.Rack], r)
+		}
+		for _, rack := range racks {
+			groups = append(groups, byRack[rack])
+		}
+		if o.class(st) == classOnTime {
+			return groups
+		}
+	}
+	return append(groups, usable)
+}
+
+func (o *ownership) planGang(st *step, usable []*runner) []*runner {
+	extra := make(map[*runner]gangShare)
+	plan := make([]*runner, 0, len(st.tasks))
+	for _, t := range st.tasks {
+		r := o.choose(st, t, usable, extra)
+		if r == nil {
+			return nil
+		}
+		share := extra[r]
+		share.used, share.tasks = share.used.Plus(st.spec.Occupies()), share.tasks+1
+		extra[r] = share
+		plan = append(plan, r)
+	}
+	return plan
+}
+
+func (o *ownership) startGang(st *step, plan []*runner) {
+	var attempt int64
+	saved := ""
+	for _, t := range st.tasks {
+		attempt = max(attempt, t.attempt+1)
+		saved = max(saved, t.saved)
+	}
+	for i, t := range st.tasks {
+		t.saved = saved
+		o.intend(t, plan[i], attempt, st.advice.tickets[plan[i].ID])
+	}
+}
--- /dev/null
+++ b/reduce/jobs/runner.go
@@ -0,0 +1,247 @@
+package jobs
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/tenure"
+)
+
+const (
+	// leaseLength is how long what runs on a runner lives after the last order
+	// of the owner. A takeover after a crash takes Silence and about half a
+	// second, a look lookWait: the sum has to stay below it.
+	leaseLength = 7 * time.Second
+	// slowestClock is the rate of the slowest runner's clock.
+	slowestClock = 0.98
+	// clockMargin covers the rounding of runners' clocks.
+	clockMargin = 50 * time.Millisecond
+)
+
+// runner is what the owner knows of a runner.
+type runner struct {
+	fleet.Runner
+	// listed is set while the runner is in the platform's list.
+	listed   bool
+	unlisted time.Time
+	// touched is set once the runner has seen this tenure's fence, so that no
+	// earlier owner can start anything there.
+	touched bool
+	clock   event.Clock
+	// deadline is the latest lease that this owner gave, in milliseconds of the
+	// runner's clock.
+	deadline int64
+	runs     map[fleet.TaskID]*run
+	used     fleet.Capacity
+	// acked is the last end whose meaning is stored, seen the last one read.
+	acked, seen int64
+	look        look
+	health      health
+	// drainSince is when the runner was first seen draining.
+	drainSince time.Time
+	// vacating is set while the runner's instance is to be moved or maintained.
+	vacating bool
+	// roomUntil is until when nothing is started after a refusal for room.
+	roomUntil time.Time
+}
+
+// pool holds the runners of a service and the steps that wait for them.
+type pool struct {
+	name  fleet.ServiceName
+	queue []*step
+	dirty bool
+}
+
+func (p *pool) remove(st *step) {
+	if i := slices.Index(p.queue, st); i >= 0 {
+		p.queue = slices.Delete(p.queue, i, i+1)
+	}
+}
+
+func (o *ownership) pool(name fleet.ServiceName) *pool {
+	p, ok := o.pools[name]
+	if !ok {
+		p = &pool{name: name}
+		o.pools[name] = p
+	}
+	return p
+}
+
+func (o *ownership) enqueue(st *step) {
+	st.queued = true
+	p := o.pool(st.occ.job.service)
+	p.queue = append(p.queue, st)
+	p.dirty = true
+}
+
+// onRunnersRead takes in changes of the platform's list.
+func (o *ownership) onRunnersRead(b event.RunnersRead) {
+	if o.listBlind {
+		o.listBlind = false
+		o.s.decide(effect.Decision{Name: "list of runners regained", Epoch: o.epoch})
+	}
+	if b.Whole {
+		o.listed = true
+		for _, r := range o.order {
+			r.listed = false
+		}
+	}
+	for i := range b.Runners {
+		o.onRunnerListed(&b.Runners[i])
+	}
+	for _, id := range b.Gone {
+		if r, ok := o.runners[id]; ok && r.listed {
+			r.listed, r.unlisted = false, o.now()
+			o.s.decide(effect.Decision{Name: "runner left the list", Runner: id, Epoch: o.epoch, Count: len(r.runs)})
+		}
+	}
+	o.dropEmpty()
+}
+
+// dropEmpty forgets the runners that are gone and run nothing.
+func (o *ownership) dropEmpty() {
+	for _, r := range slices.Clone(o.order) {
+		if !r.listed && len(r.runs) == 0 && r.Address == "" {
+			o.drop(r)
+		}
+	}
+}
+
+func (o *ownership) drop(r *runner) {
+	delete(o.runners, r.ID)
+	o.order = slices.DeleteFunc(o.order, func(x *runner) bool { return x == r })
+}
+
+func (o *ownership) onRunnerListed(f *fleet.Runner) {
+	r := o.runner(f.ID)
+	if r.Incarnated != 0 && f.Incarnated != 0 && r.Incarnated != f.Incarnated {
+		if f.Incarnated < r.Incarnated {
+			return // an older report
+		}
+		o.dead(r, reasonReborn)
+	}
+	wasDraining, wasListed := r.Draining, r.listed
+	r.Runner = *f
+	r.listed = true
+	if f.Draining && !wasDraining {
+		r.drainSince = o.now()
+		o.s.decide(effect.Decision{Name: "runner drains", Runner: r.ID, Epoch: o.epoch, Count: len(r.runs), Age: f.Remaining})
+	}
+	if !wasListed {
+		o.s.decide(effect.Decision{Name: "runner listed", Runner: r.ID, Epoch: o.epoch, Count: len(r.runs)})
+	}
+	o.pool(r.Service).dirty = true
+	o.lookIfDue(r)
+}
+
+// runner returns the runner with an id, which may be unknown so far.
+func (o *ownership) runner(id fleet.RunnerID) *runner {
+	r, ok := o.runners[id]
+	if !ok {
+		r = &runner{Runner: fleet.Runner{ID: id}, runs: make(map[fleet.TaskID]*run)}
+		o.runners[id] = r
+		i, _ := slices.BinarySearchFunc(o.order, r, func(a, b *runner) int {
+			return strings.Compare(string(a.ID), string(b.ID))
+		})
+		o.order = slices.Insert(o.order, i, r)
+	}
+	return r
+}
+
+// Reasons for the end of all that ran on a runner.
+const (
+	reasonReborn   effect.Reason = "the runner has started anew"
+	reasonReplaced effect.Reason = "another runner has its address"
+	reasonLapsed   effect.Reason = "the lease has run out"
+	reasonOrdered  effect.Reason = "its instance was moved or maintained"
+	reasonVanished effect.Reason = "the runner does not list it"
+)
+
+// dead notes that nothing runs on a runner's last incarnation any more.
+func (o *ownership) dead(r *runner, reason effect.Reason) {
+	if len(r.runs) > 0 {
+		o.s.decide(effect.Decision{Name: "runs lost", Warning: true, Runner: r.ID, Reason: reason, Count: len(r.runs), Epoch: o.epoch})
+	}
+	for _, run := range r.sortedRuns() {
+		o.lose(run, reason)
+	}
+	r.touched, r.deadline, r.acked, r.seen = false, 0, 0, 0
+	r.clock = event.Clock{}
+	r.look.since = time.Time{}
+	r.used = fleet.Capacity{}
+	r.Incarnated = 0
+	r.health = health{}
+}
+
+func (r *runner) sortedRuns() []*run {
+	out := make([]*run, 0, len(r.runs))
+	for _, run := range r.runs {
+		out = append(out, run)
+	}
+	slices.SortFunc(out, func(a, b *run) int { return a.compare(b) })
+	return out
+}
+
+// tellClock takes in a runner's clock reading.
+func (r *runner) tellClock(c event.Clock) {
+	if c.Reading > 0 && c.Received.After(r.clock.Received) {
+		r.clock = c
+	}
+}
+
+// newDeadline returns the end of a lease that begins now, and remembers it.
+func (r *runner) newDeadline(now time.Time) int64 {
+	if r.clock.Reading == 0 {
+		return 0
+	}
+	d := r.clock.Reading + now.Sub(r.clock.Received).Milliseconds() + leaseLength.Milliseconds()
+	r.deadline = max(r.deadline, d)
+	return d
+}
+
+// lapsed reports whether every lease that anyone gave on the runner has
+// certainly run out, on the slowest clock.
+func (o *ownership) lapsed(r *runner) bool {
+	if !r.touched || r.clock.Reading == 0 {
+		// An earlier owner gave leases until its tenure was no longer valid.
+		return o.now().Sub(o.since) > tenure.Validity+slowest(leaseLength)
+	}
+	if r.deadline == 0 {
+		// Leases of earlier owners only.
+		return o.now().Sub(r.clock.Received) > slowest(leaseLength)
+	}
+	left := time.Duration(r.deadline-r.clock.Reading) * time.Millisecond
+	return o.now().Sub(r.clock.Received) > slowest(left)
+}
+
+// slowest returns the longest time that a runner's clock takes to advance by d.
+func slowest(d time.Duration) time.Duration {
+	return time.Duration(float64(d)/slowestClock) + clockMargin
+}
+
+// usable reports whether tasks may be started on the runner.
+func (o *ownership) usable(r *runner) bool {
+	return r.listed && r.touched && !r.Draining && !r.vacating && r.Capacity.CPU > 0 &&
+		!o.now().Before(r.roomUntil) && o.fit(r)
+}
+
+func (r *runner) free() fleet.Capacity { return r.Capacity.Minus(r.used) }
+
+// tickRunner looks at a runner if that is due, and gives up what has lapsed.
+func (o *ownership) tickRunner(r *runner) {
+	if len(r.runs) > 0 && o.lapsed(r) {
+		o.dead(r, reasonLapsed)
+		return
+	}
+	o.lookIfDue(r)
+	if r.Draining || r.vacating {
+		o.evacuate(r)
+	}
+	if !r.listed && len(r.runs) == 0 && o.now().Sub(r.unlisted) > leaseLength {
+		o.drop(r)
+	}
+}
--- /dev/null
+++ b/reduce/jobs/serve.go
@@ -0,0 +1,93 @@
+package jobs
+
+import (
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+)
+
+// maxActive bounds the jobs that have not ended, for memory: with texts of 4 KB
+// they take about 100 MB.
+const maxActive = 12_000
+
+// serve handles a call at the owner.
+func (o *ownership) serve(c *call) {
+	if _, ok := o.s.queues.ByName[c.Queue]; !ok {
+		o.s.answer(c, effect.Answered{Kind: effect.AnswerNoQueue, Reason: reasonUnknownQueue})
+		return
+	}
+	switch c.Kind {
+	case effect.CallSubmit:
+		o.submit(c)
+	case effect.CallState:
+		o.state(c)
+	case effect.CallCancel:
+		o.cancel(c)
+	case effect.CallWaiting:
+		o.s.answer(c, effect.Answered{Kind: effect.AnswerWaiting, Waiting: o.waiting(c.Queue)})
+	}
+}
+
+// submit accepts a job once it is stored. The same job again is the same job.
+func (o *ownership) submit(c *call) {
+	accepted := effect.Answered{Kind: effect.AnswerAccepted}
+	if _, ok := o.jobs[c.Job]; ok {
+		o.after(deferred{call: c, answer: accepted})
+		return
+	}
+	refused := effect.Answered{Kind: effect.AnswerRefused, RetryAfter: retryAfter}
+	switch {
+	case c.reached:
+		// An earlier owner may have stored it; refusing could be untrue.
+	case o.storeDown():
+		refused.Reason = reasonStoreDown
+	case len(o.active) >= maxActive:
+		refused.Reason = reasonOverloaded
+	}
+	if refused.Reason != "" {
+		o.s.answer(c, refused)
+		return
+	}
+	j := o.newJob(c.Job, c.Queue, c.arrived, c.Spec)
+	o.jobs[j.id] = j
+	o.active = append(o.active, j)
+	o.mark(j)
+	o.beginDue(j)
+	o.after(deferred{call: c, answer: accepted})
+}
+
+func (o *ownership) state(c *call) {
+	j, ok := o.jobs[c.Job]
+	if !ok {
+		o.s.answer(c, effect.Answered{Kind: effect.AnswerNoJob})
+		return
+	}
+	shown := j.shown
+	if !shown.Final() && j.started {
+		shown = fleet.JobRunning
+	}
+	o.s.answer(c, effect.Answered{Kind: effect.AnswerState, State: shown})
+}
+
+// cancel answers once the cancellation is stored. Its runs stop then.
+func (o *ownership) cancel(c *call) {
+	j, ok := o.jobs[c.Job]
+	if !ok {
+		o.s.answer(c, effect.Answered{Kind: effect.AnswerNoJob})
+		return
+	}
+	if !j.state.Final() {
+		o.end(j, fleet.JobCancelled)
+	}
+	o.after(deferred{call: c, answer: effect.Answered{Kind: effect.AnswerCancelled}})
+}
+
+// waiting counts the jobs of a queue of which no task has started.
+func (o *ownership) waiting(queue fleet.QueueName) int {
+	n := 0
+	for _, j := range o.active {
+		if j.queue == queue && !j.started {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/reduce/jobs/state.go
@@ -0,0 +1,247 @@
+// Package jobs decides everything about jobs: which entry owns them, what is
+// stored before what, where tasks run, and when instances are moved or
+// maintained. It is a part of the reducer: Step folds one event into the state
+// and emits effects.
+//
+// The entry that holds the tenure owns all jobs; the others forward clients'
+// calls to it. See docs/design/jobs.md.
+package jobs
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/tenure"
+)
+
+// Config is what the job side of an entry knows before its first event.
+type Config struct {
+	Entry       fleet.EntryID
+	Incarnation uint64
+	// Address is where other entries reach this one.
+	Address string
+	Bounds  Bounds
+}
+
+// Bounds are the platform's times that decisions depend on.
+type Bounds struct {
+	// StopGrace is how long a runner may take to stop a task.
+	StopGrace time.Duration
+	// MachineLease is how long another holder's orders to instances exclude
+	// ours.
+	MachineLease time.Duration
+	// NoticeWindow is how long a lasting task may be away before it counts as
+	// missing.
+	NoticeWindow time.Duration
+	// MoveTime and MaintenanceTime are how long an instance is away.
+	MoveTime        time.Duration
+	MaintenanceTime time.Duration
+	// StatusTime is how long a job's final state has to be known.
+	StatusTime time.Duration
+	// InstanceOrdersPerSecond bounds the orders about instances.
+	InstanceOrdersPerSecond float64
+	// Instances says that instances can be ordered about.
+	Instances bool
+	// Advice says that there is an advice service.
+	Advice bool
+}
+
+// State is the control state of the job side. Only Step and Tick change it.
+type State struct {
+	cfg    Config
+	now    time.Time
+	out    []effect.Effect
+	tenure *tenure.State
+	queues *fleet.Queues
+	waves  map[int64]*fleet.MaintenanceWave
+	// seenAt is when this process first read a wave.
+	seenAt map[int64]time.Time
+	calls  map[uint64]*call
+	// parked holds the calls that wait for an owner or a configuration.
+	parked []*call
+	// own is set while this entry holds the tenure.
+	own *ownership
+	// blind is set while the tenure log cannot be read, for the log.
+	blind    bool
+	stopping bool
+	released bool
+	// ready is what the balancer was last told.
+	ready bool
+}
+
+// New returns the state of an entry that has seen no event.
+func New(cfg Config) *State {
+	return &State{
+		cfg:    cfg,
+		tenure: tenure.New(cfg.Entry, cfg.Incarnation, cfg.Address),
+		waves:  make(map[int64]*fleet.MaintenanceWave),
+		seenAt: make(map[int64]time.Time),
+		calls:  make(map[uint64]*call),
+	}
+}
+
+const (
+	// ownerTick and followerTick are the pauses between looks at what is due:
+	// fine enough for the owner's retries after 50 ms, coarse enough to cost an
+	// idle entry nothing that counts.
+	ownerTick    = 25 * time.Millisecond
+	followerTick = 100 * time.Millisecond
+)
+
+// TickAfter returns the pause until the next Tick.
+func (s *State) TickAfter() time.Duration {
+	if s.own != nil {
+		return ownerTick
+	}
+	return followerTick
+}
+
+// Step folds one event and returns out with the effects added.
+func (s *State) Step(now time.Time, body event.Job, out []effect.Effect) []effect.Effect {
+	s.now, s.out = now, out
+	switch b := body.(type) {
+	case event.JobsStarted:
+		s.emit(effect.FollowStore{})
+	case event.TenureRead:
+		s.onTenureRead(b)
+	case event.TenureReadFailed:
+		s.onTenureReadFailed(b)
+	case event.TenureAppended:
+		s.onTenureAppended(b)
+	case event.QueuesRead:
+		s.onQueuesRead(b)
+	case event.QueuesReadFailed:
+		s.emit(effect.Decision{Name: "configuration not readable", Warning: true, Reason: effect.Reason(b.Reason)})
+	case event.WavesRead:
+		s.onWavesRead(b)
+	case event.ClientCalled:
+		s.onClientCalled(b)
+	case event.ClientGone:
+		s.onClientGone(b)
+	case event.ForwardFinished:
+		s.onForwardFinished(b)
+	case event.JobsStopAsked:
+		s.onStopAsked()
+	default:
+		s.stepOwner(body)
+	}
+	s.settle()
+	return s.out
+}
+
+// stepOwner handles the events that concern the owner alone. Those of an
+// earlier tenure are dropped.
+func (s *State) stepOwner(body event.Job) {
+	o := s.own
+	if o == nil {
+		return
+	}
+	switch b := body.(type) {
+	case event.LedgerFenced:
+		o.ifCurrent(b.Epoch, func() { o.onLedgerFenced(b) })
+	case event.LedgerLoaded:
+		o.ifCurrent(b.Epoch, func() { o.onLedgerLoaded(b) })
+	case event.LedgerAppended:
+		o.ifCurrent(b.Epoch, func() { o.onLedgerAppended(b) })
+	case event.RunnersRead:
+		o.ifCurrent(b.Epoch, func() { o.onRunnersRead(b) })
+	case event.RunnersReadFailed:
+		o.ifCurrent(b.Epoch, func() { o.onRunnersReadFailed(b) })
+	case event.TaskOrdered:
+		o.ifCurrent(b.Epoch, func() { o.onTaskOrdered(b) })
+	case event.RunnerLooked:
+		o.ifCurrent(b.Epoch, func() { o.onRunnerLooked(b) })
+	case event.InstancesRead:
+		o.ifCurrent(b.Epoch, func() { o.onInstancesRead(b) })
+	case event.InstanceOrdered:
+		o.ifCurrent(b.Epoch, func() { o.onInstanceOrdered(b) })
+	case event.AdviceGiven:
+		o.ifCurrent(b.Epoch, func() { o.onAdviceGiven(b) })
+	case event.StatusWritten:
+		o.ifCurrent(b.Epoch, func() { o.onStatusWritten(b) })
+	}
+}
+
+// Tick does what has become due.
+func (s *State) Tick(now time.Time, out []effect.Effect) []effect.Effect {
+	s.now, s.out = now, out
+	s.expireCalls()
+	if s.own != nil {
+		s.own.tick()
+	}
+	s.settle()
+	return s.out
+}
+
+// settle follows every event: it appends to the tenure log if that is due,
+// places tasks and stores what has changed.
+func (s *State) settle() {
+	s.keepTenure()
+	if s.own != nil {
+		s.own.place()
+		s.own.flush()
+	}
+	s.dispatchParked()
+	if ready := s.mayServe(); ready != s.ready {
+		s.ready = ready
+		s.emit(effect.SetReady{Ready: ready})
+		s.decide(effect.Decision{Name: "readiness", Outcome: strconv.FormatBool(ready), Epoch: s.tenure.Newest().Epoch})
+	}
+}
+
+func (s *State) emit(e effect.Effect) { s.out = append(s.out, e) }
+
+// decide emits a line of the log.
+func (s *State) decide(d effect.Decision) { s.emit(d) }
+
+func (s *State) count(name string, reason effect.Reason) {
+	s.emit(effect.CountJob{Name: name, Reason: reason, N: 1})
+}
+
+func (s *State) onQueuesRead(b event.QueuesRead) {
+	if s.queues != nil && b.Queues.Version <= s.queues.Version {
+		return
+	}
+	s.queues = b.Queues
+	s.decide(effect.Decision{Name: "configuration in force", Version: b.Queues.Version, Count: len(b.Queues.ByName)})
+	if s.own != nil {
+		s.own.onQueuesChanged()
+	}
+}
+
+func (s *State) onWavesRead(b event.WavesRead) {
+	for i := range b.Waves {
+		w := &b.Waves[i]
+		if _, ok := s.waves[w.ID]; ok {
+			continue
+		}
+		s.waves[w.ID] = w
+		s.seenAt[w.ID] = s.now
+		s.decide(effect.Decision{Name: "wave asked for", Version: w.ID, Count: len(w.Instances)})
+	}
+}
+
+func (s *State) onStopAsked() {
+	if s.stopping {
+		return
+	}
+	s.stopping = true
+	s.tenure.Stop()
+	s.decide(effect.Decision{Name: "stopping", Entry: s.cfg.Entry})
+}
+
+// mayServe reports whether the balancer may send clients here: the configuration
+// is known, and so is an owner to forward to.
+func (s *State) mayServe() bool {
+	if s.queues == nil || s.stopping {
+		return false
+	}
+	if s.own != nil {
+		return s.own.phase == phaseActive
+	}
+	newest := s.tenure.Newest()
+	return newest.Epoch > 0 && !newest.Released
+}
--- /dev/null
+++ b/reduce/jobs/tenure.go
@@ -0,0 +1,92 @@
+package jobs
+
+import (
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+)
+
+// Reasons for the end of a tenure.
+const (
+	reasonSuperseded   effect.Reason = "another entry has claimed"
+	reasonLedgerFenced effect.Reason = "the ledger has a higher epoch"
+	reasonRunnerFenced effect.Reason = "a runner has seen a higher fence"
+	reasonReleased     effect.Reason = "released"
+)
+
+func (s *State) onTenureRead(b event.TenureRead) {
+	if s.blind {
+		s.blind = false
+		s.decide(effect.Decision{Name: "store regained", Entry: s.cfg.Entry})
+	}
+	before := s.tenure.Newest()
+	s.tenure.OnRead(s.now, b.Record, b.End)
+	if after := s.tenure.Newest(); after.Epoch != before.Epoch {
+		s.decide(effect.Decision{Name: "owner seen", Entry: after.Owner, Epoch: after.Epoch})
+	}
+	s.followTenure()
+}
+
+func (s *State) onTenureReadFailed(b event.TenureReadFailed) {
+	s.tenure.OnReadFailed()
+	if !s.blind {
+		s.blind = true
+		s.decide(effect.Decision{Name: "store lost", Warning: true, Entry: s.cfg.Entry, Reason: effect.Reason(b.Reason)})
+	}
+}
+
+func (s *State) onTenureAppended(b event.TenureAppended) {
+	if b.Outcome == effect.AppendDone {
+		s.tenure.OnAppended(s.now, b.Record, b.End)
+	} else {
+		s.tenure.OnNotAppended()
+	}
+	s.followTenure()
+}
+
+// followTenure makes the entry owner, or ends its ownership, by what the
+// tenure log says.
+func (s *State) followTenure() {
+	newest := s.tenure.Newest()
+	mine := s.tenure.Mine()
+	switch {
+	case mine && s.own == nil:
+		s.own = newOwnership(s, newest.Epoch)
+		s.decide(effect.Decision{Name: "tenure begins", Entry: s.cfg.Entry, Epoch: newest.Epoch})
+		s.emit(effect.FenceLedger{Epoch: newest.Epoch})
+		s.emit(effect.FollowRunners{Epoch: newest.Epoch})
+	case !mine && s.own != nil && newest.Released:
+		s.endTenure(reasonReleased)
+	case !mine && s.own != nil:
+		s.endTenure(reasonSuperseded)
+	}
+	if s.stopping && !mine && !s.released && s.tenure.Known() {
+		s.released = true
+		s.emit(effect.JobsHandedOver{})
+	}
+}
+
+// endTenure drops all that the owner knew; the next owner learns it from the
+// ledger and the runners. Calls in hand go to that one.
+func (s *State) endTenure(reason effect.Reason) {
+	s.decide(effect.Decision{Name: "tenure ends", Entry: s.cfg.Entry, Epoch: s.own.epoch, Reason: reason, Age: s.now.Sub(s.own.since)})
+	s.count("tenures_ended", reason)
+	s.own = nil
+	s.emit(effect.FollowRunners{})
+	for _, c := range s.callsInOrder() {
+		if c.phase == callLocal {
+			c.reached = true
+			s.park(c)
+		}
+	}
+}
+
+// keepTenure appends to the tenure log if a heartbeat or a claim is due. The
+// owner that stops first stores what it has in hand.
+func (s *State) keepTenure() {
+	if s.stopping && s.own != nil && s.own.busy() {
+		return
+	}
+	if r, at, ok := s.tenure.Next(s.now); ok {
+		s.emit(effect.AppendTenure{Record: r, At: at, NotAfter: s.now.Add(appendFreshness)})
+	}
+}
--- a/reduce/reduce.go
+++ b/reduce/reduce.go
@@ -17,6 +17,9 @@
 // returned slice is valid until the next call.
 func Reduce(s *State, ev event.Event) []effect.Effect {
 	s.out = s.out[:0]
+	if s.jobs != nil {
+		return s.reduceJobs(ev)
+	}
 	s.advance(ev.Now)
 	s.placement.Advance(ev.Now)
 	switch b := ev.Body.(type) {
--- a/reduce/state.go
+++ b/reduce/state.go
@@ -9,6 +9,7 @@
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/health"
 	"github.com/banyanrail/banyanrail/reduce/holder"
+	"github.com/banyanrail/banyanrail/reduce/jobs"
 	"github.com/banyanrail/banyanrail/reduce/measure"
 	"github.com/banyanrail/banyanrail/reduce/peers"
 	"github.com/banyanrail/banyanrail/reduce/placement"
@@ -37,6 +38,8 @@
 	// SnapshotInterval is the time between snapshots of the control stream;
 	// zero means DefaultSnapshotInterval.
 	SnapshotInterval time.Duration
+	// Jobs makes the entry manage jobs instead of serving requests.
+	Jobs *jobs.Config
 }
 
 // State is the whole control state of an entry. Only Reduce changes it.
@@ -80,7 +83,9 @@
 	totals   totals
 	// armed is the time of the last SetTimer effect.
 	armed time.Time
-	out   []effect.Effect
+	// jobs is set in an entry that manages jobs.
+	jobs *jobSide
+	out  []effect.Effect
 }
 
 // New returns the state of an entry that has seen no event.
@@ -88,7 +93,7 @@
 	if cfg.SnapshotInterval == 0 {
 		cfg.SnapshotInterval = DefaultSnapshotInterval
 	}
-	return &State{
+	s := &State{
 		cfg:          cfg,
 		control:      control.New(),
 		requests:     requests.New(),
@@ -103,6 +108,10 @@
 		proposals:    newProposals(),
 		holders:      holder.New(),
 	}
+	if cfg.Jobs != nil {
+		s.jobs = &jobSide{state: jobs.New(*cfg.Jobs)}
+	}
+	return s
 }
 
 type totals struct {
--- /dev/null
+++ b/reduce/tenure/tenure.go
@@ -0,0 +1,225 @@
+// Package tenure decides which entry owns the jobs. The tenure log is a chain:
+// each record is appended only if the log ends where its writer read it to end,
+// so that a claim and the owner's next heartbeat exclude each other. An owner
+// stays owner until it releases its tenure or is silent for a while; the list
+// of group members that the store offers is not used, since the store deals
+// memberships anew at any time.
+package tenure
+
+import (
+	"hash/fnv"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+)
+
+const (
+	// Heartbeat is the time between the owner's records: four of them fit into
+	// Silence, so that one lost answer and one slow append do not end a tenure.
+	Heartbeat = 450 * time.Millisecond
+	// Silence is how long an owner may be silent, as seen by an entry that reads
+	// the log without failures, before others claim its place.
+	Silence = 1800 * time.Millisecond
+	// ReadAge is the age of the newest successful read beyond which an entry
+	// does not claim: a read takes at most ReadWait, and one may be slow.
+	ReadAge = time.Second
+	// ReadWait is how long one read of the log waits for news.
+	ReadWait = 600 * time.Millisecond
+	// Validity is how long after the sending of its last proven heartbeat an
+	// owner may extend leases and start tasks. It outlasts the store's usual
+	// outages of five to six seconds; nobody can claim during those.
+	Validity = 9 * time.Second
+	// stagger spreads claims of a released tenure, so that most entries see the
+	// first one's record before their own turn.
+	stagger = 20 * time.Millisecond
+	// ranks is the number of different places in the order of claims.
+	ranks = 16
+	// answerLimit is how long an append's answer is waited for before the entry
+	// goes by what it reads.
+	answerLimit = 1200 * time.Millisecond
+)
+
+// Record is one record of the tenure log.
+type Record struct {
+	// Epoch grows by one with each claim. It fences the ledger, runners and
+	// instances.
+	Epoch       int64
+	Owner       fleet.EntryID
+	Incarnation uint64
+	// Address is where the owner takes calls of other entries.
+	Address string
+	// Beat counts the records of one tenure.
+	Beat int64
+	// Released means that the owner has given up the tenure.
+	Released bool
+}
+
+// State is what an entry knows of the tenure.
+type State struct {
+	self Record
+	// newest is the newest record read, and end the log's end after it.
+	newest Record
+	end    fleet.Offset
+	// known is set after the first successful read.
+	known bool
+	// blind is set from a failed read to the next successful one.
+	blind bool
+	// since is when newest was first seen in an unbroken series of reads, and
+	// readAt the time of the newest read.
+	since, readAt time.Time
+	// sent holds the sending times of this entry's records that are not proven
+	// yet, by beat.
+	sent map[int64]time.Time
+	// provenAt is when the newest record that is known to be in the log was
+	// sent.
+	provenAt time.Time
+	// waiting is set while an append's answer is waited for.
+	waiting   bool
+	waitSince time.Time
+	lastBeat  time.Time
+	stopping  bool
+	beat      int64
+}
+
+// New returns the state of an entry that has read nothing.
+func New(entry fleet.EntryID, incarnation uint64, address string) *State {
+	return &State{
+		self: Record{Owner: entry, Incarnation: incarnation, Address: address},
+		sent: make(map[int64]time.Time),
+	}
+}
+
+// Known reports whether the log was read at all.
+func (s *State) Known() bool { return s.known }
+
+// Blind reports whether the last read of the log failed.
+func (s *State) Blind() bool { return s.blind }
+
+// Newest returns the newest record.
+func (s *State) Newest() Record { return s.newest }
+
+// Age returns for how long the newest record has been the newest.
+func (s *State) Age(now time.Time) time.Duration { return now.Sub(s.since) }
+
+// Mine reports whether this entry wrote the newest record and holds the tenure.
+func (s *State) Mine() bool {
+	return s.known && s.own(s.newest) && !s.newest.Released
+}
+
+func (s *State) own(r Record) bool {
+	return r.Owner == s.self.Owner && r.Incarnation == s.self.Incarnation
+}
+
+// Valid reports whether the owner may extend leases and start tasks.
+func (s *State) Valid(now time.Time) bool {
+	return s.Mine() && now.Sub(s.provenAt) < Validity
+}
+
+// ProvenAt returns when the newest proven record of this entry was sent.
+func (s *State) ProvenAt() time.Time { return s.provenAt }
+
+// Stop makes the entry release its tenure and claim none.
+func (s *State) Stop() { s.stopping = true }
+
+// OnRead takes in the newest record of the log.
+func (s *State) OnRead(now time.Time, r Record, end fleet.Offset) {
+	if s.known && end < s.end {
+		return // overtaken by a newer answer
+	}
+	if !s.known || s.blind || end != s.end {
+		s.since = now
+	}
+	s.known, s.blind, s.readAt = true, false, now
+	if end == s.end && s.newest != (Record{}) {
+		return
+	}
+	s.newest, s.end = r, end
+	s.prove(r)
+}
+
+// OnReadFailed takes in a read without an answer.
+func (s *State) OnReadFailed() { s.blind = true }
+
+// prove notes that a record of this entry is in the log.
+func (s *State) prove(r Record) {
+	if !s.own(r) {
+		return
+	}
+	at, ok := s.sent[r.Beat]
+	if ok && at.After(s.provenAt) {
+		s.provenAt = at
+	}
+	for beat := range s.sent {
+		if beat <= r.Beat {
+			delete(s.sent, beat)
+		}
+	}
+}
+
+// OnAppended takes in a record of this entry that the log has taken; end is the
+// log's end after it.
+func (s *State) OnAppended(now time.Time, r Record, end fleet.Offset) {
+	s.waiting = false
+	if end <= s.end {
+		return
+	}
+	s.newest, s.end = r, end
+	s.since, s.readAt = now, now
+	s.prove(r)
+}
+
+// OnNotAppended takes in an append that has failed, or whose outcome is not
+// known: reading on tells.
+func (s *State) OnNotAppended() { s.waiting = false }
+
+// Next returns a record to append if one is due, and where the log has to end.
+func (s *State) Next(now time.Time) (Record, fleet.Offset, bool) {
+	if !s.known || (s.waiting && now.Sub(s.waitSince) < answerLimit) {
+		return Record{}, 0, false
+	}
+	r, due := s.next(now)
+	if !due {
+		return Record{}, 0, false
+	}
+	s.waiting, s.waitSince = true, now
+	s.lastBeat = now
+	s.beat++
+	r.Beat = s.beat
+	s.sent[r.Beat] = now
+	return r, s.end, true
+}
+
+func (s *State) next(now time.Time) (Record, bool) {
+	r := s.self
+	if s.Mine() {
+		r.Epoch = s.newest.Epoch
+		r.Released = s.stopping
+		return r, s.stopping || now.Sub(s.lastBeat) >= Heartbeat
+	}
+	r.Epoch = s.newest.Epoch + 1
+	return r, s.mayClaim(now)
+}
+
+// mayClaim reports whether the tenure is free: there is none, it was released,
+// its owner is an earlier start of this entry, or its owner has been silent.
+func (s *State) mayClaim(now time.Time) bool {
+	if s.stopping || s.blind || now.Sub(s.readAt) > ReadAge {
+		return false
+	}
+	if s.newest.Owner == s.self.Owner {
+		return true
+	}
+	wait := s.rank()
+	if s.newest.Epoch != 0 && !s.newest.Released {
+		wait += Silence
+	}
+	return now.Sub(s.since) >= wait
+}
+
+// rank spreads the entries' claims, in another order for each epoch.
+func (s *State) rank() time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(s.self.Owner)) // never fails
+	_, _ = h.Write([]byte{byte(s.newest.Epoch), byte(s.newest.Epoch >> 8)})
+	return time.Duration(h.Sum32()%ranks) * stagger
+}
