--- a/jobentry/act.go
+++ b/jobentry/act.go
@@ -99,7 +99,7 @@
 		if !sent {
 			done.Reason = "not reached"
 		}
-		e.deps.Logger.Warn("forwarding failed", "job", f.Job, "to", f.Address, "sent", sent, "error", err)
+		e.deps.Logger.Warn("forwarding failed", "job", f.Job, "to", f.Address, "sent", sent, "error", describe(err))
 	}
 	e.post(done)
 }
@@ -107,7 +107,7 @@
 func (e *Entry) listInstances(o effect.ListInstances) {
 	rows, err := e.deps.Instances.List(e.background)
 	if err != nil {
-		e.deps.Logger.Warn("instances not listed", "error", err)
+		e.deps.Logger.Warn("instances not listed", "error", describe(err))
 	}
 	e.post(event.InstancesRead{Epoch: o.Epoch, Failed: err != nil, Instances: rows})
 }
@@ -128,7 +128,7 @@
 func (e *Entry) askAdvice(o effect.AskAdvice) {
 	tickets, valid, err := e.deps.Advice.Ask(e.background, o.Step, o.Runners)
 	if err != nil {
-		e.deps.Logger.Warn("no advice", "step", o.Step, "error", err)
+		e.deps.Logger.Warn("no advice", "step", o.Step, "error", describe(err))
 	}
 	e.post(event.AdviceGiven{
 		Epoch: o.Epoch, Job: o.Job, Step: o.Step, Failed: err != nil, Tickets: tickets, Asked: o.Runners, Valid: valid,
--- a/jobentry/log.go
+++ b/jobentry/log.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"strings"
 
 	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/samber/oops"
 )
 
 // log writes a decision as a line.
@@ -43,3 +46,14 @@
 	number("age_ms", d.Age.Milliseconds())
 	return out
 }
+
+// describe returns an error on one line, with the step and the peer at which it
+// arose.
+func describe(err error) string {
+	text := strings.ReplaceAll(err.Error(), "\n", ": ")
+	if o, ok := oops.AsOops(err); ok {
+		c := o.Context()
+		return fmt.Sprintf("%v at %v: %s", c["step"], c["peer"], text)
+	}
+	return text
+}
--- a/jobentry/store.go
+++ b/jobentry/store.go
@@ -55,12 +55,12 @@
 func (e *Entry) sendTenure(o effect.AppendTenure) (fleet.Offset, effect.AppendOutcome) {
 	r, err := codec.EncodeTenure(o.Record)
 	if err != nil {
-		e.deps.Logger.Error("tenure not encoded", "error", err)
+		e.deps.Logger.Error("tenure not encoded", "error", describe(err))
 		return 0, effect.AppendRefused
 	}
 	end, err := e.deps.Store.AppendAt(e.background, storage.TopicTenure, o.At, []storage.Record{r})
 	if err != nil {
-		e.deps.Logger.Warn("tenure not appended", "epoch", o.Record.Epoch, "beat", o.Record.Beat, "error", err)
+		e.deps.Logger.Warn("tenure not appended", "epoch", o.Record.Epoch, "beat", o.Record.Beat, "error", describe(err))
 	}
 	return end, outcomeOf(err)
 }
@@ -68,7 +68,7 @@
 func (e *Entry) fenceLedger(o effect.FenceLedger) {
 	err := e.deps.Store.AppendAs(e.background, storage.TopicLedger, storage.Writer{Name: ledgerWriter, Epoch: o.Epoch}, nil)
 	if err != nil {
-		e.deps.Logger.Warn("ledger not fenced", "epoch", o.Epoch, "error", err)
+		e.deps.Logger.Warn("ledger not fenced", "epoch", o.Epoch, "error", describe(err))
 	}
 	e.post(event.LedgerFenced{Epoch: o.Epoch, Outcome: outcomeOf(err)})
 }
@@ -80,7 +80,7 @@
 		loaded.Jobs, err = codec.DecodeLedger(page.Records)
 	}
 	if err != nil {
-		e.deps.Logger.Warn("ledger not loaded", "epoch", o.Epoch, "error", err)
+		e.deps.Logger.Warn("ledger not loaded", "epoch", o.Epoch, "error", describe(err))
 		loaded.Failed, loaded.Jobs = true, nil
 	}
 	e.post(loaded)
@@ -103,7 +103,7 @@
 		}
 	}
 	if err != nil {
-		e.deps.Logger.Warn("ledger not appended", "epoch", o.Epoch, "sequence", o.Sequence, "records", len(o.Records), "error", err)
+		e.deps.Logger.Warn("ledger not appended", "epoch", o.Epoch, "sequence", o.Sequence, "records", len(o.Records), "error", describe(err))
 	}
 	done.Took = e.deps.Clock().Sub(began)
 	e.post(done)
@@ -124,7 +124,7 @@
 func (e *Entry) writeWaveStatus(o effect.WriteWaveStatus) {
 	err := e.deps.Store.Append(e.background, storage.TopicStatus, []storage.Record{e.deps.Decoder.WaveStatus(o.Wave, o.Done)})
 	if err != nil {
-		e.deps.Logger.Warn("status not written", "wave", o.Wave, "error", err)
+		e.deps.Logger.Warn("status not written", "wave", o.Wave, "error", describe(err))
 	}
 	e.post(event.StatusWritten{Epoch: o.Epoch, Wave: o.Wave, Done: o.Done, Failed: err != nil})
 }
@@ -183,7 +183,7 @@
 		take: func(page storage.Page, _ bool) {
 			r, ok, err := codec.DecodeTenure(page.Records)
 			if err != nil {
-				e.deps.Logger.Error("tenure not read", "error", err)
+				e.deps.Logger.Error("tenure not read", "error", describe(err))
 				return
 			}
 			if ok {
@@ -191,7 +191,7 @@
 			}
 			e.post(event.TenureRead{Record: last, End: page.Next})
 		},
-		failed: func(err error) { e.post(event.TenureReadFailed{Reason: err.Error()}) },
+		failed: func(err error) { e.post(event.TenureReadFailed{Reason: describe(err)}) },
 	})
 }
 
@@ -200,7 +200,7 @@
 		topic:  storage.TopicOperators,
 		wait:   followWait,
 		take:   func(page storage.Page, _ bool) { e.takeOperators(page.Records) },
-		failed: func(err error) { e.post(event.QueuesReadFailed{Reason: err.Error()}) },
+		failed: func(err error) { e.post(event.QueuesReadFailed{Reason: describe(err)}) },
 	})
 }
 
@@ -220,7 +220,7 @@
 			waves = append(waves, w)
 		}
 		if err := errors.Join(err, waveErr); err != nil {
-			e.deps.Logger.Warn("operators' record not read", "key", r.Key, "offset", r.Offset, "error", err)
+			e.deps.Logger.Warn("operators' record not read", "key", r.Key, "offset", r.Offset, "error", describe(err))
 		}
 	}
 	if len(waves) > 0 {
@@ -246,7 +246,7 @@
 		topic:  storage.TopicRunners,
 		wait:   followWait,
 		take:   func(page storage.Page, whole bool) { e.takeRunners(epoch, page, whole) },
-		failed: func(err error) { e.post(event.RunnersReadFailed{Epoch: epoch, Reason: err.Error()}) },
+		failed: func(err error) { e.post(event.RunnersReadFailed{Epoch: epoch, Reason: describe(err)}) },
 	})
 }
 
@@ -259,7 +259,7 @@
 		}
 		runner, err := e.deps.Decoder.Runner(r)
 		if err != nil {
-			e.deps.Logger.Warn("runner's report not read", "runner", r.Key, "offset", r.Offset, "error", err)
+			e.deps.Logger.Warn("runner's report not read", "runner", r.Key, "offset", r.Offset, "error", describe(err))
 			continue
 		}
 		read.Runners = append(read.Runners, runner)
