Bound leases of earlier owners; take a fenced owner's word that it is deposed

Causes: a counter with and without a label ended processes; a fenced owner took its tenure up again until the log told; a takeover waited 16 s for runners it had not reached, anew with each takeover; a fresh intent on an idle runner was taken for lapsed.

--- a/cmd/banyanrail-entry/main.go
+++ b/cmd/banyanrail-entry/main.go
@@ -78,7 +78,7 @@
 		"peers", c.platform.PeerAddress, "store", c.platform.StoreAddress, "memory_mb", c.platform.MemoryMB)
 	go lines.LogDropped(ctx, logger)
 	go reload(ctx, c, logger)
-	return serve(ctx, c, e, metrics, signals)
+	return serve(ctx, c, e, metrics, logger, signals)
 }
 
 func dependencies(c config, peers *peer.Jobs) jobentry.Deps {
@@ -110,7 +110,7 @@
 
 // serve runs the entry and its listeners. When a signal comes, the listeners go
 // on while the jobs are handed over and the balancer turns away.
-func serve(ctx context.Context, c config, e *jobentry.Entry, metrics http.Handler, signals <-chan os.Signal) error {
+func serve(ctx context.Context, c config, e *jobentry.Entry, metrics http.Handler, logger *slog.Logger, signals <-chan os.Signal) error {
 	ops := http.NewServeMux()
 	ops.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		if !e.Ready() {
@@ -139,26 +139,30 @@
 	group.Go(func() error {
 		defer endEntry()
 		defer closeListeners()
-		return stopGracefully(groupCtx, c, e, signals)
+		return stopGracefully(groupCtx, c, e, logger, signals)
 	})
 	return group.Wait()
 }
 
 // stopGracefully waits for a signal, or for a listener to fail, and hands the
 // jobs over.
-func stopGracefully(ctx context.Context, c config, e *jobentry.Entry, signals <-chan os.Signal) error {
+func stopGracefully(ctx context.Context, c config, e *jobentry.Entry, logger *slog.Logger, signals <-chan os.Signal) error {
 	select {
 	case <-ctx.Done():
 		return nil
 	case <-signals:
 	}
-	handing, cancel := context.WithTimeout(ctx, c.platform.ShutdownGrace/handOverShare)
+	handing, cancel := context.WithTimeout(ctx, c.platform.ShutdownGrace-answerGrace)
 	defer cancel()
-	handed := e.HandOver(handing)
-	if err := loop.Sleep(ctx, balancerNotice); err != nil {
-		return err
+	notice := time.After(balancerNotice)
+	if err := e.HandOver(handing); err != nil {
+		logger.Warn("jobs not handed over", "error", err)
+	}
+	select {
+	case <-notice:
+	case <-ctx.Done():
 	}
-	return handed
+	return nil
 }
 
 // reload checks the settings file at each SIGHUP and says what it found. What a
--- a/cmd/banyanrail-entry/settings.go
+++ b/cmd/banyanrail-entry/settings.go
@@ -12,9 +12,6 @@
 	// collector works harder: it leaves room for stacks and unread bytes.
 	memoryShare = 60
 	percent     = 100
-	// handOverShare of the shutdown grace, as a divisor, is left to hand the jobs
-	// over; the balancer's notice and the last answers take the rest.
-	handOverShare = 3
 	// balancerNotice is how long new connections are still served after the
 	// first refusal of readiness: the balancer asks each second and turns away
 	// after two refusals.
--- a/jobentry/metrics.go
+++ b/jobentry/metrics.go
@@ -37,11 +37,8 @@
 	key := counterKey{c.Name, c.Reason}
 	counter, ok := m.counters[key]
 	if !ok {
-		scope := m.scope
-		if c.Reason != "" {
-			scope = scope.Tagged(map[string]string{"reason": string(c.Reason)})
-		}
-		counter = scope.Counter(c.Name)
+		// Counters of one name need the same labels, also without a reason.
+		counter = m.scope.Tagged(map[string]string{"reason": string(c.Reason)}).Counter(c.Name)
 		m.counters[key] = counter
 	}
 	counter.Inc(c.N)
--- a/reduce/jobs/look.go
+++ b/reduce/jobs/look.go
@@ -10,7 +10,7 @@
 
 const (
 	// lookWait is how long a runner may wait for an end before it answers.
-	lookWait = 1200 * time.Millisecond
+	lookWait = 1000 * time.Millisecond
 	// servingWait takes its place where filling tasks run beside serving ones,
 	// whose response times change within seconds.
 	servingWait = 500 * time.Millisecond
--- a/reduce/jobs/order.go
+++ b/reduce/jobs/order.go
@@ -197,7 +197,7 @@
 func (o *ownership) tickRuns() {
 	for _, r := range o.order {
 		for _, run := range r.sortedRuns() {
-			if run.underway || run.retryAt.IsZero() || o.now().Before(run.retryAt) {
+			if run.underway || r.look.lost || run.retryAt.IsZero() || o.now().Before(run.retryAt) {
 				continue
 			}
 			o.repeat(run)
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -27,7 +27,10 @@
 	s     *State
 	epoch int64
 	since time.Time
-	phase phase
+	// foreignUntil is when the last lease that an earlier owner may have given
+	// has run out on the slowest clock.
+	foreignUntil time.Time
+	phase        phase
 	// retryAt is when fencing or loading is tried again; zero while it runs.
 	retryAt time.Time
 
@@ -53,11 +56,12 @@
 func newOwnership(s *State, epoch int64) *ownership {
 	return &ownership{
 		s: s, epoch: epoch, since: s.now, phase: phaseFencing,
-		jobs:      make(map[fleet.JobID]*job),
-		runners:   make(map[fleet.RunnerID]*runner),
-		pools:     make(map[fleet.ServiceName]*pool),
-		instances: newInstances(),
-		planner:   newPlanner(),
+		foreignUntil: s.tenure.FormerUntil().Add(slowest(leaseLength)),
+		jobs:         make(map[fleet.JobID]*job),
+		runners:      make(map[fleet.RunnerID]*runner),
+		pools:        make(map[fleet.ServiceName]*pool),
+		instances:    newInstances(),
+		planner:      newPlanner(),
 	}
 }
 
@@ -117,7 +121,7 @@
 	if o.phase != phaseActive {
 		return
 	}
-	for _, r := range o.order {
+	for _, r := range slices.Clone(o.order) {
 		o.tickRunner(r)
 	}
 	o.tickRuns()
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -8,14 +8,13 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
-	"github.com/banyanrail/banyanrail/reduce/tenure"
 )
 
 const (
 	// leaseLength is how long what runs on a runner lives after the last order
-	// of the owner. A takeover after a crash takes Silence and about half a
-	// second, a look lookWait: the sum has to stay below it.
-	leaseLength = 7 * time.Second
+	// of the owner. A takeover after a crash takes tenure.Silence and up to a
+	// second more, a look lookWait: the sum has to stay below it.
+	leaseLength = 5 * time.Second
 	// slowestClock is the rate of the slowest runner's clock.
 	slowestClock = 0.98
 	// clockMargin covers the rounding of runners' clocks.
@@ -207,8 +206,7 @@
 // certainly run out, on the slowest clock.
 func (o *ownership) lapsed(r *runner) bool {
 	if !r.touched || r.clock.Reading == 0 {
-		// An earlier owner gave leases until its tenure was no longer valid.
-		return o.now().Sub(o.since) > tenure.Validity+slowest(leaseLength)
+		return o.now().After(o.foreignUntil)
 	}
 	if r.deadline == 0 {
 		// Leases of earlier owners only.
@@ -223,6 +221,16 @@
 	return time.Duration(float64(d)/slowestClock) + clockMargin
 }
 
+// hasOrdered reports whether anything may run on the runner.
+func (r *runner) hasOrdered() bool {
+	for _, run := range r.runs {
+		if run.phase != runIntent {
+			return true
+		}
+	}
+	return false
+}
+
 // usable reports whether tasks may be started on the runner.
 func (o *ownership) usable(r *runner) bool {
 	return r.listed && r.touched && !r.Draining && !r.vacating && r.Capacity.CPU > 0 &&
@@ -233,7 +241,7 @@
 
 // tickRunner looks at a runner if that is due, and gives up what has lapsed.
 func (o *ownership) tickRunner(r *runner) {
-	if len(r.runs) > 0 && o.lapsed(r) {
+	if r.hasOrdered() && o.lapsed(r) {
 		o.dead(r, reasonLapsed)
 		return
 	}
--- a/reduce/jobs/tenure.go
+++ b/reduce/jobs/tenure.go
@@ -70,6 +70,7 @@
 func (s *State) endTenure(reason effect.Reason) {
 	s.decide(effect.Decision{Name: "tenure ends", Entry: s.cfg.Entry, Epoch: s.own.epoch, Reason: reason, Age: s.now.Sub(s.own.since)})
 	s.count("tenures_ended", reason)
+	s.tenure.Deposed(s.own.epoch)
 	s.own = nil
 	s.emit(effect.FollowRunners{})
 	for _, c := range s.callsInOrder() {
--- a/reduce/tenure/tenure.go
+++ b/reduce/tenure/tenure.go
@@ -26,9 +26,9 @@
 	// ReadWait is how long one read of the log waits for news.
 	ReadWait = 600 * time.Millisecond
 	// Validity is how long after the sending of its last proven heartbeat an
-	// owner may extend leases and start tasks. It outlasts the store's usual
-	// outages of five to six seconds; nobody can claim during those.
-	Validity = 9 * time.Second
+	// owner may extend leases and start tasks. With the leases given at its end
+	// it outlasts the store's usual outages of five to six seconds.
+	Validity = 4 * time.Second
 	// stagger spreads claims of a released tenure, so that most entries see the
 	// first one's record before their own turn.
 	stagger = 20 * time.Millisecond
@@ -79,6 +79,11 @@
 	lastBeat  time.Time
 	stopping  bool
 	beat      int64
+	// formerUntil is when the last owner before this entry's tenure may have
+	// given its last lease.
+	formerUntil time.Time
+	// lost is the highest epoch that is known to be superseded.
+	lost int64
 }
 
 // New returns the state of an entry that has read nothing.
@@ -103,9 +108,17 @@
 
 // Mine reports whether this entry wrote the newest record and holds the tenure.
 func (s *State) Mine() bool {
-	return s.known && s.own(s.newest) && !s.newest.Released
+	return s.known && s.own(s.newest) && !s.newest.Released && s.newest.Epoch > s.lost
 }
 
+// FormerUntil returns until when the owner before this one may have given
+// leases.
+func (s *State) FormerUntil() time.Time { return s.formerUntil }
+
+// Deposed notes that a higher epoch is in force, though the log has not told
+// yet.
+func (s *State) Deposed(epoch int64) { s.lost = max(s.lost, epoch) }
+
 func (s *State) own(r Record) bool {
 	return r.Owner == s.self.Owner && r.Incarnation == s.self.Incarnation
 }
@@ -133,10 +146,28 @@
 	if end == s.end && s.newest != (Record{}) {
 		return
 	}
+	s.take(r, end)
+}
+
+// take makes a record the newest.
+func (s *State) take(r Record, end fleet.Offset) {
+	if !s.own(r) {
+		s.formerUntil = s.leasesUntil(r)
+	}
 	s.newest, s.end = r, end
 	s.prove(r)
 }
 
+// leasesUntil returns until when the writer of a record that was read just now
+// may give leases: not after its release or its own restart, else until its
+// tenure is not valid any more.
+func (s *State) leasesUntil(r Record) time.Time {
+	if r.Released || r.Owner == s.self.Owner {
+		return s.readAt
+	}
+	return s.readAt.Add(Validity)
+}
+
 // OnReadFailed takes in a read without an answer.
 func (s *State) OnReadFailed() { s.blind = true }
 
@@ -163,9 +194,8 @@
 	if end <= s.end {
 		return
 	}
-	s.newest, s.end = r, end
 	s.since, s.readAt = now, now
-	s.prove(r)
+	s.take(r, end)
 }
 
 // OnNotAppended takes in an append that has failed, or whose outcome is not
@@ -203,6 +233,9 @@
 // mayClaim reports whether the tenure is free: there is none, it was released,
 // its owner is an earlier start of this entry, or its owner has been silent.
 func (s *State) mayClaim(now time.Time) bool {
+	if s.newest.Epoch <= s.lost && s.own(s.newest) {
+		return false // the log has yet to tell who is owner
+	}
 	if s.stopping || s.blind || now.Sub(s.readAt) > ReadAge {
 		return false
 	}
