--- a/codec/ledger.go
+++ b/codec/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"strings"
 	"time"
 
@@ -16,6 +17,7 @@
 const (
 	definitionKeys = "d/"
 	progressKeys   = "p/"
+	waveKeys       = "w/"
 	// tenureKey is the key of the tenure log's records.
 	tenureKey = "owner"
 )
@@ -131,6 +133,10 @@
 	Tasks []taskProgress `json:"t,omitempty"`
 }
 
+type wave struct {
+	Done []fleet.InstanceID `json:"d"`
+}
+
 type taskProgress struct {
 	Number     int               `json:"n"`
 	Attempt    int64             `json:"a"`
@@ -143,6 +149,9 @@
 // EncodeLedger returns the record of a job.
 func EncodeLedger(r *ledger.Record) (storage.Record, error) {
 	switch {
+	case r.Wave != nil:
+		raw, err := json.Marshal(wave{Done: r.Wave.Done})
+		return storage.Record{Key: waveKeys + strconv.FormatInt(r.Wave.ID, 10), Value: raw}, err
 	case r.DropDefinition:
 		return storage.Record{Key: definitionKeys + string(r.Job)}, nil
 	case r.DropProgress:
@@ -201,37 +210,69 @@
 	return out
 }
 
+// Ledger is what the ledger holds.
+type Ledger struct {
+	Jobs  []ledger.Stored
+	Waves []ledger.Wave
+}
+
 // DecodeLedger collects the records of each job, in the order of the records.
-func DecodeLedger(records []storage.Record) ([]ledger.Stored, error) {
-	var out []ledger.Stored
-	index := make(map[fleet.JobID]int)
-	at := func(id fleet.JobID) *ledger.Stored {
-		i, ok := index[id]
-		if !ok {
-			i = len(out)
-			index[id] = i
-			out = append(out, ledger.Stored{Job: id})
-		}
-		return &out[i]
-	}
+func DecodeLedger(records []storage.Record) (Ledger, error) {
+	d := ledgerDecoder{index: make(map[fleet.JobID]int)}
 	for i := range records {
 		r := &records[i]
 		if len(r.Value) == 0 {
 			continue
 		}
-		var err error
-		if id, ok := strings.CutPrefix(r.Key, definitionKeys); ok {
-			s := at(fleet.JobID(id))
-			s.Definition, err = decodeDefinition(r.Value)
-		} else if id, ok := strings.CutPrefix(r.Key, progressKeys); ok {
-			s := at(fleet.JobID(id))
-			s.Progress, err = decodeProgress(r.Value)
-		}
-		if err != nil {
-			return nil, oops.In("codec").With("step", "decode ledger", "key", r.Key).Wrap(err)
+		if err := d.take(r); err != nil {
+			return Ledger{}, oops.In("codec").With("step", "decode ledger", "key", r.Key).Wrap(err)
 		}
 	}
-	return out, nil
+	return d.out, nil
+}
+
+type ledgerDecoder struct {
+	out   Ledger
+	index map[fleet.JobID]int
+}
+
+// job returns the entry of a job, which may be new.
+func (d *ledgerDecoder) job(id string) *ledger.Stored {
+	i, ok := d.index[fleet.JobID(id)]
+	if !ok {
+		i = len(d.out.Jobs)
+		d.index[fleet.JobID(id)] = i
+		d.out.Jobs = append(d.out.Jobs, ledger.Stored{Job: fleet.JobID(id)})
+	}
+	return &d.out.Jobs[i]
+}
+
+func (d *ledgerDecoder) take(r *storage.Record) (err error) {
+	if id, ok := strings.CutPrefix(r.Key, definitionKeys); ok {
+		d.job(id).Definition, err = decodeDefinition(r.Value)
+		return err
+	}
+	if id, ok := strings.CutPrefix(r.Key, progressKeys); ok {
+		d.job(id).Progress, err = decodeProgress(r.Value)
+		return err
+	}
+	if id, ok := strings.CutPrefix(r.Key, waveKeys); ok {
+		return d.takeWave(id, r.Value)
+	}
+	return nil
+}
+
+func (d *ledgerDecoder) takeWave(id string, raw []byte) error {
+	n, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return err
+	}
+	var w wave
+	if err := json.Unmarshal(raw, &w); err != nil {
+		return err
+	}
+	d.out.Waves = append(d.out.Waves, ledger.Wave{ID: n, Done: w.Done})
+	return nil
 }
 
 func decodeDefinition(raw []byte) (*ledger.Definition, error) {
--- a/jobentry/store.go
+++ b/jobentry/store.go
@@ -77,11 +77,13 @@
 	loaded := event.LedgerLoaded{Epoch: o.Epoch}
 	page, err := e.deps.Store.Newest(e.background, storage.TopicLedger)
 	if err == nil {
-		loaded.Jobs, err = codec.DecodeLedger(page.Records)
+		var l codec.Ledger
+		l, err = codec.DecodeLedger(page.Records)
+		loaded.Jobs, loaded.Waves = l.Jobs, l.Waves
 	}
 	if err != nil {
 		e.deps.Logger.Warn("ledger not loaded", "epoch", o.Epoch, "error", describe(err))
-		loaded.Failed, loaded.Jobs = true, nil
+		loaded.Failed, loaded.Jobs, loaded.Waves = true, nil, nil
 	}
 	e.post(loaded)
 }
--- a/reduce/event/jobs.go
+++ b/reduce/event/jobs.go
@@ -73,6 +73,7 @@
 	// Failed means that it could not be read; Jobs is empty then.
 	Failed bool
 	Jobs   []ledger.Stored
+	Waves  []ledger.Wave
 }
 
 // LedgerAppended reports the outcome of an append to the ledger.
--- a/reduce/jobs/commit.go
+++ b/reduce/jobs/commit.go
@@ -55,6 +55,8 @@
 	inFlight *group
 	dirty    []*job
 	then     []deferred
+	// waves are records about waves.
+	waves []ledger.Record
 	// storedAt is when the last append succeeded.
 	storedAt time.Time
 	// adopted is set after the first append of the tenure.
@@ -82,11 +84,12 @@
 // flush appends what has changed, unless an append is on its way.
 func (o *ownership) flush() {
 	b := &o.outbox
-	if o.phase != phaseActive || b.inFlight != nil || (len(b.dirty) == 0 && len(b.then) == 0) {
+	if o.phase != phaseActive || b.inFlight != nil || (len(b.dirty) == 0 && len(b.then) == 0 && len(b.waves) == 0) {
 		return
 	}
 	n := min(len(b.dirty), maxGroup)
-	g := &group{since: o.now()}
+	g := &group{since: o.now(), records: b.waves}
+	b.waves = nil
 	for _, j := range b.dirty[:n] {
 		j.dirty = false
 		g.records = append(g.records, o.records(j)...)
--- a/reduce/jobs/health.go
+++ b/reduce/jobs/health.go
@@ -10,7 +10,7 @@
 const (
 	// maxUnproven is the number of runs on a runner that has ended none well
 	// yet: a runner that fails all it starts takes no more than that.
-	maxUnproven = 8
+	maxUnproven = 16
 	// failuresSuspect is the number of failures in a row after which one run at
 	// a time probes a runner, and failuresBad that after which it rests.
 	// Jobs that can never be done fail too, so one failure says little.
--- a/reduce/jobs/instances.go
+++ b/reduce/jobs/instances.go
@@ -1,20 +1,275 @@
 package jobs
 
 import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 )
 
+const (
+	// instanceListPause is the pause between looks at the list of instances.
+	instanceListPause = time.Second
+	// instanceRetry is the pause before an order about an instance is repeated.
+	instanceRetry = 300 * time.Millisecond
+	// instanceBlocked is how long a refused instance is left alone.
+	instanceBlocked = time.Second
+	// instanceProof is the age of the proof of tenure beyond which instances are
+	// not ordered about: it is well under the platform's lease of three seconds,
+	// which keeps two holders apart.
+	instanceProof = 1200 * time.Millisecond
+	// orderShare of the allowed rate of orders is used.
+	orderShare = 0.5
+)
+
 // instances is what the owner knows of the platform's machines.
-type instances struct{}
+type instances struct {
+	byID  map[fleet.InstanceID]*instance
+	order []*instance
+	// known is set after the first list.
+	known   bool
+	listing bool
+	// asked is when the list under way was asked for, nextAt when it is asked
+	// for again.
+	asked, nextAt time.Time
+	// tokens are the orders that may be given now.
+	tokens   float64
+	tokensAt time.Time
+	waves    []*wave
+	// nextPlan is when the planner looks again.
+	nextPlan time.Time
+}
+
+// instance is one machine.
+type instance struct {
+	fleet.ManagedInstance
+	// changed is when this owner last ordered it; older lists say nothing of it.
+	changed time.Time
+	// pending is an order without a clear answer.
+	pending *effect.OrderInstance
+	// retryAt is when it is repeated, zero while its answer is waited for.
+	retryAt time.Time
+	// victim is the incarnation that the order ends.
+	victim fleet.Incarnation
+	// blocked is until when the instance is left alone.
+	blocked time.Time
+	// unfit lists the pools that it cannot join.
+	unfit []fleet.PoolName
+	// idleSince is since when it has run nothing.
+	idleSince time.Time
+	// upSince is when it was last seen to come up.
+	upSince time.Time
+}
+
+func newInstances() instances {
+	return instances{byID: make(map[fleet.InstanceID]*instance)}
+}
+
+// tickInstances lists instances, and orders them about for waves and pools.
+func (o *ownership) tickInstances() {
+	in := &o.instances
+	if !o.s.cfg.Bounds.Instances {
+		return
+	}
+	if !in.listing && !o.now().Before(in.nextAt) {
+		in.listing, in.asked = true, o.now()
+		o.s.emit(effect.ListInstances{Epoch: o.epoch})
+	}
+	if !in.known || !o.listed || !o.mayOrderInstances() {
+		return
+	}
+	o.refill()
+	o.repeatInstanceOrders()
+	o.tickIdle()
+	o.tickWaves()
+	o.plan()
+}
+
+// mayOrderInstances reports whether no other holder can be giving orders.
+func (o *ownership) mayOrderInstances() bool {
+	lease := o.s.cfg.Bounds.MachineLease + instanceProof
+	return !o.s.stopping && o.now().Sub(o.since) > lease && o.now().Sub(o.s.tenure.ProvenAt()) < instanceProof
+}
+
+func (o *ownership) refill() {
+	in := &o.instances
+	rate := o.s.cfg.Bounds.InstanceOrdersPerSecond * orderShare
+	if !in.tokensAt.IsZero() {
+		in.tokens = min(rate, in.tokens+rate*o.now().Sub(in.tokensAt).Seconds())
+	}
+	in.tokensAt = o.now()
+}
+
+func (o *ownership) onInstancesRead(b event.InstancesRead) {
+	in := &o.instances
+	in.listing = false
+	in.nextAt = o.now().Add(instanceListPause)
+	if b.Failed {
+		return
+	}
+	in.known = true
+	seen := make(map[fleet.InstanceID]bool, len(b.Instances))
+	for _, m := range b.Instances {
+		seen[m.ID] = true
+		i := o.instance(m.ID)
+		if i.changed.After(in.asked) || i.pending != nil {
+			continue
+		}
+		if i.State != fleet.InstanceUp && m.State == fleet.InstanceUp {
+			i.upSince = o.now()
+		}
+		i.ManagedInstance = m
+	}
+	in.order = slices.DeleteFunc(in.order, func(i *instance) bool {
+		gone := !seen[i.ID] && i.pending == nil
+		if gone {
+			delete(in.byID, i.ID)
+		}
+		return gone
+	})
+}
+
+func (o *ownership) instance(id fleet.InstanceID) *instance {
+	in := &o.instances
+	i, ok := in.byID[id]
+	if !ok {
+		i = &instance{ManagedInstance: fleet.ManagedInstance{ID: id}, idleSince: o.now()}
+		in.byID[id] = i
+		at, _ := slices.BinarySearchFunc(in.order, i, func(a, b *instance) int {
+			return strings.Compare(string(a.ID), string(b.ID))
+		})
+		in.order = slices.Insert(in.order, at, i)
+	}
+	return i
+}
+
+// runnerOf returns the runner that is the instance's present life, or nil.
+func (o *ownership) runnerOf(i *instance) *runner {
+	if r, ok := o.runners[i.Runner]; ok && r.listed && (r.Instance == "" || r.Instance == i.ID) {
+		return r
+	}
+	for _, r := range o.order {
+		if r.listed && r.Instance == i.ID {
+			return r
+		}
+	}
+	return nil
+}
+
+// tickIdle notes since when instances have run nothing.
+func (o *ownership) tickIdle() {
+	for _, i := range o.instances.order {
+		if r := o.runnerOf(i); r != nil && len(r.runs) > 0 {
+			i.idleSince = time.Time{}
+		} else if i.idleSince.IsZero() {
+			i.idleSince = o.now()
+		}
+	}
+}
+
+// orderable reports whether an instance may be ordered about now.
+func (o *ownership) orderable(i *instance) bool {
+	return i.State == fleet.InstanceUp && i.pending == nil && !o.now().Before(i.blocked)
+}
+
+// orderInstance gives an order about an instance on which nothing runs.
+func (o *ownership) orderInstance(i *instance, kind effect.InstanceOrderKind, pool fleet.PoolName, wave int64) bool {
+	in := &o.instances
+	if in.tokens < 1 {
+		return false
+	}
+	in.tokens--
+	i.victim = 0
+	if r := o.runnerOf(i); r != nil {
+		r.vacating = true
+		i.victim, i.Runner = r.Incarnated, r.ID
+	}
+	i.pending = &effect.OrderInstance{Epoch: o.epoch, Kind: kind, Instance: i.ID, Pool: pool, Wave: wave}
+	o.sendInstanceOrder(i)
+	return true
+}
+
+func (o *ownership) sendInstanceOrder(i *instance) {
+	i.retryAt = time.Time{}
+	e := *i.pending
+	e.NotAfter = o.now().Add(orderFreshness)
+	o.s.emit(e)
+}
+
+func (o *ownership) repeatInstanceOrders() {
+	for _, i := range o.instances.order {
+		if i.pending != nil && !i.retryAt.IsZero() && !o.now().Before(i.retryAt) && o.instances.tokens >= 1 {
+			o.instances.tokens--
+			o.sendInstanceOrder(i)
+		}
+	}
+}
 
-func newInstances() instances { return instances{} }
+var instanceOutcomes = map[effect.InstanceOutcome]string{
+	effect.InstanceOrderDone: "done", effect.InstanceFenced: "fenced", effect.InstanceBusy: "busy",
+	effect.InstanceNotInWave: "not in the wave", effect.InstanceInvalid: "invalid", effect.InstanceRefused: "refused",
+	effect.InstanceUnknown: "unknown",
+}
 
-// planner decides which pool needs instances.
-type planner struct{}
+func (o *ownership) onInstanceOrdered(b event.InstanceOrdered) {
+	i, ok := o.instances.byID[b.Instance]
+	if !ok || i.pending == nil || i.pending.Kind != b.Kind {
+		return
+	}
+	name := "instance moved"
+	if b.Kind == effect.InstanceMaintain {
+		name = "instance maintained"
+	}
+	o.s.decide(effect.Decision{
+		Name: name, Runner: i.Runner, Task: string(i.ID), Queue: fleet.QueueName(i.pending.Pool), Version: b.Wave,
+		Outcome: instanceOutcomes[b.Outcome], Epoch: o.epoch,
+	})
+	switch b.Outcome {
+	case effect.InstanceOrderDone:
+		o.onInstanceAway(i)
+	case effect.InstanceFenced:
+		o.s.endTenure(reasonRunnerFenced)
+	case effect.InstanceUnknown, effect.InstanceRefused:
+		i.retryAt = o.now().Add(instanceRetry)
+	default:
+		o.onInstanceRefused(i, b.Outcome)
+	}
+}
 
-func newPlanner() planner { return planner{} }
+// onInstanceAway notes that an instance is being moved or maintained: all that
+// ran there has ended.
+func (o *ownership) onInstanceAway(i *instance) {
+	order := i.pending
+	i.pending, i.changed = nil, o.now()
+	if r, ok := o.runners[i.Runner]; ok && r.Incarnated == i.victim {
+		o.dead(r, reasonOrdered)
+		r.listed, r.unlisted, r.Address = false, o.now(), ""
+		r.vacating = false
+	}
+	if order.Kind == effect.InstanceMove {
+		i.State, i.Pool = fleet.InstanceMoving, order.Pool
+		o.s.count("instances_moved", "")
+		return
+	}
+	i.State = fleet.InstanceMaintenance
+	o.s.count("instances_maintained", "")
+	o.onMaintained(i.ID, order.Wave)
+}
 
-func (o *ownership) tickInstances()                          {}
-func (o *ownership) onInstancesRead(event.InstancesRead)     {}
-func (o *ownership) onInstanceOrdered(event.InstanceOrdered) {}
-func (o *ownership) onStatusWritten(event.StatusWritten)     {}
+func (o *ownership) onInstanceRefused(i *instance, outcome effect.InstanceOutcome) {
+	order := i.pending
+	i.pending = nil
+	i.blocked = o.now().Add(instanceBlocked)
+	if r := o.runnerOf(i); r != nil {
+		r.vacating = false
+	}
+	switch {
+	case outcome == effect.InstanceInvalid && order.Kind == effect.InstanceMove:
+		i.unfit = append(i.unfit, order.Pool)
+	case outcome == effect.InstanceInvalid || outcome == effect.InstanceNotInWave:
+		o.onMaintained(i.ID, order.Wave)
+	}
+}
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -101,6 +101,7 @@
 		o.restore(&b.Jobs[i])
 	}
 	slices.SortStableFunc(o.active, func(a, b *job) int { return a.accepted.Compare(b.accepted) })
+	o.restoreWaves(b.Waves)
 	o.phase = phaseActive
 	o.outbox.storedAt = o.now()
 	o.s.decide(effect.Decision{
--- a/reduce/jobs/place.go
+++ b/reduce/jobs/place.go
@@ -197,15 +197,17 @@
 	affinityScore = 1_000_000
 	avoidScore    = -10_000_000
 	spreadScore   = -100_000
+	gatherScore   = 10_000
 	servingScore  = -1_000_000
 )
 
-// score prefers the runner with the most room, since work that shares a runner
-// slows down, and one loss takes less. Data nearby goes before that; a runner
-// on which the task ended badly comes last. Lasting tasks of a step are spread,
-// and filling tasks keep away from serving ones.
+// score prefers the fullest runner that has room: a job on few runners is
+// touched by few troubles, and idle instances can be lent to other pools. Data
+// nearby goes before that; a runner on which the task ended badly comes last.
+// Lasting tasks of a step are spread over a few runners with other lasting
+// tasks, and filling tasks keep away from serving ones.
 func (o *ownership) score(st *step, t *task, r *runner, share gangShare) int64 {
-	score := r.free().Minus(share.used).CPU
+	score := -r.free().Minus(share.used).CPU
 	if st.spec.Affinity != "" && st.spec.Affinity == r.Rack {
 		score += affinityScore
 	}
@@ -213,7 +215,7 @@
 		score += avoidScore
 	}
 	if st.spec.Lasting {
-		score += int64(st.countOn(r)) * spreadScore
+		score += o.lastingScore(st, r)
 	}
 	if st.spec.Filling {
 		score += int64(r.count(isServing)) * servingScore
@@ -224,6 +226,21 @@
 	return score
 }
 
+// maxOfStep is the number of a step's lasting tasks that share a runner without
+// need.
+const maxOfStep = 2
+
+// lastingScore gathers lasting tasks on few runners, but no more than two of a
+// step on one.
+func (o *ownership) lastingScore(st *step, r *runner) int64 {
+	own := st.countOn(r)
+	if own >= maxOfStep {
+		return int64(own) * spreadScore
+	}
+	return int64(r.count(isLasting)) * gatherScore
+}
+
+func isLasting(s *fleet.Step) bool { return s.Lasting }
 func isServing(s *fleet.Step) bool { return s.Target > 0 }
 func isFilling(s *fleet.Step) bool { return s.Filling }
 
--- /dev/null
+++ b/reduce/jobs/planner.go
@@ -0,0 +1,277 @@
+package jobs
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+)
+
+const (
+	// planPause is the pause between two plans.
+	planPause = 150 * time.Millisecond
+	// demandWindow is the time over which arrivals are averaged: a burst lasts
+	// some seconds, and a move takes one and a half of them.
+	demandWindow = time.Second
+	// backlogTime is the time in which waiting work should have begun.
+	backlogTime = 1500 * time.Millisecond
+	// fillShare of an instance's processor time is planned to be used; the rest
+	// is lost between tasks of different sizes.
+	fillShare = 0.85
+	// reserveInstances stay in each pool beyond its need, for the first second
+	// of a burst.
+	reserveInstances = 1
+	// idleBeforeMove keeps an instance that has just run something in its pool.
+	idleBeforeMove = 300 * time.Millisecond
+	// idleBeforePark is how long an instance has to be idle before it is turned
+	// off. Its price there and back equals that of two seconds in a pool.
+	idleBeforePark = 2500 * time.Millisecond
+	// maxMovesAtOnce bounds the moves of one plan.
+	maxMovesAtOnce = 8
+)
+
+// planner follows the demand of each pool.
+type planner struct {
+	arrivals map[fleet.ServiceName]*arrivals
+}
+
+// arrivals is the work that arrived lately, in core-milliseconds.
+type arrivals struct {
+	level float64
+	at    time.Time
+}
+
+func newPlanner() planner { return planner{arrivals: make(map[fleet.ServiceName]*arrivals)} }
+
+// observeArrival counts the work of a new job.
+func (o *ownership) observeArrival(j *job) {
+	work := 0.0
+	for i := range j.spec.Steps {
+		st := &j.spec.Steps[i]
+		if !st.Lasting {
+			work += float64(st.Count) * float64(st.Needs.CPU) * st.Estimate.Seconds()
+		}
+	}
+	a := o.arrivalsOf(j.service)
+	a.decay(o.now())
+	a.level += work / demandWindow.Seconds()
+}
+
+func (o *ownership) arrivalsOf(name fleet.ServiceName) *arrivals {
+	a, ok := o.planner.arrivals[name]
+	if !ok {
+		a = &arrivals{at: o.now()}
+		o.planner.arrivals[name] = a
+	}
+	return a
+}
+
+func (a *arrivals) decay(now time.Time) {
+	a.level *= math.Exp(-now.Sub(a.at).Seconds() / demandWindow.Seconds())
+	a.at = now
+}
+
+// poolPlan is what a pool has and needs, in instances.
+type poolPlan struct {
+	name fleet.ServiceName
+	have int
+	need int
+	// idle are the instances that could leave, longest idle first.
+	idle []*instance
+	// size is the processor time of one instance.
+	size int64
+}
+
+func (p *poolPlan) missing() int { return p.need - p.have }
+
+// plan moves idle instances to the pools that need them, and turns off those
+// that nobody needs.
+func (o *ownership) plan() {
+	if o.now().Before(o.instances.nextPlan) || o.s.queues == nil {
+		return
+	}
+	o.instances.nextPlan = o.now().Add(planPause)
+	plans, spare := o.poolPlans()
+	if len(plans) == 0 {
+		return
+	}
+	moves := maxMovesAtOnce
+	slices.SortStableFunc(plans, func(a, b *poolPlan) int { return cmp.Compare(b.missing(), a.missing()) })
+	for _, p := range plans {
+		for p.missing() > 0 && moves > 0 {
+			if !o.moveTo(p, plans, spare) {
+				break
+			}
+			moves--
+		}
+	}
+	o.park(plans, spare, moves)
+}
+
+// poolPlans returns the plans of the pools that run tasks, by name, and of the
+// spare pool, which is nil if there is none.
+func (o *ownership) poolPlans() ([]*poolPlan, *poolPlan) {
+	byName := make(map[fleet.PoolName]*poolPlan)
+	var plans []*poolPlan
+	var spare *poolPlan
+	names := make([]fleet.ServiceName, 0, len(o.s.queues.Services))
+	for name := range o.s.queues.Services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		p := &poolPlan{name: name}
+		byName[fleet.PoolName(name)] = p
+		if o.s.queues.Services[name].Spare {
+			spare = p
+		} else {
+			plans = append(plans, p)
+		}
+	}
+	for _, i := range o.instances.order {
+		if p, ok := byName[i.Pool]; ok {
+			o.addInstance(p, i, p == spare)
+		}
+	}
+	for _, p := range plans {
+		p.need = o.needOf(p)
+		slices.SortStableFunc(p.idle, func(a, b *instance) int { return a.idleSince.Compare(b.idleSince) })
+	}
+	return plans, spare
+}
+
+func (o *ownership) addInstance(p *poolPlan, i *instance, spare bool) {
+	switch {
+	case i.State == fleet.InstanceMoving && i.pending == nil:
+		p.have++
+		return
+	case i.State != fleet.InstanceUp || i.pending != nil:
+		return
+	}
+	r := o.runnerOf(i)
+	if spare {
+		if o.orderable(i) {
+			p.idle = append(p.idle, i)
+		}
+		p.have++
+		return
+	}
+	if r == nil || r.Draining || r.vacating {
+		return
+	}
+	p.size = max(p.size, r.Capacity.CPU)
+	if !o.now().Before(r.health.until) && !r.look.lost {
+		p.have++
+	}
+	if len(r.runs) == 0 && o.orderable(i) && !i.idleSince.IsZero() && o.now().Sub(i.idleSince) >= idleBeforeMove {
+		p.idle = append(p.idle, i)
+	}
+}
+
+// usualSize stands for an instance's processor time until one was seen, in
+// thousandths of a core.
+const usualSize = 64_000
+
+// needOf returns how many instances a pool needs.
+func (o *ownership) needOf(p *poolPlan) int {
+	size := p.size
+	if size == 0 {
+		size = usualSize
+	}
+	a := o.arrivalsOf(p.name)
+	a.decay(o.now())
+	cores := a.level
+	var running, lasting int64
+	for _, r := range o.order {
+		if r.Service != p.name {
+			continue
+		}
+		for _, run := range r.runs {
+			if run.task.step.spec.Lasting {
+				lasting += run.need.CPU
+			} else {
+				running += run.need.CPU
+			}
+		}
+	}
+	cores = max(cores, float64(running)) + float64(lasting) + o.backlog(p.name)
+	return int(math.Ceil(cores/(float64(size)*fillShare))) + reserveInstances
+}
+
+// backlog returns the processor time that would begin the waiting work in time.
+func (o *ownership) backlog(name fleet.ServiceName) float64 {
+	p, ok := o.pools[name]
+	if !ok {
+		return 0
+	}
+	cores := 0.0
+	for _, st := range p.queue {
+		waiting := 0
+		for _, t := range st.tasks {
+			if t.phase == taskWaiting {
+				waiting++
+			}
+		}
+		share := 1.0
+		if !st.spec.Lasting {
+			share = min(1, st.estimate.Seconds()/backlogTime.Seconds())
+		}
+		cores += float64(waiting) * float64(st.spec.Occupies().CPU) * share
+	}
+	return cores
+}
+
+// moveTo moves one instance to a pool, from the spare ones or from the pool with
+// most to give. It returns false when none can be had.
+func (o *ownership) moveTo(p *poolPlan, plans []*poolPlan, spare *poolPlan) bool {
+	donors := slices.Clone(plans)
+	slices.SortStableFunc(donors, func(a, b *poolPlan) int { return cmp.Compare(a.missing(), b.missing()) })
+	if spare != nil {
+		donors = append([]*poolPlan{spare}, donors...)
+	}
+	for _, d := range donors {
+		if d == p || (d != spare && d.missing() >= 0) {
+			continue
+		}
+		if i := takeFitting(d, fleet.PoolName(p.name)); i != nil {
+			d.have--
+			p.have++
+			return o.orderInstance(i, effect.InstanceMove, fleet.PoolName(p.name), 0)
+		}
+	}
+	return false
+}
+
+// takeFitting takes the first instance of a plan that may join a pool.
+func takeFitting(d *poolPlan, pool fleet.PoolName) *instance {
+	for n, i := range d.idle {
+		if !slices.Contains(i.unfit, pool) {
+			d.idle = slices.Delete(d.idle, n, n+1)
+			return i
+		}
+	}
+	return nil
+}
+
+// park turns off instances that have been idle for long.
+func (o *ownership) park(plans []*poolPlan, spare *poolPlan, moves int) {
+	if spare == nil {
+		return
+	}
+	for _, p := range plans {
+		for p.missing() < 0 && moves > 0 {
+			i := takeFitting(p, fleet.PoolName(spare.name))
+			if i == nil || o.now().Sub(i.idleSince) < idleBeforePark {
+				break
+			}
+			if !o.orderInstance(i, effect.InstanceMove, fleet.PoolName(spare.name), 0) {
+				return
+			}
+			p.have--
+			moves--
+		}
+	}
+}
--- a/reduce/jobs/serve.go
+++ b/reduce/jobs/serve.go
@@ -51,6 +51,7 @@
 	o.jobs[j.id] = j
 	o.active = append(o.active, j)
 	o.mark(j)
+	o.observeArrival(j)
 	o.beginDue(j)
 	o.after(deferred{call: c, answer: accepted})
 }
--- /dev/null
+++ b/reduce/jobs/waves.go
@@ -0,0 +1,239 @@
+package jobs
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/ledger"
+)
+
+const (
+	// wavePaceShare of a wave's time is planned with; the rest is a reserve for
+	// takeovers and outages.
+	wavePaceShare = 0.6
+	// vacateTime is how long an instance usually takes until nothing runs on it.
+	vacateTime = 1500 * time.Millisecond
+	// backMargin is how long after its maintenance an instance is counted as
+	// down unless the list shows it up.
+	backMargin = time.Second
+)
+
+// wave is a maintenance wave under way.
+type wave struct {
+	*fleet.MaintenanceWave
+	begun time.Time
+	done  map[fleet.InstanceID]bool
+	// down holds the instances that may be down, with the time of their order.
+	down map[fleet.InstanceID]time.Time
+	// vacating lists the instances that are being emptied.
+	vacating map[fleet.InstanceID]bool
+	// told is the state that operators were told last, telling is set while they
+	// are being told.
+	told, telling, finished bool
+	toldDone                bool
+}
+
+// wave returns a wave under way, which begins if it is new.
+func (o *ownership) wave(id int64) *wave {
+	for _, w := range o.instances.waves {
+		if w.ID == id {
+			return w
+		}
+	}
+	spec, ok := o.s.waves[id]
+	if !ok {
+		return nil
+	}
+	w := &wave{
+		MaintenanceWave: spec, begun: o.s.seenAt[id], done: make(map[fleet.InstanceID]bool),
+		down: make(map[fleet.InstanceID]time.Time), vacating: make(map[fleet.InstanceID]bool),
+	}
+	o.instances.waves = append(o.instances.waves, w)
+	slices.SortFunc(o.instances.waves, func(a, b *wave) int { return cmp.Compare(a.ID, b.ID) })
+	return w
+}
+
+// restoreWaves takes over what earlier owners stored.
+func (o *ownership) restoreWaves(stored []ledger.Wave) {
+	for i := range stored {
+		w := o.wave(stored[i].ID)
+		if w == nil {
+			continue
+		}
+		for _, id := range stored[i].Done {
+			w.done[id] = true
+		}
+	}
+}
+
+// tickWaves carries the waves on.
+func (o *ownership) tickWaves() {
+	for id := range o.s.waves {
+		o.wave(id)
+	}
+	for _, w := range o.instances.waves {
+		if w.finished {
+			o.tellWave(w)
+			continue
+		}
+		o.tickWave(w)
+		o.tellWave(w)
+	}
+}
+
+func (o *ownership) tickWave(w *wave) {
+	o.countDown(w)
+	left := o.left(w)
+	if len(left) == 0 {
+		w.finished = true
+		o.s.decide(effect.Decision{
+			Name: "wave done", Version: w.ID, Count: len(w.done), Epoch: o.epoch, Age: o.now().Sub(w.begun),
+		})
+		return
+	}
+	o.orderIdle(w, left)
+	o.vacateMore(w, left)
+}
+
+// countDown forgets the instances that are up again.
+func (o *ownership) countDown(w *wave) {
+	for id, since := range w.down {
+		i, ok := o.instances.byID[id]
+		up := ok && i.State == fleet.InstanceUp && i.pending == nil && i.upSince.After(since)
+		if !ok || up && o.now().Sub(since) > o.s.cfg.Bounds.MaintenanceTime+backMargin/2 {
+			delete(w.down, id)
+		}
+	}
+	for id, i := range o.instances.byID {
+		if _, ok := w.down[id]; !ok && i.State == fleet.InstanceMaintenance && w.names(id) {
+			w.down[id] = o.now()
+		}
+	}
+}
+
+func (w *wave) names(id fleet.InstanceID) bool { return slices.Contains(w.Instances, id) }
+
+// left returns the wave's instances that are still to be maintained, those on
+// which nothing runs first.
+func (o *ownership) left(w *wave) []*instance {
+	var left []*instance
+	for _, id := range w.Instances {
+		if i, ok := o.instances.byID[id]; ok && !w.done[id] {
+			left = append(left, i)
+		}
+	}
+	slices.SortStableFunc(left, func(a, b *instance) int { return cmp.Compare(o.load(a), o.load(b)) })
+	return left
+}
+
+// load returns the processor time in use on an instance, with lasting tasks
+// counted most, since their way elsewhere is noticed.
+func (o *ownership) load(i *instance) int64 {
+	r := o.runnerOf(i)
+	if r == nil {
+		return 0
+	}
+	load := r.used.CPU
+	for _, run := range r.runs {
+		if run.task.step.spec.Lasting {
+			load += lastingLoad
+		}
+	}
+	return load
+}
+
+// lastingLoad is as much as a whole runner's processor time.
+const lastingLoad = 64_000
+
+// orderIdle maintains instances on which nothing runs.
+func (o *ownership) orderIdle(w *wave, left []*instance) {
+	for _, i := range left {
+		if len(w.down) >= o.allowedDown(w) {
+			return
+		}
+		r := o.runnerOf(i)
+		if !o.orderable(i) || (r != nil && len(r.runs) > 0) {
+			continue
+		}
+		if o.orderInstance(i, effect.InstanceMaintain, "", w.ID) {
+			w.down[i.ID] = o.now()
+			delete(w.vacating, i.ID)
+		}
+	}
+}
+
+// allowedDown returns how many of a wave's instances may be down. One place is
+// left for an order of an earlier owner that is carried out late.
+func (o *ownership) allowedDown(w *wave) int {
+	if w.MaxAtOnce > 2 && o.epoch > 1 {
+		return w.MaxAtOnce - 1
+	}
+	return w.MaxAtOnce
+}
+
+// vacateMore empties as many instances at once as the wave's time asks for.
+func (o *ownership) vacateMore(w *wave, left []*instance) {
+	deadline := w.begun.Add(time.Duration(float64(w.Within) * wavePaceShare))
+	each := vacateTime + o.s.cfg.Bounds.MaintenanceTime + backMargin
+	room := max(deadline.Sub(o.now()), each)
+	want := min(int((time.Duration(len(left))*each+room-1)/room), o.allowedDown(w)-len(w.down))
+	for _, i := range left {
+		if len(w.vacating) >= want {
+			return
+		}
+		r := o.runnerOf(i)
+		if r == nil || w.vacating[i.ID] || !o.orderable(i) {
+			continue
+		}
+		w.vacating[i.ID] = true
+		r.vacating = true
+		o.s.decide(effect.Decision{
+			Name: "instance vacated", Task: string(i.ID), Runner: r.ID, Version: w.ID, Count: len(r.runs), Epoch: o.epoch,
+		})
+	}
+}
+
+// onMaintained notes that an instance's maintenance has begun, or need not.
+func (o *ownership) onMaintained(id fleet.InstanceID, waveID int64) {
+	w := o.wave(waveID)
+	if w == nil {
+		return
+	}
+	w.done[id] = true
+	delete(w.vacating, id)
+	o.storeWave(w)
+}
+
+// storeWave keeps how far a wave is, for the next owner.
+func (o *ownership) storeWave(w *wave) {
+	done := make([]fleet.InstanceID, 0, len(w.done))
+	for id := range w.done {
+		done = append(done, id)
+	}
+	slices.Sort(done)
+	o.outbox.waves = append(o.outbox.waves, ledger.Record{Wave: &ledger.Wave{ID: w.ID, Done: done}})
+}
+
+// tellWave tells operators how far a wave is.
+func (o *ownership) tellWave(w *wave) {
+	if w.telling || w.told && w.toldDone == w.finished {
+		return
+	}
+	w.telling = true
+	o.s.emit(effect.WriteWaveStatus{Epoch: o.epoch, Wave: w.ID, Done: w.finished})
+}
+
+func (o *ownership) onStatusWritten(b event.StatusWritten) {
+	w := o.wave(b.Wave)
+	if w == nil {
+		return
+	}
+	w.telling = false
+	if !b.Failed {
+		w.told, w.toldDone = true, b.Done
+	}
+}
--- a/reduce/ledger/ledger.go
+++ b/reduce/ledger/ledger.go
@@ -19,6 +19,15 @@
 	// DropDefinition and DropProgress remove the record of that kind.
 	DropDefinition bool
 	DropProgress   bool
+	// Wave is set in a record about a maintenance wave; Job is empty then.
+	Wave *Wave
+}
+
+// Wave is how far a maintenance wave is.
+type Wave struct {
+	ID int64
+	// Done lists the instances whose maintenance has begun.
+	Done []fleet.InstanceID
 }
 
 // Definition is a job as it was accepted. It never changes.
