--- a/cmd/banyanrail-entry/main.go
+++ b/cmd/banyanrail-entry/main.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -119,40 +120,55 @@
 	})
 	scrape := http.NewServeMux()
 	scrape.Handle("GET /metrics", metrics)
+	stopping := &atomic.Bool{}
+	clients := closeWhile(stopping, platform.Serve(e.Call))
 	serving, closeListeners := context.WithCancel(ctx)
 	defer closeListeners()
+	running, endEntry := context.WithCancel(context.WithoutCancel(ctx))
+	defer endEntry()
 	group, groupCtx := errgroup.WithContext(serving)
 	group.Go(func() error {
-		return daemon.Serve(groupCtx, c.platform.ClientAddress, nil, platform.Serve(e.Call), answerGrace)
+		// The entry ends only after the last answer.
+		defer endEntry()
+		return daemon.Serve(groupCtx, c.platform.ClientAddress, nil, clients, answerGrace)
 	})
 	group.Go(func() error { return daemon.Serve(groupCtx, c.platform.ReadyAddress, nil, ops, 0) })
 	group.Go(func() error { return daemon.Serve(groupCtx, c.Metrics, nil, scrape, 0) })
 	group.Go(func() error {
-		return daemon.ServeGRPC(groupCtx, c.platform.PeerAddress, nil, func(g *grpc.Server) { peer.RegisterJobs(g, e.Call) }, peer.ServerOptions()...)
+		return daemon.ServeGRPC(running, c.platform.PeerAddress, nil, func(g *grpc.Server) { peer.RegisterJobs(g, e.Call) }, peer.ServerOptions()...)
 	})
-	running, endEntry := context.WithCancel(context.WithoutCancel(ctx))
-	defer endEntry()
 	group.Go(func() error {
 		e.Run(running)
 		return nil
 	})
 	group.Go(func() error {
-		defer endEntry()
 		defer closeListeners()
-		return stopGracefully(groupCtx, c, e, logger, signals)
+		return stopGracefully(groupCtx, c, e, logger, signals, stopping)
 	})
 	return group.Wait()
 }
 
+// closeWhile asks clients to open new connections, which the balancer gives to
+// other entries, while the entry stops.
+func closeWhile(stopping *atomic.Bool, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // stopGracefully waits for a signal, or for a listener to fail, and hands the
 // jobs over.
-func stopGracefully(ctx context.Context, c config, e *jobentry.Entry, logger *slog.Logger, signals <-chan os.Signal) error {
+func stopGracefully(ctx context.Context, c config, e *jobentry.Entry, logger *slog.Logger, signals <-chan os.Signal, stopping *atomic.Bool) error {
 	select {
 	case <-ctx.Done():
 		return nil
 	case <-signals:
 	}
-	handing, cancel := context.WithTimeout(ctx, c.platform.ShutdownGrace-answerGrace)
+	stopping.Store(true)
+	handing, cancel := context.WithTimeout(ctx, c.platform.ShutdownGrace-answerGrace-endMargin)
 	defer cancel()
 	notice := time.After(balancerNotice)
 	if err := e.HandOver(handing); err != nil {
--- a/cmd/banyanrail-entry/settings.go
+++ b/cmd/banyanrail-entry/settings.go
@@ -19,6 +19,8 @@
 	// answerGrace is how long calls in hand may take after the listeners closed:
 	// longer than any call waits.
 	answerGrace = 1600 * time.Millisecond
+	// endMargin of the shutdown grace is left for the end of the process.
+	endMargin = 500 * time.Millisecond
 )
 
 // settings are the flags and environment variables of the daemon. What the
--- a/reduce/jobs/evacuate.go
+++ b/reduce/jobs/evacuate.go
@@ -44,6 +44,18 @@
 	return false
 }
 
+// certainAge is the age of a runner's word that a task is at work beyond which
+// the task counts as away: a look takes lookWait, and one answer may be late.
+const certainAge = lookWait + 600*time.Millisecond
+
+// certainlyAtWork reports whether a lasting task was at work just now, as its
+// runner says.
+func (o *ownership) certainlyAtWork(t *task) bool {
+	run := t.run
+	return run != nil && run.phase == runRunning && run.atWork && !run.runner.look.lost &&
+		o.now().Sub(run.seenAt) < certainAge
+}
+
 // mayInterrupt reports whether a lasting task may be taken from work: few
 // enough others of its step are away.
 func (o *ownership) mayInterrupt(t *task) bool {
@@ -53,7 +65,7 @@
 	}
 	away := 0
 	for _, other := range t.step.tasks {
-		if other != t && (other.run == nil || other.run.phase != runRunning || !other.run.atWork) {
+		if other != t && !o.certainlyAtWork(other) {
 			away++
 		}
 	}
--- a/reduce/jobs/order.go
+++ b/reduce/jobs/order.go
@@ -49,6 +49,8 @@
 	// for later has to show the run or its end. Zero before.
 	settled time.Time
 
+	// seenAt is when the runner last listed the run.
+	seenAt     time.Time
 	percent    int
 	progressAt time.Time
 	atWork     bool
@@ -321,6 +323,7 @@
 
 // observe takes in a row of what the runner runs.
 func (r *run) observe(o *ownership, row *fleet.RunningTask) {
+	r.seenAt = o.now()
 	if r.phase == runStarting {
 		r.phase, r.underway, r.settled, r.progressAt = runRunning, false, o.now(), o.now()
 		r.retryAt = time.Time{}
@@ -332,9 +335,12 @@
 		r.percent, r.progressAt = row.Percent, o.now()
 	}
 	r.load = row.Load
-	if r.task.step.spec.Lasting && row.Percent >= atWorkPercent && !r.atWork {
-		r.atWork = true
-		r.runner.health.prove()
+	if r.task.step.spec.Lasting {
+		atWork := row.Percent >= atWorkPercent
+		if atWork && !r.atWork {
+			r.runner.health.prove()
+		}
+		r.atWork = atWork
 	}
 	if r.atWork {
 		r.task.awaySince = o.now()
