--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -192,10 +192,11 @@
 	}
 }
 
-// newDeadline returns the end of a lease that begins now, and remembers it.
+// newDeadline returns the end of a lease that begins now, and remembers it. The
+// lease of a runner that does not answer is not extended, so that it runs out.
 func (r *runner) newDeadline(now time.Time) int64 {
-	if r.clock.Reading == 0 {
-		return 0
+	if r.clock.Reading == 0 || r.look.lost {
+		return r.deadline
 	}
 	d := r.clock.Reading + now.Sub(r.clock.Received).Milliseconds() + leaseLength.Milliseconds()
 	r.deadline = max(r.deadline, d)
@@ -233,7 +234,7 @@
 
 // usable reports whether tasks may be started on the runner.
 func (o *ownership) usable(r *runner) bool {
-	return r.listed && r.touched && !r.Draining && !r.vacating && r.Capacity.CPU > 0 &&
+	return r.listed && r.touched && !r.look.lost && !r.Draining && !r.vacating && r.Capacity.CPU > 0 &&
 		!o.now().Before(r.roomUntil) && o.fit(r)
 }
 
