--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -82,6 +82,8 @@
 	failures int
 	saved    string
 	run      *run
+	// unresolved is set while it is not known how the last run ended.
+	unresolved bool
 	// avoid is the runner on which it last ended badly.
 	avoid fleet.RunnerID
 	// awaySince is when a lasting task was last at work, for its budget.
@@ -316,7 +318,7 @@
 	if t.phase == taskDone || t.attempt == 0 {
 		return ledger.Task{}, false
 	}
-	out := ledger.Task{Number: t.step.first + t.index, Attempt: t.attempt, Failures: t.failures, Saved: t.saved}
+	out := ledger.Task{Number: t.step.first + t.index, Attempt: t.attempt, Failures: t.failures, Saved: t.saved, Unresolved: t.unresolved}
 	if t.run != nil {
 		out.Runner, out.Incarnated = t.run.runner.ID, t.run.incarnated
 	}
@@ -389,7 +391,7 @@
 }
 
 func (o *ownership) restoreTask(t *task, r *ledger.Task) {
-	t.attempt, t.failures, t.saved = r.Attempt, r.Failures, r.Saved
+	t.attempt, t.failures, t.saved, t.unresolved = r.Attempt, r.Failures, r.Saved, r.Unresolved
 	t.job().started = true
 	if r.Runner == "" {
 		return
--- a/reduce/jobs/look.go
+++ b/reduce/jobs/look.go
@@ -35,8 +35,6 @@
 	sent     time.Time
 	// notBefore is when the next one may be sent.
 	notBefore time.Time
-	// since is when the lists were first complete.
-	since time.Time
 	// lost is set while the runner does not answer.
 	lost bool
 }
@@ -212,13 +210,15 @@
 	o.pool(r.Service).dirty = true
 }
 
-// takeStrayEnd takes in the end of a run that the owner has given up: its work
-// counts if the task has not been started since.
+// takeStrayEnd takes in the end of a run that the owner gave up when its lease
+// ran out: it counts if the task has not been started since. Ends of other runs
+// have counted before.
 func (o *ownership) takeStrayEnd(r *runner, e *fleet.EndedTask) {
 	t := o.task(e.Task)
-	if t == nil || t.phase != taskWaiting || e.Attempt != t.attempt {
+	if t == nil || t.phase != taskWaiting || e.Attempt != t.attempt || !t.unresolved {
 		return
 	}
+	t.unresolved = false
 	switch e.How {
 	case fleet.EndDone:
 		o.onDone(t)
--- a/reduce/jobs/order.go
+++ b/reduce/jobs/order.go
@@ -74,7 +74,7 @@
 
 // intend reserves a runner for a task. The start follows once that is stored.
 func (o *ownership) intend(t *task, r *runner, attempt int64, ticket string) {
-	t.attempt = attempt
+	t.attempt, t.unresolved = attempt, false
 	run := &run{
 		task: t, runner: r, incarnated: r.Incarnated, attempt: attempt, phase: runIntent,
 		need: t.step.spec.Occupies(), since: o.now(), ticket: ticket, pace: newPace(),
@@ -120,6 +120,7 @@
 		Epoch: o.epoch, Age: o.now().Sub(run.since),
 	})
 	o.s.count("runs_lost", reason)
+	run.task.unresolved = reason == reasonLapsed
 	o.requeue(run.task)
 }
 
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -168,10 +168,13 @@
 	for _, run := range r.sortedRuns() {
 		o.lose(run, reason)
 	}
-	r.touched, r.deadline, r.acked, r.seen = false, 0, 0, 0
+	r.touched, r.deadline = false, 0
 	r.clock = event.Clock{}
-	r.look.since = time.Time{}
 	r.used = fleet.Capacity{}
+	if reason == reasonLapsed {
+		return // the same incarnation may come back and list its ends again
+	}
+	r.acked, r.seen = 0, 0
 	r.Incarnated = 0
 	r.health = health{}
 }
--- a/reduce/ledger/ledger.go
+++ b/reduce/ledger/ledger.go
@@ -68,6 +68,8 @@
 	Incarnated fleet.Incarnation
 	// Saved resumes it; empty when it has saved nothing.
 	Saved string
+	// Unresolved is set when it is not known how its last run ended.
+	Unresolved bool
 }
 
 // Stored is all that the ledger holds of one job.
