--- a/jobentry/act.go
+++ b/jobentry/act.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/alitto/pond/v2"
 	"github.com/banyanrail/banyanrail/loop"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
@@ -14,13 +15,13 @@
 func (e *Entry) act(out effect.Effect) {
 	switch o := out.(type) {
 	case effect.OrderTask:
-		e.orders.Go(func() { e.order(o) })
+		e.run(e.orders, func() { e.order(o) })
 	case effect.Look:
-		e.looks.Go(func() { e.look(o) })
+		e.run(e.looks, func() { e.look(o) })
 	case effect.ReplyCall:
 		e.calls.Resolve(o.Call, o.Answer)
 	case effect.Forward:
-		e.forwards.Go(func() { e.forward(o) })
+		e.run(e.forwards, func() { e.forward(o) })
 	case effect.Decision:
 		e.log(&o)
 	case effect.CountJob:
@@ -45,21 +46,29 @@
 func (e *Entry) actStore(out effect.Effect) {
 	switch o := out.(type) {
 	case effect.AppendTenure:
-		e.store.Go(func() { e.appendTenure(o) })
+		e.run(e.store, func() { e.appendTenure(o) })
 	case effect.FenceLedger:
-		e.store.Go(func() { e.fenceLedger(o) })
+		e.run(e.store, func() { e.fenceLedger(o) })
 	case effect.LoadLedger:
-		e.store.Go(func() { e.loadLedger(o) })
+		e.run(e.store, func() { e.loadLedger(o) })
 	case effect.AppendLedger:
-		e.store.Go(func() { e.appendLedger(o) })
+		e.run(e.store, func() { e.appendLedger(o) })
 	case effect.WriteWaveStatus:
-		e.store.Go(func() { e.writeWaveStatus(o) })
+		e.run(e.store, func() { e.writeWaveStatus(o) })
 	case effect.ListInstances:
-		e.orders.Go(func() { e.listInstances(o) })
+		e.run(e.orders, func() { e.listInstances(o) })
 	case effect.OrderInstance:
-		e.orders.Go(func() { e.orderInstance(o) })
+		e.run(e.orders, func() { e.orderInstance(o) })
 	case effect.AskAdvice:
-		e.orders.Go(func() { e.askAdvice(o) })
+		e.run(e.orders, func() { e.askAdvice(o) })
+	}
+}
+
+// run hands a task to a pool of goroutines. The pools end with the entry, when
+// nobody needs the task's result.
+func (e *Entry) run(p pond.Pool, task func()) {
+	if err := p.Go(task); err != nil {
+		e.deps.Logger.Debug("task dropped", "error", describe(err))
 	}
 }
 
--- a/reduce/effect/jobs.go
+++ b/reduce/effect/jobs.go
@@ -107,7 +107,7 @@
 	Reason     Reason
 }
 
-// Reply hands an answer to a client, or to the entry that forwarded the call.
+// ReplyCall hands an answer to a client, or to the entry that forwarded the call.
 type ReplyCall struct {
 	Call   uint64
 	Answer Answered
--- a/reduce/jobs/calls.go
+++ b/reduce/jobs/calls.go
@@ -224,6 +224,7 @@
 		reason = reasonStoreDown
 	case callForwarded:
 		reason, c.reached = reasonNoAnswer, true
+	case callParked:
 	}
 	if c.reached || c.phase == callLocal {
 		s.answer(c, effect.Answered{Kind: effect.AnswerUnknown, Reason: reason})
--- a/reduce/jobs/health.go
+++ b/reduce/jobs/health.go
@@ -20,9 +20,6 @@
 	// Troubles of runners last about five seconds.
 	restFirst = 1500 * time.Millisecond
 	restMost  = 6 * time.Second
-	// stallLimit is how long a run may make no progress: at a sixth of the usual
-	// speed the longest usual tasks still advance by a percent in half of it.
-	stallLimit = 2 * time.Second
 )
 
 // health is what the ends of runs tell about a runner.
@@ -63,6 +60,7 @@
 		if !run.atWork {
 			o.strike(r, "failed a task")
 		}
+	default: // the owner's own acts, or losses, say nothing
 	}
 }
 
@@ -86,9 +84,3 @@
 	})
 	o.s.count("runners_rested", reason)
 }
-
-// stalled reports whether a run has stood still.
-func (o *ownership) stalled(run *run) bool {
-	return run.phase == runRunning && !run.task.step.spec.Lasting && !run.progressAt.IsZero() &&
-		o.now().Sub(run.progressAt) > stallLimit
-}
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -84,6 +84,8 @@
 	run      *run
 	// unresolved is set while it is not known how the last run ended.
 	unresolved bool
+	// restarts counts the runs that were stopped since they were too slow.
+	restarts int
 	// avoid is the runner on which it last ended badly.
 	avoid fleet.RunnerID
 	// awaySince is when a lasting task was last at work, for its budget.
--- a/reduce/jobs/look.go
+++ b/reduce/jobs/look.go
@@ -14,8 +14,6 @@
 	// servingWait takes its place where filling tasks run beside serving ones,
 	// whose response times change within seconds.
 	servingWait = 500 * time.Millisecond
-	// lookLimit is how much longer than its wait a look's answer may take.
-	lookLimit = 900 * time.Millisecond
 	// lookPause is the pause after a look that failed.
 	lookPause = 150 * time.Millisecond
 	// blindPause is the pause between looks while ends cannot be stored, which
@@ -107,6 +105,7 @@
 	o.takeEnds(r, b.Ended)
 	if len(b.Ended) < endsPage {
 		o.takeRunning(r, b.Running, sent)
+		o.restartStragglers(r)
 	}
 	if first {
 		o.pool(r.Service).dirty = true
@@ -147,6 +146,7 @@
 		return
 	case event.OrderStale:
 		return
+	default: // it is looked at again
 	}
 	r.look.notBefore = o.now().Add(lookPause)
 	if !r.look.lost {
@@ -199,6 +199,7 @@
 	o.release(run)
 	o.logEnd(run, e.How)
 	o.learn(r, run, e.How)
+	o.learnSpeed(run, e.How)
 	switch e.How {
 	case fleet.EndDone:
 		o.onDone(t)
@@ -224,6 +225,7 @@
 		o.onDone(t)
 	case fleet.EndFailed:
 		o.onFailed(t, r)
+	default: // it waits already
 	}
 }
 
--- a/reduce/jobs/order.go
+++ b/reduce/jobs/order.go
@@ -167,6 +167,7 @@
 		return
 	case runStopping:
 		return
+	default:
 	}
 	run.phase, run.settled = runStopping, time.Time{}
 	run.underway, run.retryAt = false, time.Time{}
@@ -218,6 +219,7 @@
 		o.sendStart(run)
 	case runStopping:
 		o.sendStop(run)
+	case runRunning: // nothing to repeat
 	}
 }
 
@@ -287,6 +289,7 @@
 		run.task.step.advice = advice{}
 	case event.OrderInvalid:
 		run.task.saved = ""
+	default:
 	}
 	run.task.avoid = r.ID
 	if run.uncertain {
--- a/reduce/jobs/planner.go
+++ b/reduce/jobs/planner.go
@@ -144,21 +144,26 @@
 }
 
 func (o *ownership) addInstance(p *poolPlan, i *instance, spare bool) {
-	switch {
-	case i.State == fleet.InstanceMoving && i.pending == nil:
-		p.have++
+	if i.pending != nil || (i.State != fleet.InstanceUp && i.State != fleet.InstanceMoving) {
 		return
-	case i.State != fleet.InstanceUp || i.pending != nil:
+	}
+	if i.State == fleet.InstanceMoving {
+		p.have++
 		return
 	}
-	r := o.runnerOf(i)
 	if spare {
+		p.have++
 		if o.orderable(i) {
 			p.idle = append(p.idle, i)
 		}
-		p.have++
 		return
 	}
+	o.addRunning(p, i)
+}
+
+// addRunning counts an instance that is up in a pool that runs tasks.
+func (o *ownership) addRunning(p *poolPlan, i *instance) {
+	r := o.runnerOf(i)
 	if r == nil || r.Draining || r.vacating {
 		return
 	}
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -53,6 +53,8 @@
 	name  fleet.ServiceName
 	queue []*step
 	dirty bool
+	// speed is how long tasks take, as a multiple of their estimates.
+	speed speed
 }
 
 func (p *pool) remove(st *step) {
