--- a/reduce/jobs/speed.go
+++ b/reduce/jobs/speed.go
@@ -11,14 +11,18 @@
 	// stallLimit is how long a run may make no progress: at a sixth of the usual
 	// speed the longest usual tasks still advance by a percent in a third of it.
 	stallLimit = 1300 * time.Millisecond
-	// slowFactor times its usual length makes a run a straggler. Estimates are
-	// off by a half and more, and workers in trouble are four times slower.
-	slowFactor = 3
+	// slowFactor times its usual length is too long for a run. Estimates are off
+	// by a half and more, and workers in trouble are four times slower.
+	slowFactor = 2
+	// slowSteps is the number of steps whose runs all have to be too long.
+	slowSteps = 2
 	// restartGain is how much longer than a fresh run the rest of a straggler
 	// has to take.
 	restartGain = 500 * time.Millisecond
-	// minPercent is the progress from which a run's length is projected.
+	// minPercent and minElapsed are the progress and the time from which a run's
+	// length is projected: a start takes a while.
 	minPercent = 4
+	minElapsed = 400 * time.Millisecond
 	// maxRestarts bounds the restarts of one task, since its estimate may be
 	// what is wrong.
 	maxRestarts = 2
@@ -65,11 +69,12 @@
 	o.pool(run.task.job().service).speed.add(o.now().Sub(run.since).Seconds() / estimate.Seconds())
 }
 
-// restartStragglers stops the runs on a runner that stand still or are so slow
-// that a fresh run elsewhere ends sooner.
+// restartStragglers stops the runs on a runner that stand still or, where the
+// whole runner is slow, those that a fresh run elsewhere would overtake.
 func (o *ownership) restartStragglers(r *runner) {
+	slow := o.isSlow(r)
 	for _, run := range r.sortedRuns() {
-		reason := o.straggling(run)
+		reason := o.straggling(run, slow)
 		if reason == "" || !o.roomElsewhere(run) {
 			continue
 		}
@@ -87,24 +92,52 @@
 	}
 }
 
+// mayRestart reports whether a run is of a kind that is restarted.
+func (run *run) mayRestart() bool {
+	spec := run.task.step.spec
+	return run.phase == runRunning && !spec.Lasting && !spec.Gang && !spec.Filling && run.task.restarts < maxRestarts
+}
+
 // straggling returns why a run should be restarted elsewhere; empty if it should
 // not.
-func (o *ownership) straggling(run *run) effect.Reason {
-	t := run.task
-	if run.phase != runRunning || t.step.spec.Lasting || t.step.spec.Gang || t.step.spec.Filling || t.restarts >= maxRestarts {
+func (o *ownership) straggling(run *run, slow bool) effect.Reason {
+	if !run.mayRestart() {
 		return ""
 	}
 	if run.seenAt.Sub(run.progressAt) > stallLimit {
 		return reasonStalled
 	}
-	if run.percent < minPercent {
-		return ""
-	}
-	usual := o.pool(t.job().service).speed.usual(t.step.estimate)
-	elapsed := run.seenAt.Sub(run.since)
-	whole := elapsed * atWorkPercent / time.Duration(run.percent)
-	if whole > slowFactor*usual && whole-elapsed > usual+restartGain {
+	whole, known := run.projected()
+	usual := o.pool(run.task.job().service).speed.usual(run.task.step.estimate)
+	if slow && known && whole-run.seenAt.Sub(run.since) > usual+restartGain {
 		return reasonSlow
 	}
 	return ""
 }
+
+// projected returns the length of a run as its progress so far foretells it.
+func (run *run) projected() (time.Duration, bool) {
+	elapsed := run.seenAt.Sub(run.since)
+	if run.percent < minPercent || elapsed < minElapsed {
+		return 0, false
+	}
+	return elapsed * atWorkPercent / time.Duration(run.percent), true
+}
+
+// isSlow reports whether a runner is slow: runs of several steps, whose estimates
+// are wrong in different ways, all take much longer than usual.
+func (o *ownership) isSlow(r *runner) bool {
+	steps := make(map[*step]bool)
+	for _, run := range r.runs {
+		whole, known := run.projected()
+		if !known || !run.mayRestart() {
+			continue
+		}
+		usual := o.pool(run.task.job().service).speed.usual(run.task.step.estimate)
+		if whole < slowFactor*usual {
+			return false
+		}
+		steps[run.task.step] = true
+	}
+	return len(steps) >= slowSteps
+}
