--- a/codec/ledger.go
+++ b/codec/ledger.go
@@ -144,7 +144,7 @@
 	Runner     fleet.RunnerID    `json:"r,omitempty"`
 	Incarnated fleet.Incarnation `json:"b,omitempty"`
 	Saved      string            `json:"s,omitempty"`
-	Unresolved bool              `json:"u,omitempty"`
+	Unresolved []ledger.Run      `json:"u,omitempty"`
 }
 
 // EncodeLedger returns the record of a job.
--- /dev/null
+++ b/reduce/jobs/faults_test.go
@@ -0,0 +1,210 @@
+package jobs_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/shoenig/test/must"
+)
+
+var eventStop = event.JobsStopAsked{}
+
+var (
+	seeds     = flag.Int("jobs.seeds", 25, "number of drawn histories")
+	traced    = flag.Bool("jobs.trace", false, "print all decisions")
+	firstSeed = flag.Int64("jobs.seed", 1, "seed of the first drawn history")
+)
+
+// TestJobsHoldUnderDrawnFaults draws jobs and faults, one or several at a time,
+// and checks that no task runs twice or out of turn, that what was refused never
+// runs, and that in the end every accepted job has its right state.
+func TestJobsHoldUnderDrawnFaults(t *testing.T) {
+	for n := range *seeds {
+		seed := *firstSeed + int64(n)
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			playDrawn(t, seed)
+		})
+	}
+}
+
+func playDrawn(t *testing.T, seed int64) {
+	w := newWorld(t, seed, 4, 5)
+	w.run(2 * time.Second)
+	for n := range 40 {
+		w.drawJob(jobID(n))
+		if w.rng.Intn(3) == 0 {
+			w.drawFault()
+		}
+		w.run(time.Duration(w.rng.Intn(600)) * time.Millisecond)
+	}
+	w.calm()
+	w.run(40 * time.Second)
+	w.checkStates()
+	w.check()
+}
+
+func (w *world) drawJob(id fleet.JobID) {
+	spec := twoSteps()
+	switch w.rng.Intn(6) {
+	case 0:
+		spec = lasting(1+w.rng.Intn(5), 1)
+	case 1:
+		w.poison[id] = true
+	case 2:
+		spec.Steps[0].MaxPerRunner = 2
+	}
+	w.submit(id, spec)
+	if w.rng.Intn(8) == 0 {
+		w.after(time.Duration(w.rng.Intn(2000))*time.Millisecond, func() { w.cancel(id) })
+	}
+}
+
+// drawFault begins one fault, which ends by itself.
+func (w *world) drawFault() {
+	ids := make([]fleet.RunnerID, 0, len(w.runners))
+	for id := range w.runners {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	e, r := w.entries[w.rng.Intn(len(w.entries))], w.runners[ids[w.rng.Intn(len(ids))]]
+	if o := w.owner(); o != nil && w.rng.Intn(2) == 0 {
+		e = o
+	}
+	length := time.Duration(500+w.rng.Intn(6000)) * time.Millisecond
+	kind := w.rng.Intn(10)
+	w.trace("fault %d on %s or %s for %v", kind, e.id, r.id, length)
+	switch kind {
+	case 0:
+		e.kill()
+		w.after(length, func() { e.restart() })
+	case 1:
+		if e.up && !e.frozen {
+			e.freeze(length)
+		}
+	case 2:
+		e.noStore = true
+		w.after(length, func() { e.noStore = false })
+	case 3:
+		w.store.down = true
+		w.after(length, func() { w.store.down = false })
+	case 4:
+		w.store.loss = 0.3
+		w.after(length, func() { w.store.loss = 0 })
+	case 5:
+		r.cut = true
+		w.after(length, func() { r.cut = false })
+	case 6:
+		if r.up {
+			r.crash()
+			w.after(length, r.restart)
+		}
+	case 7:
+		w.lossShare = 0.2
+		w.after(length, func() { w.lossShare = 0 })
+	case 8:
+		e.noRunners[r.id] = true
+		w.after(length, func() { delete(e.noRunners, r.id) })
+	case 9:
+		if e.up {
+			e.post(eventStop)
+			w.after(2*time.Second, func() { e.kill(); e.restart() })
+		}
+	}
+}
+
+func (e *fakeEntry) restart() {
+	if !e.up {
+		e.boot()
+	}
+}
+
+func (r *fakeRunner) restart() {
+	if !r.up {
+		r.boot()
+	}
+}
+
+// calm ends all faults.
+func (w *world) calm() {
+	w.store.down, w.store.loss, w.lossShare = false, 0, 0
+	for _, e := range w.entries {
+		e.noStore = false
+		clear(e.noRunners)
+		e.restart()
+	}
+	for _, r := range w.runners {
+		r.cut = false
+		r.restart()
+	}
+}
+
+// checkStates asks for each job: none is lost, and each has the state that its
+// tasks say.
+func (w *world) checkStates() {
+	for n := range 40 {
+		id := jobID(n)
+		spec, accepted := w.accepted[id]
+		started := false
+		for task := range w.tasks {
+			started = started || task.Job == id
+		}
+		if started && !accepted && !w.unsure[id] {
+			w.fault("%s was refused each time and ran", id)
+		}
+		if accepted {
+			w.checkState(id, spec)
+		}
+	}
+}
+
+func (w *world) checkState(id fleet.JobID, spec *fleet.JobSpec) {
+	got := w.state(id)
+	if got.Kind != effect.AnswerState {
+		w.fault("%s was accepted and is not known: %v", id, got)
+		return
+	}
+	_, cancelled := w.cancels[id]
+	allDone := true
+	for s, step := range spec.Steps {
+		for i := range step.Count {
+			allDone = allDone && w.doneOnce[fleet.TaskID{Job: id, Step: s, Index: i}]
+		}
+	}
+	switch {
+	case got.State == fleet.JobDone && !allDone:
+		w.fault("%s is shown as done and is not", id)
+	case got.State == fleet.JobFailed && !w.poison[id]:
+		w.fault("%s is shown as failed, and its tasks do not fail", id)
+	case cancelled || got.State == fleet.JobCancelled:
+		if !cancelled && w.handed[id] == nil {
+			w.fault("%s is shown as cancelled without cause", id)
+		}
+	case spec.Steps[0].Lasting && got.State != fleet.JobRunning,
+		!spec.Steps[0].Lasting && w.poison[id] && got.State != fleet.JobFailed,
+		!spec.Steps[0].Lasting && !w.poison[id] && got.State != fleet.JobDone:
+		w.fault("%s is left %s", id, got.State)
+	}
+}
+
+func TestDrawnHistoriesRepeat(t *testing.T) {
+	counts := make([]int, 2)
+	for i := range counts {
+		w := newWorld(t, 99, 3, 3)
+		w.run(2 * time.Second)
+		for n := range 10 {
+			w.submit(jobID(n), twoSteps())
+			w.drawFault()
+			w.run(300 * time.Millisecond)
+		}
+		w.run(5 * time.Second)
+		counts[i] = w.starts*1000 + w.store.appends
+	}
+	must.Eq(t, counts[0], counts[1])
+}
--- a/reduce/jobs/health.go
+++ b/reduce/jobs/health.go
@@ -43,14 +43,26 @@
 	case o.now().Before(h.until):
 		return false
 	case h.failures >= failuresSuspect:
-		return len(r.runs) == 0
+		return r.unproven() == 0
 	case !h.proven:
-		return len(r.runs) < maxUnproven
+		return r.unproven() < maxUnproven
 	default:
 		return true
 	}
 }
 
+// unproven counts the runs of which it is not known yet whether they work:
+// lasting tasks at work have shown it.
+func (r *runner) unproven() int {
+	n := 0
+	for _, run := range r.runs {
+		if !run.atWork {
+			n++
+		}
+	}
+	return n
+}
+
 // learn takes in how a run ended.
 func (o *ownership) learn(r *runner, run *run, how fleet.End) {
 	switch how {
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -31,6 +31,8 @@
 	// starters waits for the first start, for the count of waiting jobs.
 	started bool
 	advised bool
+	// hasUnresolved is set while a task has unresolved runs.
+	hasUnresolved bool
 
 	// stored is set once the definition is on its way, dropped once its removal
 	// is, and touched once there is progress to tell.
@@ -82,8 +84,8 @@
 	failures int
 	saved    string
 	run      *run
-	// unresolved is set while it is not known how the last run ended.
-	unresolved bool
+	// unresolved lists the runs of which it is not known how they ended.
+	unresolved []unresolvedRun
 	// restarts counts the runs that were stopped since they were too slow.
 	restarts int
 	// avoid is the runner on which it last ended badly.
@@ -320,10 +322,13 @@
 	if t.phase == taskDone || t.attempt == 0 {
 		return ledger.Task{}, false
 	}
-	out := ledger.Task{Number: t.step.first + t.index, Attempt: t.attempt, Failures: t.failures, Saved: t.saved, Unresolved: t.unresolved}
+	out := ledger.Task{Number: t.step.first + t.index, Attempt: t.attempt, Failures: t.failures, Saved: t.saved}
 	if t.run != nil {
 		out.Runner, out.Incarnated = t.run.runner.ID, t.run.incarnated
 	}
+	for _, u := range t.unresolved {
+		out.Unresolved = append(out.Unresolved, ledger.Run{Attempt: u.attempt, Runner: u.runner})
+	}
 	return out, true
 }
 
@@ -393,7 +398,11 @@
 }
 
 func (o *ownership) restoreTask(t *task, r *ledger.Task) {
-	t.attempt, t.failures, t.saved, t.unresolved = r.Attempt, r.Failures, r.Saved, r.Unresolved
+	t.attempt, t.failures, t.saved = r.Attempt, r.Failures, r.Saved
+	for _, u := range r.Unresolved {
+		t.unresolved = append(t.unresolved, unresolvedRun{attempt: u.Attempt, runner: u.Runner, since: o.now()})
+		t.job().hasUnresolved = true
+	}
 	t.job().started = true
 	if r.Runner == "" {
 		return
--- /dev/null
+++ b/reduce/jobs/jobs_test.go
@@ -0,0 +1,280 @@
+package jobs_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/shoenig/test/must"
+)
+
+// twoSteps is a job of four tasks and then three more.
+func twoSteps() *fleet.JobSpec {
+	return &fleet.JobSpec{Text: "text", Steps: []fleet.Step{
+		{Count: 4, Needs: taskNeeds, Estimate: 300 * time.Millisecond},
+		{Count: 3, Needs: taskNeeds, Estimate: 200 * time.Millisecond, After: []int{0}},
+	}}
+}
+
+func lasting(count, mayMiss int) *fleet.JobSpec {
+	return &fleet.JobSpec{Text: "text", Steps: []fleet.Step{{Count: count, Needs: taskNeeds, Lasting: true, MayMiss: mayMiss}}}
+}
+
+func jobID(n int) fleet.JobID { return fleet.JobID(fmt.Sprintf("%016x", n)) }
+
+// owner returns the entry that holds the tenure, as the log says.
+func (w *world) owner() *fakeEntry {
+	for _, e := range w.entries {
+		if e.id == w.store.newest().Owner {
+			return e
+		}
+	}
+	return nil
+}
+
+func (w *world) mustState(id fleet.JobID, want fleet.JobState) {
+	w.t.Helper()
+	got := w.state(id)
+	must.Eq(w.t, effect.AnswerState, got.Kind, must.Sprintf("job %s", id))
+	must.Eq(w.t, want, got.State, must.Sprintf("job %s", id))
+}
+
+func TestJobRunsToItsEnd(t *testing.T) {
+	w := newWorld(t, 1, 3, 3)
+	w.run(2 * time.Second)
+	w.submit(jobID(1), twoSteps())
+	w.run(3 * time.Second)
+	must.MapContainsKey(t, w.accepted, jobID(1))
+	w.mustState(jobID(1), fleet.JobDone)
+	must.Eq(t, 7, w.starts)
+	w.check()
+}
+
+func TestSameJobTwiceIsOneJob(t *testing.T) {
+	w := newWorld(t, 2, 3, 3)
+	w.run(2 * time.Second)
+	for range 3 {
+		w.submit(jobID(1), twoSteps())
+	}
+	w.run(3 * time.Second)
+	w.submit(jobID(1), twoSteps())
+	w.run(3 * time.Second)
+	must.Eq(t, 7, w.starts)
+	w.check()
+}
+
+func TestUnknownJobAndQueue(t *testing.T) {
+	w := newWorld(t, 3, 3, 1)
+	w.run(2 * time.Second)
+	must.Eq(t, effect.AnswerNoJob, w.state(jobID(9)).Kind)
+	var got effect.Answered
+	w.call(w.entries[0], effect.CallState, "not-hexadecimal!", nil, func(a effect.Answered) { got = a })
+	must.Eq(t, effect.AnswerInvalid, got.Kind)
+}
+
+func TestFailingJobIsGivenUpAfterItsAttempts(t *testing.T) {
+	w := newWorld(t, 4, 3, 3)
+	w.run(2 * time.Second)
+	w.poison[jobID(1)] = true
+	w.submit(jobID(1), twoSteps())
+	w.run(8 * time.Second)
+	w.mustState(jobID(1), fleet.JobFailed)
+	w.check()
+}
+
+func TestCancelStopsLastingTasks(t *testing.T) {
+	w := newWorld(t, 5, 3, 3)
+	w.run(2 * time.Second)
+	w.submit(jobID(1), lasting(4, 1))
+	w.run(3 * time.Second)
+	must.Eq(t, 4, w.runningTasks())
+	w.cancel(jobID(1))
+	w.run(time.Second)
+	must.MapContainsKey(t, w.cancels, jobID(1))
+	must.Eq(t, 0, w.runningTasks())
+	w.mustState(jobID(1), fleet.JobCancelled)
+	w.check()
+}
+
+func (w *world) runningTasks() int {
+	n := 0
+	for _, r := range w.runners {
+		n += len(r.runs)
+	}
+	return n
+}
+
+func TestNextOwnerGoesOnAfterAKill(t *testing.T) {
+	w := newWorld(t, 6, 3, 3)
+	w.run(2 * time.Second)
+	w.submit(jobID(1), lasting(5, 1))
+	w.submit(jobID(2), twoSteps())
+	w.run(400 * time.Millisecond)
+	first := w.owner()
+	first.kill()
+	w.run(4 * time.Second)
+	must.NotEq(t, first.id, w.owner().id)
+	w.mustState(jobID(2), fleet.JobDone)
+	must.Eq(t, 5, w.runningTasks())
+	must.Eq(t, 12, w.starts, must.Sprint("nothing is started again"))
+	w.check()
+}
+
+// TestTakeoverWhileARunnerIsCutOff checks that a task on a runner that the new
+// owner cannot reach is not started elsewhere before its lease has run out.
+func TestTakeoverWhileARunnerIsCutOff(t *testing.T) {
+	w := newWorld(t, 7, 3, 2)
+	w.run(2 * time.Second)
+	w.submit(jobID(1), lasting(6, 1))
+	w.run(2 * time.Second)
+	for _, e := range w.entries {
+		e.noRunners["r0"] = true
+	}
+	w.owner().kill()
+	w.run(20 * time.Second)
+	must.Eq(t, 6, len(w.runners["r1"].runs))
+	w.check()
+}
+
+// TestSilentRunnersLeaseRunsOut is the case of scale-2 --seed 367897646529 on
+// ccps-lahore: each look that failed promised a longer lease.
+func TestSilentRunnersLeaseRunsOut(t *testing.T) {
+	w := newWorld(t, 8, 3, 2)
+	w.run(2 * time.Second)
+	w.submit(jobID(1), lasting(6, 1))
+	w.run(2 * time.Second)
+	w.runners["r0"].crash()
+	w.run(9 * time.Second)
+	must.Eq(t, 6, len(w.runners["r1"].runs))
+	w.check()
+}
+
+// TestEndIsCountedOnceOverATakeover is the case of hunt-4f4c-11 on lawa-banyan:
+// a failure that was stored, but not acknowledged, was counted again.
+func TestEndIsCountedOnceOverATakeover(t *testing.T) {
+	w := newWorld(t, 9, 3, 3)
+	w.run(2 * time.Second)
+	w.runners["r0"].failing, w.runners["r1"].failing, w.runners["r2"].failing = true, true, true
+	w.submit(jobID(1), &fleet.JobSpec{Text: "t", Steps: []fleet.Step{{Count: 1, Needs: taskNeeds, Estimate: time.Second}}})
+	// Kill the owner as soon as the ledger holds the failure.
+	w.tap = func(e *fakeEntry, out effect.Effect) bool {
+		if l, ok := out.(effect.Look); ok && l.Acknowledged > 0 {
+			e.kill()
+			w.tap = nil
+			for _, r := range w.runners {
+				r.failing = false
+			}
+			return false
+		}
+		return true
+	}
+	w.run(12 * time.Second)
+	must.Nil(t, w.tap, must.Sprint("the owner was killed"))
+	w.mustState(jobID(1), fleet.JobDone)
+	w.check()
+}
+
+// TestLapsedRunnerListsItsEndsAgain checks that ends are counted once also when
+// a runner was given up and comes back.
+func TestLapsedRunnerListsItsEndsAgain(t *testing.T) {
+	w := newWorld(t, 10, 3, 2)
+	w.run(2 * time.Second)
+	w.submit(jobID(1), lasting(4, 1))
+	w.run(2 * time.Second)
+	w.runners["r0"].cut = true
+	w.run(10 * time.Second)
+	w.runners["r0"].cut = false
+	w.run(4 * time.Second)
+	must.Eq(t, 4, w.runningTasks())
+	w.check()
+}
+
+func TestReleaseHandsOverAtOnce(t *testing.T) {
+	w := newWorld(t, 11, 3, 3)
+	w.run(2 * time.Second)
+	w.submit(jobID(1), lasting(5, 1))
+	w.run(2 * time.Second)
+	first := w.owner()
+	handed := false
+	w.tap = func(e *fakeEntry, out effect.Effect) bool {
+		if _, ok := out.(effect.JobsHandedOver); ok && e == first {
+			handed = true
+		}
+		return true
+	}
+	first.post(eventStop)
+	w.run(700 * time.Millisecond)
+	must.True(t, handed)
+	must.NotEq(t, first.id, w.owner().id)
+	w.check()
+}
+
+func TestNoAnswerIsARefusalOnlyIfNothingIsStored(t *testing.T) {
+	w := newWorld(t, 12, 3, 3)
+	w.run(2 * time.Second)
+	w.store.down = true
+	w.submit(jobID(1), twoSteps())
+	w.run(1600 * time.Millisecond)
+	must.MapContainsKey(t, w.unsure, jobID(1), must.Sprint("the append may still be carried out"))
+	w.submit(jobID(2), twoSteps())
+	w.run(100 * time.Millisecond)
+	must.MapNotContainsKey(t, w.unsure, jobID(2), must.Sprint("a store that is down is said so at once"))
+	w.store.down = false
+	w.run(15 * time.Second)
+	w.mustState(jobID(1), fleet.JobDone)
+	w.mustState(jobID(2), fleet.JobDone)
+	w.check()
+}
+
+func TestHungRunnerLosesItsRuns(t *testing.T) {
+	w := newWorld(t, 13, 3, 3)
+	w.run(2 * time.Second)
+	for _, r := range w.runners {
+		r.hung = true
+	}
+	w.submit(jobID(1), &fleet.JobSpec{Text: "t", Steps: []fleet.Step{{Count: 3, Needs: taskNeeds, Estimate: time.Second}}})
+	w.run(500 * time.Millisecond)
+	for _, r := range w.runners {
+		if len(r.runs) == 0 {
+			r.hung = false
+		}
+	}
+	w.run(8 * time.Second)
+	w.mustState(jobID(1), fleet.JobDone)
+	w.check()
+}
+
+func TestDrainingRunnerGetsNoNewTasks(t *testing.T) {
+	w := newWorld(t, 14, 3, 2)
+	w.run(2 * time.Second)
+	w.submit(jobID(1), lasting(6, 1))
+	w.run(2 * time.Second)
+	w.runners["r0"].draining = true
+	w.run(2 * time.Second)
+	must.Eq(t, 0, len(w.runners["r0"].runs), must.Sprint("lasting tasks leave"))
+	must.Eq(t, 6, len(w.runners["r1"].runs))
+	w.submit(jobID(2), twoSteps())
+	w.run(3 * time.Second)
+	must.Eq(t, 0, w.runners["r0"].highest[fleet.TaskID{Job: jobID(2)}])
+	w.mustState(jobID(2), fleet.JobDone)
+	w.check()
+}
+
+// TestPausedOwnerStartsNothingStale wakes a former owner long after others took
+// over.
+func TestPausedOwnerStartsNothingStale(t *testing.T) {
+	w := newWorld(t, 15, 3, 3)
+	w.run(2 * time.Second)
+	for n := range 20 {
+		w.submit(jobID(n), twoSteps())
+	}
+	w.run(40 * time.Millisecond)
+	w.owner().freeze(6 * time.Second)
+	w.run(15 * time.Second)
+	for n := range 20 {
+		w.mustState(jobID(n), fleet.JobDone)
+	}
+	w.check()
+}
--- a/reduce/jobs/look.go
+++ b/reduce/jobs/look.go
@@ -35,6 +35,11 @@
 	notBefore time.Time
 	// lost is set while the runner does not answer.
 	lost bool
+	// acked is the acknowledgement that the look under way carries.
+	acked int64
+	// unsure is set from a look without an answer to the next answer: the runner
+	// may have started anew, with ends that count from 1 again.
+	unsure bool
 }
 
 // lookIfDue sends a look unless one is under way or none is needed.
@@ -43,7 +48,7 @@
 	if l.underway || r.Address == "" || o.phase != phaseActive || o.now().Before(l.notBefore) {
 		return
 	}
-	if r.touched && len(r.runs) == 0 && r.acked >= r.seen {
+	if r.touched && len(r.runs) == 0 && r.acked >= r.seen && r.confirmed >= r.acked {
 		return
 	}
 	if !r.listed && len(r.runs) == 0 {
@@ -53,14 +58,17 @@
 		return
 	}
 	o.looks++
-	l.underway, l.number, l.sent = true, o.looks, o.now()
+	l.underway, l.number, l.sent, l.acked = true, o.looks, o.now(), 0
+	if r.acked > r.confirmed && !l.unsure {
+		l.acked = r.acked
+	}
 	e := effect.Look{
-		Epoch: o.epoch, Runner: r.ID, Address: r.Address, Number: l.number, Acknowledged: r.acked,
+		Epoch: o.epoch, Runner: r.ID, Address: r.Address, Number: l.number, Acknowledged: l.acked,
 		NotAfter: o.now().Add(orderFreshness),
 	}
 	if r.touched {
 		e.Deadline = r.newDeadline(o.now())
-		if r.acked >= r.seen {
+		if r.acked >= r.seen && len(r.runs) > 0 {
 			e.Wait = o.waitFor(r)
 		}
 	}
@@ -82,6 +90,7 @@
 	sent := r.look.sent
 	r.look.underway = false
 	if b.Outcome != event.OrderDone {
+		r.look.unsure = true
 		o.onLookFailed(r, b)
 		return
 	}
@@ -93,10 +102,12 @@
 		if b.Incarnated < r.Incarnated {
 			return
 		}
-		o.dead(r, reasonReborn)
+		o.reborn(r)
+	} else {
+		r.confirmed = max(r.confirmed, r.look.acked)
 	}
+	r.look.unsure = false
 	if b.Incarnated != 0 {
-		o.loseOlder(r, b.Incarnated)
 		r.Incarnated = b.Incarnated
 	}
 	r.tellClock(b.Clock)
@@ -105,6 +116,7 @@
 	o.takeEnds(r, b.Ended)
 	if len(b.Ended) < endsPage {
 		o.takeRunning(r, b.Running, sent)
+		o.resolveRuns(r)
 		o.restartStragglers(r)
 	}
 	if first {
@@ -114,15 +126,6 @@
 	o.lookAgain(r)
 }
 
-// loseOlder gives up runs of incarnations before the one that answered.
-func (o *ownership) loseOlder(r *runner, current fleet.Incarnation) {
-	for _, run := range r.sortedRuns() {
-		if run.incarnated != 0 && run.incarnated != current {
-			o.lose(run, reasonReborn)
-		}
-	}
-}
-
 // lookAgain sends the next look, at once if nothing has to be stored before.
 func (o *ownership) lookAgain(r *runner) {
 	if r.acked < r.seen {
@@ -211,24 +214,6 @@
 	o.pool(r.Service).dirty = true
 }
 
-// takeStrayEnd takes in the end of a run that the owner gave up when its lease
-// ran out: it counts if the task has not been started since. Ends of other runs
-// have counted before.
-func (o *ownership) takeStrayEnd(r *runner, e *fleet.EndedTask) {
-	t := o.task(e.Task)
-	if t == nil || t.phase != taskWaiting || e.Attempt != t.attempt || !t.unresolved {
-		return
-	}
-	t.unresolved = false
-	switch e.How {
-	case fleet.EndDone:
-		o.onDone(t)
-	case fleet.EndFailed:
-		o.onFailed(t, r)
-	default: // it waits already
-	}
-}
-
 func (o *ownership) onDone(t *task) {
 	if t.job().state.Final() {
 		return
@@ -266,7 +251,6 @@
 	}
 	*failures++
 	if !t.step.spec.Lasting && *failures >= j.attempts {
-		t.run = nil
 		o.end(j, fleet.JobFailed)
 		return
 	}
--- a/reduce/jobs/order.go
+++ b/reduce/jobs/order.go
@@ -74,7 +74,7 @@
 
 // intend reserves a runner for a task. The start follows once that is stored.
 func (o *ownership) intend(t *task, r *runner, attempt int64, ticket string) {
-	t.attempt, t.unresolved = attempt, false
+	t.attempt = attempt
 	run := &run{
 		task: t, runner: r, incarnated: r.Incarnated, attempt: attempt, phase: runIntent,
 		need: t.step.spec.Occupies(), since: o.now(), ticket: ticket, pace: newPace(),
@@ -120,7 +120,10 @@
 		Epoch: o.epoch, Age: o.now().Sub(run.since),
 	})
 	o.s.count("runs_lost", reason)
-	run.task.unresolved = reason == reasonLapsed
+	if reason == reasonLapsed {
+		run.task.unresolved = append(run.task.unresolved, unresolvedRun{attempt: run.attempt, runner: run.runner.ID, since: o.now()})
+		run.task.job().hasUnresolved = true
+	}
 	o.requeue(run.task)
 }
 
@@ -201,7 +204,7 @@
 func (o *ownership) tickRuns() {
 	for _, r := range o.order {
 		for _, run := range r.sortedRuns() {
-			if run.underway || r.look.lost || run.retryAt.IsZero() || o.now().Before(run.retryAt) {
+			if run.underway || r.look.lost || !r.touched || run.retryAt.IsZero() || o.now().Before(run.retryAt) {
 				continue
 			}
 			o.repeat(run)
@@ -327,7 +330,7 @@
 
 // observe takes in a row of what the runner runs.
 func (r *run) observe(o *ownership, row *fleet.RunningTask) {
-	r.seenAt = o.now()
+	r.seenAt, r.incarnated = o.now(), r.runner.Incarnated
 	if r.phase == runStarting {
 		r.phase, r.underway, r.settled, r.progressAt = runRunning, false, o.now(), o.now()
 		r.retryAt = time.Time{}
--- a/reduce/jobs/place.go
+++ b/reduce/jobs/place.go
@@ -135,7 +135,7 @@
 		return
 	}
 	for _, t := range st.tasks {
-		if t.phase != taskWaiting {
+		if t.phase != taskWaiting || o.awaitsResolution(t) {
 			continue
 		}
 		r := o.choose(st, t, usable, nil)
@@ -258,7 +258,7 @@
 // and one saved value.
 func (o *ownership) placeGang(st *step, usable []*runner) {
 	for _, t := range st.tasks {
-		if t.phase != taskWaiting {
+		if t.phase != taskWaiting || o.awaitsResolution(t) {
 			return
 		}
 	}
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -34,12 +34,16 @@
 	// deadline is the latest lease that this owner gave, in milliseconds of the
 	// runner's clock.
 	deadline int64
+	// leasedUntil is when the leases that this owner gave to an earlier
+	// incarnation, whose clock is gone, have run out.
+	leasedUntil time.Time
 	runs     map[fleet.TaskID]*run
 	used     fleet.Capacity
-	// acked is the last end whose meaning is stored, seen the last one read.
-	acked, seen int64
-	look        look
-	health      health
+	// seen is the last end that was read, acked the last whose meaning is stored,
+	// and confirmed the last that the runner has been told to forget.
+	seen, acked, confirmed int64
+	look                   look
+	health                 health
 	// drainSince is when the runner was first seen draining.
 	drainSince time.Time
 	// vacating is set while the runner's instance is to be moved or maintained.
@@ -123,7 +127,7 @@
 		if f.Incarnated < r.Incarnated {
 			return // an older report
 		}
-		o.dead(r, reasonReborn)
+		o.reborn(r)
 	}
 	wasDraining, wasListed := r.Draining, r.listed
 	r.Runner = *f
@@ -155,7 +159,6 @@
 
 // Reasons for the end of all that ran on a runner.
 const (
-	reasonReborn   effect.Reason = "the runner has started anew"
 	reasonReplaced effect.Reason = "another runner has its address"
 	reasonLapsed   effect.Reason = "the lease has run out"
 	reasonOrdered  effect.Reason = "its instance was moved or maintained"
@@ -176,11 +179,27 @@
 	if reason == reasonLapsed {
 		return // the same incarnation may come back and list its ends again
 	}
-	r.acked, r.seen = 0, 0
+	r.acked, r.seen, r.confirmed = 0, 0, 0
 	r.Incarnated = 0
 	r.health = health{}
 }
 
+// reborn notes that a runner has started anew under its id. What ran on it is
+// gone, but an order may have reached the new incarnation: orders without an
+// answer are repeated there, and its next list tells which of the others it runs.
+func (o *ownership) reborn(r *runner) {
+	o.s.decide(effect.Decision{Name: "runner started anew", Runner: r.ID, Count: len(r.runs), Epoch: o.epoch})
+	r.touched, r.deadline, r.acked, r.seen, r.confirmed = false, 0, 0, 0, 0
+	r.leasedUntil = o.now().Add(slowest(leaseLength))
+	r.clock = event.Clock{}
+	r.health = health{}
+	for _, run := range r.sortedRuns() {
+		if run.phase == runStarting {
+			run.settled, run.retryAt = time.Time{}, o.now()
+		}
+	}
+}
+
 func (r *runner) sortedRuns() []*run {
 	out := make([]*run, 0, len(r.runs))
 	for _, run := range r.runs {
@@ -211,6 +230,9 @@
 // lapsed reports whether every lease that anyone gave on the runner has
 // certainly run out, on the slowest clock.
 func (o *ownership) lapsed(r *runner) bool {
+	if o.now().Before(r.leasedUntil) {
+		return false
+	}
 	if !r.touched || r.clock.Reading == 0 {
 		return o.now().After(o.foreignUntil)
 	}
--- /dev/null
+++ b/reduce/jobs/runner_test.go
@@ -0,0 +1,368 @@
+package jobs_test
+
+import (
+	"slices"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+)
+
+// fakeRunner keeps the runners' contract: fences, leases on its own clock,
+// numbered ends, and a start that repeats is the same start.
+type fakeRunner struct {
+	w        *world
+	id       fleet.RunnerID
+	born     time.Time
+	up       bool
+	draining bool
+	// cut keeps all calls from it.
+	cut   bool
+	rate  float64
+	fence int64
+	until int64
+	runs  map[fleet.TaskID]*fakeRun
+	// highest is the highest attempt of a task that ended or was stopped here.
+	highest map[fleet.TaskID]int64
+	ends    []fleet.EndedTask
+	ended   int64
+	acked   int64
+	// lapsedAt is when a lease last ran out.
+	lapsedAt time.Time
+	endedAt  map[int64]time.Time
+	// failing makes all that it starts fail at once, hung keeps it from ending.
+	failing, hung bool
+}
+
+type fakeRun struct {
+	attempt int64
+	began   time.Time
+	length  time.Duration
+	stopped bool
+}
+
+// runnerCapacity fits twenty of the tests' tasks.
+var runnerCapacity = fleet.Capacity{CPU: 20_000, Memory: 20_000}
+
+// taskNeeds is what the tests' tasks take.
+var taskNeeds = fleet.Capacity{CPU: 1000, Memory: 100}
+
+func (w *world) addRunner(id fleet.RunnerID) *fakeRunner {
+	r := &fakeRunner{w: w, id: id}
+	w.runners[id] = r
+	r.boot()
+	return r
+}
+
+func (r *fakeRunner) boot() {
+	r.up, r.draining, r.cut, r.failing, r.hung = true, false, false, false, false
+	r.born, r.rate = r.w.now, 0.98+0.02*r.w.rng.Float64()
+	r.fence, r.until, r.ended, r.acked, r.ends = 0, 0, 0, 0, nil
+	r.endedAt = make(map[int64]time.Time)
+	r.runs = make(map[fleet.TaskID]*fakeRun)
+	r.highest = make(map[fleet.TaskID]int64)
+}
+
+func (r *fakeRunner) crash() {
+	for id := range r.runs {
+		r.w.history(id).running--
+	}
+	r.runs = nil
+	r.up = false
+}
+
+func (w *world) listed() []fleet.Runner {
+	var out []fleet.Runner
+	for _, r := range w.runners {
+		if r.up && !r.cut {
+			out = append(out, fleet.Runner{
+				ID: r.id, Incarnated: r.incarnation(), Service: "desk", Address: string(r.id), Capacity: runnerCapacity, Draining: r.draining,
+			})
+		}
+	}
+	slices.SortFunc(out, func(a, b fleet.Runner) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func (r *fakeRunner) incarnation() fleet.Incarnation { return fleet.Incarnation(r.born.UnixMilli()) }
+
+func (r *fakeRunner) clock() int64 {
+	return 1000 + int64(r.rate*float64(r.w.now.Sub(r.born).Milliseconds()))
+}
+
+// holdMost is the longest lease that runners give.
+const holdMost = 10_000
+
+func (r *fakeRunner) extend(deadline int64) {
+	r.until = max(r.until, min(deadline, r.clock()+holdMost))
+	r.w.after(time.Duration(float64(max(0, r.until-r.clock()))/r.rate+2)*time.Millisecond, r.lapse)
+}
+
+func (r *fakeRunner) lapse() {
+	if !r.up || r.clock() < r.until {
+		return
+	}
+	r.lapsedAt = r.w.now
+	for _, id := range r.taskIDs() {
+		r.end(id, fleet.EndLapsed)
+	}
+}
+
+func (r *fakeRunner) taskIDs() []fleet.TaskID {
+	ids := make([]fleet.TaskID, 0, len(r.runs))
+	for id := range r.runs {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b fleet.TaskID) int {
+		if a.String() < b.String() {
+			return -1
+		}
+		return 1
+	})
+	return ids
+}
+
+func (r *fakeRunner) end(id fleet.TaskID, how fleet.End) {
+	run := r.runs[id]
+	delete(r.runs, id)
+	h := r.w.history(id)
+	h.running--
+	if how == fleet.EndDone {
+		r.w.doneRuns++
+		r.w.doneOnce[id] = true
+	}
+	r.highest[id] = max(r.highest[id], run.attempt)
+	r.ended++
+	r.w.trace("%s ends %v attempt %d %s as %d", r.id, id, run.attempt, how, r.ended)
+	r.endedAt[r.ended] = r.w.now
+	r.ends = append(r.ends, fleet.EndedTask{Number: r.ended, Task: id, Attempt: run.attempt, How: how})
+}
+
+// begin carries out a start.
+func (r *fakeRunner) begin(o effect.OrderTask) event.OrderOutcome {
+	switch {
+	case o.Epoch < r.fence:
+		return event.OrderFenced
+	case o.Deadline <= r.clock():
+		r.fence = o.Epoch
+		return event.OrderLate
+	}
+	r.fence = o.Epoch
+	r.extend(o.Deadline)
+	if run, ok := r.runs[o.Task]; ok && run.attempt == o.Attempt {
+		return event.OrderDone
+	}
+	if o.Attempt <= r.highest[o.Task] {
+		return event.OrderSuperseded
+	}
+	if len(r.runs) >= int(runnerCapacity.CPU/taskNeeds.CPU) {
+		return event.OrderNoRoom
+	}
+	r.checkStart(o)
+	r.w.starts++
+	r.w.trace("%s starts %v attempt %d fence %d deadline %d clock %d", r.id, o.Task, o.Attempt, o.Epoch, o.Deadline, r.clock())
+	r.w.history(o.Task).running++
+	run := &fakeRun{attempt: o.Attempt, began: r.w.now, length: r.w.taskLength(o.Task)}
+	r.runs[o.Task] = run
+	how, length := fleet.EndDone, run.length
+	if r.w.isPoison(o.Task) {
+		how = fleet.EndFailed
+	}
+	if r.failing {
+		how, length = fleet.EndFailed, 20*time.Millisecond
+	}
+	born := r.born
+	r.w.after(length, func() {
+		if r.up && r.born.Equal(born) && r.runs[o.Task] == run && !run.stopped && !r.hung && !r.w.lasts(o.Task) {
+			r.end(o.Task, how)
+		}
+	})
+	return event.OrderDone
+}
+
+// checkStart holds a start against what the platform asks for.
+func (r *fakeRunner) checkStart(o effect.OrderTask) {
+	w, h := r.w, r.w.history(o.Task)
+	spec := w.handed[o.Task.Job]
+	switch {
+	case spec == nil:
+		w.fault("%v was started, and nobody handed it in", o.Task)
+		return
+	case h.running > 0:
+		w.fault("%v runs twice, now on %s", o.Task, r.id)
+	case h.noted:
+		w.fault("%v was started on %s after its end was noted", o.Task, r.id)
+	case h.failed >= 2 && !w.lasts(o.Task):
+		w.fault("%v was started on %s after two failures", o.Task, r.id)
+	}
+	if at, ok := w.cancels[o.Task.Job]; ok && w.now.Sub(at) > 15*time.Second {
+		w.fault("%v was started %v after it was cancelled", o.Task, w.now.Sub(at))
+	}
+	for _, a := range spec.Steps[o.Task.Step].After {
+		for i := range spec.Steps[a].Count {
+			if !w.doneOnce[fleet.TaskID{Job: o.Task.Job, Step: a, Index: i}] {
+				w.fault("%v was started before step %d was done", o.Task, a)
+				return
+			}
+		}
+	}
+}
+
+func (r *fakeRunner) stop(o effect.OrderTask) event.OrderOutcome {
+	if o.Epoch < r.fence {
+		return event.OrderFenced
+	}
+	r.fence = o.Epoch
+	r.highest[o.Task] = max(r.highest[o.Task], o.Attempt)
+	run, ok := r.runs[o.Task]
+	if !ok || run.attempt != o.Attempt || run.stopped {
+		return event.OrderDone
+	}
+	run.stopped = true
+	born := r.born
+	r.w.after(100*time.Millisecond, func() {
+		if r.up && r.born.Equal(born) && r.runs[o.Task] == run {
+			r.end(o.Task, fleet.EndStopped)
+		}
+	})
+	return event.OrderDone
+}
+
+// reachable reports whether an entry's call gets there and back.
+func (e *fakeEntry) reachable(id fleet.RunnerID) *fakeRunner {
+	r := e.w.runners[id]
+	if r == nil || !r.up || r.cut || e.noRunners[id] {
+		return nil
+	}
+	return r
+}
+
+// orderTimeout is how long an entry waits for a runner.
+const orderTimeout = 600 * time.Millisecond
+
+func (e *fakeEntry) order(o effect.OrderTask) {
+	out := event.TaskOrdered{Epoch: o.Epoch, Runner: o.Runner, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt}
+	w := e.w
+	if w.now.After(o.NotAfter) {
+		out.Outcome = event.OrderStale
+		e.postAfter(0, out)
+		return
+	}
+	unknown := out
+	unknown.Outcome = event.OrderUnknown
+	sent := w.now
+	var born time.Time
+	if r := w.runners[o.Runner]; r != nil {
+		born = r.born
+	}
+	apply := func() (event.OrderOutcome, *fakeRunner) {
+		r := e.reachable(o.Runner)
+		if r == nil || !r.born.Equal(born) {
+			return event.OrderUnknown, nil // another incarnation refuses it
+		}
+		if o.Kind == effect.OrderStart {
+			return r.begin(o), r
+		}
+		return r.stop(o), r
+	}
+	if w.rng.Float64() < w.lossShare {
+		// No answer: lost on the way there, or back, or carried out late.
+		if d := w.rng.Intn(3); d > 0 {
+			w.after(time.Duration(d-1)*time.Duration(2+w.rng.Intn(8))*time.Second+w.latency(), func() { apply() })
+		}
+		e.postAfter(orderTimeout, unknown)
+		return
+	}
+	w.after(w.latency(), func() {
+		outcome, r := apply()
+		if r == nil {
+			e.postAfter(orderTimeout, unknown)
+			return
+		}
+		out.Outcome = outcome
+		out.Clock = event.Clock{Reading: r.clock(), Sent: sent, Received: w.now.Add(time.Millisecond)}
+		e.postAfter(time.Millisecond, out)
+	})
+}
+
+func (e *fakeEntry) look(l effect.Look) {
+	out := event.RunnerLooked{Epoch: l.Epoch, Runner: l.Runner, Number: l.Number, Outcome: event.OrderUnknown}
+	w, sent := e.w, e.w.now
+	if w.now.After(l.NotAfter) {
+		out.Outcome = event.OrderStale
+		e.postAfter(0, out)
+		return
+	}
+	w.after(w.latency(), func() {
+		r := e.reachable(l.Runner)
+		if r == nil || w.rng.Float64() < w.lossShare {
+			e.postAfter(l.Wait+orderTimeout, out)
+			return
+		}
+		if l.Epoch < r.fence {
+			out.Outcome = event.OrderFenced
+			e.postAfter(w.latency(), out)
+			return
+		}
+		r.fence = l.Epoch
+		if l.Deadline > 0 {
+			r.extend(l.Deadline)
+		}
+		r.note(l.Acknowledged)
+		e.answerLook(r, out, sent, w.now.Add(l.Wait))
+	})
+}
+
+// answerLook answers at once if there is an end to tell, else when one comes or
+// the wait is over.
+func (e *fakeEntry) answerLook(r *fakeRunner, out event.RunnerLooked, sent, until time.Time) {
+	w := e.w
+	if len(r.ends) == 0 && w.now.Before(until) && r.up {
+		w.after(5*time.Millisecond, func() { e.answerLook(r, out, sent, until) })
+		return
+	}
+	if e.reachable(out.Runner) != r {
+		e.postAfter(orderTimeout, out)
+		return
+	}
+	out.Outcome, out.Incarnated = event.OrderDone, r.incarnation()
+	for _, id := range r.taskIDs() {
+		run := r.runs[id]
+		percent := 100
+		if !w.lasts(id) {
+			percent = int(100 * w.now.Sub(run.began) / run.length)
+		}
+		if r.hung {
+			percent = 1
+		}
+		out.Running = append(out.Running, fleet.RunningTask{Task: id, Attempt: run.attempt, Percent: percent})
+	}
+	out.Ended = slices.Clone(r.ends)
+	out.Clock = event.Clock{Reading: r.clock(), Sent: sent, Received: w.now.Add(time.Millisecond)}
+	e.postAfter(time.Millisecond, out)
+}
+
+// note forgets ends, whose meaning is stored by now.
+func (r *fakeRunner) note(acked int64) {
+	r.acked = max(r.acked, acked)
+	for len(r.ends) > 0 && r.ends[0].Number <= r.acked {
+		end := r.ends[0]
+		r.ends = r.ends[1:]
+		h := r.w.history(end.Task)
+		r.w.trace("%s forgets %d %v", r.id, end.Number, end.Task)
+		switch end.How {
+		case fleet.EndDone:
+			// The platform holds a lapse between the end and its note in favour
+			// of the owner, who could not know.
+			h.noted = h.noted || !r.lapsedAt.After(r.endedAt[end.Number])
+		case fleet.EndFailed:
+			h.failed++
+		}
+	}
+}
--- /dev/null
+++ b/reduce/jobs/unresolved.go
@@ -0,0 +1,83 @@
+package jobs
+
+import (
+	"slices"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+)
+
+// resolveLimit is how long a task waits to hear how an earlier run ended, when
+// that decides whether it may run again. Runners that are cut off come back
+// within about six seconds, or not for long.
+const resolveLimit = 10 * time.Second
+
+// unresolvedRun is a run whose lease ran out on a runner that did not answer: it
+// may have ended before, and its runner may yet tell.
+type unresolvedRun struct {
+	attempt int64
+	runner  fleet.RunnerID
+	since   time.Time
+}
+
+// awaitsResolution reports whether a task may have failed as often as it may,
+// which its unresolved runs decide.
+func (o *ownership) awaitsResolution(t *task) bool {
+	if len(t.unresolved) == 0 || t.step.spec.Lasting {
+		return false
+	}
+	t.unresolved = slices.DeleteFunc(t.unresolved, func(u unresolvedRun) bool {
+		return o.now().Sub(u.since) > resolveLimit
+	})
+	failures := t.failures
+	if t.step.spec.Gang {
+		failures = t.step.failures
+	}
+	return failures > 0 && failures+len(t.unresolved) >= t.job().attempts
+}
+
+// takeStrayEnd takes in the end of a run that the owner gave up when its lease
+// ran out. Ends of other runs have counted before.
+func (o *ownership) takeStrayEnd(r *runner, e *fleet.EndedTask) {
+	t := o.task(e.Task)
+	if t == nil {
+		return
+	}
+	i := slices.IndexFunc(t.unresolved, func(u unresolvedRun) bool { return u.attempt == e.Attempt })
+	if i < 0 {
+		return
+	}
+	t.unresolved = slices.Delete(t.unresolved, i, i+1)
+	switch {
+	case e.How == fleet.EndDone && t.phase == taskWaiting:
+		o.onDone(t)
+	case e.How == fleet.EndFailed && t.phase != taskDone:
+		o.onStrayFailure(t, r)
+	}
+}
+
+// onStrayFailure counts a failure of a run before the present one, if any.
+func (o *ownership) onStrayFailure(t *task, r *runner) {
+	current := t.run
+	o.onFailed(t, r)
+	if current != nil && !t.job().state.Final() {
+		t.phase, t.run = taskActive, current
+	}
+}
+
+// resolveRuns drops the unresolved runs on a runner that has listed all its
+// ends: those that it did not list have lapsed.
+func (o *ownership) resolveRuns(r *runner) {
+	for _, j := range o.active {
+		if !j.hasUnresolved {
+			continue
+		}
+		j.hasUnresolved = false
+		for _, occ := range j.occurrences {
+			for _, t := range occ.all() {
+				t.unresolved = slices.DeleteFunc(t.unresolved, func(u unresolvedRun) bool { return u.runner == r.ID })
+				j.hasUnresolved = j.hasUnresolved || len(t.unresolved) > 0
+			}
+		}
+	}
+}
--- /dev/null
+++ b/reduce/jobs/world_test.go
@@ -0,0 +1,558 @@
+package jobs_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/jobs"
+	"github.com/banyanrail/banyanrail/reduce/ledger"
+	"github.com/banyanrail/banyanrail/reduce/tenure"
+)
+
+// world plays entries, the store and runners in virtual time, and checks what
+// the platform asks for: it sees only what runners start and clients are told.
+type world struct {
+	t       *testing.T
+	rng     *rand.Rand
+	now     time.Time
+	queue   agenda
+	seq     int
+	store   *fakeStore
+	runners map[fleet.RunnerID]*fakeRunner
+	entries []*fakeEntry
+	queues  *fleet.Queues
+	calls   map[uint64]func(effect.Answered)
+	nextID  uint64
+	// lossShare of orders get no answer, of which half are carried out late.
+	lossShare float64
+	// starts and stopped count what runners did.
+	starts, doneRuns int
+	// tap sees every effect of every entry.
+	tap func(e *fakeEntry, out effect.Effect) bool
+	// history of each task.
+	tasks map[fleet.TaskID]*taskHistory
+	// accepted holds the jobs that a client was told are stored, refused those
+	// of which all answers said that nothing was done.
+	accepted map[fleet.JobID]*fleet.JobSpec
+	unsure   map[fleet.JobID]bool
+	handed   map[fleet.JobID]*fleet.JobSpec
+	cancels  map[fleet.JobID]time.Time
+	faults   []string
+	// doneOnce holds the tasks that have ended well on some runner.
+	doneOnce map[fleet.TaskID]bool
+	poison   map[fleet.JobID]bool
+}
+
+type taskHistory struct {
+	running int
+	noted   bool
+	failed  int
+}
+
+type item struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type agenda []item
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	if a[i].at.Equal(a[j].at) {
+		return a[i].seq < a[j].seq
+	}
+	return a[i].at.Before(a[j].at)
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(item)) }
+func (a *agenda) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return x
+}
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+const queueName = "plans"
+
+func newWorld(t *testing.T, seed int64, entries, runners int) *world {
+	w := &world{
+		t: t, rng: rand.New(rand.NewSource(seed)), now: start, store: newFakeStore(),
+		runners: make(map[fleet.RunnerID]*fakeRunner), calls: make(map[uint64]func(effect.Answered)),
+		tasks: make(map[fleet.TaskID]*taskHistory), accepted: make(map[fleet.JobID]*fleet.JobSpec),
+		unsure: make(map[fleet.JobID]bool), handed: make(map[fleet.JobID]*fleet.JobSpec),
+		cancels: make(map[fleet.JobID]time.Time), doneOnce: make(map[fleet.TaskID]bool), poison: make(map[fleet.JobID]bool),
+		queues: fleet.NewQueues(1, []*fleet.Queue{{
+			Name: queueName, Host: "host", Prefix: "/plans/", Service: "desk", Attempts: 2, Stretch: 2, Slack: time.Second,
+		}}, []*fleet.JobService{{Name: "desk", GuardsCapacity: true}}),
+	}
+	for i := range runners {
+		w.addRunner(fleet.RunnerID(fmt.Sprintf("r%d", i)))
+	}
+	for i := range entries {
+		e := &fakeEntry{w: w, id: fleet.EntryID(fmt.Sprintf("e%d", i)), address: fmt.Sprintf("a%d", i)}
+		w.entries = append(w.entries, e)
+		e.boot()
+	}
+	return w
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, item{at: w.now.Add(d), seq: w.seq, do: do})
+}
+
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		it := heap.Pop(&w.queue).(item)
+		w.now = it.at
+		it.do()
+	}
+	w.now = end
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf("%.3f s: ", w.now.Sub(start).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// trace prints what is decided, with -jobs.trace.
+func (w *world) trace(format string, args ...any) {
+	if *traced {
+		w.t.Logf("%.3f "+format, append([]any{w.now.Sub(start).Seconds()}, args...)...)
+	}
+}
+
+// latency of a call on a calm network.
+func (w *world) latency() time.Duration {
+	return time.Duration(1+w.rng.Intn(4)) * time.Millisecond
+}
+
+func (w *world) history(id fleet.TaskID) *taskHistory {
+	h, ok := w.tasks[id]
+	if !ok {
+		h = &taskHistory{}
+		w.tasks[id] = h
+	}
+	return h
+}
+
+// fakeStore keeps the tenure log and the ledger.
+type fakeStore struct {
+	down    bool
+	loss    float64
+	tenure  []tenure.Record
+	epoch   int64
+	next    int64
+	order   []fleet.JobID
+	jobs    map[fleet.JobID]*ledger.Stored
+	waves   map[int64]ledger.Wave
+	appends int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{jobs: make(map[fleet.JobID]*ledger.Stored), waves: make(map[int64]ledger.Wave)}
+}
+
+func (s *fakeStore) newest() tenure.Record {
+	if len(s.tenure) == 0 {
+		return tenure.Record{}
+	}
+	return s.tenure[len(s.tenure)-1]
+}
+
+func (s *fakeStore) appendLedger(e effect.AppendLedger) (effect.AppendOutcome, int64) {
+	switch {
+	case e.Epoch < s.epoch:
+		return effect.AppendFenced, 0
+	case e.Epoch > s.epoch:
+		s.epoch, s.next = e.Epoch, e.Sequence
+	case e.Sequence < s.next:
+		return effect.AppendDone, 0
+	case e.Sequence > s.next:
+		return effect.AppendOutOfSequence, s.next
+	}
+	s.next = e.Sequence + 1
+	s.appends++
+	for i := range e.Records {
+		s.take(&e.Records[i])
+	}
+	return effect.AppendDone, 0
+}
+
+func (s *fakeStore) take(r *ledger.Record) {
+	if r.Wave != nil {
+		s.waves[r.Wave.ID] = *r.Wave
+		return
+	}
+	j, ok := s.jobs[r.Job]
+	if !ok {
+		j = &ledger.Stored{Job: r.Job}
+		s.jobs[r.Job] = j
+		s.order = append(s.order, r.Job)
+	}
+	switch {
+	case r.DropDefinition:
+		j.Definition = nil
+	case r.DropProgress:
+		j.Progress = nil
+	case r.Definition != nil:
+		j.Definition = r.Definition
+	default:
+		j.Progress = r.Progress
+	}
+}
+
+func (s *fakeStore) load() ([]ledger.Stored, []ledger.Wave) {
+	var out []ledger.Stored
+	for _, id := range s.order {
+		if j := s.jobs[id]; j.Definition != nil || j.Progress != nil {
+			out = append(out, *j)
+		}
+	}
+	var waves []ledger.Wave
+	for _, w := range s.waves {
+		waves = append(waves, w)
+	}
+	slices.SortFunc(waves, func(a, b ledger.Wave) int { return int(a.ID - b.ID) })
+	return out, waves
+}
+
+// fakeEntry is one entry process.
+type fakeEntry struct {
+	w       *world
+	id      fleet.EntryID
+	address string
+	state   *reduce.State
+	// life counts its starts; effects of an earlier life change nothing.
+	life   int
+	up     bool
+	frozen bool
+	held   []func()
+	// noStore and noRunners cut it off.
+	noStore   bool
+	noRunners map[fleet.RunnerID]bool
+	following int64
+}
+
+func (e *fakeEntry) boot() {
+	e.life++
+	e.up, e.frozen, e.held = true, false, nil
+	if e.noRunners == nil {
+		e.noRunners = make(map[fleet.RunnerID]bool)
+	}
+	e.state = reduce.New(reduce.Config{Entry: e.id, Jobs: &jobs.Config{
+		Entry: e.id, Incarnation: uint64(e.life), Address: e.address,
+		Bounds: jobs.Bounds{StopGrace: 200 * time.Millisecond, StatusTime: 2 * time.Minute, MachineLease: 3 * time.Second},
+	}})
+	e.post(event.JobsStarted{})
+	e.post(event.QueuesRead{Queues: e.w.queues})
+}
+
+func (e *fakeEntry) kill() { e.up = false; e.life++ }
+
+func (e *fakeEntry) freeze(d time.Duration) {
+	e.frozen = true
+	life := e.life
+	e.w.after(d, func() {
+		if e.life != life {
+			return
+		}
+		e.frozen = false
+		held := e.held
+		e.held = nil
+		for _, do := range held {
+			do()
+		}
+	})
+}
+
+// post hands an event to the entry, now or when it wakes.
+func (e *fakeEntry) post(b event.Body) {
+	life := e.life
+	do := func() {
+		if e.life != life || !e.up {
+			return
+		}
+		out := slices.Clone(reduce.Reduce(e.state, event.Event{Now: e.w.now, Body: b}))
+		for _, o := range out {
+			if e.w.tap == nil || e.w.tap(e, o) {
+				e.act(o)
+			}
+		}
+	}
+	if e.frozen {
+		e.held = append(e.held, do)
+		return
+	}
+	do()
+}
+
+// postAfter posts an event later, unless the entry has started anew.
+func (e *fakeEntry) postAfter(d time.Duration, b event.Body) {
+	life := e.life
+	e.w.after(d, func() {
+		if e.life == life {
+			e.post(b)
+		}
+	})
+}
+
+func (e *fakeEntry) act(out effect.Effect) {
+	switch o := out.(type) {
+	case effect.SetTimer:
+		e.postAfter(max(0, o.At.Sub(e.w.now)), event.TimerFired{})
+	case effect.FollowStore:
+		e.pollTenure()
+	case effect.AppendTenure:
+		e.appendTenure(o)
+	case effect.FenceLedger:
+		e.fence(o)
+	case effect.LoadLedger:
+		e.load(o)
+	case effect.AppendLedger:
+		e.appendLedger(o)
+	case effect.FollowRunners:
+		e.following = o.Epoch
+		if o.Epoch != 0 {
+			e.pollRunners(o.Epoch)
+		}
+	case effect.OrderTask:
+		e.order(o)
+	case effect.Look:
+		e.look(o)
+	case effect.ReplyCall:
+		if done, ok := e.w.calls[o.Call]; ok {
+			delete(e.w.calls, o.Call)
+			done(o.Answer)
+		}
+	case effect.Forward:
+		e.forward(o)
+	case effect.Decision:
+		e.w.trace("%s %+v", e.id, o)
+	}
+}
+
+func (e *fakeEntry) storeLost() bool { return e.w.store.down || e.noStore }
+
+// storeTimeout is how long an entry waits for the store.
+const storeTimeout = 800 * time.Millisecond
+
+func (e *fakeEntry) pollTenure() {
+	life := e.life
+	var poll func()
+	poll = func() {
+		if e.life != life {
+			return
+		}
+		if e.storeLost() {
+			e.postAfter(storeTimeout, event.TenureReadFailed{Reason: "down"})
+			e.w.after(storeTimeout+50*time.Millisecond, poll)
+			return
+		}
+		e.post(event.TenureRead{Record: e.w.store.newest(), End: fleet.Offset(len(e.w.store.tenure))})
+		e.w.after(20*time.Millisecond, poll)
+	}
+	e.w.after(e.w.latency(), poll)
+}
+
+func (e *fakeEntry) appendTenure(o effect.AppendTenure) {
+	if e.storeLost() {
+		e.postAfter(storeTimeout, event.TenureAppended{Record: o.Record, Outcome: effect.AppendUnknown})
+		return
+	}
+	lost := e.w.rng.Float64() < e.w.store.loss
+	e.w.after(e.w.latency(), func() {
+		outcome := effect.AppendConflict
+		if fleet.Offset(len(e.w.store.tenure)) == o.At {
+			e.w.store.tenure = append(e.w.store.tenure, o.Record)
+			outcome = effect.AppendDone
+		}
+		if lost {
+			e.postAfter(storeTimeout, event.TenureAppended{Record: o.Record, Outcome: effect.AppendUnknown})
+			return
+		}
+		e.postAfter(e.w.latency(), event.TenureAppended{Record: o.Record, Outcome: outcome, End: fleet.Offset(len(e.w.store.tenure))})
+	})
+}
+
+func (e *fakeEntry) fence(o effect.FenceLedger) {
+	if e.storeLost() {
+		e.postAfter(storeTimeout, event.LedgerFenced{Epoch: o.Epoch, Outcome: effect.AppendUnknown})
+		return
+	}
+	e.w.after(e.w.latency(), func() {
+		s, outcome := e.w.store, effect.AppendDone
+		if o.Epoch < s.epoch {
+			outcome = effect.AppendFenced
+		} else if o.Epoch > s.epoch {
+			s.epoch, s.next = o.Epoch, 1
+		}
+		e.postAfter(e.w.latency(), event.LedgerFenced{Epoch: o.Epoch, Outcome: outcome})
+	})
+}
+
+func (e *fakeEntry) load(o effect.LoadLedger) {
+	if e.storeLost() {
+		e.postAfter(storeTimeout, event.LedgerLoaded{Epoch: o.Epoch, Failed: true})
+		return
+	}
+	e.w.after(e.w.latency(), func() {
+		stored, waves := e.w.store.load()
+		e.postAfter(e.w.latency(), event.LedgerLoaded{Epoch: o.Epoch, Jobs: stored, Waves: waves})
+	})
+}
+
+func (e *fakeEntry) appendLedger(o effect.AppendLedger) {
+	e.w.after(o.After+e.w.latency(), func() {
+		unknown := event.LedgerAppended{Epoch: o.Epoch, Sequence: o.Sequence, Outcome: effect.AppendUnknown}
+		if e.storeLost() {
+			e.postAfter(storeTimeout, unknown)
+			return
+		}
+		if e.w.rng.Float64() < e.w.store.loss {
+			if e.w.rng.Intn(2) == 0 {
+				e.w.after(time.Duration(1+e.w.rng.Intn(5))*time.Second, func() { e.w.store.appendLedger(o) })
+			} else {
+				e.w.store.appendLedger(o)
+			}
+			e.postAfter(storeTimeout, unknown)
+			return
+		}
+		outcome, expected := e.w.store.appendLedger(o)
+		e.postAfter(e.w.latency(), event.LedgerAppended{
+			Epoch: o.Epoch, Sequence: o.Sequence, Outcome: outcome, Expected: expected,
+		})
+	})
+}
+
+func (e *fakeEntry) pollRunners(epoch int64) {
+	life := e.life
+	var poll func()
+	poll = func() {
+		if e.life != life || e.following != epoch {
+			return
+		}
+		if !e.storeLost() {
+			e.post(event.RunnersRead{Epoch: epoch, Whole: true, Runners: e.w.listed()})
+		}
+		e.w.after(200*time.Millisecond, poll)
+	}
+	e.w.after(e.w.latency(), poll)
+}
+
+func (e *fakeEntry) forward(o effect.Forward) {
+	target := -1
+	for i, other := range e.w.entries {
+		if other.address == o.Address && other.up {
+			target = i
+		}
+	}
+	if target < 0 {
+		e.postAfter(e.w.latency(), event.ForwardFinished{Call: o.Call, Failed: true})
+		return
+	}
+	w, life, answered := e.w, e.life, false
+	w.nextID++
+	id := w.nextID
+	finish := func(f event.ForwardFinished) {
+		if !answered && e.life == life {
+			answered = true
+			e.postAfter(w.latency(), f)
+		}
+	}
+	w.calls[id] = func(a effect.Answered) { finish(event.ForwardFinished{Call: o.Call, Answer: a, Sent: true}) }
+	w.after(o.Patience, func() { finish(event.ForwardFinished{Call: o.Call, Failed: true, Sent: true}) })
+	w.entries[target].postAfter(w.latency(), event.ClientCalled{
+		Call: id, Peer: true, Queue: o.Queue, Version: o.Version, Kind: o.Kind, Job: o.Job, Spec: o.Spec, Patience: o.Patience,
+	})
+}
+
+// call asks an entry and hands on its answer; a dead entry answers nothing.
+func (w *world) call(e *fakeEntry, kind effect.CallKind, job fleet.JobID, spec *fleet.JobSpec, done func(effect.Answered)) {
+	w.nextID++
+	w.calls[w.nextID] = done
+	e.post(event.ClientCalled{Call: w.nextID, Kind: kind, Host: "host", Path: "/plans/" + string(job), Spec: spec})
+}
+
+// submit hands a job in, again at other entries until it is taken, as clients
+// do.
+func (w *world) submit(id fleet.JobID, spec *fleet.JobSpec) {
+	w.handed[id] = spec
+	tries := 0
+	var try func()
+	try = func() {
+		if tries++; tries > 6 || w.accepted[id] != nil {
+			return
+		}
+		settled := false
+		w.call(w.entries[w.rng.Intn(len(w.entries))], effect.CallSubmit, id, spec, func(a effect.Answered) {
+			settled = true
+			switch a.Kind {
+			case effect.AnswerAccepted:
+				w.accepted[id] = spec
+			case effect.AnswerRefused:
+				w.after(time.Second, try)
+			default:
+				w.unsure[id] = true
+				w.after(300*time.Millisecond, try)
+			}
+		})
+		w.after(3*time.Second, func() {
+			if !settled {
+				w.unsure[id] = true
+				try()
+			}
+		})
+	}
+	try()
+}
+
+func (w *world) cancel(id fleet.JobID) {
+	w.call(w.entries[w.rng.Intn(len(w.entries))], effect.CallCancel, id, nil, func(a effect.Answered) {
+		if a.Kind == effect.AnswerCancelled {
+			w.cancels[id] = w.now
+		}
+	})
+}
+
+// state asks entries until one knows.
+func (w *world) state(id fleet.JobID) effect.Answered {
+	var got effect.Answered
+	for range 20 {
+		w.call(w.entries[w.rng.Intn(len(w.entries))], effect.CallState, id, nil, func(a effect.Answered) { got = a })
+		w.run(2 * time.Second)
+		if got.Kind == effect.AnswerState || got.Kind == effect.AnswerNoJob {
+			break
+		}
+	}
+	return got
+}
+
+// check reports the faults that were seen.
+func (w *world) check() {
+	w.t.Helper()
+	if len(w.faults) > 0 {
+		w.t.Fatalf("%d faults:\n%s", len(w.faults), strings.Join(w.faults[:min(5, len(w.faults))], "\n"))
+	}
+}
+
+// taskLength is how long a task works.
+func (w *world) taskLength(id fleet.TaskID) time.Duration {
+	return w.handed[id.Job].Steps[id.Step].Estimate
+}
+
+func (w *world) isPoison(id fleet.TaskID) bool { return w.poison[id.Job] }
+
+func (w *world) lasts(id fleet.TaskID) bool { return w.handed[id.Job].Steps[id.Step].Lasting }
--- a/reduce/ledger/ledger.go
+++ b/reduce/ledger/ledger.go
@@ -68,8 +68,14 @@
 	Incarnated fleet.Incarnation
 	// Saved resumes it; empty when it has saved nothing.
 	Saved string
-	// Unresolved is set when it is not known how its last run ended.
-	Unresolved bool
+	// Unresolved lists the runs of which it is not known how they ended.
+	Unresolved []Run
+}
+
+// Run names one run of a task.
+type Run struct {
+	Attempt int64
+	Runner  fleet.RunnerID
 }
 
 // Stored is all that the ledger holds of one job.
