--- /dev/null
+++ b/codec/ledger_test.go
@@ -0,0 +1,95 @@
+package codec_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/banyanrail/banyanrail/codec"
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/ledger"
+	"github.com/banyanrail/banyanrail/reduce/tenure"
+	"github.com/banyanrail/banyanrail/storage"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+var accepted = time.UnixMilli(1_800_000_000_123)
+
+func fullSpec() *fleet.JobSpec {
+	return &fleet.JobSpec{
+		Text: "text", Repeats: 3, FirstAt: accepted, Interval: time.Second,
+		Steps: []fleet.Step{
+			{Count: 2, Needs: fleet.Capacity{CPU: 1, Memory: 2, Accelerators: 3}, Estimate: time.Second, Checkpoints: true,
+				Gang: true, SameRack: true, Label: "a", Affinity: "r1-1", MaxPerRunner: 4},
+			{Count: 1, After: []int{0}, Speculative: true, Lasting: true, Image: "i", Target: time.Second, Filling: true, MayMiss: 2},
+		},
+	}
+}
+
+func TestSpecSurvivesTheLedger(t *testing.T) {
+	raw, err := codec.EncodeSpec(fullSpec())
+	must.NoError(t, err)
+	got, err := codec.DecodeSpec(raw)
+	must.NoError(t, err)
+	must.Eq(t, fullSpec(), got)
+}
+
+func encode(t *testing.T, records ...ledger.Record) []storage.Record {
+	t.Helper()
+	var out []storage.Record
+	for i := range records {
+		r, err := codec.EncodeLedger(&records[i])
+		must.NoError(t, err)
+		out = append(out, r)
+	}
+	return out
+}
+
+func TestLedgerRoundTrip(t *testing.T) {
+	p := &ledger.Progress{Queue: "q", State: fleet.JobFailed, Ended: accepted, Occurrences: []ledger.Occurrence{{
+		Number: 1, Done: []bool{true, false, true, false, false, false, false, false},
+		Tasks: []ledger.Task{{Number: 1, Attempt: 2, Failures: 1, Runner: "r", Incarnated: 7, Saved: "s",
+			Unresolved: []ledger.Run{{Attempt: 1, Runner: "x"}}}},
+	}}}
+	got, err := codec.DecodeLedger(encode(t,
+		ledger.Record{Job: "j", Definition: &ledger.Definition{Queue: "q", Accepted: accepted, Spec: fullSpec()}},
+		ledger.Record{Job: "j", Progress: p},
+		ledger.Record{Wave: &ledger.Wave{ID: 4, Done: []fleet.InstanceID{"m"}}},
+	))
+	must.NoError(t, err)
+	must.Eq(t, []ledger.Wave{{ID: 4, Done: []fleet.InstanceID{"m"}}}, got.Waves)
+	must.Len(t, 1, got.Jobs)
+	must.Eq(t, p, got.Jobs[0].Progress)
+	must.Eq(t, fullSpec(), got.Jobs[0].Definition.Spec)
+	must.True(t, accepted.Equal(got.Jobs[0].Definition.Accepted))
+}
+
+func TestDroppedRecordsAreLeftOut(t *testing.T) {
+	got, err := codec.DecodeLedger(encode(t, ledger.Record{Job: "j", DropDefinition: true}, ledger.Record{Job: "j", DropProgress: true}))
+	must.NoError(t, err)
+	must.Len(t, 0, got.Jobs)
+}
+
+func TestMalformedLedgerIsAnError(t *testing.T) {
+	for _, r := range []storage.Record{
+		{Key: "d/j", Value: []byte("{")}, {Key: "p/j", Value: []byte("[]")}, {Key: "w/x", Value: []byte("{}")},
+	} {
+		_, err := codec.DecodeLedger([]storage.Record{r})
+		must.Error(t, err, must.Sprint(r.Key))
+	}
+}
+
+func TestTenureRoundTrip(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		want := tenure.Record{
+			Epoch: rapid.Int64().Draw(rt, "epoch"), Owner: fleet.EntryID(rapid.StringMatching(`[a-z0-9-]*`).Draw(rt, "owner")),
+			Incarnation: rapid.Uint64().Draw(rt, "incarnation"), Beat: rapid.Int64().Draw(rt, "beat"), Released: rapid.Bool().Draw(rt, "released"),
+		}
+		r, err := codec.EncodeTenure(want)
+		must.NoError(rt, err)
+		got, ok, err := codec.DecodeTenure([]storage.Record{{Key: "else"}, r})
+		must.NoError(rt, err)
+		must.True(rt, ok)
+		must.Eq(rt, want, got)
+	})
+}
--- a/reduce/jobs/look.go
+++ b/reduce/jobs/look.go
@@ -45,16 +45,7 @@
 // lookIfDue sends a look unless one is under way or none is needed.
 func (o *ownership) lookIfDue(r *runner) {
 	l := &r.look
-	if l.underway || r.Address == "" || o.phase != phaseActive || o.now().Before(l.notBefore) {
-		return
-	}
-	if r.touched && len(r.runs) == 0 && r.acked >= r.seen && r.confirmed >= r.acked {
-		return
-	}
-	if !r.listed && len(r.runs) == 0 {
-		return
-	}
-	if !o.s.tenure.Valid(o.now()) {
+	if l.underway || o.phase != phaseActive || o.now().Before(l.notBefore) || !r.wantsLook() || !o.s.tenure.Valid(o.now()) {
 		return
 	}
 	o.looks++
@@ -75,6 +66,19 @@
 	o.s.emit(e)
 }
 
+// wantsLook reports whether there is anything to learn from a runner, or to tell
+// it.
+func (r *runner) wantsLook() bool {
+	switch {
+	case r.Address == "" || (!r.listed && len(r.runs) == 0):
+		return false
+	case !r.touched || len(r.runs) > 0:
+		return true
+	default:
+		return r.acked < r.seen || r.confirmed < r.acked
+	}
+}
+
 func (o *ownership) waitFor(r *runner) time.Duration {
 	if r.fillsBesideServing() {
 		return servingWait
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -37,8 +37,8 @@
 	// leasedUntil is when the leases that this owner gave to an earlier
 	// incarnation, whose clock is gone, have run out.
 	leasedUntil time.Time
-	runs     map[fleet.TaskID]*run
-	used     fleet.Capacity
+	runs        map[fleet.TaskID]*run
+	used        fleet.Capacity
 	// seen is the last end that was read, acked the last whose meaning is stored,
 	// and confirmed the last that the runner has been told to forget.
 	seen, acked, confirmed int64
--- a/reduce/jobs/runner_test.go
+++ b/reduce/jobs/runner_test.go
@@ -363,6 +363,7 @@
 			h.noted = h.noted || !r.lapsedAt.After(r.endedAt[end.Number])
 		case fleet.EndFailed:
 			h.failed++
+		default: // other ends decide nothing
 		}
 	}
 }
--- /dev/null
+++ b/reduce/tenure/tenure_test.go
@@ -0,0 +1,163 @@
+package tenure_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/tenure"
+	"github.com/shoenig/test/must"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// other is a record of another entry.
+func other(epoch, beat int64, released bool) tenure.Record {
+	return tenure.Record{Epoch: epoch, Owner: "other", Incarnation: 1, Beat: beat, Released: released}
+}
+
+// read feeds reads of one record, as long polls without news, over a time.
+func read(s *tenure.State, from time.Time, d time.Duration, r tenure.Record, end fleet.Offset) time.Time {
+	for at := from; !at.After(from.Add(d)); at = at.Add(tenure.ReadWait) {
+		s.OnRead(at, r, end)
+	}
+	return from.Add(d)
+}
+
+func claims(s *tenure.State, now time.Time) bool {
+	_, _, ok := s.Next(now)
+	return ok
+}
+
+func TestClaims(t *testing.T) {
+	const late = tenure.Silence + time.Second
+	cases := []struct {
+		name string
+		play func(s *tenure.State) time.Time
+		want bool
+	}{
+		{"before the first read", func(*tenure.State) time.Time { return start.Add(time.Hour) }, false},
+		{"empty log", func(s *tenure.State) time.Time {
+			return read(s, start, time.Second, tenure.Record{}, 0)
+		}, true},
+		{"owner silent", func(s *tenure.State) time.Time {
+			return read(s, start, late, other(3, 1, false), 5)
+		}, true},
+		{"owner heard", func(s *tenure.State) time.Time {
+			now := read(s, start, late, other(3, 1, false), 5)
+			s.OnRead(now, other(3, 2, false), 6)
+			return now
+		}, false},
+		{"owner released", func(s *tenure.State) time.Time {
+			return read(s, start, 500*time.Millisecond, other(3, 1, true), 5)
+		}, true},
+		{"own earlier start", func(s *tenure.State) time.Time {
+			s.OnRead(start, tenure.Record{Epoch: 3, Owner: "me", Incarnation: 1}, 5)
+			return start
+		}, true},
+		{"blind", func(s *tenure.State) time.Time {
+			now := read(s, start, late, other(3, 1, false), 5)
+			s.OnReadFailed()
+			return now
+		}, false},
+		{"store just back", func(s *tenure.State) time.Time {
+			now := read(s, start, late, other(3, 1, false), 5)
+			s.OnReadFailed()
+			return read(s, now.Add(5*time.Second), 0, other(3, 1, false), 5)
+		}, false},
+		{"last read too old", func(s *tenure.State) time.Time {
+			return read(s, start, late, other(3, 1, false), 5).Add(2 * tenure.ReadAge)
+		}, false},
+		{"stopping", func(s *tenure.State) time.Time {
+			s.Stop()
+			return read(s, start, late, other(3, 1, false), 5)
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := tenure.New("me", 2, "address")
+			must.Eq(t, c.want, claims(s, c.play(s)))
+		})
+	}
+}
+
+func owner(t *testing.T) (*tenure.State, time.Time) {
+	t.Helper()
+	s := tenure.New("me", 2, "address")
+	now := read(s, start, time.Second, tenure.Record{}, 0)
+	r, at, ok := s.Next(now)
+	must.True(t, ok)
+	must.Eq(t, 0, at)
+	must.Eq(t, 1, r.Epoch)
+	s.OnAppended(now, r, 1)
+	must.True(t, s.Mine())
+	return s, now
+}
+
+func TestOwnerBeats(t *testing.T) {
+	s, now := owner(t)
+	must.False(t, claims(s, now.Add(tenure.Heartbeat/2)))
+	r, at, ok := s.Next(now.Add(tenure.Heartbeat))
+	must.True(t, ok)
+	must.Eq(t, 1, at)
+	must.Eq(t, 2, r.Beat)
+}
+
+func TestOwnerIsValidForATimeAfterItsLastProvenBeat(t *testing.T) {
+	s, now := owner(t)
+	must.True(t, s.Valid(now.Add(tenure.Validity-time.Millisecond)))
+	must.False(t, s.Valid(now.Add(tenure.Validity)))
+	// A beat without an answer proves nothing until it is read.
+	r, _, ok := s.Next(now.Add(time.Second))
+	must.True(t, ok)
+	s.OnNotAppended()
+	must.False(t, s.Valid(now.Add(tenure.Validity)))
+	s.OnRead(now.Add(3*time.Second), r, 2)
+	must.True(t, s.Valid(now.Add(tenure.Validity)))
+	must.False(t, s.Valid(now.Add(tenure.Validity+time.Second)), must.Sprint("it counts from its sending"))
+}
+
+func TestOwnerReleasesWhenStopped(t *testing.T) {
+	s, now := owner(t)
+	s.Stop()
+	r, _, ok := s.Next(now)
+	must.True(t, ok)
+	must.True(t, r.Released)
+	s.OnAppended(now, r, 2)
+	must.False(t, s.Mine())
+	must.False(t, claims(s, now.Add(time.Minute)))
+}
+
+func TestDeposedOwnerDoesNotTakeItsTenureUpAgain(t *testing.T) {
+	s, now := owner(t)
+	s.Deposed(1)
+	must.False(t, s.Mine())
+	must.False(t, claims(s, now.Add(time.Minute)), must.Sprint("the log has yet to tell who is owner"))
+	s.OnRead(now.Add(time.Minute), other(2, 1, false), 2)
+	must.False(t, s.Mine())
+}
+
+func TestLeasesOfTheFormerOwner(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		record tenure.Record
+		want   time.Duration
+	}{
+		{"crashed", other(3, 1, false), tenure.Validity},
+		{"released", other(3, 1, true), 0},
+		{"own earlier start", tenure.Record{Epoch: 3, Owner: "me", Incarnation: 1}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := tenure.New("me", 2, "address")
+			s.OnRead(start, c.record, 5)
+			must.Eq(t, start.Add(c.want), s.FormerUntil())
+		})
+	}
+}
+
+func TestOvertakenReadsAreDropped(t *testing.T) {
+	s := tenure.New("me", 2, "address")
+	s.OnRead(start, other(4, 1, false), 9)
+	s.OnRead(start, other(3, 1, false), 8)
+	must.Eq(t, 4, s.Newest().Epoch)
+}
