--- /dev/null
+++ b/reduce/jobs/instances_test.go
@@ -0,0 +1,202 @@
+package jobs_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/shoenig/test/must"
+)
+
+// fakeInstance is a machine; its runner, if it is on, is one life of it.
+type fakeInstance struct {
+	id         fleet.InstanceID
+	pool       fleet.PoolName
+	state      fleet.InstanceState
+	runner     *fakeRunner
+	fence      int64
+	maintained map[int64]bool
+}
+
+const sparePool = "spare"
+
+// withInstances puts a machine under each runner, and spare ones beside them.
+func (w *world) withInstances(spare int) {
+	w.queues = fleet.NewQueues(2, []*fleet.Queue{
+		{Name: queueName, Host: "host", Prefix: "/plans/", Service: "desk", Attempts: 2, Stretch: 2, Slack: time.Second},
+	}, []*fleet.JobService{{Name: "desk", GuardsCapacity: true}, {Name: sparePool, Spare: true}})
+	for _, r := range w.listed() {
+		f := w.runners[r.ID]
+		f.instance = fleet.InstanceID("m-" + string(f.id))
+		w.instances = append(w.instances, &fakeInstance{
+			id: f.instance, pool: "desk", state: fleet.InstanceUp, runner: f, maintained: make(map[int64]bool),
+		})
+	}
+	for n := range spare {
+		w.instances = append(w.instances, &fakeInstance{
+			id: fleet.InstanceID(fmt.Sprint("s-", n)), pool: sparePool, state: fleet.InstanceUp, maintained: make(map[int64]bool),
+		})
+	}
+	for _, e := range w.entries {
+		e.kill()
+		e.boot()
+	}
+}
+
+func (e *fakeEntry) listInstances(o effect.ListInstances) {
+	w := e.w
+	w.after(w.latency(), func() {
+		var rows []fleet.ManagedInstance
+		for _, i := range w.instances {
+			row := fleet.ManagedInstance{ID: i.id, Pool: i.pool, State: i.state}
+			if i.runner != nil && i.runner.up {
+				row.Runner = i.runner.id
+			}
+			rows = append(rows, row)
+		}
+		e.postAfter(w.latency(), event.InstancesRead{Epoch: o.Epoch, Instances: rows})
+	})
+}
+
+func (e *fakeEntry) orderInstance(o effect.OrderInstance) {
+	w := e.w
+	w.after(w.latency(), func() {
+		outcome := effect.InstanceInvalid
+		for _, i := range w.instances {
+			if i.id == o.Instance {
+				outcome = i.order(w, o)
+			}
+		}
+		e.postAfter(w.latency(), event.InstanceOrdered{Epoch: o.Epoch, Instance: o.Instance, Kind: o.Kind, Wave: o.Wave, Outcome: outcome})
+	})
+}
+
+func (i *fakeInstance) order(w *world, o effect.OrderInstance) effect.InstanceOutcome {
+	if o.Epoch < i.fence {
+		return effect.InstanceFenced
+	}
+	i.fence = o.Epoch
+	if o.Kind == effect.InstanceMaintain && i.maintained[o.Wave] || o.Kind == effect.InstanceMove && i.pool == o.Pool {
+		return effect.InstanceOrderDone
+	}
+	if i.state != fleet.InstanceUp {
+		return effect.InstanceBusy
+	}
+	away := 1500 * time.Millisecond
+	i.state = fleet.InstanceMoving
+	if o.Kind == effect.InstanceMaintain {
+		away, i.state = 2*time.Second, fleet.InstanceMaintenance
+		i.maintained[o.Wave] = true
+		w.checkCap(o.Wave)
+	} else {
+		i.pool = o.Pool
+	}
+	w.checkInterruption(i)
+	if i.runner != nil && i.runner.up {
+		i.runner.crash()
+	}
+	w.after(away, func() { i.comeUp(w) })
+	return effect.InstanceOrderDone
+}
+
+func (i *fakeInstance) comeUp(w *world) {
+	i.state = fleet.InstanceUp
+	if i.pool == sparePool {
+		return
+	}
+	if i.runner == nil {
+		i.runner = w.addRunner(fleet.RunnerID("r-" + string(i.id)))
+		i.runner.instance = i.id
+	} else {
+		i.runner.boot()
+	}
+	i.runner.service = fleet.ServiceName(i.pool)
+}
+
+func (w *world) checkCap(wave int64) {
+	down := 0
+	for _, i := range w.instances {
+		if i.state == fleet.InstanceMaintenance {
+			down++
+		}
+	}
+	if down > w.waves[wave-1].MaxAtOnce {
+		w.fault("%d instances are down for maintenance, and %d may be", down, w.waves[wave-1].MaxAtOnce)
+	}
+}
+
+// checkInterruption holds an order against the lasting tasks that it ends.
+func (w *world) checkInterruption(i *fakeInstance) {
+	if i.runner == nil {
+		return
+	}
+	for id := range i.runner.runs {
+		if w.lasts(id) {
+			w.fault("an order ends %v, which is at work", id)
+		}
+	}
+}
+
+func TestWaveMaintainsEachInstanceWithinItsCap(t *testing.T) {
+	w := newWorld(t, 21, 3, 6)
+	w.waves = []fleet.MaintenanceWave{{
+		ID: 1, MaxAtOnce: 2, Within: 25 * time.Second,
+		Instances: []fleet.InstanceID{"m-r0", "m-r1", "m-r2", "m-r3", "m-r4", "s-0"},
+	}}
+	w.withInstances(1)
+	w.run(2 * time.Second)
+	w.submit(jobID(1), lasting(6, 1))
+	w.run(25 * time.Second)
+	for _, i := range w.instances {
+		must.Eq(t, i.id != "m-r5", i.maintained[1], must.Sprint(i.id))
+	}
+	must.True(t, w.statuses[1], must.Sprint("the wave is told to be done"))
+	must.Eq(t, 6, w.runningTasks())
+	w.check()
+}
+
+func TestWaveGoesOnAfterATakeover(t *testing.T) {
+	w := newWorld(t, 22, 3, 6)
+	w.waves = []fleet.MaintenanceWave{{
+		ID: 1, MaxAtOnce: 2, Within: 25 * time.Second, Instances: []fleet.InstanceID{"m-r0", "m-r1", "m-r2", "m-r3", "m-r4", "m-r5"},
+	}}
+	w.withInstances(0)
+	w.run(6500 * time.Millisecond)
+	w.owner().kill()
+	w.run(20 * time.Second)
+	must.True(t, w.statuses[1])
+	w.check()
+}
+
+func TestSpareInstancesJoinABusyPoolAndLeaveIt(t *testing.T) {
+	w := newWorld(t, 23, 3, 2)
+	w.withInstances(4)
+	w.run(8 * time.Second)
+	spec := twoSteps()
+	spec.Steps[0].Count = 16
+	for n := range 30 {
+		w.submit(jobID(n), spec)
+	}
+	w.run(3 * time.Second)
+	must.Greater(t, 2, w.up("desk"))
+	w.run(30 * time.Second)
+	for n := range 30 {
+		w.mustState(jobID(n), fleet.JobDone)
+	}
+	must.LessEq(t, 2, w.up("desk"), must.Sprint("idle instances are turned off again"))
+	w.check()
+}
+
+// up counts the instances of a pool.
+func (w *world) up(pool fleet.PoolName) int {
+	n := 0
+	for _, i := range w.instances {
+		if i.pool == pool {
+			n++
+		}
+	}
+	return n
+}
--- a/reduce/jobs/runner_test.go
+++ b/reduce/jobs/runner_test.go
@@ -14,6 +14,8 @@
 type fakeRunner struct {
 	w        *world
 	id       fleet.RunnerID
+	service  fleet.ServiceName
+	instance fleet.InstanceID
 	born     time.Time
 	up       bool
 	draining bool
@@ -49,7 +51,7 @@
 var taskNeeds = fleet.Capacity{CPU: 1000, Memory: 100}
 
 func (w *world) addRunner(id fleet.RunnerID) *fakeRunner {
-	r := &fakeRunner{w: w, id: id}
+	r := &fakeRunner{w: w, id: id, service: "desk"}
 	w.runners[id] = r
 	r.boot()
 	return r
@@ -77,7 +79,8 @@
 	for _, r := range w.runners {
 		if r.up && !r.cut {
 			out = append(out, fleet.Runner{
-				ID: r.id, Incarnated: r.incarnation(), Service: "desk", Address: string(r.id), Capacity: runnerCapacity, Draining: r.draining,
+				ID: r.id, Incarnated: r.incarnation(), Service: r.service, Address: string(r.id), Capacity: runnerCapacity,
+				Draining: r.draining, Instance: r.instance,
 			})
 		}
 	}
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -50,6 +50,10 @@
 	// doneOnce holds the tasks that have ended well on some runner.
 	doneOnce map[fleet.TaskID]bool
 	poison   map[fleet.JobID]bool
+	// instances are the machines under the runners, if the test has them.
+	instances []*fakeInstance
+	waves     []fleet.MaintenanceWave
+	statuses  map[int64]bool
 }
 
 type taskHistory struct {
@@ -93,6 +97,7 @@
 		tasks: make(map[fleet.TaskID]*taskHistory), accepted: make(map[fleet.JobID]*fleet.JobSpec),
 		unsure: make(map[fleet.JobID]bool), handed: make(map[fleet.JobID]*fleet.JobSpec),
 		cancels: make(map[fleet.JobID]time.Time), doneOnce: make(map[fleet.TaskID]bool), poison: make(map[fleet.JobID]bool),
+		statuses: make(map[int64]bool),
 		queues: fleet.NewQueues(1, []*fleet.Queue{{
 			Name: queueName, Host: "host", Prefix: "/plans/", Service: "desk", Attempts: 2, Stretch: 2, Slack: time.Second,
 		}}, []*fleet.JobService{{Name: "desk", GuardsCapacity: true}}),
@@ -254,10 +259,17 @@
 	}
 	e.state = reduce.New(reduce.Config{Entry: e.id, Jobs: &jobs.Config{
 		Entry: e.id, Incarnation: uint64(e.life), Address: e.address,
-		Bounds: jobs.Bounds{StopGrace: 200 * time.Millisecond, StatusTime: 2 * time.Minute, MachineLease: 3 * time.Second},
+		Bounds: jobs.Bounds{
+			StopGrace: 200 * time.Millisecond, StatusTime: 2 * time.Minute, MachineLease: 3 * time.Second,
+			MoveTime: 1500 * time.Millisecond, MaintenanceTime: 2 * time.Second, InstanceOrdersPerSecond: 64,
+			Instances: len(e.w.instances) > 0,
+		},
 	}})
 	e.post(event.JobsStarted{})
 	e.post(event.QueuesRead{Queues: e.w.queues})
+	if len(e.w.waves) > 0 {
+		e.post(event.WavesRead{Waves: e.w.waves})
+	}
 }
 
 func (e *fakeEntry) kill() { e.up = false; e.life++ }
@@ -339,6 +351,13 @@
 		}
 	case effect.Forward:
 		e.forward(o)
+	case effect.ListInstances:
+		e.listInstances(o)
+	case effect.OrderInstance:
+		e.orderInstance(o)
+	case effect.WriteWaveStatus:
+		e.w.statuses[o.Wave] = o.Done
+		e.postAfter(e.w.latency(), event.StatusWritten{Epoch: o.Epoch, Wave: o.Wave, Done: o.Done})
 	case effect.Decision:
 		e.w.trace("%s %+v", e.id, o)
 	}
