--- a/cmd/banyanrail-entry/main.go
+++ b/cmd/banyanrail-entry/main.go
@@ -101,6 +101,7 @@
 	p := &c.platform
 	return jobs.Config{
 		Entry: fleet.EntryID(p.Node), Incarnation: uint64(time.Now().UnixNano()), Address: p.PeerAddress,
+		Handicap: handicap(p),
 		Bounds: jobs.Bounds{
 			StopGrace: p.StopGrace, MachineLease: p.MachineLease, NoticeWindow: p.NoticeWindow, MoveTime: p.MoveTime,
 			MaintenanceTime: p.MaintenanceTime, StatusTime: p.StatusTime,
@@ -109,6 +110,16 @@
 	}
 }
 
+// handicap delays the claims of an entry with less processor time or network
+// than an owner uses in a burst.
+func handicap(p *platform.Settings) time.Duration {
+	strength := min(1, p.Cores/ownerCores)
+	if p.LinkMbps > 0 {
+		strength = min(strength, p.LinkMbps/ownerLink)
+	}
+	return time.Duration((1 - strength) * float64(maxHandicap))
+}
+
 // serve runs the entry and its listeners. When a signal comes, the listeners go
 // on while the jobs are handed over and the balancer turns away.
 func serve(ctx context.Context, c config, e *jobentry.Entry, metrics http.Handler, logger *slog.Logger, signals <-chan os.Signal) error {
--- a/cmd/banyanrail-entry/settings.go
+++ b/cmd/banyanrail-entry/settings.go
@@ -12,6 +12,13 @@
 	// collector works harder: it leaves room for stacks and unread bytes.
 	memoryShare = 60
 	percent     = 100
+	// ownerCores and ownerLink are the cores and megabits a second that an owner
+	// of fifty runners uses at most in a burst, from docs/CAPACITY.md.
+	ownerCores = 0.4
+	ownerLink  = 100
+	// maxHandicap lets all stronger entries claim first: their claims are spread
+	// over 300 ms.
+	maxHandicap = 400 * time.Millisecond
 	// balancerNotice is how long new connections are still served after the
 	// first refusal of readiness: the balancer asks each second and turns away
 	// after two refusals.
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/banyanrail/banyanrail/codec"
@@ -21,11 +22,17 @@
 // Jobs forwards clients' calls to the entry that owns the jobs.
 type Jobs struct {
 	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
+	conns map[string]*jobsConn
+}
+
+// jobsConn is a connection with the time of its last answer.
+type jobsConn struct {
+	*grpc.ClientConn
+	answered atomic.Int64
 }
 
 // NewJobs returns a client without connections.
-func NewJobs() *Jobs { return &Jobs{conns: make(map[string]*grpc.ClientConn)} }
+func NewJobs() *Jobs { return &Jobs{conns: make(map[string]*jobsConn)} }
 
 // Forward sends a call to the owner. Sent says whether the owner may have
 // received it when there is an error.
@@ -39,15 +46,17 @@
 	if err != nil {
 		return effect.Answered{}, false, fail.Wrap(err)
 	}
+	began := time.Now().UnixNano()
 	ctx, cancel := context.WithTimeout(ctx, f.Patience)
 	defer cancel()
 	resp, err := peerpb.NewJobsClient(conn).Call(ctx, req)
 	if err != nil {
-		if status.Code(err) == codes.DeadlineExceeded {
+		if status.Code(err) == codes.DeadlineExceeded && conn.answered.Load() < began {
 			j.replace(f.Address, conn)
 		}
 		return effect.Answered{}, !neverSent(err), fail.Wrap(err)
 	}
+	conn.answered.Store(time.Now().UnixNano())
 	return effect.Answered{
 		Kind: effect.AnswerKind(resp.GetKind()), State: fleet.JobState(resp.GetState()), Waiting: int(resp.GetWaiting()),
 		RetryAfter: time.Duration(resp.GetRetryAfterMs()) * time.Millisecond, Reason: effect.Reason(resp.GetReason()),
@@ -72,22 +81,24 @@
 	return status.Code(err) == codes.Unavailable && strings.Contains(status.Convert(err).Message(), "connection error")
 }
 
-func (j *Jobs) conn(address string) (*grpc.ClientConn, error) {
+func (j *Jobs) conn(address string) (*jobsConn, error) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if c, ok := j.conns[address]; ok {
 		return c, nil
 	}
-	c, err := grpc.NewClient("passthrough:///"+address, append(dialOptions(), grpc.WithTransportCredentials(insecure.NewCredentials()))...)
-	if err == nil {
-		j.conns[address] = c
+	cc, err := grpc.NewClient("passthrough:///"+address, append(dialOptions(), grpc.WithTransportCredentials(insecure.NewCredentials()))...)
+	if err != nil {
+		return nil, err
 	}
-	return c, err
+	c := &jobsConn{ClientConn: cc}
+	j.conns[address] = c
+	return c, nil
 }
 
-// replace drops a connection on which a call ran out of time: it may have gone
-// silent.
-func (j *Jobs) replace(address string, conn *grpc.ClientConn) {
+// replace drops a connection on which a call ran out of time and no other was
+// answered meanwhile: it may have gone silent.
+func (j *Jobs) replace(address string, conn *jobsConn) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.conns[address] == conn {
--- a/reduce/jobs/calls.go
+++ b/reduce/jobs/calls.go
@@ -19,7 +19,7 @@
 	// seconds time for another try.
 	answerLimit = 1500 * time.Millisecond
 	// forwardPause is the pause before a call is forwarded again.
-	forwardPause = 60 * time.Millisecond
+	forwardPause = 120 * time.Millisecond
 	// retryAfter is what refused clients are told: about the time that a
 	// takeover still takes when parkLimit has passed.
 	retryAfter = time.Second
--- a/reduce/jobs/runner_test.go
+++ b/reduce/jobs/runner_test.go
@@ -247,7 +247,7 @@
 	away := 0
 	for n := range step.Count {
 		other := fleet.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, Index: n}
-		if n != id.Index && w.history(other).running == 0 {
+		if n != id.Index && !w.atWork(other) {
 			away++
 		}
 	}
@@ -256,6 +256,16 @@
 	}
 }
 
+// atWork reports whether a task runs somewhere and was not told to stop.
+func (w *world) atWork(id fleet.TaskID) bool {
+	for _, r := range w.runners {
+		if run, ok := r.runs[id]; ok && !run.stopped {
+			return true
+		}
+	}
+	return false
+}
+
 // reachable reports whether an entry's call gets there and back.
 func (e *fakeEntry) reachable(id fleet.RunnerID) *fakeRunner {
 	r := e.w.runners[id]
--- a/reduce/jobs/state.go
+++ b/reduce/jobs/state.go
@@ -23,7 +23,10 @@
 	Incarnation uint64
 	// Address is where other entries reach this one.
 	Address string
-	Bounds  Bounds
+	// Handicap delays the entry's claims of the tenure, so that stronger ones go
+	// first.
+	Handicap time.Duration
+	Bounds   Bounds
 }
 
 // Bounds are the platform's times that decisions depend on.
@@ -76,7 +79,7 @@
 func New(cfg Config) *State {
 	return &State{
 		cfg:    cfg,
-		tenure: tenure.New(cfg.Entry, cfg.Incarnation, cfg.Address),
+		tenure: tenure.New(cfg.Entry, cfg.Incarnation, cfg.Address, cfg.Handicap),
 		waves:  make(map[int64]*fleet.MaintenanceWave),
 		seenAt: make(map[int64]time.Time),
 		calls:  make(map[uint64]*call),
--- a/reduce/tenure/tenure.go
+++ b/reduce/tenure/tenure.go
@@ -78,7 +78,10 @@
 	waitSince time.Time
 	lastBeat  time.Time
 	stopping  bool
-	beat      int64
+	// handicap delays the claims of an entry that is weaker than an owner should
+	// be.
+	handicap time.Duration
+	beat     int64
 	// formerUntil is when the last owner before this entry's tenure may have
 	// given its last lease.
 	formerUntil time.Time
@@ -86,11 +89,13 @@
 	lost int64
 }
 
-// New returns the state of an entry that has read nothing.
-func New(entry fleet.EntryID, incarnation uint64, address string) *State {
+// New returns the state of an entry that has read nothing. Its claims of a free
+// tenure are delayed by a handicap.
+func New(entry fleet.EntryID, incarnation uint64, address string, handicap time.Duration) *State {
 	return &State{
-		self: Record{Owner: entry, Incarnation: incarnation, Address: address},
-		sent: make(map[int64]time.Time),
+		self:     Record{Owner: entry, Incarnation: incarnation, Address: address},
+		sent:     make(map[int64]time.Time),
+		handicap: handicap,
 	}
 }
 
@@ -242,7 +247,7 @@
 	if s.newest.Owner == s.self.Owner {
 		return true
 	}
-	wait := s.rank()
+	wait := s.rank() + s.handicap
 	if s.newest.Epoch != 0 && !s.newest.Released {
 		wait += Silence
 	}
--- a/reduce/tenure/tenure_test.go
+++ b/reduce/tenure/tenure_test.go
@@ -75,7 +75,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			s := tenure.New("me", 2, "address")
+			s := tenure.New("me", 2, "address", 0)
 			must.Eq(t, c.want, claims(s, c.play(s)))
 		})
 	}
@@ -83,7 +83,7 @@
 
 func owner(t *testing.T) (*tenure.State, time.Time) {
 	t.Helper()
-	s := tenure.New("me", 2, "address")
+	s := tenure.New("me", 2, "address", 0)
 	now := read(s, start, time.Second, tenure.Record{}, 0)
 	r, at, ok := s.Next(now)
 	must.True(t, ok)
@@ -148,7 +148,7 @@
 		{"own earlier start", tenure.Record{Epoch: 3, Owner: "me", Incarnation: 1}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := tenure.New("me", 2, "address")
+			s := tenure.New("me", 2, "address", 0)
 			s.OnRead(start, c.record, 5)
 			must.Eq(t, start.Add(c.want), s.FormerUntil())
 		})
@@ -156,7 +156,7 @@
 }
 
 func TestOvertakenReadsAreDropped(t *testing.T) {
-	s := tenure.New("me", 2, "address")
+	s := tenure.New("me", 2, "address", 0)
 	s.OnRead(start, other(4, 1, false), 9)
 	s.OnRead(start, other(3, 1, false), 8)
 	must.Eq(t, 4, s.Newest().Epoch)
