--- a/reduce/jobs/planner.go
+++ b/reduce/jobs/planner.go
@@ -27,8 +27,9 @@
 	// idleBeforeMove keeps an instance that has just run something in its pool.
 	idleBeforeMove = 300 * time.Millisecond
 	// idleBeforePark is how long an instance has to be idle before it is turned
-	// off. Its price there and back equals that of two seconds in a pool.
-	idleBeforePark = 2500 * time.Millisecond
+	// off. Its price there and back equals that of two seconds in a pool, and a
+	// pool rests for about fifteen.
+	idleBeforePark = 1200 * time.Millisecond
 	// maxMovesAtOnce bounds the moves of one plan.
 	maxMovesAtOnce = 8
 )
