Report an entry as not ready that cannot learn who owns the jobs

Ruled out: finding the owner by way of peers (their addresses stand in the tenure log alone). The test fails without the change.

--- a/reduce/jobs/calls.go
+++ b/reduce/jobs/calls.go
@@ -189,6 +189,7 @@
 		return
 	}
 	if !b.Failed && b.Answer.Kind != effect.AnswerNotOwner {
+		s.unreachable = 0
 		if c.reached && b.Answer.Kind == effect.AnswerRefused {
 			// An earlier owner may have stored what this one refused.
 			b.Answer.Kind = effect.AnswerUnknown
@@ -197,6 +198,7 @@
 		return
 	}
 	c.reached = c.reached || (b.Failed && b.Sent)
+	s.unreachable = s.tenure.Newest().Epoch
 	s.count("forwards_failed", effect.Reason(b.Reason))
 	s.park(c)
 }
--- a/reduce/jobs/jobs_test.go
+++ b/reduce/jobs/jobs_test.go
@@ -278,3 +278,36 @@
 	}
 	w.check()
 }
+
+// TestEntryThatCannotFindTheOwnerIsNotReady is from incident inc-397a on
+// lawa-banyan: an entry that the store turned away refused clients for seconds
+// while others had an owner.
+func TestEntryThatCannotFindTheOwnerIsNotReady(t *testing.T) {
+	w := newWorld(t, 16, 3, 2)
+	ready := make(map[fleet.EntryID]bool)
+	w.tap = func(e *fakeEntry, out effect.Effect) bool {
+		if r, ok := out.(effect.SetReady); ok {
+			ready[e.id] = r.Ready
+		}
+		return true
+	}
+	w.run(2 * time.Second)
+	first := w.owner()
+	must.Eq(t, map[fleet.EntryID]bool{"e0": true, "e1": true, "e2": true}, ready)
+	// A store that is down for all leaves the owner in place.
+	w.store.down = true
+	w.submit(jobID(1), twoSteps())
+	w.run(2 * time.Second)
+	must.Eq(t, map[fleet.EntryID]bool{"e0": true, "e1": true, "e2": true}, ready)
+	w.store.down = false
+	w.run(time.Second)
+	// The owner is turned away alone, and another takes over.
+	first.noStore = true
+	w.run(5 * time.Second)
+	must.NotEq(t, first.id, w.owner().id)
+	must.False(t, ready[first.id])
+	first.noStore = false
+	w.run(2 * time.Second)
+	must.True(t, ready[first.id])
+	w.check()
+}
--- a/reduce/jobs/state.go
+++ b/reduce/jobs/state.go
@@ -73,6 +73,9 @@
 	released bool
 	// ready is what the balancer was last told.
 	ready bool
+	// unreachable is the epoch of an owner that did not serve the last call
+	// forwarded to it.
+	unreachable int64
 }
 
 // New returns the state of an entry that has seen no event.
@@ -246,5 +249,8 @@
 		return s.own.phase == phaseActive
 	}
 	newest := s.tenure.Newest()
+	if s.tenure.Blind() && (newest.Owner == s.cfg.Entry || newest.Epoch == s.unreachable) {
+		return false // another entry may own the jobs, and this one cannot learn which
+	}
 	return newest.Epoch > 0 && !newest.Released
 }
