--- a/reduce/jobs/calls.go
+++ b/reduce/jobs/calls.go
@@ -199,6 +199,9 @@
 	}
 	c.reached = c.reached || (b.Failed && b.Sent)
 	s.unreachable = s.tenure.Newest().Epoch
+	if b.Failed && !b.Sent {
+		s.tenure.Suspect(s.tenure.Newest().Epoch)
+	}
 	s.count("forwards_failed", effect.Reason(b.Reason))
 	s.park(c)
 }
--- a/reduce/tenure/tenure.go
+++ b/reduce/tenure/tenure.go
@@ -20,6 +20,9 @@
 	// Silence is how long an owner may be silent, as seen by an entry that reads
 	// the log without failures, before others claim its place.
 	Silence = 1800 * time.Millisecond
+	// SuspectedSilence takes its place once the owner's address has refused a
+	// connection: two heartbeats.
+	SuspectedSilence = 2 * Heartbeat
 	// ReadAge is the age of the newest successful read beyond which an entry
 	// does not claim: a read takes at most ReadWait, and one may be slow.
 	ReadAge = time.Second
@@ -81,7 +84,9 @@
 	// handicap delays the claims of an entry that is weaker than an owner should
 	// be.
 	handicap time.Duration
-	beat     int64
+	// suspected is the epoch of an owner whose address refused a connection.
+	suspected int64
+	beat      int64
 	// formerUntil is when the last owner before this entry's tenure may have
 	// given its last lease.
 	formerUntil time.Time
@@ -156,6 +161,7 @@
 
 // take makes a record the newest.
 func (s *State) take(r Record, end fleet.Offset) {
+	s.suspected = 0 // the owner has been heard
 	if !s.own(r) {
 		s.formerUntil = s.leasesUntil(r)
 	}
@@ -249,11 +255,23 @@
 	}
 	wait := s.rank() + s.handicap
 	if s.newest.Epoch != 0 && !s.newest.Released {
-		wait += Silence
+		wait += s.silence()
 	}
 	return now.Sub(s.since) >= wait
 }
 
+// Suspect notes that the address of an epoch's owner refused a connection, as
+// that of a process that has ended does.
+func (s *State) Suspect(epoch int64) { s.suspected = epoch }
+
+// silence returns how long the owner may be silent.
+func (s *State) silence() time.Duration {
+	if s.suspected == s.newest.Epoch {
+		return SuspectedSilence
+	}
+	return Silence
+}
+
 // rank spreads the entries' claims, in another order for each epoch.
 func (s *State) rank() time.Duration {
 	h := fnv.New32a()
--- a/reduce/tenure/tenure_test.go
+++ b/reduce/tenure/tenure_test.go
@@ -43,6 +43,17 @@
 		{"owner silent", func(s *tenure.State) time.Time {
 			return read(s, start, late, other(3, 1, false), 5)
 		}, true},
+		{"owner's address refuses", func(s *tenure.State) time.Time {
+			s.OnRead(start, other(3, 1, false), 5)
+			s.Suspect(3)
+			return read(s, start, tenure.SuspectedSilence+400*time.Millisecond, other(3, 1, false), 5)
+		}, true},
+		{"owner heard after its address refused", func(s *tenure.State) time.Time {
+			s.OnRead(start, other(3, 1, false), 5)
+			s.Suspect(3)
+			s.OnRead(start, other(3, 2, false), 6)
+			return read(s, start, tenure.SuspectedSilence+400*time.Millisecond, other(3, 2, false), 6)
+		}, false},
 		{"owner heard", func(s *tenure.State) time.Time {
 			now := read(s, start, late, other(3, 1, false), 5)
 			s.OnRead(now, other(3, 2, false), 6)
