--- a/jobentry/store.go
+++ b/jobentry/store.go
@@ -97,7 +97,9 @@
 	records, err := encodeLedger(o.Records)
 	if err == nil {
 		w := storage.Writer{Name: ledgerWriter, Epoch: o.Epoch, Sequence: o.Sequence}
-		err = e.deps.Store.AppendAs(e.background, storage.TopicLedger, w, records)
+		ctx, cancel := context.WithTimeout(e.background, o.Limit)
+		err = e.deps.Store.AppendAs(ctx, storage.TopicLedger, w, records)
+		cancel()
 		done.Outcome = outcomeOf(err)
 		var seq *storage.SequenceError
 		if errors.As(err, &seq) {
--- a/reduce/effect/jobs.go
+++ b/reduce/effect/jobs.go
@@ -52,6 +52,8 @@
 	Records  []ledger.Record
 	// After is the pause before it is sent.
 	After time.Duration
+	// Limit is how long its answer is waited for.
+	Limit time.Duration
 }
 
 // FollowRunners asks to follow the list of runners for a tenure; epoch 0 ends
--- a/reduce/jobs/commit.go
+++ b/reduce/jobs/commit.go
@@ -19,8 +19,16 @@
 	storeDownAfter = 700 * time.Millisecond
 	// appendFreshness bounds the age of a heartbeat when it is sent.
 	appendFreshness = 500 * time.Millisecond
-	maxAppendPause  = 200 * time.Millisecond
-	minAppendPause  = 10 * time.Millisecond
+	// leastAppendLimit and mostAppendLimit bound how long an append's answer is
+	// waited for: fifteen times the usual, and what a store slowed sixty times
+	// takes. A repeat is harmless, since the store takes each number once.
+	leastAppendLimit = 150 * time.Millisecond
+	mostAppendLimit  = 800 * time.Millisecond
+	// appendLimitFactor times the last append's time is waited, and twice as long
+	// with each repeat.
+	appendLimitFactor = 4
+	maxAppendPause    = 200 * time.Millisecond
+	minAppendPause    = 10 * time.Millisecond
 )
 
 // deferred is what waits until a group is stored. One of its fields is set.
@@ -46,6 +54,7 @@
 	then    []deferred
 	since   time.Time
 	pause   time.Duration
+	limit   time.Duration
 }
 
 // outbox groups what is to be stored. One append is on its way at a time; what
@@ -59,6 +68,8 @@
 	waves []ledger.Record
 	// storedAt is when the last append succeeded.
 	storedAt time.Time
+	// took is the time of the last append.
+	took time.Duration
 	// adopted is set after the first append of the tenure.
 	adopted bool
 	down    bool
@@ -103,13 +114,14 @@
 		return
 	}
 	b.inFlight = g
+	g.limit = min(max(appendLimitFactor*b.took, leastAppendLimit), mostAppendLimit)
 	b.sequence++
 	o.sendGroup()
 }
 
 func (o *ownership) sendGroup() {
 	g := o.outbox.inFlight
-	o.s.emit(effect.AppendLedger{Epoch: o.epoch, Sequence: o.outbox.sequence, Records: g.records, After: g.pause})
+	o.s.emit(effect.AppendLedger{Epoch: o.epoch, Sequence: o.outbox.sequence, Records: g.records, After: g.pause, Limit: g.limit})
 }
 
 func (o *ownership) onLedgerAppended(b event.LedgerAppended) {
@@ -119,6 +131,7 @@
 	}
 	switch b.Outcome {
 	case effect.AppendDone:
+		o.outbox.took = b.Took
 		o.onGroupStored()
 	case effect.AppendFenced:
 		o.s.endTenure(reasonLedgerFenced)
@@ -155,6 +168,7 @@
 
 func (o *ownership) retryGroup(outcome effect.AppendOutcome) {
 	g := o.outbox.inFlight
+	g.limit = min(2*g.limit, mostAppendLimit)
 	g.pause = min(max(2*g.pause, minAppendPause), maxAppendPause)
 	if o.storeDown() && !o.outbox.down {
 		o.outbox.down = true
--- a/reduce/jobs/jobs_test.go
+++ b/reduce/jobs/jobs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -311,3 +312,44 @@
 	must.True(t, ready[first.id])
 	w.check()
 }
+
+// TestLostAnswersHoldUpLittle is from deploy/days/store.toml: each lost answer of
+// the store held all jobs up for 0.8 s.
+func TestLostAnswersHoldUpLittle(t *testing.T) {
+	w := newWorld(t, 17, 3, 3)
+	w.run(2 * time.Second)
+	w.store.loss = 0.5
+	var limits []time.Duration
+	w.tap = func(_ *fakeEntry, out effect.Effect) bool {
+		if a, ok := out.(effect.AppendLedger); ok {
+			limits = append(limits, a.Limit)
+		}
+		return true
+	}
+	for n := range 10 {
+		w.submit(jobID(n), twoSteps())
+		w.run(100 * time.Millisecond)
+	}
+	w.run(4 * time.Second)
+	for n := range 10 {
+		w.mustState(jobID(n), fleet.JobDone)
+	}
+	must.SliceContains(t, limits, 150*time.Millisecond)
+	must.LessEq(t, 800*time.Millisecond, slices.Max(limits))
+	w.check()
+}
+
+// TestFormerOwnerDoesNotDenyJobs asks an owner that was cut off from the store
+// for a job that the next owner took in.
+func TestFormerOwnerDoesNotDenyJobs(t *testing.T) {
+	w := newWorld(t, 18, 3, 2)
+	w.run(2 * time.Second)
+	first := w.owner()
+	first.noStore = true
+	w.run(6 * time.Second)
+	must.NotEq(t, first.id, w.owner().id)
+	var got effect.Answered
+	w.call(first, effect.CallState, jobID(1), nil, func(a effect.Answered) { got = a })
+	w.run(time.Second)
+	must.Eq(t, effect.AnswerRefused, got.Kind)
+}
--- a/reduce/jobs/serve.go
+++ b/reduce/jobs/serve.go
@@ -59,7 +59,7 @@
 func (o *ownership) state(c *call) {
 	j, ok := o.jobs[c.Job]
 	if !ok {
-		o.s.answer(c, effect.Answered{Kind: effect.AnswerNoJob})
+		o.answerNoJob(c)
 		return
 	}
 	shown := j.shown
@@ -69,11 +69,21 @@
 	o.s.answer(c, effect.Answered{Kind: effect.AnswerState, State: shown})
 }
 
+// answerNoJob tells that there is no such job, unless another entry may own the
+// jobs by now and know better.
+func (o *ownership) answerNoJob(c *call) {
+	if o.s.tenure.Valid(o.now()) {
+		o.s.answer(c, effect.Answered{Kind: effect.AnswerNoJob})
+		return
+	}
+	o.s.answer(c, effect.Answered{Kind: effect.AnswerRefused, RetryAfter: retryAfter, Reason: reasonNoOwner})
+}
+
 // cancel answers once the cancellation is stored. Its runs stop then.
 func (o *ownership) cancel(c *call) {
 	j, ok := o.jobs[c.Job]
 	if !ok {
-		o.s.answer(c, effect.Answered{Kind: effect.AnswerNoJob})
+		o.answerNoJob(c)
 		return
 	}
 	if !j.state.Final() {
--- a/reduce/jobs/state.go
+++ b/reduce/jobs/state.go
@@ -246,7 +246,7 @@
 		return false
 	}
 	if s.own != nil {
-		return s.own.phase == phaseActive
+		return s.own.phase == phaseActive && s.tenure.Valid(s.now)
 	}
 	newest := s.tenure.Newest()
 	if s.tenure.Blind() && (newest.Owner == s.cfg.Entry || newest.Epoch == s.unreachable) {
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -440,7 +440,7 @@
 	e.w.after(o.After+e.w.latency(), func() {
 		unknown := event.LedgerAppended{Epoch: o.Epoch, Sequence: o.Sequence, Outcome: effect.AppendUnknown}
 		if e.storeLost() {
-			e.postAfter(storeTimeout, unknown)
+			e.postAfter(o.Limit, unknown)
 			return
 		}
 		if e.w.rng.Float64() < e.w.store.loss {
@@ -449,7 +449,7 @@
 			} else {
 				e.w.store.appendLedger(o)
 			}
-			e.postAfter(storeTimeout, unknown)
+			e.postAfter(o.Limit, unknown)
 			return
 		}
 		outcome, expected := e.w.store.appendLedger(o)
