Count lasting tasks on draining runners as away; remove what nothing uses

Ruled out: a stale word of the runner. The test fails without the change. Unused settings, fields and the second isDial went.

--- a/cmd/banyanrail-entry/main.go
+++ b/cmd/banyanrail-entry/main.go
@@ -103,8 +103,7 @@
 		Entry: fleet.EntryID(p.Node), Incarnation: uint64(time.Now().UnixNano()), Address: p.PeerAddress,
 		Handicap: handicap(p),
 		Bounds: jobs.Bounds{
-			StopGrace: p.StopGrace, MachineLease: p.MachineLease, NoticeWindow: p.NoticeWindow, MoveTime: p.MoveTime,
-			MaintenanceTime: p.MaintenanceTime, StatusTime: p.StatusTime,
+			MachineLease: p.MachineLease, MaintenanceTime: p.MaintenanceTime, StatusTime: p.StatusTime,
 			InstanceOrdersPerSecond: p.InstanceOrdersPerSecond, Instances: p.InstancesAddress != "", Advice: p.AdviceAddress != "",
 		},
 	}
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -31,8 +31,6 @@
 	// which the job should end.
 	Stretch float64
 	Slack   time.Duration
-	// Timeout bounds an answer to a client.
-	Timeout time.Duration
 	// Advised queues may start a step only on runners that the advice service
 	// names.
 	Advised bool
--- a/infra/client.go
+++ b/infra/client.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
 
+	"github.com/banyanrail/banyanrail/dial"
+
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/go-resty/resty/v2"
 	"github.com/samber/oops"
@@ -63,7 +64,7 @@
 		Post("/v1/streams/{stream}/records")
 	fail := oops.In("infra").With("step", "append", "peer", c.http.BaseURL, "stream", stream)
 	switch {
-	case isDial(err):
+	case dial.Failed(err):
 		return 0, fail.Wrap(errors.Join(ErrNotAppended, err))
 	case err != nil:
 		return 0, fail.Wrap(errors.Join(ErrUnknown, err))
@@ -138,9 +139,3 @@
 	}
 	return nil
 }
-
-// isDial reports whether no connection was made, so that nothing was sent.
-func isDial(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
--- a/reduce/jobs/bench_test.go
+++ b/reduce/jobs/bench_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"github.com/banyanrail/banyanrail/fleet"
 )
 
 // BenchmarkOwner plays a second of an owner with 290 runners and 75 jobs of
@@ -31,5 +29,4 @@
 	for range b.N {
 		second()
 	}
-	_ = fleet.JobID("")
 }
--- a/reduce/jobs/commit.go
+++ b/reduce/jobs/commit.go
@@ -66,13 +66,9 @@
 	then     []deferred
 	// waves are records about waves.
 	waves []ledger.Record
-	// storedAt is when the last append succeeded.
-	storedAt time.Time
 	// took is the time of the last append.
 	took time.Duration
-	// adopted is set after the first append of the tenure.
-	adopted bool
-	down    bool
+	down bool
 }
 
 // mark notes that a job has changed and has to be stored.
@@ -144,8 +140,7 @@
 
 func (o *ownership) onGroupStored() {
 	g := o.outbox.inFlight
-	o.outbox.inFlight, o.outbox.adopted = nil, true
-	o.outbox.storedAt = o.now()
+	o.outbox.inFlight = nil
 	o.s.emit(effect.Observe{Name: "ledger_append", Took: o.now().Sub(g.since)})
 	if o.outbox.down {
 		o.outbox.down = false
--- a/reduce/jobs/evacuate.go
+++ b/reduce/jobs/evacuate.go
@@ -49,10 +49,10 @@
 const certainAge = lookWait + 600*time.Millisecond
 
 // certainlyAtWork reports whether a lasting task was at work just now, as its
-// runner says.
+// runner says, and stays there.
 func (o *ownership) certainlyAtWork(t *task) bool {
 	run := t.run
-	return run != nil && run.phase == runRunning && run.atWork && !run.runner.look.lost &&
+	return run != nil && run.phase == runRunning && run.atWork && !run.runner.look.lost && !run.runner.Draining &&
 		o.now().Sub(run.seenAt) < certainAge
 }
 
--- a/reduce/jobs/instances_test.go
+++ b/reduce/jobs/instances_test.go
@@ -246,3 +246,24 @@
 	}
 	w.check()
 }
+
+// TestDrainingAndWaveTogether is hunt-4ccb-27 on ccps-lahore: the tasks of a step
+// left a draining runner and one that was vacated for a wave in the same moment.
+func TestDrainingAndWaveTogether(t *testing.T) {
+	for seed := range int64(8) {
+		w := newWorld(t, 30+seed, 3, 3)
+		w.waves = []fleet.MaintenanceWave{{ID: 1, MaxAtOnce: 2, Within: 20 * time.Second, Instances: []fleet.InstanceID{"m-r0"}}}
+		w.withInstances(0)
+		w.runners["r2"].cut = true
+		w.run(2 * time.Second)
+		spec := lasting(2, 1)
+		spec.Steps[0].MaxPerRunner = 1
+		w.submit(jobID(1), spec)
+		w.run(time.Second)
+		w.runners["r1"].draining = true
+		w.run(4 * time.Second)
+		w.runners["r2"].cut = false
+		w.run(10 * time.Second)
+		w.check()
+	}
+}
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -28,7 +28,7 @@
 	// begun is the number of occurrences that have begun, and over the number
 	// of those that have ended.
 	begun, over int
-	// starters waits for the first start, for the count of waiting jobs.
+	// started is set once a task was intended to start.
 	started bool
 	advised bool
 	// hasUnresolved is set while a task has unresolved runs.
@@ -90,8 +90,6 @@
 	restarts int
 	// avoid is the runner on which it last ended badly.
 	avoid fleet.RunnerID
-	// awaySince is when a lasting task was last at work, for its budget.
-	awaySince time.Time
 }
 
 func (t *task) id() fleet.TaskID {
@@ -174,7 +172,7 @@
 		spec := &j.spec.Steps[i]
 		st := &step{occ: occ, spec: spec, number: i, first: first, left: spec.Count, estimate: spec.Estimate}
 		for n := range spec.Count {
-			st.tasks = append(st.tasks, &task{step: st, index: n, awaySince: o.now()})
+			st.tasks = append(st.tasks, &task{step: st, index: n})
 		}
 		first += spec.Count
 		occ.steps = append(occ.steps, st)
--- a/reduce/jobs/order.go
+++ b/reduce/jobs/order.go
@@ -349,9 +349,6 @@
 		}
 		r.atWork = atWork
 	}
-	if r.atWork {
-		r.task.awaySince = o.now()
-	}
 }
 
 // logEnd writes how a run ended, except for the usual end, which is counted.
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -103,7 +103,6 @@
 	slices.SortStableFunc(o.active, func(a, b *job) int { return a.accepted.Compare(b.accepted) })
 	o.restoreWaves(b.Waves)
 	o.phase = phaseActive
-	o.outbox.storedAt = o.now()
 	o.s.decide(effect.Decision{
 		Name: "ledger loaded", Entry: o.s.cfg.Entry, Epoch: o.epoch, Count: len(o.active), Age: o.now().Sub(o.since),
 	})
--- a/reduce/jobs/state.go
+++ b/reduce/jobs/state.go
@@ -31,16 +31,10 @@
 
 // Bounds are the platform's times that decisions depend on.
 type Bounds struct {
-	// StopGrace is how long a runner may take to stop a task.
-	StopGrace time.Duration
 	// MachineLease is how long another holder's orders to instances exclude
 	// ours.
 	MachineLease time.Duration
-	// NoticeWindow is how long a lasting task may be away before it counts as
-	// missing.
-	NoticeWindow time.Duration
-	// MoveTime and MaintenanceTime are how long an instance is away.
-	MoveTime        time.Duration
+	// MaintenanceTime is how long an instance is away for its maintenance.
 	MaintenanceTime time.Duration
 	// StatusTime is how long a job's final state has to be known.
 	StatusTime time.Duration
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -263,8 +263,8 @@
 	e.state = reduce.New(reduce.Config{Entry: e.id, Jobs: &jobs.Config{
 		Entry: e.id, Incarnation: uint64(e.life), Address: e.address,
 		Bounds: jobs.Bounds{
-			StopGrace: 200 * time.Millisecond, StatusTime: 2 * time.Minute, MachineLease: 3 * time.Second,
-			MoveTime: 1500 * time.Millisecond, MaintenanceTime: 2 * time.Second, InstanceOrdersPerSecond: 64,
+			StatusTime: 2 * time.Minute, MachineLease: 3 * time.Second,
+			MaintenanceTime: 2 * time.Second, InstanceOrdersPerSecond: 64,
 			Instances: len(e.w.instances) > 0,
 		},
 	}})
