Take no older look for news of a run that was given up

Cause: drawn history 6865: the owner was frozen, gave a run up at its waking, and then read a look from before; the run counted as lapsed, though it had failed, and the task was started a third time (BUDGET).

--- a/reduce/jobs/faults_test.go
+++ b/reduce/jobs/faults_test.go
@@ -20,8 +20,9 @@
 // 168, 217, 248, 278, 396: an acknowledgement reached a new incarnation;
 // 210, 283: a start reached a new incarnation under the same id;
 // 616: leases given to a new incarnation before its rebirth was known;
+// 6865: a look from before a run was given up passed for news of its end;
 // 900: runners with lasting tasks were never probed again.
-var regressions = []int64{35, 95, 168, 210, 217, 248, 278, 283, 396, 616, 900}
+var regressions = []int64{35, 95, 168, 210, 217, 248, 278, 283, 396, 616, 900, 6865}
 
 var (
 	seeds     = flag.Int("jobs.seeds", 25, "number of drawn histories")
--- a/reduce/jobs/look.go
+++ b/reduce/jobs/look.go
@@ -120,7 +120,7 @@
 	o.takeEnds(r, b.Ended)
 	if len(b.Ended) < endsPage {
 		o.takeRunning(r, b.Running, sent)
-		o.resolveRuns(r)
+		o.resolveRuns(r, sent)
 		o.restartStragglers(r)
 	}
 	if first {
--- a/reduce/jobs/unresolved.go
+++ b/reduce/jobs/unresolved.go
@@ -66,8 +66,9 @@
 }
 
 // resolveRuns drops the unresolved runs on a runner that has listed all its
-// ends: those that it did not list have lapsed.
-func (o *ownership) resolveRuns(r *runner) {
+// ends: those that it did not list have lapsed. A look that was sent before a run
+// was given up tells nothing of it.
+func (o *ownership) resolveRuns(r *runner, sent time.Time) {
 	for _, j := range o.active {
 		if !j.hasUnresolved {
 			continue
@@ -75,7 +76,7 @@
 		j.hasUnresolved = false
 		for _, occ := range j.occurrences {
 			for _, t := range occ.all() {
-				t.unresolved = slices.DeleteFunc(t.unresolved, func(u unresolvedRun) bool { return u.runner == r.ID })
+				t.unresolved = slices.DeleteFunc(t.unresolved, func(u unresolvedRun) bool { return u.runner == r.ID && u.since.Before(sent) })
 				j.hasUnresolved = j.hasUnresolved || len(t.unresolved) > 0
 			}
 		}
