--- a/jobentry/entry.go
+++ b/jobentry/entry.go
@@ -101,8 +101,8 @@
 	ready    atomic.Bool
 	handed   chan struct{}
 	handOnce sync.Once
-	// runnersEpoch is the tenure for which the runners are followed; zero for
-	// none.
+	// stopFollow ends the following of the runners for the present tenure; nil
+	// when they are not followed. followMu guards it.
 	followMu   sync.Mutex
 	stopFollow context.CancelFunc
 
