Long queues are placed at most fifty times a second; tests of dispatchers

Cause: with a backlog of a thousand steps, half of the owner's processor went into ranking them at every event (profile beside 300 runners, 250 jobs a second). The number of runners that an owner calls alone is a setting now, so that the soak and the drawn histories can have dispatchers with few runners.

--- a/cmd/banyanrail-entry/main.go
+++ b/cmd/banyanrail-entry/main.go
@@ -103,7 +103,7 @@
 	p := &c.platform
 	return jobs.Config{
 		Entry: fleet.EntryID(p.Node), Incarnation: uint64(time.Now().UnixNano()), Address: p.PeerAddress,
-		Handicap: handicap(p), Dispatches: handicap(p) == 0,
+		Handicap: handicap(p), Dispatches: handicap(p) == 0, CallsAlone: c.CallsAlone,
 		Bounds: jobs.Bounds{
 			MachineLease: p.MachineLease, MaintenanceTime: p.MaintenanceTime, StatusTime: p.StatusTime,
 			InstanceOrdersPerSecond: p.InstanceOrdersPerSecond, Instances: p.InstancesAddress != "", Advice: p.AdviceAddress != "",
--- a/cmd/banyanrail-entry/settings.go
+++ b/cmd/banyanrail-entry/settings.go
@@ -36,6 +36,7 @@
 	File       string  `arg:"--settings,env:BANYANRAIL_NODE_FILE,required" help:"the platform's settings file"`
 	Metrics    string  `arg:"--metrics,env:BANYANRAIL_METRICS" default:":9464" help:"address that serves metrics"`
 	Traces     string  `arg:"--traces,env:BANYANRAIL_TRACES" help:"URL that takes spans by OTLP over HTTP"`
+	CallsAlone int     `arg:"--calls-alone,env:BANYANRAIL_CALLS_ALONE" default:"120" help:"runners that an owner calls itself; with more, other entries share the calls"`
 	TraceShare float64 `arg:"--trace-share,env:BANYANRAIL_TRACE_SHARE" default:"0.01" help:"share of traces to keep, 0 to 1"`
 }
 
@@ -54,6 +55,9 @@
 	if s.TraceShare < 0 || s.TraceShare > 1 {
 		return config{}, oops.Errorf("--trace-share is not between 0 and 1: %g", s.TraceShare)
 	}
+	if s.CallsAlone < 0 {
+		return config{}, oops.Errorf("--calls-alone is below 0: %d", s.CallsAlone)
+	}
 	p, err := platform.ReadSettings(s.File)
 	return config{settings: s, platform: p}, err
 }
--- /dev/null
+++ b/peer/dispatch_test.go
@@ -0,0 +1,159 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/loop"
+	"github.com/banyanrail/banyanrail/peer"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/shoenig/test/must"
+	"google.golang.org/grpc"
+)
+
+// office is an owner's end with one dispatcher.
+type office struct {
+	*peer.Dispatchers
+	events chan event.Body
+	leave  context.CancelFunc
+	// ended is closed when the dispatcher's offer has ended.
+	ended chan struct{}
+	id    uint64
+	srv   *grpc.Server
+}
+
+func startOffice(t *testing.T, carry peer.Carrier) *office {
+	t.Helper()
+	o := &office{Dispatchers: peer.NewDispatchers(loop.BootClock()), events: make(chan event.Body, 64), ended: make(chan struct{})}
+	o.Report(func(b event.Body) { o.events <- b })
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	o.srv = grpc.NewServer()
+	peer.RegisterJobs(o.srv, nil, o.Dispatchers)
+	go func() { _ = o.srv.Serve(ln) }()
+	t.Cleanup(o.srv.Stop)
+	ctx, cancel := context.WithCancel(t.Context())
+	o.leave = cancel
+	go func() {
+		defer close(o.ended)
+		jobs := peer.NewJobs()
+		_ = jobs.Dispatch(ctx, ln.Addr().String(), "second", loop.BootClock(), carry) // ends with the test
+	}()
+	joined := (<-o.events).(event.DispatcherJoined)
+	must.Eq(t, fleet.EntryID("second"), joined.Entry)
+	o.id = joined.Dispatcher
+	return o
+}
+
+func (o *office) order(index int) effect.OrderTask {
+	return effect.OrderTask{
+		Epoch: 3, Kind: effect.OrderStart, Runner: "r", Address: "a", Task: fleet.TaskID{Job: "j", Occurrence: 1, Step: 2, Index: index},
+		Attempt: 4, Text: "text", Deadline: 900, Saved: "s", Ticket: "t", Percent: 5, Through: o.id,
+		NotAfter: loop.BootClock()().Add(time.Minute),
+	}
+}
+
+func (o *office) look() effect.Look {
+	return effect.Look{
+		Epoch: 3, Runner: "r", Address: "a", Number: 8, Deadline: 900, Acknowledged: 7, Wait: time.Second, Through: o.id,
+		NotAfter: loop.BootClock()().Add(time.Minute),
+	}
+}
+
+func TestDispatcherCarriesOutCalls(t *testing.T) {
+	running := []fleet.RunningTask{{Task: fleet.TaskID{Job: "j", Index: 1}, Attempt: 2, Saved: "s", Percent: 3, Load: 4}}
+	ended := []fleet.EndedTask{{Number: 5, Task: fleet.TaskID{Job: "k", Step: 1}, Attempt: 6, How: fleet.EndFailed, Saved: "z"}}
+	seen := make(chan effect.Effect, 2)
+	o := startOffice(t, func(call effect.Effect, reply func(event.Body)) {
+		seen <- call
+		switch call.(type) {
+		case effect.OrderTask:
+			reply(event.TaskOrdered{Outcome: event.OrderNoRoom, Reason: "room", Clock: event.Clock{Reading: 11}})
+		case effect.Look:
+			reply(event.RunnerLooked{
+				Outcome: event.OrderDone, Incarnated: 9, Clock: event.Clock{Reading: 12}, Running: running, Ended: ended,
+			})
+		}
+	})
+	order, look := o.order(3), o.look()
+	o.Order(order)
+	o.Look(look)
+
+	got := (<-o.events).(event.TaskOrdered)
+	must.Between(t, 0, got.Clock.Received.Sub(got.Clock.Sent), 5*time.Second)
+	must.Eq(t, event.TaskOrdered{
+		Epoch: 3, Runner: "r", Kind: effect.OrderStart, Task: order.Task, Attempt: 4, Outcome: event.OrderNoRoom, Reason: "room",
+		Clock: event.Clock{Reading: 11, Sent: got.Clock.Sent, Received: got.Clock.Received},
+	}, got)
+	looked := (<-o.events).(event.RunnerLooked)
+	must.Eq(t, event.RunnerLooked{
+		Epoch: 3, Runner: "r", Number: 8, Outcome: event.OrderDone, Incarnated: 9, Running: running, Ended: ended,
+		Clock: event.Clock{Reading: 12, Sent: looked.Clock.Sent, Received: looked.Clock.Received},
+	}, looked)
+
+	// The dispatcher's effects are the owner's, but for its own deadline and the
+	// way.
+	carried := (<-seen).(effect.OrderTask)
+	must.True(t, carried.NotAfter.Before(order.NotAfter.Add(time.Second)))
+	carried.NotAfter, carried.Through = order.NotAfter, order.Through
+	must.Eq(t, order, carried)
+	carriedLook := (<-seen).(effect.Look)
+	carriedLook.NotAfter, carriedLook.Through, carriedLook.Number = look.NotAfter, look.Through, look.Number
+	must.Eq(t, look, carriedLook)
+	o.leave()
+	<-o.ended
+}
+
+func TestDispatcherThatLeavesAnswersWhatItHasInHand(t *testing.T) {
+	var answer func(event.Body)
+	called := make(chan struct{})
+	o := startOffice(t, func(_ effect.Effect, reply func(event.Body)) {
+		answer = reply
+		close(called)
+	})
+	o.Order(o.order(1))
+	<-called
+	o.leave()
+	must.Eq(t, o.id, (<-o.events).(event.DispatcherLeft).Dispatcher)
+	answer(event.TaskOrdered{Outcome: event.OrderDone})
+	must.Eq(t, event.OrderDone, (<-o.events).(event.TaskOrdered).Outcome)
+	<-o.ended
+}
+
+func TestCallsOfADispatcherThatDiesAreUnknown(t *testing.T) {
+	called := make(chan struct{})
+	o := startOffice(t, func(effect.Effect, func(event.Body)) { close(called) })
+	o.Look(o.look())
+	<-called
+	o.srv.Stop() // breaks the connection
+	must.Eq(t, o.id, (<-o.events).(event.DispatcherLeft).Dispatcher)
+	must.Eq(t, event.OrderUnknown, (<-o.events).(event.RunnerLooked).Outcome)
+	o.Order(o.order(2))
+	must.Eq(t, event.OrderStale, (<-o.events).(event.TaskOrdered).Outcome)
+	o.leave()
+	<-o.ended
+}
+
+// TestSilentDispatcherIsGivenUp has a dispatcher that lives and never answers.
+func TestSilentDispatcherIsGivenUp(t *testing.T) {
+	o := startOffice(t, func(effect.Effect, func(event.Body)) {})
+	o.Order(o.order(1))
+	must.Eq(t, o.id, (<-o.events).(event.DispatcherLeft).Dispatcher)
+	must.Eq(t, event.OrderUnknown, (<-o.events).(event.TaskOrdered).Outcome)
+	o.leave()
+	<-o.ended
+}
+
+func TestStaleCallsAreNotSent(t *testing.T) {
+	o := startOffice(t, func(effect.Effect, func(event.Body)) { panic("called") })
+	order := o.order(1)
+	order.NotAfter = loop.BootClock()().Add(-time.Millisecond)
+	o.Order(order)
+	must.Eq(t, event.OrderStale, (<-o.events).(event.TaskOrdered).Outcome)
+	o.leave()
+	<-o.ended
+}
--- a/reduce/jobs/dispatchers.go
+++ b/reduce/jobs/dispatchers.go
@@ -9,14 +9,9 @@
 	"github.com/banyanrail/banyanrail/reduce/event"
 )
 
-const (
-	// aloneUpTo is the number of runners that an owner calls by itself: fifty
-	// take a fifth of its processor in a burst, from docs/CAPACITY.md.
-	aloneUpTo = 120
-	// directTime is how long an owner calls a runner itself after a dispatcher
-	// had no answer from it: about as long as cut links stay so.
-	directTime = 5 * time.Second
-)
+// directTime is how long an owner calls a runner itself after a dispatcher had
+// no answer from it: about as long as cut links stay so.
+const directTime = 5 * time.Second
 
 // dispatcher is an entry that carries out the owner's calls to runners. It
 // decides nothing; what it does late, twice or never is what a call without an
@@ -70,7 +65,7 @@
 // through returns the dispatcher that calls a runner; zero is this entry. An
 // owner of few runners calls them all itself.
 func (o *ownership) through(r *runner) uint64 {
-	if len(o.order) <= aloneUpTo || o.now().Before(r.directUntil) {
+	if len(o.order) <= o.s.cfg.CallsAlone || o.now().Before(r.directUntil) {
 		return 0
 	}
 	if r.through == 0 {
--- /dev/null
+++ b/reduce/jobs/dispatchers_test.go
@@ -0,0 +1,200 @@
+package jobs_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/shoenig/test/must"
+)
+
+// fakeLink is the offer of a dispatcher to an owner. It ends with either life.
+type fakeLink struct {
+	from     *fakeEntry
+	fromLife int
+	gone     bool
+}
+
+func (l *fakeLink) works() bool { return !l.gone && l.from.up && l.from.life == l.fromLife }
+
+// dispatchFor offers the entry to the owner at an address.
+func (e *fakeEntry) dispatchFor(o effect.DispatchFor) {
+	if e.offer != nil {
+		e.offer.gone = true
+	}
+	if o.Address == "" {
+		return
+	}
+	link := &fakeLink{from: e, fromLife: e.life}
+	e.offer = link
+	e.w.after(e.w.latency(), func() {
+		for _, owner := range e.w.entries {
+			if owner.address == o.Address && owner.up {
+				owner.take(link)
+			}
+		}
+	})
+}
+
+func (e *fakeEntry) take(link *fakeLink) {
+	e.w.links++
+	id := e.w.links
+	e.links[id] = link
+	e.post(event.DispatcherJoined{Dispatcher: id, Entry: link.from.id})
+	e.watch(id, link)
+}
+
+// watch notices the end of an offer within a quarter of a second.
+func (e *fakeEntry) watch(id uint64, link *fakeLink) {
+	life := e.life
+	e.w.after(250*time.Millisecond, func() {
+		switch {
+		case e.life != life:
+			link.gone = true
+		case !link.works():
+			delete(e.links, id)
+			e.post(event.DispatcherLeft{Dispatcher: id, Reason: "gone"})
+		default:
+			e.watch(id, link)
+		}
+	})
+}
+
+// overdueAfter is when the owner gives up a call that a dispatcher has in hand.
+const overdueAfter = 3 * time.Second
+
+// through has a call carried out by this entry or a dispatcher. A dispatcher
+// that is frozen carries it out when it wakes; its answer is then no news.
+func (e *fakeEntry) through(id uint64, call func(*fakeEntry, func(time.Duration, event.Body)), unknown func() event.Body) {
+	if id == 0 {
+		call(e, e.postAfter)
+		return
+	}
+	e.w.carried++
+	link := e.links[id]
+	settled := false
+	settle := func(d time.Duration, b event.Body) {
+		e.w.after(d+e.w.latency(), func() {
+			if !settled && link != nil && link.works() {
+				settled = true
+				e.post(b)
+			}
+		})
+	}
+	e.w.after(overdueAfter, func() {
+		if !settled {
+			settled = true
+			e.post(unknown())
+		}
+	})
+	if link == nil || !link.works() {
+		return
+	}
+	e.w.after(e.w.latency(), func() {
+		do := func() { call(link.from, settle) }
+		if link.from.frozen {
+			link.from.held = append(link.from.held, do)
+		} else if link.works() {
+			do()
+		}
+	})
+}
+
+func withDispatchers(callsAlone int) func(*world) {
+	return func(w *world) { w.callsAlone, w.dispatches = callsAlone, true }
+}
+
+func TestFewRunnersAreCalledByTheOwner(t *testing.T) {
+	w := newWorld(t, 1, 3, 5, withDispatchers(5))
+	w.run(3 * time.Second)
+	w.submit(jobID(1), twoSteps())
+	w.run(10 * time.Second)
+	w.checkStates()
+	w.check()
+	must.Eq(t, 0, w.carried)
+}
+
+func TestDispatchersShareManyRunners(t *testing.T) {
+	w := newWorld(t, 1, 3, 6, withDispatchers(5))
+	counts := make(map[string]int)
+	w.tap = func(_ *fakeEntry, out effect.Effect) bool {
+		if l, ok := out.(effect.Look); ok {
+			counts[fmt.Sprint(l.Through, " ", l.Runner)]++
+		}
+		return true
+	}
+	w.run(3 * time.Second)
+	for n := range 4 {
+		w.submit(jobID(n), twoSteps())
+	}
+	w.run(10 * time.Second)
+	w.checkStates()
+	w.check()
+	must.Positive(t, w.carried)
+	perDispatcher := make(map[byte]int)
+	for key := range counts {
+		perDispatcher[key[0]]++
+	}
+	must.Eq(t, 3, perDispatcher['1'])
+	must.Eq(t, 3, perDispatcher['2'])
+}
+
+// TestDispatcherThatIsCutOffIsPassedBy cuts a dispatcher off from a runner that
+// the owner itself reaches: the owner goes on by itself.
+func TestDispatcherThatIsCutOffIsPassedBy(t *testing.T) {
+	w := newWorld(t, 1, 2, 4, withDispatchers(0))
+	w.run(3 * time.Second)
+	w.submit(jobID(1), lasting(4, 1))
+	w.run(2 * time.Second)
+	must.Positive(t, w.carried)
+	for _, e := range w.entries {
+		if e != w.owner() {
+			for id := range w.runners {
+				e.noRunners[id] = true
+			}
+		}
+	}
+	w.run(20 * time.Second)
+	w.mustHaveRunOn(t)
+}
+
+// mustHaveRunOn checks that the four tasks of the lasting job run, and that none
+// has lapsed since its first start.
+func (w *world) mustHaveRunOn(t *testing.T) {
+	t.Helper()
+	for i := range 4 {
+		must.True(t, w.atWork(fleet.TaskID{Job: jobID(1), Index: i}))
+	}
+	must.Eq(t, 4, w.starts)
+	w.check()
+}
+
+// TestDispatcherLeaves kills the dispatcher: its runners are called by the owner.
+func TestDispatcherLeaves(t *testing.T) {
+	w := newWorld(t, 1, 2, 4, withDispatchers(0))
+	w.run(3 * time.Second)
+	w.submit(jobID(1), lasting(4, 1))
+	w.run(2 * time.Second)
+	for _, e := range w.entries {
+		if e != w.owner() {
+			e.kill()
+		}
+	}
+	w.run(20 * time.Second)
+	w.mustHaveRunOn(t)
+}
+
+// TestJobsHoldWithDispatchers is TestJobsHoldUnderDrawnFaults with all calls
+// carried out by other entries, which die, freeze and are cut off as well.
+func TestJobsHoldWithDispatchers(t *testing.T) {
+	for n := range *seeds {
+		seed := *firstSeed + int64(n)
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			playDrawn(t, seed, withDispatchers(0))
+		})
+	}
+}
--- a/reduce/jobs/faults_test.go
+++ b/reduce/jobs/faults_test.go
@@ -47,8 +47,8 @@
 	}
 }
 
-func playDrawn(t *testing.T, seed int64) {
-	w := newWorld(t, seed, 4, 5)
+func playDrawn(t *testing.T, seed int64, with ...func(*world)) {
+	w := newWorld(t, seed, 4, 5, with...)
 	w.run(2 * time.Second)
 	for n := range 40 {
 		w.drawJob(jobID(n))
--- a/reduce/jobs/place.go
+++ b/reduce/jobs/place.go
@@ -26,6 +26,15 @@
 	latest time.Time
 }
 
+const (
+	// longQueue is the number of waiting steps from which a pool is placed at
+	// most once in placePause: ranking them costs a microsecond each.
+	longQueue = 50
+	// placePause is short beside a task's run time, and long beside the time
+	// between two ends at a busy pool.
+	placePause = 20 * time.Millisecond
+)
+
 // place starts waiting tasks where there is room for them.
 func (o *ownership) place() {
 	if o.phase != phaseActive || !o.s.tenure.Valid(o.now()) || o.storeDown() {
@@ -33,10 +42,13 @@
 	}
 	for _, name := range o.poolNames() {
 		p := o.pools[name]
-		if p.dirty && len(p.queue) > 0 {
+		if !p.dirty || (len(p.queue) > longQueue && o.now().Sub(p.placed) < placePause) {
+			continue
+		}
+		p.dirty, p.placed = false, o.now()
+		if len(p.queue) > 0 {
 			o.placePool(p)
 		}
-		p.dirty = false
 	}
 }
 
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -61,6 +61,8 @@
 	name  fleet.ServiceName
 	queue []*step
 	dirty bool
+	// placed is when the queue was last gone through.
+	placed time.Time
 	// speed is how long tasks take, as a multiple of their estimates.
 	speed speed
 }
--- a/reduce/jobs/runner_test.go
+++ b/reduce/jobs/runner_test.go
@@ -278,12 +278,12 @@
 // orderTimeout is how long an entry waits for a runner.
 const orderTimeout = 600 * time.Millisecond
 
-func (e *fakeEntry) order(o effect.OrderTask) {
+func (e *fakeEntry) order(o effect.OrderTask, via *fakeEntry, post func(time.Duration, event.Body)) {
 	out := event.TaskOrdered{Epoch: o.Epoch, Runner: o.Runner, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt}
 	w := e.w
 	if w.now.After(o.NotAfter) {
 		out.Outcome = event.OrderStale
-		e.postAfter(0, out)
+		post(0, out)
 		return
 	}
 	unknown := out
@@ -294,7 +294,7 @@
 		born = r.born
 	}
 	apply := func() (event.OrderOutcome, *fakeRunner) {
-		r := e.reachable(o.Runner)
+		r := via.reachable(o.Runner)
 		if r == nil || !r.born.Equal(born) {
 			return event.OrderUnknown, nil // another incarnation refuses it
 		}
@@ -308,38 +308,38 @@
 		if d := w.rng.Intn(3); d > 0 {
 			w.after(time.Duration(d-1)*time.Duration(2+w.rng.Intn(8))*time.Second+w.latency(), func() { apply() })
 		}
-		e.postAfter(orderTimeout, unknown)
+		post(orderTimeout, unknown)
 		return
 	}
 	w.after(w.latency(), func() {
 		outcome, r := apply()
 		if r == nil {
-			e.postAfter(orderTimeout, unknown)
+			post(orderTimeout, unknown)
 			return
 		}
 		out.Outcome = outcome
 		out.Clock = event.Clock{Reading: r.clock(), Sent: sent, Received: w.now.Add(time.Millisecond)}
-		e.postAfter(time.Millisecond, out)
+		post(time.Millisecond, out)
 	})
 }
 
-func (e *fakeEntry) look(l effect.Look) {
+func (e *fakeEntry) look(l effect.Look, via *fakeEntry, post func(time.Duration, event.Body)) {
 	out := event.RunnerLooked{Epoch: l.Epoch, Runner: l.Runner, Number: l.Number, Outcome: event.OrderUnknown}
 	w, sent := e.w, e.w.now
 	if w.now.After(l.NotAfter) {
 		out.Outcome = event.OrderStale
-		e.postAfter(0, out)
+		post(0, out)
 		return
 	}
 	w.after(w.latency(), func() {
-		r := e.reachable(l.Runner)
+		r := via.reachable(l.Runner)
 		if r == nil || w.rng.Float64() < w.lossShare {
-			e.postAfter(l.Wait+orderTimeout, out)
+			post(l.Wait+orderTimeout, out)
 			return
 		}
 		if l.Epoch < r.fence {
 			out.Outcome = event.OrderFenced
-			e.postAfter(w.latency(), out)
+			post(w.latency(), out)
 			return
 		}
 		r.fence = l.Epoch
@@ -347,20 +347,20 @@
 			r.extend(l.Deadline)
 		}
 		r.note(l.Acknowledged)
-		e.answerLook(r, out, sent, w.now.Add(l.Wait))
+		e.answerLook(r, out, sent, w.now.Add(l.Wait), via, post)
 	})
 }
 
 // answerLook answers at once if there is an end to tell, else when one comes or
 // the wait is over.
-func (e *fakeEntry) answerLook(r *fakeRunner, out event.RunnerLooked, sent, until time.Time) {
+func (e *fakeEntry) answerLook(r *fakeRunner, out event.RunnerLooked, sent, until time.Time, via *fakeEntry, post func(time.Duration, event.Body)) {
 	w := e.w
 	if len(r.ends) == 0 && w.now.Before(until) && r.up {
-		w.after(5*time.Millisecond, func() { e.answerLook(r, out, sent, until) })
+		w.after(5*time.Millisecond, func() { e.answerLook(r, out, sent, until, via, post) })
 		return
 	}
-	if e.reachable(out.Runner) != r {
-		e.postAfter(orderTimeout, out)
+	if via.reachable(out.Runner) != r {
+		post(orderTimeout, out)
 		return
 	}
 	out.Outcome, out.Incarnated = event.OrderDone, r.incarnation()
@@ -377,7 +377,7 @@
 	}
 	out.Ended = slices.Clone(r.ends)
 	out.Clock = event.Clock{Reading: r.clock(), Sent: sent, Received: w.now.Add(time.Millisecond)}
-	e.postAfter(time.Millisecond, out)
+	post(time.Millisecond, out)
 }
 
 // note forgets ends, whose meaning is stored by now.
--- a/reduce/jobs/state.go
+++ b/reduce/jobs/state.go
@@ -29,6 +29,9 @@
 	// Dispatches says that the entry may carry out another owner's calls to
 	// runners.
 	Dispatches bool
+	// CallsAlone is the number of runners up to which an owner calls them all
+	// itself.
+	CallsAlone int
 	Bounds     Bounds
 }
 
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -56,6 +56,12 @@
 	instances []*fakeInstance
 	waves     []fleet.MaintenanceWave
 	statuses  map[int64]bool
+	// dispatches has entries carry out the calls to runners beyond callsAlone;
+	// carried counts these, links the offers.
+	dispatches bool
+	callsAlone int
+	carried    int
+	links      uint64
 }
 
 type taskHistory struct {
@@ -92,7 +98,7 @@
 
 const queueName = "plans"
 
-func newWorld(t *testing.T, seed int64, entries, runners int) *world {
+func newWorld(t *testing.T, seed int64, entries, runners int, with ...func(*world)) *world {
 	w := &world{
 		t: t, rng: rand.New(rand.NewSource(seed)), now: start, store: newFakeStore(),
 		runners: make(map[fleet.RunnerID]*fakeRunner), calls: make(map[uint64]func(effect.Answered)),
@@ -105,6 +111,9 @@
 			Name: queueName, Host: "host", Prefix: "/plans/", Service: "desk", Attempts: 2, Stretch: 2, Slack: time.Second,
 		}}, []*fleet.JobService{{Name: "desk", GuardsCapacity: true}}),
 	}
+	for _, change := range with {
+		change(w)
+	}
 	for i := range runners {
 		w.addRunner(fleet.RunnerID(fmt.Sprintf("r%d", i)))
 	}
@@ -251,17 +260,22 @@
 	// noStore and noRunners cut it off.
 	noStore   bool
 	noRunners map[fleet.RunnerID]bool
+	// links are the dispatchers of this entry, offer its own as a dispatcher.
+	links     map[uint64]*fakeLink
+	offer     *fakeLink
 	following int64
 }
 
 func (e *fakeEntry) boot() {
 	e.life++
 	e.up, e.frozen, e.held = true, false, nil
+	e.links, e.offer = make(map[uint64]*fakeLink), nil
 	if e.noRunners == nil {
 		e.noRunners = make(map[fleet.RunnerID]bool)
 	}
 	e.state = reduce.New(reduce.Config{Entry: e.id, Jobs: &jobs.Config{
 		Entry: e.id, Incarnation: uint64(e.life), Address: e.address,
+		Dispatches: e.w.dispatches, CallsAlone: e.w.callsAlone,
 		Bounds: jobs.Bounds{
 			StatusTime: 2 * time.Minute, MachineLease: 3 * time.Second,
 			MaintenanceTime: 2 * time.Second, InstanceOrdersPerSecond: 64,
@@ -344,9 +358,15 @@
 			e.pollRunners(o.Epoch)
 		}
 	case effect.OrderTask:
-		e.order(o)
+		e.through(o.Through, func(via *fakeEntry, post func(time.Duration, event.Body)) { e.order(o, via, post) }, func() event.Body {
+			return event.TaskOrdered{Epoch: o.Epoch, Runner: o.Runner, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderUnknown}
+		})
 	case effect.Look:
-		e.look(o)
+		e.through(o.Through, func(via *fakeEntry, post func(time.Duration, event.Body)) { e.look(o, via, post) }, func() event.Body {
+			return event.RunnerLooked{Epoch: o.Epoch, Runner: o.Runner, Number: o.Number, Outcome: event.OrderUnknown}
+		})
+	case effect.DispatchFor:
+		e.dispatchFor(o)
 	case effect.ReplyCall:
 		if done, ok := e.w.calls[o.Call]; ok {
 			delete(e.w.calls, o.Call)
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -24,7 +24,9 @@
 // entryProcess is one entry: a process that is started again and again.
 type entryProcess struct {
 	binary, settings, ip string
-	log                  *os.File
+	// callsAlone is the number of runners that an owner calls itself.
+	callsAlone int64
+	log        *os.File
 	// store stands between the entry and the store, front between clients and
 	// the entry.
 	store, front *proxy
@@ -49,13 +51,13 @@
 bounds.status_s=120
 `
 
-func newEntry(t *testing.T, binary, dir, name, ip, store string) *entryProcess {
+func newEntry(t *testing.T, binary, dir, name, ip, store string, callsAlone int64) *entryProcess {
 	t.Helper()
 	log, err := os.Create(filepath.Join(dir, name+".log"))
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = log.Close() })
 	p := &entryProcess{
-		binary: binary, settings: filepath.Join(dir, name+".settings"), ip: ip, log: log,
+		binary: binary, settings: filepath.Join(dir, name+".settings"), ip: ip, log: log, callsAlone: callsAlone,
 		store: newProxy(t, store), front: newProxy(t, fmt.Sprintf("%s:%d", ip, clientPort)),
 	}
 	text := fmt.Sprintf(settingsText, name, ip, clientPort, readyPort, peerPort, p.store.address())
@@ -72,7 +74,8 @@
 	if p.cmd != nil {
 		return nil
 	}
-	cmd := exec.Command(p.binary, "--settings", p.settings, "--metrics", fmt.Sprintf("%s:%d", p.ip, metricsPort))
+	cmd := exec.Command(p.binary, "--settings", p.settings, "--metrics", fmt.Sprintf("%s:%d", p.ip, metricsPort),
+		"--calls-alone", fmt.Sprint(p.callsAlone))
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	if err := cmd.Start(); err != nil {
 		return err
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -63,9 +63,11 @@
 		w.runners = append(w.runners, w.addRunner(t, fmt.Sprintf("desk-%d", i)))
 	}
 	network := nextNetwork.Add(1)
+	// With every other seed the owner calls no runner by itself.
+	callsAlone := (seed % 2) * runnerCount * 2
 	for i := range entryCount {
 		ip := fmt.Sprintf("127.%d.%d.%d", processNetwork, network, i+1)
-		w.entries = append(w.entries, newEntry(t, binary, dir, fmt.Sprintf("e%d", i), ip, strings.TrimPrefix(srv.URL, "http://")))
+		w.entries = append(w.entries, newEntry(t, binary, dir, fmt.Sprintf("e%d", i), ip, strings.TrimPrefix(srv.URL, "http://"), callsAlone))
 	}
 	return w
 }
