Machines without recent orders move at once after a takeover

Change: which machines may have orders is noted in the ledger before an order is given; the fence keeps later notes out, so a new owner waits for those alone. Waves still wait, and so does a machine whose runner is missing from the list. Ruled out: waiting from the last heartbeat instead saves about one second.

--- a/codec/ledger.go
+++ b/codec/ledger.go
@@ -18,6 +18,7 @@
 	definitionKeys = "d/"
 	progressKeys   = "p/"
 	waveKeys       = "w/"
+	ordersKey      = "instances"
 	// tenureKey is the key of the tenure log's records.
 	tenureKey = "owner"
 )
@@ -137,6 +138,10 @@
 	Done []fleet.InstanceID `json:"d"`
 }
 
+type orders struct {
+	Instances []fleet.InstanceID `json:"i"`
+}
+
 type taskProgress struct {
 	Number     int               `json:"n"`
 	Attempt    int64             `json:"a"`
@@ -150,6 +155,9 @@
 // EncodeLedger returns the record of a job.
 func EncodeLedger(r *ledger.Record) (storage.Record, error) {
 	switch {
+	case r.Orders != nil:
+		raw, err := json.Marshal(orders{Instances: r.Orders.Instances})
+		return storage.Record{Key: ordersKey, Value: raw}, err
 	case r.Wave != nil:
 		raw, err := json.Marshal(wave{Done: r.Wave.Done})
 		return storage.Record{Key: waveKeys + strconv.FormatInt(r.Wave.ID, 10), Value: raw}, err
@@ -215,6 +223,8 @@
 type Ledger struct {
 	Jobs  []ledger.Stored
 	Waves []ledger.Wave
+	// Ordered are the instances that were ordered about lately.
+	Ordered []fleet.InstanceID
 }
 
 // DecodeLedger collects the records of each job, in the order of the records.
@@ -260,7 +270,12 @@
 	if id, ok := strings.CutPrefix(r.Key, waveKeys); ok {
 		return d.takeWave(id, r.Value)
 	}
-	return nil
+	if r.Key == ordersKey {
+		var w orders
+		err = json.Unmarshal(r.Value, &w)
+		d.out.Ordered = w.Instances
+	}
+	return err
 }
 
 func (d *ledgerDecoder) takeWave(id string, raw []byte) error {
--- a/codec/ledger_test.go
+++ b/codec/ledger_test.go
@@ -55,8 +55,10 @@
 		ledger.Record{Job: "j", Definition: &ledger.Definition{Queue: "q", Accepted: accepted, Spec: fullSpec()}},
 		ledger.Record{Job: "j", Progress: p},
 		ledger.Record{Wave: &ledger.Wave{ID: 4, Done: []fleet.InstanceID{"m"}}},
+		ledger.Record{Orders: &ledger.Orders{Instances: []fleet.InstanceID{"m", "n"}}},
 	))
 	must.NoError(t, err)
+	must.Eq(t, []fleet.InstanceID{"m", "n"}, got.Ordered)
 	must.Eq(t, []ledger.Wave{{ID: 4, Done: []fleet.InstanceID{"m"}}}, got.Waves)
 	must.Len(t, 1, got.Jobs)
 	must.Eq(t, p, got.Jobs[0].Progress)
--- a/jobentry/store.go
+++ b/jobentry/store.go
@@ -79,11 +79,11 @@
 	if err == nil {
 		var l codec.Ledger
 		l, err = codec.DecodeLedger(page.Records)
-		loaded.Jobs, loaded.Waves = l.Jobs, l.Waves
+		loaded.Jobs, loaded.Waves, loaded.Ordered = l.Jobs, l.Waves, l.Ordered
 	}
 	if err != nil {
 		e.deps.Logger.Warn("ledger not loaded", "epoch", o.Epoch, "error", describe(err))
-		loaded.Failed, loaded.Jobs, loaded.Waves = true, nil, nil
+		loaded = event.LedgerLoaded{Epoch: o.Epoch, Failed: true}
 	}
 	e.post(loaded)
 }
--- a/reduce/event/jobs.go
+++ b/reduce/event/jobs.go
@@ -74,6 +74,8 @@
 	Failed bool
 	Jobs   []ledger.Stored
 	Waves  []ledger.Wave
+	// Ordered are the instances that the last owner ordered about lately.
+	Ordered []fleet.InstanceID
 }
 
 // LedgerAppended reports the outcome of an append to the ledger.
--- a/reduce/jobs/commit.go
+++ b/reduce/jobs/commit.go
@@ -46,6 +46,8 @@
 	answer effect.Answered
 	// stop is a job whose runs are to be stopped.
 	stop *job
+	// order is an instance about which an order may be given now.
+	order *instance
 }
 
 // group is an append under way.
@@ -64,8 +66,8 @@
 	inFlight *group
 	dirty    []*job
 	then     []deferred
-	// waves are records about waves.
-	waves []ledger.Record
+	// others are records about other things than jobs.
+	others []ledger.Record
 	// took is the time of the last append.
 	took time.Duration
 	down bool
@@ -91,12 +93,12 @@
 // flush appends what has changed, unless an append is on its way.
 func (o *ownership) flush() {
 	b := &o.outbox
-	if o.phase != phaseActive || b.inFlight != nil || (len(b.dirty) == 0 && len(b.then) == 0 && len(b.waves) == 0) {
+	if o.phase != phaseActive || b.inFlight != nil || (len(b.dirty) == 0 && len(b.then) == 0 && len(b.others) == 0) {
 		return
 	}
 	n := min(len(b.dirty), maxGroup)
-	g := &group{since: o.now(), records: b.waves}
-	b.waves = nil
+	g := &group{since: o.now(), records: b.others}
+	b.others = nil
 	for _, j := range b.dirty[:n] {
 		j.dirty = false
 		g.records = append(g.records, o.records(j)...)
@@ -191,6 +193,8 @@
 			}
 		case d.stop != nil:
 			o.stopRuns(d.stop)
+		case d.order != nil:
+			o.giveOrder(d.order)
 		}
 	}
 }
--- a/reduce/jobs/instances.go
+++ b/reduce/jobs/instances.go
@@ -8,6 +8,7 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/ledger"
 )
 
 const (
@@ -39,6 +40,9 @@
 	tokens   float64
 	tokensAt time.Time
 	waves    []*wave
+	// claimed are the instances that the owner before may have ordered about
+	// last.
+	claimed map[fleet.InstanceID]bool
 	// nextPlan is when the planner looks again.
 	nextPlan time.Time
 }
@@ -50,6 +54,8 @@
 	changed time.Time
 	// pending is an order without a clear answer.
 	pending *effect.OrderInstance
+	// noted is when an order about it was last noted in the ledger.
+	noted time.Time
 	// retryAt is when it is repeated, zero while its answer is waited for.
 	retryAt time.Time
 	// victim is the incarnation that the order ends.
@@ -84,14 +90,31 @@
 	o.refill()
 	o.repeatInstanceOrders()
 	o.tickIdle()
-	o.tickWaves()
+	if o.pastLease() {
+		o.tickWaves()
+	}
 	o.plan()
 }
 
-// mayOrderInstances reports whether no other holder can be giving orders.
+// mayOrderInstances reports whether this entry certainly holds the tenure.
 func (o *ownership) mayOrderInstances() bool {
-	lease := o.s.cfg.Bounds.MachineLease + instanceProof
-	return !o.s.stopping && o.now().Sub(o.since) > lease && o.now().Sub(o.s.tenure.ProvenAt()) < instanceProof
+	return !o.s.stopping && o.now().Sub(o.s.tenure.ProvenAt()) < instanceProof
+}
+
+// pastLease reports whether the lease of the owner before has run out on all
+// instances. Until then this owner leaves alone those that may have had orders
+// lately, and its picture of the others may have gaps.
+func (o *ownership) pastLease() bool {
+	return o.now().Sub(o.since) > o.s.cfg.Bounds.MachineLease+instanceProof
+}
+
+// restore takes over which instances the last owner may have ordered about. It
+// noted them before it gave an order, and the ledger takes no more notes of it.
+func (in *instances) restore(ordered []fleet.InstanceID) {
+	in.claimed = make(map[fleet.InstanceID]bool, len(ordered))
+	for _, id := range ordered {
+		in.claimed[id] = true
+	}
 }
 
 func (o *ownership) refill() {
@@ -166,7 +189,11 @@
 // runsNothing reports whether certainly nothing runs on an instance.
 func (o *ownership) runsNothing(i *instance) bool {
 	r := o.runnerOf(i)
-	return r == nil || (len(r.runs) == 0 && r.touched && !r.look.lost)
+	if r == nil {
+		// A runner may be missing from the list for a while after an outage.
+		return i.Runner == "" || o.pastLease()
+	}
+	return len(r.runs) == 0 && r.touched && !r.look.lost
 }
 
 // tickIdle notes since when instances have run nothing.
@@ -182,7 +209,8 @@
 
 // orderable reports whether an instance may be ordered about now.
 func (o *ownership) orderable(i *instance) bool {
-	return i.State == fleet.InstanceUp && i.pending == nil && !o.now().Before(i.blocked)
+	return i.State == fleet.InstanceUp && i.pending == nil && !o.now().Before(i.blocked) &&
+		(o.pastLease() || !o.instances.claimed[i.ID])
 }
 
 // orderInstance gives an order about an instance on which nothing runs.
@@ -198,12 +226,53 @@
 		i.victim, i.Runner = r.Incarnated, r.ID
 	}
 	i.pending = &effect.OrderInstance{Epoch: o.epoch, Kind: kind, Instance: i.ID, Pool: pool, Wave: wave}
-	o.sendInstanceOrder(i)
+	i.retryAt, i.noted = time.Time{}, o.now()
+	o.noteOrders()
+	o.after(deferred{order: i})
 	return true
 }
 
+// noteOrders stores which instances may have orders of this owner, so that the
+// next one needs to wait for the lease on no others.
+func (o *ownership) noteOrders() {
+	lease := o.s.cfg.Bounds.MachineLease + instanceProof
+	var ids []fleet.InstanceID
+	for _, i := range o.instances.order {
+		if i.pending != nil || (!i.noted.IsZero() && o.now().Sub(i.noted) <= lease) || (!o.pastLease() && o.instances.claimed[i.ID]) {
+			ids = append(ids, i.ID)
+		}
+	}
+	o.outbox.others = slices.DeleteFunc(o.outbox.others, func(r ledger.Record) bool { return r.Orders != nil })
+	o.outbox.others = append(o.outbox.others, ledger.Record{Orders: &ledger.Orders{Instances: ids}})
+}
+
+// giveOrder gives an order that is noted now, unless the tenure has become
+// doubtful or a runner has begun something meanwhile.
+func (o *ownership) giveOrder(i *instance) {
+	if i.pending == nil {
+		return
+	}
+	if !o.mayOrderInstances() || !o.runsNothing(i) {
+		o.withdrawOrder(i)
+		return
+	}
+	o.sendInstanceOrder(i)
+}
+
+// withdrawOrder drops an order that was not given.
+func (o *ownership) withdrawOrder(i *instance) {
+	order := i.pending
+	i.pending = nil
+	if r := o.runnerOf(i); r != nil {
+		r.vacating = false
+	}
+	if w := o.wave(order.Wave); order.Kind == effect.InstanceMaintain && w != nil {
+		delete(w.down, i.ID)
+	}
+}
+
 func (o *ownership) sendInstanceOrder(i *instance) {
-	i.retryAt = time.Time{}
+	i.retryAt, i.noted = time.Time{}, o.now()
 	e := *i.pending
 	e.NotAfter = o.now().Add(orderFreshness)
 	o.s.emit(e)
--- a/reduce/jobs/instances_test.go
+++ b/reduce/jobs/instances_test.go
@@ -19,8 +19,13 @@
 	runner     *fakeRunner
 	fence      int64
 	maintained map[int64]bool
+	// ordered is when it was last ordered about.
+	ordered time.Time
 }
 
+// instanceLease is how long orders of one tenure exclude those of the next.
+const instanceLease = 3 * time.Second
+
 const sparePool = "spare"
 
 // withInstances puts a machine under each runner, and spare ones beside them.
@@ -78,7 +83,10 @@
 	if o.Epoch < i.fence {
 		return effect.InstanceFenced
 	}
-	i.fence = o.Epoch
+	if took := w.now.Sub(i.ordered); o.Epoch > i.fence && i.fence > 0 && took < instanceLease {
+		w.fault("%s is ordered about in epoch %d, %v after an order of epoch %d", i.id, o.Epoch, took, i.fence)
+	}
+	i.fence, i.ordered = o.Epoch, w.now
 	if o.Kind == effect.InstanceMaintain && i.maintained[o.Wave] || o.Kind == effect.InstanceMove && i.pool == o.Pool {
 		return effect.InstanceOrderDone
 	}
@@ -190,6 +198,79 @@
 	w.check()
 }
 
+// TestOwnersTakeTurnsAtInstances kills and freezes owners in the middle of
+// bursts and of a wave: an instance has orders of two tenures only with the lease
+// between, others are moved at once.
+func TestOwnersTakeTurnsAtInstances(t *testing.T) {
+	for n := range max(*seeds/5, 5) {
+		seed := *firstSeed + int64(n)
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, seed, 4, 6)
+			w.waves = []fleet.MaintenanceWave{{
+				ID: 1, MaxAtOnce: 2, Within: 40 * time.Second, Instances: []fleet.InstanceID{"m-r0", "m-r1", "m-r2", "s-0"},
+			}}
+			w.withInstances(5)
+			w.run(2 * time.Second)
+			spec := twoSteps()
+			spec.Steps[0].Count = 12
+			for n := range 40 {
+				w.submit(jobID(n), spec)
+				if n%8 == 7 {
+					w.troubleOwner()
+				}
+				w.run(time.Duration(w.rng.Intn(500)) * time.Millisecond)
+			}
+			w.calm()
+			w.run(50 * time.Second)
+			must.True(t, w.statuses[1], must.Sprint("the wave is told to be done"))
+			w.checkStates()
+			w.check()
+		})
+	}
+}
+
+// troubleOwner kills, restarts or freezes the owner, or makes it hand over.
+func (w *world) troubleOwner() {
+	o := w.owner()
+	if o == nil {
+		return
+	}
+	switch w.rng.Intn(4) {
+	case 0:
+		o.kill()
+		w.after(time.Duration(w.rng.Intn(3000))*time.Millisecond, o.boot)
+	case 1:
+		o.kill()
+		o.boot()
+	case 2:
+		o.freeze(time.Duration(1000+w.rng.Intn(4000)) * time.Millisecond)
+	default:
+		o.post(eventStop)
+		w.after(2*time.Second, func() { o.kill(); o.boot() })
+	}
+}
+
+// TestSpareInstancesMoveSoonAfterATakeover has a burst right after the owner's
+// death: instances that had no orders lately join the pool at once.
+func TestSpareInstancesMoveSoonAfterATakeover(t *testing.T) {
+	w := newWorld(t, 23, 3, 2)
+	w.withInstances(4)
+	w.run(8 * time.Second)
+	before := w.owner()
+	before.kill()
+	for w.owner() == before {
+		w.run(50 * time.Millisecond)
+	}
+	spec := twoSteps()
+	spec.Steps[0].Count = 16
+	for n := range 30 {
+		w.submit(jobID(n), spec)
+	}
+	w.run(2 * time.Second)
+	must.Greater(t, 2, w.up("desk"))
+}
+
 // up counts the instances of a pool.
 func (w *world) up(pool fleet.PoolName) int {
 	n := 0
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -176,6 +176,8 @@
 	jobs    map[fleet.JobID]*ledger.Stored
 	waves   map[int64]ledger.Wave
 	appends int
+	// ordered are the instances noted before orders.
+	ordered []fleet.InstanceID
 }
 
 func newFakeStore() *fakeStore {
@@ -209,6 +211,10 @@
 }
 
 func (s *fakeStore) take(r *ledger.Record) {
+	if r.Orders != nil {
+		s.ordered = r.Orders.Instances
+		return
+	}
 	if r.Wave != nil {
 		s.waves[r.Wave.ID] = *r.Wave
 		return
@@ -231,7 +237,7 @@
 	}
 }
 
-func (s *fakeStore) load() ([]ledger.Stored, []ledger.Wave) {
+func (s *fakeStore) load() event.LedgerLoaded {
 	var out []ledger.Stored
 	for _, id := range s.order {
 		if j := s.jobs[id]; j.Definition != nil || j.Progress != nil {
@@ -243,7 +249,7 @@
 		waves = append(waves, w)
 	}
 	slices.SortFunc(waves, func(a, b ledger.Wave) int { return int(a.ID - b.ID) })
-	return out, waves
+	return event.LedgerLoaded{Jobs: out, Waves: waves, Ordered: s.ordered}
 }
 
 // fakeEntry is one entry process.
@@ -451,8 +457,9 @@
 		return
 	}
 	e.w.after(e.w.latency(), func() {
-		stored, waves := e.w.store.load()
-		e.postAfter(e.w.latency(), event.LedgerLoaded{Epoch: o.Epoch, Jobs: stored, Waves: waves})
+		loaded := e.w.store.load()
+		loaded.Epoch = o.Epoch
+		e.postAfter(e.w.latency(), loaded)
 	})
 }
 
--- a/reduce/ledger/ledger.go
+++ b/reduce/ledger/ledger.go
@@ -21,8 +21,13 @@
 	DropProgress   bool
 	// Wave is set in a record about a maintenance wave; Job is empty then.
 	Wave *Wave
+	// Orders is set in the record of what was ordered lately; Job is empty then.
+	Orders *Orders
 }
 
+// Orders are the instances about which the owner may have given orders lately.
+type Orders struct{ Instances []fleet.InstanceID }
+
 // Wave is how far a maintenance wave is.
 type Wave struct {
 	ID int64
