Plans move as many machines as the platform's rate allows

Cause: in the first seconds of a burst a plan moved 8 machines in 150 ms and used half of the allowed orders, 32 of 64 a second (107 of 215 on the grown sites), while this owner is the only one who gives any. Now nine tenths of the rate, and a sixth of the machines by one plan.

--- a/reduce/jobs/instances.go
+++ b/reduce/jobs/instances.go
@@ -23,7 +23,7 @@
 	// which keeps two holders apart.
 	instanceProof = 1200 * time.Millisecond
 	// orderShare of the allowed rate of orders is used.
-	orderShare = 0.5
+	orderShare = 0.9
 )
 
 // instances is what the owner knows of the platform's machines.
--- a/reduce/jobs/planner.go
+++ b/reduce/jobs/planner.go
@@ -30,8 +30,9 @@
 	// off. Its price there and back equals that of two seconds in a pool, and a
 	// pool rests for about fifteen.
 	idleBeforePark = 1200 * time.Millisecond
-	// maxMovesAtOnce bounds the moves of one plan.
-	maxMovesAtOnce = 8
+	// moveShare of all instances may move by one plan: a burst that needs all of
+	// them has them within a second.
+	moveShare = 0.17
 )
 
 // planner follows the demand of each pool.
@@ -99,7 +100,7 @@
 	if len(plans) == 0 {
 		return
 	}
-	moves := maxMovesAtOnce
+	moves := int(math.Ceil(moveShare * float64(len(o.instances.order))))
 	slices.SortStableFunc(plans, func(a, b *poolPlan) int { return cmp.Compare(b.missing(), a.missing()) })
 	for _, p := range plans {
 		for p.missing() > 0 && moves > 0 {
