--- a/reduce/jobs/planner.go
+++ b/reduce/jobs/planner.go
@@ -30,6 +30,10 @@
 	// off. Its price there and back equals that of two seconds in a pool, and a
 	// pool rests for about fifteen.
 	idleBeforePark = 1200 * time.Millisecond
+	// firstSight is how long an owner that has seen no work yet leaves idle
+	// instances on: a fleet that has just started, or lost its owner, may get
+	// some at any moment.
+	firstSight = time.Minute
 	// moveShare of all instances may move by one plan: a burst that needs all of
 	// them has them within a second.
 	moveShare = 0.17
@@ -38,6 +42,8 @@
 // planner follows the demand of each pool.
 type planner struct {
 	arrivals map[fleet.ServiceName]*arrivals
+	// seen is set once any work has arrived.
+	seen bool
 }
 
 // arrivals is the work that arrived lately, in core-milliseconds.
@@ -57,6 +63,7 @@
 			work += float64(st.Count) * float64(st.Needs.CPU) * st.Estimate.Seconds()
 		}
 	}
+	o.planner.seen = true
 	a := o.arrivalsOf(j.service)
 	a.decay(o.now())
 	a.level += work / demandWindow.Seconds()
@@ -265,7 +272,7 @@
 
 // park turns off instances that have been idle for long.
 func (o *ownership) park(plans []*poolPlan, spare *poolPlan, moves int) {
-	if spare == nil {
+	if spare == nil || (!o.planner.seen && o.now().Sub(o.since) < firstSight) {
 		return
 	}
 	for _, p := range plans {
