--- a/reduce/jobs/instances_test.go
+++ b/reduce/jobs/instances_test.go
@@ -271,6 +271,22 @@
 	must.Greater(t, 2, w.up("desk"))
 }
 
+// TestPoolsGrowForTasksThatNeedMemory has lasting tasks that fill a runner's memory
+// with an eighth of its processor time.
+func TestPoolsGrowForTasksThatNeedMemory(t *testing.T) {
+	w := newWorld(t, 26, 3, 2)
+	w.withInstances(4)
+	w.run(8 * time.Second)
+	spec := lasting(4, 1)
+	spec.Steps[0].Needs = fleet.Capacity{CPU: runnerCapacity.CPU / 8, Memory: runnerCapacity.Memory}
+	w.submit(jobID(1), spec)
+	w.run(4 * time.Second)
+	for i := range 4 {
+		must.True(t, w.atWork(fleet.TaskID{Job: jobID(1), Index: i}))
+	}
+	w.check()
+}
+
 // up counts the instances of a pool.
 func (w *world) up(pool fleet.PoolName) int {
 	n := 0
--- a/reduce/jobs/planner.go
+++ b/reduce/jobs/planner.go
@@ -18,8 +18,8 @@
 	demandWindow = time.Second
 	// backlogTime is the time in which waiting work should have begun.
 	backlogTime = 1500 * time.Millisecond
-	// fillShare of an instance's processor time is planned to be used; the rest
-	// is lost between tasks of different sizes.
+	// fillShare of an instance's processor time or memory is planned to be used;
+	// the rest is lost between tasks of different sizes.
 	fillShare = 0.85
 	// reserveInstances stay in each pool beyond its need, for the first second
 	// of a burst.
@@ -90,8 +90,8 @@
 	need int
 	// idle are the instances that could leave, longest idle first.
 	idle []*instance
-	// size is the processor time of one instance.
-	size int64
+	// size is the capacity of one instance.
+	size fleet.Capacity
 }
 
 func (p *poolPlan) missing() int { return p.need - p.have }
@@ -176,7 +176,9 @@
 	if r == nil || !r.listed || r.Draining || r.vacating {
 		return
 	}
-	p.size = max(p.size, r.Capacity.CPU)
+	if r.Capacity.CPU > p.size.CPU {
+		p.size = r.Capacity
+	}
 	if !o.now().Before(r.health.until) && !r.look.lost {
 		p.have++
 	}
@@ -185,43 +187,63 @@
 	}
 }
 
-// usualSize stands for an instance's processor time until one was seen, in
-// thousandths of a core.
-const usualSize = 64_000
+// usualSize stands for an instance's capacity until one was seen.
+var usualSize = fleet.Capacity{CPU: 64_000, Memory: 131_072}
+
+// demand is what a pool is asked for: processor time in thousandths of a core,
+// and memory in megabytes.
+type demand struct{ cpu, memory float64 }
+
+func (d *demand) add(need fleet.Capacity, times float64) {
+	d.cpu += times * float64(need.CPU)
+	d.memory += times * float64(need.Memory)
+}
+
+// instances returns how many instances of a size hold a demand.
+func (d *demand) instances(size fleet.Capacity) int {
+	share := d.cpu / float64(max(1, size.CPU))
+	if size.Memory > 0 {
+		share = max(share, d.memory/float64(size.Memory))
+	}
+	return int(math.Ceil(share / fillShare))
+}
 
 // needOf returns how many instances a pool needs.
 func (o *ownership) needOf(p *poolPlan) int {
 	size := p.size
-	if size == 0 {
+	if size.CPU == 0 {
 		size = usualSize
 	}
-	a := o.arrivalsOf(p.name)
-	a.decay(o.now())
-	cores := a.level
-	var running, lasting int64
+	var running, lasting demand
 	for _, r := range o.order {
 		if r.Service != p.name {
 			continue
 		}
 		for _, run := range r.runs {
 			if run.task.step.spec.Lasting {
-				lasting += run.need.CPU
+				lasting.add(run.need, 1)
 			} else {
-				running += run.need.CPU
+				running.add(run.need, 1)
 			}
 		}
 	}
-	cores = max(cores, float64(running)) + float64(lasting) + o.backlog(p.name)
-	return int(math.Ceil(cores/(float64(size)*fillShare))) + reserveInstances
+	a := o.arrivalsOf(p.name)
+	a.decay(o.now())
+	waiting := o.backlog(p.name)
+	total := demand{
+		cpu:    max(a.level, running.cpu) + lasting.cpu + waiting.cpu,
+		memory: running.memory + lasting.memory + waiting.memory,
+	}
+	return total.instances(size) + reserveInstances
 }
 
-// backlog returns the processor time that would begin the waiting work in time.
-func (o *ownership) backlog(name fleet.ServiceName) float64 {
+// backlog returns what would begin the waiting work in time.
+func (o *ownership) backlog(name fleet.ServiceName) demand {
+	var d demand
 	p, ok := o.pools[name]
 	if !ok {
-		return 0
+		return d
 	}
-	cores := 0.0
 	for _, st := range p.queue {
 		waiting := 0
 		for _, t := range st.tasks {
@@ -233,9 +255,9 @@
 		if !st.spec.Lasting {
 			share = min(1, st.estimate.Seconds()/backlogTime.Seconds())
 		}
-		cores += float64(waiting) * float64(st.spec.Occupies().CPU) * share
+		d.add(st.spec.Occupies(), float64(waiting)*share)
 	}
-	return cores
+	return d
 }
 
 // moveTo moves one instance to a pool, from the spare ones or from the pool with
