--- a/fleet/job.go
+++ b/fleet/job.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"errors"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -111,6 +113,29 @@
 	return t.StepName() + "." + strconv.Itoa(t.Index)
 }
 
+// ErrTaskName means that a task's name is not job.occurrence.step.index.
+var ErrTaskName = errors.New("fleet: not a task's name")
+
+// taskParts is the number of parts of a task's name.
+const taskParts = 4
+
+// ParseTaskID reads what TaskID.String writes, or returns ErrTaskName.
+func ParseTaskID(name string) (TaskID, error) {
+	parts := strings.Split(name, ".")
+	if len(parts) != taskParts {
+		return TaskID{}, ErrTaskName
+	}
+	var n [taskParts - 1]int
+	for i, p := range parts[1:] {
+		v, err := strconv.Atoi(p)
+		if err != nil || v < 0 {
+			return TaskID{}, errors.Join(ErrTaskName, err)
+		}
+		n[i] = v
+	}
+	return TaskID{Job: JobID(parts[0]), Occurrence: n[0], Step: n[1], Index: n[2]}, nil
+}
+
 // StepName returns "job.occurrence.step".
 func (t TaskID) StepName() string {
 	return string(t.Job) + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step)
