--- a/codec/ledger.go
+++ b/codec/ledger.go
@@ -115,9 +115,11 @@
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 type definition struct {
-	Queue    fleet.QueueName `json:"q"`
-	Accepted int64           `json:"t"`
-	Spec     json.RawMessage `json:"s"`
+	Queue    fleet.QueueName   `json:"q"`
+	Service  fleet.ServiceName `json:"v,omitempty"`
+	Attempts int               `json:"a,omitempty"`
+	Accepted int64             `json:"t"`
+	Spec     json.RawMessage   `json:"s"`
 }
 
 type progress struct {
@@ -177,7 +179,10 @@
 	if err != nil {
 		return storage.Record{}, err
 	}
-	raw, err := json.Marshal(definition{Queue: r.Definition.Queue, Accepted: r.Definition.Accepted.UnixMilli(), Spec: spec})
+	d := r.Definition
+	raw, err := json.Marshal(definition{
+		Queue: d.Queue, Service: d.Service, Attempts: d.Attempts, Accepted: d.Accepted.UnixMilli(), Spec: spec,
+	})
 	return storage.Record{Key: definitionKeys + string(r.Job), Value: raw}, oops.In("codec").With("step", "encode definition", "job", r.Job).Wrap(err)
 }
 
@@ -297,7 +302,9 @@
 		return nil, err
 	}
 	spec, err := DecodeSpec(w.Spec)
-	return &ledger.Definition{Queue: w.Queue, Accepted: time.UnixMilli(w.Accepted), Spec: spec}, err
+	return &ledger.Definition{
+		Queue: w.Queue, Service: w.Service, Attempts: w.Attempts, Accepted: time.UnixMilli(w.Accepted), Spec: spec,
+	}, err
 }
 
 func decodeProgress(raw []byte) (*ledger.Progress, error) {
--- a/codec/ledger_test.go
+++ b/codec/ledger_test.go
@@ -52,7 +52,7 @@
 			Unresolved: []ledger.Run{{Attempt: 1, Runner: "x"}}}},
 	}}}
 	got, err := codec.DecodeLedger(encode(t,
-		ledger.Record{Job: "j", Definition: &ledger.Definition{Queue: "q", Accepted: accepted, Spec: fullSpec()}},
+		ledger.Record{Job: "j", Definition: &ledger.Definition{Queue: "q", Service: "v", Attempts: 2, Accepted: accepted, Spec: fullSpec()}},
 		ledger.Record{Job: "j", Progress: p},
 		ledger.Record{Wave: &ledger.Wave{ID: 4, Done: []fleet.InstanceID{"m"}}},
 		ledger.Record{Orders: &ledger.Orders{Instances: []fleet.InstanceID{"m", "n"}}},
--- a/reduce/jobs/commit.go
+++ b/reduce/jobs/commit.go
@@ -208,7 +208,7 @@
 	if !j.stored {
 		j.stored = true
 		out = append(out, ledger.Record{Job: j.id, Definition: &ledger.Definition{
-			Queue: j.queue, Accepted: j.accepted, Spec: j.spec,
+			Queue: j.queue, Service: j.service, Attempts: j.attempts, Accepted: j.accepted, Spec: j.spec,
 		}})
 	}
 	if j.touched {
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -102,9 +102,9 @@
 const lateFactor = 3
 
 // newJob returns a job that has not begun.
-func (o *ownership) newJob(id fleet.JobID, queue fleet.QueueName, accepted time.Time, spec *fleet.JobSpec) *job {
+func (o *ownership) newJob(id fleet.JobID, d *ledger.Definition) *job {
 	j := &job{
-		id: id, queue: queue, accepted: accepted, spec: spec,
+		id: id, queue: d.Queue, service: d.Service, attempts: d.Attempts, accepted: d.Accepted, spec: d.Spec,
 		state: fleet.JobQueued, shown: fleet.JobQueued,
 	}
 	o.follow(j)
@@ -338,7 +338,7 @@
 		}
 		return
 	}
-	j := o.newJob(s.Job, s.Definition.Queue, s.Definition.Accepted, s.Definition.Spec)
+	j := o.newJob(s.Job, s.Definition)
 	j.stored = true
 	o.jobs[j.id] = j
 	if s.Progress != nil && s.Progress.State.Final() {
--- a/reduce/jobs/jobs_test.go
+++ b/reduce/jobs/jobs_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/shoenig/test/must"
 )
 
@@ -353,3 +354,61 @@
 	w.run(time.Second)
 	must.Eq(t, effect.AnswerRefused, got.Kind)
 }
+
+// failOneRun ends one run as failed, whichever comes first.
+func (w *world) failOneRun() {
+	for _, r := range w.listed() {
+		f := w.runners[r.ID]
+		if ids := f.taskIDs(); len(ids) > 0 {
+			f.end(ids[0], fleet.EndFailed)
+			return
+		}
+	}
+}
+
+// TestEntryWithoutConfigurationOwnsNothing is hunt-adba-7 on ccps-lahore-grown: an
+// entry that could not read the configuration after its restart took its old
+// tenure up and held that a task may fail no time at all.
+func TestEntryWithoutConfigurationOwnsNothing(t *testing.T) {
+	w := newWorld(t, 12, 2, 2)
+	w.run(2 * time.Second)
+	w.submit(jobID(1), twoSteps())
+	w.run(60 * time.Millisecond)
+	w.noQueues = true
+	for _, e := range w.entries {
+		e.kill()
+		e.boot()
+	}
+	w.failOneRun()
+	w.run(2 * time.Second)
+	w.noQueues = false
+	for _, e := range w.entries {
+		e.post(event.QueuesRead{Queues: w.queues})
+	}
+	w.run(20 * time.Second)
+	w.mustState(jobID(1), fleet.JobDone)
+	w.check()
+}
+
+// TestJobOutlivesItsQueue has the queue taken out of the configuration and the
+// owner replaced: the job runs on as it was accepted.
+func TestJobOutlivesItsQueue(t *testing.T) {
+	w := newWorld(t, 13, 2, 2)
+	w.run(2 * time.Second)
+	w.submit(jobID(1), twoSteps())
+	w.run(60 * time.Millisecond)
+	w.queues = fleet.NewQueues(2, nil, []*fleet.JobService{{Name: "desk", GuardsCapacity: true}})
+	for _, e := range w.entries {
+		e.kill()
+		e.boot()
+	}
+	w.failOneRun()
+	w.run(20 * time.Second)
+	w.queues = fleet.NewQueues(3, []*fleet.Queue{{Name: queueName, Host: "host", Prefix: "/plans/", Service: "desk", Attempts: 2}},
+		[]*fleet.JobService{{Name: "desk", GuardsCapacity: true}})
+	for _, e := range w.entries {
+		e.post(event.QueuesRead{Queues: w.queues})
+	}
+	w.mustState(jobID(1), fleet.JobDone)
+	w.check()
+}
--- a/reduce/jobs/serve.go
+++ b/reduce/jobs/serve.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/ledger"
 )
 
 // maxActive bounds the jobs that have not ended, for memory: with texts of 4 KB
@@ -47,7 +48,7 @@
 		o.s.answer(c, refused)
 		return
 	}
-	j := o.newJob(c.Job, c.Queue, c.arrived, c.Spec)
+	j := o.newJob(c.Job, &ledger.Definition{Queue: c.Queue, Accepted: c.arrived, Spec: c.Spec})
 	o.jobs[j.id] = j
 	o.active = append(o.active, j)
 	o.mark(j)
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -56,6 +56,8 @@
 	instances []*fakeInstance
 	waves     []fleet.MaintenanceWave
 	statuses  map[int64]bool
+	// noQueues keeps the configuration from entries that start.
+	noQueues bool
 	// dispatches has entries carry out the calls to runners beyond callsAlone;
 	// carried counts these, links the offers.
 	dispatches bool
@@ -289,7 +291,9 @@
 		},
 	}})
 	e.post(event.JobsStarted{})
-	e.post(event.QueuesRead{Queues: e.w.queues})
+	if !e.w.noQueues {
+		e.post(event.QueuesRead{Queues: e.w.queues})
+	}
 	if len(e.w.waves) > 0 {
 		e.post(event.WavesRead{Waves: e.w.waves})
 	}
--- a/reduce/ledger/ledger.go
+++ b/reduce/ledger/ledger.go
@@ -37,7 +37,11 @@
 
 // Definition is a job as it was accepted. It never changes.
 type Definition struct {
-	Queue    fleet.QueueName
+	Queue fleet.QueueName
+	// Service and Attempts are what the configuration said of the queue, for an
+	// owner whose configuration has no such queue any more.
+	Service  fleet.ServiceName
+	Attempts int
 	Accepted time.Time
 	Spec     *fleet.JobSpec
 }
