--- /dev/null
+++ b/reduce/jobs/demand.go
@@ -0,0 +1,130 @@
+package jobs
+
+import (
+	"math"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+)
+
+const (
+	// demandWindow is the time over which arrivals are averaged: a burst lasts
+	// some seconds, and a move takes one and a half of them.
+	demandWindow = time.Second
+	// backlogTime is the time in which waiting work should have begun.
+	backlogTime = 1500 * time.Millisecond
+	// fillShare of an instance's processor time or memory is planned to be used;
+	// the rest is lost between tasks of different sizes.
+	fillShare = 0.85
+	// reserveInstances stay in each pool beyond its need, for the first second
+	// of a burst.
+	reserveInstances = 1
+)
+
+// arrivals is the work that arrived lately, in core-milliseconds.
+type arrivals struct {
+	level float64
+	at    time.Time
+}
+
+// observeArrival counts the work of a new job.
+func (o *ownership) observeArrival(j *job) {
+	work := 0.0
+	for i := range j.spec.Steps {
+		st := &j.spec.Steps[i]
+		if !st.Lasting {
+			work += float64(st.Count) * float64(st.Needs.CPU) * st.Estimate.Seconds()
+		}
+	}
+	o.planner.seen = o.planner.seen || work > 0
+	a := o.arrivalsOf(j.service)
+	a.decay(o.now())
+	a.level += work / demandWindow.Seconds()
+}
+
+func (o *ownership) arrivalsOf(name fleet.ServiceName) *arrivals {
+	a, ok := o.planner.arrivals[name]
+	if !ok {
+		a = &arrivals{at: o.now()}
+		o.planner.arrivals[name] = a
+	}
+	return a
+}
+
+func (a *arrivals) decay(now time.Time) {
+	a.level *= math.Exp(-now.Sub(a.at).Seconds() / demandWindow.Seconds())
+	a.at = now
+}
+
+// usualSize stands for an instance's capacity until one was seen.
+var usualSize = fleet.Capacity{CPU: 64_000, Memory: 131_072}
+
+// demand is what a pool is asked for: processor time in thousandths of a core,
+// and memory in megabytes.
+type demand struct{ cpu, memory float64 }
+
+func (d *demand) add(need fleet.Capacity, times float64) {
+	d.cpu += times * float64(need.CPU)
+	d.memory += times * float64(need.Memory)
+}
+
+// instances returns how many instances of a size hold a demand.
+func (d *demand) instances(size fleet.Capacity) int {
+	share := d.cpu / float64(max(1, size.CPU))
+	if size.Memory > 0 {
+		share = max(share, d.memory/float64(size.Memory))
+	}
+	return int(math.Ceil(share / fillShare))
+}
+
+// needOf returns how many instances a pool needs.
+func (o *ownership) needOf(p *poolPlan) int {
+	size := p.size
+	if size.CPU == 0 {
+		size = usualSize
+	}
+	var running, lasting demand
+	for _, r := range o.order {
+		if r.Service != p.name {
+			continue
+		}
+		for _, run := range r.runs {
+			if run.task.step.spec.Lasting {
+				lasting.add(run.need, 1)
+			} else {
+				running.add(run.need, 1)
+			}
+		}
+	}
+	a := o.arrivalsOf(p.name)
+	a.decay(o.now())
+	waiting := o.backlog(p.name)
+	total := demand{
+		cpu:    max(a.level, running.cpu) + lasting.cpu + waiting.cpu,
+		memory: running.memory + lasting.memory + waiting.memory,
+	}
+	return total.instances(size) + reserveInstances
+}
+
+// backlog returns what would begin the waiting work in time.
+func (o *ownership) backlog(name fleet.ServiceName) demand {
+	var d demand
+	p, ok := o.pools[name]
+	if !ok {
+		return d
+	}
+	for _, st := range p.queue {
+		waiting := 0
+		for _, t := range st.tasks {
+			if t.phase == taskWaiting {
+				waiting++
+			}
+		}
+		share := 1.0
+		if !st.spec.Lasting {
+			share = min(1, st.estimate.Seconds()/backlogTime.Seconds())
+		}
+		d.add(st.spec.Occupies(), float64(waiting)*share)
+	}
+	return d
+}
--- /dev/null
+++ b/reduce/jobs/instanceorders.go
@@ -0,0 +1,157 @@
+package jobs
+
+import (
+	"slices"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/ledger"
+)
+
+// orderable reports whether an instance may be ordered about now.
+func (o *ownership) orderable(i *instance) bool {
+	return i.State == fleet.InstanceUp && i.pending == nil && !o.now().Before(i.blocked) &&
+		(o.pastLease() || !o.instances.claimed[i.ID])
+}
+
+// orderInstance gives an order about an instance on which nothing runs.
+func (o *ownership) orderInstance(i *instance, kind effect.InstanceOrderKind, pool fleet.PoolName, wave int64) bool {
+	in := &o.instances
+	if in.tokens < 1 {
+		return false
+	}
+	in.tokens--
+	i.victim = 0
+	if r := o.runnerOf(i); r != nil {
+		r.vacating = true
+		i.victim, i.Runner = r.Incarnated, r.ID
+	}
+	i.pending = &effect.OrderInstance{Epoch: o.epoch, Kind: kind, Instance: i.ID, Pool: pool, Wave: wave}
+	i.retryAt, i.noted = time.Time{}, o.now()
+	o.noteOrders()
+	o.after(deferred{order: i})
+	return true
+}
+
+// noteOrders stores which instances may have orders of this owner, so that the
+// next one needs to wait for the lease on no others.
+func (o *ownership) noteOrders() {
+	lease := o.s.cfg.Bounds.MachineLease + instanceProof
+	var ids []fleet.InstanceID
+	for _, i := range o.instances.order {
+		if i.pending != nil || (!i.noted.IsZero() && o.now().Sub(i.noted) <= lease) || (!o.pastLease() && o.instances.claimed[i.ID]) {
+			ids = append(ids, i.ID)
+		}
+	}
+	o.outbox.others = slices.DeleteFunc(o.outbox.others, func(r ledger.Record) bool { return r.Orders != nil })
+	o.outbox.others = append(o.outbox.others, ledger.Record{Orders: &ledger.Orders{Instances: ids}})
+}
+
+// giveOrder gives an order that is noted now, unless the tenure has become
+// doubtful or a runner has begun something meanwhile.
+func (o *ownership) giveOrder(i *instance) {
+	if i.pending == nil {
+		return
+	}
+	if !o.mayOrderInstances() || !o.runsNothing(i) {
+		o.withdrawOrder(i)
+		return
+	}
+	o.sendInstanceOrder(i)
+}
+
+// withdrawOrder drops an order that was not given.
+func (o *ownership) withdrawOrder(i *instance) {
+	order := i.pending
+	i.pending = nil
+	if r := o.runnerOf(i); r != nil {
+		r.vacating = false
+	}
+	if w := o.wave(order.Wave); order.Kind == effect.InstanceMaintain && w != nil {
+		delete(w.down, i.ID)
+	}
+}
+
+func (o *ownership) sendInstanceOrder(i *instance) {
+	i.retryAt, i.noted = time.Time{}, o.now()
+	e := *i.pending
+	e.NotAfter = o.now().Add(orderFreshness)
+	o.s.emit(e)
+}
+
+func (o *ownership) repeatInstanceOrders() {
+	for _, i := range o.instances.order {
+		if i.pending != nil && !i.retryAt.IsZero() && !o.now().Before(i.retryAt) && o.instances.tokens >= 1 {
+			o.instances.tokens--
+			o.sendInstanceOrder(i)
+		}
+	}
+}
+
+var instanceOutcomes = map[effect.InstanceOutcome]string{
+	effect.InstanceOrderDone: "done", effect.InstanceFenced: "fenced", effect.InstanceBusy: "busy",
+	effect.InstanceNotInWave: "not in the wave", effect.InstanceInvalid: "invalid", effect.InstanceRefused: "refused",
+	effect.InstanceUnknown: "unknown",
+}
+
+func (o *ownership) onInstanceOrdered(b event.InstanceOrdered) {
+	i, ok := o.instances.byID[b.Instance]
+	if !ok || i.pending == nil || i.pending.Kind != b.Kind {
+		return
+	}
+	name := "instance moved"
+	if b.Kind == effect.InstanceMaintain {
+		name = "instance maintained"
+	}
+	o.s.decide(effect.Decision{
+		Name: name, Runner: i.Runner, Task: string(i.ID), Queue: fleet.QueueName(i.pending.Pool), Version: b.Wave,
+		Outcome: instanceOutcomes[b.Outcome], Epoch: o.epoch,
+	})
+	switch b.Outcome {
+	case effect.InstanceOrderDone:
+		o.onInstanceAway(i)
+	case effect.InstanceFenced:
+		o.s.endTenure(reasonRunnerFenced)
+	case effect.InstanceUnknown, effect.InstanceRefused:
+		i.retryAt = o.now().Add(instanceRetry)
+	default:
+		o.onInstanceRefused(i, b.Outcome)
+	}
+}
+
+// onInstanceAway notes that an instance is being moved or maintained: all that
+// ran there has ended.
+func (o *ownership) onInstanceAway(i *instance) {
+	order := i.pending
+	i.pending, i.changed = nil, o.now()
+	if r, ok := o.runners[i.Runner]; ok && r.Incarnated == i.victim {
+		o.dead(r, reasonOrdered)
+		r.listed, r.unlisted, r.Address = false, o.now(), ""
+		r.vacating = false
+	}
+	if order.Kind == effect.InstanceMove {
+		i.State, i.Pool = fleet.InstanceMoving, order.Pool
+		o.s.count("instances_moved", "")
+		return
+	}
+	i.State = fleet.InstanceMaintenance
+	o.s.count("instances_maintained", "")
+	o.onMaintained(i.ID, order.Wave)
+}
+
+func (o *ownership) onInstanceRefused(i *instance, outcome effect.InstanceOutcome) {
+	order := i.pending
+	i.pending = nil
+	i.blocked = o.now().Add(instanceBlocked)
+	if r := o.runnerOf(i); r != nil {
+		r.vacating = false
+	}
+	switch {
+	case outcome == effect.InstanceInvalid && order.Kind == effect.InstanceMove:
+		i.unfit = append(i.unfit, order.Pool)
+	case outcome == effect.InstanceInvalid || outcome == effect.InstanceNotInWave:
+		o.onMaintained(i.ID, order.Wave)
+	}
+}
