--- a/reduce/jobs/bench_test.go
+++ b/reduce/jobs/bench_test.go
@@ -30,3 +30,30 @@
 		second()
 	}
 }
+
+// BenchmarkTakeover loads 10,000 stored jobs at a new owner, half of which have
+// ended; it measures the reducer's part without the store's and the codec's.
+func BenchmarkTakeover(b *testing.B) {
+	w := newWorld(&testing.T{}, 1, 2, 50)
+	w.run(3 * time.Second)
+	for n := range 10_000 {
+		w.submit(jobID(n), twoSteps())
+		if n%20 == 0 {
+			w.run(10 * time.Millisecond)
+		}
+	}
+	w.run(time.Second)
+	b.ResetTimer()
+	for range b.N {
+		before := w.owner()
+		before.kill()
+		for w.owner() == before {
+			w.run(10 * time.Millisecond)
+		}
+		w.run(100 * time.Millisecond)
+		b.StopTimer()
+		before.boot()
+		w.run(3 * time.Second)
+		b.StartTimer()
+	}
+}
