--- a/reduce/jobs/tenure.go
+++ b/reduce/jobs/tenure.go
@@ -87,8 +87,8 @@
 	if s.stopping && s.own != nil && s.own.busy() {
 		return
 	}
-	if s.queues == nil && !s.tenure.Mine() {
-		return // it could not judge how jobs end, or where they may run
+	if s.queues == nil && !s.tenure.Mine() && s.tenure.Newest().Epoch > 0 {
+		return // it could not judge how jobs of others end, or where they may run
 	}
 	if r, at, ok := s.tenure.Next(s.now); ok {
 		s.emit(effect.AppendTenure{Record: r, At: at, NotAfter: s.now.Add(appendFreshness)})
