Soak: a call on a connection that no entry took was not in hand

The check now asks whether the entry took that very connection, by the caller's address; calls on connections that it took are judged as before.

--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
@@ -171,10 +172,16 @@
 	}
 	req.Host = host
 	platformtest.SetPatience(req, patience)
+	local := ""
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { local = info.Conn.LocalAddr().String() },
+	}))
 	sent := time.Now()
 	resp, err := c.http.Do(req)
 	if err != nil {
-		c.broken(e, id, method, sent, err)
+		if e.front.reached(local) {
+			c.broken(e, id, method, sent, err)
+		}
 		return 0, nil
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -43,15 +43,18 @@
 	mu     sync.Mutex
 	// faulty is when a fault last began or ended.
 	faulty time.Time
-	open   map[*net.TCPConn]bool
-	wg     sync.WaitGroup
+	// refused holds the callers' addresses of the connections that the target
+	// did not take.
+	refused map[string]bool
+	open    map[*net.TCPConn]bool
+	wg      sync.WaitGroup
 }
 
 func newProxy(t *testing.T, target string) *proxy {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	p := &proxy{ln: ln, target: target, open: make(map[*net.TCPConn]bool)}
+	p := &proxy{ln: ln, target: target, open: make(map[*net.TCPConn]bool), refused: make(map[string]bool)}
 	p.wg.Go(p.accept)
 	t.Cleanup(func() {
 		_ = ln.Close()
@@ -90,6 +93,13 @@
 	return !p.is(pass) || p.faulty.Add(holdTime).After(since)
 }
 
+// reached reports whether a caller's connection was taken by the target.
+func (p *proxy) reached(caller string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.refused[caller]
+}
+
 func (p *proxy) breakAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -119,6 +129,9 @@
 	}
 	c, err := net.Dial("tcp", p.target)
 	if err != nil {
+		p.mu.Lock()
+		p.refused[from.RemoteAddr().String()] = true
+		p.mu.Unlock()
 		_ = from.Close()
 		return
 	}
