--- a/reduce/jobs/jobs_test.go
+++ b/reduce/jobs/jobs_test.go
@@ -412,3 +412,25 @@
 	w.mustState(jobID(1), fleet.JobDone)
 	w.check()
 }
+
+// TestOwnerWithoutNewsDeniesNoJob is seed 335 of the soak: an owner that was cut
+// off from the store denied a job that the next owner had accepted.
+func TestOwnerWithoutNewsDeniesNoJob(t *testing.T) {
+	w := newWorld(t, 14, 2, 2)
+	w.run(2 * time.Second)
+	former := w.owner()
+	former.noStore = true
+	for w.owner() == former {
+		w.run(20 * time.Millisecond)
+	}
+	w.run(50 * time.Millisecond)
+	accepted := false
+	w.handed[jobID(1)] = twoSteps()
+	w.call(w.owner(), effect.CallSubmit, jobID(1), twoSteps(), func(a effect.Answered) { accepted = a.Kind == effect.AnswerAccepted })
+	w.run(20 * time.Millisecond)
+	must.True(t, accepted)
+	var got effect.Answered
+	w.call(former, effect.CallState, jobID(1), nil, func(a effect.Answered) { got = a })
+	w.run(2 * time.Second)
+	must.Eq(t, effect.AnswerRefused, got.Kind)
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -33,7 +33,9 @@
 )
 
 // regressions are seeds that failed once, with the cause.
-var regressions = map[int64]string{}
+var regressions = map[int64]string{
+	335: "an owner cut off from the store denied a job that its successor had accepted",
+}
 
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "banyanrail-entry")
