Read the change again: one maker of orders, one decoding of a look, one start of daemons

- A call that cannot be handed to a dispatcher was reported from the control goroutine, which would wait for itself with a full queue of events.
Dispatchers now return the outcome, and a pool posts it; a test checks that nothing is posted by the caller.
- Four places filled in the same fields of an order, and the one for paces had missed the dispatcher; newOrder fills them.
It carries no data centre: nobody read it.
Runs are picked before they are sorted, at each tick and look.
Without dispatchers none is searched for.
- Which instances have orders is derived when a group is written, not kept as a record that is replaced.
What follows runners and offers dispatching is ended by one type, without locks: the control goroutine alone does it.
- 'Nobody else can have claimed' is said by package tenure.
The daemons share daemon.Main, the stand-ins WriteJSON; tests share rebootAll and configureAll.
Behaviour stays, but for paces, which go through dispatchers as other orders do.

--- a/cmd/banyanrail-entry/main.go
+++ b/cmd/banyanrail-entry/main.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"net/http"
 	"os"
@@ -27,32 +26,21 @@
 	"google.golang.org/grpc"
 )
 
-// Exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 func main() {
 	var s settings
 	arg.MustParse(&s)
-	c, err := s.check()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitUsage)
-	}
-	lines := daemon.NewLogWriter(os.Stdout)
-	logger := lines.Logger(c.platform.Node)
-	err = run(c, lines, logger)
-	if err != nil {
-		logger.Error("ended", "error", err)
-	} else {
-		logger.Info("stopped")
-	}
-	lines.Close()
-	if err != nil {
-		os.Exit(exitFailed)
-	}
+	daemon.Main(s.check, func(c config) error {
+		lines := daemon.NewLogWriter(os.Stdout)
+		defer lines.Close()
+		logger := lines.Logger(c.platform.Node)
+		err := run(c, lines, logger)
+		if err != nil {
+			logger.Error("ended", "error", err)
+		} else {
+			logger.Info("stopped")
+		}
+		return err
+	})
 }
 
 // run serves until a signal comes, then hands the jobs over, lets the calls in
@@ -72,8 +60,8 @@
 	defer func() { err = errors.Join(err, flush(context.WithoutCancel(ctx))) }()
 	peers := peer.NewJobs()
 	defer peers.Close()
-	dispatchers := peer.NewDispatchers(loop.BootClock())
 	deps := dependencies(c, peers)
+	dispatchers := peer.NewDispatchers(deps.Clock)
 	deps.Dispatchers = dispatchers
 	deps.Metrics, deps.Logger, deps.Traces = scope, logger, traces
 	e := jobentry.New(jobsConfig(c), deps)
--- a/cmd/banyanraild/main.go
+++ b/cmd/banyanraild/main.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"net/http"
 	"os"
@@ -21,25 +20,17 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// Exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 func main() {
 	var s settings
 	arg.MustParse(&s)
-	c, err := s.check()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitUsage)
-	}
-	logger := slog.New(slog.NewJSONHandler(os.Stderr, nil))
-	if err := run(c, logger); err != nil {
-		logger.Error("ended", "entry", c.ID, "error", err)
-		os.Exit(exitFailed)
-	}
+	daemon.Main(s.check, func(c config) error {
+		logger := slog.New(slog.NewJSONHandler(os.Stderr, nil))
+		err := run(c, logger)
+		if err != nil {
+			logger.Error("ended", "entry", c.ID, "error", err)
+		}
+		return err
+	})
 }
 
 // run serves until a signal comes, then shuts down gracefully: the entry
--- a/jobentry/dispatch.go
+++ b/jobentry/dispatch.go
@@ -15,7 +15,7 @@
 // sendOrder has an order carried out here or by a dispatcher.
 func (e *Entry) sendOrder(o effect.OrderTask) {
 	if o.Through != 0 {
-		e.deps.Dispatchers.Order(o)
+		e.postLater(e.deps.Dispatchers.Order(o))
 		return
 	}
 	e.run(e.orders, func() { e.post(e.order(o)) })
@@ -24,12 +24,20 @@
 // sendLook has a look carried out here or by a dispatcher.
 func (e *Entry) sendLook(l effect.Look) {
 	if l.Through != 0 {
-		e.deps.Dispatchers.Look(l)
+		e.postLater(e.deps.Dispatchers.Look(l))
 		return
 	}
 	e.run(e.looks, func() { e.post(e.look(l)) })
 }
 
+// postLater posts an outcome, if there is one. The control goroutine itself must
+// not wait for a place in its queue.
+func (e *Entry) postLater(b event.Body) {
+	if b != nil {
+		e.run(e.orders, func() { e.post(b) })
+	}
+}
+
 // order carries out an order unless its time has passed.
 func (e *Entry) order(o effect.OrderTask) event.Body {
 	if e.deps.Clock().After(o.NotAfter) {
@@ -56,18 +64,10 @@
 
 // dispatchFor offers this entry to an owner in place of the one before.
 func (e *Entry) dispatchFor(o effect.DispatchFor) {
-	e.dispatchMu.Lock()
-	defer e.dispatchMu.Unlock()
-	if e.stopDispatch != nil {
-		e.stopDispatch()
-		e.stopDispatch = nil
-	}
-	if o.Address == "" {
-		return
+	e.offer.end()
+	if o.Address != "" {
+		e.offer.start(e.background, func(ctx context.Context) { e.keepDispatching(ctx, o) })
 	}
-	ctx, stop := context.WithCancel(e.background)
-	e.stopDispatch = stop
-	go e.keepDispatching(ctx, o)
 }
 
 func (e *Entry) keepDispatching(ctx context.Context, o effect.DispatchFor) {
--- a/jobentry/entry.go
+++ b/jobentry/entry.go
@@ -69,8 +69,9 @@
 // and who they are.
 type Dispatchers interface {
 	Report(post func(event.Body))
-	Order(o effect.OrderTask)
-	Look(l effect.Look)
+	// Order and Look return the outcome of what cannot be handed on, else nil.
+	Order(o effect.OrderTask) event.Body
+	Look(l effect.Look) event.Body
 }
 
 // Decoder reads the records of others, and writes those that others read.
@@ -115,13 +116,9 @@
 	ready    atomic.Bool
 	handed   chan struct{}
 	handOnce sync.Once
-	// stopFollow ends the following of the runners for the present tenure; nil
-	// when they are not followed. followMu guards it.
-	followMu   sync.Mutex
-	stopFollow context.CancelFunc
-	// stopDispatch ends the offer to the present owner; dispatchMu guards it.
-	dispatchMu   sync.Mutex
-	stopDispatch context.CancelFunc
+	// runners is the following of the runners for the present tenure, offer the
+	// offer to the present owner.
+	runners, offer replaceable
 
 	background context.Context
 	end        context.CancelFunc
--- a/jobentry/store.go
+++ b/jobentry/store.go
@@ -235,23 +235,17 @@
 // followRunners follows the list of runners for a tenure, and ends the following
 // for the last one.
 func (e *Entry) followRunners(epoch int64) {
-	e.followMu.Lock()
-	defer e.followMu.Unlock()
-	if e.stopFollow != nil {
-		e.stopFollow()
-		e.stopFollow = nil
-	}
+	e.runners.end()
 	if epoch == 0 {
 		return
 	}
-	ctx, stop := context.WithCancel(e.background)
-	e.stopFollow = stop
-	go e.follow(ctx, follower{
+	f := follower{
 		topic:  storage.TopicRunners,
 		wait:   followWait,
 		take:   func(page storage.Page, whole bool) { e.takeRunners(epoch, page, whole) },
 		failed: func(err error) { e.post(event.RunnersReadFailed{Epoch: epoch, Reason: describe(err)}) },
-	})
+	}
+	e.runners.start(e.background, func(ctx context.Context) { e.follow(ctx, f) })
 }
 
 func (e *Entry) takeRunners(epoch int64, page storage.Page, whole bool) {
--- a/peer/dispatch_test.go
+++ b/peer/dispatch_test.go
@@ -49,6 +49,13 @@
 	return o
 }
 
+// Order hands an order on, and reports the outcome of one that cannot be.
+func (o *office) Order(t effect.OrderTask) {
+	if b := o.Dispatchers.Order(t); b != nil {
+		o.events <- b
+	}
+}
+
 func (o *office) order(index int) effect.OrderTask {
 	return effect.OrderTask{
 		Epoch: 3, Kind: effect.OrderStart, Runner: "r", Address: "a", Task: fleet.TaskID{Job: "j", Occurrence: 1, Step: 2, Index: index},
@@ -157,3 +164,15 @@
 	o.leave()
 	<-o.ended
 }
+
+// TestOutcomeOfAnUnsentCallIsReturned checks that nothing is posted from the
+// caller's goroutine, which is the one that empties the queue of events.
+func TestOutcomeOfAnUnsentCallIsReturned(t *testing.T) {
+	d := peer.NewDispatchers(loop.BootClock())
+	d.Report(func(event.Body) { t.Error("posted") })
+	now := loop.BootClock()()
+	ordered := d.Order(effect.OrderTask{Through: 1, NotAfter: now.Add(time.Minute)})
+	must.Eq(t, event.OrderStale, ordered.(event.TaskOrdered).Outcome)
+	looked := d.Look(effect.Look{Through: 1, NotAfter: now.Add(time.Minute)})
+	must.Eq(t, event.OrderStale, looked.(event.RunnerLooked).Outcome)
+}
--- a/peer/dispatchers.go
+++ b/peer/dispatchers.go
@@ -58,25 +58,26 @@
 }
 
 // Order hands an order to a dispatcher and returns at once; the outcome is
-// reported.
-func (d *Dispatchers) Order(o effect.OrderTask) {
-	d.hand(o.Through, encodeOrder(&o), pendingCall{order: &o, limit: overdueAfter}, o.NotAfter)
+// reported. It returns the outcome if the order cannot be handed on.
+func (d *Dispatchers) Order(o effect.OrderTask) event.Body {
+	return d.hand(o.Through, encodeOrder(&o), pendingCall{order: &o, limit: overdueAfter}, o.NotAfter)
 }
 
 // Look hands a look to a dispatcher and returns at once; what it saw is reported.
-func (d *Dispatchers) Look(l effect.Look) {
-	d.hand(l.Through, encodeLook(&l), pendingCall{look: &l, limit: l.Wait + overdueAfter}, l.NotAfter)
+// It returns the outcome if the look cannot be handed on.
+func (d *Dispatchers) Look(l effect.Look) event.Body {
+	return d.hand(l.Through, encodeLook(&l), pendingCall{look: &l, limit: l.Wait + overdueAfter}, l.NotAfter)
 }
 
-func (d *Dispatchers) hand(to uint64, call *peerpb.RunnerCall, p pendingCall, notAfter time.Time) {
+func (d *Dispatchers) hand(to uint64, call *peerpb.RunnerCall, p pendingCall, notAfter time.Time) event.Body {
 	d.mu.Lock()
 	link, ok := d.links[to]
-	post := d.post
 	d.mu.Unlock()
 	now := d.clock()
 	if !ok || now.After(notAfter) || !link.push(now, call, p, notAfter) {
-		post(p.failed(event.OrderStale, "not sent to a dispatcher"))
+		return p.failed(event.OrderStale, "not sent to a dispatcher")
 	}
+	return nil
 }
 
 // pendingCall is a call whose result is awaited: an order or a look.
--- a/reduce/effect/jobs.go
+++ b/reduce/effect/jobs.go
@@ -146,13 +146,12 @@
 
 // OrderTask orders a runner to do something with a task.
 type OrderTask struct {
-	Epoch      int64
-	Kind       OrderKind
-	Runner     fleet.RunnerID
-	Address    string
-	DataCentre fleet.DataCentre
-	Task       fleet.TaskID
-	Attempt    int64
+	Epoch   int64
+	Kind    OrderKind
+	Runner  fleet.RunnerID
+	Address string
+	Task    fleet.TaskID
+	Attempt int64
 	// Text, Deadline, Saved and Ticket go with a start. The deadline is in
 	// milliseconds of the runner's clock.
 	Text     string
--- a/reduce/jobs/commit.go
+++ b/reduce/jobs/commit.go
@@ -66,8 +66,10 @@
 	inFlight *group
 	dirty    []*job
 	then     []deferred
-	// others are records about other things than jobs.
-	others []ledger.Record
+	// waves are records about waves.
+	waves []ledger.Record
+	// orders is set when orders about instances are to be noted.
+	orders bool
 	// took is the time of the last append.
 	took time.Duration
 	down bool
@@ -93,12 +95,16 @@
 // flush appends what has changed, unless an append is on its way.
 func (o *ownership) flush() {
 	b := &o.outbox
-	if o.phase != phaseActive || b.inFlight != nil || (len(b.dirty) == 0 && len(b.then) == 0 && len(b.others) == 0) {
+	if o.phase != phaseActive || b.inFlight != nil || (len(b.dirty) == 0 && len(b.then) == 0 && len(b.waves) == 0 && !b.orders) {
 		return
 	}
 	n := min(len(b.dirty), maxGroup)
-	g := &group{since: o.now(), records: b.others}
-	b.others = nil
+	g := &group{since: o.now(), records: b.waves}
+	b.waves = nil
+	if b.orders {
+		b.orders = false
+		g.records = append(g.records, ledger.Record{Orders: o.orders()})
+	}
 	for _, j := range b.dirty[:n] {
 		j.dirty = false
 		g.records = append(g.records, o.records(j)...)
--- a/reduce/jobs/dispatchers.go
+++ b/reduce/jobs/dispatchers.go
@@ -65,7 +65,7 @@
 // through returns the dispatcher that calls a runner; zero is this entry. An
 // owner of few runners calls them all itself.
 func (o *ownership) through(r *runner) uint64 {
-	if len(o.order) <= o.s.cfg.CallsAlone || o.now().Before(r.directUntil) {
+	if len(o.s.dispatchers) == 0 || len(o.order) <= o.s.cfg.CallsAlone || o.now().Before(r.directUntil) {
 		return 0
 	}
 	if r.through == 0 {
@@ -74,7 +74,7 @@
 	return r.through
 }
 
-// leastUsed returns the dispatcher with the fewest runners, or zero.
+// leastUsed returns the dispatcher with the fewest runners.
 func (o *ownership) leastUsed() uint64 {
 	used := make(map[uint64]int, len(o.s.dispatchers))
 	for _, r := range o.order {
--- a/reduce/jobs/evacuate.go
+++ b/reduce/jobs/evacuate.go
@@ -14,10 +14,7 @@
 // there is room for them elsewhere, others when its time is nearly up.
 func (o *ownership) evacuate(r *runner) {
 	leaving := r.Draining && r.Remaining > 0 && o.now().Sub(r.drainSince) > r.Remaining-leaveMargin
-	for _, run := range r.sortedRuns() {
-		if run.phase != runRunning {
-			continue
-		}
+	for _, run := range r.runsWhere(func(run *run) bool { return run.phase == runRunning }) {
 		spec := run.task.step.spec
 		switch {
 		case spec.Lasting && o.roomElsewhere(run) && (r.Draining || o.mayInterrupt(run.task)):
--- a/reduce/jobs/instanceorders.go
+++ b/reduce/jobs/instanceorders.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"slices"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
@@ -29,24 +28,22 @@
 		i.victim, i.Runner = r.Incarnated, r.ID
 	}
 	i.pending = &effect.OrderInstance{Epoch: o.epoch, Kind: kind, Instance: i.ID, Pool: pool, Wave: wave}
-	i.retryAt, i.noted = time.Time{}, o.now()
-	o.noteOrders()
+	o.outbox.orders = true
 	o.after(deferred{order: i})
 	return true
 }
 
-// noteOrders stores which instances may have orders of this owner, so that the
-// next one needs to wait for the lease on no others.
-func (o *ownership) noteOrders() {
+// orders returns which instances may have orders of this owner, so that the next
+// one needs to wait for the lease on no others.
+func (o *ownership) orders() *ledger.Orders {
 	lease := o.s.cfg.Bounds.MachineLease + instanceProof
 	var ids []fleet.InstanceID
 	for _, i := range o.instances.order {
-		if i.pending != nil || (!i.noted.IsZero() && o.now().Sub(i.noted) <= lease) || (!o.pastLease() && o.instances.claimed[i.ID]) {
+		if i.pending != nil || (!i.ordered.IsZero() && o.now().Sub(i.ordered) <= lease) || (!o.pastLease() && o.instances.claimed[i.ID]) {
 			ids = append(ids, i.ID)
 		}
 	}
-	o.outbox.others = slices.DeleteFunc(o.outbox.others, func(r ledger.Record) bool { return r.Orders != nil })
-	o.outbox.others = append(o.outbox.others, ledger.Record{Orders: &ledger.Orders{Instances: ids}})
+	return &ledger.Orders{Instances: ids}
 }
 
 // giveOrder gives an order that is noted now, unless the tenure has become
@@ -75,7 +72,7 @@
 }
 
 func (o *ownership) sendInstanceOrder(i *instance) {
-	i.retryAt, i.noted = time.Time{}, o.now()
+	i.retryAt, i.ordered = time.Time{}, o.now()
 	e := *i.pending
 	e.NotAfter = o.now().Add(orderFreshness)
 	o.s.emit(e)
--- a/reduce/jobs/instances.go
+++ b/reduce/jobs/instances.go
@@ -53,8 +53,8 @@
 	changed time.Time
 	// pending is an order without a clear answer.
 	pending *effect.OrderInstance
-	// noted is when an order about it was last noted in the ledger.
-	noted time.Time
+	// ordered is when an order about it was last sent.
+	ordered time.Time
 	// retryAt is when it is repeated, zero while its answer is waited for.
 	retryAt time.Time
 	// victim is the incarnation that the order ends.
--- a/reduce/jobs/instances_test.go
+++ b/reduce/jobs/instances_test.go
@@ -45,10 +45,7 @@
 			id: fleet.InstanceID(fmt.Sprint("s-", n)), pool: sparePool, state: fleet.InstanceUp, maintained: make(map[int64]bool),
 		})
 	}
-	for _, e := range w.entries {
-		e.kill()
-		e.boot()
-	}
+	w.rebootAll()
 }
 
 func (e *fakeEntry) listInstances(o effect.ListInstances) {
--- a/reduce/jobs/jobs_test.go
+++ b/reduce/jobs/jobs_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
-	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/shoenig/test/must"
 )
 
@@ -375,16 +374,11 @@
 	w.submit(jobID(1), twoSteps())
 	w.run(60 * time.Millisecond)
 	w.noQueues = true
-	for _, e := range w.entries {
-		e.kill()
-		e.boot()
-	}
+	w.rebootAll()
 	w.failOneRun()
 	w.run(2 * time.Second)
 	w.noQueues = false
-	for _, e := range w.entries {
-		e.post(event.QueuesRead{Queues: w.queues})
-	}
+	w.configureAll()
 	w.run(20 * time.Second)
 	w.mustState(jobID(1), fleet.JobDone)
 	w.check()
@@ -398,17 +392,12 @@
 	w.submit(jobID(1), twoSteps())
 	w.run(60 * time.Millisecond)
 	w.queues = fleet.NewQueues(2, nil, []*fleet.JobService{{Name: "desk", GuardsCapacity: true}})
-	for _, e := range w.entries {
-		e.kill()
-		e.boot()
-	}
+	w.rebootAll()
 	w.failOneRun()
 	w.run(20 * time.Second)
 	w.queues = fleet.NewQueues(3, []*fleet.Queue{{Name: queueName, Host: "host", Prefix: "/plans/", Service: "desk", Attempts: 2}},
 		[]*fleet.JobService{{Name: "desk", GuardsCapacity: true}})
-	for _, e := range w.entries {
-		e.post(event.QueuesRead{Queues: w.queues})
-	}
+	w.configureAll()
 	w.mustState(jobID(1), fleet.JobDone)
 	w.check()
 }
--- a/reduce/jobs/look.go
+++ b/reduce/jobs/look.go
@@ -276,20 +276,15 @@
 		present[row.Task] = true
 		run.observe(o, row)
 	}
-	for _, run := range r.sortedRuns() {
-		if !present[run.task.id()] && run.settledBefore(sent) {
-			o.lose(run, reasonVanished)
-		}
+	for _, run := range r.runsWhere(func(run *run) bool { return !present[run.task.id()] && run.settledBefore(sent) }) {
+		o.lose(run, reasonVanished)
 	}
 }
 
 // stopStray stops a run that the owner did not ask for or has given up.
 func (o *ownership) stopStray(r *runner, row *fleet.RunningTask) {
 	o.s.decide(effect.Decision{Name: "stray run stopped", Task: row.Task.String(), Attempt: row.Attempt, Runner: r.ID, Epoch: o.epoch})
-	o.s.emit(effect.OrderTask{
-		Epoch: o.epoch, Kind: effect.OrderStop, Runner: r.ID, Address: r.Address, Task: row.Task, Attempt: row.Attempt,
-		NotAfter: o.now().Add(orderFreshness), Through: o.through(r),
-	})
+	o.s.emit(o.newOrder(r, effect.OrderStop, row.Task, row.Attempt))
 }
 
 // task returns a task by its id, or nil.
--- a/reduce/jobs/order.go
+++ b/reduce/jobs/order.go
@@ -153,14 +153,20 @@
 	}
 	r, t := run.runner, run.task
 	run.phase, run.underway, run.retryAt = runStarting, true, time.Time{}
-	o.s.emit(effect.OrderTask{
-		Epoch: o.epoch, Kind: effect.OrderStart, Runner: r.ID, Address: r.Address, DataCentre: r.DataCentre,
-		Task: t.id(), Attempt: run.attempt, Text: t.job().spec.Text, Deadline: r.newDeadline(o.now()),
-		Saved: t.saved, Ticket: run.ticket, NotAfter: o.now().Add(orderFreshness), Through: o.through(r),
-	})
+	e := o.newOrder(r, effect.OrderStart, t.id(), run.attempt)
+	e.Text, e.Deadline, e.Saved, e.Ticket = t.job().spec.Text, r.newDeadline(o.now()), t.saved, run.ticket
+	o.s.emit(e)
 	o.lookIfDue(r)
 }
 
+// newOrder returns an order about a task, without what goes with some kinds only.
+func (o *ownership) newOrder(r *runner, kind effect.OrderKind, task fleet.TaskID, attempt int64) effect.OrderTask {
+	return effect.OrderTask{
+		Epoch: o.epoch, Kind: kind, Runner: r.ID, Address: r.Address, Task: task, Attempt: attempt,
+		NotAfter: o.now().Add(orderFreshness), Through: o.through(r),
+	}
+}
+
 // stop ends a run. Its task waits again once the runner lists the end, or does
 // not list the run any more.
 func (o *ownership) stop(run *run) {
@@ -183,10 +189,7 @@
 		return
 	}
 	run.underway, run.retryAt = true, time.Time{}
-	o.s.emit(effect.OrderTask{
-		Epoch: o.epoch, Kind: effect.OrderStop, Runner: r.ID, Address: r.Address, Task: run.task.id(), Attempt: run.attempt,
-		NotAfter: o.now().Add(orderFreshness), Through: o.through(r),
-	})
+	o.s.emit(o.newOrder(r, effect.OrderStop, run.task.id(), run.attempt))
 }
 
 // stopRuns stops all runs of a job that has ended.
@@ -203,10 +206,12 @@
 // tickRuns repeats the orders that had no answer.
 func (o *ownership) tickRuns() {
 	for _, r := range o.order {
-		for _, run := range r.sortedRuns() {
-			if run.underway || r.look.lost || !r.touched || run.retryAt.IsZero() || o.now().Before(run.retryAt) {
-				continue
-			}
+		if r.look.lost || !r.touched {
+			continue
+		}
+		for _, run := range r.runsWhere(func(run *run) bool {
+			return !run.underway && !run.retryAt.IsZero() && !o.now().Before(run.retryAt)
+		}) {
 			o.repeat(run)
 		}
 	}
--- a/reduce/jobs/pace.go
+++ b/reduce/jobs/pace.go
@@ -55,16 +55,15 @@
 			worst = max(worst, float64(run.load)/float64(spec.Target.Milliseconds()))
 		}
 	}
-	for _, run := range r.sortedRuns() {
-		if run.task.step.spec.Filling && run.phase == runRunning {
-			o.adjust(run, worst)
-		}
+	for _, run := range r.runsWhere((*run).fills) {
+		o.adjust(run, worst)
 	}
 }
 
 func (o *ownership) paceAlone(r *runner) {
-	for _, run := range r.sortedRuns() {
-		if run.task.step.spec.Filling && run.phase == runRunning && run.pace.wanted != paceFull {
+	paced := func(run *run) bool { return run.pace.wanted != paceFull || run.pace.wanted != run.pace.told }
+	for _, run := range r.runsWhere(paced) {
+		if run.fills() && run.pace.wanted != paceFull {
 			o.setPace(run, paceFull, 0)
 		} else if run.pace.wanted != run.pace.told {
 			o.sendPace(run)
@@ -72,6 +71,9 @@
 	}
 }
 
+// fills reports whether a run is of a filling task and under way.
+func (run *run) fills() bool { return run.task.step.spec.Filling && run.phase == runRunning }
+
 // adjust sets the pace of a filling task; worst is the largest share of its
 // target that a serving task's tail takes.
 func (o *ownership) adjust(run *run, worst float64) {
@@ -107,10 +109,9 @@
 		return
 	}
 	run.pace.underway = true
-	o.s.emit(effect.OrderTask{
-		Epoch: o.epoch, Kind: effect.OrderPace, Runner: run.runner.ID, Address: run.runner.Address, Task: run.task.id(),
-		Attempt: run.attempt, Percent: run.pace.wanted, NotAfter: o.now().Add(orderFreshness),
-	})
+	e := o.newOrder(run.runner, effect.OrderPace, run.task.id(), run.attempt)
+	e.Percent = run.pace.wanted
+	o.s.emit(e)
 	// told is set at once and taken back if the order fails, so that a change of
 	// mind meanwhile is told too.
 	run.pace.told = run.pace.wanted
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -176,7 +176,7 @@
 	if len(r.runs) > 0 {
 		o.s.decide(effect.Decision{Name: "runs lost", Warning: true, Runner: r.ID, Reason: reason, Count: len(r.runs), Epoch: o.epoch})
 	}
-	for _, run := range r.sortedRuns() {
+	for _, run := range r.runsWhere(func(*run) bool { return true }) {
 		o.lose(run, reason)
 	}
 	r.touched, r.deadline = false, 0
@@ -199,17 +199,20 @@
 	r.leasedUntil = o.now().Add(slowest(leaseLength))
 	r.clock = event.Clock{}
 	r.health = health{}
-	for _, run := range r.sortedRuns() {
+	for _, run := range r.runs {
 		if run.phase == runStarting {
 			run.settled, run.retryAt = time.Time{}, o.now()
 		}
 	}
 }
 
-func (r *runner) sortedRuns() []*run {
-	out := make([]*run, 0, len(r.runs))
+// runsWhere returns the runs that match, in a fixed order.
+func (r *runner) runsWhere(match func(*run) bool) []*run {
+	var out []*run
 	for _, run := range r.runs {
-		out = append(out, run)
+		if match(run) {
+			out = append(out, run)
+		}
 	}
 	slices.SortFunc(out, func(a, b *run) int { return a.compare(b) })
 	return out
--- a/reduce/jobs/serve.go
+++ b/reduce/jobs/serve.go
@@ -4,7 +4,6 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/ledger"
-	"github.com/banyanrail/banyanrail/reduce/tenure"
 )
 
 // maxActive bounds the jobs that have not ended, for memory: with texts of 4 KB
@@ -74,7 +73,7 @@
 // answerNoJob tells that there is no such job, unless another entry may own the
 // jobs by now and know better.
 func (o *ownership) answerNoJob(c *call) {
-	if o.now().Sub(o.s.tenure.ProvenAt()) < tenure.SuspectedSilence {
+	if o.s.tenure.Sole(o.now()) {
 		o.s.answer(c, effect.Answered{Kind: effect.AnswerNoJob})
 		return
 	}
--- a/reduce/jobs/speed.go
+++ b/reduce/jobs/speed.go
@@ -73,7 +73,7 @@
 // whole runner is slow, those that a fresh run elsewhere would overtake.
 func (o *ownership) restartStragglers(r *runner) {
 	slow := o.isSlow(r)
-	for _, run := range r.sortedRuns() {
+	for _, run := range r.runsWhere((*run).mayRestart) {
 		reason := o.straggling(run, slow)
 		if reason == "" || !o.roomElsewhere(run) {
 			continue
@@ -98,12 +98,9 @@
 	return run.phase == runRunning && !spec.Lasting && !spec.Gang && !spec.Filling && run.task.restarts < maxRestarts
 }
 
-// straggling returns why a run should be restarted elsewhere; empty if it should
-// not.
+// straggling returns why a run of a kind that is restarted should be; empty if
+// it should not.
 func (o *ownership) straggling(run *run, slow bool) effect.Reason {
-	if !run.mayRestart() {
-		return ""
-	}
 	if run.seenAt.Sub(run.progressAt) > stallLimit {
 		return reasonStalled
 	}
--- a/reduce/jobs/waves.go
+++ b/reduce/jobs/waves.go
@@ -214,7 +214,7 @@
 		done = append(done, id)
 	}
 	slices.Sort(done)
-	o.outbox.others = append(o.outbox.others, ledger.Record{Wave: &ledger.Wave{ID: w.ID, Done: done}})
+	o.outbox.waves = append(o.outbox.waves, ledger.Record{Wave: &ledger.Wave{ID: w.ID, Done: done}})
 }
 
 // tellWave tells operators how far a wave is.
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -301,6 +301,21 @@
 
 func (e *fakeEntry) kill() { e.up = false; e.life++ }
 
+// rebootAll restarts all entries at once.
+func (w *world) rebootAll() {
+	for _, e := range w.entries {
+		e.kill()
+		e.boot()
+	}
+}
+
+// configureAll tells all entries the configuration.
+func (w *world) configureAll() {
+	for _, e := range w.entries {
+		e.post(event.QueuesRead{Queues: w.queues})
+	}
+}
+
 func (e *fakeEntry) freeze(d time.Duration) {
 	e.frozen = true
 	life := e.life
--- a/reduce/tenure/tenure.go
+++ b/reduce/tenure/tenure.go
@@ -138,6 +138,10 @@
 	return s.Mine() && now.Sub(s.provenAt) < Validity
 }
 
+// Sole reports whether nobody else can have claimed the tenure since it was last
+// proven.
+func (s *State) Sole(now time.Time) bool { return now.Sub(s.provenAt) < SuspectedSilence }
+
 // ProvenAt returns when the newest proven record of this entry was sent.
 func (s *State) ProvenAt() time.Time { return s.provenAt }
 
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return
 	}
-	writeJSON(w, http.StatusOK, runs)
+	WriteJSON(w, http.StatusOK, runs)
 }
 
 func (r *Runner) serveHealth(w http.ResponseWriter, req *http.Request) {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -110,7 +110,7 @@
 	case res.down:
 		http.Error(w, "log is down", http.StatusTooManyRequests)
 	default:
-		writeJSON(w, http.StatusCreated, infra.Appended{Offset: res.offset})
+		WriteJSON(w, http.StatusCreated, infra.Appended{Offset: res.offset})
 	}
 }
 
@@ -132,7 +132,7 @@
 		http.Error(w, "log is down", http.StatusServiceUnavailable)
 		return
 	}
-	writeJSON(w, http.StatusOK, res.page)
+	WriteJSON(w, http.StatusOK, res.page)
 }
 
 func (p *Platform) handleList(w http.ResponseWriter, r *http.Request) {
@@ -168,7 +168,8 @@
 // SetListed changes the instance list.
 func (p *Platform) SetListed(rows []infra.Listed) error { return p.loop.Post(listSet{rows: rows}) }
 
-func writeJSON(w http.ResponseWriter, status int, body any) {
+// WriteJSON answers with a body in JSON.
+func WriteJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body) // the client has gone if this fails
