--- a/reduce/jobs/runner_test.go
+++ b/reduce/jobs/runner_test.go
@@ -360,7 +360,7 @@
 func (e *fakeEntry) answerPoll(r *fakeRunner, out event.RunnerPolled, sent, until time.Time, via *fakeEntry, post func(time.Duration, event.Body)) {
 	w := e.w
 	if len(r.ends) == 0 && w.now.Before(until) && r.up {
-		w.after(5*time.Millisecond, func() { e.answerPoll(r, out, sent, until, via, post) })
+		w.after(w.endDelay, func() { e.answerPoll(r, out, sent, until, via, post) })
 		return
 	}
 	if via.reachable(out.Runner) != r {
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -72,6 +72,14 @@
 	maxDirectRunners int
 	dispatchedCalls  int
 	lastLink         uint64
+	// reduceTime is the processor time that all entries spent in Reduce.
+	reduceTime time.Duration
+	// reportInterval is the time between two reports of each runner. The entries
+	// read single reports then; zero means that they read the whole list.
+	reportInterval time.Duration
+	// endDelay is how often a runner that holds back the answer to a long poll looks
+	// for ended runs.
+	endDelay time.Duration
 }
 
 // taskHistory is the number of runs of a task that are running, and the outcomes
@@ -117,7 +125,7 @@
 		tasks: make(map[fleet.TaskID]*taskHistory), accepted: make(map[fleet.JobID]*fleet.JobSpec),
 		maybeStored: make(map[fleet.JobID]bool), submitted: make(map[fleet.JobID]*fleet.JobSpec),
 		cancelledAt: make(map[fleet.JobID]time.Time), doneOnce: make(map[fleet.TaskID]bool), alwaysFails: make(map[fleet.JobID]bool),
-		cancelling: make(map[fleet.JobID]bool),
+		cancelling: make(map[fleet.JobID]bool), endDelay: 5 * time.Millisecond,
 		waveDone:   make(map[int64]bool),
 		queues: fleet.NewQueues(1, []*fleet.Queue{{
 			Name: queueName, Host: "host", Prefix: "/plans/", Service: "desk", MaxAttempts: 2, Stretch: 2, Slack: time.Second,
@@ -356,7 +364,9 @@
 		if e.incarnation != incarnation || !e.up {
 			return
 		}
+		began := time.Now()
 		out := slices.Clone(reduce.Reduce(e.state, event.Event{Now: e.w.now, Body: b}))
+		e.w.reduceTime += time.Since(began)
 		for _, o := range out {
 			if e.w.onEffect == nil || e.w.onEffect(e, o) {
 				e.perform(o)
@@ -533,11 +543,33 @@
 		if !e.storeUnreachable() {
 			e.post(event.RunnersRead{Epoch: epoch, Full: true, Runners: e.w.listed()})
 		}
+		if e.w.reportInterval > 0 {
+			e.readReports(epoch, nil)
+			return
+		}
 		e.w.after(200*time.Millisecond, poll)
 	}
 	e.w.after(e.w.latency(), poll)
 }
 
+// readReports reads the reports of all runners one after the other, again and again.
+func (e *fakeEntry) readReports(epoch int64, listed []fleet.Runner) {
+	if len(listed) == 0 {
+		listed = e.w.listed()
+	}
+	if len(listed) == 0 {
+		return
+	}
+	incarnation := e.incarnation
+	e.w.after(e.w.reportInterval/time.Duration(len(e.w.runners)), func() {
+		if e.incarnation != incarnation || e.followedEpoch != epoch {
+			return
+		}
+		e.post(event.RunnersRead{Epoch: epoch, Runners: listed[:1]})
+		e.readReports(epoch, listed[1:])
+	})
+}
+
 func (e *fakeEntry) forward(o effect.Forward) {
 	target := -1
 	for i, other := range e.w.entries {
