Timers for runners, retries and repeats instead of walks; counts of runs; rarer placing passes

Cause: each 25 ms tick walked all runners, their runs and all active jobs and placed every pool again; each poll walked all active jobs for unresolved runs; health and scores walked a runner's runs. Now timers, counts kept with the runs, and lists of what is concerned; the tasks of one step fill a runner without comparing all others again; a queue of five to fifty steps is placed at most every 5 ms.

--- a/reduce/jobs/demand.go
+++ b/reduce/jobs/demand.go
@@ -91,13 +91,8 @@
 	}
 	var running, longRunning demand
 	for _, r := range o.pool(p.name).runners {
-		for _, run := range r.runs {
-			if run.task.step.spec.LongRunning {
-				longRunning.add(run.reserved, 1)
-			} else {
-				running.add(run.reserved, 1)
-			}
-		}
+		longRunning.add(r.counts.longRunningUse, 1)
+		running.add(r.used.Minus(r.counts.longRunningUse), 1)
 	}
 	a := o.arrivalsOf(p.name)
 	a.decay(o.now())
--- a/reduce/jobs/health.go
+++ b/reduce/jobs/health.go
@@ -48,26 +48,14 @@
 	case o.now().Before(h.quarantinedUntil):
 		return false
 	case h.failures >= probeAfterFailures:
-		return r.unprovenRuns() == 0
+		return r.counts.unproven == 0
 	case !h.proven:
-		return r.unprovenRuns() < maxUnprovenRuns
+		return r.counts.unproven < maxUnprovenRuns
 	default:
 		return true
 	}
 }
 
-// unprovenRuns returns the number of runs that may still turn out to fail. Those
-// of long-running tasks at work do not count.
-func (r *runner) unprovenRuns() int {
-	n := 0
-	for _, run := range r.runs {
-		if !run.available {
-			n++
-		}
-	}
-	return n
-}
-
 // updateHealth updates a runner's health with the outcome of a run.
 func (o *ownership) updateHealth(r *runner, run *run, outcome fleet.RunOutcome) {
 	switch outcome {
--- a/reduce/jobs/instanceorders.go
+++ b/reduce/jobs/instanceorders.go
@@ -27,6 +27,7 @@
 	i.stoppedIncarnation = 0
 	if r := o.runnerOf(i); r != nil {
 		r.vacating = true
+		o.touch(r)
 		i.stoppedIncarnation, i.Runner = r.Incarnation, r.ID
 	}
 	i.pending = &effect.OrderInstance{Epoch: o.epoch, Kind: kind, Instance: i.ID, Pool: pool, Wave: wave}
@@ -133,6 +134,7 @@
 		o.onRunnerGone(r, reasonInstanceOrdered)
 		r.listed, r.unlistedAt, r.Address = false, o.now(), ""
 		r.vacating = false
+		o.touch(r)
 	}
 	if order.Kind == effect.InstanceMove {
 		i.State, i.Pool = fleet.InstanceMoving, order.Pool
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -1,11 +1,13 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/ledger"
+	"github.com/banyanrail/banyanrail/reduce/timer"
 )
 
 // job is the owner's state of a job.
@@ -29,10 +31,15 @@
 	// occurrencesBegun and occurrencesEnded are the numbers of occurrences that
 	// have begun and ended.
 	occurrencesBegun, occurrencesEnded int
+	// nextOccurrence is set for when the next occurrence is due to begin.
+	nextOccurrence timer.Timer
+	// activeIndex is the job's place in ownership.active.
+	activeIndex int
 	// started is set once a run of a task was planned.
 	started        bool
 	requiresAdvice bool
-	// hasUnresolved is set while a task has unresolved runs.
+	// hasUnresolved is set while a task has unresolved runs; the job is then in
+	// ownership.unresolved.
 	hasUnresolved bool
 
 	// definitionStored and definitionDropped are set once the definition, or its
@@ -274,17 +281,49 @@
 	o.whenStored(deferred{stopRuns: j})
 	o.ended = append(o.ended, j)
 	o.removeActive(j)
+	o.timers.Clear(&j.nextOccurrence)
 	o.s.count("jobs_ended", effect.Reason(state))
 	o.s.logDecision(effect.Decision{
 		Name: "job ended", Job: j.id, Queue: j.queue, Outcome: string(state), Epoch: o.epoch, Age: o.now().Sub(j.accepted),
 	})
 }
 
+// minCompaction is the number of removed jobs from which the list of active jobs is
+// compacted, once they are half of it.
+const minCompaction = 64
+
+// addActive adds a job to the active ones.
+func (o *ownership) addActive(j *job) {
+	j.activeIndex = len(o.active)
+	o.active = append(o.active, j)
+	o.activeCount++
+}
+
+// removeActive removes a job from the active ones. Its place in the list stays
+// empty until many places are.
 func (o *ownership) removeActive(j *job) {
-	for i, a := range o.active {
-		if a == j {
-			o.active = append(o.active[:i], o.active[i+1:]...)
-			return
+	if j.activeIndex >= len(o.active) || o.active[j.activeIndex] != j {
+		return
+	}
+	o.active[j.activeIndex] = nil
+	o.activeCount--
+	if len(o.active) > 2*o.activeCount+minCompaction {
+		o.active = slices.DeleteFunc(o.active, func(j *job) bool { return j == nil })
+		o.renumberActive()
+	}
+}
+
+func (o *ownership) renumberActive() {
+	for i, j := range o.active {
+		j.activeIndex = i
+	}
+}
+
+// eachActive calls do for each job that has not ended, in order of acceptance.
+func (o *ownership) eachActive(do func(*job)) {
+	for _, j := range o.active {
+		if j != nil {
+			do(j)
 		}
 	}
 }
@@ -360,7 +399,7 @@
 		o.ended = append(o.ended, j)
 		return
 	}
-	o.active = append(o.active, j)
+	o.addActive(j)
 	if s.Progress != nil {
 		j.hasProgress = true
 		for i := range s.Progress.Occurrences {
@@ -370,6 +409,7 @@
 	if len(j.occurrences) == 0 {
 		o.beginScheduled(j)
 	}
+	o.scheduleNext(j)
 }
 
 func (o *ownership) restoreEnded(s *ledger.StoredJob) {
@@ -411,8 +451,7 @@
 func (o *ownership) restoreTask(t *task, r *ledger.Task) {
 	t.attempt, t.failures, t.checkpoint = r.Attempt, r.Failures, r.Checkpoint
 	for _, u := range r.Unresolved {
-		t.unresolved = append(t.unresolved, unresolvedRun{attempt: u.Attempt, runner: u.Runner, since: o.now()})
-		t.job().hasUnresolved = true
+		o.addUnresolved(t, unresolvedRun{attempt: u.Attempt, runner: u.Runner, since: o.now()})
 	}
 	t.job().started = true
 	if r.Runner == "" {
@@ -434,6 +473,7 @@
 	for j.occurrencesBegun < max(1, j.spec.Repeats) && !o.now().Before(j.scheduledAt(j.occurrencesBegun)) {
 		o.enqueueReady(o.beginOccurrence(j))
 	}
+	o.scheduleNext(j)
 }
 
 // scheduledAt returns when occurrence n is due to begin.
@@ -444,11 +484,9 @@
 	return j.spec.FirstAt.Add(time.Duration(n) * j.spec.Interval)
 }
 
-// tickSchedule begins the occurrences of all repeated jobs that have become due.
-func (o *ownership) tickSchedule() {
-	for _, j := range o.active {
-		if j.spec.Repeats > 0 && j.occurrencesBegun < j.spec.Repeats {
-			o.beginScheduled(j)
-		}
+// scheduleNext sets the job's timer for its next occurrence, if one is left.
+func (o *ownership) scheduleNext(j *job) {
+	if j.occurrencesBegun < j.spec.Repeats {
+		o.timers.Set(&j.nextOccurrence, j.scheduledAt(j.occurrencesBegun), j)
 	}
 }
--- a/reduce/jobs/ownercalls.go
+++ b/reduce/jobs/ownercalls.go
@@ -42,7 +42,7 @@
 		// An earlier owner may have stored the job, so a refusal could be wrong.
 	case o.storeDown():
 		refused.Reason = reasonStoreDown
-	case len(o.active) >= maxActive:
+	case o.activeCount >= maxActive:
 		refused.Reason = reasonOverloaded
 	}
 	if refused.Reason != "" {
@@ -51,7 +51,7 @@
 	}
 	j := o.newJob(c.Job, &ledger.Definition{Queue: c.Queue, Accepted: c.arrived, Spec: c.Spec})
 	o.jobs[j.id] = j
-	o.active = append(o.active, j)
+	o.addActive(j)
 	o.markDirty(j)
 	o.observeArrival(j)
 	o.beginScheduled(j)
@@ -100,10 +100,10 @@
 // waiting returns the number of jobs of a queue that have started no task.
 func (o *ownership) waiting(queue fleet.QueueName) int {
 	n := 0
-	for _, j := range o.active {
+	o.eachActive(func(j *job) {
 		if j.queue == queue && !j.started {
 			n++
 		}
-	}
+	})
 	return n
 }
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -7,6 +7,7 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/timer"
 )
 
 type phase uint8
@@ -35,17 +36,27 @@
 	retryAt time.Time
 
 	jobs map[fleet.JobID]*job
-	// active holds the jobs that have not ended, in order of acceptance, and ended
-	// those whose final state is still kept.
-	active  []*job
-	ended   []*job
-	runners map[fleet.RunnerID]*runner
+	// active holds the jobs that have not ended, in order of acceptance, with nil in
+	// the places of those that ended since; activeCount is their number. ended holds
+	// the jobs whose final state is still kept.
+	active      []*job
+	activeCount int
+	ended       []*job
+	// unresolved holds the jobs that have unresolved runs.
+	unresolved []*job
+	runners    map[fleet.RunnerID]*runner
 	// sortedRunners lists the runners by id, so that decisions do not depend on the
 	// iteration order of a map. byInstance lists them for each instance, also by id.
 	sortedRunners []*runner
 	byInstance    map[fleet.InstanceID][]*runner
 	pools         map[fleet.ServiceName]*pool
-	outbox        outbox
+	// sortedPools lists the pools by name.
+	sortedPools []*pool
+	// timers holds the deadlines of runners, of orders to be retried and of repeated
+	// jobs. touchedRunners lists the runners whose timers have to be set anew.
+	timers         timer.Heap
+	touchedRunners []*runner
+	outbox         outbox
 	// runnersListed is set once the complete list of runners was read, and
 	// runnersUnreadable while the list cannot be read.
 	runnersListed     bool
@@ -105,11 +116,12 @@
 		o.restoreJob(&b.Jobs[i])
 	}
 	slices.SortStableFunc(o.active, func(a, b *job) int { return a.accepted.Compare(b.accepted) })
+	o.renumberActive()
 	o.restoreWaves(b.Waves)
 	o.instances.restoreFormerlyOrdered(b.RecentlyOrdered)
 	o.phase = phaseActive
 	o.s.logDecision(effect.Decision{
-		Name: "ledger loaded", Entry: o.s.cfg.Entry, Epoch: o.epoch, Count: len(o.active), Age: o.now().Sub(o.startedAt),
+		Name: "ledger loaded", Entry: o.s.cfg.Entry, Epoch: o.epoch, Count: o.activeCount, Age: o.now().Sub(o.startedAt),
 	})
 }
 
@@ -126,22 +138,31 @@
 	if o.phase != phaseActive {
 		return
 	}
-	for _, r := range slices.Clone(o.sortedRunners) {
-		o.tickRunner(r)
-	}
-	o.retryOrders()
-	o.tickSchedule()
+	o.fireTimers()
 	o.expireJobs()
 	o.tickInstances()
-	for _, p := range o.pools {
-		p.dirty = true
+}
+
+// fireTimers carries out what is due at runners, orders and repeated jobs.
+func (o *ownership) fireTimers() {
+	for {
+		owner, ok := o.timers.Pop(o.now())
+		if !ok {
+			return
+		}
+		switch owner := owner.(type) {
+		case *runner:
+			o.tickRunner(owner)
+		case *run:
+			o.retryOrder(owner)
+		case *job:
+			o.beginScheduled(owner)
+		}
 	}
 }
 
 func (o *ownership) onQueuesChanged() {
-	for _, j := range o.active {
-		o.applyQueue(j)
-	}
+	o.eachActive(o.applyQueue)
 }
 
 // hasUnstored reports whether changes of jobs have not been stored yet.
--- a/reduce/jobs/pace.go
+++ b/reduce/jobs/pace.go
@@ -43,12 +43,15 @@
 
 // mixesBestEffort reports whether best-effort tasks run beside serving tasks.
 func (r *runner) mixesBestEffort() bool {
-	return r.count(isBestEffort) > 0 && r.count(isServing) > 0
+	return r.counts.bestEffort > 0 && r.counts.serving > 0
 }
 
 // adjustPaces sets the pace of the best-effort tasks on a runner by the tail
 // latencies of the serving tasks beside them.
 func (o *ownership) adjustPaces(r *runner) {
+	if r.counts.bestEffort == 0 {
+		return
+	}
 	if !r.mixesBestEffort() {
 		o.restoreFullPace(r)
 		return
--- a/reduce/jobs/placement.go
+++ b/reduce/jobs/placement.go
@@ -27,13 +27,19 @@
 }
 
 const (
-	// longQueueSteps is the number of waiting steps above which the tasks of a pool
-	// are placed at most once in minPlaceInterval. Ranking costs about a
-	// microsecond a step.
-	longQueueSteps = 50
-	// minPlaceInterval is short compared to the run time of a task, and long
-	// compared to the time between two ends of runs in a busy pool.
-	minPlaceInterval = 20 * time.Millisecond
+	// shortQueueSteps and longQueueSteps are the numbers of waiting steps above which
+	// the tasks of a pool are placed at most once in placeInterval and in
+	// longPlaceInterval. A pass takes about a microsecond for each step and runner.
+	shortQueueSteps = 4
+	longQueueSteps  = 50
+	// placeInterval and longPlaceInterval are short compared to the run time of a
+	// task, and long compared to the time between two ends of runs in a busy pool.
+	placeInterval     = 5 * time.Millisecond
+	longPlaceInterval = 20 * time.Millisecond
+	// recheckInterval is the time after which the tasks of a pool are placed again
+	// although nothing has changed: a quarantine or a wait for an outcome may have
+	// ended.
+	recheckInterval = 100 * time.Millisecond
 )
 
 // place plans runs of waiting tasks on runners with room for them.
@@ -41,25 +47,27 @@
 	if o.phase != phaseActive || !o.s.tenure.Valid(o.now()) || o.storeDown() {
 		return
 	}
-	for _, name := range o.poolNames() {
-		p := o.pools[name]
-		if !p.dirty || (len(p.queue) > longQueueSteps && o.now().Sub(p.placedAt) < minPlaceInterval) {
-			continue
-		}
-		p.dirty, p.placedAt = false, o.now()
-		if len(p.queue) > 0 {
+	for _, p := range o.sortedPools {
+		if len(p.queue) > 0 && p.placingDue(o.now()) {
+			p.dirty, p.placedAt = false, o.now()
 			o.placePool(p)
 		}
 	}
 }
 
-func (o *ownership) poolNames() []fleet.ServiceName {
-	names := make([]fleet.ServiceName, 0, len(o.pools))
-	for name := range o.pools {
-		names = append(names, name)
+// placingDue reports whether the tasks of a pool are to be placed now.
+func (p *pool) placingDue(now time.Time) bool {
+	since := now.Sub(p.placedAt)
+	switch {
+	case !p.dirty:
+		return since >= recheckInterval
+	case len(p.queue) > longQueueSteps:
+		return since >= longPlaceInterval
+	case len(p.queue) > shortQueueSteps:
+		return since >= placeInterval
+	default:
+		return true
 	}
-	slices.Sort(names)
-	return names
 }
 
 func (o *ownership) placePool(p *pool) {
@@ -76,17 +84,19 @@
 			tried.add(k.step)
 		}
 		if !k.step.hasWaiting() {
-			p.remove(k.step)
 			k.step.queued = false
 		}
 	}
+	p.queue = slices.DeleteFunc(p.queue, func(st *step) bool { return !st.queued })
 }
 
-// usableRunners returns the usable runners of a pool.
+// usableRunners returns the usable runners of a pool that have room for the task of
+// some waiting step.
 func (o *ownership) usableRunners(p *pool) []*runner {
+	least := leastNeeds(p.queue)
 	var out []*runner
 	for _, r := range p.runners {
-		if o.usable(r) {
+		if r.free().Fits(least) && o.usable(r) {
 			out = append(out, r)
 		}
 	}
@@ -157,19 +167,34 @@
 		o.placeGang(st, usable)
 		return true
 	}
+	var last *runner
 	for _, t := range st.tasks {
 		if t.phase != taskWaiting || o.awaitsResolution(t) {
 			continue
 		}
-		r := o.chooseRunner(st, t, usable, nil)
+		r := last
+		if r == nil || t.avoidRunner != "" || !o.feasible(st, r, gangShare{}) {
+			r = o.chooseRunner(st, t, usable, nil)
+		}
 		if r == nil {
 			return false
 		}
 		o.planRun(t, r, t.attempt+1, st.advice.tickets[r.ID])
+		last = nil
+		if st.packs() && t.avoidRunner == "" {
+			last = r
+		}
 	}
 	return true
 }
 
+// packs reports whether the best runner for a task of the step stays the best for
+// the next one, as long as it has room: it has less room than before, and nothing
+// else counts.
+func (st *step) packs() bool {
+	return !st.spec.LongRunning && !st.spec.BestEffort && st.spec.LatencyTarget == 0
+}
+
 // chooseRunner returns the best runner for a task, or nil. extra holds what the
 // other tasks of a gang that is being placed will use.
 func (o *ownership) chooseRunner(st *step, t *task, usable []*runner, extra map[*runner]gangShare) *runner {
@@ -246,10 +271,10 @@
 		score += o.longRunningScore(st, r)
 	}
 	if st.spec.BestEffort {
-		score += int64(r.count(isServing)) * interferenceScore
+		score += int64(r.counts.serving) * interferenceScore
 	}
 	if st.spec.LatencyTarget > 0 {
-		score += int64(r.count(isBestEffort)) * interferenceScore
+		score += int64(r.counts.bestEffort) * interferenceScore
 	}
 	return score
 }
@@ -265,22 +290,7 @@
 	if own >= maxStepTasksPerRunner {
 		return int64(own) * spreadScore
 	}
-	return int64(r.count(isLongRunning)) * packScore
-}
-
-func isLongRunning(s *fleet.Step) bool { return s.LongRunning }
-func isServing(s *fleet.Step) bool     { return s.LatencyTarget > 0 }
-func isBestEffort(s *fleet.Step) bool  { return s.BestEffort }
-
-// count returns the number of runs whose step has a property.
-func (r *runner) count(is func(*fleet.Step) bool) int {
-	n := 0
-	for _, run := range r.runs {
-		if is(run.task.step.spec) {
-			n++
-		}
-	}
-	return n
+	return int64(r.counts.longRunning) * packScore
 }
 
 // placeGang plans runs of all tasks of a gang, or of none. All runs have the same
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -52,6 +52,7 @@
 	}
 	o.lastPoll++
 	p.inFlight, p.number, p.sentAt, p.acknowledged = true, o.lastPoll, o.now(), 0
+	o.touch(r)
 	if r.storedEnd > r.acknowledgedEnd && !p.maybeRestarted {
 		p.acknowledged = r.storedEnd
 	}
@@ -96,6 +97,7 @@
 	}
 	sent := r.poll.sentAt
 	r.poll.inFlight = false
+	o.touch(r)
 	if b.Outcome != event.OrderDone {
 		r.poll.maybeRestarted = true
 		o.onPollFailed(r, b)
@@ -177,6 +179,7 @@
 		return // of an earlier incarnation
 	}
 	r.storedEnd = number
+	o.touch(r)
 	if r.storedEnd >= r.lastEnd {
 		r.poll.notBefore = time.Time{}
 		o.pollIfDue(r)
@@ -273,7 +276,6 @@
 // reconcileRuns compares the planned runs of a runner with those that it lists.
 // Runs that it confirmed before the poll was sent and does not list are lost.
 func (o *ownership) reconcileRuns(r *runner, rows []fleet.RunningTask, sent time.Time) {
-	present := make(map[fleet.TaskID]bool, len(rows))
 	for i := range rows {
 		row := &rows[i]
 		run, ok := r.runs[row.Task]
@@ -281,10 +283,10 @@
 			o.stopStrayRun(r, row)
 			continue
 		}
-		present[row.Task] = true
+		run.listedBy = r.poll.number
 		run.update(o, row)
 	}
-	for _, run := range r.runsWhere(func(run *run) bool { return !present[run.task.id()] && run.confirmedBefore(sent) }) {
+	for _, run := range r.runsWhere(func(run *run) bool { return run.listedBy != r.poll.number && run.confirmedBefore(sent) }) {
 		o.loseRun(run, reasonNotListed)
 	}
 }
--- a/reduce/jobs/run.go
+++ b/reduce/jobs/run.go
@@ -7,6 +7,7 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/timer"
 )
 
 const (
@@ -44,6 +45,7 @@
 	// when the order is retried; zero when no retry is needed.
 	orderInFlight bool
 	retryAt       time.Time
+	retry         timer.Timer
 	// mayStartLate is set once a start had no answer: the order may still be
 	// carried out.
 	mayStartLate bool
@@ -51,8 +53,10 @@
 	// answer to a later poll lists the run or its end.
 	confirmedAt time.Time
 
-	// listedAt is when the runner last listed the run.
+	// listedAt is when the runner last listed the run, and listedBy the number of
+	// the poll.
 	listedAt time.Time
+	listedBy uint64
 	percent  int
 	// progressAt is when percent last changed.
 	progressAt time.Time
@@ -102,18 +106,17 @@
 
 func (o *ownership) attachRun(run *run) {
 	run.task.phase, run.task.run = taskActive, run
-	run.runner.runs[run.task.id()] = run
-	run.runner.used = run.runner.used.Plus(run.reserved)
+	run.runner.addRun(run)
+	o.touch(run.runner)
 }
 
 // releaseRun frees the capacity that a run has reserved.
 func (o *ownership) releaseRun(run *run) {
-	id := run.task.id()
-	if run.runner.runs[id] != run {
+	if !run.runner.removeRun(run) {
 		return
 	}
-	delete(run.runner.runs, id)
-	run.runner.used = run.runner.used.Minus(run.reserved)
+	o.touch(run.runner)
+	o.timers.Clear(&run.retry)
 	if run.task.run == run {
 		run.task.run = nil
 	}
@@ -128,8 +131,7 @@
 	})
 	o.s.count("runs_lost", reason)
 	if reason == reasonLeaseExpired {
-		run.task.unresolved = append(run.task.unresolved, unresolvedRun{attempt: run.attempt, runner: run.runner.ID, since: o.now()})
-		run.task.job().hasUnresolved = true
+		o.addUnresolved(run.task, unresolvedRun{attempt: run.attempt, runner: run.runner.ID, since: o.now()})
 	}
 	o.requeue(run.task)
 }
@@ -156,11 +158,12 @@
 
 func (o *ownership) sendStart(run *run) {
 	if !o.s.tenure.Valid(o.now()) {
-		run.retryAt = o.now().Add(orderRetryDelay)
+		o.retryAfter(run, orderRetryDelay)
 		return
 	}
 	r, t := run.runner, run.task
-	run.phase, run.orderInFlight, run.retryAt = runStarting, true, time.Time{}
+	run.setPhase(runStarting)
+	run.orderInFlight, run.retryAt = true, time.Time{}
 	e := o.newOrder(r, effect.OrderStart, t.id(), run.attempt)
 	e.Text, e.LeaseDeadline, e.Checkpoint, e.Ticket = t.job().spec.Text, r.newLeaseDeadline(o.now()), t.checkpoint, run.ticket
 	o.s.emit(e)
@@ -187,7 +190,8 @@
 		return
 	default:
 	}
-	run.phase, run.confirmedAt = runStopping, time.Time{}
+	run.setPhase(runStopping)
+	run.confirmedAt = time.Time{}
 	run.orderInFlight, run.retryAt = false, time.Time{}
 	o.sendStop(run)
 }
@@ -212,21 +216,22 @@
 	}
 }
 
-// retryOrders retries the orders that had no answer.
-func (o *ownership) retryOrders() {
-	for _, r := range o.sortedRunners {
-		if r.poll.unreachable || !r.fenced {
-			continue
-		}
-		for _, run := range r.runsWhere(func(run *run) bool {
-			return !run.orderInFlight && !run.retryAt.IsZero() && !o.now().Before(run.retryAt)
-		}) {
-			o.retryOrder(run)
-		}
-	}
+// retryAfter retries the order about a run after a delay.
+func (o *ownership) retryAfter(run *run, delay time.Duration) {
+	run.retryAt = o.now().Add(delay)
+	o.timers.Set(&run.retry, run.retryAt, run)
 }
 
+// retryOrder retries the order about a run if that is due. While the runner does
+// not answer, or has not seen this tenure's fence, the retry is put off.
 func (o *ownership) retryOrder(run *run) {
+	switch {
+	case run.orderInFlight || run.retryAt.IsZero():
+		return
+	case run.runner.poll.unreachable || !run.runner.fenced:
+		o.timers.Set(&run.retry, o.now().Add(orderRetryDelay), run)
+		return
+	}
 	switch run.phase {
 	case runStarting, runIntent:
 		if run.runner.Draining || run.task.job().state.Final() {
@@ -278,12 +283,13 @@
 	}
 	switch b.Outcome {
 	case event.OrderDone:
-		run.phase, run.confirmedAt, run.progressAt = runRunning, o.now(), o.now()
+		run.setPhase(runRunning)
+		run.confirmedAt, run.progressAt = o.now(), o.now()
 	case event.OrderUnknown:
 		run.mayStartLate = true
-		run.retryAt = o.now().Add(orderRetryDelay)
+		o.retryAfter(run, orderRetryDelay)
 	case event.OrderStale, event.OrderLate:
-		run.retryAt = o.now()
+		o.retryAfter(run, 0)
 	case event.OrderSuperseded:
 		// The run has ended on the runner. The next poll lists its outcome.
 		run.confirmedAt = o.now()
@@ -329,7 +335,7 @@
 	case event.OrderOtherIncarnation:
 		o.onRunnerGone(run.runner, reasonReplaced)
 	default:
-		run.retryAt = o.now().Add(orderRetryDelay)
+		o.retryAfter(run, orderRetryDelay)
 	}
 }
 
@@ -348,7 +354,8 @@
 func (r *run) update(o *ownership, row *fleet.RunningTask) {
 	r.listedAt, r.incarnation = o.now(), r.runner.Incarnation
 	if r.phase == runStarting {
-		r.phase, r.orderInFlight, r.confirmedAt, r.progressAt = runRunning, false, o.now(), o.now()
+		r.setPhase(runRunning)
+		r.orderInFlight, r.confirmedAt, r.progressAt = false, o.now(), o.now()
 		r.retryAt = time.Time{}
 	}
 	if row.Checkpoint != "" {
@@ -363,7 +370,9 @@
 		if atWork && !r.available {
 			r.runner.health.recordSuccess()
 		}
-		r.available = atWork
+		if atWork != r.available {
+			r.setAvailable(atWork)
+		}
 	}
 }
 
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -8,6 +8,7 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/timer"
 )
 
 const (
@@ -39,7 +40,13 @@
 	// incarnation have expired. The clock of that incarnation is not known.
 	formerLeasesUntil time.Time
 	runs              map[fleet.TaskID]*run
-	used              fleet.Capacity
+	// used is the capacity that the runs reserve.
+	used   fleet.Capacity
+	counts runCounts
+	// timer is set for when something becomes due at the runner, and touched while
+	// it has to be set anew.
+	timer   timer.Timer
+	touched bool
 	// lastEnd is the number of the last ended run that was read, storedEnd of the
 	// last that is stored, and acknowledgedEnd of the last that was acknowledged
 	// to the runner.
@@ -84,6 +91,8 @@
 	if !ok {
 		p = &pool{name: name}
 		o.pools[name] = p
+		i, _ := slices.BinarySearchFunc(o.sortedPools, p, func(a, b *pool) int { return strings.Compare(string(a.name), string(b.name)) })
+		o.sortedPools = slices.Insert(o.sortedPools, i, p)
 	}
 	return p
 }
@@ -106,6 +115,7 @@
 		o.runnersListed = true
 		for _, r := range o.sortedRunners {
 			r.listed = false
+			o.touch(r)
 		}
 	}
 	for i := range b.Runners {
@@ -114,10 +124,13 @@
 	for _, id := range b.Removed {
 		if r, ok := o.runners[id]; ok && r.listed {
 			r.listed, r.unlistedAt = false, o.now()
+			o.touch(r)
 			o.s.logDecision(effect.Decision{Name: "runner left the list", Runner: id, Epoch: o.epoch, Count: len(r.runs)})
 		}
 	}
-	o.dropGoneRunners()
+	if b.Full || len(b.Removed) > 0 {
+		o.dropGoneRunners()
+	}
 }
 
 // dropGoneRunners drops the runners that are not listed, have no address and run
@@ -134,6 +147,7 @@
 	delete(o.runners, r.ID)
 	o.sortedRunners = deleteRunner(o.sortedRunners, r)
 	o.unindexRunner(r)
+	o.timers.Clear(&r.timer)
 }
 
 func (o *ownership) onRunnerListed(f *fleet.Runner) {
@@ -145,8 +159,10 @@
 		o.onRunnerRestarted(r)
 	}
 	wasDraining, wasListed := r.Draining, r.listed
+	changed := !wasListed || r.Draining != f.Draining || r.Capacity != f.Capacity || r.Service != f.Service
 	o.setReport(r, f)
 	r.listed = true
+	o.touch(r)
 	if f.Draining && !wasDraining {
 		r.drainingSince = o.now()
 		o.s.logDecision(effect.Decision{Name: "runner drains", Runner: r.ID, Epoch: o.epoch, Count: len(r.runs), Age: f.Remaining})
@@ -154,7 +170,9 @@
 	if !wasListed {
 		o.s.logDecision(effect.Decision{Name: "runner listed", Runner: r.ID, Epoch: o.epoch, Count: len(r.runs)})
 	}
-	o.pool(r.Service).dirty = true
+	if changed {
+		o.pool(r.Service).dirty = true
+	}
 	o.pollIfDue(r)
 }
 
@@ -228,9 +246,9 @@
 	for _, run := range r.runsWhere(func(*run) bool { return true }) {
 		o.loseRun(run, reason)
 	}
+	o.touch(r)
 	r.fenced, r.leaseDeadline = false, 0
 	r.clock = event.Clock{}
-	r.used = fleet.Capacity{}
 	if reason == reasonLeaseExpired {
 		return // the same incarnation may answer again and list its ended runs
 	}
@@ -249,10 +267,10 @@
 	r.formerLeasesUntil = o.now().Add(onSlowestClock(leaseDuration))
 	r.clock = event.Clock{}
 	r.health = health{}
-	for _, run := range r.runs {
-		if run.phase == runStarting {
-			run.confirmedAt, run.retryAt = time.Time{}, o.now()
-		}
+	o.touch(r)
+	for _, run := range r.runsWhere(func(run *run) bool { return run.phase == runStarting }) {
+		run.confirmedAt = time.Time{}
+		o.retryAfter(run, 0)
 	}
 }
 
@@ -288,20 +306,31 @@
 }
 
 // leasesExpired reports whether every lease that any owner granted to the runner
-// has certainly expired, even if the runner has the slowest clock.
-func (o *ownership) leasesExpired(r *runner) bool {
-	if o.now().Before(r.formerLeasesUntil) {
-		return false
-	}
-	if !r.fenced || r.clock.Reading == 0 {
-		return o.now().After(o.formerLeasesUntil)
-	}
-	if r.leaseDeadline == 0 {
+// has certainly expired.
+func (o *ownership) leasesExpired(r *runner) bool { return o.now().After(o.leasesExpireAt(r)) }
+
+// leasesExpireAt returns when the last lease that any owner granted to the runner
+// expires if the runner has the slowest clock.
+func (o *ownership) leasesExpireAt(r *runner) time.Time {
+	var at time.Time
+	switch {
+	case !r.fenced || r.clock.Reading == 0:
+		at = o.formerLeasesUntil
+	case r.leaseDeadline == 0:
 		// This owner granted no lease, but earlier owners may have.
-		return o.now().Sub(r.clock.Received) > onSlowestClock(leaseDuration)
+		at = r.clock.Received.Add(onSlowestClock(leaseDuration))
+	default:
+		left := time.Duration(r.leaseDeadline-r.clock.Reading) * time.Millisecond
+		at = r.clock.Received.Add(onSlowestClock(left))
 	}
-	left := time.Duration(r.leaseDeadline-r.clock.Reading) * time.Millisecond
-	return o.now().Sub(r.clock.Received) > onSlowestClock(left)
+	return latest(at, r.formerLeasesUntil)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // onSlowestClock returns the longest time in which a runner's clock advances by d.
@@ -311,14 +340,7 @@
 
 // mayRunTasks reports whether a start was ordered on the runner whose run is not
 // known to have ended.
-func (r *runner) mayRunTasks() bool {
-	for _, run := range r.runs {
-		if run.phase != runIntent {
-			return true
-		}
-	}
-	return false
-}
+func (r *runner) mayRunTasks() bool { return r.counts.started > 0 }
 
 // usable reports whether tasks may be started on the runner.
 func (o *ownership) usable(r *runner) bool {
@@ -331,6 +353,7 @@
 // tickRunner gives up the runs on a runner whose leases have expired, and polls or
 // evacuates the runner if that is due.
 func (o *ownership) tickRunner(r *runner) {
+	o.touch(r)
 	if r.mayRunTasks() && o.leasesExpired(r) {
 		o.onRunnerGone(r, reasonLeaseExpired)
 		return
@@ -343,3 +366,53 @@
 		o.dropRunner(r)
 	}
 }
+
+// touch makes the runner's timer be set anew at the end of the event.
+func (o *ownership) touch(r *runner) {
+	if !r.touched {
+		r.touched = true
+		o.touchedRunners = append(o.touchedRunners, r)
+	}
+}
+
+// armTouched sets the timers of the runners that the event has changed.
+func (o *ownership) armTouched() {
+	for _, r := range o.touchedRunners {
+		r.touched = false
+		if o.runners[r.ID] == r {
+			o.armRunner(r)
+		}
+	}
+	o.touchedRunners = o.touchedRunners[:0]
+}
+
+// armRunner sets the runner's timer for when a poll, the end of its leases, an
+// evacuation or its removal is due. A timer that is set for an earlier time stays,
+// which saves moving it at each extension of the leases.
+func (o *ownership) armRunner(r *runner) {
+	soon := o.now().Add(ownerTick)
+	var next time.Time
+	due := func(at time.Time) {
+		if at = latest(at, soon); next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	if !r.poll.inFlight && r.needsPoll() {
+		due(r.poll.notBefore)
+	}
+	if r.mayRunTasks() {
+		due(o.leasesExpireAt(r))
+	}
+	if (r.Draining || r.vacating) && len(r.runs) > 0 {
+		due(soon)
+	}
+	if !r.listed && len(r.runs) == 0 {
+		due(r.unlistedAt.Add(leaseDuration))
+	}
+	switch {
+	case next.IsZero():
+		o.timers.Clear(&r.timer)
+	case !r.timer.IsSet() || next.Before(r.timer.At()):
+		o.timers.Set(&r.timer, next, r)
+	}
+}
--- a/reduce/jobs/shortage.go
+++ b/reduce/jobs/shortage.go
@@ -25,6 +25,22 @@
 	return out
 }
 
+// leastNeeds returns an amount of each resource that every task of the steps needs.
+func leastNeeds(queue []*step) fleet.Capacity {
+	var least fleet.Capacity
+	for i, st := range queue {
+		needs := st.spec.Reservation()
+		if i == 0 {
+			least = needs
+			continue
+		}
+		least.CPU = min(least.CPU, needs.CPU)
+		least.Memory = min(least.Memory, needs.Memory)
+		least.Accelerators = min(least.Accelerators, needs.Accelerators)
+	}
+	return least
+}
+
 // shortages holds the needs for which one pass over a queue found no runner.
 // Free capacity only shrinks during a pass, so no runner has room for the tasks of
 // steps that need as much or more.
--- a/reduce/jobs/state.go
+++ b/reduce/jobs/state.go
@@ -200,6 +200,7 @@
 	if s.ownership != nil {
 		s.ownership.place()
 		s.ownership.flush()
+		s.ownership.armTouched()
 	}
 	s.routePending()
 	s.offerDispatch()
--- a/reduce/jobs/stragglers.go
+++ b/reduce/jobs/stragglers.go
@@ -77,9 +77,10 @@
 // a run is quarantined.
 func (o *ownership) restartStragglers(r *runner) {
 	slow := o.isSlow(r)
-	for _, run := range r.runsWhere((*run).mayRestart) {
+	isStraggler := func(run *run) bool { return run.mayRestart() && o.restartReason(run, slow) != "" }
+	for _, run := range r.runsWhere(isStraggler) {
 		reason := o.restartReason(run, slow)
-		if reason == "" || !o.roomElsewhere(run) {
+		if !o.roomElsewhere(run) {
 			continue
 		}
 		o.s.logDecision(effect.Decision{
@@ -108,9 +109,12 @@
 	if run.listedAt.Sub(run.progressAt) > stallLimit {
 		return reasonStalled
 	}
+	if !slow {
+		return ""
+	}
 	length, known := run.projectedLength()
 	usual := o.pool(run.task.job().service).slowdown.usualRunTime(run.task.step.estimate)
-	if slow && known && length-run.listedAt.Sub(run.createdAt) > usual+minRestartGain {
+	if known && length-run.listedAt.Sub(run.createdAt) > usual+minRestartGain {
 		return reasonSlow
 	}
 	return ""
@@ -130,7 +134,7 @@
 // all take much longer than usual. Several steps are required because the estimate
 // of a single step may be wrong.
 func (o *ownership) isSlow(r *runner) bool {
-	steps := make(map[*step]bool)
+	steps := make(map[*step]bool, minSlowSteps)
 	for _, run := range r.runs {
 		length, known := run.projectedLength()
 		if !known || !run.mayRestart() {
--- a/reduce/jobs/unresolved.go
+++ b/reduce/jobs/unresolved.go
@@ -20,6 +20,15 @@
 	since   time.Time
 }
 
+// addUnresolved adds an unresolved run to its task.
+func (o *ownership) addUnresolved(t *task, u unresolvedRun) {
+	t.unresolved = append(t.unresolved, u)
+	if j := t.job(); !j.hasUnresolved {
+		j.hasUnresolved = true
+		o.unresolved = append(o.unresolved, j)
+	}
+}
+
 // awaitsResolution reports whether a task that has failed before would have no
 // attempt left if all its unresolved runs had failed too.
 func (o *ownership) awaitsResolution(t *task) bool {
@@ -70,8 +79,10 @@
 // runs: those that it did not list have ended with their lease. A poll that was
 // sent before a run was given up does not resolve the run.
 func (o *ownership) resolveRuns(r *runner, sent time.Time) {
-	for _, j := range o.active {
-		if !j.hasUnresolved {
+	unresolved := o.unresolved
+	o.unresolved = nil
+	for _, j := range unresolved {
+		if j.state.Final() {
 			continue
 		}
 		j.hasUnresolved = false
@@ -81,5 +92,8 @@
 				j.hasUnresolved = j.hasUnresolved || len(t.unresolved) > 0
 			}
 		}
+		if j.hasUnresolved {
+			o.unresolved = append(o.unresolved, j)
+		}
 	}
 }
--- a/reduce/jobs/waves.go
+++ b/reduce/jobs/waves.go
@@ -161,13 +161,7 @@
 	if r == nil {
 		return 0
 	}
-	load := r.used.CPU
-	for _, run := range r.runs {
-		if run.task.step.spec.LongRunning {
-			load += longRunningLoad
-		}
-	}
-	return load
+	return r.used.CPU + int64(r.counts.longRunning)*longRunningLoad
 }
 
 // longRunningLoad is the CPU time of a whole runner, in thousandths of a core.
@@ -216,6 +210,7 @@
 		}
 		w.vacating[i.ID] = true
 		r.vacating = true
+		o.touch(r)
 		o.s.logDecision(effect.Decision{
 			Name: "instance vacated", Task: string(i.ID), Runner: r.ID, Version: w.ID, Count: len(r.runs), Epoch: o.epoch,
 		})
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -126,7 +126,7 @@
 		maybeStored: make(map[fleet.JobID]bool), submitted: make(map[fleet.JobID]*fleet.JobSpec),
 		cancelledAt: make(map[fleet.JobID]time.Time), doneOnce: make(map[fleet.TaskID]bool), alwaysFails: make(map[fleet.JobID]bool),
 		cancelling: make(map[fleet.JobID]bool), endDelay: 5 * time.Millisecond,
-		waveDone:   make(map[int64]bool),
+		waveDone: make(map[int64]bool),
 		queues: fleet.NewQueues(1, []*fleet.Queue{{
 			Name: queueName, Host: "host", Prefix: "/plans/", Service: "desk", MaxAttempts: 2, Stretch: 2, Slack: time.Second,
 		}}, []*fleet.JobService{{Name: "desk", EnforcesCapacity: true}}),
