Acknowledge ends to a runner only if it has answered lately

Cause: while the store is away for longer than the owner may poll, no poll fails, so a restart of a runner meanwhile stays unknown; the first poll afterwards acknowledged ends of the earlier incarnation by number, and the new one dropped its own: a task ran again after its success. Ruled out: a poll in flight, a lost order.

--- a/reduce/jobs/faults_test.go
+++ b/reduce/jobs/faults_test.go
@@ -23,7 +23,8 @@
 //   - 616: leases were granted to a new incarnation before its restart was known.
 //   - 6865: a poll sent before a run was given up was taken as evidence of its end.
 //   - 900: runners with long-running tasks were never probed again.
-var regressions = []int64{35, 95, 168, 210, 217, 248, 278, 283, 396, 616, 900, 6865}
+//   - 5022: an acknowledgement reached a new incarnation after an outage of the store.
+var regressions = []int64{35, 95, 168, 210, 217, 248, 278, 283, 396, 616, 900, 5022, 6865}
 
 var (
 	seeds     = flag.Int("jobs.seeds", 25, "number of random histories")
@@ -223,3 +224,37 @@
 	}
 	must.Eq(t, counts[0], counts[1])
 }
+
+// TestNothingIsAcknowledgedToANewIncarnation restarts runners while the store is down
+// for longer than the owner may poll them, so that no poll fails. The next poll is sent
+// before the list shows the restart. It must not acknowledge ends of the earlier
+// incarnation, which the runner would take for its own (seed 5022).
+func TestNothingIsAcknowledgedToANewIncarnation(t *testing.T) {
+	for seed := range int64(30) {
+		w := newWorld(t, 700+seed, 1, 3)
+		w.run(2 * time.Second)
+		for n := range 14 {
+			w.submit(jobID(n), twoStepJob())
+		}
+		w.run(100 * time.Millisecond)
+		w.store.down = true
+		w.run(4900 * time.Millisecond)
+		for _, r := range w.listed() {
+			w.runners[r.ID].crash()
+			w.runners[r.ID].boot()
+		}
+		polled := make(map[fleet.RunnerID]bool)
+		w.onEffect = func(_ *fakeEntry, out effect.Effect) bool {
+			if p, ok := out.(effect.PollRunner); ok && !polled[p.Runner] {
+				polled[p.Runner] = true
+				must.Eq(t, 0, p.Acknowledged)
+			}
+			return true
+		}
+		w.run(time.Duration(w.rng.Intn(1000)) * time.Millisecond)
+		w.withholdRunners = true
+		w.store.down = false
+		w.run(3 * time.Second)
+		must.MapLen(t, 3, polled)
+	}
+}
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -20,6 +20,10 @@
 	// stored, and hence not be acknowledged: the runner would list them again
 	// immediately.
 	unstoredEndsPollDelay = time.Second
+	// maxAcknowledgeAge is the age of a runner's last answer above which nothing is
+	// acknowledged to it: it may have restarted since and number its ended runs from
+	// 1 again.
+	maxAcknowledgeAge = 1500 * time.Millisecond
 	// endsPerPoll is the largest number of ended runs in one answer.
 	endsPerPoll = 500
 	// maxOrderAge is the largest age of an order or poll when it is sent. It keeps
@@ -33,6 +37,8 @@
 	inFlight bool
 	number   uint64
 	sentAt   time.Time
+	// answeredAt is when the runner last answered a poll.
+	answeredAt time.Time
 	// notBefore is when the next poll may be sent.
 	notBefore time.Time
 	// unreachable is set while the runner does not answer.
@@ -53,7 +59,7 @@
 	o.lastPoll++
 	p.inFlight, p.number, p.sentAt, p.acknowledged = true, o.lastPoll, o.now(), 0
 	o.touch(r)
-	if r.storedEnd > r.acknowledgedEnd && !p.maybeRestarted {
+	if r.storedEnd > r.acknowledgedEnd && !p.maybeRestarted && o.now().Sub(p.answeredAt) <= maxAcknowledgeAge {
 		p.acknowledged = r.storedEnd
 	}
 	e := effect.PollRunner{
@@ -115,7 +121,7 @@
 	} else {
 		r.acknowledgedEnd = max(r.acknowledgedEnd, r.poll.acknowledged)
 	}
-	r.poll.maybeRestarted = false
+	r.poll.maybeRestarted, r.poll.answeredAt = false, o.now()
 	if b.Incarnation != 0 {
 		r.Incarnation = b.Incarnation
 	}
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -63,8 +63,9 @@
 	waves     []fleet.MaintenanceWave
 	// waveDone holds the published status of each wave.
 	waveDone map[int64]bool
-	// withholdQueues keeps the configuration from entries that start.
-	withholdQueues bool
+	// withholdQueues keeps the configuration from entries that start, and
+	// withholdRunners the changes of the list of runners from all entries.
+	withholdQueues, withholdRunners bool
 	// canDispatch and maxDirectRunners are settings of the entries.
 	// dispatchedCalls is the number of calls through dispatchers, and lastLink the
 	// number of the last offer.
@@ -540,7 +541,7 @@
 		if e.incarnation != incarnation || e.followedEpoch != epoch {
 			return
 		}
-		if !e.storeUnreachable() {
+		if !e.storeUnreachable() && !e.w.withholdRunners {
 			e.post(event.RunnersRead{Epoch: epoch, Full: true, Runners: e.w.listed()})
 		}
 		if e.w.reportInterval > 0 {
