Read lists less often, send calls to runners in larger batches, fix gRPC's windows

Cause: the owner read the list of runners at each report (up to 250 calls a second), every entry woke at each heartbeat, 17 dispatchers got messages of one or two calls, and gRPC sent a ping with nearly each. Reports are read every 0.2 s; entries that claim last read the tenure log every 1.5 s while heartbeats come and at once when a forward fails; calls wait 8 ms for one another.

--- a/jobentry/act.go
+++ b/jobentry/act.go
@@ -39,6 +39,11 @@
 		go e.followOperators()
 	case effect.FollowRunners:
 		e.followRunners(o.Epoch)
+	case effect.ReadTenure:
+		select {
+		case e.tenureWake <- struct{}{}:
+		default: // a read is already requested
+		}
 	default:
 		e.actStore(out)
 	}
--- a/jobentry/entry.go
+++ b/jobentry/entry.go
@@ -131,6 +131,10 @@
 	ready          atomic.Bool
 	handedOver     chan struct{}
 	handedOverOnce sync.Once
+	// tenureInterval is the time between two reads of the tenure log while the owner
+	// sends heartbeats, and tenureWake ends the wait for the next one.
+	tenureInterval time.Duration
+	tenureWake     chan struct{}
 	// runnersFollower reads the list of runners during this entry's tenure.
 	// dispatchOffer offers this entry as a dispatcher to the current owner.
 	runnersFollower, dispatchOffer backgroundWork
@@ -154,9 +158,13 @@
 		forwards:   pond.NewPool(forwardWorkers),
 		handedOver: make(chan struct{}),
 		self:       cfg.Entry,
+		tenureWake: make(chan struct{}, 1),
 		background: background,
 		cancel:     cancel,
 	}
+	if cfg.ClaimDelay > 0 {
+		e.tenureInterval = tenureReadInterval
+	}
 	state := reduce.New(reduce.Config{Entry: cfg.Entry, Jobs: &cfg})
 	e.loop = loop.New(loop.Config[event.Body, effect.Effect]{
 		QueueSize: queueLength,
--- a/jobentry/store.go
+++ b/jobentry/store.go
@@ -24,6 +24,15 @@
 	longPollWait = 1500 * time.Millisecond
 	// readRetryDelay is the delay before a failed read is retried.
 	readRetryDelay = 100 * time.Millisecond
+	// runnersReadInterval is the time between two reads of the runners' reports. Each
+	// runner reports about every 1.5 s, so with hundreds of them a long poll would
+	// return at once with a single report.
+	runnersReadInterval = 200 * time.Millisecond
+	// tenureReadInterval is the time between two reads of the tenure log by an entry
+	// whose claims come last, while the owner sends heartbeats. It is below
+	// tenure.OwnerTimeout, so that such an entry reads continuously when the next
+	// owner claims.
+	tenureReadInterval = 1500 * time.Millisecond
 )
 
 func outcomeOf(err error) effect.AppendOutcome {
@@ -140,6 +149,10 @@
 	topic storage.Topic
 	// wait is how long a read waits for the first new record.
 	wait time.Duration
+	// interval is the time between two reads if the first returned records.
+	interval time.Duration
+	// wake ends the wait between two reads; nil if nothing does.
+	wake <-chan struct{}
 	// handle receives the records; full is true if they are the newest record of
 	// every key.
 	handle func(page storage.Page, full bool)
@@ -180,14 +193,30 @@
 		}
 		from = page.Next
 		f.handle(page, false)
+		if len(page.Records) > 0 && f.interval > 0 {
+			f.pause(ctx)
+		}
+	}
+}
+
+// pause waits for the interval between two reads, or until the follower is woken.
+func (f *follower) pause(ctx context.Context) {
+	t := time.NewTimer(f.interval)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-f.wake:
+	case <-ctx.Done():
 	}
 }
 
 func (e *Entry) followTenure() {
 	var last tenure.Record
 	e.follow(e.background, follower{
-		topic: storage.TopicTenure,
-		wait:  tenure.PollWait,
+		topic:    storage.TopicTenure,
+		wait:     tenure.PollWait,
+		interval: e.tenureInterval,
+		wake:     e.tenureWake,
 		handle: func(page storage.Page, _ bool) {
 			r, ok, err := codec.DecodeTenure(page.Records)
 			if err != nil {
@@ -244,10 +273,11 @@
 		return
 	}
 	f := follower{
-		topic:   storage.TopicRunners,
-		wait:    longPollWait,
-		handle:  func(page storage.Page, full bool) { e.handleRunners(epoch, page, full) },
-		onError: func(err error) { e.post(event.RunnersReadFailed{Epoch: epoch, Reason: describe(err)}) },
+		topic:    storage.TopicRunners,
+		wait:     longPollWait,
+		interval: runnersReadInterval,
+		handle:   func(page storage.Page, full bool) { e.handleRunners(epoch, page, full) },
+		onError:  func(err error) { e.post(event.RunnersReadFailed{Epoch: epoch, Reason: describe(err)}) },
 	}
 	e.runnersFollower.start(e.background, func(ctx context.Context) { e.follow(ctx, f) })
 }
--- a/peer/dispatchers.go
+++ b/peer/dispatchers.go
@@ -20,7 +20,7 @@
 	// batchDelay is how long calls and results wait to be sent together in one
 	// message. It is short compared with a task's run time, and a message costs as
 	// much as twenty calls in it.
-	batchDelay = 3 * time.Millisecond
+	batchDelay = 8 * time.Millisecond
 	// overdueMargin is how much longer than its long poll a call may take. It covers
 	// the time-out of a call to a runner, the queue at the dispatcher, and the
 	// network delay in both directions.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -37,6 +37,11 @@
 	// soon.
 	minReconnectDelay = 100 * time.Millisecond
 	maxReconnectDelay = time.Second
+	// streamWindow and connectionWindow are the bytes in flight that a receiver
+	// allows. Fixed windows keep gRPC from measuring the bandwidth by pings, of which
+	// it sends one with nearly every message.
+	streamWindow     = 1 << 20
+	connectionWindow = 4 << 20
 )
 
 // Errors of Client.
@@ -102,6 +107,8 @@
 	return []grpc.DialOption{
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: pause, MinConnectTimeout: maxReconnectDelay}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout}),
+		grpc.WithInitialWindowSize(streamWindow),
+		grpc.WithInitialConnWindowSize(connectionWindow),
 	}
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -47,6 +47,8 @@
 func ServerOptions() []grpc.ServerOption {
 	return []grpc.ServerOption{
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPingInterval, PermitWithoutStream: true}),
+		grpc.InitialWindowSize(streamWindow),
+		grpc.InitialConnWindowSize(connectionWindow),
 	}
 }
 
--- a/reduce/effect/jobs.go
+++ b/reduce/effect/jobs.go
@@ -37,6 +37,9 @@
 // continuously.
 type FollowStore struct{}
 
+// ReadTenure makes the next read of the tenure log begin at once.
+type ReadTenure struct{}
+
 // AppendTenure appends a record to the tenure log if it ends at an offset.
 type AppendTenure struct {
 	Record tenure.Record
@@ -293,6 +296,7 @@
 }
 
 func (FollowStore) isEffect()     {}
+func (ReadTenure) isEffect()      {}
 func (AppendTenure) isEffect()    {}
 func (FenceLedger) isEffect()     {}
 func (LoadLedger) isEffect()      {}
--- a/reduce/jobs/calls.go
+++ b/reduce/jobs/calls.go
@@ -205,6 +205,7 @@
 		s.tenure.Suspect(s.tenure.Newest().Epoch)
 	}
 	s.count("forwards_failed", effect.Reason(b.Reason))
+	s.emit(effect.ReadTenure{})
 	s.holdCall(c)
 }
 
