Count a job as waiting until a runner has confirmed a start; no count from a former owner

At an owner that lags, seconds pass until the intent is stored and the order carried out. A former owner that is cut off from the store gave a count as well; it refuses now, as it already did for unknown jobs. The state is shown as running from the confirmed start on, or if an earlier owner had planned one.

--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -35,9 +35,10 @@
 	nextOccurrence timer.Timer
 	// activeIndex is the job's place in ownership.active.
 	activeIndex int
-	// started is set once a run of a task was planned.
-	started        bool
-	requiresAdvice bool
+	// started is set once a run of a task was planned, and begun once a runner has
+	// confirmed one. adopted is set if an earlier owner has planned one.
+	started, begun, adopted bool
+	requiresAdvice          bool
 	// hasUnresolved is set while a task has unresolved runs; the job is then in
 	// ownership.unresolved.
 	hasUnresolved bool
@@ -297,14 +298,30 @@
 	j.activeIndex = len(o.active)
 	o.active = append(o.active, j)
 	o.activeCount++
+	o.waitingJobs[j.queue]++
+}
+
+// markBegun records that a run of a task of a job has begun.
+func (o *ownership) markBegun(j *job) {
+	if !j.begun && o.isActive(j) {
+		o.waitingJobs[j.queue]--
+	}
+	j.begun = true
+}
+
+func (o *ownership) isActive(j *job) bool {
+	return j.activeIndex < len(o.active) && o.active[j.activeIndex] == j
 }
 
 // removeActive removes a job from the active ones. Its place in the list stays
 // empty until many places are.
 func (o *ownership) removeActive(j *job) {
-	if j.activeIndex >= len(o.active) || o.active[j.activeIndex] != j {
+	if !o.isActive(j) {
 		return
 	}
+	if !j.begun {
+		o.waitingJobs[j.queue]--
+	}
 	o.active[j.activeIndex] = nil
 	o.activeCount--
 	if len(o.active) > 2*o.activeCount+minCompaction {
@@ -428,6 +445,7 @@
 	tasks := occ.allTasks()
 	for i, done := range r.Done {
 		if done && i < len(tasks) {
+			o.markBegun(j)
 			tasks[i].phase = taskDone
 			tasks[i].step.tasksLeft--
 		}
@@ -455,8 +473,10 @@
 	}
 	t.job().started = true
 	if r.Runner == "" {
+		o.markBegun(t.job())
 		return
 	}
+	t.job().adopted = true
 	o.adoptRun(t, r.Runner, r.Incarnation)
 }
 
--- a/reduce/jobs/ownercalls.go
+++ b/reduce/jobs/ownercalls.go
@@ -24,7 +24,7 @@
 	case effect.CallCancel:
 		o.cancel(c)
 	case effect.CallWaiting:
-		o.s.answer(c, effect.CallAnswer{Kind: effect.AnswerWaiting, Waiting: o.waiting(c.Queue)})
+		o.answerWaiting(c)
 	}
 }
 
@@ -67,7 +67,7 @@
 		return
 	}
 	shown := j.storedState
-	if !shown.Final() && j.started {
+	if !shown.Final() && (j.begun || j.adopted) {
 		shown = fleet.JobRunning
 	}
 	o.s.answer(c, effect.CallAnswer{Kind: effect.AnswerState, State: shown})
@@ -97,13 +97,12 @@
 	o.whenStored(deferred{call: c, answer: effect.CallAnswer{Kind: effect.AnswerCancelled}})
 }
 
-// waiting returns the number of jobs of a queue that have started no task.
-func (o *ownership) waiting(queue fleet.QueueName) int {
-	n := 0
-	o.eachActive(func(j *job) {
-		if j.queue == queue && !j.started {
-			n++
-		}
-	})
-	return n
+// answerWaiting answers with the number of jobs of a queue of which no task has
+// started. An owner that may have been superseded does not know the number.
+func (o *ownership) answerWaiting(c *call) {
+	if !o.s.tenure.IsSoleOwner(o.now()) {
+		o.s.answer(c, effect.CallAnswer{Kind: effect.AnswerRefused, RetryAfter: retryAfter, Reason: reasonNoOwner})
+		return
+	}
+	o.s.answer(c, effect.CallAnswer{Kind: effect.AnswerWaiting, Waiting: o.waitingJobs[c.Queue]})
 }
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -42,6 +42,9 @@
 	active      []*job
 	activeCount int
 	ended       []*job
+	// waitingJobs counts, for each queue, the active jobs of which no run is known to
+	// have begun.
+	waitingJobs map[fleet.QueueName]int
 	// unresolved holds the jobs that have unresolved runs.
 	unresolved []*job
 	runners    map[fleet.RunnerID]*runner
@@ -75,6 +78,7 @@
 		runners:           make(map[fleet.RunnerID]*runner),
 		byInstance:        make(map[fleet.InstanceID][]*runner),
 		pools:             make(map[fleet.ServiceName]*pool),
+		waitingJobs:       make(map[fleet.QueueName]int),
 		instances:         newInstances(),
 		planner:           newPlanner(),
 	}
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -221,6 +221,7 @@
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
+	o.markBegun(t.job())
 	o.releaseRun(run)
 	o.recordEnd(run, e.Outcome)
 	o.updateHealth(r, run, e.Outcome)
--- a/reduce/jobs/run.go
+++ b/reduce/jobs/run.go
@@ -284,6 +284,7 @@
 	switch b.Outcome {
 	case event.OrderDone:
 		run.setPhase(runRunning)
+		o.markBegun(run.task.job())
 		run.confirmedAt, run.progressAt = o.now(), o.now()
 	case event.OrderUnknown:
 		run.mayStartLate = true
@@ -353,6 +354,7 @@
 // update applies the state of the run that its runner reports.
 func (r *run) update(o *ownership, row *fleet.RunningTask) {
 	r.listedAt, r.incarnation = o.now(), r.runner.Incarnation
+	o.markBegun(r.task.job())
 	if r.phase == runStarting {
 		r.setPhase(runRunning)
 		r.orderInFlight, r.confirmedAt, r.progressAt = false, o.now(), o.now()
