Decisions on load in reduce/admission: limit of calls to a slow owner, early refusals, held submits, rarer planning

Now: entries limit calls in flight by the delay that the owner's answers show (reads shed first, cancels never), the owner refuses jobs that are known to end too late to be worth anything, submits wait at the owner for the store and at entries for an owner as long as their client does, and the loop's lag makes planning and placing rarer. Ruled out: holding at the entry alone (each call forwarded every 0.12 s meanwhile). Each test fails with its decision taken out, but for the delay in answers, which time-outs replace.

--- a/jobentry/entry.go
+++ b/jobentry/entry.go
@@ -218,7 +218,7 @@
 	ctx, span := e.tracer.Start(ctx, "call")
 	defer span.End()
 	a, err := e.calls.Do(ctx, func(id uint64) error {
-		c.Call = id
+		c.Call, c.Received = id, e.deps.Clock()
 		return e.loop.Post(c)
 	})
 	if err != nil {
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -62,6 +62,7 @@
 	return effect.CallAnswer{
 		Kind: effect.AnswerKind(resp.GetKind()), State: fleet.JobState(resp.GetState()), Waiting: int(resp.GetWaiting()),
 		RetryAfter: time.Duration(resp.GetRetryAfterMs()) * time.Millisecond, Reason: effect.Reason(resp.GetReason()),
+		Delay: time.Duration(resp.GetDelayMs()) * time.Millisecond,
 	}, true, nil
 }
 
@@ -160,6 +161,6 @@
 	}
 	return &peerpb.JobAnswer{
 		Kind: uint32(a.Kind), State: string(a.State), Waiting: int64(a.Waiting),
-		RetryAfterMs: a.RetryAfter.Milliseconds(), Reason: string(a.Reason),
+		RetryAfterMs: a.RetryAfter.Milliseconds(), Reason: string(a.Reason), DelayMs: a.Delay.Milliseconds(),
 	}, nil
 }
--- a/reduce/effect/jobs.go
+++ b/reduce/effect/jobs.go
@@ -123,6 +123,9 @@
 	// RetryAfter is set with AnswerRefused.
 	RetryAfter time.Duration
 	Reason     Reason
+	// Delay is how long calls wait for their turn at the owner, in its answers to
+	// forwarded calls.
+	Delay time.Duration
 }
 
 // ReplyCall sends an answer to a client, or to the entry that forwarded the call.
--- a/reduce/event/jobs.go
+++ b/reduce/event/jobs.go
@@ -103,9 +103,11 @@
 	Kind      effect.CallKind
 	Job       fleet.JobID
 	Spec      *fleet.JobSpec
-	// Timeout is how long the client waits from now on; zero means the queue's
+	// Timeout is how long the client waits from Received on; zero means the queue's
 	// limit.
 	Timeout time.Duration
+	// Received is when the entry received the call; zero means just now.
+	Received time.Time
 }
 
 // ClientGone reports that a client no longer waits for the answer to its call.
--- a/reduce/jobs.go
+++ b/reduce/jobs.go
@@ -32,8 +32,8 @@
 		}
 		s.effects = j.state.Tick(ev.Now, s.effects)
 	}
-	if !j.tick.IsSet() {
-		s.timers.Set(&j.tick, ev.Now.Add(j.state.TickInterval()), j)
+	if next := ev.Now.Add(j.state.TickInterval()); !j.tick.IsSet() || next.Before(j.tick.At()) {
+		s.timers.Set(&j.tick, next, j)
 	}
 	s.armTimer()
 	return s.effects
--- a/reduce/jobs/calls.go
+++ b/reduce/jobs/calls.go
@@ -5,26 +5,35 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/admission"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/timer"
 )
 
 const (
-	// ownerWaitLimit is how long a call waits for an owner. It covers a takeover
+	// ownerWaitLimit is how long a read waits for an owner. It covers a takeover
 	// after a release, which takes a tenth of a second. A takeover after a crash
-	// takes longer; the client then has to retry.
+	// takes longer; the client then has to repeat the read.
 	ownerWaitLimit = 900 * time.Millisecond
-	// answerTimeout is how long a call waits for the store or the owner before it
-	// is answered with AnswerUnknown. A client with the usual time limit of three
-	// seconds has time left for a retry.
+	// answerTimeout is how long a read waits for its answer, and how long another
+	// call does if its client gave no time limit. A client with the usual limit of
+	// three seconds has time left for a retry.
 	answerTimeout = 1500 * time.Millisecond
+	// forwardTimeout is how long a forwarded call waits for its answer before it is
+	// forwarded again: the owner may have failed.
+	forwardTimeout = 1500 * time.Millisecond
+	// answerMargin is the part of a client's time limit that is left for the way of
+	// the answer.
+	answerMargin = 100 * time.Millisecond
 	// forwardRetryDelay is the delay before a call is forwarded again.
 	forwardRetryDelay = 120 * time.Millisecond
 	// retryAfter is the retry delay in refusals. It is about the time that a
 	// takeover takes beyond ownerWaitLimit.
 	retryAfter = time.Second
-	// maxCallsInFlight limits the memory for calls in flight.
+	// maxCallsInFlight and maxCallBytes limit the memory for calls in flight.
 	maxCallsInFlight = 4000
+	maxCallBytes     = 16 << 20
 )
 
 // Reasons in answers to clients.
@@ -33,6 +42,8 @@
 	reasonNoOwner         effect.Reason = "no owner"
 	reasonStoreDown       effect.Reason = "the store does not answer"
 	reasonOverloaded      effect.Reason = "too much in hand"
+	reasonOwnerSlow       effect.Reason = "the owner is slow"
+	reasonTooLate         effect.Reason = "would end too late"
 	reasonNoAnswer        effect.Reason = "the owner did not answer"
 	reasonUnknownQueue    effect.Reason = "no such queue"
 	reasonInvalidID       effect.Reason = "not a job id"
@@ -47,6 +58,9 @@
 	callForwarded
 	// callLocal means that this entry, as the owner, waits for the ledger.
 	callLocal
+	// callHeld means that this entry, as the owner, waits for the store before it does
+	// anything.
+	callHeld
 )
 
 // call is a client's call in flight.
@@ -56,6 +70,9 @@
 	arrived time.Time
 	// retryAt is when a pending call may be routed again.
 	retryAt time.Time
+	// forwardedAt is when the call was last forwarded.
+	forwardedAt time.Time
+	timer       timer.Timer
 	// maybeDone is set once an owner may have carried out the call, so that
 	// AnswerRefused would be wrong.
 	maybeDone bool
@@ -63,17 +80,67 @@
 
 func (s *State) onClientCalled(b event.ClientCalled) {
 	c := &call{ClientCalled: b, arrived: s.now}
-	if len(s.calls) >= maxCallsInFlight {
-		s.answerNew(c, effect.CallAnswer{Kind: effect.AnswerRefused, RetryAfter: retryAfter, Reason: reasonOverloaded})
+	if !b.Received.IsZero() {
+		c.arrived = b.Received
+		s.lag.Observe(s.now, s.now.Sub(b.Received))
+	}
+	refused := effect.CallAnswer{Kind: effect.AnswerRefused, RetryAfter: retryAfter, Reason: reasonOverloaded}
+	switch {
+	case len(s.calls) >= maxCallsInFlight || s.callBytes+c.size() > maxCallBytes:
+		s.answerNew(c, refused)
+		return
+	case c.Timeout > 0 && s.now.Sub(c.arrived) >= c.Timeout:
+		// Nobody waits for the answer any more. Nothing has been done.
+		refused.Reason = reasonOwnerSlow
+		s.answerNew(c, refused)
 		return
 	}
-	s.calls[b.Call] = c
+	s.addCall(c)
 	if !b.Forwarded && !s.resolveTarget(c) {
 		return
 	}
 	s.route(c)
 }
 
+// addCall adds a call to those in flight.
+func (s *State) addCall(c *call) {
+	s.calls[c.Call] = c
+	s.callBytes += c.size()
+	s.callTimers.Set(&c.timer, s.callDue(c), c)
+}
+
+// removeCall removes a call from those in flight.
+func (s *State) removeCall(c *call) {
+	if s.calls[c.Call] == c {
+		delete(s.calls, c.Call)
+		s.callBytes -= c.size()
+		s.callTimers.Clear(&c.timer)
+	}
+}
+
+// stepSize is about the memory that a step of a job takes, in bytes.
+const stepSize = 200
+
+// size returns about the memory of the call's job, in bytes.
+func (c *call) size() int {
+	if c.Spec == nil {
+		return 0
+	}
+	return len(c.Spec.Text) + stepSize*len(c.Spec.Steps)
+}
+
+// class returns the class of the call for the limit of calls to the owner.
+func (c *call) class() admission.Class {
+	switch c.Kind {
+	case effect.CallCancel:
+		return admission.ClassCancel
+	case effect.CallSubmit:
+		return admission.ClassSubmit
+	default:
+		return admission.ClassRead
+	}
+}
+
 // resolveTarget sets the queue and the job of a client's call. It answers a call
 // that has none and returns false.
 func (s *State) resolveTarget(c *call) bool {
@@ -143,20 +210,41 @@
 		s.holdCall(c)
 		return
 	}
-	c.phase = callForwarded
+	if !c.maybeDone && !s.limiter.Allows(c.class()) {
+		s.answer(c, effect.CallAnswer{
+			Kind: effect.AnswerRefused, RetryAfter: admission.RetryAfter(s.limiter.Delay(), string(c.Job)), Reason: reasonOwnerSlow,
+		})
+		return
+	}
+	c.phase, c.forwardedAt = callForwarded, s.now
+	s.limiter.Sent()
 	s.emit(effect.Forward{
 		Call: c.Call, Address: newest.Address, Kind: c.Kind, Queue: c.Queue, Version: c.Version,
-		Job: c.Job, Spec: c.Spec, Timeout: s.answerDeadline(c).Sub(s.now),
+		Job: c.Job, Spec: c.Spec, Timeout: min(forwardTimeout, s.answerDeadline(c).Sub(s.now)),
 	})
 }
 
-// answerDeadline returns the time by which a call has to be answered.
+// answerDeadline returns the time by which a call has to be answered. A call that
+// changes something may wait as long as its client does: this entry forwards it again
+// as often as the client would send it.
 func (s *State) answerDeadline(c *call) time.Time {
-	limit := answerTimeout
-	if c.Timeout > 0 {
-		limit = min(limit, c.Timeout)
+	switch {
+	case c.Timeout == 0:
+		return c.arrived.Add(answerTimeout)
+	case c.class() == admission.ClassRead:
+		return c.arrived.Add(min(answerTimeout, c.Timeout))
+	default:
+		return c.arrived.Add(max(c.Timeout-answerMargin, c.Timeout/2))
 	}
-	return c.arrived.Add(limit)
+}
+
+// callDue returns the time at which a call has waited too long in its phase.
+func (s *State) callDue(c *call) time.Time {
+	due := s.answerDeadline(c)
+	if limit := c.arrived.Add(ownerWaitLimit); c.phase == callPending && c.class() == admission.ClassRead && limit.Before(due) {
+		return limit
+	}
+	return due
 }
 
 // holdCall makes a call wait until it can be routed.
@@ -164,6 +252,7 @@
 	c.phase = callPending
 	c.retryAt = s.now.Add(forwardRetryDelay)
 	s.pendingCalls = append(s.pendingCalls, c)
+	s.callTimers.Set(&c.timer, s.callDue(c), c)
 }
 
 // routePending routes the pending calls again, once their retry delay has passed.
@@ -187,16 +276,14 @@
 
 func (s *State) onForwardFinished(b event.ForwardFinished) {
 	c, ok := s.calls[b.Call]
-	if !ok || c.phase != callForwarded {
+	ok = ok && c.phase == callForwarded
+	s.updateLimiter(c, ok, &b)
+	if !ok {
 		return
 	}
 	if !b.Failed && b.Answer.Kind != effect.AnswerNotOwner {
 		s.unreachableEpoch = 0
-		if c.maybeDone && b.Answer.Kind == effect.AnswerRefused {
-			// An earlier owner may have stored the job that this owner refused.
-			b.Answer.Kind = effect.AnswerUnknown
-		}
-		s.answer(c, b.Answer)
+		s.onForwardAnswered(c, b.Answer)
 		return
 	}
 	c.maybeDone = c.maybeDone || (b.Failed && b.Sent)
@@ -209,19 +296,60 @@
 	s.holdCall(c)
 }
 
+// updateLimiter records what the end of a forwarded call shows of the owner's delay.
+// For a read that is the time until its answer, since nothing else holds it up.
+func (s *State) updateLimiter(c *call, waiting bool, b *event.ForwardFinished) {
+	switch {
+	case b.Failed && b.Sent:
+		s.limiter.Answered(s.now, forwardTimeout)
+	case b.Failed:
+		s.limiter.Failed()
+	case waiting && c.class() == admission.ClassRead:
+		s.limiter.Answered(s.now, max(b.Answer.Delay, s.now.Sub(c.forwardedAt)))
+	default:
+		s.limiter.Answered(s.now, b.Answer.Delay)
+	}
+}
+
+// onForwardAnswered handles the owner's answer. A call that waited at the owner for
+// the store in vain is forwarded again while its client waits.
+func (s *State) onForwardAnswered(c *call, a effect.CallAnswer) {
+	a.Delay = 0
+	c.maybeDone = c.maybeDone || a.Kind == effect.AnswerUnknown
+	if a.Reason == reasonStoreDown && s.now.Add(forwardRetryDelay).Before(s.answerDeadline(c)) {
+		s.holdCall(c)
+		return
+	}
+	if c.maybeDone && a.Kind == effect.AnswerRefused {
+		// An earlier owner may have stored the job that this owner refused.
+		a.Kind = effect.AnswerUnknown
+	}
+	s.answer(c, a)
+}
+
 func (s *State) onClientGone(b event.ClientGone) {
 	if c, ok := s.calls[b.Call]; ok {
-		delete(s.calls, b.Call)
+		s.removeCall(c)
 		s.logDecision(effect.Decision{Name: "client gone", Job: c.Job, Queue: c.Queue, Age: s.now.Sub(c.arrived)})
 	}
 }
 
 // expireCalls answers the calls that have waited too long.
 func (s *State) expireCalls() {
-	for _, c := range s.callsByAge() {
-		if c.phase == callPending && s.now.Sub(c.arrived) >= ownerWaitLimit || !s.now.Before(s.answerDeadline(c)) {
-			s.timeOut(c)
+	for {
+		owner, ok := s.callTimers.Pop(s.now)
+		if !ok {
+			return
+		}
+		c, isCall := owner.(*call)
+		if !isCall {
+			continue // the heap holds calls only
 		}
+		if due := s.callDue(c); s.now.Before(due) {
+			s.callTimers.Set(&c.timer, due, c)
+			continue
+		}
+		s.timeOut(c)
 	}
 }
 
@@ -230,7 +358,7 @@
 func (s *State) timeOut(c *call) {
 	reason := reasonNoOwner
 	switch c.phase {
-	case callLocal:
+	case callLocal, callHeld:
 		reason = reasonStoreDown
 	case callForwarded:
 		reason, c.maybeDone = reasonNoAnswer, true
@@ -266,7 +394,7 @@
 
 // answerNew answers a call that is not registered yet.
 func (s *State) answerNew(c *call, a effect.CallAnswer) {
-	s.calls[c.Call] = c
+	s.addCall(c)
 	s.answer(c, a)
 }
 
@@ -274,11 +402,13 @@
 // the number of waiting jobs are counted but not logged, because they are frequent
 // and involve no decision.
 func (s *State) answer(c *call, a effect.CallAnswer) {
-	delete(s.calls, c.Call)
-	s.emit(effect.ReplyCall{Call: c.Call, Answer: a})
+	s.removeCall(c)
 	if c.Forwarded {
+		a.Delay = s.lag.At(s.now)
+		s.emit(effect.ReplyCall{Call: c.Call, Answer: a})
 		return
 	}
+	s.emit(effect.ReplyCall{Call: c.Call, Answer: a})
 	s.count("calls_"+callNames[c.Kind], effect.Reason(answerNames[a.Kind]))
 	s.emit(effect.Observe{Name: "call_" + callNames[c.Kind], Duration: s.now.Sub(c.arrived)})
 	if a.Kind == effect.AnswerState || a.Kind == effect.AnswerWaiting {
--- a/reduce/jobs/instances.go
+++ b/reduce/jobs/instances.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/admission"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 )
@@ -89,7 +90,7 @@
 	if !o.s.cfg.Bounds.CanOrderInstances || o.now().Before(in.nextTickAt) {
 		return
 	}
-	in.nextTickAt = o.now().Add(instanceTick)
+	in.nextTickAt = o.now().Add(admission.Interval(instanceTick, o.s.lag.At(o.now()), admission.PlanningWeight))
 	if !in.listing && !o.now().Before(in.nextListAt) {
 		in.listing, in.listRequestedAt = true, o.now()
 		o.s.emit(effect.ListInstances{Epoch: o.epoch})
--- a/reduce/jobs/outbox.go
+++ b/reduce/jobs/outbox.go
@@ -161,6 +161,7 @@
 		o.s.logDecision(effect.Decision{Name: "ledger regained", Epoch: o.epoch, Age: o.now().Sub(inFlight.createdAt)})
 	}
 	o.runDeferred(inFlight.onStored)
+	o.serveHeld()
 }
 
 // onOutOfSequence handles an append whose sequence number the store did not
--- /dev/null
+++ b/reduce/jobs/overload_test.go
@@ -0,0 +1,202 @@
+package jobs_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/shoenig/test/must"
+)
+
+// callFor sends a call of a client that waits for a time.
+func (w *world) callFor(e *fakeEntry, kind effect.CallKind, job fleet.JobID, spec *fleet.JobSpec, timeout time.Duration, done func(effect.CallAnswer)) {
+	w.nextID++
+	w.calls[w.nextID] = done
+	e.post(event.ClientCalled{Call: w.nextID, Kind: kind, Host: "host", Path: "/plans/" + string(job), Spec: spec, Timeout: timeout, Received: w.now})
+}
+
+// follower returns an entry that does not own the jobs.
+func (w *world) follower() *fakeEntry {
+	for _, e := range w.entries {
+		if e != w.owner() {
+			return e
+		}
+	}
+	return nil
+}
+
+// TestOverloadedOwnerGetsFewerCalls gives the owner more reads than it can handle: each
+// event takes it 5 ms, and 1,000 reads a second arrive. It has to stay the owner, the
+// reads beyond have to be refused at once, and jobs and their cancellations have to get
+// through.
+func TestOverloadedOwnerGetsFewerCalls(t *testing.T) {
+	w := newWorld(t, 50, 3, 3)
+	w.run(2 * time.Second)
+	owner, other := w.owner(), w.follower()
+	owner.eventTime = 5 * time.Millisecond
+	answers := make(map[effect.AnswerKind]int)
+	var longest time.Duration
+	accepted, cancelled := 0, 0
+	for n := range 5000 {
+		sent := w.now
+		w.callFor(other, effect.CallState, jobID(9999), nil, 3*time.Second, func(a effect.CallAnswer) {
+			answers[a.Kind]++
+			if a.Reason == "the owner is slow" {
+				longest = max(longest, w.now.Sub(sent))
+			}
+		})
+		if n%250 == 0 {
+			id := jobID(n)
+			w.submitted[id] = twoStepJob()
+			w.callFor(other, effect.CallSubmit, id, w.submitted[id], 3*time.Second, func(a effect.CallAnswer) {
+				if a.Kind != effect.AnswerAccepted {
+					return
+				}
+				accepted++
+				w.callFor(other, effect.CallCancel, id, nil, 3*time.Second, func(a effect.CallAnswer) {
+					if a.Kind == effect.AnswerCancelled {
+						cancelled++
+					}
+				})
+			})
+		}
+		w.run(time.Millisecond)
+	}
+	w.run(3 * time.Second)
+	must.Eq(t, owner, w.owner(), must.Sprint("heartbeats got through"))
+	must.Greater(t, 2500, answers[effect.AnswerRefused])
+	must.LessEq(t, 10*time.Millisecond, longest, must.Sprint("refusals are sent at once"))
+	must.Eq(t, 0, answers[effect.AnswerUnknown])
+	must.GreaterEq(t, 15, accepted)
+	must.Eq(t, accepted, cancelled)
+	w.checkInvariants()
+}
+
+// TestOverloadBySubmitsIsRefused gives the owner only submits, more than it can handle.
+// Their answers wait for the store too, so the limit follows what the owner says of its
+// own delay.
+func TestOverloadBySubmitsIsRefused(t *testing.T) {
+	w := newWorld(t, 54, 2, 3)
+	w.run(2 * time.Second)
+	owner, other := w.owner(), w.follower()
+	owner.eventTime = 5 * time.Millisecond
+	refused, timedOut := 0, 0
+	w.onEffect = func(_ *fakeEntry, out effect.Effect) bool {
+		if _, ok := out.(effect.ReadTenure); ok {
+			timedOut++
+		}
+		return true
+	}
+	for n := range 1500 {
+		id := jobID(n)
+		w.submitted[id] = longRunningJob(1, 1)
+		w.callFor(other, effect.CallSubmit, id, w.submitted[id], 3*time.Second, func(a effect.CallAnswer) {
+			if a.Reason == "the owner is slow" {
+				refused++
+			}
+		})
+		w.run(2 * time.Millisecond)
+	}
+	must.Greater(t, 500, refused)
+	must.Eq(t, 0, timedOut, must.Sprint("no forwarded call waits in vain"))
+	must.Eq(t, owner, w.owner())
+	w.checkInvariants()
+}
+
+// TestJobsThatWouldEndTooLateAreRefused asks for far more than all instances can do in
+// time. What is accepted ends in time to be worth something, and what is refused never
+// runs.
+func TestJobsThatWouldEndTooLateAreRefused(t *testing.T) {
+	w := newWorld(t, 51, 3, 3)
+	w.withInstances(2)
+	w.run(4 * time.Second)
+	spec := &fleet.JobSpec{Text: "t", Steps: []fleet.Step{{Count: 20, Needs: taskNeeds, Estimate: time.Second}}}
+	var refused []fleet.JobID
+	for n := range 200 {
+		id := jobID(n)
+		w.submitted[id] = spec
+		w.callFor(w.follower(), effect.CallSubmit, id, spec, 3*time.Second, func(a effect.CallAnswer) {
+			if a.Kind == effect.AnswerAccepted {
+				w.accepted[id] = spec
+				return
+			}
+			must.Eq(t, effect.AnswerRefused, a.Kind)
+			must.GreaterEq(t, time.Second, a.RetryAfter)
+			refused = append(refused, id)
+		})
+		w.run(10 * time.Millisecond)
+	}
+	must.Greater(t, 50, len(refused))
+	must.Greater(t, 50, len(w.accepted))
+	w.run(40 * time.Second)
+	for _, id := range refused {
+		must.MapNotContainsKey(t, w.tasks, fleet.TaskID{Job: id}, must.Sprint("a refused job has run"))
+	}
+	w.checkInvariants()
+}
+
+// TestSubmitsOutlastAnOutageOfTheStore hands in jobs while the store is away for two
+// seconds. Each client waits for three; all of them are answered as accepted. The calls
+// wait at the owner, so that they need not be forwarded again and again.
+func TestSubmitsOutlastAnOutageOfTheStore(t *testing.T) {
+	w := newWorld(t, 52, 3, 3)
+	w.run(2 * time.Second)
+	w.store.down = true
+	w.submit(jobID(99), twoStepJob())
+	w.run(800 * time.Millisecond)
+	answers, forwards := make(map[effect.AnswerKind]int), 0
+	w.onEffect = func(_ *fakeEntry, out effect.Effect) bool {
+		if _, ok := out.(effect.Forward); ok {
+			forwards++
+		}
+		return true
+	}
+	for n := range 20 {
+		id := jobID(n)
+		w.submitted[id] = twoStepJob()
+		w.callFor(w.follower(), effect.CallSubmit, id, w.submitted[id], 3*time.Second, func(a effect.CallAnswer) { answers[a.Kind]++ })
+		w.run(20 * time.Millisecond)
+	}
+	w.run(1100 * time.Millisecond)
+	w.store.down = false
+	w.run(1200 * time.Millisecond)
+	must.Eq(t, map[effect.AnswerKind]int{effect.AnswerAccepted: 20}, answers)
+	must.LessEq(t, 2*21, forwards)
+	w.run(5 * time.Second)
+	w.checkInvariants()
+}
+
+// TestRefusalAfterALongOutageIsTrue keeps the store away for longer than clients wait.
+// The jobs whose append was under way may be stored; the others are refused and must
+// never run.
+func TestRefusalAfterALongOutageIsTrue(t *testing.T) {
+	w := newWorld(t, 53, 3, 3)
+	w.run(2 * time.Second)
+	w.store.down = true
+	refused := make(map[fleet.JobID]bool)
+	answered := 0
+	for n := range 20 {
+		id := jobID(n)
+		w.submitted[id] = twoStepJob()
+		w.callFor(w.follower(), effect.CallSubmit, id, w.submitted[id], 3*time.Second, func(a effect.CallAnswer) {
+			answered++
+			refused[id] = a.Kind == effect.AnswerRefused
+		})
+		w.run(100 * time.Millisecond)
+	}
+	w.run(3 * time.Second)
+	must.Eq(t, 20, answered)
+	w.store.down = false
+	w.run(10 * time.Second)
+	n := 0
+	for id, r := range refused {
+		if r {
+			n++
+			must.MapNotContainsKey(t, w.tasks, fleet.TaskID{Job: id}, must.Sprint("a refused job has run"))
+		}
+	}
+	must.Greater(t, 5, n)
+	w.checkInvariants()
+}
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -60,6 +60,7 @@
 	timers         timer.Heap
 	touchedRunners []*runner
 	outbox         outbox
+	held           heldSubmits
 	// runnersListed is set once the complete list of runners was read, and
 	// runnersUnreadable while the list cannot be read.
 	runnersListed     bool
@@ -77,8 +78,8 @@
 		jobs:              make(map[fleet.JobID]*job),
 		runners:           make(map[fleet.RunnerID]*runner),
 		byInstance:        make(map[fleet.InstanceID][]*runner),
-		pools:             make(map[fleet.ServiceName]*pool),
 		waitingJobs:       make(map[fleet.QueueName]int),
+		pools:             make(map[fleet.ServiceName]*pool),
 		instances:         newInstances(),
 		planner:           newPlanner(),
 	}
--- a/reduce/jobs/placement.go
+++ b/reduce/jobs/placement.go
@@ -1,29 +1,17 @@
 package jobs
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/admission"
 )
 
-// valueClass ranks steps by the value that their completion still has.
-type valueClass uint8
-
-const (
-	classLongRunning valueClass = iota
-	classOnTime
-	classLate
-	classNoValue
-)
-
-// ranked is a step with the criteria of its rank.
+// ranked is a step with what its rank depends on.
 type ranked struct {
-	step  *step
-	class valueClass
-	// latestStart is when the step has to start for its job to meet its deadline.
-	latestStart time.Time
+	admission.Waiting
+	step *step
 }
 
 const (
@@ -47,30 +35,35 @@
 	if o.phase != phaseActive || !o.s.tenure.Valid(o.now()) || o.storeDown() {
 		return
 	}
+	lag := o.s.lag.At(o.now())
 	for _, p := range o.sortedPools {
-		if len(p.queue) > 0 && p.placingDue(o.now()) {
+		switch {
+		case len(p.queue) == 0:
+			p.waitingWork = 0
+		case p.placingDue(o.now(), lag):
 			p.dirty, p.placedAt = false, o.now()
 			o.placePool(p)
 		}
 	}
 }
 
-// placingDue reports whether the tasks of a pool are to be placed now.
-func (p *pool) placingDue(now time.Time) bool {
-	since := now.Sub(p.placedAt)
+// placingDue reports whether the tasks of a pool are to be placed now, when the
+// control loop has a lag.
+func (p *pool) placingDue(now time.Time, lag time.Duration) bool {
+	var interval time.Duration
 	switch {
 	case !p.dirty:
-		return since >= recheckInterval
+		interval = recheckInterval
 	case len(p.queue) > longQueueSteps:
-		return since >= longPlaceInterval
+		interval = longPlaceInterval
 	case len(p.queue) > shortQueueSteps:
-		return since >= placeInterval
-	default:
-		return true
+		interval = placeInterval
 	}
+	return now.Sub(p.placedAt) >= admission.Interval(interval, lag, admission.PlacingWeight)
 }
 
 func (o *ownership) placePool(p *pool) {
+	p.waitingWork = waitingWork(p.queue)
 	usable := o.usableRunners(p)
 	if len(usable) == 0 {
 		return
@@ -90,6 +83,25 @@
 	p.queue = slices.DeleteFunc(p.queue, func(st *step) bool { return !st.queued })
 }
 
+// waitingWork returns the estimated work of the waiting tasks of steps, in thousandths
+// of a core times seconds. Long-running tasks do not count.
+func waitingWork(queue []*step) float64 {
+	var work float64
+	for _, st := range queue {
+		if st.spec.LongRunning {
+			continue
+		}
+		waiting := 0
+		for _, t := range st.tasks {
+			if t.phase == taskWaiting {
+				waiting++
+			}
+		}
+		work += float64(waiting) * float64(st.spec.Needs.CPU) * st.estimate.Seconds()
+	}
+	return work
+}
+
 // usableRunners returns the usable runners of a pool that have room for the task of
 // some waiting step.
 func (o *ownership) usableRunners(p *pool) []*runner {
@@ -103,36 +115,19 @@
 	return out
 }
 
-// rank sorts steps by value class, then by priority, then by whether their job has
-// started, then by latest start.
+// rank sorts steps in the order in which their tasks are placed.
 func (o *ownership) rank(queue []*step) []ranked {
 	out := make([]ranked, 0, len(queue))
 	for _, st := range queue {
-		out = append(out, ranked{step: st, class: o.class(st), latestStart: st.occ.due().Add(-st.criticalPath)})
+		j := st.occ.job
+		out = append(out, ranked{step: st, Waiting: admission.Waiting{
+			Class: o.class(st), Priority: j.priority, Started: j.started, LatestStart: st.occ.due().Add(-st.criticalPath),
+		}})
 	}
-	slices.SortStableFunc(out, func(a, b ranked) int {
-		ja, jb := a.step.occ.job, b.step.occ.job
-		return cmp.Or(
-			cmp.Compare(a.class, b.class),
-			cmp.Compare(ja.priority, jb.priority),
-			compareBool(jb.started, ja.started),
-			a.latestStart.Compare(b.latestStart),
-		)
-	})
+	slices.SortStableFunc(out, func(a, b ranked) int { return admission.Compare(a.Waiting, b.Waiting) })
 	return out
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
-
 // due returns the deadline of an occurrence.
 func (occ *occurrence) due() time.Time {
 	j := occ.job
@@ -140,20 +135,20 @@
 }
 
 // class returns the value class of a step if it were started now.
-func (o *ownership) class(st *step) valueClass {
+func (o *ownership) class(st *step) admission.ValueClass {
 	if st.spec.LongRunning {
-		return classLongRunning
+		return admission.ClassLongRunning
 	}
 	end := o.now().Add(st.criticalPath)
 	j := st.occ.job
 	shift := st.occ.due().Sub(j.deadline)
 	switch {
 	case !end.After(st.occ.due()):
-		return classOnTime
+		return admission.ClassOnTime
 	case !end.After(j.noValueAfter.Add(shift)):
-		return classLate
+		return admission.ClassLate
 	default:
-		return classNoValue
+		return admission.ClassNoValue
 	}
 }
 
@@ -326,7 +321,7 @@
 		for _, rack := range racks {
 			groups = append(groups, byRack[rack])
 		}
-		if o.class(st) == classOnTime {
+		if o.class(st) == admission.ClassOnTime {
 			return groups
 		}
 	}
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -126,6 +126,9 @@
 		r.Incarnation = b.Incarnation
 	}
 	r.updateClock(b.Clock)
+	if !b.Clock.Received.IsZero() {
+		o.s.lag.Observe(o.now(), o.now().Sub(b.Clock.Received))
+	}
 	first := !r.fenced
 	r.fenced = true
 	o.processEnds(r, b.Ended)
@@ -218,10 +221,10 @@
 		return
 	}
 	t := run.task
+	o.markBegun(t.job())
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
-	o.markBegun(t.job())
 	o.releaseRun(run)
 	o.recordEnd(run, e.Outcome)
 	o.updateHealth(r, run, e.Outcome)
--- a/reduce/jobs/state.go
+++ b/reduce/jobs/state.go
@@ -12,9 +12,11 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/admission"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/banyanrail/banyanrail/reduce/tenure"
+	"github.com/banyanrail/banyanrail/reduce/timer"
 )
 
 // Config is the configuration of the job side of an entry.
@@ -64,6 +66,14 @@
 	// waveSeenAt is when this process first read each wave.
 	waveSeenAt map[int64]time.Time
 	calls      map[uint64]*call
+	// callBytes is the size of the jobs in calls, and callTimers holds the deadlines
+	// of the calls.
+	callBytes  int
+	callTimers timer.Heap
+	// limiter limits the calls in flight to the owner, and lag is how long events wait
+	// for their turn.
+	limiter *admission.Limiter
+	lag     admission.Lag
 	// pendingCalls holds the calls that wait for an owner or a configuration.
 	pendingCalls []*call
 	// ownership is set while this entry holds the tenure.
@@ -93,23 +103,30 @@
 		waves:      make(map[int64]*fleet.MaintenanceWave),
 		waveSeenAt: make(map[int64]time.Time),
 		calls:      make(map[uint64]*call),
+		limiter:    admission.NewLimiter(),
 	}
 }
 
 const (
 	// ownerTick and followerTick are the intervals between checks of what is due.
 	// They are short enough for the owner's retries after 50 ms, and long enough
-	// to keep the CPU use of an idle entry negligible.
+	// to keep the CPU use of an idle entry negligible. idleTick is the interval at an
+	// entry whose claims come last and at which no call waits.
 	ownerTick    = 25 * time.Millisecond
 	followerTick = 100 * time.Millisecond
+	idleTick     = 500 * time.Millisecond
 )
 
 // TickInterval returns the time until the next Tick.
 func (s *State) TickInterval() time.Duration {
-	if s.ownership != nil {
+	switch {
+	case s.ownership != nil:
 		return ownerTick
+	case s.cfg.ClaimDelay == 0 || len(s.calls) > 0:
+		return followerTick
+	default:
+		return idleTick
 	}
-	return followerTick
 }
 
 // Step folds one event and returns out with the effects added.
--- a/reduce/jobs/tenure.go
+++ b/reduce/jobs/tenure.go
@@ -73,9 +73,13 @@
 	s.ownership = nil
 	s.emit(effect.FollowRunners{})
 	for _, c := range s.callsByAge() {
-		if c.phase == callLocal {
+		switch c.phase {
+		case callLocal:
 			c.maybeDone = true
 			s.holdCall(c)
+		case callHeld:
+			s.holdCall(c)
+		case callPending, callForwarded: // not at the owner
 		}
 	}
 }
