Check jobs in one place; an unreadable ledger record no longer keeps every owner from loading

Cause, found by reading: a peer's or a stored job with a step that follows no step made the reducer panic, negative figures were taken, the tasks of all steps together were unbounded, and one undecodable record made each owner in turn fail to load all jobs. fleet.JobSpec.Validate is used for clients, peers and the ledger; unreadable records are logged and left out, a job without readable progress as a whole, since it would run again; without the list of ordered instances, all wait for the lease.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,10 @@
 	go test -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime 1m ./codec
 	go test -run '^$$' -fuzz '^FuzzDecodeClaims$$' -fuzztime 1m ./codec
 	go test -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime 1m ./peer
+	go test -run '^$$' -fuzz '^FuzzDecodeSpec$$' -fuzztime 1m ./codec
+	go test -run '^$$' -fuzz '^FuzzDecodeLedger$$' -fuzztime 1m ./codec
+	go test -run '^$$' -fuzz '^FuzzClientCall$$' -fuzztime 1m ./platform
+	go test -run '^$$' -fuzz '^FuzzRecords$$' -fuzztime 1m ./platform
 
 bench:
 	go test -short -run '^$$' -bench . -benchmem ./...
--- a/codec/fuzz_test.go
+++ b/codec/fuzz_test.go
@@ -7,6 +7,7 @@
 	"github.com/banyanrail/banyanrail/codec"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/control"
+	"github.com/banyanrail/banyanrail/storage"
 	"github.com/shoenig/test/must"
 )
 
@@ -39,3 +40,33 @@
 		must.Eq(t, string(again), string(third))
 	})
 }
+
+// FuzzDecodeSpec checks that no input of a peer makes DecodeSpec panic, and that it
+// returns only valid specs.
+func FuzzDecodeSpec(f *testing.F) {
+	raw, err := codec.EncodeSpec(&fleet.JobSpec{Text: "t", Steps: []fleet.Step{{Count: 1, Label: "l"}, {Count: 2, After: []int{0}}}})
+	must.NoError(f, err)
+	f.Add(raw)
+	f.Add([]byte(`{"s":[{"n":1,"a":[7]}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := codec.DecodeSpec(data)
+		if err != nil {
+			must.Nil(t, s)
+			return
+		}
+		must.NoError(t, s.Validate())
+	})
+}
+
+// FuzzDecodeLedger checks that no record makes DecodeLedger panic, and that each record
+// is either read or reported.
+func FuzzDecodeLedger(f *testing.F) {
+	f.Add("p/j", []byte(`{"q":"q","s":"queued","o":[{"d":"AQ==","t":[{"n":-1,"a":1}]}]}`))
+	f.Add("d/j", []byte(`{"q":"q","t":1,"s":{"s":[{"n":1}]}}`))
+	f.Add("w/1", []byte(`{"d":["m"]}`))
+	f.Add("instances", []byte(`{"i":["m"]}`))
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		l := codec.DecodeLedger([]storage.Record{{Key: key, Value: value}})
+		must.True(t, len(l.Unreadable)+len(l.Jobs)+len(l.Waves) <= 1)
+	})
+}
--- a/codec/ledger.go
+++ b/codec/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -110,6 +111,9 @@
 			BestEffort: st.BestEffort, MaxUnavailable: st.MaxUnavailable,
 		})
 	}
+	if err := s.Validate(); err != nil {
+		return nil, oops.In("codec").With("step", "decode job").Wrap(err)
+	}
 	return s, nil
 }
 
@@ -233,26 +237,37 @@
 	// RecentlyOrdered holds the instances about which the owner may recently have
 	// given orders.
 	RecentlyOrdered []fleet.InstanceID
+	// OrdersUnreadable is set if RecentlyOrdered cannot be decoded: orders may have been
+	// given about any instance.
+	OrdersUnreadable bool
+	// Unreadable holds an error for each record that cannot be decoded. The records
+	// stay in the store.
+	Unreadable []error
 }
 
-// DecodeLedger collects the records of each job, in the order of the records.
-func DecodeLedger(records []storage.Record) (Ledger, error) {
-	d := ledgerDecoder{index: make(map[fleet.JobID]int)}
+// DecodeLedger collects the records of each job, in the order of the records. A record
+// that cannot be decoded does not keep an owner from loading the others. A job of which
+// one record is unreadable is left out: without its progress it would run again.
+func DecodeLedger(records []storage.Record) Ledger {
+	d := ledgerDecoder{index: make(map[fleet.JobID]int), unreadable: make(map[fleet.JobID]bool)}
 	for i := range records {
 		r := &records[i]
 		if len(r.Value) == 0 {
 			continue
 		}
 		if err := d.add(r); err != nil {
-			return Ledger{}, oops.In("codec").With("step", "decode ledger", "key", r.Key).Wrap(err)
+			d.out.Unreadable = append(d.out.Unreadable, oops.In("codec").With("step", "decode ledger", "peer", r.Key).Wrap(err))
 		}
 	}
-	return d.out, nil
+	d.out.Jobs = slices.DeleteFunc(d.out.Jobs, func(j ledger.StoredJob) bool { return d.unreadable[j.Job] })
+	return d.out
 }
 
 type ledgerDecoder struct {
 	out   Ledger
 	index map[fleet.JobID]int
+	// unreadable holds the jobs with a record that cannot be decoded.
+	unreadable map[fleet.JobID]bool
 }
 
 // job returns the stored job with an id, which it adds if necessary.
@@ -268,11 +283,15 @@
 
 func (d *ledgerDecoder) add(r *storage.Record) (err error) {
 	if id, ok := strings.CutPrefix(r.Key, definitionPrefix); ok {
-		d.job(id).Definition, err = decodeDefinition(r.Value)
+		def, err := decodeDefinition(r.Value)
+		d.job(id).Definition = def
+		d.unreadable[fleet.JobID(id)] = d.unreadable[fleet.JobID(id)] || err != nil
 		return err
 	}
 	if id, ok := strings.CutPrefix(r.Key, progressPrefix); ok {
-		d.job(id).Progress, err = decodeProgress(r.Value)
+		p, err := decodeProgress(r.Value)
+		d.job(id).Progress = p
+		d.unreadable[fleet.JobID(id)] = d.unreadable[fleet.JobID(id)] || err != nil
 		return err
 	}
 	if id, ok := strings.CutPrefix(r.Key, wavePrefix); ok {
@@ -281,7 +300,7 @@
 	if r.Key == recentlyOrderedKey {
 		var w recentlyOrdered
 		err = json.Unmarshal(r.Value, &w)
-		d.out.RecentlyOrdered = w.Instances
+		d.out.RecentlyOrdered, d.out.OrdersUnreadable = w.Instances, err != nil
 	}
 	return err
 }
--- a/jobentry/store.go
+++ b/jobentry/store.go
@@ -87,9 +87,11 @@
 	loaded := event.LedgerLoaded{Epoch: o.Epoch}
 	page, err := e.deps.Store.Newest(e.background, storage.TopicLedger)
 	if err == nil {
-		var l codec.Ledger
-		l, err = codec.DecodeLedger(page.Records)
-		loaded.Jobs, loaded.Waves, loaded.RecentlyOrdered = l.Jobs, l.Waves, l.RecentlyOrdered
+		l := codec.DecodeLedger(page.Records)
+		for _, unreadable := range l.Unreadable {
+			e.deps.Logger.Error("ledger record not decoded", "epoch", o.Epoch, "error", describe(unreadable))
+		}
+		loaded.Jobs, loaded.Waves, loaded.RecentlyOrdered, loaded.OrdersUnreadable = l.Jobs, l.Waves, l.RecentlyOrdered, l.OrdersUnreadable
 	}
 	if err != nil {
 		e.deps.Logger.Warn("ledger not loaded", "epoch", o.Epoch, "error", describe(err))
--- a/reduce/event/jobs.go
+++ b/reduce/event/jobs.go
@@ -75,8 +75,9 @@
 	Jobs   []ledger.StoredJob
 	Waves  []ledger.Wave
 	// RecentlyOrdered lists the instances about which the previous owner recently
-	// gave an order.
-	RecentlyOrdered []fleet.InstanceID
+	// gave an order. OrdersUnreadable is set if the list is not known.
+	RecentlyOrdered  []fleet.InstanceID
+	OrdersUnreadable bool
 }
 
 // LedgerAppended reports the outcome of an append to the ledger.
--- a/reduce/jobs/instanceorders.go
+++ b/reduce/jobs/instanceorders.go
@@ -12,7 +12,13 @@
 // orderable reports whether an order about an instance may be given now.
 func (o *ownership) orderable(i *instance) bool {
 	return i.State == fleet.InstanceUp && i.pending == nil && !o.now().Before(i.blockedUntil) &&
-		(o.formerLeaseExpired() || !o.instances.formerlyOrdered[i.ID])
+		(o.formerLeaseExpired() || !o.instances.mayBeOrdered(i.ID))
+}
+
+// mayBeOrdered reports whether the previous owner may recently have given an order
+// about an instance.
+func (in *instances) mayBeOrdered(id fleet.InstanceID) bool {
+	return in.allFormerlyOrdered || in.formerlyOrdered[id]
 }
 
 // orderInstance gives an order about an instance on which nothing runs. The order
@@ -42,7 +48,7 @@
 	lease := o.s.cfg.Bounds.InstanceLease + maxConfirmationAge
 	var ids []fleet.InstanceID
 	for _, i := range o.instances.sorted {
-		if i.pending != nil || (!i.orderedAt.IsZero() && o.now().Sub(i.orderedAt) <= lease) || (!o.formerLeaseExpired() && o.instances.formerlyOrdered[i.ID]) {
+		if i.pending != nil || (!i.orderedAt.IsZero() && o.now().Sub(i.orderedAt) <= lease) || (!o.formerLeaseExpired() && o.instances.mayBeOrdered(i.ID)) {
 			ids = append(ids, i.ID)
 		}
 	}
--- a/reduce/jobs/instances.go
+++ b/reduce/jobs/instances.go
@@ -48,6 +48,8 @@
 	// formerlyOrdered holds the instances about which the previous owner may have
 	// given orders recently.
 	formerlyOrdered map[fleet.InstanceID]bool
+	// allFormerlyOrdered is set if that may be all of them.
+	allFormerlyOrdered bool
 	// nextTickAt is when the instances are checked again, and nextPlanAt when the
 	// pools are planned again.
 	nextTickAt, nextPlanAt time.Time
@@ -123,8 +125,10 @@
 
 // restoreFormerlyOrdered restores the instances about which the previous owner may
 // have given orders. The list is complete, because that owner stored each instance
-// before it gave the order, and the ledger is fenced against its later writes.
-func (in *instances) restoreFormerlyOrdered(ordered []fleet.InstanceID) {
+// before it gave the order, and the ledger is fenced against its later writes. Without
+// the list, that owner may have given orders about any instance.
+func (in *instances) restoreFormerlyOrdered(ordered []fleet.InstanceID, unknown bool) {
+	in.allFormerlyOrdered = unknown
 	in.formerlyOrdered = make(map[fleet.InstanceID]bool, len(ordered))
 	for _, id := range ordered {
 		in.formerlyOrdered[id] = true
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -451,7 +451,7 @@
 		}
 	}
 	for i := range r.Tasks {
-		if n := r.Tasks[i].Number; n < len(tasks) {
+		if n := r.Tasks[i].Number; n >= 0 && n < len(tasks) {
 			o.restoreTask(tasks[n], &r.Tasks[i])
 		}
 	}
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -123,7 +123,7 @@
 	slices.SortStableFunc(o.active, func(a, b *job) int { return a.accepted.Compare(b.accepted) })
 	o.renumberActive()
 	o.restoreWaves(b.Waves)
-	o.instances.restoreFormerlyOrdered(b.RecentlyOrdered)
+	o.instances.restoreFormerlyOrdered(b.RecentlyOrdered, b.OrdersUnreadable)
 	o.phase = phaseActive
 	o.s.logDecision(effect.Decision{
 		Name: "ledger loaded", Entry: o.s.cfg.Entry, Epoch: o.epoch, Count: o.activeCount, Age: o.now().Sub(o.startedAt),
