Hand over which runners an owner has not reached, so that leases are waited for once

An owner now stores, a second after its takeover, which runners with runs it has not reached and which epoch may last have leased them; it removes one before it grants it a lease, and the next owner uses the list of its direct predecessor only. Ruled out: the bound of one takeover, which is as before.

--- a/codec/ledger.go
+++ b/codec/ledger.go
@@ -20,6 +20,7 @@
 	progressPrefix     = "p/"
 	wavePrefix         = "w/"
 	recentlyOrderedKey = "instances"
+	unreachedKey       = "unreached"
 	// tenureKey is the key of the records of the tenure log.
 	tenureKey = "owner"
 )
@@ -149,6 +150,11 @@
 	Instances []fleet.InstanceID `json:"i"`
 }
 
+type unreached struct {
+	Epoch    int64                    `json:"e"`
+	LeasedBy map[fleet.RunnerID]int64 `json:"l"`
+}
+
 type taskProgress struct {
 	Number      int               `json:"n"`
 	Attempt     int64             `json:"a"`
@@ -166,6 +172,9 @@
 	case r.RecentlyOrdered != nil:
 		raw, err := json.Marshal(recentlyOrdered{Instances: r.RecentlyOrdered.Instances})
 		return storage.Record{Key: recentlyOrderedKey, Value: raw}, err
+	case r.Unreached != nil:
+		raw, err := json.Marshal(unreached(*r.Unreached))
+		return storage.Record{Key: unreachedKey, Value: raw}, err
 	case r.Wave != nil:
 		raw, err := json.Marshal(wave{Done: r.Wave.Done})
 		return storage.Record{Key: wavePrefix + strconv.FormatInt(r.Wave.ID, 10), Value: raw}, err
@@ -237,6 +246,8 @@
 	// RecentlyOrdered holds the instances about which the owner may recently have
 	// given orders.
 	RecentlyOrdered []fleet.InstanceID
+	// Unreached holds the runners that an owner did not reach.
+	Unreached ledger.Unreached
 	// OrdersUnreadable is set if RecentlyOrdered cannot be decoded: orders may have been
 	// given about any instance.
 	OrdersUnreadable bool
@@ -297,6 +308,14 @@
 	if id, ok := strings.CutPrefix(r.Key, wavePrefix); ok {
 		return d.addWave(id, r.Value)
 	}
+	if r.Key == unreachedKey {
+		var w unreached
+		err = json.Unmarshal(r.Value, &w)
+		if err == nil {
+			d.out.Unreached = ledger.Unreached(w)
+		}
+		return err
+	}
 	if r.Key == recentlyOrderedKey {
 		var w recentlyOrdered
 		err = json.Unmarshal(r.Value, &w)
--- a/reduce/event/jobs.go
+++ b/reduce/event/jobs.go
@@ -78,6 +78,8 @@
 	// gave an order. OrdersUnreadable is set if the list is not known.
 	RecentlyOrdered  []fleet.InstanceID
 	OrdersUnreadable bool
+	// Unreached holds the runners that an owner did not reach.
+	Unreached ledger.Unreached
 }
 
 // LedgerAppended reports the outcome of an append to the ledger.
--- a/reduce/jobs/outbox.go
+++ b/reduce/jobs/outbox.go
@@ -33,7 +33,7 @@
 )
 
 // deferred is an action that waits until a batch is stored: one of start, runner,
-// publish, call, stopRuns and instanceOrder, or an effect.
+// publish, call, stopRuns, instanceOrder and reached, or an effect.
 type deferred struct {
 	effect effect.Effect
 	// start is a run to start. Its intent is stored.
@@ -51,6 +51,8 @@
 	stopRuns *job
 	// instanceOrder is an instance whose pending order is to be sent.
 	instanceOrder *instance
+	// reached is a runner that is no longer stored as unreached.
+	reached *runner
 }
 
 // batch is a group of records whose append is in flight.
@@ -101,7 +103,7 @@
 // flush appends a batch of changes to the ledger, unless an append is in flight.
 func (o *ownership) flush() {
 	box := &o.outbox
-	if o.phase != phaseActive || box.inFlight != nil || (len(box.dirty) == 0 && len(box.onStored) == 0 && len(box.waves) == 0 && !box.ordersChanged) {
+	if o.phase != phaseActive || box.inFlight != nil || (len(box.dirty) == 0 && len(box.onStored) == 0 && len(box.waves) == 0 && !box.ordersChanged && !o.unreached.changed) {
 		return
 	}
 	n := min(len(box.dirty), maxBatchJobs)
@@ -111,6 +113,9 @@
 		box.ordersChanged = false
 		b.records = append(b.records, ledger.Record{RecentlyOrdered: o.recentlyOrdered()})
 	}
+	if o.unreached.changed {
+		b.records = append(b.records, o.unreachedRecord())
+	}
 	for _, j := range box.dirty[:n] {
 		j.inOutbox = false
 		b.records = append(b.records, o.ledgerRecords(j)...)
@@ -209,6 +214,8 @@
 			o.stopRuns(d.stopRuns)
 		case d.instanceOrder != nil:
 			o.onInstanceOrderStored(d.instanceOrder)
+		case d.reached != nil:
+			o.onReachedStored(d.reached)
 		}
 	}
 }
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -32,6 +32,10 @@
 	// granted has expired on the slowest clock.
 	formerLeasesUntil time.Time
 	phase             phase
+	// withheld holds the runners that the ledger may list as unreached, which get no
+	// lease.
+	unreached unreachedRunners
+	withheld  map[fleet.RunnerID]bool
 	// retryAt is when fencing or loading is retried; zero while it is in flight.
 	retryAt time.Time
 
@@ -79,6 +83,8 @@
 		runners:           make(map[fleet.RunnerID]*runner),
 		byInstance:        make(map[fleet.InstanceID][]*runner),
 		waitingJobs:       make(map[fleet.QueueName]int),
+		unreached:         unreachedRunners{leasedBy: make(map[fleet.RunnerID]int64)},
+		withheld:          make(map[fleet.RunnerID]bool),
 		pools:             make(map[fleet.ServiceName]*pool),
 		instances:         newInstances(),
 		planner:           newPlanner(),
@@ -122,6 +128,7 @@
 	}
 	slices.SortStableFunc(o.active, func(a, b *job) int { return a.accepted.Compare(b.accepted) })
 	o.renumberActive()
+	o.restoreUnreached(&b.Unreached)
 	o.restoreWaves(b.Waves)
 	o.instances.restoreFormerlyOrdered(b.RecentlyOrdered, b.OrdersUnreadable)
 	o.phase = phaseActive
@@ -144,6 +151,7 @@
 		return
 	}
 	o.fireTimers()
+	o.tickUnreached()
 	o.expireJobs()
 	o.tickInstances()
 }
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -53,7 +53,7 @@
 // pollIfDue sends a poll unless one is in flight or none is needed.
 func (o *ownership) pollIfDue(r *runner) {
 	p := &r.poll
-	if p.inFlight || o.phase != phaseActive || o.now().Before(p.notBefore) || !r.needsPoll() || !o.s.tenure.Valid(o.now()) {
+	if p.inFlight || o.phase != phaseActive || o.now().Before(p.notBefore) || !r.needsPoll() || !o.mayPoll(r) || !o.s.tenure.Valid(o.now()) {
 		return
 	}
 	o.lastPoll++
@@ -137,6 +137,7 @@
 		o.resolveRuns(r, sent)
 		o.restartStragglers(r)
 	}
+	o.onRunnerAnswered(r)
 	if first {
 		o.pool(r.Service).dirty = true
 	}
--- a/reduce/jobs/run.go
+++ b/reduce/jobs/run.go
@@ -157,7 +157,7 @@
 }
 
 func (o *ownership) sendStart(run *run) {
-	if !o.s.tenure.Valid(o.now()) {
+	if !o.s.tenure.Valid(o.now()) || o.withheld[run.runner.ID] {
 		o.retryAfter(run, orderRetryDelay)
 		return
 	}
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -39,7 +39,10 @@
 	// formerLeasesUntil is when the leases that this owner granted to an earlier
 	// incarnation have expired. The clock of that incarnation is not known.
 	formerLeasesUntil time.Time
-	runs              map[fleet.TaskID]*run
+	// leasedBy is the last epoch before this tenure that may have granted a lease; zero
+	// if that is the previous one.
+	leasedBy int64
+	runs     map[fleet.TaskID]*run
 	// used is the capacity that the runs reserve.
 	used   fleet.Capacity
 	counts runCounts
@@ -320,7 +323,7 @@
 	var at time.Time
 	switch {
 	case !r.fenced || r.clock.Reading == 0:
-		at = o.formerLeasesUntil
+		at = o.formerLeasesExpireAt(r)
 	case r.leaseDeadline == 0:
 		// This owner granted no lease, but earlier owners may have.
 		at = r.clock.Received.Add(onSlowestClock(leaseDuration))
@@ -349,7 +352,7 @@
 
 // usable reports whether tasks may be started on the runner.
 func (o *ownership) usable(r *runner) bool {
-	return r.listed && r.fenced && !r.poll.unreachable && !r.Draining && !r.vacating && r.Capacity.CPU > 0 &&
+	return r.listed && r.fenced && !o.withheld[r.ID] && !r.poll.unreachable && !r.Draining && !r.vacating && r.Capacity.CPU > 0 &&
 		!o.now().Before(r.noRoomUntil) && o.healthAllowsRun(r)
 }
 
@@ -402,7 +405,7 @@
 			next = at
 		}
 	}
-	if !r.poll.inFlight && r.needsPoll() {
+	if !r.poll.inFlight && r.needsPoll() && o.mayPoll(r) {
 		due(r.poll.notBefore)
 	}
 	if r.mayRunTasks() {
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -200,6 +200,8 @@
 	appends   int
 	// recentlyOrdered lists the instances that were stored before orders.
 	recentlyOrdered []fleet.InstanceID
+	// unreached holds the runners that were stored as unreached.
+	unreached ledger.Unreached
 }
 
 func newFakeStore() *fakeStore {
@@ -237,6 +239,10 @@
 		s.recentlyOrdered = r.RecentlyOrdered.Instances
 		return
 	}
+	if r.Unreached != nil {
+		s.unreached = *r.Unreached
+		return
+	}
 	if r.Wave != nil {
 		s.waves[r.Wave.ID] = *r.Wave
 		return
@@ -271,7 +277,7 @@
 		waves = append(waves, w)
 	}
 	slices.SortFunc(waves, func(a, b ledger.Wave) int { return int(a.ID - b.ID) })
-	return event.LedgerLoaded{Jobs: out, Waves: waves, RecentlyOrdered: s.recentlyOrdered}
+	return event.LedgerLoaded{Jobs: out, Waves: waves, RecentlyOrdered: s.recentlyOrdered, Unreached: s.unreached}
 }
 
 // fakeEntry is one simulated entry process.
--- a/reduce/ledger/ledger.go
+++ b/reduce/ledger/ledger.go
@@ -25,6 +25,17 @@
 	// RecentlyOrdered is set in the record of the instances about which orders
 	// may have been given; Job is empty then.
 	RecentlyOrdered *RecentlyOrdered
+	// Unreached is set in the record of the runners that the owner has not reached;
+	// Job is empty then.
+	Unreached *Unreached
+}
+
+// Unreached lists runners to which an owner has granted no lease.
+type Unreached struct {
+	// Epoch is the epoch of that owner.
+	Epoch int64
+	// LeasedBy is, for each of them, the last epoch whose owner may have granted one.
+	LeasedBy map[fleet.RunnerID]int64
 }
 
 // RecentlyOrdered lists the instances about which the owner may recently have
--- a/reduce/tenure/tenure.go
+++ b/reduce/tenure/tenure.go
@@ -94,8 +94,20 @@
 	formerActiveUntil time.Time
 	// supersededEpoch is the highest epoch that is known to be superseded.
 	supersededEpoch int64
+	// sightings holds when the first record of each epoch was read, oldest first.
+	sightings []sighting
 }
 
+// sighting is the time at which the first record of an epoch was read.
+type sighting struct {
+	epoch int64
+	at    time.Time
+}
+
+// maxSightings bounds the epochs whose sighting is kept. Leases of earlier ones have
+// expired.
+const maxSightings = 64
+
 // New returns the state of an entry that has read nothing. Its claims of a free
 // tenure are delayed by claimDelay.
 func New(entry fleet.EntryID, incarnation uint64, address string, claimDelay time.Duration) *State {
@@ -127,6 +139,18 @@
 // entry may have granted a lease.
 func (s *State) FormerOwnerActiveUntil() time.Time { return s.formerActiveUntil }
 
+// ActiveUntil returns the latest time at which the owner of an epoch, or of an earlier
+// one, may have granted a lease. The epoch has to be superseded: its owner's last
+// heartbeat was sent before the first record of a later epoch was read.
+func (s *State) ActiveUntil(epoch int64) time.Time {
+	for _, seen := range s.sightings {
+		if seen.epoch > epoch {
+			return seen.at.Add(HeartbeatValidity)
+		}
+	}
+	return s.readAt.Add(HeartbeatValidity)
+}
+
 // OnSuperseded records that an epoch higher than the given one is in force. The
 // record of the higher epoch may not have been read yet.
 func (s *State) OnSuperseded(epoch int64) { s.supersededEpoch = max(s.supersededEpoch, epoch) }
@@ -172,6 +196,9 @@
 // setNewest makes a record the newest one.
 func (s *State) setNewest(r Record, end fleet.Offset) {
 	s.suspectedEpoch = 0 // a new record shows that the owner is alive
+	if n := len(s.sightings); n == 0 || s.sightings[n-1].epoch < r.Epoch {
+		s.sightings = append(s.sightings[max(0, n-maxSightings+1):], sighting{epoch: r.Epoch, at: s.readAt})
+	}
 	if !s.wrote(r) {
 		s.formerActiveUntil = s.activeUntil(r)
 	}
