Entries that claim last ignore their suspicion; a lag that is over no longer delays planning

And planning was put off by four times a lag that a pause had caused and that was over. Left: with held submits the owner answers its own clients first after an outage, so after_ack_kill takes the owner more often.

--- a/reduce/jobs/instances.go
+++ b/reduce/jobs/instances.go
@@ -50,9 +50,9 @@
 	formerlyOrdered map[fleet.InstanceID]bool
 	// allFormerlyOrdered is set if that may be all of them.
 	allFormerlyOrdered bool
-	// nextTickAt is when the instances are checked again, and nextPlanAt when the
-	// pools are planned again.
-	nextTickAt, nextPlanAt time.Time
+	// tickedAt is when the instances were last checked, and plannedAt when the pools
+	// were last planned. The next time depends on the lag, which may end meanwhile.
+	tickedAt, plannedAt time.Time
 }
 
 // instance is the owner's state of an instance.
@@ -89,10 +89,11 @@
 // about instances for waves and pools.
 func (o *ownership) tickInstances() {
 	in := &o.instances
-	if !o.s.cfg.Bounds.CanOrderInstances || o.now().Before(in.nextTickAt) {
+	interval := admission.Interval(instanceTick, o.s.lag.At(o.now()), admission.PlanningWeight)
+	if !o.s.cfg.Bounds.CanOrderInstances || o.now().Sub(in.tickedAt) < interval {
 		return
 	}
-	in.nextTickAt = o.now().Add(admission.Interval(instanceTick, o.s.lag.At(o.now()), admission.PlanningWeight))
+	in.tickedAt = o.now()
 	if !in.listing && !o.now().Before(in.nextListAt) {
 		in.listing, in.listRequestedAt = true, o.now()
 		o.s.emit(effect.ListInstances{Epoch: o.epoch})
--- a/reduce/jobs/overload_test.go
+++ b/reduce/jobs/overload_test.go
@@ -232,3 +232,24 @@
 	must.Eq(t, effect.AnswerAccepted, got.Kind)
 	w.checkInvariants()
 }
+
+// TestPlanningResumesAfterAPause suspends the owner for a second and a half, in which
+// answers of runners pile up. Their age makes planning rarer only until the loop has
+// caught up.
+func TestPlanningResumesAfterAPause(t *testing.T) {
+	w := newWorld(t, 56, 1, 2)
+	w.withInstances(4)
+	w.run(8 * time.Second)
+	w.submit(jobID(99), longRunningJob(4, 1))
+	w.run(time.Second)
+	w.owner().freeze(1500 * time.Millisecond)
+	w.run(1600 * time.Millisecond)
+	spec := twoStepJob()
+	spec.Steps[0].Count = 16
+	for n := range 30 {
+		w.submit(jobID(n), spec)
+	}
+	w.run(3 * time.Second)
+	must.Greater(t, 2, w.instancesIn("desk"))
+	w.checkInvariants()
+}
--- a/reduce/jobs/planner.go
+++ b/reduce/jobs/planner.go
@@ -56,10 +56,11 @@
 // rebalancePools moves idle instances to the pools that need them, and turns off
 // those that no pool needs.
 func (o *ownership) rebalancePools() {
-	if o.now().Before(o.instances.nextPlanAt) || o.s.queues == nil {
+	interval := admission.Interval(planInterval, o.s.lag.At(o.now()), admission.PlanningWeight)
+	if o.now().Sub(o.instances.plannedAt) < interval || o.s.queues == nil {
 		return
 	}
-	o.instances.nextPlanAt = o.now().Add(admission.Interval(planInterval, o.s.lag.At(o.now()), admission.PlanningWeight))
+	o.instances.plannedAt = o.now()
 	plans, spare := o.poolPlans()
 	if len(plans) == 0 {
 		return
--- a/reduce/tenure/tenure.go
+++ b/reduce/tenure/tenure.go
@@ -305,9 +305,10 @@
 func (s *State) Suspect(epoch int64) { s.suspectedEpoch = epoch }
 
 // ownerTimeout returns the time without a new record after which the present owner
-// counts as failed.
+// counts as failed. An entry whose claims come last does not act on its suspicion: the
+// entries that should claim before it may have had no call refused.
 func (s *State) ownerTimeout() time.Duration {
-	if s.suspectedEpoch == s.newest.Epoch {
+	if s.suspectedEpoch == s.newest.Epoch && s.claimDelay == 0 {
 		return SuspectedOwnerTimeout
 	}
 	return OwnerTimeout
--- a/reduce/tenure/tenure_test.go
+++ b/reduce/tenure/tenure_test.go
@@ -173,3 +173,18 @@
 	s.OnRead(start, other(3, 1, false), 8)
 	must.Eq(t, 4, s.Newest().Epoch)
 }
+
+// TestWeakEntryLetsOthersClaimFirst guards against an entry whose claims come last that
+// claims early, since it alone had a call refused by the owner's address: it then owned
+// the jobs of 349 runners with a fifth of a core (trouble-3 on tlj-charter-grown).
+func TestWeakEntryLetsOthersClaimFirst(t *testing.T) {
+	s := tenure.New("me", 2, "address", 200*time.Millisecond)
+	s.OnRead(start, other(3, 1, false), 5)
+	s.Suspect(3)
+	now := feedReads(s, start, tenure.OwnerTimeout-100*time.Millisecond, other(3, 1, false), 5)
+	_, _, claims := s.Next(now)
+	must.False(t, claims)
+	now = feedReads(s, now, time.Second, other(3, 1, false), 5)
+	_, _, claims = s.Next(now)
+	must.True(t, claims)
+}
