Entries refuse no submit for a slow owner or when cut off: an earlier try may be stored

A 503 says that the job never runs, which an entry cannot know. Submits always go to the owner now, and a cut-off entry answers 504, after which the same id comes again elsewhere.

--- a/reduce/admission/limiter.go
+++ b/reduce/admission/limiter.go
@@ -10,7 +10,8 @@
 const (
 	// ClassRead is a read of a state or of a count. It can be repeated at any time.
 	ClassRead Class = iota
-	// ClassSubmit hands in a job.
+	// ClassSubmit hands in a job. Only the owner may refuse it: an earlier try, whose
+	// answer the client has not seen, may be stored.
 	ClassSubmit
 	// ClassCancel frees capacity, so it is never refused.
 	ClassCancel
@@ -52,12 +53,10 @@
 // Allows reports whether a call of a class may be sent now.
 func (l *Limiter) Allows(c Class) bool {
 	switch c {
-	case ClassCancel:
-		return true
 	case ClassRead:
 		return float64(l.inFlight) < readShare*l.limit
 	default:
-		return float64(l.inFlight) < l.limit
+		return true
 	}
 }
 
--- a/reduce/jobs/calls.go
+++ b/reduce/jobs/calls.go
@@ -207,7 +207,9 @@
 		return
 	}
 	if s.isCutOff() {
-		s.answerCutOff(c)
+		// Another entry serves the client's next try. An earlier try may be stored, so this
+		// is no refusal.
+		s.answer(c, effect.CallAnswer{Kind: effect.AnswerUnknown, Reason: reasonCutOff})
 		return
 	}
 	newest := s.tenure.Newest()
@@ -229,16 +231,6 @@
 	})
 }
 
-// answerCutOff answers a call at once, since this entry cannot tell who owns the jobs.
-// The client may come back at once: another entry serves it.
-func (s *State) answerCutOff(c *call) {
-	if c.maybeDone {
-		s.answer(c, effect.CallAnswer{Kind: effect.AnswerUnknown, Reason: reasonCutOff})
-		return
-	}
-	s.answer(c, effect.CallAnswer{Kind: effect.AnswerRefused, Reason: reasonCutOff})
-}
-
 // answerDeadline returns the time by which a call has to be answered. A call that
 // changes something may wait as long as its client does: this entry forwards it again
 // as often as the client would send it.
