Refuse no job for its expected end; a forwarded call that may be stored is unknown, not refused

An owner that ended while an append was under way answered forwarded submits with 'not the owner', after which their entry could refuse them though the ledger held them: they are answered as unknown now.

--- a/reduce/jobs/calls.go
+++ b/reduce/jobs/calls.go
@@ -44,7 +44,6 @@
 	reasonStoreDown       effect.Reason = "the store does not answer"
 	reasonOverloaded      effect.Reason = "too much in hand"
 	reasonOwnerSlow       effect.Reason = "the owner is slow"
-	reasonTooLate         effect.Reason = "would end too late"
 	reasonNoAnswer        effect.Reason = "the owner did not answer"
 	reasonUnknownQueue    effect.Reason = "no such queue"
 	reasonInvalidID       effect.Reason = "not a job id"
@@ -203,7 +202,11 @@
 		return
 	}
 	if c.Forwarded {
-		s.answer(c, effect.CallAnswer{Kind: effect.AnswerNotOwner})
+		kind := effect.AnswerNotOwner
+		if c.maybeDone {
+			kind = effect.AnswerUnknown // the ledger may hold it
+		}
+		s.answer(c, effect.CallAnswer{Kind: kind, Reason: reasonNoOwner})
 		return
 	}
 	if s.isCutOff() {
--- a/reduce/jobs/ownercalls.go
+++ b/reduce/jobs/ownercalls.go
@@ -1,10 +1,7 @@
 package jobs
 
 import (
-	"slices"
-
 	"github.com/banyanrail/banyanrail/fleet"
-	"github.com/banyanrail/banyanrail/reduce/admission"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/ledger"
 )
@@ -42,13 +39,13 @@
 	if !c.maybeDone && o.storeDown() && o.held.add(c) {
 		return
 	}
-	j := o.newJob(c.Job, &ledger.Definition{Queue: c.Queue, Accepted: c.arrived, Spec: c.Spec})
 	// An earlier owner may have stored a job that was handed in before, so a refusal
 	// could be wrong then.
-	if refused, ok := o.refusal(j); ok && !c.maybeDone {
-		o.s.answer(c, refused)
+	if reason := o.refusalReason(); reason != "" && !c.maybeDone {
+		o.s.answer(c, effect.CallAnswer{Kind: effect.AnswerRefused, RetryAfter: retryAfter, Reason: reason})
 		return
 	}
+	j := o.newJob(c.Job, &ledger.Definition{Queue: c.Queue, Accepted: c.arrived, Spec: c.Spec})
 	o.jobs[j.id] = j
 	o.addActive(j)
 	o.markDirty(j)
@@ -57,27 +54,16 @@
 	o.whenStored(deferred{call: c, answer: accepted})
 }
 
-// refusal returns the answer to a job that cannot be served, if that is known.
-func (o *ownership) refusal(j *job) (effect.CallAnswer, bool) {
-	a := effect.CallAnswer{Kind: effect.AnswerRefused, RetryAfter: retryAfter}
-	p := o.pool(j.service)
-	startDelay := admission.StartDelay(p.waitingWork, p.reach)
+// refusalReason returns why no job can be accepted; empty if one can.
+func (o *ownership) refusalReason() effect.Reason {
 	switch {
 	case o.storeDown():
-		a.Reason = reasonStoreDown
+		return reasonStoreDown
 	case o.activeCount >= maxActive:
-		a.Reason = reasonOverloaded
-		a.RetryAfter = admission.RetryAfter(startDelay, string(j.id))
-	case j.hasDeadline() && admission.TooLate(o.now(), startDelay, criticalPath(j.spec), j.noValueAfter):
-		a.Reason = reasonTooLate
-		a.RetryAfter = admission.RetryAfter(startDelay, string(j.id))
+		return reasonOverloaded
+	default:
+		return ""
 	}
-	return a, a.Reason != ""
-}
-
-// hasDeadline reports whether the end of a job loses its value with time.
-func (j *job) hasDeadline() bool {
-	return !j.noValueAfter.IsZero() && j.spec.Repeats == 0 && !slices.ContainsFunc(j.spec.Steps, func(s fleet.Step) bool { return s.LongRunning })
 }
 
 // answerState answers with the state of a job. Final states are shown only once
--- a/reduce/jobs/placement.go
+++ b/reduce/jobs/placement.go
@@ -37,10 +37,7 @@
 	}
 	lag := o.s.lag.At(o.now())
 	for _, p := range o.sortedPools {
-		switch {
-		case len(p.queue) == 0:
-			p.waitingWork = 0
-		case p.placingDue(o.now(), lag):
+		if len(p.queue) > 0 && p.placingDue(o.now(), lag) {
 			p.dirty, p.placedAt = false, o.now()
 			o.placePool(p)
 		}
@@ -63,7 +60,6 @@
 }
 
 func (o *ownership) placePool(p *pool) {
-	p.waitingWork = waitingWork(p.queue)
 	usable := o.usableRunners(p)
 	if len(usable) == 0 {
 		return
@@ -83,25 +79,6 @@
 	p.queue = slices.DeleteFunc(p.queue, func(st *step) bool { return !st.queued })
 }
 
-// waitingWork returns the estimated work of the waiting tasks of steps, in thousandths
-// of a core times seconds. Long-running tasks do not count.
-func waitingWork(queue []*step) float64 {
-	var work float64
-	for _, st := range queue {
-		if st.spec.LongRunning {
-			continue
-		}
-		waiting := 0
-		for _, t := range st.tasks {
-			if t.phase == taskWaiting {
-				waiting++
-			}
-		}
-		work += float64(waiting) * float64(st.spec.Needs.CPU) * st.estimate.Seconds()
-	}
-	return work
-}
-
 // usableRunners returns the usable runners of a pool that have room for the task of
 // some waiting step.
 func (o *ownership) usableRunners(p *pool) []*runner {
--- a/reduce/jobs/planner.go
+++ b/reduce/jobs/planner.go
@@ -65,7 +65,6 @@
 	if len(plans) == 0 {
 		return
 	}
-	o.updateReach(plans, spare)
 	moves := int(math.Ceil(maxMoveShare * float64(len(o.instances.sorted))))
 	slices.SortStableFunc(plans, func(a, b *poolPlan) int { return cmp.Compare(b.missing(), a.missing()) })
 	for _, p := range plans {
@@ -111,21 +110,6 @@
 	return plans, spare
 }
 
-// updateReach updates the capacity that each pool has and may get: its own instances,
-// and those that are idle in other pools.
-func (o *ownership) updateReach(plans []*poolPlan, spare *poolPlan) {
-	idle := 0
-	if spare != nil {
-		idle = spare.have
-	}
-	for _, p := range plans {
-		idle += len(p.idle)
-	}
-	for _, p := range plans {
-		o.pool(p.name).reach = int64(p.have+idle-len(p.idle)) * p.size.CPU
-	}
-}
-
 // countInstance adds an instance to the plan of its pool.
 func (o *ownership) countInstance(p *poolPlan, i *instance, spare bool) {
 	if i.pending != nil || (i.State != fleet.InstanceUp && i.State != fleet.InstanceMoving) {
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -77,11 +77,6 @@
 	runners []*runner
 	// dirty is set when the tasks of the queue are to be placed again.
 	dirty bool
-	// waitingWork is the work that waited when tasks were last placed, in thousandths
-	// of a core times seconds, and reach the capacity that the pool has and may get,
-	// in thousandths of a core; zero while it is not known.
-	waitingWork float64
-	reach       int64
 	// placedAt is when tasks of the queue were last placed.
 	placedAt time.Time
 	// slowdown is the run time of tasks as a multiple of their estimates.
