--- a/reduce/jobs/calls.go
+++ b/reduce/jobs/calls.go
@@ -44,6 +44,7 @@
 	reasonStoreDown       effect.Reason = "the store does not answer"
 	reasonOverloaded      effect.Reason = "too much in hand"
 	reasonOwnerSlow       effect.Reason = "the owner is slow"
+	reasonExpired         effect.Reason = "the client's time limit had passed"
 	reasonNoAnswer        effect.Reason = "the owner did not answer"
 	reasonUnknownQueue    effect.Reason = "no such queue"
 	reasonInvalidID       effect.Reason = "not a job id"
@@ -84,15 +85,13 @@
 		c.arrived = b.Received
 		s.lag.Observe(s.now, s.now.Sub(b.Received))
 	}
-	refused := effect.CallAnswer{Kind: effect.AnswerRefused, RetryAfter: retryAfter, Reason: reasonOverloaded}
 	switch {
 	case len(s.calls) >= maxCallsInFlight || s.callBytes+c.size() > maxCallBytes:
-		s.answerNew(c, refused)
+		s.answerNew(c, c.declined(reasonOverloaded))
 		return
 	case c.Timeout > 0 && s.now.Sub(c.arrived) >= c.Timeout:
-		// Nobody waits for the answer any more. Nothing has been done.
-		refused.Reason = reasonOwnerSlow
-		s.answerNew(c, refused)
+		// Nobody waits for the answer any more.
+		s.answerNew(c, c.declined(reasonExpired))
 		return
 	}
 	s.addCall(c)
@@ -102,6 +101,15 @@
 	s.route(c)
 }
 
+// declined returns the answer to a call with which this entry does nothing. An earlier
+// try of a submit may be stored, so only the owner can say that the job never runs.
+func (c *call) declined(reason effect.Reason) effect.CallAnswer {
+	if c.Kind == effect.CallSubmit {
+		return effect.CallAnswer{Kind: effect.AnswerUnknown, Reason: reason}
+	}
+	return effect.CallAnswer{Kind: effect.AnswerRefused, RetryAfter: retryAfter, Reason: reason}
+}
+
 // addCall adds a call to those in flight.
 func (s *State) addCall(c *call) {
 	s.calls[c.Call] = c
@@ -381,11 +389,14 @@
 		reason, c.maybeDone = reasonNoAnswer, true
 	case callPending:
 	}
-	if c.maybeDone || c.phase == callLocal {
+	switch {
+	case c.maybeDone || c.phase == callLocal:
 		s.answer(c, effect.CallAnswer{Kind: effect.AnswerUnknown, Reason: reason})
-		return
+	case c.phase == callHeld:
+		s.answer(c, effect.CallAnswer{Kind: effect.AnswerRefused, RetryAfter: retryAfter, Reason: reason})
+	default:
+		s.answer(c, c.declined(reason))
 	}
-	s.answer(c, effect.CallAnswer{Kind: effect.AnswerRefused, RetryAfter: retryAfter, Reason: reason})
 }
 
 // callsByAge returns the calls in flight, oldest first.
--- a/reduce/jobs/overload_test.go
+++ b/reduce/jobs/overload_test.go
@@ -1,6 +1,7 @@
 package jobs_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -213,3 +214,38 @@
 	must.Greater(t, 2, w.instancesIn("desk"))
 	w.checkInvariants()
 }
+
+// TestNoEntryRefusesAJobThatIsStored loses the answer to a submit that is stored, with
+// its owner. The client's next try, at an entry without an owner or with hardly any time
+// left, must not be told that the job never runs (trouble-2 --seed 262256655216 on
+// lawa-banyan: REFUSED 190).
+func TestNoEntryRefusesAJobThatIsStored(t *testing.T) {
+	w := newWorld(t, 57, 3, 3)
+	w.run(2 * time.Second)
+	owner := w.owner()
+	id, spec := jobID(1), twoStepJob()
+	w.submitted[id] = spec
+	w.callFor(owner, effect.CallSubmit, id, spec, 3*time.Second, func(effect.CallAnswer) {})
+	for w.store.jobs[id] == nil {
+		w.run(time.Millisecond)
+	}
+	owner.kill()
+	var answers []effect.CallAnswer
+	record := func(a effect.CallAnswer) { answers = append(answers, a) }
+	other := w.entries[(slices.Index(w.entries, owner)+1)%len(w.entries)]
+	w.callFor(other, effect.CallSubmit, id, spec, 500*time.Millisecond, record)
+	w.nextID++
+	w.calls[w.nextID] = record
+	other.post(event.ClientCalled{
+		Call: w.nextID, Kind: effect.CallSubmit, Host: "host", Path: "/plans/" + string(id), Spec: spec,
+		Timeout: 5 * time.Millisecond, Received: w.now.Add(-10 * time.Millisecond),
+	})
+	w.run(600 * time.Millisecond)
+	must.SliceLen(t, 2, answers)
+	for _, a := range answers {
+		must.Eq(t, effect.AnswerUnknown, a.Kind)
+	}
+	w.run(10 * time.Second)
+	w.mustState(id, fleet.JobDone)
+	w.checkInvariants()
+}
--- a/reduce/jobs/run.go
+++ b/reduce/jobs/run.go
@@ -226,7 +226,7 @@
 // not answer, or has not seen this tenure's fence, the retry is put off.
 func (o *ownership) retryOrder(run *run) {
 	switch {
-	case run.orderInFlight || run.retryAt.IsZero():
+	case run.orderInFlight || run.retryAt.IsZero() || run.runner.runs[run.task.id()] != run:
 		return
 	case run.runner.poll.unreachable || !run.runner.fenced:
 		o.timers.Set(&run.retry, o.now().Add(orderRetryDelay), run)
