--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -32,10 +32,10 @@
 	// granted has expired on the slowest clock.
 	formerLeasesUntil time.Time
 	phase             phase
+	unreached         unreachedRunners
 	// withheld holds the runners that the ledger may list as unreached, which get no
 	// lease.
-	unreached unreachedRunners
-	withheld  map[fleet.RunnerID]bool
+	withheld map[fleet.RunnerID]bool
 	// retryAt is when fencing or loading is retried; zero while it is in flight.
 	retryAt time.Time
 
