--- a/jobentry/log.go
+++ b/jobentry/log.go
@@ -44,6 +44,7 @@
 	number("version", d.Version)
 	number("count", int64(d.Count))
 	number("age_ms", d.Age.Milliseconds())
+	number("ran_ms", d.Ran.Milliseconds())
 	return out
 }
 
--- a/reduce/effect/jobs.go
+++ b/reduce/effect/jobs.go
@@ -281,6 +281,8 @@
 	Reason  Reason
 	// Age is the age of the information on which the decision was based.
 	Age time.Duration
+	// Ran is how long a run is known to have lasted.
+	Ran time.Duration
 	// Count is the number of things that the decision concerns.
 	Count int
 }
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -41,8 +41,10 @@
 	answeredAt time.Time
 	// notBefore is when the next poll may be sent.
 	notBefore time.Time
-	// unreachable is set while the runner does not answer.
+	// unreachable is set while the runner does not answer, and silentSince is when
+	// that began.
 	unreachable bool
+	silentSince time.Time
 	// acknowledged is the acknowledgement in the poll in flight.
 	acknowledged int64
 	// maybeRestarted is set from a poll without an answer until the next answer.
@@ -175,7 +177,7 @@
 	}
 	r.poll.notBefore = o.now().Add(pollRetryDelay)
 	if !r.poll.unreachable {
-		r.poll.unreachable = true
+		r.poll.unreachable, r.poll.silentSince = true, o.now()
 		o.s.logDecision(effect.Decision{
 			Name: "runner lost", Warning: true, Runner: r.ID, Epoch: o.epoch, Reason: effect.Reason(b.Reason), Count: len(r.runs),
 		})
--- a/reduce/jobs/run.go
+++ b/reduce/jobs/run.go
@@ -52,6 +52,8 @@
 	// confirmedAt is when the runner last confirmed an order; zero before. The
 	// answer to a later poll lists the run or its end.
 	confirmedAt time.Time
+	// runningSince is when the runner first confirmed that the task runs; zero before.
+	runningSince time.Time
 
 	// listedAt is when the runner last listed the run, and listedBy the number of
 	// the poll.
@@ -127,7 +129,7 @@
 	o.releaseRun(run)
 	o.s.logDecision(effect.Decision{
 		Name: "run lost", Task: run.task.id().String(), Attempt: run.attempt, Runner: run.runner.ID, Reason: reason,
-		Epoch: o.epoch, Age: o.now().Sub(run.createdAt),
+		Epoch: o.epoch, Age: o.now().Sub(run.createdAt), Ran: run.knownRunTime(),
 	})
 	o.s.count("runs_lost", reason)
 	if reason == reasonLeaseExpired {
@@ -285,7 +287,7 @@
 	case event.OrderDone:
 		run.setPhase(runRunning)
 		o.markBegun(run.task.job())
-		run.confirmedAt, run.progressAt = o.now(), o.now()
+		run.confirmedAt, run.progressAt, run.runningSince = o.now(), o.now(), o.now()
 	case event.OrderUnknown:
 		run.mayStartLate = true
 		o.retryAfter(run, orderRetryDelay)
@@ -355,6 +357,9 @@
 func (r *run) update(o *ownership, row *fleet.RunningTask) {
 	r.listedAt, r.incarnation = o.now(), r.runner.Incarnation
 	o.markBegun(r.task.job())
+	if r.runningSince.IsZero() {
+		r.runningSince = o.now()
+	}
 	if r.phase == runStarting {
 		r.setPhase(runRunning)
 		r.orderInFlight, r.confirmedAt, r.progressAt = false, o.now(), o.now()
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -194,6 +194,7 @@
 // Reasons for losing the runs on a runner.
 const (
 	reasonReplaced        effect.Reason = "another runner has its address"
+	reasonRestarted       effect.Reason = "it has started anew"
 	reasonLeaseExpired    effect.Reason = "the lease has run out"
 	reasonInstanceOrdered effect.Reason = "its instance was moved or maintained"
 	reasonNotListed       effect.Reason = "the runner does not list it"
@@ -204,6 +205,9 @@
 func (o *ownership) onRunnerGone(r *runner, reason effect.Reason) {
 	if len(r.runs) > 0 {
 		o.s.logDecision(effect.Decision{Name: "runs lost", Warning: true, Runner: r.ID, Reason: reason, Count: len(r.runs), Epoch: o.epoch})
+		if reason == reasonReplaced {
+			o.noteRunnerEnd(r, reason)
+		}
 	}
 	for _, run := range r.runsWhere(func(*run) bool { return true }) {
 		o.loseRun(run, reason)
@@ -225,6 +229,9 @@
 // of the other runs the new incarnation runs.
 func (o *ownership) onRunnerRestarted(r *runner) {
 	o.s.logDecision(effect.Decision{Name: "runner started anew", Runner: r.ID, Count: len(r.runs), Epoch: o.epoch})
+	if len(r.runs) > 0 {
+		o.noteRunnerEnd(r, reasonRestarted)
+	}
 	r.fenced, r.leaseDeadline, r.storedEnd, r.lastEnd, r.acknowledgedEnd = false, 0, 0, 0, 0
 	r.formerLeasesUntil = o.now().Add(onSlowestClock(leaseDuration))
 	r.clock = event.Clock{}
