--- /dev/null
+++ b/reduce/jobs/crashes_test.go
@@ -0,0 +1,243 @@
+package jobs_test
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/shoenig/test/must"
+)
+
+// The platform's limit: a task is not started startsAfterCrashLimit times more once
+// crashLimit runners have crashed under it.
+const (
+	crashLimit            = 3
+	startsAfterCrashLimit = 3
+)
+
+// crashedFor is the time after which a runner that a task has crashed is back.
+const crashedFor = 3300 * time.Millisecond
+
+// crashUnder crashes the runner under a task. It comes back under its id, or another
+// runner takes its address.
+func (r *fakeRunner) crashUnder(id fleet.TaskID) {
+	h := r.w.history(id)
+	h.crashed++
+	r.w.trace("%s crashes under %v, its %d.", r.id, id, h.crashed)
+	r.crash()
+	r.w.after(crashedFor, func() {
+		switch {
+		case r.up || r.w.runners[r.id] != r:
+		case r.w.replacesCrashed:
+			r.replace()
+		default:
+			r.boot()
+		}
+	})
+}
+
+// replace starts another runner at the address of a runner that has ended.
+func (r *fakeRunner) replace() {
+	delete(r.w.runners, r.id)
+	r.w.nextID++
+	next := r.w.addRunner(fleet.RunnerID(fmt.Sprintf("%s-%d", r.address, r.w.nextID)))
+	next.address, next.service, next.instance = r.address, r.service, r.instance
+}
+
+// otherAt returns the runner that a call for a runner with an id reaches instead at its
+// address, or nil.
+func (e *fakeEntry) otherAt(id fleet.RunnerID, address string) *fakeRunner {
+	if _, ok := e.w.runners[id]; ok {
+		return nil
+	}
+	for _, r := range e.w.runners {
+		if r.address == address {
+			return e.reachable(r.id)
+		}
+	}
+	return nil
+}
+
+func firstTask(id fleet.JobID) fleet.TaskID { return fleet.TaskID{Job: id} }
+
+// withReplacement makes runners that a task has crashed come back under other ids.
+func withReplacement(w *world) { w.replacesCrashed = true }
+
+// crashVariants are the ways in which crashed runners come back.
+var crashVariants = map[string][]func(*world){
+	"restarted under its id": nil,
+	"replaced":               {withReplacement},
+}
+
+// TestTaskThatCrashesItsRunnersIsGivenUp: a task that crashes each runner that starts it
+// was started for as long as its job lived, since only failed runs count as attempts.
+func TestTaskThatCrashesItsRunnersIsGivenUp(t *testing.T) {
+	for name, with := range crashVariants {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 110, 3, 8, with...)
+			w.run(2 * time.Second)
+			w.crashes[firstTask(jobID(0))] = true
+			for n := range 12 {
+				w.submit(jobID(n), twoStepJob())
+				w.run(100 * time.Millisecond)
+			}
+			w.run(30 * time.Second)
+			w.checkInvariants()
+			w.mustState(jobID(0), fleet.JobFailed)
+			for n := 1; n < 12; n++ {
+				w.mustState(jobID(n), fleet.JobDone)
+			}
+			must.LessEq(t, crashLimit, w.history(firstTask(jobID(0))).crashed)
+		})
+	}
+}
+
+// TestTasksBesideOneThatCrashesRunnersAreNotGivenUp: tasks that were placed together
+// with one that crashes its runners were lost with it again and again.
+func TestTasksBesideOneThatCrashesRunnersAreNotGivenUp(t *testing.T) {
+	for name, with := range crashVariants {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 111, 3, 8, with...)
+			w.run(2 * time.Second)
+			for n := range 60 {
+				w.crashes[firstTask(jobID(n))] = n%10 == 0
+				w.submit(jobID(n), twoStepJob())
+				w.run(100 * time.Millisecond)
+			}
+			w.run(60 * time.Second)
+			w.checkInvariants()
+			for n := range 60 {
+				want := fleet.JobDone
+				if n%10 == 0 {
+					want = fleet.JobFailed
+				}
+				w.mustState(jobID(n), want)
+			}
+		})
+	}
+}
+
+// TestCrashesUnderATaskAreCountedOverOwners kills the owner some time after each crash
+// under a task. Each owner began without knowing of the crashes before it.
+func TestCrashesUnderATaskAreCountedOverOwners(t *testing.T) {
+	for name, with := range crashVariants {
+		for _, delay := range []time.Duration{0, 500 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond, 3500 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, " ", delay), func(t *testing.T) {
+				w := newWorld(t, 112, 4, 6, with...)
+				w.run(2 * time.Second)
+				task := firstTask(jobID(0))
+				w.crashes[task] = true
+				w.submit(jobID(0), twoStepJob())
+				w.submit(jobID(1), longRunningJob(4, 1))
+				seen := 0
+				for range 600 {
+					w.run(100 * time.Millisecond)
+					if n := w.history(task).crashed; n > seen {
+						seen = n
+						w.run(delay)
+						o := w.owner()
+						o.kill()
+						w.after(time.Second, o.restart)
+					}
+				}
+				w.checkInvariants()
+				w.mustState(jobID(0), fleet.JobFailed)
+				w.mustState(jobID(1), fleet.JobRunning)
+			})
+		}
+	}
+}
+
+// TestLongRunningTaskThatCrashesItsRunnersIsGivenUp, while one that outlives its runners
+// is not.
+func TestLongRunningTaskThatCrashesItsRunnersIsGivenUp(t *testing.T) {
+	w := newWorld(t, 113, 3, 6)
+	w.run(2 * time.Second)
+	w.crashes[firstTask(jobID(0))] = true
+	w.submit(jobID(0), longRunningJob(3, 1))
+	w.submit(jobID(1), longRunningJob(3, 1))
+	w.run(40 * time.Second)
+	w.mustState(jobID(0), fleet.JobFailed)
+	for range 8 {
+		for _, r := range w.listed() {
+			if _, ok := w.runners[r.ID].runs[firstTask(jobID(1))]; ok {
+				w.runners[r.ID].crash()
+				w.after(time.Second, w.runners[r.ID].restart)
+			}
+		}
+		w.run(15 * time.Second)
+	}
+	w.checkInvariants()
+	w.mustState(jobID(1), fleet.JobRunning)
+	must.Eq(t, 3, w.runningTasks())
+}
+
+// TestTaskOnADrainedRunnerIsNotGivenUp: a planned end of a runner is no crash under its
+// tasks.
+func TestTaskOnADrainedRunnerIsNotGivenUp(t *testing.T) {
+	w := newWorld(t, 114, 3, 4, withReplacement)
+	w.run(2 * time.Second)
+	spec := twoStepJob()
+	spec.Steps[0].Estimate = 4 * time.Second
+	w.submit(jobID(0), spec)
+	for range 6 {
+		w.run(500 * time.Millisecond)
+		for _, r := range w.listed() {
+			runner := w.runners[r.ID]
+			if _, ok := runner.runs[firstTask(jobID(0))]; ok {
+				runner.draining = true
+				w.run(500 * time.Millisecond)
+				runner.crash()
+				runner.replace()
+			}
+		}
+	}
+	w.run(20 * time.Second)
+	w.checkInvariants()
+	w.mustState(jobID(0), fleet.JobDone)
+}
+
+// TestTasksOnUnreachableRunnersAreNotGivenUp: a runner that is cut off for longer than
+// its leases has not crashed.
+func TestTasksOnUnreachableRunnersAreNotGivenUp(t *testing.T) {
+	w := newWorld(t, 115, 3, 5)
+	w.run(2 * time.Second)
+	spec := twoStepJob()
+	spec.Steps[0].Estimate = 3 * time.Second
+	w.submit(jobID(0), spec)
+	for range 6 {
+		w.run(200 * time.Millisecond)
+		for _, r := range w.listed() {
+			runner := w.runners[r.ID]
+			if _, ok := runner.runs[firstTask(jobID(0))]; ok {
+				runner.unreachable = true
+				w.after(8*time.Second, func() { runner.unreachable = false })
+			}
+		}
+		w.run(7 * time.Second)
+	}
+	w.run(30 * time.Second)
+	w.checkInvariants()
+	w.mustState(jobID(0), fleet.JobDone)
+}
+
+// TestJobsHoldWithCrashingTasks draws faults and jobs, some of them with a task that
+// crashes each runner that starts it.
+func TestJobsHoldWithCrashingTasks(t *testing.T) {
+	for n := range *seeds {
+		seed := *firstSeed + int64(n)
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			runRandomHistory(t, seed, func(w *world) {
+				drawn := rand.New(rand.NewSource(seed))
+				w.replacesCrashed = drawn.Intn(2) == 0
+				w.crashDelay = time.Duration(1+drawn.Intn(150)) * time.Millisecond
+				for n := range 40 {
+					w.crashes[firstTask(jobID(n))] = drawn.Intn(8) == 0
+				}
+			})
+		})
+	}
+}
--- a/reduce/jobs/faults_test.go
+++ b/reduce/jobs/faults_test.go
@@ -187,6 +187,12 @@
 		return
 	}
 	_, cancelled := w.cancelledAt[id]
+	if w.crashes[firstTask(id)] && !cancelled {
+		if got.State != fleet.JobFailed {
+			w.violation("%s has the final state %s, and its task crashes runners", id, got.State)
+		}
+		return
+	}
 	allDone := true
 	for s, step := range spec.Steps {
 		for i := range step.Count {
--- a/reduce/jobs/runner_test.go
+++ b/reduce/jobs/runner_test.go
@@ -14,6 +14,7 @@
 type fakeRunner struct {
 	w        *world
 	id       fleet.RunnerID
+	address  string
 	service  fleet.ServiceName
 	instance fleet.InstanceID
 	born     time.Time
@@ -53,7 +54,7 @@
 var taskNeeds = fleet.Capacity{CPU: 1000, Memory: 100}
 
 func (w *world) addRunner(id fleet.RunnerID) *fakeRunner {
-	r := &fakeRunner{w: w, id: id, service: "desk"}
+	r := &fakeRunner{w: w, id: id, address: string(id), service: "desk"}
 	w.runners[id] = r
 	r.boot()
 	return r
@@ -81,7 +82,7 @@
 	for _, r := range w.runners {
 		if r.up && !r.unreachable {
 			out = append(out, fleet.Runner{
-				ID: r.id, Incarnation: r.incarnation(), Service: r.service, Address: string(r.id), Capacity: runnerCapacity,
+				ID: r.id, Incarnation: r.incarnation(), Service: r.service, Address: r.address, Capacity: runnerCapacity,
 				Draining: r.draining, Instance: r.instance,
 			})
 		}
@@ -183,6 +184,13 @@
 		outcome, length = fleet.RunFailed, 20*time.Millisecond
 	}
 	born := r.born
+	if r.w.crashes[o.Task] {
+		r.w.after(r.w.crashDelay, func() {
+			if r.up && r.born.Equal(born) && r.runs[o.Task] == run && !run.stopped {
+				r.crashUnder(o.Task)
+			}
+		})
+	}
 	r.w.after(length, func() {
 		if r.up && r.born.Equal(born) && r.runs[o.Task] == run && !run.stopped && !r.stalled && !r.w.longRunning(o.Task) {
 			r.end(o.Task, outcome)
@@ -206,6 +214,11 @@
 	case h.failuresAcknowledged >= 2 && !w.longRunning(o.Task):
 		w.violation("%v was started on %s after two failures", o.Task, r.id)
 	}
+	if h.crashed >= crashLimit {
+		if h.startsSince++; h.startsSince >= startsAfterCrashLimit {
+			w.violation("%v was started on %s for the %d. time after it had crashed %d runners", o.Task, r.id, h.startsSince, crashLimit)
+		}
+	}
 	if at, ok := w.cancelledAt[o.Task.Job]; ok && w.now.Sub(at) > 15*time.Second {
 		w.violation("%v was started %v after it was cancelled", o.Task, w.now.Sub(at))
 	}
@@ -298,6 +311,9 @@
 		born = r.born
 	}
 	apply := func() (event.OrderOutcome, *fakeRunner) {
+		if other := via.otherAt(o.Runner, o.Address); other != nil {
+			return event.OrderOtherIncarnation, other
+		}
 		r := via.reachable(o.Runner)
 		if r == nil || !r.born.Equal(born) {
 			return event.OrderUnknown, nil // another incarnation refuses it
@@ -336,6 +352,11 @@
 		return
 	}
 	w.after(w.latency(), func() {
+		if via.otherAt(poll.Runner, poll.Address) != nil {
+			out.Outcome = event.OrderOtherIncarnation
+			post(w.latency(), out)
+			return
+		}
 		r := via.reachable(poll.Runner)
 		if r == nil || w.rng.Float64() < w.lossShare {
 			post(poll.Wait+orderTimeout, out)
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -56,6 +56,11 @@
 	doneOnce map[fleet.TaskID]bool
 	// alwaysFails holds the jobs whose tasks fail in each run.
 	alwaysFails map[fleet.JobID]bool
+	// crashes holds the tasks that crash each runner that starts them, crashDelay later.
+	// The runner is back after crashedFor, as replacement if replacesCrashed is set.
+	crashes         map[fleet.TaskID]bool
+	crashDelay      time.Duration
+	replacesCrashed bool
 	// cancelling holds the jobs whose cancellation a client has requested.
 	cancelling map[fleet.JobID]bool
 	// instances are the instances under the runners, if the test has them.
@@ -89,6 +94,9 @@
 	running              int
 	doneAcknowledged     bool
 	failuresAcknowledged int
+	// crashed is the number of runners that the task has crashed, and startsSince the
+	// number of its starts since crashLimit of them have.
+	crashed, startsSince int
 }
 
 type timer struct {
@@ -126,6 +134,7 @@
 		tasks: make(map[fleet.TaskID]*taskHistory), accepted: make(map[fleet.JobID]*fleet.JobSpec),
 		maybeStored: make(map[fleet.JobID]bool), submitted: make(map[fleet.JobID]*fleet.JobSpec),
 		cancelledAt: make(map[fleet.JobID]time.Time), doneOnce: make(map[fleet.TaskID]bool), alwaysFails: make(map[fleet.JobID]bool),
+		crashes: make(map[fleet.TaskID]bool), crashDelay: 10 * time.Millisecond,
 		cancelling: make(map[fleet.JobID]bool), endDelay: 5 * time.Millisecond,
 		waveDone: make(map[int64]bool),
 		queues: fleet.NewQueues(1, []*fleet.Queue{{
