Isolate tasks that may have crashed their runners, and give up those that did it twice

Seen by callers: one task that crashes each runner that starts it (10 ms after the start) was started for as long as its job lived, a runner each 3.5 s.

Cause: what ends with its runner counted towards nothing. Only ends 'failed' were counted, so a run that took its runner along was requeued like one of a cut-off runner, beside whatever else waited. A start without an answer was even repeated at the runner's next incarnation.

Now: crashes of a runner (another one at its address, or a restart that does not list the run; not drains, not our orders about its instance) are counted per task, stored with its intent. The tasks whose runs had just begun are suspected: each job's run next where nothing else has just begun, on at most a third of the pool, until they have outlived the run before the crash. A task that crashes a second runner on such a trial is given up and its job failed; a long-running one at the third. A run counts for that only if its start was confirmed and it can hardly have ended before; the rest counts towards the platform's limit of five starts. A runner that is only silent counts for nothing. The intent holds the runner's address, so that the next owner learns there what became of it, and runs given up with their lease are asked for ten seconds more.

Why it works: the second crash has one likely cause, so neighbours are not given up; starts are bounded over owners, since the count is stored before the start.

--- a/codec/ledger.go
+++ b/codec/ledger.go
@@ -156,13 +156,17 @@
 }
 
 type taskProgress struct {
-	Number      int               `json:"n"`
-	Attempt     int64             `json:"a"`
-	Failures    int               `json:"f,omitempty"`
-	Runner      fleet.RunnerID    `json:"r,omitempty"`
-	Incarnation fleet.Incarnation `json:"b,omitempty"`
-	Checkpoint  string            `json:"s,omitempty"`
-	Unresolved  []ledger.Run      `json:"u,omitempty"`
+	Number         int               `json:"n"`
+	Attempt        int64             `json:"a"`
+	Failures       int               `json:"f,omitempty"`
+	Crashes        int               `json:"c,omitempty"`
+	CertainCrashes int               `json:"C,omitempty"`
+	Trial          time.Duration     `json:"m,omitempty"` // in nanoseconds
+	Runner         fleet.RunnerID    `json:"r,omitempty"`
+	Incarnation    fleet.Incarnation `json:"b,omitempty"`
+	Address        string            `json:"h,omitempty"`
+	Checkpoint     string            `json:"s,omitempty"`
+	Unresolved     []ledger.Run      `json:"u,omitempty"`
 }
 
 // EncodeLedger returns the encoded record of the ledger. A dropped definition or
--- a/peer/dispatchconvert.go
+++ b/peer/dispatchconvert.go
@@ -103,7 +103,7 @@
 
 func decodeOutcome(r *peerpb.RunnerResult) event.OrderOutcome {
 	outcome := event.OrderOutcome(r.GetOutcome())
-	if outcome < event.OrderDone || outcome > event.OrderInvalid {
+	if outcome < event.OrderDone || outcome > event.OrderNotSent {
 		return event.OrderUnknown
 	}
 	return outcome
--- a/reduce/event/jobs.go
+++ b/reduce/event/jobs.go
@@ -170,6 +170,9 @@
 	OrderUnhealthy
 	// OrderInvalid means that the runner could not parse the order.
 	OrderInvalid
+	// OrderNotSent means that no connection was made, so the runner did not receive the
+	// order.
+	OrderNotSent
 )
 
 // Clock is a reading of a runner's monotonic clock, from an answer of the runner.
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/crashes"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/ledger"
 	"github.com/banyanrail/banyanrail/reduce/timer"
@@ -89,11 +90,14 @@
 )
 
 type task struct {
-	step       *step
-	index      int
-	phase      taskPhase
-	attempt    int64
-	failures   int
+	step     *step
+	index    int
+	phase    taskPhase
+	attempt  int64
+	failures int
+	crashes  crashes.Record
+	// crashedOn is the instance whose runner last crashed under the task.
+	crashedOn  fleet.InstanceID
 	checkpoint string
 	run        *run
 	// unresolved lists the earlier runs whose outcome is not known.
@@ -333,8 +337,9 @@
 		return ledger.Task{}, false
 	}
 	out := ledger.Task{Number: t.step.firstTask + t.index, Attempt: t.attempt, Failures: t.failures, Checkpoint: t.checkpoint}
+	out.Crashes, out.CertainCrashes, out.Trial = t.crashes.Crashes, t.crashes.Certain, t.crashes.Trial
 	if t.run != nil {
-		out.Runner, out.Incarnation = t.run.runner.ID, t.run.incarnation
+		out.Runner, out.Incarnation, out.Address = t.run.runner.ID, t.run.incarnation, t.run.runner.Address
 	}
 	for _, u := range t.unresolved {
 		out.Unresolved = append(out.Unresolved, ledger.Run{Attempt: u.attempt, Runner: u.runner})
@@ -411,6 +416,7 @@
 
 func (o *ownership) restoreTask(t *task, r *ledger.Task) {
 	t.attempt, t.failures, t.checkpoint = r.Attempt, r.Failures, r.Checkpoint
+	t.crashes = crashes.Record{Crashes: r.Crashes, Certain: r.CertainCrashes, Trial: r.Trial}
 	for _, u := range r.Unresolved {
 		o.addUnresolved(t, unresolvedRun{attempt: u.Attempt, runner: u.Runner, since: o.now()})
 	}
@@ -420,7 +426,7 @@
 		return
 	}
 	t.job().adopted = true
-	o.adoptRun(t, r.Runner, r.Incarnation)
+	o.adoptRun(t, r)
 }
 
 func (occ *occurrence) allTasks() []*task {
--- a/reduce/jobs/placement.go
+++ b/reduce/jobs/placement.go
@@ -65,11 +65,12 @@
 		return
 	}
 	var tried shortages
+	pass := &pass{pool: p, usable: usable}
 	for _, k := range o.rank(stepsThatMayFit(p.queue, usable)) {
 		if tried.covers(k.step) {
 			continue
 		}
-		if !o.placeStep(k.step, usable) {
+		if !o.placeStep(k.step, pass) {
 			tried.add(k.step)
 		}
 		if !k.step.hasWaiting() {
@@ -131,12 +132,12 @@
 
 // placeStep places as many tasks of a step as possible. It returns false if no
 // runner was found for a task.
-func (o *ownership) placeStep(st *step, usable []*runner) bool {
-	if st.occ.job.requiresAdvice && !o.ensureAdvice(st, usable) {
+func (o *ownership) placeStep(st *step, pass *pass) bool {
+	if st.occ.job.requiresAdvice && !o.ensureAdvice(st, pass.usable) {
 		return true
 	}
 	if st.spec.Gang {
-		o.placeGang(st, usable)
+		o.placeGang(st, pass)
 		return true
 	}
 	var last *runner
@@ -144,9 +145,13 @@
 		if t.phase != taskWaiting || o.awaitsResolution(t) {
 			continue
 		}
+		if t.crashes.Suspected() {
+			o.placeSuspect(t, pass)
+			continue
+		}
 		r := last
 		if r == nil || t.avoidRunner != "" || !o.feasible(st, r, gangShare{}) {
-			r = o.chooseRunner(st, t, usable, nil)
+			r = o.chooseRunner(st, t, pass.usable, nil)
 		}
 		if r == nil {
 			return false
@@ -194,6 +199,9 @@
 // feasible reports whether a task of a step may run on a runner, in addition to
 // a gang's share of it.
 func (o *ownership) feasible(st *step, r *runner, share gangShare) bool {
+	if r.trialJob != nil && r.trialJob != st.occ.job {
+		return false
+	}
 	if !o.healthAllowsRun(r) || !r.free().Minus(share.used).Fits(st.spec.Reservation()) || !r.HasLabel(st.spec.Label) {
 		return false
 	}
@@ -267,18 +275,32 @@
 
 // placeGang plans runs of all tasks of a gang, or of none. All runs have the same
 // attempt number and start from the same checkpoint.
-func (o *ownership) placeGang(st *step, usable []*runner) {
+func (o *ownership) placeGang(st *step, pass *pass) {
+	suspected := false
 	for _, t := range st.tasks {
 		if t.phase != taskWaiting || o.awaitsResolution(t) {
 			return
 		}
+		suspected = suspected || t.crashes.Suspected()
+	}
+	if suspected {
+		o.placeSuspectedGang(st, pass)
+		return
+	}
+	if plan := o.planGangIn(st, pass.usable); plan != nil {
+		o.startGang(st, plan)
 	}
+}
+
+// planGangIn returns a plan for a gang on the first of its groups of runners that
+// allows one, or nil.
+func (o *ownership) planGangIn(st *step, usable []*runner) []*runner {
 	for _, group := range o.gangGroups(st, usable) {
 		if plan := o.planGang(st, group); plan != nil {
-			o.startGang(st, plan)
-			return
+			return plan
 		}
 	}
+	return nil
 }
 
 // gangGroups returns the sets of runners to try for a gang, in order. For a gang
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/crashes"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 )
@@ -55,7 +56,7 @@
 // pollIfDue sends a poll unless one is in flight or none is needed.
 func (o *ownership) pollIfDue(r *runner) {
 	p := &r.poll
-	if p.inFlight || o.phase != phaseActive || o.now().Before(p.notBefore) || !r.needsPoll() || !o.mayPoll(r) || !o.s.tenure.Valid(o.now()) {
+	if p.inFlight || o.phase != phaseActive || o.now().Before(p.notBefore) || !r.needsPoll(o.now()) || !o.mayPoll(r) || !o.s.tenure.Valid(o.now()) {
 		return
 	}
 	o.lastPoll++
@@ -78,10 +79,11 @@
 }
 
 // needsPoll reports whether a runner has to be polled: it may run tasks, has not
-// seen this tenure's fencing token, or has ended runs that are not acknowledged.
-func (r *runner) needsPoll() bool {
+// seen this tenure's fencing token, or has ended runs that are not acknowledged or not
+// resolved.
+func (r *runner) needsPoll(now time.Time) bool {
 	switch {
-	case r.Address == "" || (!r.listed && len(r.runs) == 0):
+	case r.Address == "" || (!r.listed && len(r.runs) == 0 && !now.Before(r.unresolvedUntil)):
 		return false
 	case !r.fenced || len(r.runs) > 0:
 		return true
@@ -92,10 +94,14 @@
 
 // pollWaitFor returns the longest wait of a long poll of a runner.
 func (o *ownership) pollWaitFor(r *runner) time.Duration {
-	if r.mixesBestEffort() {
+	switch {
+	case r.trialJob != nil || o.now().Before(r.reservedUntil):
+		return crashes.SettleTime
+	case r.mixesBestEffort():
 		return servingPollWait
+	default:
+		return pollWait
 	}
-	return pollWait
 }
 
 func (o *ownership) onRunnerPolled(b event.RunnerPolled) {
@@ -119,7 +125,7 @@
 		if b.Incarnation < r.Incarnation {
 			return
 		}
-		o.onRunnerRestarted(r)
+		o.onRunnerRestarted(r, b.Incarnation)
 	} else {
 		r.acknowledgedEnd = max(r.acknowledgedEnd, r.poll.acknowledged)
 	}
@@ -127,6 +133,7 @@
 	if b.Incarnation != 0 {
 		r.Incarnation = b.Incarnation
 	}
+	r.noteAnswer(o.receivedAt(b.Clock), b.Clock)
 	r.updateClock(b.Clock)
 	if !b.Clock.Received.IsZero() {
 		o.s.lag.Observe(o.now(), o.now().Sub(b.Clock.Received))
@@ -236,6 +243,7 @@
 	case fleet.RunDone:
 		o.onTaskDone(t)
 	case fleet.RunFailed:
+		t.crashes.Trial = 0
 		o.onRunFailed(t, r)
 	default:
 		o.requeue(t)
@@ -299,6 +307,7 @@
 		run.listedBy = r.poll.number
 		run.update(o, row)
 	}
+	o.confirmFormerEnds(r)
 	for _, run := range r.runsWhere(func(run *run) bool { return run.listedBy != r.poll.number && run.confirmedBefore(sent) }) {
 		o.loseRun(run, reasonNotListed)
 	}
--- a/reduce/jobs/run.go
+++ b/reduce/jobs/run.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/crashes"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/ledger"
 	"github.com/banyanrail/banyanrail/reduce/timer"
 )
 
@@ -54,6 +56,11 @@
 	confirmedAt time.Time
 	// runningSince is when the runner first confirmed that the task runs; zero before.
 	runningSince time.Time
+	// onTrial is set while the run may show that its task crashes runners.
+	onTrial bool
+	// ended tells how the run may have ended with an earlier incarnation of its runner;
+	// nil while there is no sign of that.
+	ended *crashes.Run
 
 	// listedAt is when the runner last listed the run, and listedBy the number of
 	// the poll.
@@ -91,6 +98,7 @@
 	run := &run{
 		task: t, runner: r, incarnation: r.Incarnation, attempt: attempt, phase: runIntent,
 		reserved: t.step.spec.Reservation(), createdAt: o.now(), ticket: ticket, pace: newPace(),
+		onTrial: t.crashes.Suspected(),
 	}
 	o.attachRun(run)
 	t.job().started = true
@@ -99,10 +107,16 @@
 }
 
 // adoptRun takes over a run that an earlier owner planned or started.
-func (o *ownership) adoptRun(t *task, id fleet.RunnerID, incarnation fleet.Incarnation) {
+func (o *ownership) adoptRun(t *task, stored *ledger.Task) {
+	r := o.runner(stored.Runner)
+	if r.Address == "" {
+		r.Address = stored.Address
+	}
+	r.Incarnation = max(r.Incarnation, stored.Incarnation)
 	o.attachRun(&run{
-		task: t, runner: o.runner(id), incarnation: incarnation, attempt: t.attempt, phase: runStarting,
+		task: t, runner: r, incarnation: stored.Incarnation, attempt: t.attempt, phase: runStarting,
 		reserved: t.step.spec.Reservation(), createdAt: o.now(), confirmedAt: o.startedAt, mayStartLate: true, pace: newPace(),
+		onTrial: t.crashes.Suspected(),
 	})
 }
 
@@ -129,10 +143,11 @@
 	o.releaseRun(run)
 	o.s.logDecision(effect.Decision{
 		Name: "run lost", Task: run.task.id().String(), Attempt: run.attempt, Runner: run.runner.ID, Reason: reason,
-		Epoch: o.epoch, Age: o.now().Sub(run.createdAt), Ran: run.knownRunTime(),
+		Epoch: o.epoch, Age: o.now().Sub(run.createdAt), Ran: run.provenRunTime(), Count: run.task.crashes.Crashes,
 	})
 	o.s.count("runs_lost", reason)
 	if reason == reasonLeaseExpired {
+		run.task.crashes.Lost(run.provenRunTime())
 		o.addUnresolved(run.task, unresolvedRun{attempt: run.attempt, runner: run.runner.ID, since: o.now()})
 	}
 	o.requeue(run.task)
@@ -252,6 +267,9 @@
 	if !ok {
 		return
 	}
+	if b.Outcome != event.OrderOtherIncarnation && !r.poll.unreachable {
+		r.noteAnswer(o.receivedAt(b.Clock), b.Clock)
+	}
 	r.updateClock(b.Clock)
 	if b.Outcome == event.OrderFenced {
 		o.s.endTenure(reasonRunnerFenced)
@@ -287,10 +305,13 @@
 	case event.OrderDone:
 		run.setPhase(runRunning)
 		o.markBegun(run.task.job())
-		run.confirmedAt, run.progressAt, run.runningSince = o.now(), o.now(), o.now()
+		run.confirmedAt, run.progressAt = o.now(), o.now()
+		run.runningSince = run.runner.aliveAt
 	case event.OrderUnknown:
 		run.mayStartLate = true
 		o.retryAfter(run, orderRetryDelay)
+	case event.OrderNotSent:
+		o.retryAfter(run, orderRetryDelay)
 	case event.OrderStale, event.OrderLate:
 		o.retryAfter(run, 0)
 	case event.OrderSuperseded:
@@ -346,7 +367,7 @@
 	event.OrderDone: "done", event.OrderUnknown: "unknown", event.OrderStale: "stale", event.OrderFenced: "fenced",
 	event.OrderSuperseded: "superseded", event.OrderLate: "late", event.OrderNoRoom: "no room",
 	event.OrderNoTicket: "no ticket", event.OrderOtherIncarnation: "other incarnation",
-	event.OrderUnhealthy: "unhealthy", event.OrderInvalid: "invalid",
+	event.OrderUnhealthy: "unhealthy", event.OrderInvalid: "invalid", event.OrderNotSent: "not sent",
 }
 
 // fullProgressPercent is the progress of a task that is done, or of a long-running
@@ -358,8 +379,9 @@
 	r.listedAt, r.incarnation = o.now(), r.runner.Incarnation
 	o.markBegun(r.task.job())
 	if r.runningSince.IsZero() {
-		r.runningSince = o.now()
+		r.runningSince = r.runner.aliveAt
 	}
+	o.recordLasted(r)
 	if r.phase == runStarting {
 		r.setPhase(runRunning)
 		r.orderInFlight, r.confirmedAt, r.progressAt = false, o.now(), o.now()
--- a/reduce/jobs/runcounts.go
+++ b/reduce/jobs/runcounts.go
@@ -59,6 +59,10 @@
 	r.runs[id] = run
 	r.used = r.used.Plus(run.reserved)
 	r.counts.add(run)
+	if run.onTrial {
+		r.trials++
+		r.trialJob = run.task.job()
+	}
 }
 
 // removeRun removes a run from its runner. It returns false if it was removed
@@ -71,9 +75,22 @@
 	delete(r.runs, id)
 	r.used = r.used.Minus(run.reserved)
 	r.counts.remove(run)
+	run.endTrial()
 	return true
 }
 
+// endTrial lets other tasks be started beside a run that was on trial.
+func (run *run) endTrial() {
+	if !run.onTrial {
+		return
+	}
+	run.onTrial = false
+	r := run.runner
+	if r.trials--; r.trials == 0 {
+		r.trialJob = nil
+	}
+}
+
 // setPhase sets the phase of a run that is on its runner.
 func (run *run) setPhase(p runPhase) {
 	run.runner.counts.remove(run)
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -33,6 +33,9 @@
 	// no earlier owner can start tasks on it.
 	fenced bool
 	clock  event.Clock
+	// aliveAt is when the last answer that certainly came from this incarnation was
+	// received.
+	aliveAt time.Time
 	// leaseDeadline is the end of the latest lease that this owner granted, in
 	// milliseconds of the runner's clock; zero when it granted none.
 	leaseDeadline int64
@@ -56,6 +59,9 @@
 	lastEnd, storedEnd, acknowledgedEnd int64
 	poll                                pollState
 	health                              health
+	// unresolvedUntil is until when the runner is asked for the ends of runs that were given
+	// up when their leases expired.
+	unresolvedUntil time.Time
 	// drainingSince is when the runner was first listed as draining.
 	drainingSince time.Time
 	// vacating is set while the runner's instance is to be moved or maintained.
@@ -67,6 +73,11 @@
 	// noRoomUntil is until when no task is started after a refusal for lack of
 	// capacity.
 	noRoomUntil time.Time
+	// trials counts the runs on trial, and trialJob is their job; nil without any.
+	trials   int
+	trialJob *job
+	// reservedUntil is until when the runner is likely kept free for a run on trial.
+	reservedUntil time.Time
 }
 
 // pool is the queue of the steps that wait for the runners of a service.
@@ -159,7 +170,7 @@
 		if f.Incarnation < r.Incarnation {
 			return // the list is older
 		}
-		o.onRunnerRestarted(r)
+		o.onRunnerRestarted(r, f.Incarnation)
 	}
 	wasDraining, wasListed := r.Draining, r.listed
 	changed := !wasListed || r.Draining != f.Draining || r.Capacity != f.Capacity || r.Service != f.Service
@@ -205,9 +216,9 @@
 func (o *ownership) onRunnerGone(r *runner, reason effect.Reason) {
 	if len(r.runs) > 0 {
 		o.s.logDecision(effect.Decision{Name: "runs lost", Warning: true, Runner: r.ID, Reason: reason, Count: len(r.runs), Epoch: o.epoch})
-		if reason == reasonReplaced {
-			o.noteRunnerEnd(r, reason)
-		}
+	}
+	if reason == reasonReplaced {
+		o.onRunnerReplaced(r)
 	}
 	for _, run := range r.runsWhere(func(*run) bool { return true }) {
 		o.loseRun(run, reason)
@@ -216,6 +227,7 @@
 	r.fenced, r.leaseDeadline = false, 0
 	r.clock = event.Clock{}
 	if reason == reasonLeaseExpired {
+		r.unresolvedUntil = o.now().Add(resolveLimit)
 		return // the same incarnation may answer again and list its ended runs
 	}
 	r.storedEnd, r.lastEnd, r.acknowledgedEnd = 0, 0, 0
@@ -227,11 +239,9 @@
 // it are lost, unless an order has reached the new incarnation. Starts without an
 // answer are therefore retried there, and the answer to the next poll shows which
 // of the other runs the new incarnation runs.
-func (o *ownership) onRunnerRestarted(r *runner) {
+func (o *ownership) onRunnerRestarted(r *runner, incarnation fleet.Incarnation) {
 	o.s.logDecision(effect.Decision{Name: "runner started anew", Runner: r.ID, Count: len(r.runs), Epoch: o.epoch})
-	if len(r.runs) > 0 {
-		o.noteRunnerEnd(r, reasonRestarted)
-	}
+	o.suspectFormerRuns(r, incarnation)
 	r.fenced, r.leaseDeadline, r.storedEnd, r.lastEnd, r.acknowledgedEnd = false, 0, 0, 0, 0
 	r.formerLeasesUntil = o.now().Add(onSlowestClock(leaseDuration))
 	r.clock = event.Clock{}
--- a/reduce/jobs/runnertimers.go
+++ b/reduce/jobs/runnertimers.go
@@ -16,7 +16,7 @@
 	if r.Draining || r.vacating {
 		o.evacuate(r)
 	}
-	if !r.listed && len(r.runs) == 0 && o.now().Sub(r.unlistedAt) > leaseDuration {
+	if !r.listed && len(r.runs) == 0 && o.now().Sub(r.unlistedAt) > leaseDuration && o.now().After(r.unresolvedUntil) {
 		o.dropRunner(r)
 	}
 }
@@ -51,7 +51,7 @@
 			next = at
 		}
 	}
-	if !r.poll.inFlight && r.needsPoll() && o.mayPoll(r) {
+	if !r.poll.inFlight && r.needsPoll(o.now()) && o.mayPoll(r) {
 		due(r.poll.notBefore)
 	}
 	if r.mayRunTasks() {
@@ -61,7 +61,7 @@
 		due(soon)
 	}
 	if !r.listed && len(r.runs) == 0 {
-		due(r.unlistedAt.Add(leaseDuration))
+		due(latest(r.unlistedAt.Add(leaseDuration), r.unresolvedUntil))
 	}
 	switch {
 	case next.IsZero():
--- a/reduce/jobs/unresolved.go
+++ b/reduce/jobs/unresolved.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/crashes"
 )
 
 // resolveLimit is how long a task waits for the outcome of an unresolved run, if
@@ -30,7 +31,8 @@
 }
 
 // awaitsResolution reports whether a task that has failed before would have no
-// attempt left if all its unresolved runs had failed too.
+// attempt left if all its unresolved runs had failed too, or one that may have crashed
+// runners would be given up if it had crashed those of the unresolved runs too.
 func (o *ownership) awaitsResolution(t *task) bool {
 	if len(t.unresolved) == 0 || t.step.spec.LongRunning {
 		return false
@@ -42,6 +44,9 @@
 	if t.step.spec.Gang {
 		failures = t.step.gangFailures
 	}
+	if t.crashes.Crashes > 0 && t.crashes.Crashes+len(t.unresolved) >= crashes.MaxCrashes {
+		return true
+	}
 	return failures > 0 && failures+len(t.unresolved) >= t.job().maxAttempts
 }
 
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -94,6 +94,8 @@
 	running              int
 	doneAcknowledged     bool
 	failuresAcknowledged int
+	// lostRunners is the number of runners that crashed under the task.
+	lostRunners int
 	// crashed is the number of runners that the task has crashed, and startsSince the
 	// number of its starts since crashLimit of them have.
 	crashed, startsSince int
--- a/reduce/ledger/ledger.go
+++ b/reduce/ledger/ledger.go
@@ -86,10 +86,18 @@
 	Attempt int64
 	// Failures is the number of runs of the task that failed.
 	Failures int
+	// Crashes counts the runners that crashed while the task ran or may have run there,
+	// and CertainCrashes those on which it did. Trial is how long its next run has to last
+	// until it is no longer suspected to be the cause.
+	Crashes        int
+	CertainCrashes int
+	Trial          time.Duration
 	// Runner is the runner on which the task runs or may run; empty when it runs
-	// nowhere. Incarnation is that runner's incarnation.
+	// nowhere. Incarnation is that runner's incarnation, and Address its address: a new
+	// owner finds out there what became of a runner that is listed no longer.
 	Runner      fleet.RunnerID
 	Incarnation fleet.Incarnation
+	Address     string
 	// Checkpoint is the latest checkpoint of the task; empty when there is none.
 	Checkpoint string
 	// Unresolved lists the runs whose outcome is not known.
