Start nothing that was planned before a runner's room shrank

Cause: room was checked when a start was planned, and the start sent when its intent was stored, after an outage of the store seconds later; and nothing was known of the room meanwhile, as the list of runners could not be read either. Now the room is checked again before each start and each repetition, and runners that do not guard their capacity get no starts while the list cannot be read. Runners that refuse starts beyond their capacity are treated as before. Simulated entries now also tell that the list cannot be read.

--- a/reduce/jobs/run.go
+++ b/reduce/jobs/run.go
@@ -166,7 +166,7 @@
 	if run.phase != runIntent || r.runs[run.task.id()] != run {
 		return
 	}
-	if run.task.job().state.Final() || !r.listed || r.Draining || !r.fenced || run.incarnation != r.Incarnation {
+	if run.task.job().state.Final() || !r.listed || r.Draining || !r.fenced || run.incarnation != r.Incarnation || !o.roomKnown(r) || !o.hasRoom(r) {
 		o.requeueUnstarted(run)
 		return
 	}
@@ -245,13 +245,13 @@
 	switch {
 	case run.orderInFlight || run.retryAt.IsZero() || run.runner.runs[run.task.id()] != run:
 		return
-	case run.runner.poll.unreachable || !run.runner.fenced:
+	case run.runner.poll.unreachable || !run.runner.fenced || (run.phase == runStarting && !o.roomKnown(run.runner)):
 		o.timers.Set(&run.retry, o.now().Add(orderRetryDelay), run)
 		return
 	}
 	switch run.phase {
 	case runStarting, runIntent:
-		if run.runner.Draining || run.task.job().state.Final() {
+		if run.runner.Draining || run.task.job().state.Final() || !o.hasRoom(run.runner) {
 			o.stopRun(run)
 			return
 		}
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -324,7 +324,25 @@
 // usable reports whether tasks may be started on the runner.
 func (o *ownership) usable(r *runner) bool {
 	return r.listed && r.fenced && !o.withheld[r.ID] && !r.poll.unreachable && !r.Draining && !r.vacating && r.Capacity.CPU > 0 &&
-		!o.now().Before(r.noRoomUntil) && o.healthAllowsRun(r)
+		!o.now().Before(r.noRoomUntil) && o.healthAllowsRun(r) && o.roomKnown(r)
+}
+
+// roomKnown reports whether the capacity of a runner is known well enough to start tasks
+// on it. One that does not guard its capacity may have shrunk while the list of runners
+// cannot be read.
+func (o *ownership) roomKnown(r *runner) bool { return !o.runnersUnreadable || o.guardsCapacity(r) }
+
+// hasRoom reports whether the runs on a runner that does not guard its capacity fit, after
+// it may have shrunk.
+func (o *ownership) hasRoom(r *runner) bool { return o.guardsCapacity(r) || r.Capacity.Fits(r.used) }
+
+// guardsCapacity reports whether a runner refuses starts beyond its capacity.
+func (o *ownership) guardsCapacity(r *runner) bool {
+	if o.s.queues == nil {
+		return false
+	}
+	s, ok := o.s.queues.Services[r.Service]
+	return ok && s.EnforcesCapacity
 }
 
 func (r *runner) free() fleet.Capacity { return r.Capacity.Minus(r.used) }
--- a/reduce/jobs/runner_test.go
+++ b/reduce/jobs/runner_test.go
@@ -21,8 +21,11 @@
 	up       bool
 	draining bool
 	// unreachable cuts the runner off from all entries.
-	unreachable   bool
-	clockRate     float64
+	unreachable bool
+	clockRate   float64
+	// capacity is what the runner reports, and roomSince when that last shrank.
+	capacity      fleet.Capacity
+	roomSince     time.Time
 	fence         int64
 	leaseDeadline int64
 	runs          map[fleet.TaskID]*fakeRun
@@ -58,7 +61,7 @@
 var taskNeeds = fleet.Capacity{CPU: 1000, Memory: 100}
 
 func (w *world) addRunner(id fleet.RunnerID) *fakeRunner {
-	r := &fakeRunner{w: w, id: id, address: string(id), service: "desk"}
+	r := &fakeRunner{w: w, id: id, address: string(id), service: "desk", capacity: runnerCapacity}
 	w.runners[id] = r
 	r.boot()
 	return r
@@ -90,7 +93,7 @@
 	for _, r := range w.runners {
 		if r.up && !r.unreachable {
 			out = append(out, fleet.Runner{
-				ID: r.id, Incarnation: r.incarnation(), Service: r.service, Address: r.address, Capacity: runnerCapacity,
+				ID: r.id, Incarnation: r.incarnation(), Service: r.service, Address: r.address, Capacity: r.capacity,
 				Draining: r.draining, Instance: r.instance,
 			})
 		}
@@ -175,8 +178,13 @@
 	if o.Attempt <= r.highestAttempt[o.Task] {
 		return event.OrderSuperseded
 	}
-	if len(r.runs) >= int(runnerCapacity.CPU/taskNeeds.CPU) {
-		return event.OrderNoRoom
+	if room := int(r.capacity.CPU / taskNeeds.CPU); len(r.runs) >= room {
+		if r.w.queues.Services[r.service].EnforcesCapacity {
+			return event.OrderNoRoom
+		}
+		if r.w.now.Sub(r.roomSince) > shrunkRoomGrace {
+			r.w.violation("%v was started on %s, where %d tasks run with room for %d", o.Task, r.id, len(r.runs), room)
+		}
 	}
 	r.checkStart(o)
 	r.w.starts++
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -572,7 +572,9 @@
 		if e.incarnation != incarnation || e.followedEpoch != epoch {
 			return
 		}
-		if !e.storeUnreachable() && !e.w.withholdRunners {
+		if e.storeUnreachable() {
+			e.post(event.RunnersReadFailed{Epoch: epoch, Reason: "down"})
+		} else if !e.w.withholdRunners {
 			e.post(event.RunnersRead{Epoch: epoch, Full: true, Runners: e.w.listed()})
 		}
 		if e.w.reportInterval > 0 {
