Count the failures of a gang over owners

Seen by callers: a gang that fails each time could run beyond the attempts of its queue, once an owner followed another. Found while looking for counts that a successor loses, as those of crashes. Cause: failures of a gang were counted at its step, and the ledger stored those of tasks alone. TestFailuresOfAGangAreCountedOverOwners failed before with 16 starts too many. Now each task of a gang stores its gang's failures, and the next owner takes the most.

--- a/reduce/jobs/crashes_test.go
+++ b/reduce/jobs/crashes_test.go
@@ -254,3 +254,26 @@
 	}
 	return false
 }
+
+// TestFailuresOfAGangAreCountedOverOwners kills the owner after each failed run of a
+// gang. Each owner counted the failures anew.
+func TestFailuresOfAGangAreCountedOverOwners(t *testing.T) {
+	w := newWorld(t, 116, 3, 3)
+	w.run(2 * time.Second)
+	w.alwaysFails[jobID(0)] = true
+	w.submit(jobID(0), &fleet.JobSpec{Text: "text", Steps: []fleet.Step{
+		{Count: 1, Needs: taskNeeds, Estimate: 300 * time.Millisecond, Gang: true},
+	}})
+	seen := 0
+	for range 200 {
+		w.run(100 * time.Millisecond)
+		if n := w.history(firstTask(jobID(0))).failuresAcknowledged; n > seen {
+			seen = n
+			o := w.owner()
+			o.kill()
+			w.after(time.Second, o.restart)
+		}
+	}
+	w.checkInvariants()
+	w.mustState(jobID(0), fleet.JobFailed)
+}
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -337,6 +337,9 @@
 		return ledger.Task{}, false
 	}
 	out := ledger.Task{Number: t.step.firstTask + t.index, Attempt: t.attempt, Failures: t.failures, Checkpoint: t.checkpoint}
+	if t.step.spec.Gang {
+		out.Failures = t.step.gangFailures
+	}
 	out.Crashes, out.CertainCrashes, out.Trial = t.crashes.Crashes, t.crashes.Certain, t.crashes.Trial
 	if t.run != nil {
 		out.Runner, out.Incarnation, out.Address = t.run.runner.ID, t.run.incarnation, t.run.runner.Address
@@ -416,6 +419,9 @@
 
 func (o *ownership) restoreTask(t *task, r *ledger.Task) {
 	t.attempt, t.failures, t.checkpoint = r.Attempt, r.Failures, r.Checkpoint
+	if t.step.spec.Gang {
+		t.failures, t.step.gangFailures = 0, max(t.step.gangFailures, r.Failures)
+	}
 	t.crashes = crashes.Record{Crashes: r.Crashes, Certain: r.CertainCrashes, Trial: r.Trial}
 	for _, u := range r.Unresolved {
 		o.addUnresolved(t, unresolvedRun{attempt: u.Attempt, runner: u.Runner, since: o.now()})
--- a/reduce/ledger/ledger.go
+++ b/reduce/ledger/ledger.go
@@ -84,7 +84,7 @@
 	Number int
 	// Attempt is the number of the latest start; zero when there was none.
 	Attempt int64
-	// Failures is the number of runs of the task that failed.
+	// Failures is the number of runs of the task that failed, or of its gang.
 	Failures int
 	// Crashes counts the runners that crashed while the task ran or may have run there,
 	// and CertainCrashes those on which it did. Trial is how long its next run has to last
