Odd entries in the list of runners name no runner

From reports of other operators: an entry of another writer, deeply nested, with a number too large or a port out of range, ended the machines that read the list, or stopped them following it. The same calls went to entries of a service that nobody configured (TestRunnerOfAnUnknownServiceIsNotCalled failed before).

--- a/reduce/jobs/capacity_test.go
+++ b/reduce/jobs/capacity_test.go
@@ -112,3 +112,24 @@
 		w.checkInvariants()
 	}
 }
+
+// TestRunnerOfAnUnknownServiceIsNotCalled until a configuration names its service: the
+// entry may be another writer's, with nobody at its address.
+func TestRunnerOfAnUnknownServiceIsNotCalled(t *testing.T) {
+	w := newWorld(t, 122, 2, 2)
+	w.addRunner("odd").service = "nowhere"
+	polls := 0
+	w.onEffect = func(_ *fakeEntry, out effect.Effect) bool {
+		if p, ok := out.(effect.PollRunner); ok && p.Runner == "odd" {
+			polls++
+		}
+		return true
+	}
+	w.run(5 * time.Second)
+	must.Eq(t, 0, polls)
+	w.queues = fleet.NewQueues(2, []*fleet.Queue{w.queues.ByName[queueName]},
+		[]*fleet.JobService{{Name: "desk", EnforcesCapacity: true}, {Name: "nowhere", EnforcesCapacity: true}})
+	w.configureAll()
+	w.run(time.Second)
+	must.Positive(t, polls)
+}
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -176,6 +176,9 @@
 
 func (o *ownership) onQueuesChanged() {
 	o.eachActive(o.applyQueue)
+	for _, r := range o.sortedRunners {
+		o.touch(r) // its service may be new
+	}
 }
 
 // hasUnstored reports whether changes of jobs have not been stored yet.
--- a/reduce/jobs/unreached.go
+++ b/reduce/jobs/unreached.go
@@ -95,8 +95,14 @@
 }
 
 // mayPoll reports whether a runner may be polled. One that is withheld is polled until
-// it answers, and then again once it may have leases.
-func (o *ownership) mayPoll(r *runner) bool { return !r.fenced || !o.withheld[r.ID] }
+// it answers, and then again once it may have leases. One of a service that no
+// configuration names may be another writer's entry.
+func (o *ownership) mayPoll(r *runner) bool {
+	if len(r.runs) == 0 && o.s.queues != nil && o.s.queues.Services[r.Service] == nil {
+		return false
+	}
+	return !r.fenced || !o.withheld[r.ID]
+}
 
 // unreachedRecord returns the record of the runners that were not reached.
 func (o *ownership) unreachedRecord() ledger.Record {
