--- a/reduce/crashes/crashes.go
+++ b/reduce/crashes/crashes.go
@@ -58,8 +58,8 @@
 }
 
 // unendedShare is the part of its estimated run time, as a divisor, within which a run has
-// hardly ended. Estimates are wrong by half and more.
-const unendedShare = 4
+// hardly ended.
+const unendedShare = 2
 
 // certain reports whether the run was certainly in progress when its runner crashed: it may
 // also have ended before, and the runner not have told so.
--- a/reduce/jobs/crashes.go
+++ b/reduce/jobs/crashes.go
@@ -13,6 +13,7 @@
 // onRunnerReplaced handles a runner at whose address another one answers: it has ended
 // with all its runs.
 func (o *ownership) onRunnerReplaced(r *runner) {
+	o.resolveEnded(r)
 	runs := r.runsWhere((*run).mayHaveBegun)
 	for _, run := range runs {
 		run.ended = o.endOf(run, runs)
@@ -76,11 +77,10 @@
 // onRunnerEnded handles the end of runs with their runner. Unless it left as planned,
 // their tasks may have crashed it, and those that do so again and again are given up.
 func (o *ownership) onRunnerEnded(r *runner, evidence effect.Reason, runs []*run) {
-	planned := o.leftAsPlanned(r)
-	o.resolveEnded(r, planned)
 	if len(runs) == 0 {
 		return
 	}
+	planned := o.leftAsPlanned(r)
 	d := effect.Decision{Name: "runner left", Runner: r.ID, Reason: evidence, Count: len(runs), Epoch: o.epoch}
 	if !planned {
 		d.Name, d.Warning = "runner crashed", true
@@ -135,7 +135,8 @@
 
 // resolveEnded resolves the runs that were given up when their leases expired on a runner
 // that has ended: it lists their ends no more.
-func (o *ownership) resolveEnded(r *runner, planned bool) {
+func (o *ownership) resolveEnded(r *runner) {
+	planned := o.leftAsPlanned(r)
 	for _, j := range slices.Clone(o.unresolved) {
 		if j.state.Final() {
 			continue
--- a/reduce/jobs/crashes_test.go
+++ b/reduce/jobs/crashes_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/shoenig/test/must"
 )
 
@@ -226,6 +227,35 @@
 	w.mustState(jobID(0), fleet.JobDone)
 }
 
+// TestCutOffRunnerCountsNoCrash: a runner that answers again after its leases have expired
+// has not crashed under the tasks that it lost.
+func TestCutOffRunnerCountsNoCrash(t *testing.T) {
+	w := newWorld(t, 117, 2, 2)
+	w.run(2 * time.Second)
+	w.submit(jobID(0), longRunningJob(1, 1))
+	var counted []int
+	w.onEffect = func(_ *fakeEntry, out effect.Effect) bool {
+		if d, ok := out.(effect.Decision); ok && d.Name == "run lost" {
+			counted = append(counted, d.Count)
+		}
+		return true
+	}
+	for range 3 {
+		w.run(time.Second)
+		for _, r := range w.runners {
+			r.unreachable = true
+		}
+		w.run(7 * time.Second)
+		for _, r := range w.runners {
+			r.unreachable = false
+		}
+		w.run(5 * time.Second)
+	}
+	must.Eq(t, 1, w.runningTasks())
+	must.Eq(t, []int{0, 0, 0}, counted)
+	w.checkInvariants()
+}
+
 // TestJobsHoldWithCrashingTasks draws faults and jobs, some of them with a task that
 // crashes each runner that starts it.
 func TestJobsHoldWithCrashingTasks(t *testing.T) {
--- a/reduce/jobs/isolation.go
+++ b/reduce/jobs/isolation.go
@@ -17,8 +17,7 @@
 	usable []*runner
 	// waiting holds the jobs for which a runner is reserved until the end of the pass.
 	waiting map[*job]bool
-	// taken is the number of runners that are on trial or reserved; negative until they
-	// are counted.
+	// taken is the number of runners that are on trial or reserved, once it is counted.
 	taken   int
 	counted bool
 }
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -241,6 +241,7 @@
 // of the other runs the new incarnation runs.
 func (o *ownership) onRunnerRestarted(r *runner, incarnation fleet.Incarnation) {
 	o.s.logDecision(effect.Decision{Name: "runner started anew", Runner: r.ID, Count: len(r.runs), Epoch: o.epoch})
+	o.resolveEnded(r)
 	o.suspectFormerRuns(r, incarnation)
 	r.fenced, r.leaseDeadline, r.storedEnd, r.lastEnd, r.acknowledgedEnd = false, 0, 0, 0, 0
 	r.formerLeasesUntil = o.now().Add(onSlowestClock(leaseDuration))
