Acknowledge ends only within 0.4 s of a runner's last answer

A runner crashed and was back under its id within a second; the acknowledgement for its last life reached the next, which dropped its own ends unread. The limit was 1.5 s, longer than such a restart takes. An end is stored some 10 ms after it was read, so the acknowledgement is usually in time; otherwise one more poll goes before it.

--- a/reduce/jobs/faults_test.go
+++ b/reduce/jobs/faults_test.go
@@ -23,8 +23,9 @@
 //   - 616: leases were granted to a new incarnation before its restart was known.
 //   - 6865: a poll sent before a run was given up was taken as evidence of its end.
 //   - 900: runners with long-running tasks were never probed again.
+//   - 6220: an acknowledgement reached a runner that was back under its id in a second.
 //   - 5022: an acknowledgement reached a new incarnation after an outage of the store.
-var regressions = []int64{35, 95, 168, 210, 217, 248, 278, 283, 396, 616, 900, 5022, 6865}
+var regressions = []int64{35, 95, 168, 210, 217, 248, 278, 283, 396, 616, 900, 5022, 6220, 6865}
 
 var (
 	seeds     = flag.Int("jobs.seeds", 25, "number of random histories")
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -23,8 +23,8 @@
 	unstoredEndsPollDelay = time.Second
 	// maxAcknowledgeAge is the age of a runner's last answer above which nothing is
 	// acknowledged to it: it may have restarted since and number its ended runs from
-	// 1 again.
-	maxAcknowledgeAge = 1500 * time.Millisecond
+	// 1 again. No restart is shorter.
+	maxAcknowledgeAge = 400 * time.Millisecond
 	// endsPerPoll is the largest number of ended runs in one answer.
 	endsPerPoll = 500
 	// maxOrderAge is the largest age of an order or poll when it is sent. It keeps
