--- a/reduce/jobs/crashes_test.go
+++ b/reduce/jobs/crashes_test.go
@@ -256,6 +256,48 @@
 	w.checkInvariants()
 }
 
+// TestTrialOfALongRunningTaskEnds, also if its runner crashed once more meanwhile and is no
+// longer blamed on the task: the runner took tasks of no other job then.
+func TestTrialOfALongRunningTaskEnds(t *testing.T) {
+	for seed := range int64(20) {
+		w := newWorld(t, 140+seed, 3, 2)
+		w.run(2 * time.Second)
+		w.lossShare = 0.3
+		w.submit(jobID(0), longRunningJob(3, 1))
+		for range 12 {
+			w.run(time.Duration(w.rng.Intn(2500)) * time.Millisecond)
+			r := w.runners[fleet.RunnerID(fmt.Sprintf("r%d", w.rng.Intn(2)))]
+			switch w.rng.Intn(3) {
+			case 0:
+				r.unreachable = true
+				w.after(6*time.Second, func() { r.unreachable = false })
+			case 1:
+				if r.up {
+					r.crash()
+					w.after(1500*time.Millisecond, r.restart)
+				}
+			default:
+				o := w.owner()
+				o.kill()
+				w.after(time.Second, o.restart)
+			}
+		}
+		w.lossShare = 0
+		for _, r := range w.runners {
+			r.unreachable = false
+			r.restart()
+		}
+		w.run(8 * time.Second)
+		for n := range 6 {
+			w.submit(jobID(n+1), twoStepJob())
+		}
+		w.run(6 * time.Second)
+		for n := range 6 {
+			w.mustState(jobID(n+1), fleet.JobDone)
+		}
+	}
+}
+
 // TestJobsHoldWithCrashingTasks draws faults and jobs, some of them with a task that
 // crashes each runner that starts it.
 func TestJobsHoldWithCrashingTasks(t *testing.T) {
--- a/reduce/jobs/isolation.go
+++ b/reduce/jobs/isolation.go
@@ -127,11 +127,10 @@
 // enough.
 func (o *ownership) recordLasted(run *run) {
 	t := run.task
-	if !t.crashes.Lasted(run.provenRunTime(), t.step.spec.LongRunning) {
-		return
+	if t.crashes.Lasted(run.provenRunTime(), t.step.spec.LongRunning) {
+		o.markProgress(t.job())
 	}
-	o.markProgress(t.job())
-	if !t.crashes.Suspected() {
+	if run.onTrial && !t.crashes.Suspected() {
 		run.endTrial()
 		o.pool(run.runner.Service).dirty = true
 	}
