--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,7 +4,14 @@
 cd "$(dirname "$0")" || exit 2
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-../../target/review-testbed -case batch -trouble=$trouble -entry ../../target/banyanrail-entry -record record.txt
+../../target/review-testbed -case batch -trouble=$trouble -entry ../../target/banyanrail-entry -record record.txt &
+child=$!
+trap 'kill -TERM $child' TERM INT HUP
+wait $child
 status=$?
+while kill -0 $child 2>/dev/null; do # a signal ends the first wait
+  wait $child
+  status=$?
+done
 [ $status -le 1 ] || exit 2
 exit $status
--- a/review/_testbed/batch.go
+++ b/review/_testbed/batch.go
@@ -11,9 +11,13 @@
 )
 
 const (
-	// jobsPerSecond is the rate at which clients hand jobs in for trafficTime.
-	jobsPerSecond = 60
-	trafficTime   = 12 * time.Second
+	// A queue's turn: for turnTime it gets turnRate jobs a second, five times the mean of
+	// the site's sounding-check, and betweenRate before and after.
+	turnRate    = 55
+	betweenRate = 3
+	turnAt      = 4500 * time.Millisecond
+	turnTime    = 5 * time.Second
+	trafficTime = 12 * time.Second
 	// storeDownAt and storeDownTime are when the store is down, and for how long.
 	storeDownAt   = 5 * time.Second
 	storeDownTime = 4200 * time.Millisecond
@@ -61,10 +65,17 @@
 	var mu sync.Mutex
 	var accepted []fleet.JobID
 	var clients sync.WaitGroup
-	count := int(trafficTime.Seconds() * jobsPerSecond)
 	began := time.Now()
-	for n := range count {
-		b.sleep(time.Until(began.Add(time.Duration(n) * time.Second / jobsPerSecond)))
+	count := 0
+	for at := time.Duration(0); at < trafficTime; {
+		n := count
+		count++
+		b.sleep(time.Until(began.Add(at)))
+		rate := betweenRate
+		if at >= turnAt && at < turnAt+turnTime {
+			rate = turnRate
+		}
+		at += time.Second / time.Duration(rate)
 		clients.Go(func() {
 			id := fleet.JobID(fmt.Sprintf("%016x", n+1))
 			b.mu.Lock()
