--- a/review/_world/cases.go
+++ b/review/_world/cases.go
@@ -72,7 +72,7 @@
 const (
 	// cutLength is how long a runner is cut off, and storeCutLength how long an entry is
 	// cut off from the store.
-	cutLength      = 6 * time.Second
+	cutLength      = 5500 * time.Millisecond
 	storeCutLength = 5500 * time.Millisecond
 )
 
--- a/review/_world/runner.go
+++ b/review/_world/runner.go
@@ -202,6 +202,7 @@
 	r.mu.Lock()
 	if r.blocked != nil && r.blocked(o.fence) {
 		r.mu.Unlock()
+		r.w.note("runner %s: %s with fence %d is lost on the way", r.id, q.URL.Path, o.fence)
 		hang(q)
 		return o, false
 	}
@@ -299,6 +300,7 @@
 	x.task, x.attempt, x.began = o.task, o.attempt, time.Now()
 	r.runs[key(x.task, x.attempt)] = x
 	r.w.started(r, x, o.fence)
+	r.w.note("runner %s: its lease lasts %.2f s more by its clock", r.id, float64(r.lease-r.clock())/1000)
 	switch {
 	case r.failing:
 		r.finish(x, "failed")
@@ -341,6 +343,9 @@
 		return
 	}
 	r.extend(o.deadline)
+	if len(r.runs) > 0 {
+		r.w.note("runner %s: hold with fence %d; its lease lasts %.2f s more by its clock", r.id, o.fence, float64(r.lease-r.clock())/1000)
+	}
 	for len(r.ends) > 0 && r.ends[0].number <= o.acknowledged {
 		r.ends = r.ends[1:]
 	}
--- a/review/_world/world.go
+++ b/review/_world/world.go
@@ -402,11 +402,17 @@
 	cmd.Dir = root
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "BANYANRAIL_NODE_FILE=" + file, "BANYANRAIL_METRICS=" + e.metrics}
 	cmd.Stdout, cmd.Stderr = logs, logs
+	done := make(chan struct{})
+	// The lock keeps close from missing a process that is just being started again.
+	e.mu.Lock()
+	if e.stopped {
+		e.mu.Unlock()
+		return logs.Close()
+	}
 	if err := cmd.Start(); err != nil {
+		e.mu.Unlock()
 		return err
 	}
-	done := make(chan struct{})
-	e.mu.Lock()
 	e.cmd, e.done, e.logs = cmd, done, logs
 	e.mu.Unlock()
 	e.w.note("entry %s starts", e.name)
