Hand the bound on former owners from claim to claim

Cause: setNewest overwrote formerActiveUntil with each record of another entry, so a release, or an own former process, bounded more than its own writer. Ruled out: that the list of unreached runners is at fault. It named the right epoch; the earlier of the two bounds was taken.

Each record now carries how long owners of earlier epochs may still be active. A claim follows the record that its writer has read last, so the bound holds whichever records the next owner has read.

--- a/codec/ledger_test.go
+++ b/codec/ledger_test.go
@@ -101,6 +101,10 @@
 			Epoch: rapid.Int64().Draw(rt, "epoch"), Owner: fleet.EntryID(rapid.StringMatching(`[a-z0-9-]*`).Draw(rt, "owner")),
 			Incarnation: rapid.Uint64().Draw(rt, "incarnation"), Beat: rapid.Int64().Draw(rt, "beat"), Released: rapid.Bool().Draw(rt, "released"),
 		}
+		if rapid.Bool().Draw(rt, "tells of former owners") {
+			active := time.Duration(rapid.Int64().Draw(rt, "former owners are active"))
+			want.FormerActive = &active
+		}
 		r, err := codec.EncodeTenure(want)
 		must.NoError(rt, err)
 		got, ok, err := codec.DecodeTenure([]storage.Record{{Key: "else"}, r})
--- a/reduce/jobs/incarnation.go
+++ b/reduce/jobs/incarnation.go
@@ -151,7 +151,7 @@
 	if !o.restarted.former[id] {
 		return staleLeases{}
 	}
-	until := o.s.tenure.FormerOwnerActiveUntil().Add(o.maxStaleTime())
+	until := o.s.tenure.FormerOwnersActiveUntil().Add(o.maxStaleTime())
 	return staleLeases{until: until, deadline: math.MaxInt64, former: true}
 }
 
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -81,7 +81,7 @@
 func newOwnership(s *State, epoch int64) *ownership {
 	return &ownership{
 		s: s, epoch: epoch, startedAt: s.now, phase: phaseFencing,
-		formerLeasesUntil: s.tenure.FormerOwnerActiveUntil().Add(onSlowestClock(leaseDuration)),
+		formerLeasesUntil: s.tenure.FormerOwnersActiveUntil().Add(onSlowestClock(leaseDuration)),
 		jobs:              make(map[fleet.JobID]*job),
 		runners:           make(map[fleet.RunnerID]*runner),
 		byInstance:        make(map[fleet.InstanceID][]*runner),
--- a/reduce/jobs/runner_test.go
+++ b/reduce/jobs/runner_test.go
@@ -75,6 +75,9 @@
 	r.comesBack = false
 	r.up, r.draining, r.unreachable, r.failing, r.stalled = true, false, false, false, false
 	r.born, r.clockRate = r.w.now, 0.98+0.02*r.w.rng.Float64()
+	if r.w.clockRate > 0 {
+		r.clockRate = r.w.clockRate
+	}
 	r.fence, r.leaseDeadline, r.lastEnd, r.acknowledgedEnd, r.ends = 0, 0, 0, 0, nil
 	r.endedAt = make(map[int64]time.Time)
 	r.runs = make(map[fleet.TaskID]*fakeRun)
--- a/reduce/jobs/waves.go
+++ b/reduce/jobs/waves.go
@@ -235,7 +235,7 @@
 
 // lateOrdersPossible reports whether an order of an earlier owner may still be carried out.
 func (o *ownership) lateOrdersPossible() bool {
-	return o.now().Before(o.s.tenure.FormerOwnerActiveUntil().Add(maxCallDelay))
+	return o.now().Before(o.s.tenure.FormerOwnersActiveUntil().Add(maxCallDelay))
 }
 
 // freePlaces returns how many instances of a wave may go down beside those that are down and
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -98,6 +98,8 @@
 	// endDelay is how often a runner that holds back the answer to a long poll looks
 	// for ended runs.
 	endDelay time.Duration
+	// clockRate is the rate of all runners' clocks; zero for drawn ones.
+	clockRate float64
 }
 
 // taskHistory is the number of runs of a task that are running, and the outcomes
--- a/reduce/tenure/tenure.go
+++ b/reduce/tenure/tenure.go
@@ -57,6 +57,10 @@
 	Beat int64
 	// Released is set when the owner has given up the tenure.
 	Released bool
+	// FormerActive is how long after the sending of the record the owners of earlier
+	// epochs may still grant leases. It hands the bound on to entries that have not read
+	// the records of those owners. It is nil in records of versions that do not tell.
+	FormerActive *time.Duration
 }
 
 // State is an entry's view of the tenure.
@@ -89,9 +93,9 @@
 	// suspectedEpoch is the epoch of an owner whose address refused a connection.
 	suspectedEpoch int64
 	beat           int64
-	// formerActiveUntil is the latest time at which the owner before this entry
-	// may have granted a lease.
-	formerActiveUntil time.Time
+	// ownerActiveUntil is the latest time at which the writer of newest may grant a lease,
+	// and formerActiveUntil that for the owners of all earlier epochs.
+	ownerActiveUntil, formerActiveUntil time.Time
 	// supersededEpoch is the highest epoch that is known to be superseded.
 	supersededEpoch int64
 	// sightings holds when the first record of each epoch was read, oldest first.
@@ -135,9 +139,9 @@
 	return s.hasRead && s.wrote(s.newest) && !s.newest.Released && s.newest.Epoch > s.supersededEpoch
 }
 
-// FormerOwnerActiveUntil returns the latest time at which the owner before this
-// entry may have granted a lease.
-func (s *State) FormerOwnerActiveUntil() time.Time { return s.formerActiveUntil }
+// FormerOwnersActiveUntil returns the latest time at which an owner of an epoch before
+// that of the newest record may have granted a lease.
+func (s *State) FormerOwnersActiveUntil() time.Time { return s.formerActiveUntil }
 
 // ActiveUntil returns the latest time at which the owner of an epoch, or of an earlier
 // one, may have granted a lease. The epoch has to be superseded: its owner's last
@@ -199,18 +203,54 @@
 	if n := len(s.sightings); n == 0 || s.sightings[n-1].epoch < r.Epoch {
 		s.sightings = append(s.sightings[max(0, n-maxSightings+1):], sighting{epoch: r.Epoch, at: s.readAt})
 	}
-	if !s.wrote(r) {
-		s.formerActiveUntil = s.activeUntil(r)
-	}
+	s.boundFormerOwners(r)
+	s.ownerActiveUntil = s.activeUntil(r)
 	s.newest, s.end = r, end
 	s.confirm(r)
 }
 
+// boundFormerOwners updates formerActiveUntil for a record that was just read. The bound
+// that a record carries holds for all earlier epochs, whichever of their records this entry
+// has read: each writer claims right after the record that it has read last, whose bound it
+// passes on.
+func (s *State) boundFormerOwners(r Record) {
+	switch {
+	case r.Epoch == s.newest.Epoch && s.wrote(r):
+	case r.Epoch == s.newest.Epoch:
+		if at := s.readAt.Add(r.formerActive()); at.Before(s.formerActiveUntil) {
+			s.formerActiveUntil = at
+		}
+	case s.wrote(r): // the claim follows the newest record
+		s.formerActiveUntil = s.allActiveUntil()
+	default:
+		s.formerActiveUntil = s.readAt.Add(r.formerActive())
+	}
+}
+
+// formerActive returns how long owners of earlier epochs may be active after the reading of
+// a record.
+func (r *Record) formerActive() time.Duration {
+	if r.FormerActive == nil {
+		return HeartbeatValidity
+	}
+	return *r.FormerActive
+}
+
+// allActiveUntil returns the latest time at which the writer of the newest record or the
+// owner of an earlier epoch may grant a lease.
+func (s *State) allActiveUntil() time.Time {
+	if s.ownerActiveUntil.After(s.formerActiveUntil) {
+		return s.ownerActiveUntil
+	}
+	return s.formerActiveUntil
+}
+
 // activeUntil returns until when the writer of a record that was just read may
 // grant leases. After a release, or for an earlier incarnation of this entry, that
-// is the time of the read; otherwise the heartbeat may still be valid.
+// is the time of the read; otherwise the heartbeat may still be valid. A log without
+// records has no owner.
 func (s *State) activeUntil(r Record) time.Time {
-	if r.Released || r.Owner == s.self.Owner {
+	if r.Epoch == 0 || r.Released || (r.Owner == s.self.Owner && !s.wrote(r)) {
 		return s.readAt
 	}
 	return s.readAt.Add(HeartbeatValidity)
@@ -264,10 +304,21 @@
 	s.lastHeartbeat = now
 	s.beat++
 	r.Beat = s.beat
+	active := max(0, s.formerAt(r.Epoch).Sub(now))
+	r.FormerActive = &active
 	s.sentAt[r.Beat] = now
 	return r, s.end, true
 }
 
+// formerAt returns the latest time at which an owner of an epoch before a record of this
+// entry that is due may grant a lease.
+func (s *State) formerAt(epoch int64) time.Time {
+	if epoch == s.newest.Epoch {
+		return s.formerActiveUntil
+	}
+	return s.allActiveUntil()
+}
+
 // nextRecord returns the next heartbeat, release or claim, and whether it is due.
 func (s *State) nextRecord(now time.Time) (Record, bool) {
 	r := s.self
--- a/reduce/tenure/tenure_test.go
+++ b/reduce/tenure/tenure_test.go
@@ -149,24 +149,77 @@
 	must.False(t, s.IsOwner())
 }
 
-func TestFormerOwnerActiveUntil(t *testing.T) {
+// TestFormerOwnersActiveUntil has an entry claim after a record. The bound on former owners
+// is the latest over the record's writer and those before it. A release, or the end of the
+// entry's own former process, bounds its own writer alone (review/6).
+func TestFormerOwnersActiveUntil(t *testing.T) {
+	const formerActive = 1700 * time.Millisecond
+	mine := tenure.Record{Epoch: 3, Owner: "me", Incarnation: 1}
 	for _, c := range []struct {
 		name   string
 		record tenure.Record
+		former time.Duration
 		want   time.Duration
 	}{
-		{"crashed", other(3, 1, false), tenure.HeartbeatValidity},
-		{"released", other(3, 1, true), 0},
-		{"own earlier incarnation", tenure.Record{Epoch: 3, Owner: "me", Incarnation: 1}, 0},
+		{"crashed", other(3, 1, false), 0, tenure.HeartbeatValidity},
+		{"released", other(3, 1, true), 0, 0},
+		{"own earlier incarnation", mine, 0, 0},
+		{"crashed after another owner", other(3, 1, false), formerActive, tenure.HeartbeatValidity},
+		{"released after another owner", other(3, 1, true), formerActive, formerActive},
+		{"own earlier incarnation after another owner", mine, formerActive, formerActive},
+		{"released by a version that does not tell", other(3, 1, true), -1, tenure.HeartbeatValidity},
+		{"empty log", tenure.Record{}, -1, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			if c.former >= 0 {
+				c.record.FormerActive = &c.former
+			}
 			s := tenure.New("me", 2, "address", 0)
-			s.OnRead(start, c.record, 5)
-			must.Eq(t, start.Add(c.want), s.FormerOwnerActiveUntil())
+			now := feedReads(s, start, 3*time.Second, c.record, 5)
+			read := start
+			if c.record == (tenure.Record{}) {
+				read = now // nobody has been seen by the last read either
+			}
+			claim, at, ok := s.Next(now)
+			must.True(t, ok)
+			must.Eq(t, 5, at)
+			must.Eq(t, max(0, read.Add(c.want).Sub(now)), *claim.FormerActive)
+			s.OnAppended(now.Add(10*time.Millisecond), claim, 6)
+			must.Eq(t, read.Add(c.want), s.FormerOwnersActiveUntil())
 		})
 	}
 }
 
+// TestBoundOfFormerOwnersPassesThroughOwnersThatWereNotRead replaces owners faster than an
+// entry reads the log, or before it has read anything. It has to learn of the first one.
+func TestBoundOfFormerOwnersPassesThroughOwnersThatWereNotRead(t *testing.T) {
+	a, b := tenure.New("a", 1, "address", 0), tenure.New("b", 1, "address", 0)
+	now := feedReads(a, start, time.Second, tenure.Record{}, 0)
+	first, _, ok := a.Next(now)
+	must.True(t, ok)
+	a.OnAppended(now, first, 1)
+	claimed := now
+	now = feedReads(b, now, tenure.OwnerTimeout+time.Second, first, 1)
+	second, _, ok := b.Next(now)
+	must.True(t, ok)
+	b.OnAppended(now, second, 2)
+	b.Stop()
+	now = now.Add(100 * time.Millisecond)
+	release, at, ok := b.Next(now)
+	must.True(t, ok)
+	must.Eq(t, 2, at)
+	must.True(t, release.Released)
+
+	c := tenure.New("c", 1, "address", 0)
+	now = feedReads(c, now, 400*time.Millisecond, release, 3)
+	third, _, ok := c.Next(now)
+	must.True(t, ok)
+	c.OnAppended(now, third, 4)
+	// The heartbeat of a is known from b's first read, and the bound from c's first one.
+	must.Eq(t, claimed.Add(tenure.HeartbeatValidity), c.FormerOwnersActiveUntil())
+	must.Eq(t, claimed.Add(tenure.HeartbeatValidity), a.ConfirmedAt().Add(tenure.HeartbeatValidity))
+}
+
 func TestStaleReadsAreDropped(t *testing.T) {
 	s := tenure.New("me", 2, "address", 0)
 	s.OnRead(start, other(4, 1, false), 9)
