Reckon lease deadlines from the earliest value of a runner's clock

Cause: an idle runner is not polled, and newLeaseDeadline advanced the old reading of its clock at full rate. The owner itself knows the deadline; its successor does not. Ruled out: the bound on former owners, which is right here since the owner released.

Deadlines are now reckoned from the earliest value that the clock may read, so no lease is longer than its length on the slowest clock, however old the reading is. A runner whose reading is older than 30 s is polled before a start, so that leases are not too short. What calls for former incarnations may name is reckoned from the latest value.

--- a/reduce/jobs/incarnation.go
+++ b/reduce/jobs/incarnation.go
@@ -67,7 +67,7 @@
 func (o *ownership) expectStaleLeases(r *runner) {
 	deadline := int64(math.MaxInt64)
 	if r.clock.Reading > 0 {
-		deadline = r.clockAt(o.now()) + leaseDuration.Milliseconds()
+		deadline = r.latestClock(o.now()) + leaseDuration.Milliseconds()
 	}
 	if !o.now().Before(r.stale.until) {
 		r.stale.deadline = 0
@@ -98,10 +98,21 @@
 	return r.stale.until
 }
 
-// clockAt returns what the runner's clock reads at a time if it keeps the rate of this
-// entry's clock.
-func (r *runner) clockAt(t time.Time) int64 {
-	return r.clock.Reading + t.Sub(r.clock.Received).Milliseconds()
+// earliestClock returns the lowest value that the runner's clock may read at a time. A
+// deadline that is derived from it gives no longer a lease than intended, however old the
+// reading is. Others, who do not know the deadline, rely on that.
+func (r *runner) earliestClock(t time.Time) int64 {
+	return r.clock.Reading + int64(slowestClockRate*float64(t.Sub(r.clock.Received).Milliseconds()))
+}
+
+// latestClock returns the highest value that the runner's clock may read at a time.
+func (r *runner) latestClock(t time.Time) int64 {
+	return r.clock.Reading + t.Sub(r.clock.Sent).Milliseconds() + 1
+}
+
+// readingExpired reports whether the reading of the runner's clock is too old for a start.
+func (r *runner) readingExpired(now time.Time) bool {
+	return now.Sub(r.clock.Received) > maxReadingAge
 }
 
 // updateClock stores a reading of the runner's clock if it is newer. A reading below an
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -73,7 +73,7 @@
 	}
 	if r.mayLease() {
 		e.LeaseDeadline = r.newLeaseDeadline(o.now())
-		if r.storedEnd >= r.lastEnd && len(r.runs) > 0 {
+		if r.storedEnd >= r.lastEnd && len(r.runs) > 0 && !r.readingExpired(o.now()) {
 			e.Wait = o.pollWaitFor(r)
 		}
 	}
@@ -91,6 +91,13 @@
 	o.pollIfDue(r)
 }
 
+// resumeOrders sends the orders that waited for the runner to answer a poll.
+func (o *ownership) resumeOrders(r *runner) {
+	for _, run := range r.runsWhere(func(run *run) bool { return !run.orderInFlight && !run.retryAt.IsZero() }) {
+		o.retryOrder(run)
+	}
+}
+
 // needsPoll reports whether a runner has to be polled: it may run tasks, has not
 // seen this tenure's fencing token, or has ended runs that are not acknowledged or not
 // resolved.
@@ -142,6 +149,7 @@
 		r.poll.unreachable = false
 		o.s.logDecision(effect.Decision{Name: "runner regained", Runner: r.ID, Epoch: o.epoch})
 	}
+	doubted := r.poll.maybeRestarted
 	r.poll.maybeRestarted, r.poll.answeredAt = false, o.now()
 	if b.Incarnation != 0 {
 		r.Incarnation = b.Incarnation
@@ -165,6 +173,9 @@
 	if first {
 		o.pool(r.Service).dirty = true
 	}
+	if doubted {
+		o.resumeOrders(r)
+	}
 	o.adjustPaces(r)
 	o.pollAgain(r)
 }
--- a/reduce/jobs/run.go
+++ b/reduce/jobs/run.go
@@ -187,6 +187,11 @@
 		o.retryAfter(run, orderRetryDelay)
 		return
 	}
+	if r.readingExpired(o.now()) {
+		o.retryAfter(run, orderRetryDelay)
+		o.probe(r)
+		return
+	}
 	run.setPhase(runStarting)
 	run.orderInFlight, run.retryAt = true, time.Time{}
 	e := o.newOrder(r, effect.OrderStart, t.id(), run.attempt)
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -21,6 +21,10 @@
 	slowestClockRate = 0.98
 	// clockMargin covers the rounding of the runners' clock readings.
 	clockMargin = 50 * time.Millisecond
+	// maxReadingAge is the age of a clock reading above which a runner is polled before a
+	// task is started on it. By a reading of this age, leases are up to 0.6 s shorter than
+	// leaseDuration, which still outlasts a takeover.
+	maxReadingAge = 30 * time.Second
 )
 
 // runner is the owner's state of a runner.
@@ -257,9 +261,9 @@
 }
 
 // newLeaseDeadline returns the end of a lease that begins now, on the runner's
-// clock.
+// clock. The lease is shorter than leaseDuration if the reading of the clock is old.
 func (r *runner) newLeaseDeadline(now time.Time) int64 {
-	d := r.clockAt(now) + leaseDuration.Milliseconds()
+	d := r.earliestClock(now) + leaseDuration.Milliseconds()
 	r.leaseDeadline = max(r.leaseDeadline, d)
 	return d
 }
