Apply what the ledger tells of runners before any runner is known

Ruled out: that the list was not stored. Of the same class: a restart that the dead owner had not noticed was told by nobody.

The list of runners is held back until the ledger is loaded. A runner counts as restarted for calls of former owners until a stored run names its incarnation.

--- a/codec/ledger.go
+++ b/codec/ledger.go
@@ -181,6 +181,7 @@
 	Runner         fleet.RunnerID    `json:"r,omitempty"`
 	Incarnation    fleet.Incarnation `json:"b,omitempty"`
 	Address        string            `json:"h,omitempty"`
+	StaleLeases    bool              `json:"l,omitempty"`
 	Checkpoint     string            `json:"s,omitempty"`
 	Unresolved     []ledger.Run      `json:"u,omitempty"`
 }
--- a/reduce/jobs/faults_test.go
+++ b/reduce/jobs/faults_test.go
@@ -177,8 +177,11 @@
 
 // checkStates reads the state of each job. It checks that no job is lost, and that
 // each state agrees with the outcomes of the tasks.
-func (w *world) checkStates() {
-	for n := range 40 {
+func (w *world) checkStates() { w.checkStatesOf(40) }
+
+// checkStatesOf does so for the first jobs.
+func (w *world) checkStatesOf(jobs int) {
+	for n := range jobs {
 		id := jobID(n)
 		spec, accepted := w.accepted[id]
 		started := false
--- a/reduce/jobs/incarnation.go
+++ b/reduce/jobs/incarnation.go
@@ -44,15 +44,20 @@
 // may give to its current one: such a call carries a deadline by another clock, of which
 // a runner grants Bounds.MaxLease at most.
 type staleLeases struct {
-	// until is when all of them have expired; zero if there are none.
-	until time.Time
-	// deadline is the highest deadline in such calls, in milliseconds of a runner's
-	// clock; math.MaxInt64 if it is not known.
+	// former is when those by calls of earlier owners have expired, and own when those by
+	// calls of this owner have; zero if there are none.
+	former, own time.Time
+	// deadline is the highest deadline in such calls of this owner, in milliseconds of a
+	// runner's clock; math.MaxInt64 if it is not known.
 	deadline int64
-	// former is set if all such calls are of earlier owners.
-	former bool
+	// restarted is set if a restart is the reason, rather than that nothing shows which
+	// incarnation the former owner knew.
+	restarted bool
 }
 
+// until returns when all of them have expired.
+func (s *staleLeases) until() time.Time { return latest(s.former, s.own) }
+
 // renew replaces the state of the runner's incarnation.
 func (r *runner) renew() { r.incarnation = &incarnation{} }
 
@@ -62,40 +67,54 @@
 	return maxCallDelay + onSlowestClock(o.s.cfg.Bounds.MaxLease)
 }
 
+// formerStaleUntil returns when leases by calls of earlier owners that were decided for an
+// earlier incarnation of a runner have expired.
+func (o *ownership) formerStaleUntil() time.Time {
+	return o.s.tenure.FormerOwnersActiveUntil().Add(o.maxStaleTime())
+}
+
 // expectStaleLeases takes account of the calls decided for a runner's current incarnation
 // when another one was seen.
 func (o *ownership) expectStaleLeases(r *runner) {
+	r.stale.former, r.stale.restarted = o.formerStaleUntil(), true
+	if r.fenced || o.now().Before(r.stale.own) {
+		o.expectOwnStaleLeases(r)
+	}
+	o.markChanged(restartedChange)
+}
+
+// expectOwnStaleLeases does so for calls of this owner, which has called the incarnation.
+func (o *ownership) expectOwnStaleLeases(r *runner) {
 	deadline := int64(math.MaxInt64)
 	if r.clock.Reading > 0 {
 		deadline = r.latestClock(o.now()) + leaseDuration.Milliseconds()
 	}
-	if !o.now().Before(r.stale.until) {
-		r.stale.deadline = 0
+	if o.now().Before(r.stale.own) {
+		deadline = max(deadline, r.stale.deadline)
 	}
-	r.stale = staleLeases{until: o.now().Add(o.maxStaleTime()), deadline: max(r.stale.deadline, deadline)}
-	o.markChanged(restartedChange)
+	r.stale.own, r.stale.deadline = o.now().Add(o.maxStaleTime()), deadline
 }
 
 // onFenced takes account of the fence of this tenure at a runner: calls of earlier owners
 // extend no lease from now on.
 func (o *ownership) onFenced(r *runner) {
 	r.fenced = true
-	if limit := o.now().Add(onSlowestClock(o.s.cfg.Bounds.MaxLease)); r.stale.former && limit.Before(r.stale.until) {
-		r.stale.until = limit
+	if limit := o.now().Add(onSlowestClock(o.s.cfg.Bounds.MaxLease)); limit.Before(r.stale.former) {
+		r.stale.former = limit
 	}
 }
 
 // staleLeasesExpireAt returns when the leases that calls decided for earlier incarnations
 // may give have expired on the slowest clock; zero if there are none.
 func (r *runner) staleLeasesExpireAt() time.Time {
-	if r.stale.until.IsZero() || r.clock.Reading == 0 || r.stale.deadline == math.MaxInt64 {
-		return r.stale.until
+	if r.stale.own.IsZero() || r.clock.Reading == 0 || r.stale.deadline == math.MaxInt64 {
+		return r.stale.until()
 	}
 	left := time.Duration(r.stale.deadline-r.clock.Reading) * time.Millisecond
-	if at := r.clock.Received.Add(onSlowestClock(left)); at.Before(r.stale.until) {
-		return at
+	if at := r.clock.Received.Add(onSlowestClock(left)); at.Before(r.stale.own) {
+		return latest(r.stale.former, at)
 	}
-	return r.stale.until
+	return r.stale.until()
 }
 
 // earliestClock returns the lowest value that the runner's clock may read at a time. A
@@ -143,39 +162,17 @@
 // startInFlight reports whether the answer to a start of the run is outstanding.
 func (run *run) startInFlight() bool { return run.phase == runStarting && run.orderInFlight }
 
-// restartedRunners tells the next owner which runners may have leases of calls that were
-// decided for former incarnations.
-type restartedRunners struct {
-	// former holds the runners that the previous owner listed.
-	former map[fleet.RunnerID]bool
-}
-
-func (o *ownership) restoreRestarted(ids []fleet.RunnerID) {
-	for _, id := range ids {
-		o.restarted.former[id] = true
-	}
-}
-
-// formerStaleLeases returns the leases that calls of earlier owners, decided for earlier
-// incarnations of a runner, may give.
-func (o *ownership) formerStaleLeases(id fleet.RunnerID) staleLeases {
-	if !o.restarted.former[id] {
-		return staleLeases{}
-	}
-	until := o.s.tenure.FormerOwnersActiveUntil().Add(o.maxStaleTime())
-	return staleLeases{until: until, deadline: math.MaxInt64, former: true}
-}
-
-// restartedRunners returns the runners that have restarted lately, sorted.
+// restartedRunners returns the runners that have restarted lately, sorted. The ledger tells
+// the next owner of them.
 func (o *ownership) restartedRunners() []fleet.RunnerID {
 	var list []fleet.RunnerID
-	for id := range o.restarted.former {
-		if _, ok := o.runners[id]; !ok && o.now().Before(o.formerStaleLeases(id).until) {
+	for id := range o.former.restarted {
+		if _, ok := o.runners[id]; !ok && o.now().Before(o.formerStaleUntil()) {
 			list = append(list, id)
 		}
 	}
 	for _, r := range o.sortedRunners {
-		if o.now().Before(r.stale.until) {
+		if r.stale.restarted && o.now().Before(r.stale.until()) {
 			list = append(list, r.ID)
 		}
 	}
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -361,6 +361,7 @@
 	out.Crashes, out.CertainCrashes, out.Trial = t.crashes.Crashes, t.crashes.Certain, t.crashes.Trial
 	if t.run != nil {
 		out.Runner, out.Incarnation, out.Address = t.run.runner.ID, t.run.incarnation, t.run.runner.Address
+		out.StaleLeases = t.run.staleLeases
 	}
 	for _, u := range t.unresolved {
 		out.Unresolved = append(out.Unresolved, ledger.Run{Attempt: u.attempt, Runner: u.runner})
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -33,7 +33,9 @@
 	formerLeasesUntil time.Time
 	phase             phase
 	unreached         unreachedRunners
-	restarted         restartedRunners
+	former            former
+	// earlyList holds the list of runners until the ledger is loaded.
+	earlyList earlyList
 	// withheld holds the runners that the ledger may list as unreached, which get no
 	// lease.
 	withheld map[fleet.RunnerID]bool
@@ -87,7 +89,7 @@
 		byInstance:        make(map[fleet.InstanceID][]*runner),
 		waitingJobs:       make(map[fleet.QueueName]int),
 		unreached:         unreachedRunners{leasedBy: make(map[fleet.RunnerID]int64)},
-		restarted:         restartedRunners{former: make(map[fleet.RunnerID]bool)},
+		former:            former{restarted: make(map[fleet.RunnerID]bool)},
 		withheld:          make(map[fleet.RunnerID]bool),
 		pools:             make(map[fleet.ServiceName]*pool),
 		instances:         newInstances(),
@@ -134,15 +136,20 @@
 	o.outbox.lists[orderedChange].parts = b.Parts.RecentlyOrdered
 	o.outbox.lists[unreachedChange].parts = b.Parts.Unreached
 	o.outbox.lists[restartedChange].parts = b.Parts.Restarted
-	o.restoreRestarted(b.Restarted)
+	o.restoreFormer(b.Restarted, &b.Unreached)
 	for i := range b.Jobs {
 		o.restoreJob(&b.Jobs[i])
 	}
 	slices.SortStableFunc(o.active, func(a, b *job) int { return a.accepted.Compare(b.accepted) })
 	o.renumberActive()
-	o.restoreUnreached(&b.Unreached)
+	o.unreached.dueAt = o.now().Add(unreachedAfter)
 	o.restoreWaves(b.Waves)
 	o.instances.restoreFormerlyOrdered(b.RecentlyOrdered, b.OrdersUnreadable)
+	if o.earlyList.read {
+		early := o.earlyList.changes(o.epoch)
+		o.earlyList = earlyList{}
+		o.updateList(&early)
+	}
 	o.phase = phaseActive
 	o.s.logDecision(effect.Decision{
 		Name: "ledger loaded", Entry: o.s.cfg.Entry, Epoch: o.epoch, Count: o.activeCount, Age: o.now().Sub(o.startedAt),
--- a/reduce/jobs/run.go
+++ b/reduce/jobs/run.go
@@ -56,6 +56,9 @@
 	confirmedAt time.Time
 	// runningSince is when the runner first confirmed that the task runs; zero before.
 	runningSince time.Time
+	// staleLeases is set if leases by calls for earlier incarnations of the runner had not
+	// expired when the run was planned.
+	staleLeases bool
 	// onTrial is set while the run may show that its task crashes runners.
 	onTrial bool
 	// ended tells how the run may have ended with an earlier incarnation of its runner;
@@ -101,7 +104,7 @@
 	run := &run{
 		task: t, runner: r, incarnation: r.Incarnation, attempt: attempt, phase: runIntent,
 		reserved: t.step.spec.Reservation(), createdAt: o.now(), ticket: ticket, pace: newPace(),
-		onTrial: t.crashes.Suspected(),
+		onTrial: t.crashes.Suspected(), staleLeases: o.now().Before(r.stale.until()),
 	}
 	o.attachRun(run)
 	t.job().started = true
@@ -115,11 +118,11 @@
 	if r.Address == "" {
 		r.Address = stored.Address
 	}
-	r.Incarnation = max(r.Incarnation, stored.Incarnation)
+	o.adoptIncarnation(r, stored)
 	o.attachRun(&run{
 		task: t, runner: r, incarnation: stored.Incarnation, attempt: t.attempt, phase: runStarting,
 		reserved: t.step.spec.Reservation(), createdAt: o.now(), confirmedAt: o.startedAt, mayStartLate: true, pace: newPace(),
-		onTrial: t.crashes.Suspected(),
+		onTrial: t.crashes.Suspected(), staleLeases: stored.StaleLeases,
 	})
 }
 
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -110,6 +110,15 @@
 		o.runnersUnreadable = false
 		o.s.logDecision(effect.Decision{Name: "list of runners regained", Epoch: o.epoch})
 	}
+	if o.phase != phaseActive {
+		o.earlyList.add(&b)
+		return
+	}
+	o.updateList(&b)
+}
+
+// updateList updates the runners by changes of the platform's list.
+func (o *ownership) updateList(b *event.RunnersRead) {
 	if b.Full {
 		o.runnersListed = true
 		for _, r := range o.sortedRunners {
@@ -179,7 +188,7 @@
 func (o *ownership) runner(id fleet.RunnerID) *runner {
 	r, ok := o.runners[id]
 	if !ok {
-		r = &runner{Runner: fleet.Runner{ID: id}, incarnation: &incarnation{}, stale: o.formerStaleLeases(id), runs: make(map[fleet.TaskID]*run)}
+		r = o.newRunner(id)
 		o.runners[id] = r
 		o.sortedRunners = insertRunner(o.sortedRunners, r)
 		o.indexRunner(r)
--- a/reduce/jobs/runner_test.go
+++ b/reduce/jobs/runner_test.go
@@ -45,6 +45,10 @@
 	failing, stalled bool
 	// comesBack is set while the runner is down and its restart is scheduled.
 	comesBack bool
+	// dark is set while the runner is down and nothing tells callers so. The calls that it
+	// gets meanwhile are in held: the next incarnation carries them out.
+	dark bool
+	held []func()
 	// crashCount is the number of crashes of the runner, and crashedAt when it last
 	// crashed.
 	crashCount int
@@ -82,6 +86,11 @@
 	r.endedAt = make(map[int64]time.Time)
 	r.runs = make(map[fleet.TaskID]*fakeRun)
 	r.highestAttempt = make(map[fleet.TaskID]int64)
+	r.dark = false
+	for _, do := range r.held {
+		r.w.after(r.w.latency(), do)
+	}
+	r.held = nil
 }
 
 func (r *fakeRunner) crash() {
@@ -335,6 +344,17 @@
 	var born time.Time
 	if r := w.runners[o.Runner]; r != nil {
 		born = r.born
+		if r.dark {
+			r.held = append(r.held, func() {
+				if r.up && o.Kind == effect.OrderStart {
+					r.begin(o)
+				} else if r.up {
+					r.stop(o)
+				}
+			})
+			post(orderTimeout, unknown)
+			return
+		}
 		if !r.up {
 			out.Outcome = event.OrderNotSent
 			post(w.latency(), out)
@@ -388,6 +408,15 @@
 			post(w.latency(), out)
 			return
 		}
+		if r := w.runners[poll.Runner]; r != nil && r.dark {
+			r.held = append(r.held, func() {
+				if r.up && poll.Epoch >= r.fence {
+					r.takePoll(poll)
+				}
+			})
+			post(poll.Wait+orderTimeout, out)
+			return
+		}
 		r := via.reachable(poll.Runner)
 		if r == nil && w.runners[poll.Runner] != nil && !w.runners[poll.Runner].up {
 			post(w.latency(), out)
@@ -402,15 +431,20 @@
 			post(w.latency(), out)
 			return
 		}
-		r.fence = poll.Epoch
-		if poll.LeaseDeadline > 0 {
-			r.extendLease(poll.LeaseDeadline)
-		}
-		r.acknowledgeEnds(poll.Acknowledged)
+		r.takePoll(poll)
 		e.answerPoll(r, r.crashCount, out, sent, w.now.Add(poll.Wait), via, post)
 	})
 }
 
+// takePoll carries out what a poll asks for.
+func (r *fakeRunner) takePoll(poll effect.PollRunner) {
+	r.fence = poll.Epoch
+	if poll.LeaseDeadline > 0 {
+		r.extendLease(poll.LeaseDeadline)
+	}
+	r.acknowledgeEnds(poll.Acknowledged)
+}
+
 // answerPoll answers a long poll immediately if there are ended runs, otherwise
 // when a run ends or the wait is over.
 func (e *fakeEntry) answerPoll(r *fakeRunner, crashes int, out event.RunnerPolled, sent, until time.Time, via *fakeEntry, post func(time.Duration, event.Body)) {
@@ -419,7 +453,7 @@
 		w.after(w.endDelay, func() { e.answerPoll(r, crashes, out, sent, until, via, post) })
 		return
 	}
-	if r.crashCount != crashes && !r.unreachable {
+	if r.crashCount != crashes && !r.unreachable && !r.dark {
 		post(w.latency(), out) // the crash closes the connection
 		return
 	}
--- a/reduce/jobs/unreached.go
+++ b/reduce/jobs/unreached.go
@@ -24,21 +24,6 @@
 	leasedBy map[fleet.RunnerID]int64
 }
 
-// restoreUnreached restores which owner may last have granted leases to the runners that
-// the previous owner did not reach. That owner removed a runner from its list before it
-// granted a lease. The list of an earlier one says nothing of those who followed it.
-func (o *ownership) restoreUnreached(u *ledger.Unreached) {
-	o.unreached.dueAt = o.now().Add(unreachedAfter)
-	if u.Epoch != o.epoch-1 {
-		return
-	}
-	for id, epoch := range u.LeasedBy {
-		if r, ok := o.runners[id]; ok {
-			r.leasedBy = epoch
-		}
-	}
-}
-
 // formerLeasesExpireAt returns when the leases that earlier owners may have granted to a
 // runner have expired on the slowest clock.
 func (o *ownership) formerLeasesExpireAt(r *runner) time.Time {
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -98,6 +98,8 @@
 	// endDelay is how often a runner that holds back the answer to a long poll looks
 	// for ended runs.
 	endDelay time.Duration
+	// statusRetention is how long the entries keep the final states of jobs.
+	statusRetention time.Duration
 	// clockRate is the rate of all runners' clocks; zero for drawn ones.
 	clockRate float64
 }
@@ -152,7 +154,7 @@
 		cancelledAt: make(map[fleet.JobID]time.Time), doneOnce: make(map[fleet.TaskID]bool), alwaysFails: make(map[fleet.JobID]bool),
 		crashes: make(map[fleet.TaskID]bool), crashDelay: 10 * time.Millisecond,
 		cancelling: make(map[fleet.JobID]bool), endDelay: 5 * time.Millisecond,
-		waveDone: make(map[int64]bool),
+		waveDone: make(map[int64]bool), statusRetention: 2 * time.Minute,
 		queues: fleet.NewQueues(1, []*fleet.Queue{{
 			Name: queueName, Host: "host", Prefix: "/plans/", Service: "desk", MaxAttempts: 2, Stretch: 2, Slack: time.Second,
 		}}, []*fleet.JobService{{Name: "desk", EnforcesCapacity: true}}),
@@ -341,7 +343,7 @@
 		Entry: e.id, Incarnation: uint64(e.incarnation), Address: e.address,
 		CanDispatch: e.w.canDispatch, MaxDirectRunners: e.w.maxDirectRunners,
 		Bounds: jobs.Bounds{
-			StatusRetention: 2 * time.Minute, MaxLease: maxLease * time.Millisecond, InstanceLease: 3 * time.Second,
+			StatusRetention: e.w.statusRetention, MaxLease: maxLease * time.Millisecond, InstanceLease: 3 * time.Second,
 			MaintenanceTime: 2 * time.Second, InstanceOrdersPerSecond: 64,
 			CanOrderInstances: len(e.w.instances) > 0, RecordBytes: e.w.store.recordBytes, CallBytes: e.w.store.callBytes,
 		},
--- a/reduce/ledger/ledger.go
+++ b/reduce/ledger/ledger.go
@@ -133,6 +133,9 @@
 	Runner      fleet.RunnerID
 	Incarnation fleet.Incarnation
 	Address     string
+	// StaleLeases is set if that runner may have had leases by calls that were decided for
+	// its former incarnations when the run was planned.
+	StaleLeases bool
 	// Checkpoint is the latest checkpoint of the task; empty when there is none.
 	Checkpoint string
 	// Unresolved lists the runs whose outcome is not known.
--- a/reduce/ledger/size.go
+++ b/reduce/ledger/size.go
@@ -125,6 +125,9 @@
 	} {
 		size += intField(n)
 	}
+	if t.StaleLeases {
+		size += fieldOverhead + len("true")
+	}
 	if len(t.Unresolved) > 0 {
 		size += fieldOverhead + objectOverhead
 	}
--- a/reduce/tenure/tenure.go
+++ b/reduce/tenure/tenure.go
@@ -222,6 +222,8 @@
 		}
 	case s.wrote(r): // the claim follows the newest record
 		s.formerActiveUntil = s.allActiveUntil()
+	case r.Epoch == 0:
+		s.formerActiveUntil = time.Time{}
 	default:
 		s.formerActiveUntil = s.readAt.Add(r.formerActive())
 	}
@@ -247,13 +249,17 @@
 
 // activeUntil returns until when the writer of a record that was just read may
 // grant leases. After a release, or for an earlier incarnation of this entry, that
-// is the time of the read; otherwise the heartbeat may still be valid. A log without
-// records has no owner.
+// is the time of the read; otherwise the heartbeat may still be valid. It is zero for
+// a log without records, which has had no owner.
 func (s *State) activeUntil(r Record) time.Time {
-	if r.Epoch == 0 || r.Released || (r.Owner == s.self.Owner && !s.wrote(r)) {
+	switch {
+	case r.Epoch == 0:
+		return time.Time{}
+	case r.Released || (r.Owner == s.self.Owner && !s.wrote(r)):
 		return s.readAt
+	default:
+		return s.readAt.Add(HeartbeatValidity)
 	}
-	return s.readAt.Add(HeartbeatValidity)
 }
 
 // OnReadFailed handles a read that was not answered.
--- a/reduce/tenure/tenure_test.go
+++ b/reduce/tenure/tenure_test.go
@@ -178,7 +178,7 @@
 			now := feedReads(s, start, 3*time.Second, c.record, 5)
 			read := start
 			if c.record == (tenure.Record{}) {
-				read = now // nobody has been seen by the last read either
+				read = time.Time{} // there was no owner
 			}
 			claim, at, ok := s.Next(now)
 			must.True(t, ok)
