Bar late starts at every later incarnation of a runner

A start without an answer may be carried out seconds late, also by the next process under the runner's id. A run was given up without a stop there if a repeated start had been answered, or if its leases had expired, and its task then ran twice.

Found by going through the calls that may reach a later incarnation; the stand-in of runners dropped such orders, so no history showed it.

A run one of whose starts had no answer is stopped at the next incarnation before its task is placed again, and barred at each later one for as long as the start may come.

--- a/reduce/jobs/crashes.go
+++ b/reduce/jobs/crashes.go
@@ -51,8 +51,8 @@
 	o.onRunnerEnded(r, reasonRestarted, runs)
 	for _, run := range runs {
 		run.incarnation = r.Incarnation
-		if run.phase == runStarting {
-			o.stopRun(run) // it was decided for the former incarnation
+		if run.phase == runStarting || run.mayStartLate {
+			o.stopRun(run) // a start for the former incarnation may still be carried out
 		}
 	}
 }
--- a/reduce/jobs/restarts_test.go
+++ b/reduce/jobs/restarts_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/shoenig/test/must"
 )
 
@@ -115,6 +116,65 @@
 	}
 }
 
+// TestLateStartIsBarredAtLaterIncarnations has a start without an answer, which is repeated
+// with success. The runner restarts, once or twice in a row, or after its lease has expired,
+// and its last incarnation gets the first start some seconds late. The run was given up
+// without a stop there, and its task ran twice.
+func TestLateStartIsBarredAtLaterIncarnations(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		late  time.Duration
+		downs []time.Duration
+	}{
+		{1500 * ms, []time.Duration{100 * ms}},
+		{3 * time.Second, []time.Duration{600 * ms}},
+		{8 * time.Second, []time.Duration{time.Second}},
+		{5 * time.Second, []time.Duration{500 * ms, 500 * ms}},
+		{9 * time.Second, []time.Duration{time.Second, time.Second, time.Second}},
+		{9 * time.Second, []time.Duration{7 * time.Second}},
+	} {
+		t.Run(fmt.Sprint("late=", c.late, " downs=", c.downs), func(t *testing.T) {
+			w := newWorld(t, 163, 2, 2)
+			w.run(30 * time.Second)
+			first := w.losesFirstStart(c.late)
+			w.submit(jobID(0), longRunningJob(1, 1))
+			task := firstTask(jobID(0))
+			w.runUntilRuns(task)
+			w.run(50 * ms)
+			for _, down := range c.downs {
+				w.runners[first.Runner].restartFor(down)
+				w.run(down + 700*ms)
+			}
+			w.run(20 * time.Second)
+			w.checkInvariants()
+			must.NotNil(t, w.runnerUnder(task))
+		})
+	}
+}
+
+// losesFirstStart leaves the next start without an answer. Its runner carries it out some time
+// later, whichever incarnation that is then.
+func (w *world) losesFirstStart(late time.Duration) *effect.OrderTask {
+	first := &effect.OrderTask{}
+	w.onEffect = func(e *fakeEntry, out effect.Effect) bool {
+		o, ok := out.(effect.OrderTask)
+		if !ok || o.Kind != effect.OrderStart || first.Runner != "" {
+			return true
+		}
+		*first = o
+		w.after(late, func() {
+			if r := w.runners[o.Runner]; r.up && o.Epoch >= r.fence {
+				r.begin(o)
+			}
+		})
+		e.postAfter(orderTimeout, event.TaskOrdered{
+			Epoch: o.Epoch, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderUnknown,
+		})
+		return false
+	}
+	return first
+}
+
 // restartRegressions lists seeds that reproduce faults found earlier:
 //   - 9: a run that the next incarnation had started was taken for one of the former.
 //   - 2124: the next owner did not know of leases that calls for a former incarnation
--- a/reduce/jobs/run.go
+++ b/reduce/jobs/run.go
@@ -147,6 +147,7 @@
 // loseRun gives up a run that has certainly ended, and requeues its task.
 func (o *ownership) loseRun(run *run, reason effect.Reason) {
 	o.releaseRun(run)
+	o.noteLateStart(run)
 	o.s.logDecision(effect.Decision{
 		Name: "run lost", Task: run.task.id().String(), Attempt: run.attempt, Runner: run.runner.ID, Reason: reason,
 		Epoch: o.epoch, Age: o.now().Sub(run.createdAt), Ran: run.provenRunTime(), Count: run.task.crashes.Crashes,
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -39,6 +39,8 @@
 	// if that is the previous one.
 	leasedBy int64
 	runs     map[fleet.TaskID]*run
+	// lateStarts lists the starts of runs that were given up which may still be carried out.
+	lateStarts []lateStart
 	// used is the capacity that the runs reserve.
 	used   fleet.Capacity
 	counts runCounts
@@ -242,14 +244,21 @@
 	o.resolveEnded(r)
 	o.suspectFormerRuns(r, seen)
 	o.loseFormerRuns(r, seen)
+	o.barLateStarts(r)
 	r.renew()
 	o.touch(r)
-	for _, run := range r.runsWhere(func(run *run) bool { return run.phase == runStarting }) {
+	for _, run := range r.runsWhere((*run).isOrderedAnew) {
 		run.confirmedAt = time.Time{}
 		o.retryAfter(run, 0)
 	}
 }
 
+// isOrderedAnew reports whether the next incarnation of the runner gets an order about the
+// run: one that is starting is stopped there, and a stop that bars a late start is repeated.
+func (run *run) isOrderedAnew() bool {
+	return run.phase == runStarting || (run.phase == runStopping && run.mayStartLate)
+}
+
 // runsWhere returns the runs that match, in a fixed order.
 func (r *runner) runsWhere(match func(*run) bool) []*run {
 	var out []*run
--- a/reduce/jobs/runnertimers.go
+++ b/reduce/jobs/runnertimers.go
@@ -16,11 +16,21 @@
 	if r.Draining || r.vacating {
 		o.evacuate(r)
 	}
-	if !r.listed && len(r.runs) == 0 && o.now().Sub(r.unlistedAt) > leaseDuration && o.now().After(r.unresolvedUntil) {
+	if !r.listed && len(r.runs) == 0 && o.now().After(o.droppableAt(r)) {
 		o.dropRunner(r)
 	}
 }
 
+// droppableAt returns when the state of a runner that is not listed and runs nothing may be
+// dropped.
+func (o *ownership) droppableAt(r *runner) time.Time {
+	at := latest(r.unlistedAt.Add(leaseDuration), r.unresolvedUntil)
+	for _, s := range r.lateStarts {
+		at = latest(at, s.until)
+	}
+	return at
+}
+
 // touch makes the runner's timer be set anew at the end of the event.
 func (o *ownership) touch(r *runner) {
 	if !r.touched {
@@ -61,7 +71,7 @@
 		due(soon)
 	}
 	if !r.listed && len(r.runs) == 0 {
-		due(latest(r.unlistedAt.Add(leaseDuration), r.unresolvedUntil))
+		due(o.droppableAt(r))
 	}
 	switch {
 	case next.IsZero():
