Hand on orders about instances that a list misses

The next owner but one could give an order about an instance within the lease of the first owner (ONE), or exceed a wave's limit: the owner between them stored the list of ordered instances from those that it had seen listed.

Instances with orders of former owners stay in the list whether they are listed or not.

Before: TestOrdersAboutUnlistedInstancesAreHandedOn failed. After: it passes.

--- a/reduce/jobs/instanceorders.go
+++ b/reduce/jobs/instanceorders.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
@@ -42,16 +43,26 @@
 }
 
 // recentlyOrdered returns the instances about which this owner or an earlier one may have
-// given orders. The next owner has to wait for the lease only on these, and for orders that
-// are carried out late.
+// given orders, sorted. The next owner has to wait for the lease only on these, and for
+// orders that are carried out late. Those of earlier owners stay whether they are listed or
+// not: a list may miss an instance.
 func (o *ownership) recentlyOrdered() []fleet.InstanceID {
 	lease := o.s.cfg.Bounds.InstanceLease + maxConfirmationAge
+	late := o.lateOrdersPossible()
 	var ids []fleet.InstanceID
 	for _, i := range o.instances.sorted {
-		if i.pending != nil || (!i.orderedAt.IsZero() && o.now().Sub(i.orderedAt) <= lease) || (o.lateOrdersPossible() && i.orderedAt.IsZero() && o.instances.mayBeOrdered(i.ID)) {
+		if i.pending != nil || (!i.orderedAt.IsZero() && o.now().Sub(i.orderedAt) <= lease) || (late && i.orderedAt.IsZero() && o.instances.mayBeOrdered(i.ID)) {
 			ids = append(ids, i.ID)
 		}
 	}
+	if late {
+		for id := range o.instances.formerlyOrdered {
+			if _, listed := o.instances.byID[id]; !listed {
+				ids = append(ids, id)
+			}
+		}
+	}
+	slices.Sort(ids)
 	return ids
 }
 
--- a/reduce/jobs/oddlists_test.go
+++ b/reduce/jobs/oddlists_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/shoenig/test/must"
 )
@@ -162,3 +163,44 @@
 		})
 	}
 }
+
+// TestOrdersAboutUnlistedInstancesAreHandedOn kills an owner that has given an order about
+// an instance. The lists of the next owner miss that instance while it orders another one.
+// The ledger has to name both, or the third owner gives an order about the first one within
+// the lease of the first owner.
+func TestOrdersAboutUnlistedInstancesAreHandedOn(t *testing.T) {
+	const hidden = fleet.InstanceID("m-r0")
+	w := newWorld(t, 86, 3, 4)
+	w.withInstances(1)
+	w.run(2 * time.Second)
+	w.askForWave(1, hidden)
+	ordered := make(map[fleet.InstanceID]bool)
+	w.onEffect = func(_ *fakeEntry, out effect.Effect) bool {
+		if o, ok := out.(effect.OrderInstance); ok {
+			ordered[o.Instance] = true
+		}
+		return true
+	}
+	for range 800 {
+		if !ordered[hidden] {
+			w.run(10 * time.Millisecond)
+		}
+	}
+	must.True(t, ordered[hidden], must.Sprint("the first owner gave no order"))
+	epoch := w.store.newest().Epoch
+	w.hidden = func(_ *fakeEntry, id fleet.InstanceID) bool { return id == hidden }
+	w.ignoreStatus = true
+	w.owner().kill()
+	clear(ordered)
+	w.runUntilOwnedAfter(epoch)
+	must.SliceContains(t, w.store.content().RecentlyOrdered, hidden)
+	w.askForWave(1, "m-r1")
+	for range 800 {
+		if !ordered["m-r1"] {
+			w.run(10 * time.Millisecond)
+		}
+	}
+	must.True(t, ordered["m-r1"], must.Sprint("the second owner gave no order"))
+	must.SliceContains(t, w.store.content().RecentlyOrdered, fleet.InstanceID("m-r1"))
+	must.SliceContains(t, w.store.content().RecentlyOrdered, hidden)
+}
