Count a failed run of a gang once, not once for each member

Cause: onRunFailed counted the end of each member.

A gang counts each attempt once. The ledger keeps the last counted attempts, so that ends that the next owner lists do not count again.

--- a/codec/ledger.go
+++ b/codec/ledger.go
@@ -175,6 +175,7 @@
 	Number         int               `json:"n"`
 	Attempt        int64             `json:"a"`
 	Failures       int               `json:"f,omitempty"`
+	FailedAttempts []int64           `json:"F,omitempty"`
 	Crashes        int               `json:"c,omitempty"`
 	CertainCrashes int               `json:"C,omitempty"`
 	Trial          time.Duration     `json:"m,omitempty"` // in nanoseconds
--- a/codec/size_test.go
+++ b/codec/size_test.go
@@ -41,7 +41,8 @@
 		Number: n.Draw(t, "number"), Attempt: int64(n.Draw(t, "attempt")), Failures: n.Draw(t, "failures"), Crashes: n.Draw(t, "crashes"),
 		CertainCrashes: n.Draw(t, "certain"), Trial: time.Duration(n.Draw(t, "trial")), Runner: fleet.RunnerID(text.Draw(t, "runner")),
 		Incarnation: fleet.Incarnation(n.Draw(t, "incarnation")), Address: text.Draw(t, "address"), Checkpoint: text.Draw(t, "checkpoint"),
-		StaleLeases: rapid.Bool().Draw(t, "stale leases"),
+		FailedAttempts: rapid.SliceOfN(rapid.Int64Range(0, 1<<40), 0, 8).Draw(t, "failed attempts"),
+		StaleLeases:    rapid.Bool().Draw(t, "stale leases"),
 	}
 	for range rapid.IntRange(0, 3).Draw(t, "unresolved") {
 		task.Unresolved = append(task.Unresolved, ledger.Run{Attempt: int64(n.Draw(t, "attempt")), Runner: fleet.RunnerID(text.Draw(t, "runner"))})
--- a/reduce/jobs/crashes_test.go
+++ b/reduce/jobs/crashes_test.go
@@ -412,3 +412,41 @@
 	w.checkInvariants()
 	w.mustState(jobID(0), fleet.JobFailed)
 }
+
+// TestFailedRunOfAGangCountsOnce has all members of a gang fail in its first run. Each of
+// them counted as a failure of the gang, so its job was shown as failed after one of two
+// allowed failures (review/9). The ends come together, one by one, or over a takeover.
+func TestFailedRunOfAGangCountsOnce(t *testing.T) {
+	for _, members := range []int{2, 4} {
+		for _, kill := range []bool{false, true} {
+			for seed := range int64(5) {
+				t.Run(fmt.Sprint("members=", members, " kill=", kill, " seed=", seed), func(t *testing.T) {
+					w := newWorld(t, 117+seed, 3, 3)
+					w.run(2 * time.Second)
+					for _, r := range w.runners {
+						r.failing = true
+					}
+					id := jobID(0)
+					w.submit(id, &fleet.JobSpec{Text: "text", Steps: []fleet.Step{
+						{Count: members, Needs: taskNeeds, Estimate: 300 * time.Millisecond, Gang: true},
+					}})
+					w.runUntilRuns(firstTask(id))
+					w.run(5 * time.Millisecond)
+					for _, r := range w.runners {
+						r.failing = false // the runs that have begun fail
+					}
+					if kill {
+						w.run(time.Duration(10+w.rng.Intn(15)) * time.Millisecond)
+						o := w.owner()
+						o.kill()
+						w.after(time.Second, o.restart)
+					}
+					w.run(20 * time.Second)
+					w.checkInvariants()
+					w.mustState(id, fleet.JobDone)
+					must.Positive(t, w.history(firstTask(id)).failuresAcknowledged)
+				})
+			}
+		}
+	}
+}
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -76,8 +76,10 @@
 	tasksLeft int
 	// queued is set while the step is in its pool's queue.
 	queued bool
-	// gangFailures counts the failed runs of a gang.
-	gangFailures int
+	// gangFailures counts the failed runs of a gang, and failedAttempts lists the attempts
+	// of the last of them, in ascending order.
+	gangFailures   int
+	failedAttempts []int64
 	// estimate is the estimated run time of a task.
 	estimate time.Duration
 	// criticalPath is the estimated run time of the longest chain of steps that
@@ -120,6 +122,32 @@
 
 func (t *task) job() *job { return t.step.occ.job }
 
+// countedFailures returns the number of failed runs of the task, or of its gang.
+func (t *task) countedFailures() int {
+	if t.step.spec.Gang {
+		return t.step.gangFailures
+	}
+	return t.failures
+}
+
+// maxFailedAttempts bounds the attempts that are kept of a gang whose failures do not end its
+// job. The ends of an attempt are listed together, or soon after one another.
+const maxFailedAttempts = 8
+
+// countGangFailure counts the failure of a member of a gang, unless one of the same attempt
+// was counted.
+func (st *step) countGangFailure(attempt int64) {
+	i, counted := slices.BinarySearch(st.failedAttempts, attempt)
+	if counted {
+		return
+	}
+	st.gangFailures++
+	st.failedAttempts = slices.Insert(st.failedAttempts, i, attempt)
+	if n := len(st.failedAttempts); n > maxFailedAttempts {
+		st.failedAttempts = st.failedAttempts[n-maxFailedAttempts:]
+	}
+}
+
 // noValueFactor is the multiple of its objective after which the end of a job has
 // no value.
 const noValueFactor = 3
@@ -356,7 +384,7 @@
 	}
 	out := ledger.Task{Number: t.step.firstTask + t.index, Attempt: t.attempt, Failures: t.failures, Checkpoint: t.checkpoint}
 	if t.step.spec.Gang {
-		out.Failures = t.step.gangFailures
+		out.Failures, out.FailedAttempts = t.step.gangFailures, slices.Clone(t.step.failedAttempts)
 	}
 	out.Crashes, out.CertainCrashes, out.Trial = t.crashes.Crashes, t.crashes.Certain, t.crashes.Trial
 	if t.run != nil {
@@ -446,6 +474,7 @@
 	t.attempt, t.failures, t.checkpoint = r.Attempt, r.Failures, r.Checkpoint
 	if t.step.spec.Gang {
 		t.failures, t.step.gangFailures = 0, max(t.step.gangFailures, r.Failures)
+		t.step.failedAttempts = r.FailedAttempts
 	}
 	t.crashes = crashes.Record{Crashes: r.Crashes, Certain: r.CertainCrashes, Trial: r.Trial}
 	for _, u := range r.Unresolved {
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -271,7 +271,7 @@
 		o.onTaskDone(t)
 	case fleet.RunFailed:
 		t.crashes.Trial = 0
-		o.onRunFailed(t, r)
+		o.onRunFailed(t, r, e.Attempt)
 	default:
 		o.requeue(t)
 	}
@@ -302,19 +302,20 @@
 }
 
 // onRunFailed counts a failed run. The job fails once a task has failed as often as
-// its queue allows; otherwise the task is requeued.
-func (o *ownership) onRunFailed(t *task, r *runner) {
+// its queue allows; otherwise the task is requeued. The members of a gang run under one
+// attempt, so a run of the gang counts once, however many of them failed.
+func (o *ownership) onRunFailed(t *task, r *runner, attempt int64) {
 	t.avoidRunner = r.ID
 	j := t.job()
 	if j.state.Final() {
 		return
 	}
-	failures := &t.failures
 	if t.step.spec.Gang {
-		failures = &t.step.gangFailures
+		t.step.countGangFailure(attempt)
+	} else {
+		t.failures++
 	}
-	*failures++
-	if !t.step.spec.LongRunning && j.maxAttempts > 0 && *failures >= j.maxAttempts {
+	if !t.step.spec.LongRunning && j.maxAttempts > 0 && t.countedFailures() >= j.maxAttempts {
 		o.endJob(j, fleet.JobFailed)
 		return
 	}
--- a/reduce/jobs/unresolved.go
+++ b/reduce/jobs/unresolved.go
@@ -40,10 +40,7 @@
 	t.unresolved = slices.DeleteFunc(t.unresolved, func(u unresolvedRun) bool {
 		return o.now().Sub(u.since) > resolveLimit
 	})
-	failures := t.failures
-	if t.step.spec.Gang {
-		failures = t.step.gangFailures
-	}
+	failures := t.countedFailures()
 	if t.crashes.Crashes > 0 && t.crashes.Crashes+len(t.unresolved) >= crashes.MaxCrashes {
 		return true
 	}
@@ -66,15 +63,15 @@
 	case e.Outcome == fleet.RunDone && t.phase == taskWaiting:
 		o.onTaskDone(t)
 	case e.Outcome == fleet.RunFailed && t.phase != taskDone:
-		o.onStrayFailure(t, r)
+		o.onStrayFailure(t, r, e.Attempt)
 	}
 }
 
 // onStrayFailure counts the failure of an earlier run of a task. The current run of
 // the task, if any, continues.
-func (o *ownership) onStrayFailure(t *task, r *runner) {
+func (o *ownership) onStrayFailure(t *task, r *runner, attempt int64) {
 	current := t.run
-	o.onRunFailed(t, r)
+	o.onRunFailed(t, r, attempt)
 	if current != nil && !t.job().state.Final() {
 		t.phase, t.run = taskActive, current
 	}
--- a/reduce/ledger/ledger.go
+++ b/reduce/ledger/ledger.go
@@ -121,6 +121,8 @@
 	Attempt int64
 	// Failures is the number of runs of the task that failed, or of its gang.
 	Failures int
+	// FailedAttempts lists the attempts of the last failed runs of its gang.
+	FailedAttempts []int64
 	// Crashes counts the runners that crashed while the task ran or may have run there,
 	// and CertainCrashes those on which it did. Trial is how long its next run has to last
 	// until it is no longer suspected to be the cause.
--- a/reduce/ledger/size.go
+++ b/reduce/ledger/size.go
@@ -125,6 +125,12 @@
 	} {
 		size += intField(n)
 	}
+	if len(t.FailedAttempts) > 0 {
+		size += fieldOverhead
+	}
+	for _, n := range t.FailedAttempts {
+		size += intSize(n) + 1
+	}
 	if t.StaleLeases {
 		size += fieldOverhead + len("true")
 	}
