Plan a place for each long-running task before it is stopped for upkeep

Cause: each task that was to leave a vacated runner asked whether some runner had room, so several were stopped for one place, and vacated runners take no task while long ones run on them. The number of vacated runners depended on the wave alone.

A plan of the pool gives each such task a place before it is stopped. A runner is vacated only if the pool can spare it, and takes tasks again if one has no other place. The pool keeps an instance more while it has runners to vacate, since a wave else never ended where tasks may not share a runner.

--- a/reduce/jobs/demand.go
+++ b/reduce/jobs/demand.go
@@ -101,7 +101,7 @@
 		cpu:    max(a.rate, running.cpu) + longRunning.cpu + waiting.cpu,
 		memory: running.memory + longRunning.memory + waiting.memory,
 	}
-	return total.instances(size) + reserveInstances
+	return max(total.instances(size)+reserveInstances, o.instancesToRelocate(o.pool(p.name)))
 }
 
 // backlog returns the capacity with which the waiting work would begin within
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -77,6 +77,10 @@
 	dirty bool
 	// placedAt is when tasks of the queue were last placed.
 	placedAt time.Time
+	// relocation is the newest plan for tasks that leave their runners; nil for none.
+	relocation *relocation
+	// relocatesUntil is until when the pool keeps room for such tasks.
+	relocatesUntil time.Time
 	// slowdown is the run time of tasks as a multiple of their estimates.
 	slowdown slowdown
 }
--- a/reduce/jobs/waves.go
+++ b/reduce/jobs/waves.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -245,12 +246,20 @@
 }
 
 // updateVacating removes the instances that are vacated no more from those of a wave: an
-// order for another wave or for a move, or a restart, has ended that.
+// order for another wave or for a move, or a restart, has ended that, or the pool cannot spare
+// their runners any longer.
 func (o *ownership) updateVacating(w *wave) {
-	for id := range w.vacating {
+	for _, id := range slices.Sorted(maps.Keys(w.vacating)) {
 		i, ok := o.instances.byID[id]
 		if !ok || o.runnerOf(i) == nil || !o.runnerOf(i).vacating {
 			delete(w.vacating, id)
+			continue
+		}
+		if i.pending == nil && o.returnRunner(o.runnerOf(i)) {
+			delete(w.vacating, id)
+			o.s.logDecision(effect.Decision{
+				Name: "instance takes tasks again", Task: string(id), Runner: i.Runner, Version: w.ID, Epoch: o.epoch,
+			})
 		}
 	}
 }
@@ -266,7 +275,7 @@
 	want := min(int((time.Duration(len(left))*each+room-1)/room), w.freePlaces(reserved))
 	for _, i := range left {
 		r := o.runnerOf(i)
-		if r == nil || w.vacating[i.ID] || !o.orderable(i) || (len(w.vacating) >= want && !reserved[i.ID]) {
+		if r == nil || w.vacating[i.ID] || !o.orderable(i) || (len(w.vacating) >= want && !reserved[i.ID]) || !o.mayVacate(r) {
 			continue
 		}
 		w.vacating[i.ID] = true
