Count a job as begun only if a run of it is known to have begun

Cause: the next owner took a task with an attempt and no runner for one that had run; its start may have been refused, or never sent.

The progress of a job says whether a run is known to have begun.

--- a/codec/ledger.go
+++ b/codec/ledger.go
@@ -137,6 +137,7 @@
 	State       fleet.JobState  `json:"s"`
 	Ended       int64           `json:"e,omitempty"`
 	Begun       int             `json:"b,omitempty"`
+	NotBegun    bool            `json:"n,omitempty"`
 	Generation  int64           `json:"g,omitempty"`
 	Parts       int             `json:"k,omitempty"`
 	Occurrences []occurrence    `json:"o,omitempty"`
@@ -271,7 +272,7 @@
 func encodeProgress(r *ledger.Record) (storage.Record, error) {
 	p := r.Progress
 	w := progress{
-		Queue: p.Queue, State: p.State, Begun: p.Begun, Generation: p.Generation, Parts: p.Parts, Occurrences: encodeOccurrences(p.Occurrences),
+		Queue: p.Queue, State: p.State, Begun: p.Begun, NotBegun: p.NotBegun, Generation: p.Generation, Parts: p.Parts, Occurrences: encodeOccurrences(p.Occurrences),
 	}
 	if !p.Ended.IsZero() {
 		w.Ended = p.Ended.UnixMilli()
@@ -553,7 +554,7 @@
 		return nil, err
 	}
 	p := &ledger.Progress{
-		Queue: w.Queue, State: w.State, Begun: w.Begun, Generation: w.Generation, Parts: w.Parts, Occurrences: decodeOccurrences(w.Occurrences),
+		Queue: w.Queue, State: w.State, Begun: w.Begun, NotBegun: w.NotBegun, Generation: w.Generation, Parts: w.Parts, Occurrences: decodeOccurrences(w.Occurrences),
 	}
 	if w.Ended != 0 {
 		p.Ended = time.UnixMilli(w.Ended)
--- a/codec/ledger_test.go
+++ b/codec/ledger_test.go
@@ -47,7 +47,7 @@
 }
 
 func TestLedgerRoundTrip(t *testing.T) {
-	p := &ledger.Progress{Queue: "q", State: fleet.JobFailed, Ended: accepted, Occurrences: []ledger.Occurrence{{
+	p := &ledger.Progress{Queue: "q", State: fleet.JobFailed, Ended: accepted, NotBegun: true, Occurrences: []ledger.Occurrence{{
 		Number: 1, Done: []bool{true, false, true, false, false, false, false, false},
 		Tasks: []ledger.Task{{Number: 1, Attempt: 2, Failures: 1, Runner: "r", Incarnation: 7, Address: "10.0.0.1:7", Crashes: 2, CertainCrashes: 1, Trial: 120 * time.Millisecond, StaleLeases: true, FailedAttempts: []int64{1, 2}, Checkpoint: "s",
 			Unresolved: []ledger.Run{{Attempt: 1, Runner: "x"}}}},
--- a/codec/size_test.go
+++ b/codec/size_test.go
@@ -63,7 +63,7 @@
 
 func drawnProgress(t *rapid.T) *ledger.Progress {
 	return &ledger.Progress{
-		Queue: fleet.QueueName(drawnText(20).Draw(t, "queue")), State: fleet.JobRunning, Begun: drawnCount().Draw(t, "begun"),
+		Queue: fleet.QueueName(drawnText(20).Draw(t, "queue")), State: fleet.JobRunning, Begun: drawnCount().Draw(t, "begun"), NotBegun: rapid.Bool().Draw(t, "not begun"),
 		Ended: time.UnixMilli(int64(drawnCount().Draw(t, "ended"))), Occurrences: drawnOccurrences(t),
 	}
 }
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -352,6 +352,7 @@
 	if j.state.Final() {
 		return p
 	}
+	p.NotBegun = !j.begun
 	p.Begun = j.occurrencesBegun
 	for _, occ := range j.occurrences {
 		p.Occurrences = append(p.Occurrences, occ.progress())
@@ -418,6 +419,9 @@
 	j.parts = s.Parts
 	if s.Progress != nil {
 		j.hasProgress, j.generation = true, s.Progress.Generation
+		if hasBegun(s.Progress) {
+			o.markBegun(j)
+		}
 		for i := range s.Progress.Occurrences {
 			o.restoreOccurrence(j, &s.Progress.Occurrences[i])
 		}
@@ -432,6 +436,14 @@
 	o.scheduleNext(j)
 }
 
+// hasBegun reports whether a run of a job had begun that runs no more. Versions that know no
+// NotBegun leave it unset, also for jobs whose runs were only planned.
+func hasBegun(p *ledger.Progress) bool {
+	return !p.NotBegun && slices.ContainsFunc(p.Occurrences, func(occ ledger.Occurrence) bool {
+		return slices.ContainsFunc(occ.Tasks, func(t ledger.Task) bool { return t.Runner == "" })
+	})
+}
+
 func (o *ownership) restoreEnded(s *ledger.StoredJob) {
 	j := &job{
 		id: s.Job, queue: s.Progress.Queue, state: s.Progress.State, storedState: s.Progress.State,
@@ -482,7 +494,6 @@
 	}
 	t.job().started = true
 	if r.Runner == "" {
-		o.markBegun(t.job())
 		return
 	}
 	t.job().adopted = true
--- a/reduce/jobs/waiting_test.go
+++ b/reduce/jobs/waiting_test.go
@@ -57,6 +57,44 @@
 	w.checkInvariants()
 }
 
+// TestJobsWhoseStartsWereRefusedWait has all starts refused by an unhealthy runner, or planned
+// and never sent, and replaces the owner. The next one took these jobs for begun (review/10).
+func TestJobsWhoseStartsWereRefusedWait(t *testing.T) {
+	for _, outcome := range []event.OrderOutcome{event.OrderUnhealthy, event.OrderNoRoom, event.OrderNotSent, event.OrderInvalid} {
+		for _, owners := range []int{1, 3} {
+			w := newWorld(t, 42, 3, 3)
+			w.run(2 * time.Second)
+			refuse := true
+			w.onEffect = func(e *fakeEntry, out effect.Effect) bool {
+				o, ok := out.(effect.OrderTask)
+				if !ok || o.Kind != effect.OrderStart || !refuse {
+					return true
+				}
+				e.postAfter(5*time.Millisecond, event.TaskOrdered{
+					Epoch: o.Epoch, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: outcome,
+				})
+				return false
+			}
+			for n := range 12 {
+				w.submit(jobID(n), twoStepJob())
+			}
+			w.run(2 * time.Second)
+			for range owners {
+				epoch, owner := w.store.newest().Epoch, w.owner()
+				owner.kill()
+				w.after(100*time.Millisecond, owner.restart)
+				w.runUntilOwnedAfter(epoch)
+				w.run(700 * time.Millisecond)
+			}
+			must.Eq(t, 12, w.countWaiting(w.owner()).Waiting, must.Sprint(outcome))
+			refuse = false
+			w.run(20 * time.Second)
+			must.Eq(t, 0, w.countWaiting(w.owner()).Waiting)
+			w.checkInvariants()
+		}
+	}
+}
+
 // TestFormerOwnerGivesNoCount asks a former owner that is cut off from the store for
 // the number of waiting jobs. The next owner may have accepted others.
 func TestFormerOwnerGivesNoCount(t *testing.T) {
--- a/reduce/ledger/ledger.go
+++ b/reduce/ledger/ledger.go
@@ -88,6 +88,8 @@
 	// Occurrences have ended.
 	Begun       int
 	Occurrences []Occurrence
+	// NotBegun is set while no run of the job is known to have begun, whatever was planned.
+	NotBegun bool
 	// Parts is the number of parts that hold the occurrences instead of Occurrences, and
 	// Generation the generation of these parts; zero if there are none.
 	Parts      int
--- a/reduce/ledger/size.go
+++ b/reduce/ledger/size.go
@@ -93,7 +93,7 @@
 
 func (p *Progress) size() int {
 	return 2*objectOverhead + textField(string(p.Queue)) + textField(string(p.State)) + intField(p.Ended.UnixMilli()) +
-		intField(int64(p.Begun)) + intField(p.Generation) + intField(int64(p.Parts)) + occurrencesSize(p.Occurrences)
+		intField(int64(p.Begun)) + fieldOverhead + len("true") + intField(p.Generation) + intField(int64(p.Parts)) + occurrencesSize(p.Occurrences)
 }
 
 func occurrencesSize(list []Occurrence) int {
