--- a/reduce/jobs/capacity_test.go
+++ b/reduce/jobs/capacity_test.go
@@ -113,6 +113,35 @@
 	}
 }
 
+// TestStoppingRunsOfAnEndedJobTakeRoomAfterATakeover cancels a job that fills the runners and
+// stops the owner as planned. The next one did not count the runs that were still being
+// stopped, since their job had ended, and started others beside them (review-stray-room).
+func TestStoppingRunsOfAnEndedJobTakeRoomAfterATakeover(t *testing.T) {
+	for seed := range int64(20) {
+		w := newWorld(t, 133+seed, 3, 2, unguarded)
+		for _, r := range w.runners {
+			r.capacity.CPU = 4000
+		}
+		w.run(2 * time.Second)
+		w.submit(jobID(0), longRunningJob(8, 8))
+		w.run(2 * time.Second)
+		must.Eq(t, 8, w.runningTasks())
+		for n := range 4 {
+			w.submit(jobID(1+n), twoStepJob())
+		}
+		w.run(50 * time.Millisecond)
+		epoch := w.store.newest().Epoch
+		w.cancel(jobID(0))
+		w.owner().post(eventStop)
+		w.runUntilOwnedAfter(epoch)
+		w.run(20 * time.Second)
+		w.checkInvariants()
+		for n := range 4 {
+			w.mustState(jobID(1+n), fleet.JobDone)
+		}
+	}
+}
+
 // TestRunnerOfAnUnknownServiceIsNotCalled until a configuration names its service: the
 // entry may be another writer's, with nobody at its address.
 func TestRunnerOfAnUnknownServiceIsNotCalled(t *testing.T) {
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -73,7 +73,7 @@
 	}
 	if r.mayLease() {
 		e.LeaseDeadline = r.newLeaseDeadline(o.now())
-		if r.storedEnd >= r.lastEnd && len(r.runs) > 0 && !r.readingExpired(o.now()) {
+		if r.storedEnd >= r.lastEnd && len(r.runs)+r.strays > 0 && !r.readingExpired(o.now()) {
 			e.Wait = o.pollWaitFor(r)
 		}
 	}
@@ -105,7 +105,7 @@
 	switch {
 	case r.Address == "" || (!r.listed && len(r.runs) == 0 && !now.Before(r.unresolvedUntil)):
 		return false
-	case !r.fenced || len(r.runs) > 0:
+	case !r.fenced || len(r.runs)+r.strays > 0:
 		return true
 	default:
 		return r.storedEnd < r.lastEnd || r.acknowledgedEnd < r.storedEnd
@@ -325,10 +325,12 @@
 // reconcileRuns compares the planned runs of a runner with those that it lists.
 // Runs that it confirmed before the poll was sent and does not list are lost.
 func (o *ownership) reconcileRuns(r *runner, rows []fleet.RunningTask, sent time.Time) {
+	r.strays = 0
 	for i := range rows {
 		row := &rows[i]
 		run, ok := r.runs[row.Task]
 		if !ok || run.attempt != row.Attempt {
+			r.strays++
 			o.stopStrayRun(r, row)
 			continue
 		}
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -41,6 +41,9 @@
 	runs     map[fleet.TaskID]*run
 	// lateStarts lists the starts of runs that were given up which may still be carried out.
 	lateStarts []lateStart
+	// strays is the number of runs of no task of this owner that the runner last listed. It
+	// stops them; what they take until then is not known.
+	strays int
 	// used is the capacity that the runs reserve.
 	used   fleet.Capacity
 	counts runCounts
@@ -231,7 +234,7 @@
 		return
 	}
 	r.renew()
-	r.Incarnation = 0
+	r.Incarnation, r.strays = 0, 0
 }
 
 // onRunnerRestarted handles the restart of a runner under the same id. The runs on
@@ -250,6 +253,7 @@
 	o.loseFormerRuns(r, seen)
 	o.barLateStarts(r)
 	r.renew()
+	r.strays = 0
 	o.touch(r)
 	for _, run := range r.runsWhere((*run).isOrderedAnew) {
 		run.confirmedAt = time.Time{}
@@ -330,7 +334,7 @@
 // usable reports whether tasks may be started on the runner.
 func (o *ownership) usable(r *runner) bool {
 	return r.listed && r.reported && r.fenced && !o.withheld[r.ID] && !r.poll.unreachable && !r.Draining && !r.vacating && r.Capacity.CPU > 0 &&
-		!o.now().Before(r.noRoomUntil) && o.healthAllowsRun(r) && o.roomKnown(r)
+		!o.now().Before(r.noRoomUntil) && o.healthAllowsRun(r) && o.roomKnown(r) && (r.strays == 0 || o.hasRoom(r))
 }
 
 // roomKnown reports whether the capacity of a runner is known well enough to start tasks
@@ -338,9 +342,11 @@
 // cannot be read.
 func (o *ownership) roomKnown(r *runner) bool { return !o.runnersUnreadable || o.guardsCapacity(r) }
 
-// hasRoom reports whether the runs on a runner that does not guard its capacity fit, after
-// it may have shrunk.
-func (o *ownership) hasRoom(r *runner) bool { return o.guardsCapacity(r) || r.Capacity.Fits(r.used) }
+// hasRoom reports whether the runs on a runner that does not guard its capacity fit: it may
+// have shrunk, and runs of former owners that are being stopped still take room.
+func (o *ownership) hasRoom(r *runner) bool {
+	return o.guardsCapacity(r) || (r.strays == 0 && r.Capacity.Fits(r.used))
+}
 
 // guardsCapacity reports whether a runner refuses starts beyond its capacity.
 func (o *ownership) guardsCapacity(r *runner) bool {
