Bound the doublings of a runner's rests

After 33 rests in a row the shift overflowed, and a runner that fails all its runs got no rest any more.

--- a/reduce/jobs/health.go
+++ b/reduce/jobs/health.go
@@ -23,6 +23,8 @@
 	// last about five seconds.
 	minQuarantine = 1500 * time.Millisecond
 	maxQuarantine = 6 * time.Second
+	// maxDoublings bounds how often the length doubles, far beyond maxQuarantine.
+	maxDoublings = 8
 )
 
 // health is the health of a runner as derived from the outcomes of its runs.
@@ -83,7 +85,7 @@
 // quarantine keeps tasks from being started on a runner for a time.
 func (o *ownership) quarantine(r *runner, reason effect.Reason) {
 	h := &r.health
-	pause := min(minQuarantine<<h.quarantines, maxQuarantine)
+	pause := min(minQuarantine<<min(h.quarantines, maxDoublings), maxQuarantine)
 	h.quarantines++
 	h.quarantinedUntil = o.now().Add(pause)
 	o.s.logDecision(effect.Decision{
