Drop a definition that outlives the final state of its job

An owner that died between the batch with the final state and the one that drops the definition left the definition for good. Once the final state had expired, the next owner ran the job again. An owner that loads both stores the job again.

--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -413,6 +413,7 @@
 		j.state, j.storedState, j.ended = s.Progress.State, s.Progress.State, s.Progress.Ended
 		j.hasProgress, j.parts = true, s.Parts
 		o.ended = append(o.ended, j)
+		o.markDirty(j) // the definition has to be dropped before the final state is
 		return
 	}
 	o.addActive(j)
