Count only crashes at the beginning of a run as a task's certain fault

Cause: a crash counted against all that ran on the runner, whenever it came. One later than the beginning of a run has nothing in common with it.

--- a/reduce/crashes/crashes.go
+++ b/reduce/crashes/crashes.go
@@ -14,12 +14,19 @@
 	// due to another run. Tasks that end their process do so within milliseconds of their
 	// start; answers take as long.
 	SettleTime = 100 * time.Millisecond
+	// maxStartCrash is how long after its planning a run of a long-running task may have lasted
+	// for a crash at its beginning: the time until its start is carried out and a broken
+	// connection noticed. Giving such a task up stops others at work.
+	maxStartCrash = 300 * time.Millisecond
+	// atWorkAfter is the run time of a long-running task from which a crash is not counted: the
+	// platform limits the starts of tasks that end, and giving up one that lasts stops others.
+	atWorkAfter = 500 * time.Millisecond
 	// maxTrial bounds how long a suspected task keeps other tasks from a runner.
 	maxTrial = 1500 * time.Millisecond
-	// healthyAfter is the run time after which a crash says nothing about a long-running
-	// task. Any of them loses some runners in its life.
+	// healthyAfter is the run time of a long-running task after which its earlier crashes count
+	// no more. Any of them loses some runners in its life.
 	healthyAfter = 10 * time.Second
-	// certainLimit is the number of runners that crashed while the task ran there, the last
+	// certainLimit is the number of runners that crashed as the task began there, the last
 	// of them on trial, after which it is given up. It is longRunningLimit for
 	// long-running tasks, since giving one up stops others at work.
 	certainLimit     = 2
@@ -32,7 +39,7 @@
 // Record is what is known of the crashes under a task.
 type Record struct {
 	// Crashes counts the runners that crashed while the task ran or may have run there, and
-	// Certain those on which it did.
+	// Certain those that did so at the beginning of a run.
 	Crashes, Certain int
 	// Trial is how long the next run has to last until the task is no longer suspected;
 	// zero if it is not.
@@ -61,10 +68,18 @@
 // hardly ended.
 const unendedShare = 2
 
-// certain reports whether the run was certainly in progress when its runner crashed: it may
-// also have ended before, and the runner not have told so.
+// certain reports whether the run had just begun and was certainly in progress when its runner
+// crashed. It may also have ended before, and the runner not have told so. A crash some time
+// into the run says little about its task: other runners crash for other reasons too.
 func (r Run) certain() bool {
-	return r.Began && (r.LongRunning || unendedShare*(r.Longest-r.Proven) <= r.Estimate)
+	switch {
+	case !r.Began || Settled(r.Proven):
+		return false
+	case r.LongRunning:
+		return r.Longest <= maxStartCrash
+	default:
+		return unendedShare*(r.Longest-r.Proven) <= r.Estimate
+	}
 }
 
 // Settled reports whether a run that has lasted for a time is unlikely to crash its runner
@@ -74,8 +89,10 @@
 // Add records a crash under a run of the task. It reports whether the task is to be given
 // up.
 func (r *Record) Add(run Run) bool {
-	if run.LongRunning && run.Proven >= healthyAfter {
-		*r = Record{}
+	if run.LongRunning && run.Proven >= atWorkAfter {
+		if run.Proven >= healthyAfter {
+			*r = Record{}
+		}
 		return false
 	}
 	onTrial := r.Suspected()
