--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -137,13 +137,8 @@
 		o.onPollFailed(r, b)
 		return
 	}
-	if r.Incarnation != 0 && b.Incarnation != 0 && b.Incarnation != r.Incarnation {
-		if b.Incarnation < r.Incarnation {
-			return // a former incarnation answered before it ended
-		}
-		o.onRunnerRestarted(r, b.Incarnation)
-	} else {
-		r.acknowledgedEnd = max(r.acknowledgedEnd, r.poll.acknowledged)
+	if !o.noteIncarnation(r, b.Incarnation) {
+		return
 	}
 	if r.poll.unreachable {
 		r.poll.unreachable = false
@@ -151,9 +146,6 @@
 	}
 	doubted := r.poll.maybeRestarted
 	r.poll.maybeRestarted, r.poll.answeredAt = false, o.now()
-	if b.Incarnation != 0 {
-		r.Incarnation = b.Incarnation
-	}
 	r.noteAnswer(o.receivedAt(b.Clock), b.Clock)
 	r.updateClock(b.Clock)
 	if !b.Clock.Received.IsZero() {
@@ -180,6 +172,23 @@
 	o.pollAgain(r)
 }
 
+// noteIncarnation takes account of the incarnation that answered a poll. It returns false for
+// a former one, which answered before it ended.
+func (o *ownership) noteIncarnation(r *runner, seen fleet.Incarnation) bool {
+	switch {
+	case r.Incarnation == 0 || seen == 0 || seen == r.Incarnation:
+		r.acknowledgedEnd = max(r.acknowledgedEnd, r.poll.acknowledged)
+	case seen < r.Incarnation:
+		return false
+	default:
+		o.onRunnerRestarted(r, seen)
+	}
+	if seen != 0 {
+		r.Incarnation = seen
+	}
+	return true
+}
+
 // pollAgain sends the next poll, immediately if no ended runs have to be stored
 // before.
 func (o *ownership) pollAgain(r *runner) {
