Count own leases of a runner also after they have expired

Of the mend of stale leases: an owner that had given up a runner's runs when their leases expired forgot that it had called the former incarnation, whose late calls give the next one the longest lease. Read in the diff. TestOwnLateCallAfterTheLeasesHaveExpired failed before. The address of a restarted runner is taken from the list before late starts are barred there.

--- a/reduce/jobs/incarnation.go
+++ b/reduce/jobs/incarnation.go
@@ -77,13 +77,13 @@
 // when another one was seen.
 func (o *ownership) expectStaleLeases(r *runner) {
 	r.stale.former, r.stale.restarted = o.formerStaleUntil(), true
-	if r.fenced || o.now().Before(r.stale.own) {
+	if r.leased {
 		o.expectOwnStaleLeases(r)
 	}
 	o.markChanged(restartedChange)
 }
 
-// expectOwnStaleLeases does so for calls of this owner, which has called the incarnation.
+// expectOwnStaleLeases does so for calls of this owner, which has leased the runner.
 func (o *ownership) expectOwnStaleLeases(r *runner) {
 	deadline := int64(math.MaxInt64)
 	if r.clock.Reading > 0 {
--- a/reduce/jobs/loadorder_test.go
+++ b/reduce/jobs/loadorder_test.go
@@ -147,6 +147,40 @@
 	}
 }
 
+// TestOwnLateCallAfterTheLeasesHaveExpired keeps a runner silent until its leases have expired
+// and its runs are given up. It is back under its id then, and a call of this owner for the
+// former incarnation gives it the longest lease.
+func TestOwnLateCallAfterTheLeasesHaveExpired(t *testing.T) {
+	for seed := range int64(5) {
+		w := newWorld(t, 250+seed, 2, 2, slowClock)
+		w.run(30 * time.Second)
+		w.submit(jobID(0), longRunningJob(1, 1))
+		w.run(2 * time.Second)
+		r := w.runnerUnder(firstTask(jobID(0)))
+		clock := r.clock()
+		r.crash()
+		r.dark = true
+		w.run(8 * time.Second)
+		r.held = nil
+		r.boot()
+		w.run(time.Second)
+		r.extendLease(clock + 5000)
+		for id, other := range w.runners {
+			other.draining = id != r.id
+		}
+		w.run(300 * time.Millisecond)
+		w.submit(jobID(1), longRunningJob(1, 1))
+		w.runUntilRuns(firstTask(jobID(1)))
+		must.EqOp(t, r, w.runnerUnder(firstTask(jobID(1))))
+		for _, other := range w.runners {
+			other.draining = false
+		}
+		r.cutFor(9 * time.Second)
+		w.run(30 * time.Second)
+		w.checkInvariants()
+	}
+}
+
 // TestReadsOfTheListBeforeTheLedgerAreOne has changes of the list come one by one before the
 // ledger. The newest of each runner has to be in force afterwards.
 func TestReadsOfTheListBeforeTheLedgerAreOne(t *testing.T) {
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -39,6 +39,8 @@
 	// if that is the previous one.
 	leasedBy int64
 	runs     map[fleet.TaskID]*run
+	// leased is set once this owner has granted a lease to any incarnation.
+	leased bool
 	// lateStarts lists the starts of runs that were given up which may still be carried out.
 	lateStarts []lateStart
 	// strays is the number of runs of no task of this owner that the runner last listed. It
@@ -173,6 +175,7 @@
 		if f.Incarnation < r.Incarnation {
 			return // the list is older
 		}
+		r.Address = f.Address
 		o.onRunnerRestarted(r, f.Incarnation)
 	}
 	wasDraining, wasListed := r.Draining, r.listed
@@ -290,7 +293,7 @@
 // clock. The lease is shorter than leaseDuration if the reading of the clock is old.
 func (r *runner) newLeaseDeadline(now time.Time) int64 {
 	d := r.earliestClock(now) + leaseDuration.Milliseconds()
-	r.leaseDeadline = max(r.leaseDeadline, d)
+	r.leaseDeadline, r.leased = max(r.leaseDeadline, d), true
 	return d
 }
 
