Vacate a runner before there is room for its long-running tasks

Cause: a runner was vacated only once its long-running tasks had places elsewhere. Ruled out by trials: the share of a pool that is vacated at once, and tasks that wait for room, also together.

A runner may be vacated earlier; what leaves it still needs a place in the plan. A runner to which tasks are to move may be vacated too: they are planned elsewhere, or stay.

--- a/reduce/jobs/relocation.go
+++ b/reduce/jobs/relocation.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
@@ -28,8 +29,12 @@
 	// number for each step and runner.
 	shares map[*runner]fleet.Capacity
 	tasks  map[stepOnRunner]int
-	// placed holds the runs on leaving runners for whose tasks there is room.
-	placed map[*run]bool
+	// placed holds the runs on leaving runners for whose tasks there is room, and arriving
+	// those of them that are to go to each runner.
+	placed   map[*run]bool
+	arriving map[*runner][]*run
+	// awaited holds the runners to which waiting tasks are to go.
+	awaited map[*runner]bool
 	// short is set if there is no room for a task that waits.
 	short bool
 	// usable lists the runners that take tasks, and vacating and listed are numbers of
@@ -54,6 +59,7 @@
 func (o *ownership) planRelocation(p *pool) *relocation {
 	plan := &relocation{
 		at: o.now(), shares: make(map[*runner]fleet.Capacity), tasks: make(map[stepOnRunner]int), placed: make(map[*run]bool),
+		arriving: make(map[*runner][]*run), awaited: make(map[*runner]bool),
 	}
 	var leaving []*runner
 	for _, r := range p.runners {
@@ -75,40 +81,58 @@
 			continue
 		}
 		for _, t := range st.tasks {
-			if t.phase == taskWaiting && !o.placeIn(plan, st, nil) {
+			if t.phase != taskWaiting {
+				continue
+			}
+			if r := o.placeIn(plan, st, nil); r != nil {
+				plan.awaited[r] = true
+			} else {
 				plan.short = true
 			}
 		}
 	}
 	for _, r := range leaving {
-		o.reserveRuns(plan, r)
+		o.relocateRuns(plan, r)
 	}
 	return plan
 }
 
-// reserveRuns plans room for the long-running tasks on a runner elsewhere, and reports whether
-// there is room for all.
-func (o *ownership) reserveRuns(plan *relocation, r *runner) bool {
-	all := true
+// relocateRuns plans room for the long-running tasks on a runner elsewhere.
+func (o *ownership) relocateRuns(plan *relocation, r *runner) {
 	if r.counts.longRunning == 0 {
-		return all
+		return
 	}
 	for _, run := range r.runsWhere(func(run *run) bool { return run.task.step.spec.LongRunning }) {
-		if run.task.job().state.Final() {
-			continue
-		}
-		if o.placeIn(plan, run.task.step, r) {
-			plan.placed[run] = true
-		} else {
-			all = false
+		if !run.task.job().state.Final() {
+			o.relocate(plan, run)
 		}
 	}
-	return all
 }
 
-// placeIn plans room for one task of a step on a runner other than the one it leaves, and
-// reports whether there is any.
-func (o *ownership) placeIn(plan *relocation, st *step, leaves *runner) bool {
+// relocate plans room for the task of a run elsewhere, if there is any.
+func (o *ownership) relocate(plan *relocation, run *run) {
+	if r := o.placeIn(plan, run.task.step, run.runner); r != nil {
+		plan.placed[run] = true
+		plan.arriving[r] = append(plan.arriving[r], run)
+	}
+}
+
+// vacate takes a runner out of the plan. The tasks that were to go there go elsewhere, or stay
+// while there is no room.
+func (o *ownership) vacate(plan *relocation, r *runner) {
+	plan.vacating++
+	plan.usable = slices.DeleteFunc(plan.usable, func(other *runner) bool { return other == r })
+	arriving := plan.arriving[r]
+	delete(plan.arriving, r)
+	for _, run := range arriving {
+		delete(plan.placed, run)
+		o.relocate(plan, run)
+	}
+}
+
+// placeIn plans room for one task of a step on a runner other than the one it leaves. It
+// returns that runner, or nil if none has room.
+func (o *ownership) placeIn(plan *relocation, st *step, leaves *runner) *runner {
 	for _, r := range plan.usable {
 		key := stepOnRunner{step: st, runner: r}
 		if r == leaves || !o.feasible(st, r, gangShare{used: plan.shares[r], tasks: plan.tasks[key]}) {
@@ -116,14 +140,14 @@
 		}
 		plan.shares[r] = plan.shares[r].Plus(st.spec.Reservation())
 		plan.tasks[key]++
-		return true
+		return r
 	}
-	return false
+	return nil
 }
 
-// mayVacate reports whether a pool can spare a runner: not too many are being vacated, there
-// is room elsewhere for its long-running tasks and for those that wait, and none is to move
-// there.
+// mayVacate reports whether a pool can spare a runner: not too many are being vacated, and
+// there is room for the long-running tasks that wait, elsewhere than on this runner. Its own
+// stay until there is room for them.
 func (o *ownership) mayVacate(r *runner) bool {
 	if len(r.runs) == 0 {
 		return true
@@ -133,10 +157,11 @@
 		p.relocatesUntil = o.now().Add(keepRoomTime)
 	}
 	plan := o.relocationOf(p)
-	if _, planned := plan.shares[r]; planned || plan.short || (plan.vacating+1)*maxVacatingShare > plan.listed+1 || !o.reserveRuns(plan, r) {
+	if plan.awaited[r] || plan.short || (plan.vacating+1)*maxVacatingShare > plan.listed+1 {
 		return false
 	}
-	plan.vacating++
+	o.vacate(plan, r)
+	o.relocateRuns(plan, r)
 	return true
 }
 
