--- a/reduce/jobs/capacity_test.go
+++ b/reduce/jobs/capacity_test.go
@@ -117,6 +117,7 @@
 // stops the owner as planned. The next one did not count the runs that were still being
 // stopped, since their job had ended, and started others beside them (review-stray-room).
 func TestStoppingRunsOfAnEndedJobTakeRoomAfterATakeover(t *testing.T) {
+	t.Parallel()
 	for seed := range int64(20) {
 		w := newWorld(t, 133+seed, 3, 2, unguarded)
 		for _, r := range w.runners {
--- a/reduce/jobs/definitions_test.go
+++ b/reduce/jobs/definitions_test.go
@@ -13,6 +13,7 @@
 // batches that store the final state of a job and drop its definition. Nobody dropped the
 // definition later, and once the final state had expired, the next owner ran the job again.
 func TestJobWhoseDefinitionOutlivesItsFinalStateDoesNotRunAgain(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 281, 2, 2)
 	w.run(2 * time.Second)
 	w.submit(jobID(0), twoStepJob())
--- a/reduce/jobs/loadorder_test.go
+++ b/reduce/jobs/loadorder_test.go
@@ -151,6 +151,7 @@
 // and its runs are given up. It is back under its id then, and a call of this owner for the
 // former incarnation gives it the longest lease.
 func TestOwnLateCallAfterTheLeasesHaveExpired(t *testing.T) {
+	t.Parallel()
 	for seed := range int64(5) {
 		w := newWorld(t, 250+seed, 2, 2, slowClock)
 		w.run(30 * time.Second)
--- a/reduce/jobs/relocation_test.go
+++ b/reduce/jobs/relocation_test.go
@@ -40,6 +40,7 @@
 	for _, spare := range []int{0, 1, 2} {
 		for seed := range int64(5) {
 			t.Run(fmt.Sprint("spare=", spare, " seed=", seed), func(t *testing.T) {
+				t.Parallel()
 				w := newWorld(t, 260+seed, 3, 8)
 				w.withInstances(0)
 				w.run(2 * time.Second)
@@ -75,6 +76,7 @@
 // others are vacated. With no room for the task on the remaining runners, a vacated one has
 // to take it.
 func TestVacatedRunnerTakesTasksAgain(t *testing.T) {
+	t.Parallel()
 	for seed := range int64(5) {
 		w := newWorld(t, 270+seed, 3, 4)
 		w.withInstances(0)
--- a/reduce/jobs/rests_test.go
+++ b/reduce/jobs/rests_test.go
@@ -10,6 +10,7 @@
 
 // TestRunnerThatFailsForLongKeepsResting has a runner fail each run for minutes. The length of its rests overflowed after 33 of them, and it got no rest any more.
 func TestRunnerThatFailsForLongKeepsResting(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 280, 1, 1, func(w *world) {
 		w.queues = fleet.NewQueues(1, []*fleet.Queue{{
 			Name: queueName, Host: "host", Prefix: "/plans/", Service: "desk", MaxAttempts: 10_000, Stretch: 2, Slack: time.Second,
--- a/reduce/jobs/waiting_test.go
+++ b/reduce/jobs/waiting_test.go
@@ -60,6 +60,7 @@
 // TestJobsWhoseStartsWereRefusedWait has all starts refused by an unhealthy runner, or planned
 // and never sent, and replaces the owner. The next one took these jobs for begun (review/10).
 func TestJobsWhoseStartsWereRefusedWait(t *testing.T) {
+	t.Parallel()
 	for _, outcome := range []event.OrderOutcome{event.OrderUnhealthy, event.OrderNoRoom, event.OrderNotSent, event.OrderInvalid} {
 		for _, owners := range []int{1, 3} {
 			w := newWorld(t, 42, 3, 3)
