--- a/jobentry/log.go
+++ b/jobentry/log.go
@@ -21,7 +21,7 @@
 
 // attributes returns the fields of a decision that are set.
 func attributes(d *effect.Decision) []slog.Attr {
-	out := make([]slog.Attr, 0, 12)
+	out := make([]slog.Attr, 0, 14)
 	text := func(key, value string) {
 		if value != "" {
 			out = append(out, slog.String(key, value))
@@ -42,6 +42,7 @@
 	number("attempt", d.Attempt)
 	number("epoch", d.Epoch)
 	number("version", d.Version)
+	number("incarnation", int64(d.Incarnation))
 	number("count", int64(d.Count))
 	number("age_ms", d.Age.Milliseconds())
 	number("ran_ms", d.Ran.Milliseconds())
--- a/reduce/effect/jobs.go
+++ b/reduce/effect/jobs.go
@@ -282,8 +282,10 @@
 	Epoch   int64
 	// Version is the version of the configuration, or the number of the wave.
 	Version int64
-	Outcome string
-	Reason  Reason
+	// Incarnation is the incarnation of the runner that the owner knew.
+	Incarnation fleet.Incarnation
+	Outcome     string
+	Reason      Reason
 	// Age is the age of the information on which the decision was based.
 	Age time.Duration
 	// Ran is how long a run is known to have lasted.
--- a/reduce/jobs/run.go
+++ b/reduce/jobs/run.go
@@ -148,10 +148,14 @@
 func (o *ownership) loseRun(run *run, reason effect.Reason) {
 	o.releaseRun(run)
 	o.noteLateStart(run)
-	o.s.logDecision(effect.Decision{
-		Name: "run lost", Task: run.task.id().String(), Attempt: run.attempt, Runner: run.runner.ID, Reason: reason,
+	d := effect.Decision{
+		Name: "run lost", Task: run.task.id().String(), Attempt: run.attempt, Runner: run.runner.ID, Incarnation: run.incarnation, Reason: reason,
 		Epoch: o.epoch, Age: o.now().Sub(run.createdAt), Ran: run.provenRunTime(), Count: run.task.crashes.Crashes,
-	})
+	}
+	if run.mayStartLate || run.startInFlight() {
+		d.Outcome = "a start had no answer"
+	}
+	o.s.logDecision(d)
 	o.s.count("runs_lost", reason)
 	if reason == reasonLeaseExpired {
 		run.task.crashes.Lost(run.provenRunTime())
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -221,7 +221,13 @@
 // the runner's last known incarnation runs no task any more.
 func (o *ownership) onRunnerGone(r *runner, reason effect.Reason) {
 	if len(r.runs) > 0 {
-		o.s.logDecision(effect.Decision{Name: "runs lost", Warning: true, Runner: r.ID, Reason: reason, Count: len(r.runs), Epoch: o.epoch})
+		d := effect.Decision{
+			Name: "runs lost", Warning: true, Runner: r.ID, Incarnation: r.Incarnation, Reason: reason, Count: len(r.runs), Epoch: o.epoch,
+		}
+		if reason == reasonLeaseExpired {
+			d.Outcome, d.Age = o.lastLease(r), o.now().Sub(latest(r.aliveAt, o.startedAt))
+		}
+		o.s.logDecision(d)
 	}
 	if reason == reasonReplaced {
 		o.onRunnerReplaced(r)
@@ -304,6 +310,24 @@
 // leasesExpireAt returns when the last lease that any owner granted to the runner
 // expires if the runner has the slowest clock.
 func (o *ownership) leasesExpireAt(r *runner) time.Time {
+	return latest(o.currentLeasesExpireAt(r), r.staleLeasesExpireAt())
+}
+
+// lastLease tells which leases of a runner are the last to expire.
+func (o *ownership) lastLease(r *runner) string {
+	switch {
+	case r.staleLeasesExpireAt().After(o.currentLeasesExpireAt(r)):
+		return "leases by calls for former incarnations"
+	case r.fenced && r.clock.Reading > 0 && r.leaseDeadline > 0:
+		return "leases of this owner"
+	default:
+		return "leases of former owners"
+	}
+}
+
+// currentLeasesExpireAt returns when the leases expire that were granted to the incarnation
+// that the owner knows.
+func (o *ownership) currentLeasesExpireAt(r *runner) time.Time {
 	var at time.Time
 	switch {
 	case !r.fenced || r.clock.Reading == 0:
@@ -315,7 +339,7 @@
 		left := time.Duration(r.leaseDeadline-r.clock.Reading) * time.Millisecond
 		at = r.clock.Received.Add(onSlowestClock(left))
 	}
-	return latest(at, r.staleLeasesExpireAt())
+	return at
 }
 
 func latest(a, b time.Time) time.Time {
