Test starts carried out by an incarnation that is cut off before its first answer

Callers saw a task run twice: its start had no answer, the runner restarted under its id, the new incarnation carried out the start with a lease of up to hold_max_ms, and the runner was cut off before it had answered anybody. The owner gave up the run when the lease that it had granted was over.

--- a/reduce/jobs/runner_test.go
+++ b/reduce/jobs/runner_test.go
@@ -49,6 +49,8 @@
 	// gets meanwhile are in held: the next incarnation carries them out.
 	dark bool
 	held []func()
+	// formerEntry, if set, is what the list still shows of the runner's former incarnation.
+	formerEntry *fleet.Runner
 	// crashCount is the number of crashes of the runner, and crashedAt when it last
 	// crashed.
 	crashCount int
@@ -108,11 +110,11 @@
 func (w *world) listed() []fleet.Runner {
 	var out []fleet.Runner
 	for _, r := range w.runners {
-		if (r.up || r.w.now.Sub(r.crashedAt) < r.w.listLag) && !r.unreachable {
-			out = append(out, fleet.Runner{
-				ID: r.id, Incarnation: r.incarnation(), Service: r.service, Address: r.address, Capacity: r.capacity,
-				Draining: r.draining, Instance: r.instance, Labels: r.labels, Rack: r.rack,
-			})
+		switch {
+		case r.formerEntry != nil:
+			out = append(out, *r.formerEntry)
+		case (r.up || r.w.now.Sub(r.crashedAt) < r.w.listLag) && !r.unreachable:
+			out = append(out, r.entry())
 		}
 	}
 	slices.SortFunc(out, func(a, b fleet.Runner) int {
@@ -124,6 +126,14 @@
 	return out
 }
 
+// entry returns what the list shows of the runner.
+func (r *fakeRunner) entry() fleet.Runner {
+	return fleet.Runner{
+		ID: r.id, Incarnation: r.incarnation(), Service: r.service, Address: r.address, Capacity: r.capacity,
+		Draining: r.draining, Instance: r.instance, Labels: r.labels, Rack: r.rack,
+	}
+}
+
 func (r *fakeRunner) incarnation() fleet.Incarnation { return fleet.Incarnation(r.born.UnixMilli()) }
 
 func (r *fakeRunner) clock() int64 {
@@ -205,6 +215,9 @@
 	}
 	r.checkStart(o)
 	r.w.starts++
+	if o.Incarnation != r.incarnation() {
+		r.w.strayStarts++
+	}
 	r.w.trace("%s starts %v attempt %d fence %d deadline %d clock %d", r.id, o.Task, o.Attempt, o.Epoch, o.LeaseDeadline, r.clock())
 	r.w.history(o.Task).running++
 	run := &fakeRun{attempt: o.Attempt, began: r.w.now, length: r.w.taskLength(o.Task)}
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -42,6 +42,8 @@
 	// starts and doneRuns are the numbers of runs that runners started, and that
 	// succeeded.
 	starts, doneRuns int
+	// strayStarts is the number of runs that runners started by orders for other incarnations.
+	strayStarts int
 	// onEffect is called for every effect of every entry. It returns whether the
 	// effect is carried out.
 	onEffect func(e *fakeEntry, out effect.Effect) bool
