Keep a task from other runners while a start of it may still be carried out

Callers saw a task run twice at once (TWICE). A start got no answer, its runner restarted under its id, the new incarnation carried the start out and granted itself a lease of hold_max_ms, as the deadline was by the former clock, and was cut off before anybody had called it. The owner, the same one or the next, gave the run up after the usual 5 s and started the task elsewhere.

The cause: what bounds such a lease depended on somebody seeing the restart. Now a run of which a start may still be carried out keeps its task from other runners, for whatever reason it is given up, until the runner answers a poll that was sent after the 12 s in which calls may be carried out and doesn't list it, another runner has the address, or the longest lease that late calls may grant has expired. At the same runner the task may start again as soon as the incarnation that is there bars the late start. A run whose starts were all answered, or whose only start is seen to have begun it, is settled and waits for nothing more; the ledger tells the next owner so, and names the late starts of runs that were given up.

--- a/codec/ledger.go
+++ b/codec/ledger.go
@@ -184,8 +184,10 @@
 	Incarnation    fleet.Incarnation `json:"b,omitempty"`
 	Address        string            `json:"h,omitempty"`
 	StaleLeases    bool              `json:"l,omitempty"`
+	Settled        bool              `json:"d,omitempty"`
 	Checkpoint     string            `json:"s,omitempty"`
 	Unresolved     []ledger.Run      `json:"u,omitempty"`
+	LateStarts     []ledger.Run      `json:"w,omitempty"`
 }
 
 // EncodeLedger returns the encoded record of the ledger. A dropped definition or
--- a/reduce/jobs/crashes.go
+++ b/reduce/jobs/crashes.go
@@ -163,7 +163,7 @@
 	case runIntent:
 		return false
 	case runStarting:
-		return run.orderInFlight || run.mayStartLate
+		return run.orderInFlight || run.mayStartLate || run.settled
 	default:
 		return true
 	}
--- a/reduce/jobs/idleclock_test.go
+++ b/reduce/jobs/idleclock_test.go
@@ -40,6 +40,11 @@
 							e.cutRunners[w.runnerUnder(task).id] = true
 						}
 						end(w.owner())
+						if after == 0 {
+							// The answer to the start is outstanding, so an incarnation of the
+							// runner that nobody sees may begin the task late.
+							w.run(10 * time.Second)
+						}
 						w.run(20 * time.Second)
 						w.checkInvariants()
 						must.NotNil(t, w.runnerUnder(task), must.Sprint("the task does not run again"))
--- a/reduce/jobs/incarnation.go
+++ b/reduce/jobs/incarnation.go
@@ -73,6 +73,11 @@
 	return o.s.tenure.FormerOwnersActiveUntil().Add(o.maxStaleTime())
 }
 
+// formerCallableUntil returns until when calls of earlier owners may be carried out.
+func (o *ownership) formerCallableUntil() time.Time {
+	return o.s.tenure.FormerOwnersActiveUntil().Add(maxOrderAge + maxCallDelay)
+}
+
 // expectStaleLeases takes account of the calls decided for a runner's current incarnation
 // when another one was seen.
 func (o *ownership) expectStaleLeases(r *runner) {
--- a/reduce/jobs/isolation.go
+++ b/reduce/jobs/isolation.go
@@ -86,7 +86,7 @@
 	var best *runner
 	bestRank := 0
 	for _, r := range usable {
-		if !o.feasible(t.step, r, gangShare{}) {
+		if !t.mayStartOn(r) || !o.feasible(t.step, r, gangShare{}) {
 			continue
 		}
 		n := rank(r)
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -107,8 +107,10 @@
 	crashedOn  fleet.InstanceID
 	checkpoint string
 	run        *run
-	// unresolved lists the earlier runs whose outcome is not known.
+	// unresolved lists the earlier runs whose outcome is not known, and lateStarts the starts
+	// of earlier runs that may still be carried out.
 	unresolved []unresolvedRun
+	lateStarts []*lateStart
 	// restarts is the number of runs that were stopped because they were too slow.
 	restarts int
 	// avoidRunner is the runner that last failed, refused or was too slow for the
@@ -390,8 +392,9 @@
 	out.Crashes, out.CertainCrashes, out.Trial = t.crashes.Crashes, t.crashes.Certain, t.crashes.Trial
 	if t.run != nil {
 		out.Runner, out.Incarnation, out.Address = t.run.runner.ID, t.run.incarnation, t.run.runner.Address
-		out.StaleLeases = t.run.staleLeases
+		out.StaleLeases, out.Settled = t.run.staleLeases, t.run.settled
 	}
+	out.LateStarts = t.storedLateStarts()
 	for _, u := range t.unresolved {
 		out.Unresolved = append(out.Unresolved, ledger.Run{Attempt: u.attempt, Runner: u.runner})
 	}
@@ -493,6 +496,7 @@
 	for _, u := range r.Unresolved {
 		o.addUnresolved(t, unresolvedRun{attempt: u.Attempt, runner: u.Runner, since: o.now()})
 	}
+	o.restoreLateStarts(t, r.LateStarts)
 	t.job().started = true
 	if r.Runner == "" {
 		return
--- a/reduce/jobs/placement.go
+++ b/reduce/jobs/placement.go
@@ -150,9 +150,12 @@
 			continue
 		}
 		r := last
-		if r == nil || t.avoidRunner != "" || !o.feasible(st, r, gangShare{}) {
+		if r == nil || t.avoidRunner != "" || !t.mayStartOn(r) || !o.feasible(st, r, gangShare{}) {
 			r = o.chooseRunner(st, t, pass.usable, nil)
 		}
+		if r == nil && len(t.lateStarts) > 0 {
+			continue
+		}
 		if r == nil {
 			return false
 		}
@@ -179,7 +182,7 @@
 	var bestScore int64
 	for _, r := range usable {
 		share := extra[r]
-		if !o.feasible(st, r, share) {
+		if !t.mayStartOn(r) || !o.feasible(st, r, share) {
 			continue
 		}
 		score := o.score(st, t, r, share)
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -73,7 +73,7 @@
 	}
 	if r.mayLease() {
 		e.LeaseDeadline = r.newLeaseDeadline(o.now())
-		if r.storedEnd >= r.lastEnd && len(r.runs)+r.strays > 0 && !r.readingExpired(o.now()) {
+		if r.storedEnd >= r.lastEnd && (len(r.runs)+r.strays > 0 || r.holdsTasks()) && !r.readingExpired(o.now()) {
 			e.Wait = o.pollWaitFor(r)
 		}
 	}
@@ -103,9 +103,9 @@
 // resolved.
 func (r *runner) needsPoll(now time.Time) bool {
 	switch {
-	case r.Address == "" || (!r.listed && len(r.runs) == 0 && !now.Before(r.unresolvedUntil)):
+	case r.Address == "" || (!r.listed && len(r.runs) == 0 && !now.Before(r.unresolvedUntil) && !r.holdsTasks()):
 		return false
-	case !r.fenced || len(r.runs)+r.strays > 0:
+	case !r.fenced || len(r.runs)+r.strays > 0 || r.holdsTasks():
 		return true
 	default:
 		return r.storedEnd < r.lastEnd || r.acknowledgedEnd < r.storedEnd
@@ -115,6 +115,8 @@
 // pollWaitFor returns the longest wait of a long poll of a runner.
 func (o *ownership) pollWaitFor(r *runner) time.Duration {
 	switch {
+	case r.awaitsBar():
+		return lateStartPollWait
 	case r.trialJob != nil || o.now().Before(r.reservedUntil):
 		return crashes.SettleTime
 	case r.mixesBestEffort():
@@ -158,6 +160,7 @@
 	o.processEnds(r, b.Ended)
 	if len(b.Ended) < endsPerPoll {
 		o.reconcileRuns(r, b.Running, sent)
+		o.settleLateStarts(r, b.Running, sent)
 		o.resolveRuns(r, sent)
 		o.restartStragglers(r)
 	}
--- a/reduce/jobs/run.go
+++ b/reduce/jobs/run.go
@@ -51,6 +51,13 @@
 	// mayStartLate is set once a start had no answer: the order may still be
 	// carried out.
 	mayStartLate bool
+	// startSentUntil is until when the last start that was ordered may be carried out, and
+	// startRepeated is set if it was not the only one. startableUntil is until when a
+	// start without an answer may be carried out.
+	startSentUntil, startableUntil time.Time
+	startRepeated                  bool
+	// settled is set once no start of the run can be carried out but that by which it runs.
+	settled bool
 	// confirmedAt is when the runner last confirmed an order; zero before. The
 	// answer to a later poll lists the run or its end.
 	confirmedAt time.Time
@@ -121,7 +128,8 @@
 	o.adoptIncarnation(r, stored)
 	o.attachRun(&run{
 		task: t, runner: r, incarnation: stored.Incarnation, attempt: t.attempt, phase: runStarting,
-		reserved: t.step.spec.Reservation(), createdAt: o.now(), confirmedAt: o.startedAt, mayStartLate: true, pace: newPace(),
+		reserved: t.step.spec.Reservation(), createdAt: o.now(), confirmedAt: o.startedAt, pace: newPace(),
+		mayStartLate: !stored.Settled, settled: stored.Settled, startableUntil: o.formerCallableUntil(), startRepeated: true,
 		onTrial: t.crashes.Suspected(), staleLeases: stored.StaleLeases,
 	})
 }
@@ -139,6 +147,7 @@
 	}
 	o.touch(run.runner)
 	o.timers.Clear(&run.retry)
+	o.noteLateStart(run)
 	if run.task.run == run {
 		run.task.run = nil
 	}
@@ -147,7 +156,6 @@
 // loseRun gives up a run that has certainly ended, and requeues its task.
 func (o *ownership) loseRun(run *run, reason effect.Reason) {
 	o.releaseRun(run)
-	o.noteLateStart(run)
 	d := effect.Decision{
 		Name: "run lost", Task: run.task.id().String(), Attempt: run.attempt, Runner: run.runner.ID, Incarnation: run.incarnation, Reason: reason,
 		Epoch: o.epoch, Age: o.now().Sub(run.createdAt), Ran: run.provenRunTime(), Count: run.task.crashes.Crashes,
@@ -162,6 +170,7 @@
 		o.addUnresolved(run.task, unresolvedRun{attempt: run.attempt, runner: run.runner.ID, since: o.now()})
 	}
 	o.requeue(run.task)
+	o.logHeld(run.task)
 }
 
 // requeueUnstarted requeues the task of a run that never started.
@@ -202,6 +211,8 @@
 	}
 	run.setPhase(runStarting)
 	run.orderInFlight, run.retryAt = true, time.Time{}
+	run.startRepeated = run.startRepeated || !run.startSentUntil.IsZero()
+	run.startSentUntil = o.callableUntil()
 	e := o.newOrder(r, effect.OrderStart, t.id(), run.attempt)
 	e.Text, e.LeaseDeadline, e.Checkpoint, e.Ticket = t.job().spec.Text, r.newLeaseDeadline(o.now()), t.checkpoint, run.ticket
 	o.s.emit(e)
@@ -228,6 +239,9 @@
 		return
 	default:
 	}
+	if run.startInFlight() {
+		run.expectLateStart()
+	}
 	run.setPhase(runStopping)
 	run.confirmedAt = time.Time{}
 	run.orderInFlight, run.retryAt = false, time.Time{}
@@ -290,7 +304,7 @@
 // it was decided for.
 func (o *ownership) mayRepeatStart(run *run) bool {
 	r := run.runner
-	return run.incarnation == r.Incarnation && !r.Draining && !run.task.job().state.Final() && o.hasRoom(r)
+	return run.incarnation == r.Incarnation && !run.settled && !r.Draining && !run.task.job().state.Final() && o.hasRoom(r)
 }
 
 func (o *ownership) onTaskOrdered(b event.TaskOrdered) {
@@ -312,6 +326,7 @@
 	r.updateClock(b.Clock)
 	run, ok := r.runs[b.Task]
 	if !ok || run.attempt != b.Attempt {
+		o.onLateStartStopped(r, b)
 		return
 	}
 	switch b.Kind {
@@ -342,8 +357,11 @@
 		o.markBegun(run.task.job())
 		run.confirmedAt, run.progressAt = o.now(), o.now()
 		run.runningSince = run.runner.aliveAt
+		if !run.mayStartLate {
+			o.settle(run)
+		}
 	case event.OrderUnknown:
-		run.mayStartLate = true
+		run.expectLateStart()
 		o.retryAfter(run, orderRetryDelay)
 		o.probe(run.runner)
 	case event.OrderNotSent:
@@ -419,6 +437,7 @@
 		r.runningSince = r.runner.aliveAt
 	}
 	o.recordLasted(r)
+	o.settleListed(r)
 	if r.phase == runStarting {
 		r.setPhase(runRunning)
 		r.orderInFlight, r.confirmedAt, r.progressAt = false, o.now(), o.now()
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -42,7 +42,9 @@
 	// leased is set once this owner has granted a lease to any incarnation.
 	leased bool
 	// lateStarts lists the starts of runs that were given up which may still be carried out.
-	lateStarts []lateStart
+	lateStarts []*lateStart
+	// leasableUntil is until when a call of this owner that grants a lease may be carried out.
+	leasableUntil time.Time
 	// strays is the number of runs of no task of this owner that the runner last listed. It
 	// stops them; what they take until then is not known.
 	strays int
@@ -156,7 +158,7 @@
 // nothing.
 func (o *ownership) dropGoneRunners() {
 	for _, r := range slices.Clone(o.sortedRunners) {
-		if !r.listed && len(r.runs) == 0 && r.Address == "" {
+		if !r.listed && len(r.runs) == 0 && r.Address == "" && !r.holdsTasks() {
 			o.dropRunner(r)
 		}
 	}
@@ -235,6 +237,9 @@
 	for _, run := range r.runsWhere(func(*run) bool { return true }) {
 		o.loseRun(run, reason)
 	}
+	if reason == reasonReplaced {
+		o.dropLateStarts(r)
+	}
 	o.touch(r)
 	if reason == reasonLeaseExpired {
 		// The same incarnation may answer again and list its ended runs.
@@ -300,6 +305,7 @@
 func (r *runner) newLeaseDeadline(now time.Time) int64 {
 	d := r.earliestClock(now) + leaseDuration.Milliseconds()
 	r.leaseDeadline, r.leased = max(r.leaseDeadline, d), true
+	r.leasableUntil = now.Add(maxOrderAge + maxCallDelay)
 	return d
 }
 
--- a/reduce/jobs/runnertimers.go
+++ b/reduce/jobs/runnertimers.go
@@ -8,6 +8,7 @@
 // evacuates the runner if that is due.
 func (o *ownership) tickRunner(r *runner) {
 	o.touch(r)
+	o.expireLateStarts(r)
 	if r.mayRunTasks() && o.leasesExpired(r) {
 		o.onRunnerGone(r, reasonLeaseExpired)
 		return
@@ -25,8 +26,8 @@
 // dropped.
 func (o *ownership) droppableAt(r *runner) time.Time {
 	at := latest(r.unlistedAt.Add(leaseDuration), r.unresolvedUntil)
-	for _, s := range r.lateStarts {
-		at = latest(at, s.until)
+	for _, late := range r.lateStarts {
+		at = latest(at, o.lateRunsUntil(late))
 	}
 	return at
 }
@@ -70,6 +71,9 @@
 	if (r.Draining || r.vacating) && len(r.runs) > 0 {
 		due(soon)
 	}
+	for _, late := range r.lateStarts {
+		due(o.lateRunsUntil(late))
+	}
 	if !r.listed && len(r.runs) == 0 {
 		due(o.droppableAt(r))
 	}
--- a/reduce/jobs/unresolved.go
+++ b/reduce/jobs/unresolved.go
@@ -54,11 +54,11 @@
 	if t == nil {
 		return
 	}
-	i := slices.IndexFunc(t.unresolved, func(u unresolvedRun) bool { return u.attempt == e.Attempt })
-	if i < 0 {
+	before := len(t.unresolved)
+	t.unresolved = slices.DeleteFunc(t.unresolved, func(u unresolvedRun) bool { return u.attempt == e.Attempt })
+	if len(t.unresolved) == before && !t.hasLateStart(e.Attempt) {
 		return
 	}
-	t.unresolved = slices.Delete(t.unresolved, i, i+1)
 	switch {
 	case e.Outcome == fleet.RunDone && t.phase == taskWaiting:
 		o.onTaskDone(t)
--- a/reduce/ledger/ledger.go
+++ b/reduce/ledger/ledger.go
@@ -140,10 +140,14 @@
 	// StaleLeases is set if that runner may have had leases by calls that were decided for
 	// its former incarnations when the run was planned.
 	StaleLeases bool
+	// Settled is set if no start of the run can be carried out but that by which it runs.
+	Settled bool
 	// Checkpoint is the latest checkpoint of the task; empty when there is none.
 	Checkpoint string
 	// Unresolved lists the runs whose outcome is not known.
 	Unresolved []Run
+	// LateStarts lists the runs that were given up of which a start may still be carried out.
+	LateStarts []Run
 }
 
 // Run identifies one run of a task.
--- a/reduce/ledger/size.go
+++ b/reduce/ledger/size.go
@@ -134,11 +134,16 @@
 	if t.StaleLeases {
 		size += fieldOverhead + len("true")
 	}
-	if len(t.Unresolved) > 0 {
-		size += fieldOverhead + objectOverhead
+	if t.Settled {
+		size += fieldOverhead + len("true")
 	}
-	for _, u := range t.Unresolved {
-		size += objectOverhead + 2*fieldOverhead + intSize(u.Attempt) + textSize(string(u.Runner))
+	for _, runs := range [][]Run{t.Unresolved, t.LateStarts} {
+		if len(runs) > 0 {
+			size += fieldOverhead + objectOverhead
+		}
+		for _, u := range runs {
+			size += objectOverhead + 2*fieldOverhead + intSize(u.Attempt) + textSize(string(u.Runner))
+		}
 	}
 	return size
 }
