Draw histories in which restarts are seen by nobody

Runners restart under their ids in 0.2 to 2 s and are cut off 0.05 to 3 s later; calls without an answer are carried out up to 12 s late at whichever incarnation is up; owners are killed, restarted, paused, released or cut off meanwhile.

--- a/reduce/jobs/unseenrestarts_test.go
+++ b/reduce/jobs/unseenrestarts_test.go
@@ -1,7 +1,10 @@
 package jobs_test
 
 import (
+	"flag"
 	"fmt"
+	"math/rand"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -395,3 +398,158 @@
 		})
 	}
 }
+
+// strayAcks lets late acknowledgements reach later incarnations too (drawn-crashing-7235).
+var strayAcks = flag.Bool("jobs.acks", false, "carry out late acknowledgements at later incarnations")
+
+// unseenFaults is what a drawn history of unseen restarts has had.
+type unseenFaults struct{ restarts, cuts, troubles int }
+
+// drawnJob returns a job with tasks that last, or run for longer or for a shorter time than
+// the longest lease.
+func drawnJob(rng *rand.Rand) *fleet.JobSpec {
+	switch rng.Intn(5) {
+	case 0:
+		return twoStepJob()
+	case 1, 2:
+		length := time.Duration(11+rng.Intn(8)) * time.Second
+		return &fleet.JobSpec{Text: "text", Steps: []fleet.Step{{Count: 1 + rng.Intn(2), Needs: taskNeeds, Estimate: length}}}
+	default:
+		count := 1 + rng.Intn(3)
+		return longRunningJob(count, count)
+	}
+}
+
+// playUnseenRestart hands in jobs, loses calls to a runner that then restarts under its id,
+// and cuts it off soon after it is back, mostly before a list or an answer shows that. Before
+// the cut, something may happen to the owner.
+func (w *world) playUnseenRestart(rng *rand.Rand, id func() fleet.JobID, faults *unseenFaults) {
+	ms := func(least, most int) time.Duration {
+		return time.Duration(least+rng.Intn(most-least)) * time.Millisecond
+	}
+	r := w.runners[fleet.RunnerID(fmt.Sprintf("r%d", rng.Intn(len(w.runners))))]
+	submit := func(most int) {
+		for range 1 + rng.Intn(most) {
+			w.submit(id(), drawnJob(rng))
+		}
+	}
+	w.run(ms(0, 8000))
+	if rng.Intn(2) == 0 {
+		submit(2)
+		w.run(ms(5, 1000))
+	}
+	r.lossShare = []float64{0.3, 0.6, 1}[rng.Intn(3)]
+	submit(3)
+	w.run(ms(5, 1500))
+	if rng.Intn(3) == 0 {
+		r.lossShare = 0
+		w.run(ms(0, 6000)) // repeated starts are answered meanwhile
+	}
+	down, cutAfter, cut := ms(200, 2000), ms(50, 3000), ms(4000, 16_000)
+	if rng.Intn(4) > 0 {
+		r.lossShare = 1
+	}
+	if r.up && !r.dark {
+		faults.restarts++
+		former := r.entry()
+		if !r.unreachable && rng.Intn(4) > 0 {
+			r.formerEntry = &former
+		}
+		r.darkFor(down)
+	}
+	w.after(down+cutAfter, func() {
+		faults.cuts++
+		r.formerEntry, r.lossShare = nil, 0
+		r.cutFor(cut)
+	})
+	if n := rng.Intn(len(ownerTroubles) + 2); n > 0 {
+		w.after(ms(0, int((down+cutAfter).Milliseconds())), func() {
+			if e := w.owner(); e != nil && e.up && !e.frozen {
+				faults.troubles++
+				w.trouble(e, n, r)
+			}
+		})
+	}
+	if rng.Intn(2) == 0 {
+		w.run(ms(5, 800))
+		submit(2)
+	}
+	w.run(down + cutAfter + cut/2 + ms(0, 6000))
+}
+
+// trouble has one of the troubles happen to the owner, or cuts it off from a runner.
+func (w *world) trouble(e *fakeEntry, n int, r *fakeRunner) {
+	if n == len(ownerTroubles)+1 {
+		e.cutRunners[r.id] = true
+		w.after(4*time.Second, func() { delete(e.cutRunners, r.id) })
+		return
+	}
+	if n < len(ownerTroubles) {
+		ownerTroubles[n].happen(e)
+	} else {
+		e.kill()
+	}
+	w.after(5*time.Second, func() {
+		if !e.frozen && e != w.owner() {
+			e.kill()
+			e.boot()
+		}
+	})
+}
+
+// unseenRegressions lists seeds that reproduce faults found earlier.
+var unseenRegressions []int64
+
+// TestJobsHoldWithUnseenRestarts draws jobs whose tasks outlast the longest lease, while calls
+// without an answer are carried out up to 12 s late at whichever incarnation of their runner is
+// up by then, and runners restart and are cut off before anybody has seen it.
+func TestJobsHoldWithUnseenRestarts(t *testing.T) {
+	var strayStarts, histories atomic.Int64
+	t.Run("drawn", func(t *testing.T) {
+		for _, seed := range drawnSeeds(unseenRegressions) {
+			t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+				t.Parallel()
+				rng := rand.New(rand.NewSource(seed))
+				w := newWorld(t, seed, 4, 4, func(w *world) {
+					w.clockRate, w.statusRetention = 0.98+0.02*float64(rng.Intn(2)), time.Hour
+					w.ordersReachNext, w.noStrayAcks = true, !*strayAcks
+				})
+				w.run(12 * time.Second)
+				faults, jobs := &unseenFaults{}, 0
+				for range 6 {
+					w.playUnseenRestart(rng, func() fleet.JobID { jobs++; return jobID(jobs - 1) }, faults)
+				}
+				w.run(16 * time.Second)
+				w.endFaults()
+				w.run(60 * time.Second)
+				histories.Add(1)
+				strayStarts.Add(int64(w.strayStarts))
+				w.checkStatesOf(jobs)
+				w.checkInvariants()
+				must.Positive(t, faults.restarts, must.Sprint("no runner has restarted"))
+				must.Positive(t, faults.cuts, must.Sprint("no runner was cut off"))
+				must.Positive(t, w.doneRuns)
+			})
+		}
+	})
+	t.Log(strayStarts.Load(), "late starts at other incarnations in", histories.Load(), "histories")
+	if *seeds >= 20 {
+		must.GreaterEq(t, histories.Load(), strayStarts.Load(), must.Sprint("late starts at other incarnations"))
+	}
+}
+
+// TestJobsHoldWhenLateOrdersReachTheNextIncarnation plays the histories of the other drawn tests
+// with orders that are carried out seconds late at another incarnation.
+func TestJobsHoldWhenLateOrdersReachTheNextIncarnation(t *testing.T) {
+	for _, seed := range drawnSeeds(nil) {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			runRandomHistory(t, seed, func(w *world) {
+				w.ordersReachNext = true
+				if seed%2 == 0 {
+					w.drawRestarts(rand.New(rand.NewSource(seed)))
+				}
+			})
+		})
+	}
+}
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -102,6 +102,11 @@
 	endDelay time.Duration
 	// statusRetention is how long the entries keep the final states of jobs.
 	statusRetention time.Duration
+	// ordersReachNext lets orders that are carried out late reach another incarnation of
+	// their runner. noStrayAcks leaves acknowledgements out of the polls that do.
+	ordersReachNext, noStrayAcks bool
+	// heldUp is set while a call that was held up is carried out.
+	heldUp bool
 	// clockRate is the rate of all runners' clocks; zero for drawn ones.
 	clockRate float64
 }
