Hold back the acknowledgement of an end while a start of its run may be late

A task ran once more after its success. Its first start had no answer and was repeated; the run ended done and the end was acknowledged; within 12 s of the first start the runner restarted, and the next incarnation carried that start out. The end of such a run, and with it later ones of the runner, is now acknowledged only once none of its starts can be carried out any more. The runner is polled every 0.1 s meanwhile, as it answers long polls at once while ends are not acknowledged, and holds are given up beyond 300 ends.

A successor of the owner does not know of ends that its predecessor held: open.

--- /dev/null
+++ b/reduce/jobs/heldends.go
@@ -0,0 +1,47 @@
+package jobs
+
+import (
+	"slices"
+	"time"
+)
+
+// heldEnd is an ended run of which a start may still be carried out by a later incarnation of
+// its runner. The end is not acknowledged before that is over: an acknowledged success is
+// final, and the task must not start again.
+type heldEnd struct {
+	number int64
+	until  time.Time
+}
+
+const (
+	// heldEndsPollDelay is the delay between polls while ends are held: the runner lists them
+	// at once, so long polls do not wait.
+	heldEndsPollDelay = 100 * time.Millisecond
+	// maxHeldEnds bounds the ends that are not acknowledged because of an earlier one that is
+	// held. A runner lists endsPerPoll of them at most.
+	maxHeldEnds = 300
+)
+
+// holdEnd holds back the acknowledgement of an end, and so of later ones.
+func (r *runner) holdEnd(number int64, until time.Time) {
+	r.heldEnds = append(r.heldEnds, heldEnd{number: number, until: until})
+}
+
+// acknowledgeable returns the number of the last end that may be acknowledged to the runner.
+func (r *runner) acknowledgeable(now time.Time) int64 {
+	number := r.storedEnd
+	for _, held := range r.heldEnds {
+		if now.Before(held.until) && r.storedEnd-held.number < maxHeldEnds {
+			number = min(number, held.number-1)
+		}
+	}
+	return max(number, r.acknowledgedEnd)
+}
+
+// holdsEnds reports whether stored ends are held.
+func (r *runner) holdsEnds(now time.Time) bool { return r.acknowledgeable(now) < r.storedEnd }
+
+// dropAcknowledged drops held ends that were acknowledged.
+func (r *runner) dropAcknowledged() {
+	r.heldEnds = slices.DeleteFunc(r.heldEnds, func(held heldEnd) bool { return held.number <= r.acknowledgedEnd })
+}
--- a/reduce/jobs/incarnation.go
+++ b/reduce/jobs/incarnation.go
@@ -34,7 +34,9 @@
 	// last that is stored, and acknowledgedEnd of the last that was acknowledged
 	// to the runner.
 	lastEnd, storedEnd, acknowledgedEnd int64
-	health                              health
+	// heldEnds lists the ends that are not acknowledged yet although they are stored.
+	heldEnds []heldEnd
+	health   health
 	// noRoomUntil is until when no task is started after a refusal for lack of
 	// capacity.
 	noRoomUntil time.Time
--- a/reduce/jobs/latestarts.go
+++ b/reduce/jobs/latestarts.go
@@ -118,9 +118,14 @@
 	return t.step.spec.LongRunning || (t.avoidRunner != r.ID && !t.crashes.Suspected())
 }
 
-// hasLateStart reports whether a start of an attempt may be carried out late.
-func (t *task) hasLateStart(attempt int64) bool {
-	return slices.ContainsFunc(t.lateStarts, func(late *lateStart) bool { return late.attempt == attempt })
+// lateStart returns the late start of an attempt, or nil.
+func (t *task) lateStart(attempt int64) *lateStart {
+	for _, late := range t.lateStarts {
+		if late.attempt == attempt {
+			return late
+		}
+	}
+	return nil
 }
 
 // waits reports whether a task waits for the late start to be settled.
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -64,8 +64,8 @@
 	o.lastPoll++
 	p.inFlight, p.number, p.sentAt, p.acknowledged = true, o.lastPoll, o.now(), 0
 	o.touch(r)
-	if r.storedEnd > r.acknowledgedEnd && !p.maybeRestarted && o.now().Sub(p.answeredAt) <= maxAcknowledgeAge {
-		p.acknowledged = r.storedEnd
+	if last := r.acknowledgeable(o.now()); last > r.acknowledgedEnd && !p.maybeRestarted && o.now().Sub(p.answeredAt) <= maxAcknowledgeAge {
+		p.acknowledged = last
 	}
 	e := effect.PollRunner{
 		Epoch: o.epoch, Runner: r.ID, Address: r.Address, Number: p.number, Acknowledged: p.acknowledged,
@@ -73,7 +73,7 @@
 	}
 	if r.mayLease() {
 		e.LeaseDeadline = r.newLeaseDeadline(o.now())
-		if r.storedEnd >= r.lastEnd && (len(r.runs)+r.strays > 0 || r.holdsTasks()) && !r.readingExpired(o.now()) {
+		if r.storedEnd >= r.lastEnd && !r.holdsEnds(o.now()) && (len(r.runs)+r.strays > 0 || r.holdsTasks()) && !r.readingExpired(o.now()) {
 			e.Wait = o.pollWaitFor(r)
 		}
 	}
@@ -108,7 +108,7 @@
 	case !r.fenced || len(r.runs)+r.strays > 0 || r.holdsTasks():
 		return true
 	default:
-		return r.storedEnd < r.lastEnd || r.acknowledgedEnd < r.storedEnd
+		return r.storedEnd < r.lastEnd || r.acknowledgedEnd < r.acknowledgeable(now)
 	}
 }
 
@@ -181,6 +181,7 @@
 	switch {
 	case r.Incarnation == 0 || seen == 0 || seen == r.Incarnation:
 		r.acknowledgedEnd = max(r.acknowledgedEnd, r.poll.acknowledged)
+		r.dropAcknowledged()
 	case seen < r.Incarnation:
 		return false
 	default:
@@ -202,6 +203,9 @@
 		return
 	}
 	r.poll.notBefore = time.Time{}
+	if r.holdsEnds(o.now()) {
+		r.poll.notBefore = o.now().Add(heldEndsPollDelay)
+	}
 	o.pollIfDue(r)
 }
 
@@ -240,6 +244,9 @@
 	o.touch(r)
 	if r.storedEnd >= r.lastEnd {
 		r.poll.notBefore = time.Time{}
+		if r.holdsEnds(o.now()) {
+			r.poll.notBefore = r.poll.answeredAt.Add(heldEndsPollDelay)
+		}
 		o.pollIfDue(r)
 	}
 }
@@ -275,6 +282,9 @@
 		t.checkpoint = e.Checkpoint
 	}
 	o.releaseRun(run)
+	if run.mayStartLate {
+		r.holdEnd(e.Number, run.startableUntil)
+	}
 	o.recordEnd(run, e.Outcome)
 	o.updateHealth(r, run, e.Outcome)
 	o.recordRunTime(run, e.Outcome)
--- a/reduce/jobs/runnertimers.go
+++ b/reduce/jobs/runnertimers.go
@@ -74,6 +74,11 @@
 	for _, late := range r.lateStarts {
 		due(o.lateRunsUntil(late))
 	}
+	for _, held := range r.heldEnds {
+		if o.now().Before(held.until) {
+			due(held.until)
+		}
+	}
 	if !r.listed && len(r.runs) == 0 {
 		due(o.droppableAt(r))
 	}
--- a/reduce/jobs/unresolved.go
+++ b/reduce/jobs/unresolved.go
@@ -54,9 +54,12 @@
 	if t == nil {
 		return
 	}
+	if late := t.lateStart(e.Attempt); late != nil {
+		r.holdEnd(e.Number, late.until)
+	}
 	before := len(t.unresolved)
 	t.unresolved = slices.DeleteFunc(t.unresolved, func(u unresolvedRun) bool { return u.attempt == e.Attempt })
-	if len(t.unresolved) == before && !t.hasLateStart(e.Attempt) {
+	if len(t.unresolved) == before && t.lateStart(e.Attempt) == nil {
 		return
 	}
 	switch {
