Tests: acknowledgements that the next incarnation of a runner carries out

Callers would see a task run again after its success (TWICE), or failures of a task that are not counted (BUDGET): an acknowledgement names numbers of ended runs, which each incarnation begins anew, and the platform's header names a runner's id. A runner that forgets ends up to a number may forget later ones too, so the owner takes their runs for lost.

--- a/reduce/jobs/runner_test.go
+++ b/reduce/jobs/runner_test.go
@@ -190,6 +190,9 @@
 	r.w.trace("%s ends %v attempt %d %s as %d", r.id, id, run.attempt, outcome, r.lastEnd)
 	r.endedAt[r.lastEnd] = r.w.now
 	r.ends = append(r.ends, fleet.EndedTask{Number: r.lastEnd, Task: id, Attempt: run.attempt, Outcome: outcome})
+	if r.w.forgetsLaterEnds {
+		r.acknowledgeEnds(0)
+	}
 }
 
 // begin carries out an order to start a task.
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -109,6 +109,9 @@
 	heldUp bool
 	// clockRate is the rate of all runners' clocks; zero for drawn ones.
 	clockRate float64
+	// forgetsLaterEnds makes runners forget ends that come after an acknowledgement of their
+	// numbers before they list them.
+	forgetsLaterEnds bool
 }
 
 // taskHistory is the number of runs of a task that are running, and the outcomes
