An incarnation that got its predecessor's acknowledgement gets no tasks that end

The poll remembers for which incarnation its acknowledgement is. If another one answers, that one gets no task whose outcome matters until it has listed an end of a higher number; tasks that are started again however they end may run there. Weighed: no start at all (keeps room from tasks that nothing endangers), and an acknowledgement only in polls that follow a look of the same instant (two more polls for each end, and a restart may still fall between the two).

--- a/reduce/jobs/incarnation.go
+++ b/reduce/jobs/incarnation.go
@@ -36,7 +36,10 @@
 	lastEnd, storedEnd, acknowledgedEnd int64
 	// heldEnds lists the ends that are not acknowledged yet although they are stored.
 	heldEnds []heldEnd
-	health   health
+	// forgottenEnd is the highest number in an acknowledgement for a former incarnation that
+	// this one may have got. It may forget ends up to this number before it lists them.
+	forgottenEnd int64
+	health       health
 	// noRoomUntil is until when no task is started after a refusal for lack of
 	// capacity.
 	noRoomUntil time.Time
--- a/reduce/jobs/placement.go
+++ b/reduce/jobs/placement.go
@@ -205,6 +205,9 @@
 	if r.trialJob != nil && r.trialJob != st.occ.job {
 		return false
 	}
+	if r.mayForgetEnds() && !st.spec.LongRunning {
+		return false
+	}
 	if !o.healthAllowsRun(r) || !r.free().Minus(share.used).Fits(st.spec.Reservation()) || !r.HasLabel(st.spec.Label) {
 		return false
 	}
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -46,8 +46,10 @@
 	// that began.
 	unreachable bool
 	silentSince time.Time
-	// acknowledged is the acknowledgement in the poll in flight.
+	// acknowledged is the acknowledgement in the poll in flight, and incarnation the one that
+	// it is meant for.
 	acknowledged int64
+	incarnation  fleet.Incarnation
 	// maybeRestarted is set from a sign that the runner may have restarted, such as a
 	// poll without an answer, until the next answer. Its clock and the numbers of its
 	// ended runs may have started anew, so polls carry neither deadline nor
@@ -62,7 +64,7 @@
 		return
 	}
 	o.lastPoll++
-	p.inFlight, p.number, p.sentAt, p.acknowledged = true, o.lastPoll, o.now(), 0
+	p.inFlight, p.number, p.sentAt, p.acknowledged, p.incarnation = true, o.lastPoll, o.now(), 0, r.Incarnation
 	o.touch(r)
 	if last := r.acknowledgeable(o.now()); last > r.acknowledgedEnd && !p.maybeRestarted && o.now().Sub(p.answeredAt) <= maxAcknowledgeAge {
 		p.acknowledged = last
@@ -178,18 +180,16 @@
 // noteIncarnation takes account of the incarnation that answered a poll. It returns false for
 // a former one, which answered before it ended.
 func (o *ownership) noteIncarnation(r *runner, seen fleet.Incarnation) bool {
-	switch {
-	case r.Incarnation == 0 || seen == 0 || seen == r.Incarnation:
-		r.acknowledgedEnd = max(r.acknowledgedEnd, r.poll.acknowledged)
-		r.dropAcknowledged()
-	case seen < r.Incarnation:
+	if seen != 0 && seen < r.Incarnation {
 		return false
-	default:
+	}
+	if r.Incarnation != 0 && seen > r.Incarnation {
 		o.onRunnerRestarted(r, seen)
 	}
 	if seen != 0 {
 		r.Incarnation = seen
 	}
+	o.noteAcknowledged(r, seen)
 	return true
 }
 
