A new owner sets the paces of the runs that it adopts

A best-effort task that the former owner had slowed down or paused stayed so after a takeover, for as long as it lasted: the new owner took an adopted run for working at its full pace and ordered none. Lists do not tell paces.

The pace of an adopted best-effort run is unknown now, so the first list after the takeover has the owner order one, lower if the tail latency of the serving task beside it requires that.

--- a/reduce/jobs/pace.go
+++ b/reduce/jobs/pace.go
@@ -41,6 +41,14 @@
 
 func newPace() pace { return pace{wanted: fullPace, sent: fullPace} }
 
+// adoptedPace returns the pace of a run of an earlier owner, whose last order is not known.
+func adoptedPace(bestEffort bool) pace {
+	if !bestEffort {
+		return newPace()
+	}
+	return pace{wanted: fullPace, sent: -1}
+}
+
 // mixesBestEffort reports whether best-effort tasks run beside serving tasks.
 func (r *runner) mixesBestEffort() bool {
 	return r.counts.bestEffort > 0 && r.counts.serving > 0
--- a/reduce/jobs/run.go
+++ b/reduce/jobs/run.go
@@ -128,7 +128,7 @@
 	o.adoptIncarnation(r, stored)
 	o.attachRun(&run{
 		task: t, runner: r, incarnation: stored.Incarnation, attempt: t.attempt, phase: runStarting,
-		reserved: t.step.spec.Reservation(), createdAt: o.now(), confirmedAt: o.startedAt, pace: newPace(),
+		reserved: t.step.spec.Reservation(), createdAt: o.now(), confirmedAt: o.startedAt, pace: adoptedPace(t.step.spec.BestEffort),
 		mayStartLate: !stored.Settled, settled: stored.Settled, startableUntil: o.formerCallableUntil(), startRepeated: true,
 		onTrial: t.crashes.Suspected(), staleLeases: stored.StaleLeases,
 	})
--- a/reduce/jobs/runner_test.go
+++ b/reduce/jobs/runner_test.go
@@ -66,6 +66,8 @@
 	began   time.Time
 	length  time.Duration
 	stopped bool
+	// pace is the share at which the run works, in percent.
+	pace int
 }
 
 // runnerCapacity is the capacity of a runner, enough for 20 tasks with taskNeeds.
@@ -227,7 +229,7 @@
 	}
 	r.w.trace("%s starts %v attempt %d fence %d deadline %d clock %d", r.id, o.Task, o.Attempt, o.Epoch, o.LeaseDeadline, r.clock())
 	r.w.history(o.Task).running++
-	run := &fakeRun{attempt: o.Attempt, began: r.w.now, length: r.w.taskLength(o.Task)}
+	run := &fakeRun{attempt: o.Attempt, began: r.w.now, length: r.w.taskLength(o.Task), pace: 100}
 	r.runs[o.Task] = run
 	outcome, length := fleet.RunDone, run.length
 	if r.w.failsAlways(o.Task) {
@@ -308,6 +310,30 @@
 	return event.OrderDone
 }
 
+// setPace carries out an order about the pace of a run.
+func (r *fakeRunner) setPace(o effect.OrderTask) event.OrderOutcome {
+	if o.Epoch < r.fence {
+		return event.OrderFenced
+	}
+	r.fence = o.Epoch
+	if run, ok := r.runs[o.Task]; ok && run.attempt == o.Attempt {
+		run.pace = o.Percent
+	}
+	return event.OrderDone
+}
+
+// carryOut carries out an order.
+func (r *fakeRunner) carryOut(o effect.OrderTask) event.OrderOutcome {
+	switch o.Kind {
+	case effect.OrderStart:
+		return r.begin(o)
+	case effect.OrderPace:
+		return r.setPace(o)
+	default:
+		return r.stop(o)
+	}
+}
+
 // checkStop checks the stop of a long-running task against the MaxUnavailable of
 // its step.
 func (w *world) checkStop(r *fakeRunner, id fleet.TaskID) {
@@ -368,14 +394,14 @@
 	if r := w.runners[o.Runner]; r != nil {
 		born = r.born
 		if via.losesCall(r) {
-			w.carryOutLate(r, o.Epoch, func() { r.takeOrder(o) })
+			w.carryOutLate(r, o.Epoch, func() { r.carryOut(o) })
 			post(orderTimeout, unknown)
 			return
 		}
 		if r.dark {
 			r.held = append(r.held, func() {
 				if r.up {
-					r.takeOrder(o)
+					r.carryOut(o)
 				}
 			})
 			post(orderTimeout, unknown)
@@ -395,7 +421,7 @@
 		if r == nil || (!r.born.Equal(born) && !w.ordersReachNext) {
 			return event.OrderUnknown, nil
 		}
-		return r.takeOrder(o), r
+		return r.carryOut(o), r
 	}
 	if w.rng.Float64() < w.lossShare {
 		// The order is lost, carried out without an answer, or carried out late.
@@ -417,14 +443,6 @@
 	})
 }
 
-// takeOrder carries out an order about a task.
-func (r *fakeRunner) takeOrder(o effect.OrderTask) event.OrderOutcome {
-	if o.Kind == effect.OrderStart {
-		return r.begin(o)
-	}
-	return r.stop(o)
-}
-
 // losesCall reports whether a call that reaches a runner gets no answer.
 func (e *fakeEntry) losesCall(r *fakeRunner) bool {
 	return r.lossShare > 0 && !r.unreachable && !e.cutRunners[r.id] && e.w.rng.Float64() < r.lossShare
@@ -546,7 +564,11 @@
 		if r.stalled {
 			percent = 1
 		}
-		out.Running = append(out.Running, fleet.RunningTask{Task: id, Attempt: run.attempt, Percent: percent})
+		row := fleet.RunningTask{Task: id, Attempt: run.attempt, Percent: percent}
+		if w.load != nil {
+			row.Load = w.load(id)
+		}
+		out.Running = append(out.Running, row)
 	}
 	out.Ended = slices.Clone(r.ends)
 	out.Clock = event.Clock{Reading: r.clock(), Sent: sent, Received: w.now.Add(time.Millisecond)}
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -112,6 +112,8 @@
 	// forgetsLaterEnds makes runners forget ends that come after an acknowledgement of their
 	// numbers before they list them.
 	forgetsLaterEnds bool
+	// load, if set, returns the load of a run that runners report.
+	load func(fleet.TaskID) int64
 }
 
 // taskHistory is the number of runs of a task that are running, and the outcomes
