An order about a pace that comes late is replaced

A best-effort task stayed slowed down or paused for as long as it lasted, or went on working beside a serving task over its target (HARM): an order about its pace got no answer, a newer one was answered, and the older was carried out after it. The owner took the newer one for being in force, and lists do not tell paces.

While an order without an answer may still be carried out (12 s), each poll has the owner order the wanted pace again, and once more after that. Weighed: to wait with newer orders until then (a serving task would be over its target for that long).

--- a/reduce/jobs/pace.go
+++ b/reduce/jobs/pace.go
@@ -37,8 +37,15 @@
 	wanted, sent  int
 	changedAt     time.Time
 	orderInFlight bool
+	sentAt        time.Time
+	// lateUntil is until when an order without an answer may still be carried out, after newer
+	// ones; zero if there is none. The pace is ordered again and again until then.
+	lateUntil time.Time
 }
 
+// due reports whether the pace is to be ordered.
+func (p *pace) due() bool { return p.wanted != p.sent || !p.lateUntil.IsZero() }
+
 func newPace() pace { return pace{wanted: fullPace, sent: fullPace} }
 
 // adoptedPace returns the pace of a run of an earlier owner, whose last order is not known.
@@ -78,11 +85,11 @@
 
 // restoreFullPace sets the best-effort tasks on a runner to the full pace.
 func (o *ownership) restoreFullPace(r *runner) {
-	paced := func(run *run) bool { return run.pace.wanted != fullPace || run.pace.wanted != run.pace.sent }
+	paced := func(run *run) bool { return run.pace.wanted != fullPace || run.pace.due() }
 	for _, run := range r.runsWhere(paced) {
 		if run.bestEffort() && run.pace.wanted != fullPace {
 			o.setPace(run, fullPace, 0)
-		} else if run.pace.wanted != run.pace.sent {
+		} else if run.pace.due() {
 			o.sendPace(run)
 		}
 	}
@@ -107,7 +114,7 @@
 		o.setPace(run, down, worst)
 	case worst <= speedUpShare && since >= paceUpInterval && p.wanted < fullPace:
 		o.setPace(run, min(fullPace, p.wanted+paceStepUp), worst)
-	case p.wanted != p.sent:
+	case p.due():
 		o.sendPace(run)
 	}
 }
@@ -125,7 +132,7 @@
 	if run.pace.orderInFlight {
 		return
 	}
-	run.pace.orderInFlight = true
+	run.pace.orderInFlight, run.pace.sentAt = true, o.now()
 	e := o.newOrder(run.runner, effect.OrderPace, run.task.id(), run.attempt)
 	e.Percent = run.pace.wanted
 	o.s.emit(e)
@@ -135,8 +142,14 @@
 }
 
 func (o *ownership) onPaceOrdered(run *run, b event.TaskOrdered) {
-	run.pace.orderInFlight = false
-	if b.Outcome != event.OrderDone {
-		run.pace.sent = -1
+	p := &run.pace
+	p.orderInFlight = false
+	switch {
+	case b.Outcome == event.OrderUnknown:
+		p.sent, p.lateUntil = -1, o.now().Add(maxCallDelay)
+	case b.Outcome != event.OrderDone:
+		p.sent = -1
+	case !p.sentAt.Before(p.lateUntil):
+		p.lateUntil = time.Time{}
 	}
 }
