Leave the instance of a runner that holds tasks, and count a held failure once

- A runner was back with nothing but tasks that waited for late starts there.
It is not idle now, and an order that is known to have ended a runner settles what waited for it: the next one there has another id.

--- a/reduce/jobs/instances.go
+++ b/reduce/jobs/instances.go
@@ -245,7 +245,7 @@
 		// After an outage, a runner may be missing from the list for a while.
 		return i.Runner == "" || o.formerLeaseExpired()
 	}
-	return len(r.runs) == 0 && r.fenced && !r.poll.unreachable
+	return len(r.runs) == 0 && !r.holdsTasks() && r.fenced && !r.poll.unreachable
 }
 
 // tickIdle updates since when instances have been idle.
--- a/reduce/jobs/latestarts.go
+++ b/reduce/jobs/latestarts.go
@@ -22,6 +22,8 @@
 	// stopSentAt and stoppedAt are when a stop of the attempt was sent to the runner's
 	// current incarnation, and when it was answered; zero before.
 	stopSentAt, stoppedAt time.Time
+	// ended is set if the failure of the run may have been counted already.
+	ended bool
 	// barred is set once the current incarnation has answered a stop, and a later answer
 	// does not list the run: it rejects the start.
 	barred bool
@@ -78,18 +80,19 @@
 	}
 }
 
-func (o *ownership) addLateStart(t *task, r *runner, attempt int64, until time.Time) {
+func (o *ownership) addLateStart(t *task, r *runner, attempt int64, until time.Time) *lateStart {
 	late := &lateStart{task: t, attempt: attempt, runner: r, until: until}
 	r.lateStarts = append(r.lateStarts, late)
 	t.lateStarts = append(t.lateStarts, late)
 	o.touch(r)
 	o.s.count("late_starts_expected", "")
+	return late
 }
 
 // restoreLateStarts restores the late starts of former owners.
 func (o *ownership) restoreLateStarts(t *task, stored []ledger.Run) {
 	for _, s := range stored {
-		o.addLateStart(t, o.runner(s.Runner), s.Attempt, o.formerCallableUntil())
+		o.addLateStart(t, o.runner(s.Runner), s.Attempt, o.formerCallableUntil()).ended = true
 	}
 }
 
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -282,8 +282,9 @@
 		t.checkpoint = e.Checkpoint
 	}
 	o.releaseRun(run)
-	if run.mayStartLate {
-		r.holdEnd(e.Number, run.startableUntil)
+	if late := t.lateStart(e.Attempt); late != nil {
+		late.ended = true
+		r.holdEnd(e.Number, late.until)
 	}
 	o.recordEnd(run, e.Outcome)
 	o.updateHealth(r, run, e.Outcome)
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -237,8 +237,8 @@
 	for _, run := range r.runsWhere(func(*run) bool { return true }) {
 		o.loseRun(run, reason)
 	}
-	if reason == reasonReplaced {
-		o.dropLateStarts(r)
+	if reason != reasonLeaseExpired {
+		o.dropLateStarts(r) // the next runner there has another id
 	}
 	o.touch(r)
 	if reason == reasonLeaseExpired {
--- a/reduce/jobs/unresolved.go
+++ b/reduce/jobs/unresolved.go
@@ -54,18 +54,17 @@
 	if t == nil {
 		return
 	}
-	if late := t.lateStart(e.Attempt); late != nil {
-		r.holdEnd(e.Number, late.until)
-	}
 	before := len(t.unresolved)
 	t.unresolved = slices.DeleteFunc(t.unresolved, func(u unresolvedRun) bool { return u.attempt == e.Attempt })
-	if len(t.unresolved) == before && t.lateStart(e.Attempt) == nil {
-		return
+	late, resolved := t.lateStart(e.Attempt), len(t.unresolved) < before
+	if late != nil {
+		r.holdEnd(e.Number, late.until)
 	}
 	switch {
+	case late == nil && !resolved:
 	case e.Outcome == fleet.RunDone && t.phase == taskWaiting:
 		o.onTaskDone(t)
-	case e.Outcome == fleet.RunFailed && t.phase != taskDone:
+	case e.Outcome == fleet.RunFailed && t.phase != taskDone && (resolved || !late.ended):
 		o.onStrayFailure(t, r, e.Attempt)
 	}
 }
