--- a/codec/ledger.go
+++ b/codec/ledger.go
@@ -185,6 +185,7 @@
 	Address        string            `json:"h,omitempty"`
 	StaleLeases    bool              `json:"l,omitempty"`
 	Settled        bool              `json:"d,omitempty"`
+	StartEpoch     int64             `json:"e,omitempty"`
 	Checkpoint     string            `json:"s,omitempty"`
 	Unresolved     []ledger.Run      `json:"u,omitempty"`
 	LateStarts     []ledger.Run      `json:"w,omitempty"`
--- a/reduce/jobs/acknowledgements.go
+++ b/reduce/jobs/acknowledgements.go
@@ -20,6 +20,6 @@
 }
 
 // mayForgetEnds reports whether the runner may forget the next ends before it lists them. The
-// outcome of a run would not be known then, so it gets only tasks that are started again
-// however they end.
-func (r *runner) mayForgetEnds() bool { return r.lastEnd < r.forgottenEnd }
+// outcome of a run would not be known then, so until it has listed an end it is the last
+// choice for all but the tasks that are started again however they end.
+func (r *runner) mayForgetEnds() bool { return r.forgottenEnd > 0 && r.lastEnd == 0 }
--- a/reduce/jobs/evacuate.go
+++ b/reduce/jobs/evacuate.go
@@ -12,13 +12,14 @@
 
 // evacuate stops runs on a runner that is draining or being vacated: runs of
 // long-running tasks as soon as other runners have room for them, and runs with
-// checkpoints shortly before the runner shuts down.
+// checkpoints shortly before the runner shuts down. A long-running task of which a start may
+// be carried out late could not start elsewhere yet.
 func (o *ownership) evacuate(r *runner) {
 	leaving := r.Draining && r.Remaining > 0 && o.now().Sub(r.drainingSince) > r.Remaining-drainMargin
 	for _, run := range r.runsWhere(func(run *run) bool { return run.phase == runRunning }) {
 		spec := run.task.step.spec
 		switch {
-		case spec.LongRunning && o.relocationOf(o.pool(r.Service)).placed[run] && (r.Draining || o.mayInterrupt(run.task)):
+		case spec.LongRunning && !run.mayStartLate && o.relocationOf(o.pool(r.Service)).placed[run] && (r.Draining || o.mayInterrupt(run.task)):
 		case leaving && !spec.LongRunning && spec.Checkpoints:
 		default:
 			continue
--- a/reduce/jobs/heldends.go
+++ b/reduce/jobs/heldends.go
@@ -14,9 +14,11 @@
 }
 
 const (
-	// heldEndsPollDelay is the delay between polls while ends are held: the runner lists them
-	// at once, so long polls do not wait.
+	// heldEndsPollDelay is the delay between polls of a busy runner while ends are held: it lists
+	// them at once, so long polls do not wait. heldEndsIdleDelay is that of an idle runner, whose
+	// lease has to last until its ends are acknowledged.
 	heldEndsPollDelay = 100 * time.Millisecond
+	heldEndsIdleDelay = time.Second
 	// maxHeldEnds bounds the ends that are not acknowledged because of an earlier one that is
 	// held. A runner lists endsPerPoll of them at most.
 	maxHeldEnds = 300
@@ -41,6 +43,14 @@
 // holdsEnds reports whether stored ends are held.
 func (r *runner) holdsEnds(now time.Time) bool { return r.acknowledgeable(now) < r.storedEnd }
 
+// heldEndsDelay returns the delay between polls of the runner while ends are held.
+func (r *runner) heldEndsDelay() time.Duration {
+	if len(r.runs) == 0 {
+		return heldEndsIdleDelay
+	}
+	return heldEndsPollDelay
+}
+
 // dropAcknowledged drops held ends that were acknowledged.
 func (r *runner) dropAcknowledged() {
 	r.heldEnds = slices.DeleteFunc(r.heldEnds, func(held heldEnd) bool { return held.number <= r.acknowledgedEnd })
--- a/reduce/jobs/incarnation.go
+++ b/reduce/jobs/incarnation.go
@@ -78,9 +78,16 @@
 	return o.s.tenure.FormerOwnersActiveUntil().Add(o.maxStaleTime())
 }
 
-// formerCallableUntil returns until when calls of earlier owners may be carried out.
-func (o *ownership) formerCallableUntil() time.Time {
-	return o.s.tenure.FormerOwnersActiveUntil().Add(maxOrderAge + maxCallDelay)
+// callableUntilOf returns until when calls of the owner of an epoch, or of an earlier one, may
+// be carried out; zero stands for the previous owner.
+func (o *ownership) callableUntilOf(epoch int64) time.Time {
+	active := o.s.tenure.FormerOwnersActiveUntil()
+	if epoch > 0 && epoch < o.epoch {
+		if at := o.s.tenure.ActiveUntil(epoch); at.Before(active) {
+			active = at
+		}
+	}
+	return active.Add(maxOrderAge + maxCallDelay)
 }
 
 // expectStaleLeases takes account of the calls decided for a runner's current incarnation
@@ -142,7 +149,7 @@
 // provesIncarnation reports whether a reading is of the known incarnation: the clock of one that
 // has begun since the last answer cannot have come that far.
 func (r *runner) provesIncarnation(c event.Clock) bool {
-	return r.clock.Reading > 0 && c.Reading > c.Received.Sub(r.clock.Sent).Milliseconds()
+	return r.clock.Reading > 0 && c.Reading >= r.clock.Reading && c.Reading > c.Received.Sub(r.clock.Sent).Milliseconds()
 }
 
 // readingExpired reports whether the reading of the runner's clock is too old for a start.
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -393,6 +393,9 @@
 	if t.run != nil {
 		out.Runner, out.Incarnation, out.Address = t.run.runner.ID, t.run.incarnation, t.run.runner.Address
 		out.StaleLeases, out.Settled = t.run.staleLeases, t.run.settled
+		if !t.run.settled {
+			out.StartEpoch = t.run.startEpoch
+		}
 	}
 	out.LateStarts = t.storedLateStarts()
 	for _, u := range t.unresolved {
--- a/reduce/jobs/latestarts.go
+++ b/reduce/jobs/latestarts.go
@@ -17,6 +17,8 @@
 	task    *task
 	attempt int64
 	runner  *runner
+	// epoch is that of the last owner that may have ordered the start; zero if it is not known.
+	epoch int64
 	// until is until when the start may be carried out.
 	until time.Time
 	// stopSentAt and stoppedAt are when a stop of the attempt was sent to the runner's
@@ -33,8 +35,8 @@
 // late start.
 const lateStartPollWait = 20 * time.Millisecond
 
-// settledStoreTime is the estimated run time of a task from which it is stored at once that no
-// start of its run may be carried out late. Shorter ones have mostly ended before a next owner
+// settledStoreTime is the estimated run time of a task from which it is stored soon that none of
+// its starts may be carried out late. Shorter ones have mostly ended before a next owner
 // could wait for them.
 const settledStoreTime = 2 * time.Second
 
@@ -54,8 +56,13 @@
 		return
 	}
 	run.mayStartLate, run.settled = false, true
-	if spec := run.task.step.spec; spec.LongRunning || run.task.step.estimate >= settledStoreTime {
-		o.markProgress(run.task.job())
+	o.storeSettled(run.task)
+}
+
+// storeSettled has the ledger tell soon what has been settled of a task.
+func (o *ownership) storeSettled(t *task) {
+	if !t.job().state.Final() && (t.step.spec.LongRunning || t.step.estimate >= settledStoreTime) {
+		o.markProgress(t.job())
 	}
 }
 
@@ -63,10 +70,12 @@
 // the poll was sent after the others could be carried out.
 func (o *ownership) settleListed(run *run) {
 	switch {
-	case !run.startRepeated || !run.mayStartLate || !run.startableUntil.After(run.runner.poll.sentAt):
+	case !run.startRepeated || !run.mayStartLate:
 		o.settle(run)
 	case run.startInFlight():
 		run.expectLateStart()
+	case !run.startableUntil.After(run.runner.poll.sentAt):
+		o.settle(run)
 	}
 }
 
@@ -76,7 +85,7 @@
 		run.expectLateStart()
 	}
 	if run.mayStartLate {
-		o.addLateStart(run.task, run.runner, run.attempt, run.startableUntil)
+		o.addLateStart(run.task, run.runner, run.attempt, run.startableUntil).epoch = run.startEpoch
 	}
 }
 
@@ -92,7 +101,8 @@
 // restoreLateStarts restores the late starts of former owners.
 func (o *ownership) restoreLateStarts(t *task, stored []ledger.Run) {
 	for _, s := range stored {
-		o.addLateStart(t, o.runner(s.Runner), s.Attempt, o.formerCallableUntil()).ended = true
+		late := o.addLateStart(t, o.runner(s.Runner), s.Attempt, o.callableUntilOf(s.Epoch))
+		late.epoch, late.ended = s.Epoch, true
 	}
 }
 
@@ -100,7 +110,7 @@
 func (t *task) storedLateStarts() []ledger.Run {
 	var out []ledger.Run
 	for _, late := range t.lateStarts {
-		out = append(out, ledger.Run{Attempt: late.attempt, Runner: late.runner.ID})
+		out = append(out, ledger.Run{Attempt: late.attempt, Runner: late.runner.ID, Epoch: late.epoch})
 	}
 	return out
 }
@@ -147,7 +157,7 @@
 // lateRunsUntil returns until when an incarnation that nobody has seen may run a task by a late
 // start. Calls that granted leases may reach it as late, and lengthen its leases.
 func (o *ownership) lateRunsUntil(late *lateStart) time.Time {
-	last := latest(late.until, latest(late.runner.leasableUntil, o.formerCallableUntil()))
+	last := latest(late.until, latest(late.runner.leasableUntil, o.callableUntilOf(late.runner.leasedBy)))
 	return last.Add(onSlowestClock(o.s.cfg.Bounds.MaxLease))
 }
 
@@ -194,6 +204,7 @@
 	late.runner.lateStarts = slices.DeleteFunc(late.runner.lateStarts, is)
 	late.task.lateStarts = slices.DeleteFunc(late.task.lateStarts, is)
 	o.touch(late.runner)
+	o.storeSettled(late.task)
 	if late.waits() {
 		o.pool(late.task.job().service).dirty = true
 	}
--- a/reduce/jobs/placement.go
+++ b/reduce/jobs/placement.go
@@ -150,7 +150,7 @@
 			continue
 		}
 		r := last
-		if r == nil || t.avoidRunner != "" || !t.mayStartOn(r) || !o.feasible(st, r, gangShare{}) {
+		if r == nil || t.avoidRunner != "" || !t.mayStartOn(r) || r.mayForgetEnds() || !o.feasible(st, r, gangShare{}) {
 			r = o.chooseRunner(st, t, pass.usable, nil)
 		}
 		if r == nil && len(t.lateStarts) > 0 {
@@ -205,9 +205,6 @@
 	if r.trialJob != nil && r.trialJob != st.occ.job {
 		return false
 	}
-	if r.mayForgetEnds() && !st.spec.LongRunning {
-		return false
-	}
 	if !o.healthAllowsRun(r) || !r.free().Minus(share.used).Fits(st.spec.Reservation()) || !r.HasLabel(st.spec.Label) {
 		return false
 	}
@@ -234,6 +231,7 @@
 const (
 	affinityScore     = 1_000_000
 	avoidScore        = -10_000_000
+	forgetsScore      = -20_000_000
 	spreadScore       = -100_000
 	packScore         = 10_000
 	interferenceScore = -1_000_000
@@ -253,6 +251,9 @@
 	if t.avoidRunner == r.ID {
 		score += avoidScore
 	}
+	if !st.spec.LongRunning && r.mayForgetEnds() {
+		score += forgetsScore
+	}
 	if st.spec.LongRunning {
 		score += o.longRunningScore(st, r)
 	}
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -110,7 +110,7 @@
 	case !r.fenced || len(r.runs)+r.strays > 0 || r.holdsTasks():
 		return true
 	default:
-		return r.storedEnd < r.lastEnd || r.acknowledgedEnd < r.acknowledgeable(now)
+		return r.storedEnd < r.lastEnd || r.acknowledgedEnd < r.storedEnd
 	}
 }
 
@@ -204,7 +204,7 @@
 	}
 	r.poll.notBefore = time.Time{}
 	if r.holdsEnds(o.now()) {
-		r.poll.notBefore = o.now().Add(heldEndsPollDelay)
+		r.poll.notBefore = o.now().Add(r.heldEndsDelay())
 	}
 	o.pollIfDue(r)
 }
@@ -245,7 +245,7 @@
 	if r.storedEnd >= r.lastEnd {
 		r.poll.notBefore = time.Time{}
 		if r.holdsEnds(o.now()) {
-			r.poll.notBefore = r.poll.answeredAt.Add(heldEndsPollDelay)
+			r.poll.notBefore = r.poll.answeredAt.Add(r.heldEndsDelay())
 		}
 		o.pollIfDue(r)
 	}
@@ -281,9 +281,12 @@
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
+	if !run.startRepeated {
+		run.orderInFlight, run.mayStartLate = false, false // its only start has begun it
+	}
 	o.releaseRun(run)
-	if late := t.lateStart(e.Attempt); late != nil {
-		late.ended = true
+	for _, late := range t.lateStarts {
+		late.ended = late.ended || late.attempt == e.Attempt
 		r.holdEnd(e.Number, late.until)
 	}
 	o.recordEnd(run, e.Outcome)
--- a/reduce/jobs/run.go
+++ b/reduce/jobs/run.go
@@ -56,6 +56,9 @@
 	// start without an answer may be carried out.
 	startSentUntil, startableUntil time.Time
 	startRepeated                  bool
+	// startEpoch is the epoch of the last owner that may have ordered a start; zero if that was
+	// the previous one.
+	startEpoch int64
 	// settled is set once no start of the run can be carried out but that by which it runs.
 	settled bool
 	// confirmedAt is when the runner last confirmed an order; zero before. The
@@ -111,7 +114,7 @@
 	run := &run{
 		task: t, runner: r, incarnation: r.Incarnation, attempt: attempt, phase: runIntent,
 		reserved: t.step.spec.Reservation(), createdAt: o.now(), ticket: ticket, pace: newPace(),
-		onTrial: t.crashes.Suspected(), staleLeases: o.now().Before(r.stale.until()),
+		onTrial: t.crashes.Suspected(), staleLeases: o.now().Before(r.stale.until()), startEpoch: o.epoch,
 	}
 	o.attachRun(run)
 	t.job().started = true
@@ -129,8 +132,9 @@
 	o.attachRun(&run{
 		task: t, runner: r, incarnation: stored.Incarnation, attempt: t.attempt, phase: runStarting,
 		reserved: t.step.spec.Reservation(), createdAt: o.now(), confirmedAt: o.startedAt, pace: adoptedPace(t.step.spec.BestEffort),
-		mayStartLate: !stored.Settled, settled: stored.Settled, startableUntil: o.formerCallableUntil(), startRepeated: true,
-		onTrial: t.crashes.Suspected(), staleLeases: stored.StaleLeases,
+		mayStartLate: !stored.Settled, settled: stored.Settled, startableUntil: o.callableUntilOf(stored.StartEpoch), startRepeated: true,
+		startEpoch: cmp.Or(stored.StartEpoch, o.epoch-1),
+		onTrial:    t.crashes.Suspected(), staleLeases: stored.StaleLeases,
 	})
 }
 
@@ -301,10 +305,10 @@
 }
 
 // mayRepeatStart reports whether the start of a run is still wanted on the incarnation that
-// it was decided for.
+// it was decided for. The ledger says of adopted runs that earlier owners ordered their starts.
 func (o *ownership) mayRepeatStart(run *run) bool {
 	r := run.runner
-	return run.incarnation == r.Incarnation && !run.settled && !r.Draining && !run.task.job().state.Final() && o.hasRoom(r)
+	return run.incarnation == r.Incarnation && run.startEpoch == o.epoch && !r.Draining && !run.task.job().state.Final() && o.hasRoom(r)
 }
 
 func (o *ownership) onTaskOrdered(b event.TaskOrdered) {
--- a/reduce/jobs/stragglers.go
+++ b/reduce/jobs/stragglers.go
@@ -100,7 +100,7 @@
 // mayRestart reports whether a run may be restarted if it is a straggler.
 func (run *run) mayRestart() bool {
 	spec := run.task.step.spec
-	return run.phase == runRunning && !spec.LongRunning && !spec.Gang && !spec.BestEffort && run.task.restarts < maxRestarts
+	return run.phase == runRunning && !run.mayStartLate && !spec.LongRunning && !spec.Gang && !spec.BestEffort && run.task.restarts < maxRestarts
 }
 
 // restartReason returns the reason for restarting a run; empty if it is no
--- a/reduce/jobs/unreached.go
+++ b/reduce/jobs/unreached.go
@@ -47,7 +47,7 @@
 	}
 	u.dueAt = time.Time{}
 	for _, r := range o.sortedRunners {
-		if len(r.runs) == 0 || r.fenced || !r.poll.answeredAt.IsZero() {
+		if len(r.runs)+len(r.lateStarts) == 0 || r.fenced || !r.poll.answeredAt.IsZero() {
 			continue
 		}
 		u.leasedBy[r.ID] = r.leasedBy
--- a/reduce/jobs/unresolved.go
+++ b/reduce/jobs/unresolved.go
@@ -57,8 +57,8 @@
 	before := len(t.unresolved)
 	t.unresolved = slices.DeleteFunc(t.unresolved, func(u unresolvedRun) bool { return u.attempt == e.Attempt })
 	late, resolved := t.lateStart(e.Attempt), len(t.unresolved) < before
-	if late != nil {
-		r.holdEnd(e.Number, late.until)
+	for _, l := range t.lateStarts {
+		r.holdEnd(e.Number, l.until)
 	}
 	switch {
 	case late == nil && !resolved:
--- a/reduce/ledger/ledger.go
+++ b/reduce/ledger/ledger.go
@@ -142,6 +142,9 @@
 	StaleLeases bool
 	// Settled is set if no start of the run can be carried out but that by which it runs.
 	Settled bool
+	// StartEpoch is otherwise the epoch of the last owner that may have ordered a start; zero
+	// if that is not known.
+	StartEpoch int64
 	// Checkpoint is the latest checkpoint of the task; empty when there is none.
 	Checkpoint string
 	// Unresolved lists the runs whose outcome is not known.
@@ -154,6 +157,9 @@
 type Run struct {
 	Attempt int64
 	Runner  fleet.RunnerID
+	// Epoch is that of the last owner that may have ordered its start; zero if that does not
+	// matter or is not known.
+	Epoch int64 `json:",omitempty"`
 }
 
 // StoredJob is everything that the ledger holds of one job.
--- a/reduce/ledger/size.go
+++ b/reduce/ledger/size.go
@@ -121,7 +121,7 @@
 func (t *Task) size() int {
 	size := objectOverhead + fieldOverhead + textField(string(t.Runner)) + textField(t.Address) + textField(t.Checkpoint)
 	for _, n := range []int64{
-		int64(t.Number), t.Attempt, int64(t.Failures), int64(t.Crashes), int64(t.CertainCrashes), int64(t.Trial), int64(t.Incarnation),
+		int64(t.Number), t.Attempt, int64(t.Failures), int64(t.Crashes), int64(t.CertainCrashes), int64(t.Trial), int64(t.Incarnation), t.StartEpoch,
 	} {
 		size += intField(n)
 	}
@@ -142,7 +142,7 @@
 			size += fieldOverhead + objectOverhead
 		}
 		for _, u := range runs {
-			size += objectOverhead + 2*fieldOverhead + intSize(u.Attempt) + textSize(string(u.Runner))
+			size += objectOverhead + 3*fieldOverhead + intSize(u.Attempt) + textSize(string(u.Runner)) + intSize(u.Epoch)
 		}
 	}
 	return size
