Test late starts of ended runs at later incarnations that are seen

Its runner restarts, which the owner sees, and the first start is carried out there: only runs that were given up are barred at later incarnations, ended ones are not.

--- a/reduce/jobs/unseenrestarts_test.go
+++ b/reduce/jobs/unseenrestarts_test.go
@@ -221,10 +221,22 @@
 		r.end(firstTask(jobID(0)), fleet.RunFailed)
 	}},
 	{"lapsed", lastingJob(), false, func(r *fakeRunner) {
+		r.draining = true
 		r.end(firstTask(jobID(0)), fleet.RunLeaseExpired)
 	}},
 }
 
+// runUntilLeft runs the world until a task is done, or runs elsewhere than on a runner.
+func (w *world) runUntilLeft(task fleet.TaskID, r *fakeRunner) {
+	for range 80 {
+		w.run(50 * time.Millisecond)
+		if other := w.runnerUnder(task); w.doneOnce[task] || (other != nil && other != r) {
+			return
+		}
+	}
+	w.t.Fatalf("%v has not left %s", task, r.id)
+}
+
 // TestTaskThatLeftARunnerIsNotBegunThereByALateStart has a task leave a runner for another
 // one, in the way of the known incarnation, which rejects the late start of the task. The
 // next one does not, and nobody calls it before it is cut off.
@@ -246,11 +258,7 @@
 					w.run(500 * ms)
 					d.leave(first)
 				}
-				for range 60 {
-					if r := w.runnerUnder(task); r == nil || r == first {
-						w.run(50 * ms)
-					}
-				}
+				w.runUntilLeft(task, first)
 				w.run(restartAfter)
 				first.capacity = runnerCapacity
 				u.restart(600*ms, time.Second)
@@ -262,6 +270,51 @@
 	}
 }
 
+// TestLateStartOfAnEndedRunIsBarredAtLaterIncarnations has a run end at the known incarnation,
+// whose runner then restarts, is seen and stays in touch. Only runs that were given up were
+// barred there.
+func TestLateStartOfAnEndedRunIsBarredAtLaterIncarnations(t *testing.T) {
+	const ms = time.Millisecond
+	task := firstTask(jobID(0))
+	for _, c := range []struct {
+		name string
+		spec *fleet.JobSpec
+		end  func(*fakeRunner)
+	}{
+		{"done", lastingJob(), func(r *fakeRunner) { r.end(task, fleet.RunDone) }},
+		{"failed", lastingJob(), func(r *fakeRunner) { r.end(task, fleet.RunFailed) }},
+		{"lapsed", lastingJob(), func(r *fakeRunner) {
+			r.draining = true
+			r.end(task, fleet.RunLeaseExpired)
+		}},
+		{"stalled", lastingJob(), func(r *fakeRunner) { r.stalled = true }},
+		{"drained", longRunningJob(1, 1), func(r *fakeRunner) { r.draining = true }},
+	} {
+		for _, downs := range [][]time.Duration{{500 * ms}, {500 * ms, 900 * ms}} {
+			t.Run(fmt.Sprint(c.name, " downs=", downs), func(t *testing.T) {
+				t.Parallel()
+				w := newWorld(t, 415, 3, 2, slowClock)
+				w.run(30 * time.Second)
+				first := w.losesFirstStart(8 * time.Second)
+				w.submit(jobID(0), c.spec)
+				w.runUntilRuns(task)
+				w.run(500 * ms)
+				r := w.runners[first.Runner]
+				c.end(r)
+				w.runUntilLeft(task, r)
+				before := w.starts
+				for _, down := range downs {
+					r.restartFor(down)
+					w.run(down + 700*ms)
+				}
+				w.run(10 * time.Second)
+				w.checkInvariants()
+				must.Eq(t, before, w.starts, must.Sprint("the late start was carried out"))
+			})
+		}
+	}
+}
+
 // TestLateStartDoesNotRepeatATaskWhoseSuccessWasAcknowledged has a task end with success at
 // the known incarnation of its runner, and the first start of it carried out at the next one.
 func TestLateStartDoesNotRepeatATaskWhoseSuccessWasAcknowledged(t *testing.T) {
