--- a/reduce/jobs/runner_test.go
+++ b/reduce/jobs/runner_test.go
@@ -264,8 +264,6 @@
 		w.violation("%v was started on %s, which lacks its label", o.Task, r.id)
 	case h.running > 0:
 		w.violation("%v runs twice, now on %s", o.Task, r.id)
-	case h.doneAcknowledged && w.repeatsApart && o.Incarnation != r.incarnation():
-		w.strayRepeats++
 	case h.doneAcknowledged:
 		w.violation("%v was started on %s after its success was acknowledged", o.Task, r.id)
 	case h.failuresAcknowledged >= 2 && !w.longRunning(o.Task):
--- a/reduce/jobs/unseenrestarts_test.go
+++ b/reduce/jobs/unseenrestarts_test.go
@@ -340,6 +340,74 @@
 	}
 }
 
+// TestLateStartDoesNotRepeatATaskThatALaterAttemptHasDone ends the owner while the start of a
+// task is in flight. The next owner bars that start at the runner and starts the task there
+// again, with success (seed 32 of TestJobsHoldWhenLateOrdersReachTheNextIncarnation).
+func TestLateStartDoesNotRepeatATaskThatALaterAttemptHasDone(t *testing.T) {
+	const ms = time.Millisecond
+	for _, restartAfter := range []time.Duration{0, 300 * ms, 2 * time.Second} {
+		t.Run(fmt.Sprint("restart after=", restartAfter), func(t *testing.T) {
+			t.Parallel()
+			w, task := newWorld(t, 425, 3, 2, slowClock), firstTask(jobID(0))
+			w.run(30 * time.Second)
+			u := w.unseenRestart(11800*ms, 0)
+			w.submit(jobID(0), &fleet.JobSpec{Text: "text", Steps: []fleet.Step{{Count: 1, Needs: taskNeeds, Estimate: 600 * ms}}})
+			u.awaitStart()
+			w.run(20 * ms)
+			o := w.owner()
+			o.kill()
+			o.boot()
+			for range 300 {
+				if !w.doneOnce[task] {
+					w.run(20 * ms)
+				}
+			}
+			w.run(100*ms + restartAfter)
+			u.restart(600*ms, time.Second)
+			w.run(60 * time.Second)
+			w.checkInvariants()
+			must.Positive(t, w.strayStarts, must.Sprint("the late start was not carried out by another incarnation"))
+		})
+	}
+}
+
+// TestNextOwnerDoesNotAcknowledgeASuccessThatALateStartWouldRepeat has the owner that knows of
+// the late start replaced after the task has ended, by a restart or a release.
+func TestNextOwnerDoesNotAcknowledgeASuccessThatALateStartWouldRepeat(t *testing.T) {
+	const ms = time.Millisecond
+	spec := &fleet.JobSpec{Text: "text", Steps: []fleet.Step{
+		{Count: 1, Needs: taskNeeds, Estimate: 300 * ms},
+		{Count: 1, Needs: taskNeeds, Estimate: 8 * time.Second, After: []int{0}},
+	}}
+	for _, jobGoesOn := range []bool{false, true} {
+		for n, trouble := range []int{1, 2, 6} {
+			t.Run(fmt.Sprint(ownerTroubles[trouble].name, " job goes on=", jobGoesOn), func(t *testing.T) {
+				t.Parallel()
+				w, spec, task := newWorld(t, 426+int64(n), 3, 2, slowClock), *spec, firstTask(jobID(0))
+				if !jobGoesOn {
+					spec.Steps = spec.Steps[:1]
+				}
+				w.run(30 * time.Second)
+				u := w.unseenRestart(11800*ms, 0)
+				w.submit(jobID(0), &spec)
+				u.awaitStart()
+				for range 100 {
+					if !w.doneOnce[task] {
+						w.run(20 * ms)
+					}
+				}
+				w.run(100 * ms)
+				ownerTroubles[trouble].happen(w.owner())
+				w.run(5 * time.Second)
+				u.restart(600*ms, time.Second)
+				w.run(60 * time.Second)
+				w.checkInvariants()
+				must.Positive(t, w.strayStarts, must.Sprint("the late start was not carried out by another incarnation"))
+			})
+		}
+	}
+}
+
 // usualHandover is the time within which the tasks of a runner that is lost run elsewhere.
 const usualHandover = 6500 * time.Millisecond
 
@@ -451,12 +519,8 @@
 	}
 }
 
-// These two are in KNOWN-RED.txt: drawn-crashing-7235 and
-// TestLateStartDoesNotRepeatATaskWhoseSuccessWasAcknowledged.
-var (
-	strayAcks    = flag.Bool("jobs.acks", false, "carry out late acknowledgements at later incarnations")
-	strayRepeats = flag.Bool("jobs.repeats", false, "let late starts repeat no task whose success was acknowledged")
-)
+// strayAcks lets late acknowledgements reach later incarnations too (drawn-crashing-7235).
+var strayAcks = flag.Bool("jobs.acks", false, "carry out late acknowledgements at later incarnations")
 
 // unseenFaults is what a drawn history of unseen restarts has had.
 type unseenFaults struct{ restarts, cuts, troubles int }
@@ -570,7 +634,7 @@
 				rng := rand.New(rand.NewSource(seed))
 				w := newWorld(t, seed, 4, 4, func(w *world) {
 					w.clockRate, w.statusRetention = 0.98+0.02*float64(rng.Intn(2)), time.Hour
-					w.ordersReachNext, w.noStrayAcks, w.repeatsApart = true, !*strayAcks, !*strayRepeats
+					w.ordersReachNext, w.noStrayAcks = true, !*strayAcks
 				})
 				w.run(12 * time.Second)
 				faults, jobs := &unseenFaults{}, 0
@@ -603,7 +667,7 @@
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
 			runRandomHistory(t, seed, func(w *world) {
-				w.ordersReachNext, w.repeatsApart = true, !*strayRepeats
+				w.ordersReachNext = true
 				if seed%2 == 0 {
 					w.drawRestarts(rand.New(rand.NewSource(seed)))
 				}
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -105,10 +105,6 @@
 	// ordersReachNext lets orders that are carried out late reach another incarnation of
 	// their runner. noStrayAcks leaves acknowledgements out of the polls that do.
 	ordersReachNext, noStrayAcks bool
-	// repeatsApart counts starts at another incarnation after an acknowledged success in
-	// strayRepeats, rather than as violations.
-	repeatsApart bool
-	strayRepeats int
 	// heldUp is set while a call that was held up is carried out.
 	heldUp bool
 	// clockRate is the rate of all runners' clocks; zero for drawn ones.
