Draw late polls after unseen restarts; test what a next owner knows of a seen one

Hypothesis 1 of the incident: the owner sees a restart, ends, and the next tenure counts on leases of 5 s where the new incarnation has one of 10 s.

--- a/reduce/jobs/unseenrestarts_test.go
+++ b/reduce/jobs/unseenrestarts_test.go
@@ -408,6 +408,44 @@
 	}
 }
 
+// TestNextOwnerWaitsForLeasesAtAnIncarnationThatTheFormerOwnerSaw has a start reach the next
+// incarnation of its runner, which grants it the longest lease by the former clock. The owner
+// sees the restart, ends soon after, and is back under its name, and the runner is cut off.
+func TestNextOwnerWaitsForLeasesAtAnIncarnationThatTheFormerOwnerSaw(t *testing.T) {
+	const ms = time.Millisecond
+	for n, order := range loadOrders {
+		for _, ended := range []time.Duration{20 * ms, 300 * ms, 700 * ms} {
+			for _, down := range []time.Duration{20 * ms, 600 * ms} {
+				for _, cutAfter := range []time.Duration{0, 200 * ms, 700 * ms} {
+					t.Run(fmt.Sprint(order.name, " ended=", ended, " down=", down, " cut=", cutAfter), func(t *testing.T) {
+						t.Parallel()
+						w := newWorld(t, 500+int64(n), 3, 2, slowClock)
+						w.run(30 * time.Second)
+						w.delayReads(order.listDelay, order.loading)
+						w.submit(jobID(1), longRunningJob(1, 1))
+						w.run(time.Second)
+						r := w.runnerUnder(firstTask(jobID(1)))
+						r.darkFor(600 * ms)
+						w.submit(jobID(0), longRunningJob(4, 4))
+						w.run(620 * ms)
+						begun := len(r.runs)
+						w.run(ended)
+						o := w.owner()
+						o.kill()
+						w.after(down, o.restart)
+						w.run(cutAfter)
+						r.cutFor(12 * time.Second)
+						w.run(40 * time.Second)
+						w.checkInvariants()
+						must.Positive(t, begun, must.Sprint("no start reached the next incarnation"))
+						must.Eq(t, 5, w.runningTasks())
+					})
+				}
+			}
+		}
+	}
+}
+
 // usualHandover is the time within which the tasks of a runner that is lost run elsewhere.
 const usualHandover = 6500 * time.Millisecond
 
@@ -525,6 +563,10 @@
 // unseenFaults is what a drawn history of unseen restarts has had.
 type unseenFaults struct{ restarts, cuts, troubles int }
 
+// latePolls makes histories of unseen restarts lose the last polls before a restart more often,
+// and cuts long enough for a lease that such a poll lengthens.
+type latePolls bool
+
 // drawnJob returns a job with tasks that last, or run for longer or for a shorter time than
 // the longest lease.
 func drawnJob(rng *rand.Rand) *fleet.JobSpec {
@@ -543,7 +585,7 @@
 // playUnseenRestart hands in jobs, loses calls to a runner that then restarts under its id,
 // and cuts it off soon after it is back, mostly before a list or an answer shows that. Before
 // the cut, something may happen to the owner.
-func (w *world) playUnseenRestart(rng *rand.Rand, id func() fleet.JobID, faults *unseenFaults) {
+func (w *world) playUnseenRestart(rng *rand.Rand, id func() fleet.JobID, faults *unseenFaults, polls latePolls) {
 	ms := func(least, most int) time.Duration {
 		return time.Duration(least+rng.Intn(most-least)) * time.Millisecond
 	}
@@ -569,6 +611,11 @@
 	if rng.Intn(4) > 0 {
 		r.lossShare = 1
 	}
+	if polls {
+		r.lossShare = 1
+		w.run(ms(0, 1100))
+		cut += ms(0, 16_000)
+	}
 	if r.up && !r.dark {
 		faults.restarts++
 		former := r.entry()
@@ -626,31 +673,21 @@
 // without an answer are carried out up to 12 s late at whichever incarnation of their runner is
 // up by then, and runners restart and are cut off before anybody has seen it.
 func TestJobsHoldWithUnseenRestarts(t *testing.T) {
+	playUnseenHistories(t, unseenRegressions, false)
+}
+
+// TestJobsHoldWithLatePollsAfterUnseenRestarts draws such histories with more late polls, which
+// lengthen the leases of late starts.
+func TestJobsHoldWithLatePollsAfterUnseenRestarts(t *testing.T) { playUnseenHistories(t, nil, true) }
+
+func playUnseenHistories(t *testing.T, regressions []int64, polls latePolls) {
 	var strayStarts, histories atomic.Int64
 	t.Run("drawn", func(t *testing.T) {
-		for _, seed := range drawnSeeds(unseenRegressions) {
+		for _, seed := range drawnSeeds(regressions) {
 			t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 				t.Parallel()
-				rng := rand.New(rand.NewSource(seed))
-				w := newWorld(t, seed, 4, 4, func(w *world) {
-					w.clockRate, w.statusRetention = 0.98+0.02*float64(rng.Intn(2)), time.Hour
-					w.ordersReachNext, w.noStrayAcks = true, !*strayAcks
-				})
-				w.run(12 * time.Second)
-				faults, jobs := &unseenFaults{}, 0
-				for range 6 {
-					w.playUnseenRestart(rng, func() fleet.JobID { jobs++; return jobID(jobs - 1) }, faults)
-				}
-				w.run(16 * time.Second)
-				w.endFaults()
-				w.run(60 * time.Second)
+				strayStarts.Add(int64(playUnseenHistory(t, seed, polls)))
 				histories.Add(1)
-				strayStarts.Add(int64(w.strayStarts))
-				w.checkStatesOf(jobs)
-				w.checkInvariants()
-				must.Positive(t, faults.restarts, must.Sprint("no runner has restarted"))
-				must.Positive(t, faults.cuts, must.Sprint("no runner was cut off"))
-				must.Positive(t, w.doneRuns)
 			})
 		}
 	})
@@ -660,6 +697,29 @@
 	}
 }
 
+// playUnseenHistory returns the number of late starts at other incarnations.
+func playUnseenHistory(t *testing.T, seed int64, polls latePolls) int {
+	rng := rand.New(rand.NewSource(seed))
+	w := newWorld(t, seed, 4, 4, func(w *world) {
+		w.clockRate, w.statusRetention = 0.98+0.02*float64(rng.Intn(2)), time.Hour
+		w.ordersReachNext, w.noStrayAcks = true, !*strayAcks
+	})
+	w.run(12 * time.Second)
+	faults, jobs := &unseenFaults{}, 0
+	for range 6 {
+		w.playUnseenRestart(rng, func() fleet.JobID { jobs++; return jobID(jobs - 1) }, faults, polls)
+	}
+	w.run(16 * time.Second)
+	w.endFaults()
+	w.run(60 * time.Second)
+	w.checkStatesOf(jobs)
+	w.checkInvariants()
+	must.Positive(t, faults.restarts, must.Sprint("no runner has restarted"))
+	must.Positive(t, faults.cuts, must.Sprint("no runner was cut off"))
+	must.Positive(t, w.doneRuns)
+	return w.strayStarts
+}
+
 // TestJobsHoldWhenLateOrdersReachTheNextIncarnation plays the histories of the other drawn tests
 // with orders that are carried out seconds late at another incarnation.
 func TestJobsHoldWhenLateOrdersReachTheNextIncarnation(t *testing.T) {
