--- a/reduce/jobs/unseenrestarts_test.go
+++ b/reduce/jobs/unseenrestarts_test.go
@@ -221,10 +221,22 @@
 		r.end(firstTask(jobID(0)), fleet.RunFailed)
 	}},
 	{"lapsed", lastingJob(), false, func(r *fakeRunner) {
+		r.draining = true
 		r.end(firstTask(jobID(0)), fleet.RunLeaseExpired)
 	}},
 }
 
+// runUntilLeft runs the world until a task is done, or runs elsewhere than on a runner, or has
+// waited for some seconds.
+func (w *world) runUntilLeft(task fleet.TaskID, r *fakeRunner) {
+	for range 80 {
+		w.run(50 * time.Millisecond)
+		if other := w.runnerUnder(task); w.doneOnce[task] || (other != nil && other != r) {
+			return
+		}
+	}
+}
+
 // TestTaskThatLeftARunnerIsNotBegunThereByALateStart has a task leave a runner for another
 // one, in the way of the known incarnation, which rejects the late start of the task. The
 // next one does not, and nobody calls it before it is cut off.
@@ -246,11 +258,7 @@
 					w.run(500 * ms)
 					d.leave(first)
 				}
-				for range 60 {
-					if r := w.runnerUnder(task); r == nil || r == first {
-						w.run(50 * ms)
-					}
-				}
+				w.runUntilLeft(task, first)
 				w.run(restartAfter)
 				first.capacity = runnerCapacity
 				u.restart(600*ms, time.Second)
@@ -262,6 +270,50 @@
 	}
 }
 
+// TestLateStartOfAnEndedRunIsBarredAtLaterIncarnations has a run end at the known incarnation,
+// whose runner then restarts, is seen and stays in touch. Only runs that were given up were
+// barred there.
+func TestLateStartOfAnEndedRunIsBarredAtLaterIncarnations(t *testing.T) {
+	const ms = time.Millisecond
+	task := firstTask(jobID(0))
+	for _, c := range []struct {
+		name string
+		spec *fleet.JobSpec
+		end  func(*fakeRunner)
+	}{
+		{"done", lastingJob(), func(r *fakeRunner) { r.end(task, fleet.RunDone) }},
+		{"failed", lastingJob(), func(r *fakeRunner) { r.end(task, fleet.RunFailed) }},
+		{"lapsed", lastingJob(), func(r *fakeRunner) {
+			r.draining = true
+			r.end(task, fleet.RunLeaseExpired)
+		}},
+		{"stalled", lastingJob(), func(r *fakeRunner) { r.stalled = true }},
+		{"drained", longRunningJob(1, 1), func(r *fakeRunner) { r.draining = true }},
+	} {
+		for _, downs := range [][]time.Duration{{500 * ms}, {500 * ms, 900 * ms}} {
+			t.Run(fmt.Sprint(c.name, " downs=", downs), func(t *testing.T) {
+				t.Parallel()
+				w := newWorld(t, 415, 3, 2, slowClock)
+				w.run(30 * time.Second)
+				first := w.losesFirstStart(8 * time.Second)
+				w.submit(jobID(0), c.spec)
+				w.runUntilRuns(task)
+				w.run(500 * ms)
+				r := w.runners[first.Runner]
+				c.end(r)
+				w.runUntilLeft(task, r)
+				for _, down := range downs {
+					r.restartFor(down)
+					w.run(down + 700*ms)
+				}
+				w.run(10 * time.Second)
+				w.checkInvariants()
+				must.Eq(t, 0, w.strayStarts, must.Sprint("the late start was carried out"))
+			})
+		}
+	}
+}
+
 // TestLateStartDoesNotRepeatATaskWhoseSuccessWasAcknowledged has a task end with success at
 // the known incarnation of its runner, and the first start of it carried out at the next one.
 func TestLateStartDoesNotRepeatATaskWhoseSuccessWasAcknowledged(t *testing.T) {
@@ -288,6 +340,112 @@
 	}
 }
 
+// TestLateStartDoesNotRepeatATaskThatALaterAttemptHasDone ends the owner while the start of a
+// task is in flight. The next owner bars that start at the runner and starts the task there
+// again, with success (seed 32 of TestJobsHoldWhenLateOrdersReachTheNextIncarnation).
+func TestLateStartDoesNotRepeatATaskThatALaterAttemptHasDone(t *testing.T) {
+	const ms = time.Millisecond
+	for _, restartAfter := range []time.Duration{0, 300 * ms, 2 * time.Second} {
+		t.Run(fmt.Sprint("restart after=", restartAfter), func(t *testing.T) {
+			t.Parallel()
+			w, task := newWorld(t, 425, 3, 2, slowClock), firstTask(jobID(0))
+			w.run(30 * time.Second)
+			u := w.unseenRestart(11800*ms, 0)
+			w.submit(jobID(0), &fleet.JobSpec{Text: "text", Steps: []fleet.Step{{Count: 1, Needs: taskNeeds, Estimate: 600 * ms}}})
+			u.awaitStart()
+			w.run(20 * ms)
+			o := w.owner()
+			o.kill()
+			o.boot()
+			for range 300 {
+				if !w.doneOnce[task] {
+					w.run(20 * ms)
+				}
+			}
+			w.run(100*ms + restartAfter)
+			u.restart(600*ms, time.Second)
+			w.run(60 * time.Second)
+			w.checkInvariants()
+			must.Positive(t, w.strayStarts, must.Sprint("the late start was not carried out by another incarnation"))
+		})
+	}
+}
+
+// TestNextOwnerDoesNotAcknowledgeASuccessThatALateStartWouldRepeat has the owner that knows of
+// the late start replaced after the task has ended, by a restart or a release.
+func TestNextOwnerDoesNotAcknowledgeASuccessThatALateStartWouldRepeat(t *testing.T) {
+	const ms = time.Millisecond
+	spec := &fleet.JobSpec{Text: "text", Steps: []fleet.Step{
+		{Count: 1, Needs: taskNeeds, Estimate: 300 * ms},
+		{Count: 1, Needs: taskNeeds, Estimate: 8 * time.Second, After: []int{0}},
+	}}
+	for _, jobGoesOn := range []bool{false, true} {
+		for n, trouble := range []int{1, 2, 6} {
+			t.Run(fmt.Sprint(ownerTroubles[trouble].name, " job goes on=", jobGoesOn), func(t *testing.T) {
+				t.Parallel()
+				w, spec, task := newWorld(t, 426+int64(n), 3, 2, slowClock), *spec, firstTask(jobID(0))
+				if !jobGoesOn {
+					spec.Steps = spec.Steps[:1]
+				}
+				w.run(30 * time.Second)
+				u := w.unseenRestart(11800*ms, 0)
+				w.submit(jobID(0), &spec)
+				u.awaitStart()
+				for range 100 {
+					if !w.doneOnce[task] {
+						w.run(20 * ms)
+					}
+				}
+				w.run(100 * ms)
+				ownerTroubles[trouble].happen(w.owner())
+				w.run(5 * time.Second)
+				u.restart(600*ms, time.Second)
+				w.run(60 * time.Second)
+				w.checkInvariants()
+				must.Positive(t, w.strayStarts, must.Sprint("the late start was not carried out by another incarnation"))
+			})
+		}
+	}
+}
+
+// TestNextOwnerWaitsForLeasesAtAnIncarnationThatTheFormerOwnerSaw has a start reach the next
+// incarnation of its runner, which grants it the longest lease by the former clock. The owner
+// sees the restart, ends soon after, and is back under its name, and the runner is cut off.
+func TestNextOwnerWaitsForLeasesAtAnIncarnationThatTheFormerOwnerSaw(t *testing.T) {
+	const ms = time.Millisecond
+	for n, order := range loadOrders {
+		for _, ended := range []time.Duration{20 * ms, 300 * ms, 700 * ms} {
+			for _, down := range []time.Duration{20 * ms, 600 * ms} {
+				for _, cutAfter := range []time.Duration{0, 200 * ms, 700 * ms} {
+					t.Run(fmt.Sprint(order.name, " ended=", ended, " down=", down, " cut=", cutAfter), func(t *testing.T) {
+						t.Parallel()
+						w := newWorld(t, 500+int64(n), 3, 2, slowClock)
+						w.run(30 * time.Second)
+						w.delayReads(order.listDelay, order.loading)
+						w.submit(jobID(1), longRunningJob(1, 1))
+						w.run(time.Second)
+						r := w.runnerUnder(firstTask(jobID(1)))
+						r.darkFor(600 * ms)
+						w.submit(jobID(0), longRunningJob(4, 4))
+						w.run(620 * ms)
+						begun := len(r.runs)
+						w.run(ended)
+						o := w.owner()
+						o.kill()
+						w.after(down, o.restart)
+						w.run(cutAfter)
+						r.cutFor(12 * time.Second)
+						w.run(40 * time.Second)
+						w.checkInvariants()
+						must.Positive(t, begun, must.Sprint("no start reached the next incarnation"))
+						must.Eq(t, 5, w.runningTasks())
+					})
+				}
+			}
+		}
+	}
+}
+
 // usualHandover is the time within which the tasks of a runner that is lost run elsewhere.
 const usualHandover = 6500 * time.Millisecond
 
@@ -405,6 +563,10 @@
 // unseenFaults is what a drawn history of unseen restarts has had.
 type unseenFaults struct{ restarts, cuts, troubles int }
 
+// latePolls makes histories of unseen restarts lose the last polls before a restart more often,
+// and cuts long enough for a lease that such a poll lengthens.
+type latePolls bool
+
 // drawnJob returns a job with tasks that last, or run for longer or for a shorter time than
 // the longest lease.
 func drawnJob(rng *rand.Rand) *fleet.JobSpec {
@@ -423,7 +585,7 @@
 // playUnseenRestart hands in jobs, loses calls to a runner that then restarts under its id,
 // and cuts it off soon after it is back, mostly before a list or an answer shows that. Before
 // the cut, something may happen to the owner.
-func (w *world) playUnseenRestart(rng *rand.Rand, id func() fleet.JobID, faults *unseenFaults) {
+func (w *world) playUnseenRestart(rng *rand.Rand, id func() fleet.JobID, faults *unseenFaults, polls latePolls) {
 	ms := func(least, most int) time.Duration {
 		return time.Duration(least+rng.Intn(most-least)) * time.Millisecond
 	}
@@ -449,6 +611,11 @@
 	if rng.Intn(4) > 0 {
 		r.lossShare = 1
 	}
+	if polls {
+		r.lossShare = 1
+		w.run(ms(0, 1100))
+		cut += ms(0, 16_000)
+	}
 	if r.up && !r.dark {
 		faults.restarts++
 		former := r.entry()
@@ -506,31 +673,21 @@
 // without an answer are carried out up to 12 s late at whichever incarnation of their runner is
 // up by then, and runners restart and are cut off before anybody has seen it.
 func TestJobsHoldWithUnseenRestarts(t *testing.T) {
+	playUnseenHistories(t, unseenRegressions, false)
+}
+
+// TestJobsHoldWithLatePollsAfterUnseenRestarts draws such histories with more late polls, which
+// lengthen the leases of late starts.
+func TestJobsHoldWithLatePollsAfterUnseenRestarts(t *testing.T) { playUnseenHistories(t, nil, true) }
+
+func playUnseenHistories(t *testing.T, regressions []int64, polls latePolls) {
 	var strayStarts, histories atomic.Int64
 	t.Run("drawn", func(t *testing.T) {
-		for _, seed := range drawnSeeds(unseenRegressions) {
+		for _, seed := range drawnSeeds(regressions) {
 			t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 				t.Parallel()
-				rng := rand.New(rand.NewSource(seed))
-				w := newWorld(t, seed, 4, 4, func(w *world) {
-					w.clockRate, w.statusRetention = 0.98+0.02*float64(rng.Intn(2)), time.Hour
-					w.ordersReachNext, w.noStrayAcks = true, !*strayAcks
-				})
-				w.run(12 * time.Second)
-				faults, jobs := &unseenFaults{}, 0
-				for range 6 {
-					w.playUnseenRestart(rng, func() fleet.JobID { jobs++; return jobID(jobs - 1) }, faults)
-				}
-				w.run(16 * time.Second)
-				w.endFaults()
-				w.run(60 * time.Second)
+				strayStarts.Add(int64(playUnseenHistory(t, seed, polls)))
 				histories.Add(1)
-				strayStarts.Add(int64(w.strayStarts))
-				w.checkStatesOf(jobs)
-				w.checkInvariants()
-				must.Positive(t, faults.restarts, must.Sprint("no runner has restarted"))
-				must.Positive(t, faults.cuts, must.Sprint("no runner was cut off"))
-				must.Positive(t, w.doneRuns)
 			})
 		}
 	})
@@ -540,6 +697,29 @@
 	}
 }
 
+// playUnseenHistory returns the number of late starts at other incarnations.
+func playUnseenHistory(t *testing.T, seed int64, polls latePolls) int {
+	rng := rand.New(rand.NewSource(seed))
+	w := newWorld(t, seed, 4, 4, func(w *world) {
+		w.clockRate, w.statusRetention = 0.98+0.02*float64(rng.Intn(2)), time.Hour
+		w.ordersReachNext, w.noStrayAcks = true, !*strayAcks
+	})
+	w.run(12 * time.Second)
+	faults, jobs := &unseenFaults{}, 0
+	for range 6 {
+		w.playUnseenRestart(rng, func() fleet.JobID { jobs++; return jobID(jobs - 1) }, faults, polls)
+	}
+	w.run(16 * time.Second)
+	w.endFaults()
+	w.run(60 * time.Second)
+	w.checkStatesOf(jobs)
+	w.checkInvariants()
+	must.Positive(t, faults.restarts, must.Sprint("no runner has restarted"))
+	must.Positive(t, faults.cuts, must.Sprint("no runner was cut off"))
+	must.Positive(t, w.doneRuns)
+	return w.strayStarts
+}
+
 // TestJobsHoldWhenLateOrdersReachTheNextIncarnation plays the histories of the other drawn tests
 // with orders that are carried out seconds late at another incarnation.
 func TestJobsHoldWhenLateOrdersReachTheNextIncarnation(t *testing.T) {
