--- a/reduce/jobs/acknowledgements_test.go
+++ b/reduce/jobs/acknowledgements_test.go
@@ -204,3 +204,41 @@
 		})
 	}
 }
+
+// TestEndOfALateStartIsCounted has a start carried out by the next incarnation of its runner, which
+// nobody sees before the owner has given the run up for its lease. The end of that run was
+// acknowledged and not counted: it was taken for one of the former incarnation.
+func TestEndOfALateStartIsCounted(t *testing.T) {
+	for _, fails := range []bool{false, true} {
+		for _, cut := range []time.Duration{6 * time.Second, 7 * time.Second, 8 * time.Second} {
+			t.Run(fmt.Sprint("fails=", fails, " cut=", cut), func(t *testing.T) {
+				w := newWorld(t, 179, 2, 1)
+				w.run(30 * time.Second)
+				var dark *fakeRunner
+				w.onEffect = func(e *fakeEntry, out effect.Effect) bool {
+					if o, ok := out.(effect.OrderTask); ok && o.Kind == effect.OrderStart && dark == nil {
+						dark = w.runners[o.Runner]
+						dark.darkFor(450 * time.Millisecond)
+						w.after(450*time.Millisecond, func() { dark.cutFor(cut) })
+					}
+					return true
+				}
+				w.alwaysFails[jobID(0)] = fails
+				w.submit(jobID(0), oneTaskJob(300*time.Millisecond))
+				w.run(cut + 5*time.Second)
+				if fails {
+					w.run(8 * time.Second) // the second run waits until the first start is over
+				}
+				must.NotNil(t, dark)
+				w.checkInvariants()
+				if fails {
+					must.Eq(t, 2, w.starts)
+					w.mustState(jobID(0), fleet.JobFailed)
+				} else {
+					must.Eq(t, 1, w.starts)
+					w.mustState(jobID(0), fleet.JobDone)
+				}
+			})
+		}
+	}
+}
