--- a/reduce/jobs/unseenrestarts_test.go
+++ b/reduce/jobs/unseenrestarts_test.go
@@ -205,16 +205,16 @@
 	}
 }
 
-// departures are the ways in which a task leaves a runner that has confirmed a repeated start
-// of it.
+// departures are the ways in which a task leaves a runner whose first start had no answer.
 var departures = []struct {
 	name string
 	spec *fleet.JobSpec
-	// refused has the runner refuse the repeated start.
-	refused bool
-	leave   func(*fakeRunner)
+	// unconfirmed has the runner confirm no start.
+	unconfirmed bool
+	leave       func(*fakeRunner)
 }{
-	{"refused", longRunningJob(1, 1), true, func(*fakeRunner) {}},
+	{"refused", longRunningJob(1, 1), true, func(r *fakeRunner) { r.capacity = fleet.Capacity{} }},
+	{"drained with the start in flight", longRunningJob(1, 1), true, func(r *fakeRunner) { r.draining = true }},
 	{"drained", longRunningJob(1, 1), false, func(r *fakeRunner) { r.draining = true }},
 	{"stalled", lastingJob(), false, func(r *fakeRunner) { r.stalled = true }},
 	{"failed", lastingJob(), false, func(r *fakeRunner) {
@@ -251,13 +251,11 @@
 				u := w.unseenRestart(11800*ms, 0)
 				w.submit(jobID(0), d.spec)
 				first, task := u.awaitStart(), firstTask(jobID(0))
-				if d.refused {
-					first.capacity = fleet.Capacity{}
-				} else {
+				if !d.unconfirmed {
 					w.runUntilRuns(task)
 					w.run(500 * ms)
-					d.leave(first)
 				}
+				d.leave(first)
 				w.runUntilLeft(task, first)
 				w.run(restartAfter)
 				first.capacity = runnerCapacity
@@ -362,6 +360,7 @@
 					w.run(20 * ms)
 				}
 			}
+			must.True(t, w.doneOnce[task], must.Sprint("the task was not started again at the runner"))
 			w.run(100*ms + restartAfter)
 			u.restart(600*ms, time.Second)
 			w.run(60 * time.Second)
