A call that is late at its dispatcher is not sent

The owner relies everywhere on no order being sent more than 0.4 s after it was decided, so it took a task for free to run elsewhere that the order could still start.

Cause: the owner sent the time that was left (fresh_ms), and the dispatcher counted it from the receipt of the call. Time on the way, in buffers, or before a suspended process read the call, was not counted.

A dispatcher now reports its boot clock in each message, and at least every second. The owner keeps a lower bound of that clock: a reading is older when it is received than when it was taken, and counts with the slowest rate of the clock from then on. Calls carry their send deadline on the dispatcher's clock by this bound, so it is never later than meant, and the dispatcher compares it with its boot clock immediately before it sends, as before, and answers "stale", which the owner retries. The answer brings a fresh reading.

A dispatcher that reports no clock (an earlier version) is refused, and the owner calls the runners itself. An owner of an earlier version sends no such deadline; its calls are counted from receipt as before, because it would have all of them answered as stale otherwise.

--- a/peer/batch.go
+++ b/peer/batch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/banyanrail/banyanrail/loop"
 )
@@ -33,12 +34,24 @@
 }
 
 // sendUntilDone sends the queued items until the context ends or a send fails. It
-// waits for batchDelay after the first item, to send more items together.
-func (b *batch[T]) sendUntilDone(ctx context.Context, send func([]T) error) error {
+// waits for batchDelay after the first item, to send more items together. Besides, it
+// calls send without items at the given interval, unless that is zero.
+func (b *batch[T]) sendUntilDone(ctx context.Context, interval time.Duration, send func([]T) error) error {
+	var tick <-chan time.Time
+	if interval > 0 {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		tick = ticker.C
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-tick:
+			if err := send(nil); err != nil {
+				return err
+			}
+			continue
 		case <-b.wake:
 		}
 		if err := loop.Sleep(ctx, batchDelay); err != nil {
--- a/peer/dispatch.go
+++ b/peer/dispatch.go
@@ -21,6 +21,9 @@
 	// leaveCheckInterval is the interval at which a dispatcher that leaves checks
 	// whether calls are still in flight.
 	leaveCheckInterval = 20 * time.Millisecond
+	// clockReportInterval is the interval at which a dispatcher reports its clock to
+	// the owner, in addition to the readings that come with results.
+	clockReportInterval = time.Second
 )
 
 // CallHandler executes a call to a runner, which is an effect.OrderTask or an
@@ -28,8 +31,9 @@
 type CallHandler = func(call effect.Effect, reply func(event.Body))
 
 // Dispatch registers this entry as a dispatcher at the owner's address and
-// executes the owner's calls to runners. It returns when the stream breaks, or
-// when the context has ended and the calls in flight are answered.
+// executes the owner's calls to runners. Their send deadlines are on the given clock,
+// and handle has to check them immediately before it sends. It returns when the stream
+// breaks, or when the context has ended and the calls in flight are answered.
 func (j *JobsClient) Dispatch(ctx context.Context, address string, self fleet.EntryID, clock loop.Clock, handle CallHandler) error {
 	fail := oops.In("peer").With("step", "dispatch", "peer", address)
 	// Forwarded calls drop their connection when it stops answering, so the stream
@@ -46,10 +50,10 @@
 	if err != nil {
 		return fail.Wrap(err)
 	}
-	if err := stream.Send(&peerpb.RunnerResults{Entry: string(self)}); err != nil {
+	d := &dispatchStream{stream: stream, results: newBatch[*peerpb.RunnerResult](), clock: clock, handle: handle}
+	if err := d.write(&peerpb.RunnerResults{Entry: string(self)}); err != nil {
 		return fail.Wrap(err)
 	}
-	d := &dispatchStream{stream: stream, results: newBatch[*peerpb.RunnerResult](), clock: clock, handle: handle}
 	ended := make(chan error, 2)
 	go func() { ended <- d.receive() }()
 	go func() { ended <- d.send(ctx, open) }()
@@ -65,16 +69,23 @@
 	inFlight atomic.Int64
 }
 
-// send sends results. When ctx ends, it tells the owner to send no further calls,
-// and continues until all calls in flight are answered or leaveTimeout is over.
+// write sends a message with the current reading of the clock.
+func (d *dispatchStream) write(m *peerpb.RunnerResults) error {
+	m.Clock = d.clock().UnixMilli()
+	return d.stream.Send(m)
+}
+
+// send sends results and clock readings. When ctx ends, it tells the owner to send no
+// further calls, and continues until all calls in flight are answered or leaveTimeout is
+// over.
 func (d *dispatchStream) send(ctx, open context.Context) error {
 	write := func(results []*peerpb.RunnerResult) error {
-		return d.stream.Send(&peerpb.RunnerResults{Results: results})
+		return d.write(&peerpb.RunnerResults{Results: results})
 	}
-	if err := d.results.sendUntilDone(ctx, write); ctx.Err() == nil {
+	if err := d.results.sendUntilDone(ctx, clockReportInterval, write); ctx.Err() == nil {
 		return err
 	}
-	if err := d.stream.Send(&peerpb.RunnerResults{Leaving: true}); err != nil {
+	if err := d.write(&peerpb.RunnerResults{Leaving: true}); err != nil {
 		return err
 	}
 	leaving, stop := context.WithTimeout(open, leaveTimeout)
@@ -86,7 +97,7 @@
 		_ = loop.Sleep(leaving, 2*batchDelay) // leaves time to send the last results
 		stop()
 	}()
-	return d.results.sendUntilDone(leaving, write)
+	return d.results.sendUntilDone(leaving, clockReportInterval, write)
 }
 
 // receive executes calls until the stream ends.
@@ -98,11 +109,21 @@
 		}
 		now := d.clock()
 		for _, c := range m.GetCalls() {
-			d.call(c, now.Add(time.Duration(c.GetFreshMs())*time.Millisecond))
+			d.call(c, callDeadline(c, now))
 		}
 	}
 }
 
+// callDeadline returns the send deadline of a call on this entry's clock. An owner of an
+// earlier version sends only the time that is left, so its calls are taken for as
+// fresh as when it sent them.
+func callDeadline(c *peerpb.RunnerCall, received time.Time) time.Time {
+	if c.GetSendDeadline() == 0 {
+		return received.Add(time.Duration(c.GetFreshMs()) * time.Millisecond)
+	}
+	return time.UnixMilli(c.GetSendDeadline())
+}
+
 func (d *dispatchStream) call(c *peerpb.RunnerCall, sendDeadline time.Time) {
 	d.inFlight.Add(1)
 	reply := func(b event.Body) {
--- a/peer/dispatch_test.go
+++ b/peer/dispatch_test.go
@@ -28,7 +28,14 @@
 
 func startOwner(t *testing.T, handle peer.CallHandler) *owner {
 	t.Helper()
-	o := &owner{Dispatchers: peer.NewDispatchers(loop.BootClock()), events: make(chan event.Body, 64), ended: make(chan struct{})}
+	return startOwnerThrough(t, loop.BootClock(), loop.BootClock(), func(address string) string { return address }, handle)
+}
+
+// startOwnerThrough starts an owner and its dispatcher with clocks of their own. The
+// dispatcher connects to the address that via returns for that of the owner.
+func startOwnerThrough(t *testing.T, clock, dispatcherClock loop.Clock, via func(address string) string, handle peer.CallHandler) *owner {
+	t.Helper()
+	o := &owner{Dispatchers: peer.NewDispatchers(clock), events: make(chan event.Body, 64), ended: make(chan struct{})}
 	o.Subscribe(func(b event.Body) { o.events <- b })
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -38,10 +45,11 @@
 	t.Cleanup(o.srv.Stop)
 	ctx, cancel := context.WithCancel(t.Context())
 	o.stopDispatcher = cancel
+	address := via(ln.Addr().String())
 	go func() {
 		defer close(o.ended)
 		jobs := peer.NewJobsClient()
-		_ = jobs.Dispatch(ctx, ln.Addr().String(), "second", loop.BootClock(), handle) // ends with the test
+		_ = jobs.Dispatch(ctx, address, "second", dispatcherClock, handle) // ends with the test
 	}()
 	joined := (<-o.events).(event.DispatcherJoined)
 	must.Eq(t, fleet.EntryID("second"), joined.Entry)
--- a/peer/dispatchers.go
+++ b/peer/dispatchers.go
@@ -112,6 +112,7 @@
 	mu      sync.Mutex
 	lastID  uint64
 	pending map[uint64]pendingCall
+	clock   dispatcherClock
 }
 
 // enqueue queues a call, or returns false if too many are in flight or the stream
@@ -124,12 +125,19 @@
 	}
 	l.lastID++
 	p.sent = now
-	call.Id, call.FreshMs = l.lastID, sendDeadline.Sub(now).Milliseconds()
+	call.Id, call.SendDeadline = l.lastID, l.clock.earliest(sendDeadline).UnixMilli()
 	l.pending[l.lastID] = p
 	l.calls.add(call)
 	return true
 }
 
+// observeClock records a reading of the dispatcher's clock.
+func (l *dispatchLink) observeClock(m *peerpb.RunnerResults, received time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.clock.observe(time.UnixMilli(m.GetClock()), received)
+}
+
 // takePending removes and returns a call in flight.
 func (l *dispatchLink) takePending(id uint64) (pendingCall, bool) {
 	l.mu.Lock()
@@ -171,7 +179,13 @@
 	if hello.GetEntry() == "" {
 		return status.Error(codes.InvalidArgument, "the dispatcher sent no entry id")
 	}
+	if hello.GetClock() == 0 {
+		// Without its clock, a dispatcher of an earlier version cannot tell how long a
+		// call was on its way.
+		return status.Error(codes.FailedPrecondition, "the dispatcher does not report its clock")
+	}
 	link := &dispatchLink{calls: newBatch[*peerpb.RunnerCall](), pending: make(map[uint64]pendingCall)}
+	link.observeClock(hello, d.clock())
 	id, post := d.join(link)
 	post(event.DispatcherJoined{Dispatcher: id, Entry: fleet.EntryID(hello.GetEntry())})
 	ended := make(chan error, 3)
@@ -179,7 +193,7 @@
 	defer cancel()
 	go func() { ended <- d.receive(stream, id, link, post) }()
 	go func() {
-		ended <- link.calls.sendUntilDone(ctx, func(calls []*peerpb.RunnerCall) error { return stream.Send(&peerpb.RunnerCalls{Calls: calls}) })
+		ended <- link.calls.sendUntilDone(ctx, 0, func(calls []*peerpb.RunnerCall) error { return stream.Send(&peerpb.RunnerCalls{Calls: calls}) })
 	}()
 	go func() { ended <- d.watch(ctx, link) }()
 	err = <-ended
@@ -213,6 +227,7 @@
 			return err
 		}
 		now := d.clock()
+		link.observeClock(m, now)
 		for _, r := range m.GetResults() {
 			if p, ok := link.takePending(r.GetId()); ok {
 				post(p.resultEvent(r, now))
