Hold no task for a runner whose instance has another one

The platform's list of instances shows another runner on the instance: a runner is one life of it, so no process has the former id. TestTaskIsNotHeldForARunnerWhoseInstanceHasAnother took 22.7 s before. Long functions are split.

--- a/reduce/jobs/heldends.go
+++ b/reduce/jobs/heldends.go
@@ -40,6 +40,14 @@
 	return max(number, r.acknowledgedEnd)
 }
 
+// nextAcknowledgement returns the acknowledgement of the next poll; zero for none.
+func (r *runner) nextAcknowledgement(now time.Time) int64 {
+	if last := r.acknowledgeable(now); last > r.acknowledgedEnd {
+		return last
+	}
+	return 0
+}
+
 // holdsEnds reports whether stored ends are held.
 func (r *runner) holdsEnds(now time.Time) bool { return r.acknowledgeable(now) < r.storedEnd }
 
--- a/reduce/jobs/heldends_test.go
+++ b/reduce/jobs/heldends_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/shoenig/test/must"
 )
 
@@ -55,3 +56,37 @@
 	must.Eq(t, first, w.runnerUnder(task))
 	w.checkInvariants()
 }
+
+// TestTaskIsNotHeldForARunnerWhoseInstanceHasAnother has a runner crash with a start in flight. The
+// next runner of its instance has another address, so nobody answers at the former one.
+func TestTaskIsNotHeldForARunnerWhoseInstanceHasAnother(t *testing.T) {
+	w := newWorld(t, 462, 3, 2, slowClock)
+	w.withInstances(0)
+	w.run(5 * time.Second)
+	w.unseenRestart(time.Second, 0)
+	var first *fakeRunner
+	inner := w.onEffect
+	w.onEffect = func(e *fakeEntry, out effect.Effect) bool {
+		if o, ok := out.(effect.OrderTask); ok && o.Kind == effect.OrderStart && first == nil {
+			first = w.runners[o.Runner]
+		}
+		return inner(e, out)
+	}
+	w.submit(jobID(0), longRunningJob(1, 1))
+	for first == nil {
+		w.run(5 * time.Millisecond)
+	}
+	first.crash()
+	w.after(2*time.Second, func() {
+		next := w.addRunner("next")
+		next.instance = first.instance
+		for _, i := range w.instances {
+			if i.runner == first {
+				i.runner = next
+			}
+		}
+	})
+	must.Less(t, longestAbsence, w.awayFor(firstTask(jobID(0)), time.Minute))
+	w.run(20 * time.Second)
+	w.checkInvariants()
+}
--- a/reduce/jobs/instances.go
+++ b/reduce/jobs/instances.go
@@ -64,6 +64,8 @@
 // instance is the owner's state of an instance.
 type instance struct {
 	fleet.ManagedInstance
+	// lastRunner is the last runner that a list had on the instance.
+	lastRunner fleet.RunnerID
 	// changedAt is when an order about the instance was last confirmed. Lists that
 	// were requested before do not apply to the instance.
 	changedAt time.Time
@@ -161,6 +163,19 @@
 	in.refilledAt = o.now()
 }
 
+// noteRunnerOf takes account of another runner on an instance: no process has the id of the one
+// before any more.
+func (o *ownership) noteRunnerOf(i *instance, id fleet.RunnerID) {
+	if id == "" || id == i.lastRunner {
+		return
+	}
+	if r, ok := o.runners[i.lastRunner]; ok {
+		r.superseded = true
+		o.dropLateStarts(r)
+	}
+	i.lastRunner = id
+}
+
 func (o *ownership) onInstancesRead(b event.InstancesRead) {
 	in := &o.instances
 	in.listing = false
@@ -183,6 +198,7 @@
 		if i.State != fleet.InstanceUp && m.State == fleet.InstanceUp {
 			i.upSince = o.now()
 		}
+		o.noteRunnerOf(i, m.Runner)
 		i.ManagedInstance = m
 	}
 	in.sorted = slices.DeleteFunc(in.sorted, func(i *instance) bool {
--- a/reduce/jobs/latestarts.go
+++ b/reduce/jobs/latestarts.go
@@ -84,7 +84,7 @@
 	if run.startInFlight() {
 		run.expectLateStart()
 	}
-	if run.mayStartLate {
+	if run.mayStartLate && !run.runner.superseded {
 		o.addLateStart(run.task, run.runner, run.attempt, run.startableUntil).epoch = run.startEpoch
 	}
 }
--- a/reduce/jobs/placement.go
+++ b/reduce/jobs/placement.go
@@ -150,13 +150,13 @@
 			continue
 		}
 		r := last
-		if r == nil || t.avoidRunner != "" || !t.mayStartOn(r) || r.mayForgetEnds() || !o.feasible(st, r, gangShare{}) {
+		if !o.staysBest(t, r) {
 			r = o.chooseRunner(st, t, pass.usable, nil)
 		}
-		if r == nil && len(t.lateStarts) > 0 {
-			continue
-		}
-		if r == nil {
+		switch {
+		case r == nil && len(t.lateStarts) > 0:
+			continue // others of the step may start elsewhere
+		case r == nil:
 			return false
 		}
 		o.planRun(t, r, t.attempt+1, st.advice.tickets[r.ID])
@@ -168,6 +168,11 @@
 	return true
 }
 
+// staysBest reports whether the runner of the task before, or nil, is the best for a task too.
+func (o *ownership) staysBest(t *task, r *runner) bool {
+	return r != nil && t.avoidRunner == "" && t.mayStartOn(r) && !r.mayForgetEnds() && o.feasible(t.step, r, gangShare{})
+}
+
 // packs reports whether the best runner for a task of the step stays the best for
 // the next one, as long as it has room: it has less room than before, and nothing
 // else counts.
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -66,8 +66,8 @@
 	o.lastPoll++
 	p.inFlight, p.number, p.sentAt, p.acknowledged, p.incarnation = true, o.lastPoll, o.now(), 0, r.Incarnation
 	o.touch(r)
-	if last := r.acknowledgeable(o.now()); last > r.acknowledgedEnd && !p.maybeRestarted && o.now().Sub(p.answeredAt) <= maxAcknowledgeAge {
-		p.acknowledged = last
+	if !p.maybeRestarted && o.now().Sub(p.answeredAt) <= maxAcknowledgeAge {
+		p.acknowledged = r.nextAcknowledgement(o.now())
 	}
 	e := effect.PollRunner{
 		Epoch: o.epoch, Runner: r.ID, Address: r.Address, Number: p.number, Acknowledged: p.acknowledged,
@@ -75,13 +75,19 @@
 	}
 	if r.mayLease() {
 		e.LeaseDeadline = r.newLeaseDeadline(o.now())
-		if r.storedEnd >= r.lastEnd && !r.holdsEnds(o.now()) && (len(r.runs)+r.strays > 0 || r.holdsTasks()) && !r.readingExpired(o.now()) {
+		if r.answersLongPolls(o.now()) {
 			e.Wait = o.pollWaitFor(r)
 		}
 	}
 	o.s.emit(e)
 }
 
+// answersLongPolls reports whether a poll of the runner may wait for the end of a run: one that
+// lists ends answers at once.
+func (r *runner) answersLongPolls(now time.Time) bool {
+	return r.storedEnd >= r.lastEnd && !r.holdsEnds(now) && (len(r.runs)+r.strays > 0 || r.holdsTasks()) && !r.readingExpired(now)
+}
+
 // probe polls a runner at once, without a lease, after it did not answer a start: it may
 // have restarted. A poll in flight may hang, so its answer is not awaited.
 func (o *ownership) probe(r *runner) {
@@ -189,6 +195,7 @@
 	if seen != 0 {
 		r.Incarnation = seen
 	}
+	r.superseded = false
 	o.noteAcknowledged(r, seen)
 	return true
 }
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -43,6 +43,8 @@
 	leased bool
 	// lateStarts lists the starts of runs that were given up which may still be carried out.
 	lateStarts []*lateStart
+	// superseded is set once its instance has another runner, so that no process has its id.
+	superseded bool
 	// leasableUntil is until when a call of this owner that grants a lease may be carried out.
 	leasableUntil time.Time
 	// strays is the number of runs of no task of this owner that the runner last listed. It
--- a/reduce/jobs/runnertimers.go
+++ b/reduce/jobs/runnertimers.go
@@ -51,8 +51,8 @@
 	o.touchedRunners = o.touchedRunners[:0]
 }
 
-// armRunner sets the runner's timer for when a poll, the end of its leases, an
-// evacuation or its removal is due. A timer that is set for an earlier time stays,
+// armRunner sets the runner's timer for when a poll, the end of its leases or of a late
+// start, an evacuation or its removal is due. A timer that is set for an earlier time stays,
 // which saves moving it at each extension of the leases.
 func (o *ownership) armRunner(r *runner) {
 	soon := o.now().Add(ownerTick)
@@ -71,14 +71,7 @@
 	if (r.Draining || r.vacating) && len(r.runs) > 0 {
 		due(soon)
 	}
-	for _, late := range r.lateStarts {
-		due(o.lateRunsUntil(late))
-	}
-	for _, held := range r.heldEnds {
-		if o.now().Before(held.until) {
-			due(held.until)
-		}
-	}
+	o.eachHoldEnd(r, due)
 	if !r.listed && len(r.runs) == 0 {
 		due(o.droppableAt(r))
 	}
@@ -89,3 +82,16 @@
 		o.timers.Set(&r.timer, next, r)
 	}
 }
+
+// eachHoldEnd calls do for the times at which late starts on a runner are over and held ends may
+// be acknowledged.
+func (o *ownership) eachHoldEnd(r *runner, do func(time.Time)) {
+	for _, late := range r.lateStarts {
+		do(o.lateRunsUntil(late))
+	}
+	for _, held := range r.heldEnds {
+		if o.now().Before(held.until) {
+			do(held.until)
+		}
+	}
+}
