Soak: run the runners as processes

The soak's runners were stand-ins inside the test, so a restarted runner shared its process with the former life, and a stand-in that had crashed could take one more start from its queue. Each incarnation is a process of its own now, at a fixed address, which is killed by signal. It reports its runs on its standard output, with times by one reading of the wall clock; the behaviour of a task is in the text of its job.

--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -65,9 +65,10 @@
 	}
 }
 
-// drawSpec draws a job of one to three steps.
-func (c *client) drawSpec() *fleet.JobSpec {
-	spec := &fleet.JobSpec{Text: fmt.Sprintf("%d", 50+c.rng.Intn(600))}
+// drawJob draws a job of one to three steps.
+func (c *client) drawJob() *jobHistory {
+	text := taskText{DurationMS: int64(50 + c.rng.Intn(600))}
+	spec := &fleet.JobSpec{}
 	for i := range 1 + c.rng.Intn(3) {
 		step := fleet.Step{Count: 1 + c.rng.Intn(4), Needs: taskNeeds, Estimate: 300 * time.Millisecond}
 		if i > 0 {
@@ -77,14 +78,17 @@
 	}
 	if c.rng.Intn(12) == 0 {
 		spec.Steps = []fleet.Step{{Count: 3, Needs: taskNeeds, LongRunning: true, MaxUnavailable: 1}}
+		text.LongRunning = true
 	}
-	return spec
+	text.Fails = c.rng.Intn(15) == 0
+	spec.Text = text.String()
+	return &jobHistory{spec: spec, fails: text.Fails, refused: true}
 }
 
 func (c *client) submit() fleet.JobID {
 	c.submitted++
 	id := fleet.JobID(fmt.Sprintf("%s%014x", c.name, c.submitted))
-	j := &jobHistory{spec: c.drawSpec(), fails: c.rng.Intn(15) == 0, refused: true}
+	j := c.drawJob()
 	c.tb.history.mu.Lock()
 	c.tb.history.jobs[id] = j
 	c.tb.history.mu.Unlock()
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -100,12 +100,12 @@
 	case reconfigure:
 		tb.configure(t)
 	default:
-		tb.injectExternal(f, e, r)
+		tb.injectExternal(t, f, e, r)
 	}
 }
 
 // injectExternal applies faults of the network, the store and the runners.
-func (tb *testbed) injectExternal(f fault, e *entryProcess, r *runnerHost) {
+func (tb *testbed) injectExternal(t *testing.T, f fault, e *entryProcess, r *runnerHost) {
 	switch f.kind {
 	case disturbStore:
 		tb.setModeFor(e.storeProxy, f)
@@ -124,7 +124,7 @@
 	case crashRunner, replaceRunner:
 		r.crash()
 		tb.sleep(f.duration)
-		r.boot(f.kind == replaceRunner)
+		tb.bootRunner(t, r, f.kind == replaceRunner)
 	default:
 	}
 }
@@ -137,6 +137,12 @@
 	p.setMode(forward)
 }
 
+func (tb *testbed) bootRunner(t *testing.T, r *runnerHost, newID bool) {
+	if err := r.boot(newID); err != nil {
+		t.Errorf("cannot start runner: %v", err)
+	}
+}
+
 // restart sends a signal to an entry's process, waits until it has ended and for
 // downTime, and starts it again.
 func (tb *testbed) restart(t *testing.T, e *entryProcess, downTime time.Duration, s syscall.Signal) {
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -13,8 +13,9 @@
 	"github.com/shoenig/test/must"
 )
 
-// Ports of an entry. Each entry has its own loopback address.
+// Ports of an entry and of a runner. Each has its own loopback address.
 const (
+	runnerPort  = 18599
 	clientPort  = 18600
 	readyPort   = 18601
 	metricsPort = 18602
--- a/soak/runner_test.go
+++ b/soak/runner_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand"
-	"net"
-	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -13,7 +11,6 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/loop"
 	"github.com/banyanrail/banyanrail/platform/platformtest"
-	"github.com/banyanrail/banyanrail/standin"
 	"github.com/banyanrail/banyanrail/storage"
 	"github.com/shoenig/test/must"
 )
@@ -33,64 +30,45 @@
 	taskNeeds      = fleet.Capacity{CPU: 1000, Memory: 100}
 )
 
-// runnerHost runs one runner incarnation after another at the same address.
+// runnerHost runs one runner process after another at the same address.
 type runnerHost struct {
-	tb    *testbed
-	name  string
-	ln    net.Listener
-	proxy *proxy
+	tb            *testbed
+	name, address string
+	proxy         *proxy
 
 	mu          sync.Mutex
 	boots       int
 	id          fleet.RunnerID
 	incarnation fleet.Incarnation
-	handler     http.Handler
-	stop        context.CancelFunc
+	process     *runnerProcess
 }
 
-func (tb *testbed) addRunner(t *testing.T, name string) *runnerHost {
+func (tb *testbed) addRunner(t *testing.T, name, address string) *runnerHost {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	h := &runnerHost{tb: tb, name: name, ln: ln, proxy: newProxy(t, ln.Addr().String())}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
-	tb.wg.Go(func() { _ = srv.Serve(ln) }) // returns once srv is closed
+	h := &runnerHost{tb: tb, name: name, address: address, proxy: newProxy(t, address)}
+	must.NoError(t, h.boot(true))
+	t.Cleanup(h.crash)
 	tb.wg.Go(func() { h.report(tb.ctx) })
-	t.Cleanup(func() { h.crash(); _ = srv.Close() })
-	h.boot(true)
 	return h
 }
 
-// ServeHTTP passes a call to the current incarnation, if there is one.
-func (h *runnerHost) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.mu.Lock()
-	handler := h.handler
-	h.mu.Unlock()
-	if handler == nil {
-		panic(http.ErrAbortHandler)
-	}
-	handler.ServeHTTP(w, r)
-}
-
-// boot starts a new incarnation, under the previous id or a new one.
-func (h *runnerHost) boot(newID bool) {
+// boot starts a new incarnation, under the previous id or a new one, unless one is up.
+func (h *runnerHost) boot(newID bool) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.handler != nil {
-		return
+	if h.process != nil {
+		return nil
 	}
 	h.boots++
 	if newID {
 		h.id = fleet.RunnerID(fmt.Sprintf("%s-%d", h.name, h.boots))
 	}
 	h.incarnation = h.tb.newIncarnation()
-	runner := standin.NewTaskRunner(standin.TaskRunnerConfig{
-		ID: h.id, Incarnation: h.incarnation, Capacity: runnerCapacity, ClockRate: 1 - 0.02*rand.Float64(), StopDuration: stopTime,
-		Plan: h.tb.plan, OnRunEvent: h.tb.history.addRun, Clock: loop.BootClock(),
-	})
-	ctx, cancel := context.WithCancel(context.Background())
-	h.tb.wg.Go(func() { runner.Run(ctx) })
-	h.stop, h.handler = cancel, platformtest.RunnerHandler(h.id, runner)
+	var err error
+	h.process, err = startRunner(runnerSettings{
+		ID: h.id, Incarnation: h.incarnation, Address: h.address, ClockRate: 1 - 0.02*rand.Float64(),
+	}, h.tb.history.addRun)
+	return err
 }
 
 // newIncarnation returns the time in Unix milliseconds, or the next later one that no
@@ -105,15 +83,15 @@
 	}
 }
 
-// crash ends the current incarnation and all its runs.
+// crash kills the current incarnation, with all its runs.
 func (h *runnerHost) crash() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.handler == nil {
+	if h.process == nil {
 		return
 	}
-	h.stop()
-	h.handler = nil
+	h.process.kill()
+	h.process = nil
 	h.tb.history.addCrash(h.incarnation)
 	h.proxy.resetAll()
 }
@@ -124,7 +102,7 @@
 	lastSeen := make(map[fleet.RunnerID]time.Time)
 	for loop.Sleep(ctx, reportInterval) == nil {
 		h.mu.Lock()
-		id, up := h.id, h.handler != nil
+		id, up := h.id, h.process != nil
 		value, err := platformtest.EncodeRunner(&fleet.Runner{
 			ID: id, Incarnation: h.incarnation, Service: service, Address: h.proxy.address(), DataCentre: "z0", Capacity: runnerCapacity,
 			Instance: fleet.InstanceID(h.name),
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -105,10 +105,13 @@
 	}
 	_ = loop.Sleep(tb.ctx, time.Second)
 	tb.checkConfiguration()
+	c := tb.coverage(t)
+	for _, r := range tb.runners {
+		r.crash() // after this all its events have been recorded
+	}
 	for _, f := range tb.history.check() {
 		t.Error(f)
 	}
-	c := tb.coverage(t)
 	t.Logf("%d jobs, %+v", len(tb.history.jobs), c)
 	c.check(t, drawn)
 	return c
@@ -125,6 +128,6 @@
 	}
 	for _, r := range tb.runners {
 		r.proxy.setMode(forward)
-		r.boot(false)
+		tb.bootRunner(t, r, false)
 	}
 }
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -28,8 +27,8 @@
 	clientCount = 5
 )
 
-// testbed holds the parts of one run: stand-ins for the store and the runners in
-// this process, and the entries as separate processes.
+// testbed holds the parts of one run: a stand-in for the store in this process, and the
+// runners and the entries as separate processes.
 type testbed struct {
 	ctx     context.Context
 	rng     *rand.Rand
@@ -62,15 +61,16 @@
 	srv := httptest.NewServer(platformtest.StoreHandler(tb.store))
 	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
 	tb.configure(t)
+	network := nextNetwork.Add(1)
+	ip := func(host int) string { return fmt.Sprintf("127.%d.%d.%d", processNetwork, network, host) }
 	for i := range runnerCount {
-		tb.runners = append(tb.runners, tb.addRunner(t, fmt.Sprintf("desk-%d", i)))
+		address := fmt.Sprintf("%s:%d", ip(1+entryCount+i), runnerPort)
+		tb.runners = append(tb.runners, tb.addRunner(t, fmt.Sprintf("desk-%d", i), address))
 	}
-	network := nextNetwork.Add(1)
 	// With every other seed the owner calls no runner itself.
 	maxDirectRunners := (seed % 2) * runnerCount * 2
 	for i := range entryCount {
-		ip := fmt.Sprintf("127.%d.%d.%d", processNetwork, network, i+1)
-		tb.entries = append(tb.entries, newEntry(t, binary, dir, fmt.Sprintf("e%d", i), ip, strings.TrimPrefix(srv.URL, "http://"), maxDirectRunners))
+		tb.entries = append(tb.entries, newEntry(t, binary, dir, fmt.Sprintf("e%d", i), ip(i+1), strings.TrimPrefix(srv.URL, "http://"), maxDirectRunners))
 	}
 	return tb
 }
@@ -96,23 +96,6 @@
 	}
 }
 
-// plan returns the behaviour of a task. The job's text is the duration of its
-// tasks in milliseconds.
-func (tb *testbed) plan(id fleet.TaskID) standin.TaskPlan {
-	plan := standin.TaskPlan{Needs: taskNeeds, Duration: 100 * time.Millisecond}
-	tb.history.withJob(id.Job, func(j *jobHistory) {
-		if j == nil {
-			return
-		}
-		ms, err := strconv.Atoi(j.spec.Text)
-		if err == nil {
-			plan.Duration = time.Duration(ms) * time.Millisecond
-		}
-		plan.Fails, plan.LongRunning = j.fails, j.spec.Steps[id.Step].LongRunning
-	})
-	return plan
-}
-
 // checkConfiguration records a violation if an entry does not serve the queue of
 // the newest configuration, or still serves the queue of the previous one.
 func (tb *testbed) checkConfiguration() {
