Soak: runners back under their ids take late calls and are cut off

Users saw TWICE with runners that were killed, came back under their ids and were cut off soon after, while long tasks ran. The soak had no restart that was cut off, no call that reached a later incarnation and no task longer than a lease.

The calls are carried out 0.2 to 10 s late, by the process that is up then. The owner's process is killed, stopped or paused meanwhile; tasks of 6 to 14 s are among the jobs. A run in which one of these did not occur fails. platform.log has faults, late calls and events of runs.

--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -36,22 +36,39 @@
 	name string
 	// submitted is the number of jobs submitted.
 	submitted int
+	// long is set if the client's jobs are long. maxPending is how many it keeps in
+	// hand, burst how many more it submits at once.
+	long              bool
+	maxPending, burst int
+	// cancelOdds is the number of polls of a job per cancellation.
+	cancelOdds int
 }
 
 func (tb *testbed) newClient(n int) *client {
 	return &client{
 		tb: tb, rng: rand.New(rand.NewSource(tb.rng.Int63())), name: fmt.Sprintf("%02d", n),
-		http: &http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		http:       &http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		maxPending: 6, cancelOdds: 60,
 	}
 }
 
+// newLongClient returns a client whose jobs outlast the leases of runners that are cut off.
+func (tb *testbed) newLongClient(n int) *client {
+	c := tb.newClient(clientCount + n)
+	c.long, c.maxPending, c.burst, c.cancelOdds = true, 2, 4, 400
+	return c
+}
+
 // run submits jobs until submitting is done. It polls them until they have ended
 // or tb.ctx is done.
 func (c *client) run(submitting context.Context) {
 	defer c.http.CloseIdleConnections()
 	var pending []fleet.JobID
 	for c.tb.ctx.Err() == nil && (submitting.Err() == nil || len(pending) > 0) {
-		if submitting.Err() == nil && len(pending) < 6 {
+		if submitting.Err() == nil && len(pending) < c.maxPending {
+			pending = append(pending, c.submit())
+		}
+		for range c.burstRequested() {
 			pending = append(pending, c.submit())
 		}
 		remaining := pending[:0]
@@ -65,9 +82,31 @@
 	}
 }
 
+// burstRequested returns the number of jobs to submit at once.
+func (c *client) burstRequested() int {
+	if !c.long {
+		return 0
+	}
+	select {
+	case <-c.tb.bursts:
+		return c.burst
+	default:
+		return 0
+	}
+}
+
+// drawLongJob draws a job whose tasks take 6 to 14 s: half of them longer than the longest
+// lease.
+func (c *client) drawLongJob() *jobHistory {
+	text := taskText{CPU: longTaskNeeds.CPU, DurationMS: int64(6000 + c.rng.Intn(8000))}
+	return &jobHistory{refused: true, spec: &fleet.JobSpec{Text: text.String(), Steps: []fleet.Step{{
+		Count: 2 + c.rng.Intn(3), Needs: longTaskNeeds, Estimate: time.Duration(text.DurationMS) * time.Millisecond,
+	}}}}
+}
+
 // drawJob draws a job of one to three steps.
 func (c *client) drawJob() *jobHistory {
-	text := taskText{DurationMS: int64(50 + c.rng.Intn(600))}
+	text := taskText{CPU: taskNeeds.CPU, DurationMS: int64(50 + c.rng.Intn(600))}
 	spec := &fleet.JobSpec{}
 	for i := range 1 + c.rng.Intn(3) {
 		step := fleet.Step{Count: 1 + c.rng.Intn(4), Needs: taskNeeds, Estimate: 300 * time.Millisecond}
@@ -89,6 +128,9 @@
 	c.submitted++
 	id := fleet.JobID(fmt.Sprintf("%s%014x", c.name, c.submitted))
 	j := c.drawJob()
+	if c.long {
+		j = c.drawLongJob()
+	}
 	c.tb.history.mu.Lock()
 	c.tb.history.jobs[id] = j
 	c.tb.history.mu.Unlock()
@@ -131,7 +173,7 @@
 	case !accepted:
 		c.send(id)
 		return false
-	case !cancelled && (c.rng.Intn(60) == 0 || longRunning && c.rng.Intn(15) == 0):
+	case !cancelled && (c.rng.Intn(c.cancelOdds) == 0 || longRunning && c.rng.Intn(15) == 0):
 		c.cancel(id)
 		return false
 	}
--- a/soak/coverage_test.go
+++ b/soak/coverage_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"encoding/json"
 	"sync"
 	"testing"
 
@@ -18,6 +19,14 @@
 	// that ended by a fault or a planned stop, and runnersCrashed that of incarnations of
 	// runners.
 	tenures, entriesEnded, runnersCrashed int
+	// longRunsStarted is the number of runs longer than the longest lease, runnersRestarted
+	// that of incarnations under the id of the one before, and runnersCut that of those
+	// that were cut off while they were up.
+	longRunsStarted, runnersRestarted, runnersCut int
+	// ownersDisrupted is the number of signals to owners beside restarts.
+	ownersDisrupted int
+	// late is the number of calls that were carried out by a later incarnation.
+	late [lateCallKinds]int
 }
 
 const (
@@ -41,6 +50,10 @@
 		switch {
 		case e.Started:
 			c.runsStarted++
+			var text taskText
+			if j := tb.history.jobs[e.Task.Job]; j != nil && json.Unmarshal([]byte(j.spec.Text), &text) == nil && text.DurationMS > maxLease.Milliseconds() {
+				c.longRunsStarted++
+			}
 		case !e.Acknowledged && e.Outcome == fleet.RunDone:
 			c.runsDone++
 		}
@@ -51,6 +64,16 @@
 		}
 	}
 	c.runnersCrashed = len(tb.history.crashes)
+	c.ownersDisrupted = int(tb.ownersDisrupted.Load())
+	for _, r := range tb.runners {
+		r.mu.Lock()
+		c.runnersRestarted += r.restarts
+		c.runnersCut += r.cuts
+		r.mu.Unlock()
+		for kind, n := range r.proxy.late.counts() {
+			c.late[kind] += n
+		}
+	}
 	for _, e := range tb.entries {
 		e.mu.Lock()
 		c.entriesEnded += e.ends
@@ -85,6 +108,17 @@
 	must.LessEq(t, c.runnersCrashed, crashing, must.Sprint("runners that crashed"))
 }
 
+// checkRestarts fails the test if a fault of a run with restarts did not occur.
+func (c coverage) checkRestarts(t *testing.T) {
+	t.Helper()
+	must.Positive(t, c.longRunsStarted, must.Sprint("long runs started"))
+	must.Positive(t, c.runnersRestarted, must.Sprint("runners that came back under their ids"))
+	must.Positive(t, c.runnersCut, must.Sprint("restarted runners that were cut off"))
+	must.Positive(t, c.ownersDisrupted, must.Sprint("owners disrupted"))
+	must.Positive(t, c.late[lateStart], must.Sprint("late starts"))
+	must.Positive(t, c.late[lateLease], must.Sprint("late polls with a deadline"))
+}
+
 // seriesCoverage adds up what happened in the runs of a series.
 type seriesCoverage struct {
 	mu   sync.Mutex
@@ -102,6 +136,13 @@
 	s.tenures += c.tenures
 	s.entriesEnded += c.entriesEnded
 	s.runnersCrashed += c.runnersCrashed
+	s.longRunsStarted += c.longRunsStarted
+	s.runnersRestarted += c.runnersRestarted
+	s.runnersCut += c.runnersCut
+	s.ownersDisrupted += c.ownersDisrupted
+	for kind, n := range c.late {
+		s.late[kind] += n
+	}
 }
 
 // check fails the test if too few owners were replaced in the series.
--- /dev/null
+++ b/soak/latecalls_test.go
@@ -0,0 +1,126 @@
+package soak_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/loop"
+)
+
+const (
+	// minLateness and maxLateness bound how late a call that was not answered is carried out,
+	// shortLateness every other one, so that many come soon after a restart.
+	minLateness   = 200 * time.Millisecond
+	shortLateness = 2500 * time.Millisecond
+	maxLateness   = 10 * time.Second
+	// lateCallTimeout is how long a late call waits for its answer: longer than any poll.
+	lateCallTimeout = 3 * time.Second
+	// lateCallRetry is how often a late call is tried while no process is up.
+	lateCallRetry = 20 * time.Millisecond
+)
+
+// lateCall is the kind of a call that a later incarnation of a runner has carried out.
+type lateCall int
+
+const (
+	lateStart lateCall = iota
+	lateLease
+	lateStop
+	otherLateCall
+	lateCallKinds
+)
+
+// lateCalls keeps calls to a runner back without an answer, and carries them out later at
+// whichever process of the runner is up then.
+type lateCalls struct {
+	runner *runnerHost
+	mu     sync.Mutex
+	rng    *rand.Rand
+	// carriedOut counts the calls that were carried out by another incarnation than the one
+	// that was up, or the last one that had been up, when they were sent.
+	carriedOut [lateCallKinds]int
+}
+
+// keep reads a call from a connection, of which some bytes have been read already, and
+// the rest of the connection. No byte is sent back.
+func (l *lateCalls) keep(from net.Conn, first []byte) {
+	r := bufio.NewReader(io.MultiReader(bytes.NewReader(first), from))
+	sentTo := l.runner.currentIncarnation()
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return // the caller gave up before the whole call was sent
+	}
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
+	l.runner.tb.wg.Go(func() { l.carryOut(req, body, sentTo) })
+	_, _ = io.Copy(io.Discard, r)
+}
+
+func (l *lateCalls) carryOut(req *http.Request, body []byte, sentTo fleet.Incarnation) {
+	ctx := l.runner.tb.ctx
+	latest := time.Now().Add(maxLateness)
+	_ = loop.Sleep(ctx, l.drawLateness())
+	for !l.runner.up() && time.Now().Before(latest) && loop.Sleep(ctx, lateCallRetry) == nil {
+	}
+	call, err := http.NewRequestWithContext(ctx, req.Method, "http://"+l.runner.address+req.URL.Path, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	call.Header, call.Close = req.Header, true
+	carriedOutBy := l.runner.currentIncarnation()
+	resp, err := (&http.Client{Timeout: lateCallTimeout}).Do(call)
+	if err != nil {
+		return // no process is up, or it ended
+	}
+	_ = resp.Body.Close()
+	l.runner.tb.log.Printf("%s (%d) answered %d to a call for %d: %s %s", l.runner.name, carriedOutBy, resp.StatusCode, sentTo, req.URL.Path, body)
+	if resp.StatusCode != http.StatusOK || carriedOutBy == sentTo {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.carriedOut[kindOfCall(req.URL.Path, body)]++
+}
+
+func (l *lateCalls) drawLateness() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := maxLateness
+	if l.rng.Intn(2) == 0 {
+		limit = shortLateness
+	}
+	return minLateness + time.Duration(l.rng.Int63n(int64(limit-minLateness)))
+}
+
+func kindOfCall(path string, body []byte) lateCall {
+	var poll struct {
+		LeaseDeadlineMS int64 `json:"deadline_ms"`
+	}
+	switch {
+	case path == "/run-start":
+		return lateStart
+	case path == "/run-stop":
+		return lateStop
+	case path == "/hold" && json.Unmarshal(body, &poll) == nil && poll.LeaseDeadlineMS > 0:
+		return lateLease
+	default:
+		return otherLateCall
+	}
+}
+
+// counts returns how many calls of each kind were carried out by a later incarnation.
+func (l *lateCalls) counts() [lateCallKinds]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.carriedOut
+}
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -24,7 +24,7 @@
 
 // entryProcess is an entry, whose process may be restarted.
 type entryProcess struct {
-	binary, settings, ip string
+	binary, settings, name, ip string
 	// maxDirectRunners is the number of runners up to which an owner calls them all
 	// itself.
 	maxDirectRunners int64
@@ -61,7 +61,7 @@
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = log.Close() })
 	p := &entryProcess{
-		binary: binary, settings: filepath.Join(dir, name+".settings"), ip: ip, log: log, maxDirectRunners: maxDirectRunners,
+		binary: binary, settings: filepath.Join(dir, name+".settings"), name: name, ip: ip, log: log, maxDirectRunners: maxDirectRunners,
 		storeProxy: newProxy(t, store), clientProxy: newProxy(t, fmt.Sprintf("%s:%d", ip, clientPort)),
 	}
 	text := fmt.Sprintf(settingsText, name, ip, clientPort, readyPort, peerPort, p.storeProxy.address())
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -27,9 +27,11 @@
 	// delay forwards all bytes after delayTime, even if the caller has closed the
 	// connection.
 	delay
+	// keepBack has calls carried out later, by lateCalls.
+	keepBack
 )
 
-var modeNames = [...]string{"forward", "reset", "drop requests", "drop answers", "drop all", "delay"}
+var modeNames = [...]string{"forward", "reset", "drop requests", "drop answers", "drop all", "delay", "keep back"}
 
 func (m mode) String() string { return modeNames[m] }
 
@@ -42,7 +44,9 @@
 	ln     net.Listener
 	target string
 	mode   atomic.Uint32
-	mu     sync.Mutex
+	// late keeps calls back in the mode keepBack; nil for all but runners.
+	late *lateCalls
+	mu   sync.Mutex
 	// modeChanged is when the mode was last set.
 	modeChanged time.Time
 	// refused holds the callers' addresses of connections for which the target
@@ -129,6 +133,13 @@
 		_ = from.Close()
 		return
 	}
+	if p.hasMode(keepBack) {
+		p.track(true, from)
+		defer p.track(false, from)
+		p.late.keep(from, nil)
+		_ = from.Close()
+		return
+	}
 	c, err := net.Dial("tcp", p.target)
 	if err != nil {
 		p.mu.Lock()
@@ -171,6 +182,11 @@
 			time.Sleep(delayTime)
 		}
 		lost = lost || p.hasMode(drop, dropAll)
+		if n > 0 && !lost && drop == dropRequests && p.hasMode(keepBack) {
+			p.late.keep(from, buffer[:n])
+			_ = to.CloseWrite()
+			return
+		}
 		if n > 0 && !lost {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				_ = from.Close()
--- a/soak/runner_test.go
+++ b/soak/runner_test.go
@@ -11,6 +11,7 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/loop"
 	"github.com/banyanrail/banyanrail/platform/platformtest"
+	"github.com/banyanrail/banyanrail/standin"
 	"github.com/banyanrail/banyanrail/storage"
 	"github.com/shoenig/test/must"
 )
@@ -22,12 +23,15 @@
 	reportExpiry   = 3 * reportInterval
 	// stopTime is how long a runner takes to stop a task.
 	stopTime = 100 * time.Millisecond
+	// maxLease is the longest lease that a runner grants.
+	maxLease = 10 * time.Second
 	service  = "desk"
 )
 
 var (
 	runnerCapacity = fleet.Capacity{CPU: 8000, Memory: 8000}
 	taskNeeds      = fleet.Capacity{CPU: 1000, Memory: 100}
+	longTaskNeeds  = fleet.Capacity{CPU: 400, Memory: 100}
 )
 
 // runnerHost runs one runner process after another at the same address.
@@ -41,11 +45,15 @@
 	id          fleet.RunnerID
 	incarnation fleet.Incarnation
 	process     *runnerProcess
+	// restarts is the number of incarnations under the id of the one before, cuts that of
+	// those which were cut off while they were up.
+	restarts, cuts int
 }
 
 func (tb *testbed) addRunner(t *testing.T, name, address string) *runnerHost {
 	t.Helper()
 	h := &runnerHost{tb: tb, name: name, address: address, proxy: newProxy(t, address)}
+	h.proxy.late = &lateCalls{runner: h, rng: rand.New(rand.NewSource(tb.seed + int64(len(tb.runners))))}
 	must.NoError(t, h.boot(true))
 	t.Cleanup(h.crash)
 	tb.wg.Go(func() { h.report(tb.ctx) })
@@ -60,17 +68,51 @@
 		return nil
 	}
 	h.boots++
-	if newID {
+	if !newID {
+		h.restarts++
+	} else {
 		h.id = fleet.RunnerID(fmt.Sprintf("%s-%d", h.name, h.boots))
 	}
 	h.incarnation = h.tb.newIncarnation()
 	var err error
 	h.process, err = startRunner(runnerSettings{
 		ID: h.id, Incarnation: h.incarnation, Address: h.address, ClockRate: 1 - 0.02*rand.Float64(),
-	}, h.tb.history.addRun)
+	}, h.addRun)
+	h.tb.log.Printf("%s (%d) started, error %v", h.id, h.incarnation, err)
 	return err
 }
 
+// currentIncarnation returns the incarnation that is up, or the last one that was.
+func (h *runnerHost) currentIncarnation() fleet.Incarnation {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.incarnation
+}
+
+// addRun records an event of a run.
+func (h *runnerHost) addRun(e standin.RunEvent) {
+	h.tb.history.addRun(e)
+	h.tb.log.Printf("%s (%d) %v attempt %d at %s: started %v, outcome %q, acknowledged %v, lease expired %v", e.Runner, e.Incarnation,
+		e.Task, e.Attempt, e.At.Format("15:04:05.000000"), e.Started, e.Outcome, e.Acknowledged, e.LeaseExpired)
+}
+
+// up reports whether a process of the runner is up.
+func (h *runnerHost) up() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.process != nil
+}
+
+// addCut counts that a restarted runner has been cut off.
+func (h *runnerHost) addCut() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.process != nil && h.restarts > 0 {
+		h.cuts++
+		h.tb.log.Printf("%s (%d) cut off", h.id, h.incarnation)
+	}
+}
+
 // newIncarnation returns the time in Unix milliseconds, or the next later one that no
 // runner has been given.
 func (tb *testbed) newIncarnation() fleet.Incarnation {
@@ -93,6 +135,7 @@
 	h.process.kill()
 	h.process = nil
 	h.tb.history.addCrash(h.incarnation)
+	h.tb.log.Printf("%s (%d) killed", h.id, h.incarnation)
 	h.proxy.resetAll()
 }
 
@@ -108,7 +151,7 @@
 			Instance: fleet.InstanceID(h.name),
 		})
 		h.mu.Unlock()
-		if up && err == nil && !h.proxy.hasMode(dropAll) {
+		if up && err == nil && !h.proxy.hasMode(dropAll, keepBack) {
 			h.storeRecord(ctx, id, value)
 			lastSeen[id] = time.Now()
 		}
--- a/soak/runnerprocess_test.go
+++ b/soak/runnerprocess_test.go
@@ -48,7 +48,7 @@
 
 // taskText is the text of a job: it tells the runners how the job's tasks behave.
 type taskText struct {
-	DurationMS         int64
+	DurationMS, CPU    int64
 	Fails, LongRunning bool
 }
 
@@ -118,7 +118,8 @@
 		if id, err := fleet.ParseTaskID(start.Task); err == nil {
 			t.mu.Lock()
 			t.plans[id] = standin.TaskPlan{
-				Needs: taskNeeds, Duration: time.Duration(text.DurationMS) * time.Millisecond, Fails: text.Fails, LongRunning: text.LongRunning,
+				Needs:    fleet.Capacity{CPU: text.CPU, Memory: taskNeeds.Memory},
+				Duration: time.Duration(text.DurationMS) * time.Millisecond, Fails: text.Fails, LongRunning: text.LongRunning,
 			}
 			t.mu.Unlock()
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -16,8 +16,9 @@
 )
 
 var (
-	seeds     = flag.Int("soak.seeds", 2, "runs")
-	firstSeed = flag.Int64("soak.seed", 1, "seed of the first run")
+	seeds     = flag.Int("soak.seeds", 2, "runs with faults of any kind")
+	restarts  = flag.Int("soak.restarts", 1, "runs with runners that restart and are cut off")
+	firstSeed = flag.Int64("soak.seed", 1, "seed of the first run of either kind")
 	parallel  = flag.Int("soak.parallel", 2, "concurrent runs, of five processes each")
 	logs      = flag.String("soak.logs", "", "folder for the logs of all runs")
 )
@@ -31,6 +32,10 @@
 	// lease ends at most 9 s after the last heartbeat; then follow a failover and
 	// the longest job.
 	settleTimeout = 25 * time.Second
+	// restartsSettleTimeout is the same after restarts: a call is carried out up to 12 s
+	// late and gives a lease of 10 s; then follow a failover and the longest job of 14 s,
+	// which may run once more from its start.
+	restartsSettleTimeout = 60 * time.Second
 )
 
 // regressions are seeds that found a fault, with its cause.
@@ -46,36 +51,43 @@
 	var series seriesCoverage
 	t.Cleanup(func() { series.check(t) })
 	running := make(chan struct{}, *parallel)
-	run := func(seed int64) {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+	run := func(seed int64, withRestarts bool) {
+		name := fmt.Sprintf("seed=%d", seed)
+		if withRestarts {
+			name = "restarts-" + name
+		}
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			running <- struct{}{}
 			defer func() { <-running }()
-			series.add(runSeed(t, seed, binary))
+			series.add(runSeed(t, seed, binary, logFolder(t, name), withRestarts))
 		})
 	}
+	for i := range *restarts {
+		run(*firstSeed+int64(i), true)
+	}
 	for seed := range regressions {
-		run(seed)
+		run(seed, false)
 	}
 	for i := range *seeds {
-		run(*firstSeed + int64(i))
+		run(*firstSeed+int64(i), false)
 	}
 }
 
-func logFolder(t *testing.T, seed int64) string {
+func logFolder(t *testing.T, run string) string {
 	t.Helper()
 	if *logs == "" {
 		return t.TempDir()
 	}
-	dir := filepath.Join(*logs, fmt.Sprint(seed))
+	dir := filepath.Join(*logs, run)
 	must.NoError(t, os.MkdirAll(dir, 0o700))
 	return dir
 }
 
 // runSeed runs one seed: clients submit jobs, faults begin and end, and after the
 // last fault all jobs have to end in the right state.
-func runSeed(t *testing.T, seed int64, binary string) coverage {
-	tb := newTestbed(t, seed, binary, logFolder(t, seed))
+func runSeed(t *testing.T, seed int64, binary, dir string, withRestarts bool) coverage {
+	tb := newTestbed(t, seed, binary, dir)
 	submitting, stop := context.WithCancel(tb.ctx)
 	defer stop()
 	var clients, faults sync.WaitGroup
@@ -83,8 +95,20 @@
 		c := tb.newClient(i)
 		clients.Go(func() { c.run(submitting) })
 	}
-	tb.sleep(warmUp)
-	drawn := tb.drawFaults(faultPeriod)
+	timeout := settleTimeout
+	var drawn []fault
+	if withRestarts {
+		timeout = restartsSettleTimeout
+		for i := range longClientCount {
+			c := tb.newLongClient(i)
+			clients.Go(func() { c.run(submitting) })
+		}
+		tb.sleep(warmUp)
+		faults.Go(func() { tb.injectAllRestarts(t) })
+	} else {
+		tb.sleep(warmUp)
+		drawn = tb.drawFaults(faultPeriod)
+	}
 	for _, f := range drawn {
 		t.Log(f)
 		faults.Go(func() {
@@ -100,8 +124,8 @@
 	go func() { clients.Wait(); close(clientsDone) }()
 	select {
 	case <-clientsDone:
-	case <-time.After(settleTimeout):
-		tb.history.addViolation("jobs have not ended %v after the last fault", settleTimeout)
+	case <-time.After(timeout):
+		tb.history.addViolation("jobs have not ended %v after the last fault", timeout)
 	}
 	_ = loop.Sleep(tb.ctx, time.Second)
 	tb.checkConfiguration()
@@ -114,6 +138,9 @@
 	}
 	t.Logf("%d jobs, %+v", len(tb.history.jobs), c)
 	c.check(t, drawn)
+	if withRestarts {
+		c.checkRestarts(t)
+	}
 	return c
 }
 
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"log"
 	"math/rand"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,15 +27,20 @@
 	entryCount  = 5
 	runnerCount = 6
 	clientCount = 5
+	// longClientCount is the number of clients of long jobs in runs with restarts.
+	longClientCount = 2
 )
 
 // testbed holds the parts of one run: a stand-in for the store in this process, and the
 // runners and the entries as separate processes.
 type testbed struct {
 	ctx     context.Context
+	seed    int64
 	rng     *rand.Rand
 	store   *standin.Store
 	history *history
+	// log is written to platform.log: faults, late calls and the events of runs.
+	log     *log.Logger
 	entries []*entryProcess
 	runners []*runnerHost
 	wg      sync.WaitGroup
@@ -43,6 +50,10 @@
 	version         atomic.Int64
 	publishing      sync.Mutex
 	lastIncarnation atomic.Int64
+	// bursts has a client of long jobs submit some at once.
+	bursts chan struct{}
+	// ownersDisrupted is the number of processes that got a signal while they owned the jobs.
+	ownersDisrupted atomic.Int64
 }
 
 // nextNetwork and processNetwork select the loopback addresses of a run:
@@ -56,8 +67,11 @@
 func newTestbed(t *testing.T, seed int64, binary, dir string) *testbed {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	tb := &testbed{ctx: ctx, rng: rand.New(rand.NewSource(seed)), store: standin.NewStore(), history: newHistory()}
-	t.Cleanup(func() { cancel(); tb.wg.Wait() })
+	tb := &testbed{ctx: ctx, seed: seed, bursts: make(chan struct{}), rng: rand.New(rand.NewSource(seed)), store: standin.NewStore(), history: newHistory()}
+	file, err := os.Create(filepath.Join(dir, "platform.log"))
+	must.NoError(t, err)
+	t.Cleanup(func() { cancel(); tb.wg.Wait(); _ = file.Close() })
+	tb.log = log.New(file, "", log.Ltime|log.Lmicroseconds|log.LUTC)
 	srv := httptest.NewServer(platformtest.StoreHandler(tb.store))
 	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
 	tb.configure(t)
