Soak: long jobs in bursts as calls are kept back

In runs with restarts, two of five clients submit short jobs and three long ones, some at once when a round begins.

--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
-	"github.com/banyanrail/banyanrail/loop"
 	"github.com/banyanrail/banyanrail/platform/platformtest"
 )
 
@@ -40,6 +39,8 @@
 	// hand, burst how many more it submits at once.
 	long              bool
 	maxPending, burst int
+	// bursts has the client submit a burst; nil if it never does.
+	bursts <-chan struct{}
 	// cancelOdds is the number of polls of a job per cancellation.
 	cancelOdds int
 }
@@ -52,11 +53,11 @@
 	}
 }
 
-// newLongClient returns a client whose jobs outlast the leases of runners that are cut off.
-func (tb *testbed) newLongClient(n int) *client {
-	c := tb.newClient(clientCount + n)
-	c.long, c.maxPending, c.burst, c.cancelOdds = true, 2, 4, 400
-	return c
+// submitLongJobs has the client submit jobs that outlast the leases of runners that are cut
+// off.
+func (c *client) submitLongJobs() {
+	c.long, c.maxPending, c.burst, c.cancelOdds = true, 1, 3, 400
+	c.bursts = c.tb.bursts
 }
 
 // run submits jobs until submitting is done. It polls them until they have ended
@@ -68,9 +69,6 @@
 		if submitting.Err() == nil && len(pending) < c.maxPending {
 			pending = append(pending, c.submit())
 		}
-		for range c.burstRequested() {
-			pending = append(pending, c.submit())
-		}
 		remaining := pending[:0]
 		for _, id := range pending {
 			if !c.advance(id) {
@@ -78,21 +76,23 @@
 			}
 		}
 		pending = remaining
-		_ = loop.Sleep(c.tb.ctx, time.Duration(20+c.rng.Intn(80))*time.Millisecond)
+		for range c.pause() {
+			pending = append(pending, c.submit())
+		}
 	}
 }
 
-// burstRequested returns the number of jobs to submit at once.
-func (c *client) burstRequested() int {
-	if !c.long {
-		return 0
-	}
+// pause waits, and returns the number of jobs to submit at once.
+func (c *client) pause() int {
+	t := time.NewTimer(time.Duration(20+c.rng.Intn(80)) * time.Millisecond)
+	defer t.Stop()
 	select {
-	case <-c.tb.bursts:
+	case <-c.bursts:
 		return c.burst
-	default:
-		return 0
+	case <-c.tb.ctx.Done():
+	case <-t.C:
 	}
+	return 0
 }
 
 // drawLongJob draws a job whose tasks take 6 to 14 s: half of them longer than the longest
--- a/soak/latecalls_test.go
+++ b/soak/latecalls_test.go
@@ -53,7 +53,7 @@
 // the rest of the connection. No byte is sent back.
 func (l *lateCalls) keep(from net.Conn, first []byte) {
 	r := bufio.NewReader(io.MultiReader(bytes.NewReader(first), from))
-	sentTo := l.runner.currentIncarnation()
+	sentTo, sentAt := l.runner.currentIncarnation(), time.Now()
 	req, err := http.ReadRequest(r)
 	if err != nil {
 		return // the caller gave up before the whole call was sent
@@ -62,28 +62,28 @@
 	if err != nil {
 		return
 	}
-	l.runner.tb.wg.Go(func() { l.carryOut(req, body, sentTo) })
+	l.runner.tb.wg.Go(func() { l.carryOut(req, body, sentTo, sentAt) })
 	_, _ = io.Copy(io.Discard, r)
 }
 
-func (l *lateCalls) carryOut(req *http.Request, body []byte, sentTo fleet.Incarnation) {
+func (l *lateCalls) carryOut(req *http.Request, body []byte, sentTo fleet.Incarnation, sentAt time.Time) {
 	ctx := l.runner.tb.ctx
-	latest := time.Now().Add(maxLateness)
 	_ = loop.Sleep(ctx, l.drawLateness())
-	for !l.runner.up() && time.Now().Before(latest) && loop.Sleep(ctx, lateCallRetry) == nil {
+	for !l.runner.up() && time.Since(sentAt) < maxLateness && loop.Sleep(ctx, lateCallRetry) == nil {
 	}
 	call, err := http.NewRequestWithContext(ctx, req.Method, "http://"+l.runner.address+req.URL.Path, bytes.NewReader(body))
 	if err != nil {
 		return
 	}
 	call.Header, call.Close = req.Header, true
-	carriedOutBy := l.runner.currentIncarnation()
+	carriedOutBy, at := l.runner.currentIncarnation(), time.Now()
 	resp, err := (&http.Client{Timeout: lateCallTimeout}).Do(call)
 	if err != nil {
 		return // no process is up, or it ended
 	}
 	_ = resp.Body.Close()
-	l.runner.tb.log.Printf("%s (%d) answered %d to a call for %d: %s %s", l.runner.name, carriedOutBy, resp.StatusCode, sentTo, req.URL.Path, body)
+	l.runner.tb.log.Printf("%s (%d) got at %s, %v late, a call for %d: %s %s, answer %d", l.runner.name, carriedOutBy,
+		at.UTC().Format("15:04:05.000000"), at.Sub(sentAt), sentTo, req.URL.Path, body, resp.StatusCode)
 	if resp.StatusCode != http.StatusOK || carriedOutBy == sentTo {
 		return
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -93,20 +93,18 @@
 	var clients, faults sync.WaitGroup
 	for i := range clientCount {
 		c := tb.newClient(i)
+		if withRestarts && i < longClientCount {
+			c.submitLongJobs()
+		}
 		clients.Go(func() { c.run(submitting) })
 	}
+	tb.sleep(warmUp)
 	timeout := settleTimeout
 	var drawn []fault
 	if withRestarts {
 		timeout = restartsSettleTimeout
-		for i := range longClientCount {
-			c := tb.newLongClient(i)
-			clients.Go(func() { c.run(submitting) })
-		}
-		tb.sleep(warmUp)
 		faults.Go(func() { tb.injectAllRestarts(t) })
 	} else {
-		tb.sleep(warmUp)
 		drawn = tb.drawFaults(faultPeriod)
 	}
 	for _, f := range drawn {
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -27,8 +27,9 @@
 	entryCount  = 5
 	runnerCount = 6
 	clientCount = 5
-	// longClientCount is the number of clients of long jobs in runs with restarts.
-	longClientCount = 2
+	// longClientCount is the number of clients of long jobs in runs with restarts, of
+	// clientCount.
+	longClientCount = 3
 )
 
 // testbed holds the parts of one run: a stand-in for the store in this process, and the
