--- a/reduce/jobs/incarnation.go
+++ b/reduce/jobs/incarnation.go
@@ -34,7 +34,12 @@
 	// last that is stored, and acknowledgedEnd of the last that was acknowledged
 	// to the runner.
 	lastEnd, storedEnd, acknowledgedEnd int64
-	health                              health
+	// heldEnds lists the ends that are not acknowledged yet although they are stored.
+	heldEnds []heldEnd
+	// forgottenEnd is the highest number in an acknowledgement for a former incarnation that
+	// this one may have got. It may forget ends up to this number before it lists them.
+	forgottenEnd int64
+	health       health
 	// noRoomUntil is until when no task is started after a refusal for lack of
 	// capacity.
 	noRoomUntil time.Time
@@ -73,6 +78,11 @@
 	return o.s.tenure.FormerOwnersActiveUntil().Add(o.maxStaleTime())
 }
 
+// formerCallableUntil returns until when calls of earlier owners may be carried out.
+func (o *ownership) formerCallableUntil() time.Time {
+	return o.s.tenure.FormerOwnersActiveUntil().Add(maxOrderAge + maxCallDelay)
+}
+
 // expectStaleLeases takes account of the calls decided for a runner's current incarnation
 // when another one was seen.
 func (o *ownership) expectStaleLeases(r *runner) {
@@ -129,6 +139,12 @@
 	return r.clock.Reading + t.Sub(r.clock.Sent).Milliseconds() + 1
 }
 
+// provesIncarnation reports whether a reading is of the known incarnation: the clock of one that
+// has begun since the last answer cannot have come that far.
+func (r *runner) provesIncarnation(c event.Clock) bool {
+	return r.clock.Reading > 0 && c.Reading > c.Received.Sub(r.clock.Sent).Milliseconds()
+}
+
 // readingExpired reports whether the reading of the runner's clock is too old for a start.
 func (r *runner) readingExpired(now time.Time) bool {
 	return now.Sub(r.clock.Received) > maxReadingAge
--- a/reduce/jobs/placement.go
+++ b/reduce/jobs/placement.go
@@ -150,9 +150,12 @@
 			continue
 		}
 		r := last
-		if r == nil || t.avoidRunner != "" || !o.feasible(st, r, gangShare{}) {
+		if r == nil || t.avoidRunner != "" || !t.mayStartOn(r) || !o.feasible(st, r, gangShare{}) {
 			r = o.chooseRunner(st, t, pass.usable, nil)
 		}
+		if r == nil && len(t.lateStarts) > 0 {
+			continue
+		}
 		if r == nil {
 			return false
 		}
@@ -179,7 +182,7 @@
 	var bestScore int64
 	for _, r := range usable {
 		share := extra[r]
-		if !o.feasible(st, r, share) {
+		if !t.mayStartOn(r) || !o.feasible(st, r, share) {
 			continue
 		}
 		score := o.score(st, t, r, share)
@@ -202,6 +205,9 @@
 	if r.trialJob != nil && r.trialJob != st.occ.job {
 		return false
 	}
+	if r.mayForgetEnds() && !st.spec.LongRunning {
+		return false
+	}
 	if !o.healthAllowsRun(r) || !r.free().Minus(share.used).Fits(st.spec.Reservation()) || !r.HasLabel(st.spec.Label) {
 		return false
 	}
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -46,8 +46,10 @@
 	// that began.
 	unreachable bool
 	silentSince time.Time
-	// acknowledged is the acknowledgement in the poll in flight.
+	// acknowledged is the acknowledgement in the poll in flight, and incarnation the one that
+	// it is meant for.
 	acknowledged int64
+	incarnation  fleet.Incarnation
 	// maybeRestarted is set from a sign that the runner may have restarted, such as a
 	// poll without an answer, until the next answer. Its clock and the numbers of its
 	// ended runs may have started anew, so polls carry neither deadline nor
@@ -62,10 +64,10 @@
 		return
 	}
 	o.lastPoll++
-	p.inFlight, p.number, p.sentAt, p.acknowledged = true, o.lastPoll, o.now(), 0
+	p.inFlight, p.number, p.sentAt, p.acknowledged, p.incarnation = true, o.lastPoll, o.now(), 0, r.Incarnation
 	o.touch(r)
-	if r.storedEnd > r.acknowledgedEnd && !p.maybeRestarted && o.now().Sub(p.answeredAt) <= maxAcknowledgeAge {
-		p.acknowledged = r.storedEnd
+	if last := r.acknowledgeable(o.now()); last > r.acknowledgedEnd && !p.maybeRestarted && o.now().Sub(p.answeredAt) <= maxAcknowledgeAge {
+		p.acknowledged = last
 	}
 	e := effect.PollRunner{
 		Epoch: o.epoch, Runner: r.ID, Address: r.Address, Number: p.number, Acknowledged: p.acknowledged,
@@ -73,7 +75,7 @@
 	}
 	if r.mayLease() {
 		e.LeaseDeadline = r.newLeaseDeadline(o.now())
-		if r.storedEnd >= r.lastEnd && len(r.runs)+r.strays > 0 && !r.readingExpired(o.now()) {
+		if r.storedEnd >= r.lastEnd && !r.holdsEnds(o.now()) && (len(r.runs)+r.strays > 0 || r.holdsTasks()) && !r.readingExpired(o.now()) {
 			e.Wait = o.pollWaitFor(r)
 		}
 	}
@@ -103,18 +105,20 @@
 // resolved.
 func (r *runner) needsPoll(now time.Time) bool {
 	switch {
-	case r.Address == "" || (!r.listed && len(r.runs) == 0 && !now.Before(r.unresolvedUntil)):
+	case r.Address == "" || (!r.listed && len(r.runs) == 0 && !now.Before(r.unresolvedUntil) && !r.holdsTasks()):
 		return false
-	case !r.fenced || len(r.runs)+r.strays > 0:
+	case !r.fenced || len(r.runs)+r.strays > 0 || r.holdsTasks():
 		return true
 	default:
-		return r.storedEnd < r.lastEnd || r.acknowledgedEnd < r.storedEnd
+		return r.storedEnd < r.lastEnd || r.acknowledgedEnd < r.acknowledgeable(now)
 	}
 }
 
 // pollWaitFor returns the longest wait of a long poll of a runner.
 func (o *ownership) pollWaitFor(r *runner) time.Duration {
 	switch {
+	case r.awaitsBar():
+		return lateStartPollWait
 	case r.trialJob != nil || o.now().Before(r.reservedUntil):
 		return crashes.SettleTime
 	case r.mixesBestEffort():
@@ -158,6 +162,7 @@
 	o.processEnds(r, b.Ended)
 	if len(b.Ended) < endsPerPoll {
 		o.reconcileRuns(r, b.Running, sent)
+		o.settleLateStarts(r, b.Running, sent)
 		o.resolveRuns(r, sent)
 		o.restartStragglers(r)
 	}
@@ -175,17 +180,16 @@
 // noteIncarnation takes account of the incarnation that answered a poll. It returns false for
 // a former one, which answered before it ended.
 func (o *ownership) noteIncarnation(r *runner, seen fleet.Incarnation) bool {
-	switch {
-	case r.Incarnation == 0 || seen == 0 || seen == r.Incarnation:
-		r.acknowledgedEnd = max(r.acknowledgedEnd, r.poll.acknowledged)
-	case seen < r.Incarnation:
+	if seen != 0 && seen < r.Incarnation {
 		return false
-	default:
+	}
+	if r.Incarnation != 0 && seen > r.Incarnation {
 		o.onRunnerRestarted(r, seen)
 	}
 	if seen != 0 {
 		r.Incarnation = seen
 	}
+	o.noteAcknowledged(r, seen)
 	return true
 }
 
@@ -199,6 +203,9 @@
 		return
 	}
 	r.poll.notBefore = time.Time{}
+	if r.holdsEnds(o.now()) {
+		r.poll.notBefore = o.now().Add(heldEndsPollDelay)
+	}
 	o.pollIfDue(r)
 }
 
@@ -237,6 +244,9 @@
 	o.touch(r)
 	if r.storedEnd >= r.lastEnd {
 		r.poll.notBefore = time.Time{}
+		if r.holdsEnds(o.now()) {
+			r.poll.notBefore = r.poll.answeredAt.Add(heldEndsPollDelay)
+		}
 		o.pollIfDue(r)
 	}
 }
@@ -272,6 +282,9 @@
 		t.checkpoint = e.Checkpoint
 	}
 	o.releaseRun(run)
+	if run.mayStartLate {
+		r.holdEnd(e.Number, run.startableUntil)
+	}
 	o.recordEnd(run, e.Outcome)
 	o.updateHealth(r, run, e.Outcome)
 	o.recordRunTime(run, e.Outcome)
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -42,7 +42,9 @@
 	// leased is set once this owner has granted a lease to any incarnation.
 	leased bool
 	// lateStarts lists the starts of runs that were given up which may still be carried out.
-	lateStarts []lateStart
+	lateStarts []*lateStart
+	// leasableUntil is until when a call of this owner that grants a lease may be carried out.
+	leasableUntil time.Time
 	// strays is the number of runs of no task of this owner that the runner last listed. It
 	// stops them; what they take until then is not known.
 	strays int
@@ -156,7 +158,7 @@
 // nothing.
 func (o *ownership) dropGoneRunners() {
 	for _, r := range slices.Clone(o.sortedRunners) {
-		if !r.listed && len(r.runs) == 0 && r.Address == "" {
+		if !r.listed && len(r.runs) == 0 && r.Address == "" && !r.holdsTasks() {
 			o.dropRunner(r)
 		}
 	}
@@ -221,7 +223,13 @@
 // the runner's last known incarnation runs no task any more.
 func (o *ownership) onRunnerGone(r *runner, reason effect.Reason) {
 	if len(r.runs) > 0 {
-		o.s.logDecision(effect.Decision{Name: "runs lost", Warning: true, Runner: r.ID, Reason: reason, Count: len(r.runs), Epoch: o.epoch})
+		d := effect.Decision{
+			Name: "runs lost", Warning: true, Runner: r.ID, Incarnation: r.Incarnation, Reason: reason, Count: len(r.runs), Epoch: o.epoch,
+		}
+		if reason == reasonLeaseExpired {
+			d.Outcome, d.Age = o.lastLease(r), o.now().Sub(latest(r.aliveAt, o.startedAt))
+		}
+		o.s.logDecision(d)
 	}
 	if reason == reasonReplaced {
 		o.onRunnerReplaced(r)
@@ -229,6 +237,9 @@
 	for _, run := range r.runsWhere(func(*run) bool { return true }) {
 		o.loseRun(run, reason)
 	}
+	if reason == reasonReplaced {
+		o.dropLateStarts(r)
+	}
 	o.touch(r)
 	if reason == reasonLeaseExpired {
 		// The same incarnation may answer again and list its ended runs.
@@ -294,6 +305,7 @@
 func (r *runner) newLeaseDeadline(now time.Time) int64 {
 	d := r.earliestClock(now) + leaseDuration.Milliseconds()
 	r.leaseDeadline, r.leased = max(r.leaseDeadline, d), true
+	r.leasableUntil = now.Add(maxOrderAge + maxCallDelay)
 	return d
 }
 
@@ -304,6 +316,24 @@
 // leasesExpireAt returns when the last lease that any owner granted to the runner
 // expires if the runner has the slowest clock.
 func (o *ownership) leasesExpireAt(r *runner) time.Time {
+	return latest(o.currentLeasesExpireAt(r), r.staleLeasesExpireAt())
+}
+
+// lastLease tells which leases of a runner are the last to expire.
+func (o *ownership) lastLease(r *runner) string {
+	switch {
+	case r.staleLeasesExpireAt().After(o.currentLeasesExpireAt(r)):
+		return "leases by calls for former incarnations"
+	case r.fenced && r.clock.Reading > 0 && r.leaseDeadline > 0:
+		return "leases of this owner"
+	default:
+		return "leases of former owners"
+	}
+}
+
+// currentLeasesExpireAt returns when the leases expire that were granted to the incarnation
+// that the owner knows.
+func (o *ownership) currentLeasesExpireAt(r *runner) time.Time {
 	var at time.Time
 	switch {
 	case !r.fenced || r.clock.Reading == 0:
@@ -315,7 +345,7 @@
 		left := time.Duration(r.leaseDeadline-r.clock.Reading) * time.Millisecond
 		at = r.clock.Received.Add(onSlowestClock(left))
 	}
-	return latest(at, r.staleLeasesExpireAt())
+	return at
 }
 
 func latest(a, b time.Time) time.Time {
--- a/reduce/jobs/runner_test.go
+++ b/reduce/jobs/runner_test.go
@@ -49,6 +49,12 @@
 	// gets meanwhile are in held: the next incarnation carries them out.
 	dark bool
 	held []func()
+	// lossShare is the share of calls without an answer that are carried out late, if at all.
+	lossShare float64
+	// answeredPoll is set once this incarnation has answered a poll.
+	answeredPoll bool
+	// formerEntry, if set, is what the list still shows of the runner's former incarnation.
+	formerEntry *fleet.Runner
 	// crashCount is the number of crashes of the runner, and crashedAt when it last
 	// crashed.
 	crashCount int
@@ -60,6 +66,8 @@
 	began   time.Time
 	length  time.Duration
 	stopped bool
+	// pace is the share at which the run works, in percent.
+	pace int
 }
 
 // runnerCapacity is the capacity of a runner, enough for 20 tasks with taskNeeds.
@@ -86,7 +94,7 @@
 	r.endedAt = make(map[int64]time.Time)
 	r.runs = make(map[fleet.TaskID]*fakeRun)
 	r.highestAttempt = make(map[fleet.TaskID]int64)
-	r.dark = false
+	r.dark, r.answeredPoll = false, false
 	for _, do := range r.held {
 		r.w.after(r.w.latency(), do)
 	}
@@ -108,11 +116,11 @@
 func (w *world) listed() []fleet.Runner {
 	var out []fleet.Runner
 	for _, r := range w.runners {
-		if (r.up || r.w.now.Sub(r.crashedAt) < r.w.listLag) && !r.unreachable {
-			out = append(out, fleet.Runner{
-				ID: r.id, Incarnation: r.incarnation(), Service: r.service, Address: r.address, Capacity: r.capacity,
-				Draining: r.draining, Instance: r.instance, Labels: r.labels, Rack: r.rack,
-			})
+		switch {
+		case r.formerEntry != nil:
+			out = append(out, *r.formerEntry)
+		case (r.up || r.w.now.Sub(r.crashedAt) < r.w.listLag) && !r.unreachable:
+			out = append(out, r.entry())
 		}
 	}
 	slices.SortFunc(out, func(a, b fleet.Runner) int {
@@ -124,6 +132,14 @@
 	return out
 }
 
+// entry returns what the list shows of the runner.
+func (r *fakeRunner) entry() fleet.Runner {
+	return fleet.Runner{
+		ID: r.id, Incarnation: r.incarnation(), Service: r.service, Address: r.address, Capacity: r.capacity,
+		Draining: r.draining, Instance: r.instance, Labels: r.labels, Rack: r.rack,
+	}
+}
+
 func (r *fakeRunner) incarnation() fleet.Incarnation { return fleet.Incarnation(r.born.UnixMilli()) }
 
 func (r *fakeRunner) clock() int64 {
@@ -176,6 +192,9 @@
 	r.w.trace("%s ends %v attempt %d %s as %d", r.id, id, run.attempt, outcome, r.lastEnd)
 	r.endedAt[r.lastEnd] = r.w.now
 	r.ends = append(r.ends, fleet.EndedTask{Number: r.lastEnd, Task: id, Attempt: run.attempt, Outcome: outcome})
+	if r.w.forgetsLaterEnds {
+		r.acknowledgeEnds(0)
+	}
 }
 
 // begin carries out an order to start a task.
@@ -205,9 +224,12 @@
 	}
 	r.checkStart(o)
 	r.w.starts++
+	if o.Incarnation != r.incarnation() {
+		r.w.strayStarts++
+	}
 	r.w.trace("%s starts %v attempt %d fence %d deadline %d clock %d", r.id, o.Task, o.Attempt, o.Epoch, o.LeaseDeadline, r.clock())
 	r.w.history(o.Task).running++
-	run := &fakeRun{attempt: o.Attempt, began: r.w.now, length: r.w.taskLength(o.Task)}
+	run := &fakeRun{attempt: o.Attempt, began: r.w.now, length: r.w.taskLength(o.Task), pace: 100}
 	r.runs[o.Task] = run
 	outcome, length := fleet.RunDone, run.length
 	if r.w.failsAlways(o.Task) {
@@ -288,10 +310,37 @@
 	return event.OrderDone
 }
 
+// setPace carries out an order about the pace of a run.
+func (r *fakeRunner) setPace(o effect.OrderTask) event.OrderOutcome {
+	if o.Epoch < r.fence {
+		return event.OrderFenced
+	}
+	r.fence = o.Epoch
+	if run, ok := r.runs[o.Task]; ok && run.attempt == o.Attempt {
+		run.pace = o.Percent
+	}
+	return event.OrderDone
+}
+
+// carryOut carries out an order.
+func (r *fakeRunner) carryOut(o effect.OrderTask) event.OrderOutcome {
+	switch o.Kind {
+	case effect.OrderStart:
+		return r.begin(o)
+	case effect.OrderPace:
+		return r.setPace(o)
+	default:
+		return r.stop(o)
+	}
+}
+
 // checkStop checks the stop of a long-running task against the MaxUnavailable of
 // its step.
 func (w *world) checkStop(r *fakeRunner, id fleet.TaskID) {
 	step := &w.submitted[id.Job].Steps[id.Step]
+	if w.heldUp {
+		return // the order was decided earlier
+	}
 	if _, cancelled := w.cancelledAt[id.Job]; cancelled || !step.LongRunning || r.draining || w.cancelling[id.Job] || w.mayBeGivenUp(id.Job) {
 		return
 	}
@@ -344,12 +393,15 @@
 	var born time.Time
 	if r := w.runners[o.Runner]; r != nil {
 		born = r.born
+		if via.losesCall(r) {
+			w.carryOutLate(r, o.Epoch, func() { r.carryOut(o) })
+			post(orderTimeout, unknown)
+			return
+		}
 		if r.dark {
 			r.held = append(r.held, func() {
-				if r.up && o.Kind == effect.OrderStart {
-					r.begin(o)
-				} else if r.up {
-					r.stop(o)
+				if r.up {
+					r.carryOut(o)
 				}
 			})
 			post(orderTimeout, unknown)
@@ -366,15 +418,10 @@
 			return event.OrderOtherIncarnation, other
 		}
 		r := via.reachable(o.Runner)
-		if r == nil || !r.born.Equal(born) {
-			// Nothing keeps a start from an incarnation that no owner has seen, so drawn
-			// histories leave late orders to later incarnations out.
+		if r == nil || (!r.born.Equal(born) && !w.ordersReachNext) {
 			return event.OrderUnknown, nil
 		}
-		if o.Kind == effect.OrderStart {
-			return r.begin(o), r
-		}
-		return r.stop(o), r
+		return r.carryOut(o), r
 	}
 	if w.rng.Float64() < w.lossShare {
 		// The order is lost, carried out without an answer, or carried out late.
@@ -396,6 +443,35 @@
 	})
 }
 
+// losesCall reports whether a call that reaches a runner gets no answer.
+func (e *fakeEntry) losesCall(r *fakeRunner) bool {
+	return r.lossShare > 0 && !r.unreachable && !e.cutRunners[r.id] && e.w.rng.Float64() < r.lossShare
+}
+
+// longestDelay is the longest time after which a call without an answer is carried out.
+const longestDelay = 12 * time.Second
+
+// carryOutLate carries out a call of an epoch without an answer at the incarnation of a runner
+// that is up some time later: two thirds of the calls up to longestDelay later, and half of
+// the others at once.
+func (w *world) carryOutLate(r *fakeRunner, epoch int64, do func()) {
+	d := w.latency()
+	switch w.rng.Intn(6) {
+	case 0:
+		return
+	case 1:
+	default:
+		d = time.Duration(50+w.rng.Int63n(longestDelay.Milliseconds()-50)) * time.Millisecond
+	}
+	w.after(d, func() {
+		if r.up && w.runners[r.id] == r && epoch >= r.fence {
+			w.heldUp = true
+			do()
+			w.heldUp = false
+		}
+	})
+}
+
 func (e *fakeEntry) pollRunner(poll effect.PollRunner, via *fakeEntry, post func(time.Duration, event.Body)) {
 	out := event.RunnerPolled{Epoch: poll.Epoch, Runner: poll.Runner, Number: poll.Number, Outcome: event.OrderUnknown}
 	w, sent := e.w, e.w.now
@@ -404,6 +480,18 @@
 		post(0, out)
 		return
 	}
+	if r := w.runners[poll.Runner]; r != nil && via.losesCall(r) {
+		born := r.born
+		w.carryOutLate(r, poll.Epoch, func() {
+			late := poll
+			if w.noStrayAcks && !r.born.Equal(born) {
+				late.Acknowledged = 0
+			}
+			r.takePoll(late)
+		})
+		post(poll.Wait+orderTimeout, out)
+		return
+	}
 	w.after(w.latency(), func() {
 		if via.otherAt(poll.Runner, poll.Address) != nil {
 			out.Outcome = event.OrderOtherIncarnation
@@ -444,7 +532,9 @@
 	if poll.LeaseDeadline > 0 {
 		r.extendLease(poll.LeaseDeadline)
 	}
-	r.acknowledgeEnds(poll.Acknowledged)
+	if r.answeredPoll || !r.w.noStrayAcks {
+		r.acknowledgeEnds(poll.Acknowledged)
+	}
 }
 
 // answerPoll answers a long poll immediately if there are ended runs, otherwise
@@ -464,6 +554,7 @@
 		return
 	}
 	out.Outcome, out.Incarnation = event.OrderDone, r.incarnation()
+	r.answeredPoll = true
 	for _, id := range r.taskIDs() {
 		run := r.runs[id]
 		percent := 100
@@ -473,7 +564,11 @@
 		if r.stalled {
 			percent = 1
 		}
-		out.Running = append(out.Running, fleet.RunningTask{Task: id, Attempt: run.attempt, Percent: percent})
+		row := fleet.RunningTask{Task: id, Attempt: run.attempt, Percent: percent}
+		if w.load != nil {
+			row.Load = w.load(id)
+		}
+		out.Running = append(out.Running, row)
 	}
 	out.Ended = slices.Clone(r.ends)
 	out.Clock = event.Clock{Reading: r.clock(), Sent: sent, Received: w.now.Add(time.Millisecond)}
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -42,6 +42,8 @@
 	// starts and doneRuns are the numbers of runs that runners started, and that
 	// succeeded.
 	starts, doneRuns int
+	// strayStarts is the number of runs that runners started by orders for other incarnations.
+	strayStarts int
 	// onEffect is called for every effect of every entry. It returns whether the
 	// effect is carried out.
 	onEffect func(e *fakeEntry, out effect.Effect) bool
@@ -100,8 +102,18 @@
 	endDelay time.Duration
 	// statusRetention is how long the entries keep the final states of jobs.
 	statusRetention time.Duration
+	// ordersReachNext lets orders that are carried out late reach another incarnation of
+	// their runner. noStrayAcks leaves acknowledgements out of the polls that do.
+	ordersReachNext, noStrayAcks bool
+	// heldUp is set while a call that was held up is carried out.
+	heldUp bool
 	// clockRate is the rate of all runners' clocks; zero for drawn ones.
 	clockRate float64
+	// forgetsLaterEnds makes runners forget ends that come after an acknowledgement of their
+	// numbers before they list them.
+	forgetsLaterEnds bool
+	// load, if set, returns the load of a run that runners report.
+	load func(fleet.TaskID) int64
 }
 
 // taskHistory is the number of runs of a task that are running, and the outcomes
