--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -36,7 +36,7 @@
 	// submitted is the number of jobs submitted.
 	submitted int
 	// long is set if the client's jobs are long. maxPending is how many it keeps in
-	// hand, burst how many more it submits at once.
+	// hand, burst how many more it submits at once; one may be cancelled then.
 	long              bool
 	maxPending, burst int
 	// bursts has the client submit a burst; nil if it never does.
@@ -76,23 +76,28 @@
 			}
 		}
 		pending = remaining
-		for range c.pause() {
-			pending = append(pending, c.submit())
+		if c.pause() {
+			if len(pending) > 0 && c.rng.Intn(2) == 0 {
+				c.cancel(pending[0])
+			}
+			for range c.burst {
+				pending = append(pending, c.submit())
+			}
 		}
 	}
 }
 
-// pause waits, and returns the number of jobs to submit at once.
-func (c *client) pause() int {
+// pause waits, and reports whether a burst is to be submitted.
+func (c *client) pause() bool {
 	t := time.NewTimer(time.Duration(20+c.rng.Intn(80)) * time.Millisecond)
 	defer t.Stop()
 	select {
 	case <-c.bursts:
-		return c.burst
+		return true
 	case <-c.tb.ctx.Done():
 	case <-t.C:
 	}
-	return 0
+	return false
 }
 
 // drawLongJob draws a job whose tasks take 6 to 14 s: half of them longer than the longest
--- a/soak/coverage_test.go
+++ b/soak/coverage_test.go
@@ -117,6 +117,7 @@
 	must.Positive(t, c.ownersDisrupted, must.Sprint("owners disrupted"))
 	must.Positive(t, c.late[lateStart], must.Sprint("late starts"))
 	must.Positive(t, c.late[lateLease], must.Sprint("late polls with a deadline"))
+	must.Positive(t, c.late[lateStop], must.Sprint("late stops"))
 }
 
 // seriesCoverage adds up what happened in the runs of a series.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -45,41 +47,51 @@
 }
 
 func TestSoak(t *testing.T) {
+	t.Parallel()
+	list := slices.Sorted(maps.Keys(regressions))
+	for i := range *seeds {
+		list = append(list, *firstSeed+int64(i))
+	}
+	runSeries(t, list, false)
+}
+
+// TestSoakWithRestarts: tasks ran twice after runners had come back under their ids and had
+// been cut off soon after.
+func TestSoakWithRestarts(t *testing.T) {
+	t.Parallel()
+	var list []int64
+	for i := range *restarts {
+		list = append(list, *firstSeed+int64(i))
+	}
+	runSeries(t, list, true)
+}
+
+// running limits the concurrent runs of all tests.
+var running = sync.OnceValue(func() chan struct{} { return make(chan struct{}, *parallel) })
+
+func runSeries(t *testing.T, seeds []int64, withRestarts bool) {
+	t.Helper()
 	binary := filepath.Join(t.TempDir(), "banyanrail-entry")
 	out, err := exec.Command("go", "build", "-o", binary, "../cmd/banyanrail-entry").CombinedOutput()
 	must.NoError(t, err, must.Sprint(string(out)))
-	var series seriesCoverage
+	series := &seriesCoverage{}
 	t.Cleanup(func() { series.check(t) })
-	running := make(chan struct{}, *parallel)
-	run := func(seed int64, withRestarts bool) {
-		name := fmt.Sprintf("seed=%d", seed)
-		if withRestarts {
-			name = "restarts-" + name
-		}
-		t.Run(name, func(t *testing.T) {
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
-			running <- struct{}{}
-			defer func() { <-running }()
-			series.add(runSeed(t, seed, binary, logFolder(t, name), withRestarts))
+			running() <- struct{}{}
+			defer func() { <-running() }()
+			series.add(runSeed(t, seed, binary, logFolder(t), withRestarts))
 		})
 	}
-	for i := range *restarts {
-		run(*firstSeed+int64(i), true)
-	}
-	for seed := range regressions {
-		run(seed, false)
-	}
-	for i := range *seeds {
-		run(*firstSeed+int64(i), false)
-	}
 }
 
-func logFolder(t *testing.T, run string) string {
+func logFolder(t *testing.T) string {
 	t.Helper()
 	if *logs == "" {
 		return t.TempDir()
 	}
-	dir := filepath.Join(*logs, run)
+	dir := filepath.Join(*logs, t.Name())
 	must.NoError(t, os.MkdirAll(dir, 0o700))
 	return dir
 }
