--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
-	"github.com/banyanrail/banyanrail/loop"
 	"github.com/banyanrail/banyanrail/platform/platformtest"
 )
 
@@ -36,22 +35,38 @@
 	name string
 	// submitted is the number of jobs submitted.
 	submitted int
+	// long is set if the client's jobs are long. maxPending is how many it keeps in
+	// hand, burst how many more it submits at once; one may be cancelled then.
+	long              bool
+	maxPending, burst int
+	// bursts has the client submit a burst; nil if it never does.
+	bursts <-chan struct{}
+	// cancelOdds is the number of polls of a job per cancellation.
+	cancelOdds int
 }
 
 func (tb *testbed) newClient(n int) *client {
 	return &client{
 		tb: tb, rng: rand.New(rand.NewSource(tb.rng.Int63())), name: fmt.Sprintf("%02d", n),
-		http: &http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		http:       &http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		maxPending: 6, cancelOdds: 60,
 	}
 }
 
+// submitLongJobs has the client submit jobs that outlast the leases of runners that are cut
+// off.
+func (c *client) submitLongJobs() {
+	c.long, c.maxPending, c.burst, c.cancelOdds = true, 1, 3, 400
+	c.bursts = c.tb.bursts
+}
+
 // run submits jobs until submitting is done. It polls them until they have ended
 // or tb.ctx is done.
 func (c *client) run(submitting context.Context) {
 	defer c.http.CloseIdleConnections()
 	var pending []fleet.JobID
 	for c.tb.ctx.Err() == nil && (submitting.Err() == nil || len(pending) > 0) {
-		if submitting.Err() == nil && len(pending) < 6 {
+		if submitting.Err() == nil && len(pending) < c.maxPending {
 			pending = append(pending, c.submit())
 		}
 		remaining := pending[:0]
@@ -61,13 +76,43 @@
 			}
 		}
 		pending = remaining
-		_ = loop.Sleep(c.tb.ctx, time.Duration(20+c.rng.Intn(80))*time.Millisecond)
+		if c.pause() {
+			if len(pending) > 0 && c.rng.Intn(2) == 0 {
+				c.cancel(pending[0])
+			}
+			for range c.burst {
+				pending = append(pending, c.submit())
+			}
+		}
+	}
+}
+
+// pause waits, and reports whether a burst is to be submitted.
+func (c *client) pause() bool {
+	t := time.NewTimer(time.Duration(20+c.rng.Intn(80)) * time.Millisecond)
+	defer t.Stop()
+	select {
+	case <-c.bursts:
+		return true
+	case <-c.tb.ctx.Done():
+	case <-t.C:
 	}
+	return false
 }
 
-// drawSpec draws a job of one to three steps.
-func (c *client) drawSpec() *fleet.JobSpec {
-	spec := &fleet.JobSpec{Text: fmt.Sprintf("%d", 50+c.rng.Intn(600))}
+// drawLongJob draws a job whose tasks take 6 to 14 s: half of them longer than the longest
+// lease.
+func (c *client) drawLongJob() *jobHistory {
+	text := taskText{CPU: longTaskNeeds.CPU, DurationMS: int64(6000 + c.rng.Intn(8000))}
+	return &jobHistory{refused: true, spec: &fleet.JobSpec{Text: text.String(), Steps: []fleet.Step{{
+		Count: 2 + c.rng.Intn(3), Needs: longTaskNeeds, Estimate: time.Duration(text.DurationMS) * time.Millisecond,
+	}}}}
+}
+
+// drawJob draws a job of one to three steps.
+func (c *client) drawJob() *jobHistory {
+	text := taskText{CPU: taskNeeds.CPU, DurationMS: int64(50 + c.rng.Intn(600))}
+	spec := &fleet.JobSpec{}
 	for i := range 1 + c.rng.Intn(3) {
 		step := fleet.Step{Count: 1 + c.rng.Intn(4), Needs: taskNeeds, Estimate: 300 * time.Millisecond}
 		if i > 0 {
@@ -77,14 +122,20 @@
 	}
 	if c.rng.Intn(12) == 0 {
 		spec.Steps = []fleet.Step{{Count: 3, Needs: taskNeeds, LongRunning: true, MaxUnavailable: 1}}
+		text.LongRunning = true
 	}
-	return spec
+	text.Fails = c.rng.Intn(15) == 0
+	spec.Text = text.String()
+	return &jobHistory{spec: spec, fails: text.Fails, refused: true}
 }
 
 func (c *client) submit() fleet.JobID {
 	c.submitted++
 	id := fleet.JobID(fmt.Sprintf("%s%014x", c.name, c.submitted))
-	j := &jobHistory{spec: c.drawSpec(), fails: c.rng.Intn(15) == 0, refused: true}
+	j := c.drawJob()
+	if c.long {
+		j = c.drawLongJob()
+	}
 	c.tb.history.mu.Lock()
 	c.tb.history.jobs[id] = j
 	c.tb.history.mu.Unlock()
@@ -127,7 +178,7 @@
 	case !accepted:
 		c.send(id)
 		return false
-	case !cancelled && (c.rng.Intn(60) == 0 || longRunning && c.rng.Intn(15) == 0):
+	case !cancelled && (c.rng.Intn(c.cancelOdds) == 0 || longRunning && c.rng.Intn(15) == 0):
 		c.cancel(id)
 		return false
 	}
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -13,8 +13,9 @@
 	"github.com/shoenig/test/must"
 )
 
-// Ports of an entry. Each entry has its own loopback address.
+// Ports of an entry and of a runner. Each has its own loopback address.
 const (
+	runnerPort  = 18599
 	clientPort  = 18600
 	readyPort   = 18601
 	metricsPort = 18602
@@ -23,7 +24,7 @@
 
 // entryProcess is an entry, whose process may be restarted.
 type entryProcess struct {
-	binary, settings, ip string
+	binary, settings, name, ip string
 	// maxDirectRunners is the number of runners up to which an owner calls them all
 	// itself.
 	maxDirectRunners int64
@@ -60,7 +61,7 @@
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = log.Close() })
 	p := &entryProcess{
-		binary: binary, settings: filepath.Join(dir, name+".settings"), ip: ip, log: log, maxDirectRunners: maxDirectRunners,
+		binary: binary, settings: filepath.Join(dir, name+".settings"), name: name, ip: ip, log: log, maxDirectRunners: maxDirectRunners,
 		storeProxy: newProxy(t, store), clientProxy: newProxy(t, fmt.Sprintf("%s:%d", ip, clientPort)),
 	}
 	text := fmt.Sprintf(settingsText, name, ip, clientPort, readyPort, peerPort, p.storeProxy.address())
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"log"
 	"math/rand"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"strconv"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -26,15 +27,21 @@
 	entryCount  = 5
 	runnerCount = 6
 	clientCount = 5
+	// longClientCount is the number of clients of long jobs in runs with restarts, of
+	// clientCount.
+	longClientCount = 3
 )
 
-// testbed holds the parts of one run: stand-ins for the store and the runners in
-// this process, and the entries as separate processes.
+// testbed holds the parts of one run: a stand-in for the store in this process, and the
+// runners and the entries as separate processes.
 type testbed struct {
 	ctx     context.Context
+	seed    int64
 	rng     *rand.Rand
 	store   *standin.Store
 	history *history
+	// log is written to platform.log: faults, late calls and the events of runs.
+	log     *log.Logger
 	entries []*entryProcess
 	runners []*runnerHost
 	wg      sync.WaitGroup
@@ -44,6 +51,10 @@
 	version         atomic.Int64
 	publishing      sync.Mutex
 	lastIncarnation atomic.Int64
+	// bursts has a client of long jobs submit some at once.
+	bursts chan struct{}
+	// ownersDisrupted is the number of processes that got a signal while they owned the jobs.
+	ownersDisrupted atomic.Int64
 }
 
 // nextNetwork and processNetwork select the loopback addresses of a run:
@@ -57,20 +68,24 @@
 func newTestbed(t *testing.T, seed int64, binary, dir string) *testbed {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	tb := &testbed{ctx: ctx, rng: rand.New(rand.NewSource(seed)), store: standin.NewStore(), history: newHistory()}
-	t.Cleanup(func() { cancel(); tb.wg.Wait() })
+	tb := &testbed{ctx: ctx, seed: seed, bursts: make(chan struct{}), rng: rand.New(rand.NewSource(seed)), store: standin.NewStore(), history: newHistory()}
+	file, err := os.Create(filepath.Join(dir, "platform.log"))
+	must.NoError(t, err)
+	t.Cleanup(func() { cancel(); tb.wg.Wait(); _ = file.Close() })
+	tb.log = log.New(file, "", log.Ltime|log.Lmicroseconds|log.LUTC)
 	srv := httptest.NewServer(platformtest.StoreHandler(tb.store))
 	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
 	tb.configure(t)
+	network := nextNetwork.Add(1)
+	ip := func(host int) string { return fmt.Sprintf("127.%d.%d.%d", processNetwork, network, host) }
 	for i := range runnerCount {
-		tb.runners = append(tb.runners, tb.addRunner(t, fmt.Sprintf("desk-%d", i)))
+		address := fmt.Sprintf("%s:%d", ip(1+entryCount+i), runnerPort)
+		tb.runners = append(tb.runners, tb.addRunner(t, fmt.Sprintf("desk-%d", i), address))
 	}
-	network := nextNetwork.Add(1)
 	// With every other seed the owner calls no runner itself.
 	maxDirectRunners := (seed % 2) * runnerCount * 2
 	for i := range entryCount {
-		ip := fmt.Sprintf("127.%d.%d.%d", processNetwork, network, i+1)
-		tb.entries = append(tb.entries, newEntry(t, binary, dir, fmt.Sprintf("e%d", i), ip, strings.TrimPrefix(srv.URL, "http://"), maxDirectRunners))
+		tb.entries = append(tb.entries, newEntry(t, binary, dir, fmt.Sprintf("e%d", i), ip(i+1), strings.TrimPrefix(srv.URL, "http://"), maxDirectRunners))
 	}
 	return tb
 }
@@ -96,23 +111,6 @@
 	}
 }
 
-// plan returns the behaviour of a task. The job's text is the duration of its
-// tasks in milliseconds.
-func (tb *testbed) plan(id fleet.TaskID) standin.TaskPlan {
-	plan := standin.TaskPlan{Needs: taskNeeds, Duration: 100 * time.Millisecond}
-	tb.history.withJob(id.Job, func(j *jobHistory) {
-		if j == nil {
-			return
-		}
-		ms, err := strconv.Atoi(j.spec.Text)
-		if err == nil {
-			plan.Duration = time.Duration(ms) * time.Millisecond
-		}
-		plan.Fails, plan.LongRunning = j.fails, j.spec.Steps[id.Step].LongRunning
-	})
-	return plan
-}
-
 // checkConfiguration records a violation if an entry does not serve the queue of
 // the newest configuration, or still serves the queue of the previous one.
 func (tb *testbed) checkConfiguration() {
