--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	go test -race $(SKIP) ./...
 
 soak: ## run processes under faults, longer history checks and waves under load; takes minutes
-	go test ./soak -count=1 -timeout 60m -soak.seeds 50 -soak.seed $(SEED) -soak.parallel 4
+	go test ./soak -count=1 -timeout 60m -soak.seeds 50 -soak.restarts 50 -soak.seed $(SEED) -soak.parallel 4
 	go test -run '^$$' -bench Move -benchtime 1x -timeout 20m ./dev
 	for step in 1 4 8; do go run ./cmd/banyanrail experiment wave --max-step $$step || exit 1; done
 	go test -run '^TestClaimHistory$$' -count=1 -timeout 30m -v ./dev -keys=$(KEYS) -entries=9 -rounds=10 -seed=$(SEED)
