--- a/soak/latecalls_test.go
+++ b/soak/latecalls_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"io"
 	"math/rand"
 	"net"
@@ -13,6 +12,7 @@
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/loop"
+	"github.com/banyanrail/banyanrail/platform/platformtest"
 )
 
 const (
@@ -131,15 +131,12 @@
 }
 
 func kindOfCall(path string, body []byte) lateCall {
-	var poll struct {
-		LeaseDeadlineMS int64 `json:"deadline_ms"`
-	}
-	switch {
-	case path == "/run-start":
+	switch platformtest.KindOfCall(path, body) {
+	case platformtest.CallStart:
 		return lateStart
-	case path == "/run-stop":
+	case platformtest.CallStop:
 		return lateStop
-	case path == "/hold" && json.Unmarshal(body, &poll) == nil && poll.LeaseDeadlineMS > 0:
+	case platformtest.CallLease:
 		return lateLease
 	default:
 		return otherLateCall
