Keys of tenants on the job path, from the configuration to the ledger

The job path knew no keys: a call with an unknown or withdrawn key was served. Entries now decide by the newest configuration and by how long ago a read of it was answered; an entry that cannot decide leaves it to the owner. A job keeps the name of its tenant in the ledger. Not measured yet.

--- a/cmd/banyanrail-entry/main.go
+++ b/cmd/banyanrail-entry/main.go
@@ -21,6 +21,7 @@
 	"github.com/banyanrail/banyanrail/loop"
 	"github.com/banyanrail/banyanrail/peer"
 	"github.com/banyanrail/banyanrail/platform"
+	"github.com/banyanrail/banyanrail/reduce/access"
 	"github.com/banyanrail/banyanrail/reduce/jobs"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
@@ -95,6 +96,7 @@
 		Bounds: jobs.Bounds{
 			MaxLease: p.MaxLease, RecordBytes: p.RecordBytes, CallBytes: p.CallBytes, InstanceLease: p.InstanceLease, MaintenanceTime: p.MaintenanceTime, StatusRetention: p.StatusRetention,
 			InstanceOrdersPerSecond: p.InstanceOrdersPerSecond, CanOrderInstances: p.InstancesAddress != "", HasAdvice: p.AdviceAddress != "",
+			Access: access.Config{Required: p.RequiresKeys, RevocationLimit: p.RevocationLimit, ApplyLimit: p.ApplyLimit},
 		},
 	}
 }
--- a/codec/ledger.go
+++ b/codec/ledger.go
@@ -130,6 +130,7 @@
 	MaxAttempts int               `json:"a,omitempty"`
 	Accepted    int64             `json:"t"`
 	Spec        json.RawMessage   `json:"s"`
+	Tenant      fleet.TenantName  `json:"n,omitempty"`
 }
 
 type progress struct {
@@ -267,7 +268,7 @@
 	}
 	d := r.Definition
 	raw, err := json.Marshal(definition{
-		Queue: d.Queue, Service: d.Service, MaxAttempts: d.MaxAttempts, Accepted: d.Accepted.UnixMilli(), Spec: spec,
+		Queue: d.Queue, Service: d.Service, MaxAttempts: d.MaxAttempts, Accepted: d.Accepted.UnixMilli(), Spec: spec, Tenant: d.Tenant,
 	})
 	return storage.Record{Key: definitionPrefix + string(r.Job), Value: raw}, oops.In("codec").With("step", "encode definition", "job", r.Job).Wrap(err)
 }
@@ -538,7 +539,7 @@
 	}
 	spec, err := DecodeSpec(w.Spec)
 	return &ledger.Definition{
-		Queue: w.Queue, Service: w.Service, MaxAttempts: w.MaxAttempts, Accepted: time.UnixMilli(w.Accepted), Spec: spec,
+		Queue: w.Queue, Service: w.Service, MaxAttempts: w.MaxAttempts, Accepted: time.UnixMilli(w.Accepted), Spec: spec, Tenant: w.Tenant,
 	}, err
 }
 
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -12,6 +12,7 @@
 	Version  int64
 	ByName   map[QueueName]*Queue
 	Services map[ServiceName]*JobService
+	Tenants  Tenants
 	hosts    map[string][]*Queue
 }
 
@@ -36,6 +37,8 @@
 	// RequiresAdvice is set when a step may start only on runners that the advice
 	// service names.
 	RequiresAdvice bool
+	// Public is set when calls need no key. The queue's jobs belong to no tenant.
+	Public bool
 }
 
 // JobService is a pool of runners.
--- a/jobentry/store.go
+++ b/jobentry/store.go
@@ -162,6 +162,9 @@
 	// handle receives the records; full is true if they are the newest record of
 	// every key.
 	handle func(page storage.Page, full bool)
+	// confirm, if set, receives the time at which a read was sent, after its records were
+	// handled.
+	confirm func(sent time.Time)
 	// onError receives the error of each failed read.
 	onError func(err error)
 }
@@ -169,6 +172,7 @@
 // follow reads a topic until the context ends.
 func (e *Entry) follow(ctx context.Context, f follower) {
 	for ctx.Err() == nil {
+		sent := e.deps.Clock()
 		page, err := e.deps.Store.Newest(ctx, f.topic)
 		if err != nil {
 			f.onError(err)
@@ -178,6 +182,7 @@
 			continue
 		}
 		f.handle(page, true)
+		f.confirmed(sent)
 		e.readContinuously(ctx, f, page.Next)
 	}
 }
@@ -186,6 +191,7 @@
 // offset have expired; the caller then reads the newest record of each key again.
 func (e *Entry) readContinuously(ctx context.Context, f follower, from fleet.Offset) {
 	for ctx.Err() == nil {
+		sent := e.deps.Clock()
 		page, err := e.deps.Store.Read(ctx, f.topic, from, f.wait)
 		switch {
 		case errors.Is(err, storage.ErrExpired):
@@ -199,12 +205,19 @@
 		}
 		from = page.Next
 		f.handle(page, false)
+		f.confirmed(sent)
 		if len(page.Records) > 0 && f.interval > 0 {
 			f.pause(ctx)
 		}
 	}
 }
 
+func (f *follower) confirmed(sent time.Time) {
+	if f.confirm != nil {
+		f.confirm(sent)
+	}
+}
+
 // pause waits for the interval between two reads, or until the follower is woken.
 func (f *follower) pause(ctx context.Context) {
 	t := time.NewTimer(f.interval)
@@ -243,6 +256,7 @@
 		topic:   storage.TopicOperators,
 		wait:    longPollWait,
 		handle:  func(page storage.Page, _ bool) { e.handleOperators(page.Records) },
+		confirm: func(sent time.Time) { e.post(event.QueuesConfirmed{At: sent}) },
 		onError: func(err error) { e.post(event.QueuesReadFailed{Reason: describe(err)}) },
 	})
 }
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -69,6 +69,7 @@
 func encodeCall(f *effect.Forward) (*peerpb.JobCall, error) {
 	req := &peerpb.JobCall{
 		Kind: uint32(f.Kind), Queue: string(f.Queue), Version: f.Version, Job: string(f.Job), PatienceMs: f.Timeout.Milliseconds(),
+		Key: f.Key, Verified: f.Verified, Tenant: string(f.Tenant),
 	}
 	if f.Spec == nil {
 		return req, nil
@@ -147,6 +148,7 @@
 	c := event.ClientCalled{
 		Forwarded: true, Queue: fleet.QueueName(req.GetQueue()), Version: req.GetVersion(), Kind: effect.CallKind(req.GetKind()),
 		Job: fleet.JobID(req.GetJob()), Timeout: time.Duration(req.GetPatienceMs()) * time.Millisecond,
+		Key: req.GetKey(), Verified: req.GetVerified(), Tenant: fleet.TenantName(req.GetTenant()),
 	}
 	if len(req.GetSpec()) > 0 {
 		spec, err := codec.DecodeSpec(req.GetSpec())
--- a/reduce/effect/jobs.go
+++ b/reduce/effect/jobs.go
@@ -116,6 +116,8 @@
 	// AnswerNotOwner means that the entry does not own the jobs and did nothing.
 	// The peer that forwarded the call has to determine the owner again.
 	AnswerNotOwner
+	// AnswerUnauthorized means that the call's key identifies no tenant.
+	AnswerUnauthorized
 )
 
 // CallAnswer is the answer to a client's call.
@@ -146,7 +148,12 @@
 	Version int64
 	Job     fleet.JobID
 	Spec    *fleet.JobSpec
-	Timeout time.Duration
+	// Key is the caller's API key. Verified is set when this entry has checked it, with
+	// Tenant as the result.
+	Key      string
+	Verified bool
+	Tenant   fleet.TenantName
+	Timeout  time.Duration
 }
 
 // OrderKind is the kind of an order about a task.
--- a/reduce/event/jobs.go
+++ b/reduce/event/jobs.go
@@ -40,6 +40,10 @@
 // QueuesRead reports a version of the configuration of queues.
 type QueuesRead struct{ Queues *fleet.Queues }
 
+// QueuesConfirmed reports that the newest configuration that was read is at least as new as
+// what the store held at a time, because a read that was sent then has been answered.
+type QueuesConfirmed struct{ At time.Time }
+
 // QueuesReadFailed reports that changes of the configuration could not be read.
 type QueuesReadFailed struct{ Reason string }
 
@@ -112,6 +116,12 @@
 	Kind      effect.CallKind
 	Job       fleet.JobID
 	Spec      *fleet.JobSpec
+	// Key is the caller's API key; empty if the call carries none.
+	Key string
+	// Verified is set when the forwarding entry has checked the key. Tenant is the
+	// result; it is empty for calls to public queues.
+	Verified bool
+	Tenant   fleet.TenantName
 	// Timeout is how long the client waits from Received on; zero means the queue's
 	// limit.
 	Timeout time.Duration
@@ -265,6 +275,7 @@
 func (TenureReadFailed) isEvent()  {}
 func (TenureAppended) isEvent()    {}
 func (QueuesRead) isEvent()        {}
+func (QueuesConfirmed) isEvent()   {}
 func (QueuesReadFailed) isEvent()  {}
 func (WavesRead) isEvent()         {}
 func (RunnersRead) isEvent()       {}
@@ -290,6 +301,7 @@
 func (TenureReadFailed) isJob()  {}
 func (TenureAppended) isJob()    {}
 func (QueuesRead) isJob()        {}
+func (QueuesConfirmed) isJob()   {}
 func (QueuesReadFailed) isJob()  {}
 func (WavesRead) isJob()         {}
 func (RunnersRead) isJob()       {}
--- a/reduce/jobs/calls.go
+++ b/reduce/jobs/calls.go
@@ -51,6 +51,7 @@
 	reasonExpired         effect.Reason = "the client's time limit had passed"
 	reasonNoAnswer        effect.Reason = "the owner did not answer"
 	reasonUnknownQueue    effect.Reason = "no such queue"
+	reasonQueuesOutdated  effect.Reason = "the configuration may be out of date"
 	reasonInvalidID       effect.Reason = "not a job id"
 	reasonInvalidJob      effect.Reason = "not a job"
 	reasonTooLarge        effect.Reason = "the job is too large to be stored"
@@ -162,11 +163,18 @@
 		return false
 	}
 	queue, rest := s.queues.Find(c.Host, c.Path)
-	if queue == nil {
+	switch {
+	case queue == nil && s.access.MayDeny(s.now):
 		s.answer(c, effect.CallAnswer{Kind: effect.AnswerNoQueue, Reason: reasonUnknownQueue})
 		return false
+	case queue == nil:
+		s.answer(c, c.declined(reasonQueuesOutdated))
+		return false
 	}
 	c.Queue, c.Version = queue.Name, s.queues.Version
+	if !s.authorize(c, queue) {
+		return false
+	}
 	if c.Kind == effect.CallState && rest == "" {
 		c.Kind = effect.CallWaiting
 		return true
@@ -214,8 +222,10 @@
 			s.holdCall(c)
 			return
 		}
-		c.phase = callLocal
-		s.ownership.serve(c)
+		if s.authorizeAtOwner(c) {
+			c.phase = callLocal
+			s.ownership.serve(c)
+		}
 		return
 	}
 	if c.Forwarded {
@@ -247,7 +257,7 @@
 	s.limiter.Sent()
 	s.emit(effect.Forward{
 		Call: c.Call, Address: newest.Address, Kind: c.Kind, Queue: c.Queue, Version: c.Version,
-		Job: c.Job, Spec: c.Spec, Timeout: min(forwardTimeout, s.answerDeadline(c).Sub(s.now)),
+		Job: c.Job, Spec: c.Spec, Key: c.Key, Verified: c.Verified, Tenant: c.Tenant, Timeout: min(forwardTimeout, s.answerDeadline(c).Sub(s.now)),
 	})
 }
 
@@ -380,7 +390,7 @@
 	effect.AnswerAccepted: "accepted", effect.AnswerState: "state", effect.AnswerCancelled: "cancelled",
 	effect.AnswerWaiting: "waiting", effect.AnswerNoQueue: "no queue", effect.AnswerNoJob: "no job",
 	effect.AnswerRefused: "refused", effect.AnswerUnknown: "unknown", effect.AnswerInvalid: "invalid",
-	effect.AnswerNotOwner: "not owner",
+	effect.AnswerNotOwner: "not owner", effect.AnswerUnauthorized: "denied",
 }
 
 // answerNew answers a call that is not registered yet.
--- a/reduce/jobs/forwards.go
+++ b/reduce/jobs/forwards.go
@@ -59,8 +59,8 @@
 		s.holdCall(c)
 		return
 	}
-	if c.maybeDone && a.Kind == effect.AnswerRefused {
-		// An earlier owner may have stored the job that this owner refused.
+	if c.maybeDone && (a.Kind == effect.AnswerRefused || a.Kind == effect.AnswerUnauthorized) {
+		// An earlier owner may have stored the job that this owner refused or denied.
 		a.Kind = effect.AnswerUnknown
 	}
 	s.answer(c, a)
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -16,6 +16,7 @@
 	id          fleet.JobID
 	queue       fleet.QueueName
 	service     fleet.ServiceName
+	tenant      fleet.TenantName
 	priority    int
 	maxAttempts int
 	accepted    time.Time
@@ -158,7 +159,7 @@
 func (o *ownership) newJob(id fleet.JobID, d *ledger.Definition) *job {
 	j := &job{
 		id: id, queue: d.Queue, service: d.Service, maxAttempts: d.MaxAttempts, accepted: d.Accepted, spec: d.Spec,
-		state: fleet.JobQueued, storedState: fleet.JobQueued,
+		tenant: d.Tenant, state: fleet.JobQueued, storedState: fleet.JobQueued,
 	}
 	o.applyQueue(j)
 	return j
--- a/reduce/jobs/ownercalls.go
+++ b/reduce/jobs/ownercalls.go
@@ -45,7 +45,7 @@
 		o.s.answer(c, effect.CallAnswer{Kind: effect.AnswerRefused, RetryAfter: retryAfter, Reason: reason})
 		return
 	}
-	j := o.newJob(c.Job, &ledger.Definition{Queue: c.Queue, Accepted: c.arrived, Spec: c.Spec})
+	j := o.newJob(c.Job, &ledger.Definition{Queue: c.Queue, Accepted: c.arrived, Spec: c.Spec, Tenant: c.Tenant})
 	o.jobs[j.id] = j
 	o.addActive(j)
 	o.markDirty(j)
--- a/reduce/jobs/rejected.go
+++ b/reduce/jobs/rejected.go
@@ -113,7 +113,7 @@
 
 // storable reports whether the store takes the definition of a job that a client hands in.
 func (s *State) storable(c *call) bool {
-	d := &ledger.Definition{Queue: c.Queue, Accepted: c.arrived, Spec: c.Spec}
+	d := &ledger.Definition{Queue: c.Queue, Accepted: c.arrived, Spec: c.Spec, Tenant: c.Tenant}
 	r := ledger.Record{Job: c.Job, Definition: d}
 	return r.Size()+definitionReserve <= s.cfg.Bounds.RecordBytes
 }
--- a/reduce/jobs/state.go
+++ b/reduce/jobs/state.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/access"
 	"github.com/banyanrail/banyanrail/reduce/admission"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
@@ -60,6 +61,8 @@
 	CanOrderInstances bool
 	// HasAdvice is set when there is an advice service.
 	HasAdvice bool
+	// Access is what the deployment requires of callers' keys.
+	Access access.Config
 }
 
 // State is the control state of the job side. Only Step and Tick change it.
@@ -69,6 +72,7 @@
 	out    []effect.Effect
 	tenure *tenure.State
 	queues *fleet.Queues
+	access *access.Checker
 	waves  map[int64]*fleet.MaintenanceWave
 	// waveSeenAt is when this process first read each wave.
 	waveSeenAt map[int64]time.Time
@@ -119,6 +123,7 @@
 		waveSeenAt: make(map[int64]time.Time),
 		calls:      make(map[uint64]*call),
 		limiter:    admission.NewLimiter(),
+		access:     access.New(cfg.Bounds.Access),
 	}
 }
 
@@ -158,6 +163,8 @@
 		s.onTenureAppended(b)
 	case event.QueuesRead:
 		s.onQueuesRead(b)
+	case event.QueuesConfirmed:
+		s.onQueuesConfirmed(b)
 	case event.QueuesReadFailed:
 		s.emit(effect.Decision{Name: "configuration not readable", Warning: true, Reason: effect.Reason(b.Reason)})
 	case event.WavesRead:
@@ -258,6 +265,9 @@
 	}
 	s.queues = b.Queues
 	s.logDecision(effect.Decision{Name: "configuration in force", Version: b.Queues.Version, Count: len(b.Queues.ByName)})
+	if n := b.Queues.Tenants.SharedKeys(); n > 0 {
+		s.logDecision(effect.Decision{Name: "keys listed for several tenants", Warning: true, Version: b.Queues.Version, Count: n})
+	}
 	if s.ownership != nil {
 		s.ownership.onQueuesChanged()
 	}
--- a/reduce/ledger/ledger.go
+++ b/reduce/ledger/ledger.go
@@ -76,6 +76,8 @@
 	MaxAttempts int
 	Accepted    time.Time
 	Spec        *fleet.JobSpec
+	// Tenant is the tenant whose key the submission carried; empty for public queues.
+	Tenant fleet.TenantName
 }
 
 // Progress is the progress of a job.
--- a/reduce/ledger/size.go
+++ b/reduce/ledger/size.go
@@ -57,7 +57,7 @@
 
 func (d *Definition) size() int {
 	return 2*objectOverhead + textField(string(d.Queue)) + textField(string(d.Service)) + intField(int64(d.MaxAttempts)) +
-		intField(d.Accepted.UnixMilli()) + fieldOverhead + specSize(d.Spec)
+		intField(d.Accepted.UnixMilli()) + textField(string(d.Tenant)) + fieldOverhead + specSize(d.Spec)
 }
 
 func specSize(s *fleet.JobSpec) int {
