Divide instances among pools that together need more than there are

Needs beyond the supply are now divided by value and max-min fair, and a pool above its share releases busy runners: they take no new tasks until they are idle and move.

--- a/reduce/jobs/demand.go
+++ b/reduce/jobs/demand.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/admission"
+	"github.com/banyanrail/banyanrail/reduce/allocation"
 )
 
 const (
@@ -74,6 +76,11 @@
 	d.memory += times * float64(need.Memory)
 }
 
+func (d *demand) plus(other demand) {
+	d.cpu += other.cpu
+	d.memory += other.memory
+}
+
 // instances returns how many instances of a size the demand requires.
 func (d *demand) instances(size fleet.Capacity) int {
 	share := d.cpu / float64(max(1, size.CPU))
@@ -83,8 +90,8 @@
 	return int(math.Ceil(share / targetUtilisation))
 }
 
-// needOf returns the number of instances that a pool needs.
-func (o *ownership) needOf(p *poolPlan) int {
+// needOf returns the number of instances that a pool needs, by what they are needed for.
+func (o *ownership) needOf(p *poolPlan) allocation.Need {
 	size := p.size
 	if size.CPU == 0 {
 		size = defaultInstanceSize
@@ -96,18 +103,25 @@
 	}
 	a := o.arrivalsOf(p.name)
 	a.decay(o.now())
-	waiting := o.backlog(p.name)
-	total := demand{
-		cpu:    max(a.rate, running.cpu) + longRunning.cpu + waiting.cpu,
-		memory: running.memory + longRunning.memory + waiting.memory,
+	running.cpu = max(a.rate, running.cpu)
+	total, waiting := longRunning, o.backlog(p.name)
+	total.plus(waiting[allocation.RankRequired])
+	var need allocation.Need
+	need[allocation.RankRequired] = max(total.instances(size)+reserveInstances, o.instancesToRelocate(o.pool(p.name)))
+	met := need[allocation.RankRequired]
+	total.plus(running)
+	for r := allocation.RankOnTime; r <= allocation.RankRest; r++ {
+		total.plus(waiting[r])
+		need[r] = max(0, total.instances(size)+reserveInstances-met)
+		met += need[r]
 	}
-	return max(total.instances(size)+reserveInstances, o.instancesToRelocate(o.pool(p.name)))
+	return need
 }
 
 // backlog returns the capacity with which the waiting work would begin within
-// backlogStartTime.
-func (o *ownership) backlog(name fleet.ServiceName) demand {
-	var d demand
+// backlogStartTime, by the rank of the work.
+func (o *ownership) backlog(name fleet.ServiceName) [allocation.RankRest + 1]demand {
+	var d [allocation.RankRest + 1]demand
 	p, ok := o.pools[name]
 	if !ok {
 		return d
@@ -123,7 +137,21 @@
 		if !st.spec.LongRunning {
 			share = min(1, st.estimate.Seconds()/backlogStartTime.Seconds())
 		}
-		d.add(st.spec.Reservation(), float64(waiting)*share)
+		d[rankOf(o.class(st))].add(st.spec.Reservation(), float64(waiting)*share)
 	}
 	return d
 }
+
+// rankOf returns the rank of the instances that work of a class needs.
+func rankOf(class admission.ValueClass) allocation.Rank {
+	switch class {
+	case admission.ClassLongRunning:
+		return allocation.RankRequired
+	case admission.ClassOnTime:
+		return allocation.RankOnTime
+	case admission.ClassLate:
+		return allocation.RankLate
+	default:
+		return allocation.RankRest
+	}
+}
--- a/reduce/jobs/planner.go
+++ b/reduce/jobs/planner.go
@@ -8,6 +8,7 @@
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/admission"
+	"github.com/banyanrail/banyanrail/reduce/allocation"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 )
 
@@ -45,6 +46,8 @@
 	// have and need are numbers of instances.
 	have int
 	need int
+	// ranked is the need by its ranks, before it was limited to the pool's share.
+	ranked allocation.Need
 	// idle lists the instances that may leave the pool, longest idle first.
 	idle []*instance
 	// size is the capacity of one instance.
@@ -65,6 +68,7 @@
 	if len(plans) == 0 {
 		return
 	}
+	limitNeeds(plans, spare)
 	moves := int(math.Ceil(maxMoveShare * float64(len(o.instances.sorted))))
 	slices.SortStableFunc(plans, func(a, b *poolPlan) int { return cmp.Compare(b.missing(), a.missing()) })
 	for _, p := range plans {
@@ -75,6 +79,7 @@
 			moves--
 		}
 	}
+	o.releaseSurplus(plans)
 	o.turnOffIdle(plans, spare, moves)
 }
 
@@ -104,7 +109,8 @@
 		}
 	}
 	for _, p := range plans {
-		p.need = o.needOf(p)
+		p.ranked = o.needOf(p)
+		p.need = p.ranked.Total()
 		slices.SortStableFunc(p.idle, func(a, b *instance) int { return a.idleSince.Compare(b.idleSince) })
 	}
 	return plans, spare
@@ -142,7 +148,7 @@
 	if !o.now().Before(r.health.quarantinedUntil) && !r.poll.unreachable {
 		p.have++
 	}
-	if o.confirmedIdle(i) && o.orderable(i) && !i.idleSince.IsZero() && o.now().Sub(i.idleSince) >= idleBeforeMove {
+	if o.confirmedIdle(i) && o.orderable(i) && !i.idleSince.IsZero() && (r.releasing || o.now().Sub(i.idleSince) >= idleBeforeMove) {
 		p.idle = append(p.idle, i)
 	}
 }
