--- a/fleet/tenant.go
+++ b/fleet/tenant.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"unicode/utf8"
 )
 
 // TenantName names a tenant: a caller that shares the fleet with others.
@@ -30,8 +31,19 @@
 type Tenants struct {
 	byName map[TenantName]*Tenant
 	byKey  map[string]*Tenant
-	// sharedKeys is the number of keys that more than one tenant lists.
-	sharedKeys int
+	// sharedKeys is the number of keys that more than one tenant lists, and unusableKeys
+	// the number of those that no call can carry.
+	sharedKeys, unusableKeys int
+}
+
+// MaxKeyBytes is the length of the longest API key, in bytes. It bounds what calls in flight
+// hold; a longer key is an unknown one.
+const MaxKeyBytes = 4096
+
+// UsableKey reports whether a text can be a tenant's key: calls between entries carry it as
+// UTF-8 text.
+func UsableKey(key string) bool {
+	return key != "" && len(key) <= MaxKeyBytes && utf8.ValidString(key)
 }
 
 // NewTenants returns the index of tenants. A key that several tenants list belongs to the
@@ -59,7 +71,9 @@
 	t.byName[tenant.Name] = tenant
 	for _, key := range tenant.Keys {
 		switch owner := t.byKey[key]; {
-		case key == "" || owner == tenant:
+		case owner == tenant:
+		case !UsableKey(key):
+			t.unusableKeys++
 		case owner != nil:
 			t.sharedKeys++
 		default:
@@ -78,5 +92,8 @@
 // SharedKeys returns the number of keys that more than one tenant lists.
 func (t *Tenants) SharedKeys() int { return t.sharedKeys }
 
+// UnusableKeys returns the number of listed keys that no call can carry.
+func (t *Tenants) UnusableKeys() int { return t.unusableKeys }
+
 // Count returns the number of tenants.
 func (t *Tenants) Count() int { return len(t.byName) }
