--- a/codec/ledger_test.go
+++ b/codec/ledger_test.go
@@ -53,7 +53,7 @@
 			Unresolved: []ledger.Run{{Attempt: 1, Runner: "x"}}}},
 	}}}
 	got := codec.DecodeLedger(encode(t,
-		ledger.Record{Job: "j", Definition: &ledger.Definition{Queue: "q", Service: "v", MaxAttempts: 2, Accepted: accepted, Spec: fullSpec()}},
+		ledger.Record{Job: "j", Definition: &ledger.Definition{Queue: "q", Service: "v", MaxAttempts: 2, Accepted: accepted, Spec: fullSpec(), Tenant: "t"}},
 		ledger.Record{Job: "j", Progress: p},
 		ledger.Record{Wave: &ledger.Wave{ID: 4, Done: []fleet.InstanceID{"m"}}},
 		ledger.Record{RecentlyOrdered: &ledger.RecentlyOrdered{Instances: []fleet.InstanceID{"m", "n"}}},
@@ -64,6 +64,7 @@
 	must.Len(t, 1, got.Jobs)
 	must.Eq(t, p, got.Jobs[0].Progress)
 	must.Eq(t, fullSpec(), got.Jobs[0].Definition.Spec)
+	must.Eq(t, "t", got.Jobs[0].Definition.Tenant)
 	must.True(t, accepted.Equal(got.Jobs[0].Definition.Accepted))
 }
 
--- a/codec/size_test.go
+++ b/codec/size_test.go
@@ -78,7 +78,7 @@
 	case 0:
 		return ledger.Record{Job: "0123456789abcdef", Definition: &ledger.Definition{
 			Queue: fleet.QueueName(drawnText(20).Draw(t, "queue")), Service: fleet.ServiceName(drawnText(20).Draw(t, "service")),
-			MaxAttempts: drawnCount().Draw(t, "attempts"), Accepted: accepted, Spec: &fleet.JobSpec{
+			MaxAttempts: drawnCount().Draw(t, "attempts"), Accepted: accepted, Tenant: fleet.TenantName(drawnText(20).Draw(t, "tenant")), Spec: &fleet.JobSpec{
 				Text: drawnText(4000).Draw(t, "text"), Steps: rapid.SliceOfN(rapid.Custom(drawnStep), 0, 5).Draw(t, "steps"),
 				Repeats: drawnCount().Draw(t, "repeats"), FirstAt: accepted, Interval: time.Duration(drawnCount().Draw(t, "interval")),
 			},
--- a/reduce/jobs/changes.go
+++ b/reduce/jobs/changes.go
@@ -159,7 +159,7 @@
 
 func (o *ownership) definitionRecord(j *job) ledger.Record {
 	return ledger.Record{Job: j.id, Definition: &ledger.Definition{
-		Queue: j.queue, Service: j.service, MaxAttempts: j.maxAttempts, Accepted: j.accepted, Spec: j.spec,
+		Queue: j.queue, Service: j.service, MaxAttempts: j.maxAttempts, Accepted: j.accepted, Spec: j.spec, Tenant: j.tenant,
 	}}
 }
 
