Leave undecided keys and queues to the owner, and deny by a confirmed configuration only

The owner answered 404 by a configuration of any age. Cancels that nobody can decide about, and reads that got no answer from the owner, had the wrong outcome. A 404 after an earlier try said that the job never runs. A key or path that is no UTF-8 failed the forwarded call, and the owner was taken for unreachable. Keys and paths were not counted in the memory of calls. A public queue or the lack of tenants was taken for granted for a call with a key, however old the configuration. An entry that cannot decide and reaches no owner was ready. Each denied call wrote a log line; there is one a second now, with the number of calls.

Confirmations carry the time of a read and are in use until the next one is answered, so with long polls of 1.5 s they get 3 s old, beyond the 2.7 s by which a call may be denied. access.Config.ReadWait bounds the wait of reads to a quarter of the limits.

--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -66,10 +66,16 @@
 	}, true, nil
 }
 
+// invalidText replaces bytes that are no text.
+const invalidText = "\uFFFD"
+
 func encodeCall(f *effect.Forward) (*peerpb.JobCall, error) {
 	req := &peerpb.JobCall{
 		Kind: uint32(f.Kind), Queue: string(f.Queue), Version: f.Version, Job: string(f.Job), PatienceMs: f.Timeout.Milliseconds(),
 		Key: f.Key, Verified: f.Verified, Tenant: string(f.Tenant),
+		// A path may hold any bytes, also some that a message cannot carry as text. No queue or
+		// job has a name with them.
+		Host: strings.ToValidUTF8(f.Host, invalidText), Path: strings.ToValidUTF8(f.Path, invalidText),
 	}
 	if f.Spec == nil {
 		return req, nil
@@ -149,6 +155,7 @@
 		Forwarded: true, Queue: fleet.QueueName(req.GetQueue()), Version: req.GetVersion(), Kind: effect.CallKind(req.GetKind()),
 		Job: fleet.JobID(req.GetJob()), Timeout: time.Duration(req.GetPatienceMs()) * time.Millisecond,
 		Key: req.GetKey(), Verified: req.GetVerified(), Tenant: fleet.TenantName(req.GetTenant()),
+		Host: req.GetHost(), Path: req.GetPath(),
 	}
 	if len(req.GetSpec()) > 0 {
 		spec, err := codec.DecodeSpec(req.GetSpec())
--- a/reduce/access/access.go
+++ b/reduce/access/access.go
@@ -27,6 +27,25 @@
 // run at different rates.
 const limitShare = 9
 
+// waitsPerLimit is the number of waits of reads that fit into a limit. A confirmation carries
+// the time at which its read was sent and is in use until the next read is answered, so it
+// gets two waits old. That leaves two fifths of the limit for slow reads.
+const waitsPerLimit = 4
+
+// ReadWait returns how long a read of the configuration may wait for changes at most, so that
+// an entry whose reads are answered can decide about every key. Zero means that keys set no
+// limit: the deployment has none.
+func (c *Config) ReadWait(tenants *fleet.Tenants) time.Duration {
+	if !c.Required && tenants.Count() == 0 {
+		return 0
+	}
+	limit := c.ApplyLimit
+	if c.RevocationLimit > 0 && (limit == 0 || c.RevocationLimit < limit) {
+		limit = c.RevocationLimit
+	}
+	return limit / waitsPerLimit
+}
+
 // Verdict is the decision about a key.
 type Verdict uint8
 
@@ -59,14 +78,19 @@
 }
 
 // Check returns the tenant of a call with a key. The tenant is empty if the call needs no
-// key: its queue is public, or the deployment has no tenants.
+// key: its queue is public, or the deployment has no tenants. A call that needs none and
+// carries one is also decided by a confirmed configuration only: the key may be withdrawn,
+// and the queue no longer public, in a newer one.
 func (c *Checker) Check(now time.Time, tenants *fleet.Tenants, public bool, key string) (fleet.TenantName, Verdict) {
-	if public || (!c.cfg.Required && tenants.Count() == 0) {
-		return "", Allowed
+	if public || !c.required(tenants) {
+		if key == "" || c.within(now, c.cfg.RevocationLimit) {
+			return "", Allowed
+		}
+		return "", Undecided
 	}
 	tenant := tenants.ByKey(key)
 	switch {
-	case tenant == nil && c.MayDeny(now):
+	case tenant == nil && c.MayDeny(now, tenants):
 		return "", Denied
 	case tenant != nil && c.within(now, c.cfg.RevocationLimit):
 		return tenant.Name, Allowed
@@ -76,8 +100,17 @@
 }
 
 // MayDeny reports whether a call may be denied because the configuration has no such queue
-// or key.
-func (c *Checker) MayDeny(now time.Time) bool { return c.within(now, c.cfg.ApplyLimit) }
+// or key. A deployment without keys has no such limit.
+func (c *Checker) MayDeny(now time.Time, tenants *fleet.Tenants) bool {
+	return !c.required(tenants) || c.within(now, c.cfg.ApplyLimit)
+}
+
+// MayAllow reports whether a call may be served because the configuration has its key.
+func (c *Checker) MayAllow(now time.Time, tenants *fleet.Tenants) bool {
+	return !c.required(tenants) || c.within(now, c.cfg.RevocationLimit)
+}
+
+func (c *Checker) required(tenants *fleet.Tenants) bool { return c.cfg.Required || tenants.Count() > 0 }
 
 func (c *Checker) within(now time.Time, limit time.Duration) bool {
 	return limit == 0 || now.Sub(c.confirmedAt) < limit/10*limitShare
--- a/reduce/effect/jobs.go
+++ b/reduce/effect/jobs.go
@@ -148,6 +148,9 @@
 	Version int64
 	Job     fleet.JobID
 	Spec    *fleet.JobSpec
+	// Host and Path are those of the client's call if Queue is empty: this entry cannot
+	// tell whether the queue exists.
+	Host, Path string
 	// Key is the caller's API key. Verified is set when this entry has checked it, with
 	// Tenant as the result.
 	Key      string
--- a/reduce/jobs/authorize.go
+++ b/reduce/jobs/authorize.go
@@ -1,8 +1,11 @@
 package jobs
 
 import (
+	"time"
+
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/access"
+	"github.com/banyanrail/banyanrail/reduce/admission"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 )
@@ -22,12 +25,11 @@
 	tenant, verdict := s.access.Check(s.now, &s.queues.Tenants, q.Public, c.Key)
 	switch verdict {
 	case access.Denied:
-		s.answer(c, effect.CallAnswer{Kind: effect.AnswerUnauthorized, Reason: reasonUnknownKey})
+		s.deny(c, effect.CallAnswer{Kind: effect.AnswerUnauthorized, Reason: reasonUnknownKey})
 		return false
 	case access.Allowed:
 		c.Tenant, c.Verified = tenant, true
 	case access.Undecided:
-		s.count("calls_undecided", reasonKeysOutdated)
 	}
 	return true
 }
@@ -39,22 +41,77 @@
 func (s *State) authorizeAtOwner(c *call) bool {
 	q, ok := s.queues.ByName[c.Queue]
 	if !ok {
-		return true // answered as a call to an unknown queue
+		// The queue has been removed, or may have been added in a version that this entry
+		// has not read yet.
+		if s.access.MayDeny(s.now, &s.queues.Tenants) {
+			s.deny(c, effect.CallAnswer{Kind: effect.AnswerNoQueue, Reason: reasonUnknownQueue})
+			return false
+		}
+		s.answer(c, c.undecided())
+		return false
 	}
 	tenant, verdict := s.access.Check(s.now, &s.queues.Tenants, q.Public, c.Key)
 	switch {
 	case verdict == access.Allowed:
 		c.Tenant, c.Verified = tenant, true
-	case verdict == access.Denied && c.maybeDone:
-		// An earlier try may be stored, and a denial would say that the job never runs.
-		s.answer(c, effect.CallAnswer{Kind: effect.AnswerUnknown, Reason: reasonUnknownKey})
-		return false
 	case verdict == access.Denied:
-		s.answer(c, effect.CallAnswer{Kind: effect.AnswerUnauthorized, Reason: reasonUnknownKey})
+		s.deny(c, effect.CallAnswer{Kind: effect.AnswerUnauthorized, Reason: reasonUnknownKey})
 		return false
 	case !c.Verified:
-		s.answer(c, c.declined(reasonKeysOutdated))
+		s.answer(c, c.undecided())
 		return false
 	}
 	return true
 }
+
+// deny answers a call to an unknown queue or with an unknown key. After an earlier try that
+// may be stored, the answer leaves that open: a denial would say that the job never runs.
+func (s *State) deny(c *call, a effect.CallAnswer) {
+	if c.maybeDone {
+		a.Kind = effect.AnswerUnknown
+	}
+	s.answer(c, a)
+}
+
+// undecided returns the answer to a call whose queue or key neither this entry nor the owner
+// can decide about. An earlier try of a call that changes something may have been carried out.
+func (c *call) undecided() effect.CallAnswer {
+	if c.class() != admission.ClassRead {
+		return effect.CallAnswer{Kind: effect.AnswerUnknown, Reason: reasonKeysOutdated}
+	}
+	return effect.CallAnswer{Kind: effect.AnswerRefused, RetryAfter: retryAfter, Reason: reasonKeysOutdated}
+}
+
+// logKeys logs the keys of the configuration that are not usable as they are listed. No log
+// line holds a key.
+func (s *State) logKeys() {
+	tenants := &s.queues.Tenants
+	if n := tenants.SharedKeys(); n > 0 {
+		s.logDecision(effect.Decision{Name: "keys listed for several tenants", Warning: true, Version: s.queues.Version, Count: n})
+	}
+	if n := tenants.UnusableKeys(); n > 0 {
+		s.logDecision(effect.Decision{Name: "keys that no call can carry", Warning: true, Version: s.queues.Version, Count: n})
+	}
+}
+
+// denialLogInterval is the time between two log lines about calls with unknown keys. Clients
+// that go on with a withdrawn key would otherwise use up the entry's log lines.
+const denialLogInterval = time.Second
+
+// denials counts the calls with unknown keys since the last log line about them.
+type denials struct {
+	count    int
+	loggedAt time.Time
+}
+
+func (d *denials) add(s *State, c *call) {
+	d.count++
+	if s.now.Sub(d.loggedAt) < denialLogInterval {
+		return
+	}
+	s.logDecision(effect.Decision{
+		Name: "calls denied", Queue: c.Queue, Outcome: answerNames[effect.AnswerUnauthorized], Reason: reasonUnknownKey,
+		Version: c.Version, Epoch: s.tenure.Newest().Epoch, Count: d.count,
+	})
+	d.count, d.loggedAt = 0, s.now
+}
--- a/reduce/jobs/calls.go
+++ b/reduce/jobs/calls.go
@@ -42,19 +42,17 @@
 
 // Reasons in answers to clients.
 const (
-	reasonNoConfiguration effect.Reason = "no configuration yet"
-	reasonNoOwner         effect.Reason = "no owner"
-	reasonCutOff          effect.Reason = "cut off from the store and the owner"
-	reasonStoreDown       effect.Reason = "the store does not answer"
-	reasonOverloaded      effect.Reason = "too much in hand"
-	reasonOwnerSlow       effect.Reason = "the owner is slow"
-	reasonExpired         effect.Reason = "the client's time limit had passed"
-	reasonNoAnswer        effect.Reason = "the owner did not answer"
-	reasonUnknownQueue    effect.Reason = "no such queue"
-	reasonQueuesOutdated  effect.Reason = "the configuration may be out of date"
-	reasonInvalidID       effect.Reason = "not a job id"
-	reasonInvalidJob      effect.Reason = "not a job"
-	reasonTooLarge        effect.Reason = "the job is too large to be stored"
+	reasonNoOwner      effect.Reason = "no owner"
+	reasonCutOff       effect.Reason = "cut off from the store and the owner"
+	reasonStoreDown    effect.Reason = "the store does not answer"
+	reasonOverloaded   effect.Reason = "too much in hand"
+	reasonOwnerSlow    effect.Reason = "the owner is slow"
+	reasonExpired      effect.Reason = "the client's time limit had passed"
+	reasonNoAnswer     effect.Reason = "the owner did not answer"
+	reasonUnknownQueue effect.Reason = "no such queue"
+	reasonInvalidID    effect.Reason = "not a job id"
+	reasonInvalidJob   effect.Reason = "not a job"
+	reasonTooLarge     effect.Reason = "the job is too large to be stored"
 )
 
 type callPhase uint8
@@ -87,6 +85,9 @@
 
 func (s *State) onClientCalled(b event.ClientCalled) {
 	c := &call{ClientCalled: b, arrived: s.now}
+	if !fleet.UsableKey(c.Key) {
+		c.Key = "" // decided as a missing one
+	}
 	if !b.Received.IsZero() {
 		c.arrived = b.Received
 		s.lag.Observe(s.now, s.now.Sub(b.Received))
@@ -101,9 +102,6 @@
 		return
 	}
 	s.addCall(c)
-	if !b.Forwarded && !s.resolveTarget(c) {
-		return
-	}
 	s.route(c)
 }
 
@@ -135,12 +133,13 @@
 // stepSize is about the memory that a step of a job takes, in bytes.
 const stepSize = 200
 
-// size returns about the memory of the call's job, in bytes.
+// size returns about the memory of what the client sent, in bytes.
 func (c *call) size() int {
-	if c.Spec == nil {
-		return 0
+	n := len(c.Path) + len(c.Key)
+	if c.Spec != nil {
+		n += len(c.Spec.Text) + stepSize*len(c.Spec.Steps)
 	}
-	return len(c.Spec.Text) + stepSize*len(c.Spec.Steps)
+	return n
 }
 
 // class returns the class of the call for the limit of calls to the owner.
@@ -155,27 +154,30 @@
 	}
 }
 
-// resolveTarget sets the queue and the job of a client's call. It answers a call
-// that has none and returns false.
+// resolveTarget sets the queue and the job of a client's call, and the tenant by its key. It
+// answers a call that has none and returns false. What this entry cannot decide, since its
+// configuration is missing or may be out of date, stays open; c.Verified is not set then.
 func (s *State) resolveTarget(c *call) bool {
 	if s.queues == nil {
-		s.answer(c, effect.CallAnswer{Kind: effect.AnswerRefused, RetryAfter: retryAfter, Reason: reasonNoConfiguration})
-		return false
+		return true
 	}
 	queue, rest := s.queues.Find(c.Host, c.Path)
-	switch {
-	case queue == nil && s.access.MayDeny(s.now):
-		s.answer(c, effect.CallAnswer{Kind: effect.AnswerNoQueue, Reason: reasonUnknownQueue})
-		return false
-	case queue == nil:
-		s.answer(c, c.declined(reasonQueuesOutdated))
-		return false
-	}
-	c.Queue, c.Version = queue.Name, s.queues.Version
-	if !s.authorize(c, queue) {
-		return false
+	c.Queue, c.Version = "", s.queues.Version
+	if queue == nil {
+		if s.access.MayDeny(s.now, &s.queues.Tenants) {
+			s.deny(c, effect.CallAnswer{Kind: effect.AnswerNoQueue, Reason: reasonUnknownQueue})
+			return false
+		}
+		return true
 	}
-	if c.Kind == effect.CallState && rest == "" {
+	c.Queue = queue.Name
+	return s.authorize(c, queue) && s.resolveJob(c, rest)
+}
+
+// resolveJob sets the job of a call by the part of its path after the queue's. It answers a
+// call that has none and returns false.
+func (s *State) resolveJob(c *call, rest string) bool {
+	if rest == "" && (c.Kind == effect.CallState || c.Kind == effect.CallWaiting) {
 		c.Kind = effect.CallWaiting
 		return true
 	}
@@ -213,19 +215,11 @@
 // route serves a call at this entry if it is the owner, forwards the call to the
 // owner, or holds it until either is possible.
 func (s *State) route(c *call) {
-	if s.queues == nil || s.queues.Version < c.Version {
-		s.holdCall(c)
+	if !c.Forwarded && !c.Verified && !s.resolveTarget(c) {
 		return
 	}
 	if s.ownership != nil {
-		if s.ownership.phase != phaseActive {
-			s.holdCall(c)
-			return
-		}
-		if s.authorizeAtOwner(c) {
-			c.phase = callLocal
-			s.ownership.serve(c)
-		}
+		s.routeAtOwner(c)
 		return
 	}
 	if c.Forwarded {
@@ -237,6 +231,10 @@
 		return
 	}
 	if s.isCutOff() {
+		if !c.Verified {
+			s.answer(c, c.undecided())
+			return
+		}
 		// Another entry serves the client's next try. An earlier try may be stored, so this
 		// is no refusal.
 		s.answer(c, effect.CallAnswer{Kind: effect.AnswerUnknown, Reason: reasonCutOff})
@@ -253,12 +251,37 @@
 		})
 		return
 	}
+	s.forward(c, newest.Address)
+}
+
+// forward forwards a call to the owner.
+func (s *State) forward(c *call, address string) {
 	c.phase, c.forwardedAt = callForwarded, s.now
 	s.limiter.Sent()
-	s.emit(effect.Forward{
-		Call: c.Call, Address: newest.Address, Kind: c.Kind, Queue: c.Queue, Version: c.Version,
+	f := effect.Forward{
+		Call: c.Call, Address: address, Kind: c.Kind, Queue: c.Queue, Version: c.Version,
 		Job: c.Job, Spec: c.Spec, Key: c.Key, Verified: c.Verified, Tenant: c.Tenant, Timeout: min(forwardTimeout, s.answerDeadline(c).Sub(s.now)),
-	})
+	}
+	if c.Queue == "" {
+		f.Host, f.Path = c.Host, c.Path
+	}
+	if !c.Verified {
+		s.count("calls_undecided", reasonKeysOutdated)
+	}
+	s.emit(f)
+}
+
+// routeAtOwner serves a call at this entry, the owner, or holds it until that is possible.
+func (s *State) routeAtOwner(c *call) {
+	switch {
+	case s.ownership.phase != phaseActive || s.queues == nil || s.queues.Version < c.Version:
+		s.holdCall(c)
+	case c.Queue == "" && !s.resolveTarget(c):
+		// already answered
+	case s.authorizeAtOwner(c):
+		c.phase = callLocal
+		s.ownership.serve(c)
+	}
 }
 
 // answerDeadline returns the time by which a call has to be answered. While the entry stops,
@@ -363,6 +386,8 @@
 	case callPending:
 	}
 	switch {
+	case !c.Forwarded && !c.Verified:
+		s.answer(c, c.undecided())
 	case c.maybeDone || c.phase == callLocal:
 		s.answer(c, effect.CallAnswer{Kind: effect.AnswerUnknown, Reason: reason})
 	case c.phase == callHeld:
@@ -412,8 +437,13 @@
 	s.emit(effect.ReplyCall{Call: c.Call, Answer: a})
 	s.count("calls_"+callNames[c.Kind], effect.Reason(answerNames[a.Kind]))
 	s.emit(effect.Observe{Name: "call_" + callNames[c.Kind], Duration: s.now.Sub(c.arrived)})
-	if a.Kind == effect.AnswerState || a.Kind == effect.AnswerWaiting {
+	switch a.Kind {
+	case effect.AnswerState, effect.AnswerWaiting:
 		return
+	case effect.AnswerUnauthorized:
+		s.denials.add(s, c)
+		return
+	default:
 	}
 	s.logDecision(effect.Decision{
 		Name: callNames[c.Kind], Job: c.Job, Queue: c.Queue, Outcome: answerNames[a.Kind], Reason: a.Reason,
--- a/reduce/jobs/forwards.go
+++ b/reduce/jobs/forwards.go
@@ -26,6 +26,10 @@
 	}
 	s.count("forwards_failed", effect.Reason(b.Reason))
 	s.emit(effect.ReadTenure{})
+	if timedOut && !c.Verified {
+		s.answer(c, c.undecided())
+		return
+	}
 	if timedOut {
 		// The owner may have failed, or only this entry may not reach it. In either case
 		// the client's retry at another entry is served no later.
@@ -59,9 +63,13 @@
 		s.holdCall(c)
 		return
 	}
-	if c.maybeDone && (a.Kind == effect.AnswerRefused || a.Kind == effect.AnswerUnauthorized) {
-		// An earlier owner may have stored the job that this owner refused or denied.
+	if c.maybeDone && a.Kind == effect.AnswerRefused {
+		// An earlier owner may have stored the job that this owner refused.
 		a.Kind = effect.AnswerUnknown
 	}
+	if a.Kind == effect.AnswerUnauthorized || a.Kind == effect.AnswerNoQueue {
+		s.deny(c, a)
+		return
+	}
 	s.answer(c, a)
 }
--- a/reduce/jobs/ownercalls.go
+++ b/reduce/jobs/ownercalls.go
@@ -10,12 +10,8 @@
 // they take about 100 MB.
 const maxActive = 12_000
 
-// serve handles a call at the owner of the jobs.
+// serve handles an authorized call to a known queue at the owner of the jobs.
 func (o *ownership) serve(c *call) {
-	if _, ok := o.s.queues.ByName[c.Queue]; !ok {
-		o.s.answer(c, effect.CallAnswer{Kind: effect.AnswerNoQueue, Reason: reasonUnknownQueue})
-		return
-	}
 	switch c.Kind {
 	case effect.CallSubmit:
 		o.submit(c)
--- a/reduce/jobs/state.go
+++ b/reduce/jobs/state.go
@@ -73,7 +73,9 @@
 	tenure *tenure.State
 	queues *fleet.Queues
 	access *access.Checker
-	waves  map[int64]*fleet.MaintenanceWave
+	// denials bounds the log lines about calls with unknown keys.
+	denials denials
+	waves   map[int64]*fleet.MaintenanceWave
 	// waveSeenAt is when this process first read each wave.
 	waveSeenAt map[int64]time.Time
 	calls      map[uint64]*call
@@ -265,9 +267,7 @@
 	}
 	s.queues = b.Queues
 	s.logDecision(effect.Decision{Name: "configuration in force", Version: b.Queues.Version, Count: len(b.Queues.ByName)})
-	if n := b.Queues.Tenants.SharedKeys(); n > 0 {
-		s.logDecision(effect.Decision{Name: "keys listed for several tenants", Warning: true, Version: b.Queues.Version, Count: n})
-	}
+	s.logKeys()
 	if s.ownership != nil {
 		s.ownership.onQueuesChanged()
 	}
@@ -298,16 +298,19 @@
 }
 
 // isReady reports whether the load balancer may send clients to this entry: it has
-// a configuration, and either owns the jobs or can forward calls to the owner.
+// a configuration, and either owns the jobs or can forward calls to the owner. Either it or an
+// owner that it reaches can decide about keys.
 func (s *State) isReady() bool {
 	if s.queues == nil || s.stopping {
 		return false
 	}
+	decides := s.access.MayAllow(s.now, &s.queues.Tenants)
 	if s.ownership != nil {
-		return s.ownership.phase == phaseActive && s.tenure.Valid(s.now)
+		return s.ownership.phase == phaseActive && s.tenure.Valid(s.now) && decides
 	}
 	newest := s.tenure.Newest()
-	return newest.Epoch > 0 && !newest.Released && !s.isCutOff()
+	reachable := newest.Owner != s.cfg.Entry && newest.Epoch != s.unreachableEpoch
+	return newest.Epoch > 0 && !newest.Released && !s.isCutOff() && (decides || reachable)
 }
 
 // isCutOff reports whether this entry cannot tell who owns the jobs: the tenure log is
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -13,6 +13,7 @@
 	"github.com/banyanrail/banyanrail/codec"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce"
+	"github.com/banyanrail/banyanrail/reduce/access"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/banyanrail/banyanrail/reduce/jobs"
@@ -112,6 +113,10 @@
 	// forgetsLaterEnds makes runners forget ends that come after an acknowledgement of their
 	// numbers before they list them.
 	forgetsLaterEnds bool
+	// access is what entries require of keys; with keys, entries read the configuration as
+	// jobentry does. key is the key of clients' calls.
+	access access.Config
+	key    string
 	// load, if set, returns the load of a run that runners report.
 	load func(fleet.TaskID) int64
 }
@@ -325,8 +330,9 @@
 	// frozen is set while the process is suspended. Its events wait in heldEvents.
 	frozen     bool
 	heldEvents []func()
-	// storeCut cuts the entry off from the store, and cutRunners from runners.
-	storeCut bool
+	// storeCut cuts the entry off from the store, and cutRunners from runners. operatorsCut
+	// cuts it off from operators' records only.
+	storeCut, operatorsCut bool
 	// peersCut drops the calls that the entry forwards.
 	peersCut   bool
 	cutRunners map[fleet.RunnerID]bool
@@ -358,10 +364,14 @@
 			StatusRetention: e.w.statusRetention, MaxLease: maxLease * time.Millisecond, InstanceLease: 3 * time.Second,
 			MaintenanceTime: 2 * time.Second, InstanceOrdersPerSecond: 64,
 			CanOrderInstances: len(e.w.instances) > 0, RecordBytes: e.w.store.recordBytes, CallBytes: e.w.store.callBytes,
+			Access: e.w.access,
 		},
 	}})
 	e.post(event.JobsStarted{})
-	if !e.w.withholdQueues {
+	switch {
+	case e.w.access.Required:
+		e.followQueues()
+	case !e.w.withholdQueues:
 		e.post(event.QueuesRead{Queues: e.w.queues})
 	}
 	if len(e.w.waves) > 0 {
@@ -666,7 +676,7 @@
 		if to.incarnation == toIncarnation {
 			to.post(event.ClientCalled{
 				Call: id, Forwarded: true, Queue: o.Queue, Version: o.Version, Kind: o.Kind, Job: o.Job, Spec: o.Spec, Timeout: o.Timeout,
-				Received: w.now,
+				Received: w.now, Host: o.Host, Path: o.Path, Key: o.Key, Verified: o.Verified, Tenant: o.Tenant,
 			})
 		}
 	})
@@ -677,7 +687,7 @@
 func (w *world) call(e *fakeEntry, kind effect.CallKind, job fleet.JobID, spec *fleet.JobSpec, done func(effect.CallAnswer)) {
 	w.nextID++
 	w.calls[w.nextID] = done
-	e.post(event.ClientCalled{Call: w.nextID, Kind: kind, Host: "host", Path: "/plans/" + string(job), Spec: spec})
+	e.post(event.ClientCalled{Call: w.nextID, Kind: kind, Host: "host", Path: "/plans/" + string(job), Spec: spec, Key: w.key})
 }
 
 // submit submits a job as clients do: it retries at other entries until the job is
