Confirm the configuration by complete reads, in time for every decision

A read confirmed the configuration also if its size was limited and newer records followed. A topic that ends before the offset of a read has lost records; its newest ones are read again. Reads of operators' records wait at most a quarter of the limits on keys where calls need keys, and not at all after a failed read. Without keys, nothing changes.

go test -race -count=8 ./jobentry -run Confirm: ok.

--- a/jobentry/entry.go
+++ b/jobentry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/loop"
 	"github.com/banyanrail/banyanrail/reduce"
+	"github.com/banyanrail/banyanrail/reduce/access"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/banyanrail/banyanrail/reduce/jobs"
@@ -118,16 +119,18 @@
 
 // Entry is one entry instance.
 type Entry struct {
-	deps           Deps
-	loop           *loop.Loop[event.Body, effect.Effect]
-	calls          *loop.Calls[effect.CallAnswer]
-	metrics        *metrics
-	tracer         trace.Tracer
-	orders         pond.Pool
-	polls          pond.Pool
-	store          pond.Pool
-	forwards       pond.Pool
-	self           fleet.EntryID
+	deps     Deps
+	loop     *loop.Loop[event.Body, effect.Effect]
+	calls    *loop.Calls[effect.CallAnswer]
+	metrics  *metrics
+	tracer   trace.Tracer
+	orders   pond.Pool
+	polls    pond.Pool
+	store    pond.Pool
+	forwards pond.Pool
+	self     fleet.EntryID
+	// access is what the deployment requires of callers' keys.
+	access         access.Config
 	ready          atomic.Bool
 	handedOver     chan struct{}
 	handedOverOnce sync.Once
@@ -158,6 +161,7 @@
 		forwards:   pond.NewPool(forwardWorkers),
 		handedOver: make(chan struct{}),
 		self:       cfg.Entry,
+		access:     cfg.Bounds.Access,
 		tenureWake: make(chan struct{}, 1),
 		background: background,
 		cancel:     cancel,
--- a/jobentry/store.go
+++ b/jobentry/store.go
@@ -153,8 +153,8 @@
 // each key, then each record appended since.
 type follower struct {
 	topic storage.Topic
-	// wait is how long a read waits for the first new record.
-	wait time.Duration
+	// wait returns how long the next read waits for the first new record.
+	wait func() time.Duration
 	// interval is the time between two reads if the first returned records.
 	interval time.Duration
 	// wake ends the wait between two reads; nil if nothing does.
@@ -162,8 +162,8 @@
 	// handle receives the records; full is true if they are the newest record of
 	// every key.
 	handle func(page storage.Page, full bool)
-	// confirm, if set, receives the time at which a read was sent, after its records were
-	// handled.
+	// confirm, if set, receives the time at which a read was sent that has shown all records
+	// up to then, after they were handled.
 	confirm func(sent time.Time)
 	// onError receives the error of each failed read.
 	onError func(err error)
@@ -182,20 +182,30 @@
 			continue
 		}
 		f.handle(page, true)
-		f.confirmed(sent)
+		f.confirmed(sent, page)
 		e.readContinuously(ctx, f, page.Next)
 	}
 }
 
-// readContinuously reads new records until the context ends or the records at its
-// offset have expired; the caller then reads the newest record of each key again.
+// readContinuously reads new records until the context ends, the records at its offset have
+// expired, or the topic ends before it because the store has lost records. The caller then
+// reads the newest record of each key again.
 func (e *Entry) readContinuously(ctx context.Context, f follower, from fleet.Offset) {
+	failed := false
 	for ctx.Err() == nil {
+		wait := f.wait()
+		if failed && f.confirm != nil {
+			wait = 0 // an answer at once confirms what is known
+		}
 		sent := e.deps.Clock()
-		page, err := e.deps.Store.Read(ctx, f.topic, from, f.wait)
+		page, err := e.deps.Store.Read(ctx, f.topic, from, wait)
+		failed = err != nil
 		switch {
 		case errors.Is(err, storage.ErrExpired):
 			return
+		case err == nil && page.End < from:
+			_ = e.sleep(ctx, readRetryDelay) // the caller's loop ends with the context
+			return
 		case err != nil:
 			f.onError(err)
 			if !e.sleep(ctx, readRetryDelay) {
@@ -205,19 +215,24 @@
 		}
 		from = page.Next
 		f.handle(page, false)
-		f.confirmed(sent)
+		f.confirmed(sent, page)
 		if len(page.Records) > 0 && f.interval > 0 {
 			f.pause(ctx)
 		}
 	}
 }
 
-func (f *follower) confirmed(sent time.Time) {
-	if f.confirm != nil {
+// confirmed reports a read, unless its size is limited and more records follow: some of them
+// may be older than the read.
+func (f *follower) confirmed(sent time.Time, page storage.Page) {
+	if f.confirm != nil && page.Next >= page.End {
 		f.confirm(sent)
 	}
 }
 
+// constantWait returns the same wait for each read.
+func constantWait(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
 // pause waits for the interval between two reads, or until the follower is woken.
 func (f *follower) pause(ctx context.Context) {
 	t := time.NewTimer(f.interval)
@@ -233,7 +248,7 @@
 	var last tenure.Record
 	e.follow(e.background, follower{
 		topic:    storage.TopicTenure,
-		wait:     tenure.PollWait,
+		wait:     constantWait(tenure.PollWait),
 		interval: e.tenureInterval,
 		wake:     e.tenureWake,
 		handle: func(page storage.Page, _ bool) {
@@ -252,16 +267,33 @@
 }
 
 func (e *Entry) followOperators() {
+	// The wait follows the newest configuration. Reads are handled in order on one goroutine.
+	wait := e.operatorsWait(&fleet.Queues{})
 	e.follow(e.background, follower{
-		topic:   storage.TopicOperators,
-		wait:    longPollWait,
-		handle:  func(page storage.Page, _ bool) { e.handleOperators(page.Records) },
+		topic: storage.TopicOperators,
+		wait:  func() time.Duration { return wait },
+		handle: func(page storage.Page, _ bool) {
+			if newest := e.handleOperators(page.Records); newest != nil {
+				wait = e.operatorsWait(newest)
+			}
+		},
 		confirm: func(sent time.Time) { e.post(event.QueuesConfirmed{At: sent}) },
 		onError: func(err error) { e.post(event.QueuesReadFailed{Reason: describe(err)}) },
 	})
 }
 
-func (e *Entry) handleOperators(records []storage.Record) {
+// operatorsWait returns how long a read of operators' records waits: as long as other reads,
+// or less where calls need keys, which an entry decides about for a limited time after a read.
+func (e *Entry) operatorsWait(q *fleet.Queues) time.Duration {
+	if limit := e.access.ReadWait(&q.Tenants); limit > 0 {
+		return min(longPollWait, limit)
+	}
+	return longPollWait
+}
+
+// handleOperators reports the records of operators, and returns the last configuration among
+// them; nil if there is none.
+func (e *Entry) handleOperators(records []storage.Record) (newest *fleet.Queues) {
 	var waves []fleet.MaintenanceWave
 	for _, r := range records {
 		if r.Value == nil {
@@ -270,6 +302,7 @@
 		q, isQueues, err := e.deps.RecordCodec.Queues(r)
 		if err == nil && isQueues {
 			e.post(event.QueuesRead{Queues: q})
+			newest = q
 			continue
 		}
 		w, isWave, waveErr := e.deps.RecordCodec.Wave(r)
@@ -283,6 +316,7 @@
 	if len(waves) > 0 {
 		e.post(event.WavesRead{Waves: waves})
 	}
+	return newest
 }
 
 // followRunners reads the list of runners continuously for the tenure with an epoch,
@@ -294,7 +328,7 @@
 	}
 	f := follower{
 		topic:    storage.TopicRunners,
-		wait:     longPollWait,
+		wait:     constantWait(longPollWait),
 		interval: runnersReadInterval,
 		handle:   func(page storage.Page, full bool) { e.handleRunners(epoch, page, full) },
 		onError:  func(err error) { e.post(event.RunnersReadFailed{Epoch: epoch, Reason: describe(err)}) },
