Soak: a tenant's key changes under faults

Clients send a key that stays valid, and get no 401. One tenant's key changes every 2.5 s, and a client calls all entries with its last keys: none may be served later than 5 s after the configuration without it was acknowledged, and none denied later than 3 s after the one with it was.

--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -224,6 +224,7 @@
 	}
 	req.Host = host
 	platformtest.SetTimeout(req, clientTimeout)
+	platformtest.SetKey(req, steadyKey)
 	local := ""
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { local = info.Conn.LocalAddr().String() },
@@ -242,6 +243,9 @@
 		c.checkBroken(e, id, method, sent, err)
 		return 0, nil
 	}
+	if resp.StatusCode == http.StatusUnauthorized {
+		c.tb.history.addViolation("%s of job %s at %s was denied with a valid key", method, id, e.ip)
+	}
 	return resp.StatusCode, out
 }
 
--- a/soak/coverage_test.go
+++ b/soak/coverage_test.go
@@ -23,6 +23,9 @@
 	// that of incarnations under the id of the one before, and runnersCut that of those
 	// that were cut off while they were up.
 	longRunsStarted, runnersRestarted, runnersCut int
+	// keysServed is the number of calls with a changing key that were served, and keysDenied
+	// that of calls denied after the bound on withdrawn keys.
+	keysServed, keysDenied int
 	// ownersDisrupted is the number of signals to owners beside restarts.
 	ownersDisrupted int
 	// late is the number of calls that were carried out by a later incarnation.
@@ -63,6 +66,9 @@
 			c.jobsDone++
 		}
 	}
+	tb.keys.mu.Lock()
+	c.keysServed, c.keysDenied = tb.keys.served, tb.keys.deniedLate
+	tb.keys.mu.Unlock()
 	c.runnersCrashed = len(tb.history.crashes)
 	c.ownersDisrupted = int(tb.ownersDisrupted.Load())
 	for _, r := range tb.runners {
@@ -94,6 +100,8 @@
 	must.LessEq(t, c.runsStarted, minRunsStarted, must.Sprint("runs started"))
 	must.LessEq(t, c.runsDone, minRunsDone, must.Sprint("runs done"))
 	must.LessEq(t, c.jobsDone, minJobsDone, must.Sprint("jobs done"))
+	must.Positive(t, c.keysServed, must.Sprint("calls with a changing key that were served"))
+	must.Positive(t, c.keysDenied, must.Sprint("calls denied after the bound on withdrawn keys"))
 	ending, crashing := 0, 0
 	for _, f := range faults {
 		switch f.kind {
@@ -141,6 +149,8 @@
 	s.runnersRestarted += c.runnersRestarted
 	s.runnersCut += c.runnersCut
 	s.ownersDisrupted += c.ownersDisrupted
+	s.keysServed += c.keysServed
+	s.keysDenied += c.keysDenied
 	for kind, n := range c.late {
 		s.late[kind] += n
 	}
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -53,6 +53,10 @@
 limits.memory_mb=256
 bounds.grace_s=6
 bounds.status_s=120
+contracts=tenants
+bounds.strict_revoke=true
+bounds.revoke_ms=%[7]d
+bounds.apply_ms=%[8]d
 `
 
 func newEntry(t *testing.T, binary, dir, name, ip, store string, maxDirectRunners int64) *entryProcess {
@@ -64,7 +68,7 @@
 		binary: binary, settings: filepath.Join(dir, name+".settings"), name: name, ip: ip, log: log, maxDirectRunners: maxDirectRunners,
 		storeProxy: newProxy(t, store), clientProxy: newProxy(t, fmt.Sprintf("%s:%d", ip, clientPort)),
 	}
-	text := fmt.Sprintf(settingsText, name, ip, clientPort, readyPort, peerPort, p.storeProxy.address())
+	text := fmt.Sprintf(settingsText, name, ip, clientPort, readyPort, peerPort, p.storeProxy.address(), revokeLimit.Milliseconds(), applyLimit.Milliseconds())
 	must.NoError(t, os.WriteFile(p.settings, []byte(text), 0o600))
 	must.NoError(t, p.start())
 	t.Cleanup(p.kill)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"maps"
+	"math/rand"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -102,6 +103,8 @@
 	tb := newTestbed(t, seed, binary, dir)
 	submitting, stop := context.WithCancel(tb.ctx)
 	defer stop()
+	rotating, stopRotating := context.WithTimeout(tb.ctx, faultPeriod)
+	defer stopRotating()
 	var clients, faults sync.WaitGroup
 	for i := range clientCount {
 		c := tb.newClient(i)
@@ -110,6 +113,9 @@
 		}
 		clients.Go(func() { c.run(submitting) })
 	}
+	probes := rand.New(rand.NewSource(seed))
+	faults.Go(func() { tb.rotateKeys(rotating, t) })
+	tb.wg.Go(func() { tb.probeKeys(probes) })
 	tb.sleep(warmUp)
 	timeout := settleTimeout
 	var drawn []fault
@@ -117,7 +123,7 @@
 		timeout = restartsSettleTimeout
 		faults.Go(func() { tb.injectAllRestarts(t) })
 	} else {
-		drawn = tb.drawFaults(faultPeriod)
+		drawn = append(tb.drawFaults(faultPeriod), tb.drawLongCut())
 	}
 	for _, f := range drawn {
 		t.Log(f)
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -51,6 +51,8 @@
 	version         atomic.Int64
 	publishing      sync.Mutex
 	lastIncarnation atomic.Int64
+	// keys are those of the tenant whose key changes.
+	keys keyRing
 	// bursts has a client of long jobs submit some at once.
 	bursts chan struct{}
 	// ownersDisrupted is the number of processes that got a signal while they owned the jobs.
@@ -75,7 +77,7 @@
 	tb.log = log.New(file, "", log.Ltime|log.Lmicroseconds|log.LUTC)
 	srv := httptest.NewServer(platformtest.StoreHandler(tb.store))
 	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
-	tb.configure(t)
+	tb.publish(t, true)
 	network := nextNetwork.Add(1)
 	ip := func(host int) string { return fmt.Sprintf("127.%d.%d.%d", processNetwork, network, host) }
 	for i := range runnerCount {
@@ -93,6 +95,12 @@
 // configure publishes a configuration with a new queue beside the one that
 // clients use.
 func (tb *testbed) configure(t *testing.T) {
+	t.Helper()
+	tb.publish(t, false)
+}
+
+// publish publishes a configuration, with a new key in place of a former one if rotate is set.
+func (tb *testbed) publish(t *testing.T, rotate bool) {
 	t.Helper()
 	queue := func(name string) *fleet.Queue {
 		return &fleet.Queue{
@@ -102,13 +110,20 @@
 	}
 	tb.publishing.Lock()
 	defer tb.publishing.Unlock()
+	if rotate {
+		tb.keys.rotate()
+	}
 	version := tb.version.Add(1)
 	value, err := platformtest.EncodeConfiguration(version,
-		[]*fleet.Queue{queue("plans"), queue(fmt.Sprintf("extra%d", version))}, []*fleet.JobService{{Name: service, EnforcesCapacity: true}})
+		[]*fleet.Queue{queue("plans"), queue(fmt.Sprintf("extra%d", version))}, []*fleet.JobService{{Name: service, EnforcesCapacity: true}}, tb.keys.tenants()...)
 	must.NoError(t, err)
 	for tb.store.Append(tb.ctx, storage.TopicOperators, []storage.Record{{Key: "config", Value: value}}) != nil {
+		if tb.ctx.Err() != nil {
+			return
+		}
 		tb.sleep(reportInterval) // the store is down
 	}
+	tb.keys.acknowledged()
 }
 
 // checkConfiguration records a violation if an entry does not serve the queue of
@@ -126,6 +141,7 @@
 				continue
 			}
 			req.Host = host
+			platformtest.SetKey(req, steadyKey)
 			resp, err := http.DefaultClient.Do(req)
 			if err != nil {
 				tb.history.addViolation("%s does not answer after the run: %v", e.ip, err)
