Serve verified calls of versions that the owner cannot read

An owner that cannot read the configuration held every call of a newer version until it timed out. While its own configuration is not confirmed, it relies on the entry that verified the call; its own older configuration decides nothing then.

go test ./reduce/jobs (known red skipped): ok, 77 s; TestOwnerWithoutConfirmation fails without the change. FuzzRecords with tenants for 10 s: 139,770 inputs, nothing found.

--- a/reduce/jobs/access_test.go
+++ b/reduce/jobs/access_test.go
@@ -236,7 +236,8 @@
 }
 
 // TestOwnerWithoutConfirmation: an owner that cannot read the configuration denied keys that
-// it does not know, or served any key. It relies on entries that can read it.
+// it does not know, or served any key. It relies on entries that can read it, also for versions
+// that it has not read: it held all calls of those until they timed out.
 func TestOwnerWithoutConfirmation(t *testing.T) {
 	w := newWorld(t, 204, 3, 3, withKeys)
 	w.run(3 * time.Second)
@@ -247,6 +248,11 @@
 	w.mustAnswer(e, effect.CallSubmit, "one-1", pathOf(1), effect.AnswerAccepted)
 	w.mustAnswer(e, effect.CallState, "x", pathOf(1), effect.AnswerUnauthorized)
 	w.mustAnswer(e, effect.CallState, "one-1", "/absent/", effect.AnswerNoQueue)
+	w.setTenants(t, tenantOf("one", "one-1"), tenantOf("three", "three-1", "two-1"))
+	w.run(time.Second)
+	w.mustAnswer(e, effect.CallSubmit, "two-1", pathOf(3), effect.AnswerAccepted)
+	w.mustAnswer(e, effect.CallState, "one-2", pathOf(1), effect.AnswerUnauthorized)
+	must.Eq(t, map[fleet.JobID]fleet.TenantName{jobID(1): "one", jobID(3): "three"}, w.storedTenants())
 	e.operatorsCut = true
 	w.run(revokeLimit)
 	for _, e := range []*fakeEntry{owner, e} {
--- a/reduce/jobs/authorize.go
+++ b/reduce/jobs/authorize.go
@@ -34,10 +34,10 @@
 	return true
 }
 
-// authorizeAtOwner decides about the tenant of a call by the owner's own configuration,
-// which is at least as new as that of the entry that forwarded the call. If it may be out
-// of date, the forwarding entry's decision stands. It answers a call that may not be
-// served and returns false.
+// authorizeAtOwner decides about the tenant of a call by the owner's own configuration. If
+// that may be out of date, or is older than that of the entry that forwarded the call, the
+// forwarding entry's decision stands. It answers a call that may not be served and returns
+// false.
 func (s *State) authorizeAtOwner(c *call) bool {
 	q, ok := s.queues.ByName[c.Queue]
 	if !ok {
@@ -51,6 +51,9 @@
 		return false
 	}
 	tenant, verdict := s.access.Check(s.now, &s.queues.Tenants, q.Public, c.Key)
+	if s.queues.Version < c.Version {
+		verdict = access.Undecided
+	}
 	switch {
 	case verdict == access.Allowed:
 		c.Tenant, c.Verified = tenant, true
--- a/reduce/jobs/calls.go
+++ b/reduce/jobs/calls.go
@@ -274,8 +274,10 @@
 // routeAtOwner serves a call at this entry, the owner, or holds it until that is possible.
 func (s *State) routeAtOwner(c *call) {
 	switch {
-	case s.ownership.phase != phaseActive || s.queues == nil || s.queues.Version < c.Version:
+	case s.ownership.phase != phaseActive || s.queues == nil:
 		s.holdCall(c)
+	case s.queues.Version < c.Version && s.access.MayDeny(s.now, &s.queues.Tenants):
+		s.holdCall(c) // until the version is read
 	case c.Queue == "" && !s.resolveTarget(c):
 		// already answered
 	case s.authorizeAtOwner(c):
