--- a/reduce/jobs/access_test.go
+++ b/reduce/jobs/access_test.go
@@ -344,6 +344,46 @@
 	w.mustAnswer(e, effect.CallSubmit, "one-1", pathOf(1), effect.AnswerAccepted)
 }
 
+// TestKeyWithdrawnWhileACallIsForwardedAgain: the owner stored a job and died before it
+// answered. The next one denies the key; a 401 would say that the job never runs. The job
+// runs, and a call that was never carried out is denied.
+func TestKeyWithdrawnWhileACallIsForwardedAgain(t *testing.T) {
+	for _, stored := range []bool{true, false} {
+		w := newWorld(t, 211, 3, 3, withKeys)
+		w.run(3 * time.Second)
+		owner, e, id := w.owner(), w.follower(), w.nextID+1
+		w.onEffect = func(at *fakeEntry, out effect.Effect) bool {
+			r, ok := out.(effect.ReplyCall)
+			if !ok || at != owner || r.Answer.Kind != effect.AnswerAccepted {
+				return true
+			}
+			at.kill()
+			e.postAfter(time.Millisecond, event.ForwardFinished{Call: id, Failed: true, Sent: true})
+			return false
+		}
+		if !stored {
+			owner.kill()
+		}
+		var got effect.CallAnswer
+		w.submitted[jobID(1)] = minuteJob()
+		w.nextID = id
+		w.calls[id] = func(a effect.CallAnswer) { got = a }
+		e.post(event.ClientCalled{
+			Call: id, Kind: effect.CallSubmit, Host: "host", Path: pathOf(1), Spec: minuteJob(), Key: "one-1", Timeout: 10 * time.Second, Received: w.now,
+		})
+		w.run(20 * time.Millisecond)
+		w.setTenants(t, tenantOf("one", "one-2"))
+		w.run(10 * time.Second)
+		_, ok := w.storedTenants()[jobID(1)]
+		must.Eq(t, stored, ok)
+		want := effect.AnswerUnauthorized
+		if stored {
+			want = effect.AnswerUnknown
+		}
+		must.Eq(t, want, got.Kind, must.Sprint(got.Reason))
+	}
+}
+
 // TestReadinessOfAnEntryThatCannotDecide: the load balancer went on to send clients to it.
 func TestReadinessOfAnEntryThatCannotDecide(t *testing.T) {
 	w := newWorld(t, 208, 3, 3, withKeys)
