Order work and size pools by learned run times, keep them for the next owner

Cause: the latest start, the class of value and the demand of a pool follow clients' estimates, which are off by a log-normal error of 0.5 to 0.9. Change: where the deployment has tenants, the owner learns from clean first runs, from their confirmed start. What is expected gives the chains of steps, the objective of a job (fixed when it is accepted, and stored with it), the work that arrives and waits at a pool, and what counts as a straggler. Runs of a step refine what is expected of its other tasks.

--- a/codec/fuzz_test.go
+++ b/codec/fuzz_test.go
@@ -64,6 +64,7 @@
 	f.Add("p/j", []byte(`{"q":"q","s":"queued","o":[{"d":"AQ==","t":[{"n":-1,"a":1}]}]}`))
 	f.Add("d/j", []byte(`{"q":"q","t":1,"s":{"s":[{"n":1}]}}`))
 	f.Add("w/1", []byte(`{"d":["m"]}`))
+	f.Add("runtimes", []byte(`{"e":[{"q":"q","v":[1,2,3,4,5,6,7]}]}`))
 	f.Add("instances", []byte(`{"i":["m"]}`))
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
 		l := codec.DecodeLedger([]storage.Record{{Key: key, Value: value}})
--- a/codec/ledger.go
+++ b/codec/ledger.go
@@ -11,6 +11,7 @@
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/ledger"
+	"github.com/banyanrail/banyanrail/reduce/runtimes"
 	"github.com/banyanrail/banyanrail/reduce/tenure"
 	"github.com/banyanrail/banyanrail/storage"
 	"github.com/samber/oops"
@@ -25,6 +26,7 @@
 	recentlyOrderedKey = "instances"
 	unreachedKey       = "unreached"
 	restartedKey       = "restarted"
+	runTimesKey        = "runtimes"
 	// tenureKey is the key of the records of the tenure log.
 	tenureKey = "owner"
 )
@@ -131,6 +133,8 @@
 	Accepted    int64             `json:"t"`
 	Spec        json.RawMessage   `json:"s"`
 	Tenant      fleet.TenantName  `json:"n,omitempty"`
+	// ExpectedPath is in milliseconds.
+	ExpectedPath int64 `json:"e,omitempty"`
 }
 
 type progress struct {
@@ -173,6 +177,19 @@
 	Runners []fleet.RunnerID `json:"r"`
 }
 
+type runTimes struct {
+	Entries []runTime `json:"e"`
+}
+
+type runTime struct {
+	Queue      fleet.QueueName `json:"q,omitempty"`
+	Step       int             `json:"s,omitempty"`
+	Image      string          `json:"i,omitempty"`
+	WholeQueue bool            `json:"w,omitempty"`
+	// Values are those of runtimes.Values in order.
+	Values [7]int64 `json:"v"`
+}
+
 type taskProgress struct {
 	Number         int               `json:"n"`
 	Attempt        int64             `json:"a"`
@@ -202,6 +219,8 @@
 		return encodeList(unreachedKey, r.Part, unreached(*r.Unreached), len(r.Unreached.LeasedBy))
 	case r.Restarted != nil:
 		return encodeList(restartedKey, r.Part, restarted(*r.Restarted), len(r.Restarted.Runners))
+	case r.RunTimes != nil:
+		return encodeList(runTimesKey, 0, encodeRunTimes(r.RunTimes), len(r.RunTimes.Entries))
 	case r.Wave != nil:
 		return encodeList(wavePrefix+strconv.FormatInt(r.Wave.ID, 10), r.Part, wave{Done: r.Wave.Done}, len(r.Wave.Done))
 	case r.DropPart:
@@ -233,6 +252,36 @@
 	return storage.Record{Key: key, Value: raw}, oops.In("codec").With("step", "encode list", "peer", key).Wrap(err)
 }
 
+func encodeRunTimes(t *ledger.RunTimes) runTimes {
+	w := runTimes{Entries: make([]runTime, 0, len(t.Entries))}
+	for i := range t.Entries {
+		e := &t.Entries[i]
+		v := &e.Values
+		w.Entries = append(w.Entries, runTime{
+			Queue: e.Queue, Step: e.Step, Image: e.Image, WholeQueue: e.WholeQueue,
+			Values: [...]int64{v.Weight, v.MeanX, v.MeanY, v.SumXX, v.SumXY, v.SumYY, v.Activity},
+		})
+	}
+	return w
+}
+
+func decodeRunTimes(raw []byte) (*ledger.RunTimes, error) {
+	var w runTimes
+	if err := json.Unmarshal(raw, &w); err != nil {
+		return nil, err
+	}
+	out := &ledger.RunTimes{Entries: make([]runtimes.Entry, 0, len(w.Entries))}
+	for i := range w.Entries {
+		e := &w.Entries[i]
+		v := e.Values
+		out.Entries = append(out.Entries, runtimes.Entry{
+			Key: runtimes.Key{Queue: e.Queue, Step: e.Step, Image: e.Image}, WholeQueue: e.WholeQueue,
+			Values: runtimes.Values{Weight: v[0], MeanX: v[1], MeanY: v[2], SumXX: v[3], SumXY: v[4], SumYY: v[5], Activity: v[6]},
+		})
+	}
+	return out, nil
+}
+
 // partSeparator is between a key and the number of a part.
 const partSeparator = "/"
 
@@ -269,6 +318,7 @@
 	d := r.Definition
 	raw, err := json.Marshal(definition{
 		Queue: d.Queue, Service: d.Service, MaxAttempts: d.MaxAttempts, Accepted: d.Accepted.UnixMilli(), Spec: spec, Tenant: d.Tenant,
+		ExpectedPath: d.ExpectedPath.Milliseconds(),
 	})
 	return storage.Record{Key: definitionPrefix + string(r.Job), Value: raw}, oops.In("codec").With("step", "encode definition", "job", r.Job).Wrap(err)
 }
@@ -346,6 +396,8 @@
 	Unreached ledger.Unreached
 	// Restarted holds the runners that have restarted lately.
 	Restarted []fleet.RunnerID
+	// RunTimes is what an owner has learned of run times; nil without a record.
+	RunTimes *ledger.RunTimes
 	// Parts holds the number of records of each list.
 	Parts ledger.ListParts
 	// OrdersUnreadable is set if RecentlyOrdered cannot be decoded: orders may have been
@@ -487,6 +539,8 @@
 		var w restarted
 		err = json.Unmarshal(r.Value, &w)
 		d.out.Restarted = append(d.out.Restarted, w.Runners...)
+	case runTimesKey:
+		d.out.RunTimes, err = decodeRunTimes(r.Value)
 	case recentlyOrderedKey:
 		d.out.Parts.RecentlyOrdered = max(d.out.Parts.RecentlyOrdered, part+1)
 		var w recentlyOrdered
@@ -540,6 +594,7 @@
 	spec, err := DecodeSpec(w.Spec)
 	return &ledger.Definition{
 		Queue: w.Queue, Service: w.Service, MaxAttempts: w.MaxAttempts, Accepted: time.UnixMilli(w.Accepted), Spec: spec, Tenant: w.Tenant,
+		ExpectedPath: milliseconds(w.ExpectedPath),
 	}, err
 }
 
--- a/codec/ledger_test.go
+++ b/codec/ledger_test.go
@@ -8,6 +8,7 @@
 	"github.com/banyanrail/banyanrail/codec"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/ledger"
+	"github.com/banyanrail/banyanrail/reduce/runtimes"
 	"github.com/banyanrail/banyanrail/reduce/tenure"
 	"github.com/banyanrail/banyanrail/storage"
 	"github.com/shoenig/test/must"
@@ -68,6 +69,27 @@
 	must.True(t, accepted.Equal(got.Jobs[0].Definition.Accepted))
 }
 
+// TestLearnedRunTimesRoundTrip guards against a next owner that reads other figures than were
+// stored, and against one that cannot load a ledger without them.
+func TestLearnedRunTimesRoundTrip(t *testing.T) {
+	learned := &ledger.RunTimes{Entries: []runtimes.Entry{
+		{Key: runtimes.Key{Queue: "q", Step: 3, Image: "i"}, Values: runtimes.Values{Weight: 1, MeanX: -2, MeanY: 3, SumXX: 4, SumXY: -5, SumYY: 6, Activity: 7}},
+		{Key: runtimes.Key{Queue: "q"}, WholeQueue: true, Values: runtimes.Values{Weight: 128_000}},
+	}}
+	definition := &ledger.Definition{Queue: "q", Accepted: accepted, Spec: fullSpec(), Tenant: "t", ExpectedPath: 1500 * time.Millisecond}
+	older := []storage.Record{{Key: "d/k", Value: []byte(`{"q":"q","t":1,"s":{"s":[{"n":1}]}}`)}}
+	got := codec.DecodeLedger(append(older, encode(t, ledger.Record{RunTimes: learned}, ledger.Record{Job: "j", Definition: definition})...))
+	must.SliceEmpty(t, got.Unreadable)
+	must.Eq(t, learned, got.RunTimes)
+	must.Zero(t, got.Jobs[0].Definition.ExpectedPath)
+	must.Eq(t, definition.ExpectedPath, got.Jobs[1].Definition.ExpectedPath)
+	must.Eq(t, definition.Tenant, got.Jobs[1].Definition.Tenant)
+	got = codec.DecodeLedger(older)
+	must.SliceEmpty(t, got.Unreadable)
+	must.Nil(t, got.RunTimes)
+	must.SliceLen(t, 1, got.Jobs)
+}
+
 func TestDroppedRecordsAreSkipped(t *testing.T) {
 	got := codec.DecodeLedger(encode(t, ledger.Record{Job: "j", DropDefinition: true}, ledger.Record{Job: "j", DropProgress: true}))
 	must.SliceEmpty(t, got.Unreadable)
@@ -84,12 +106,13 @@
 	for _, r := range []storage.Record{
 		{Key: "d/k", Value: []byte("{")}, {Key: "p/k", Value: []byte("[]")}, {Key: "w/x", Value: []byte("{}")},
 		{Key: "d/k", Value: []byte(`{"q":"q","s":{"s":[{"n":1,"a":[3]}]}}`)}, {Key: "d/k", Value: []byte(`{"q":"q","s":{"s":[{"n":-1}]}}`)},
-		{Key: "instances", Value: []byte("7")},
+		{Key: "instances", Value: []byte("7")}, {Key: "runtimes", Value: []byte(`{"e":[{"q":"q","v":[1e99]}]}`)},
 	} {
 		got := codec.DecodeLedger(append(slices.Clone(readable), r))
 		must.SliceLen(t, 1, got.Unreadable, must.Sprint(r.Key))
 		must.Eq(t, fleet.JobID("j"), got.Jobs[0].Job)
 		must.Eq(t, r.Key == "instances", got.OrdersUnreadable)
+		must.Nil(t, got.RunTimes)
 		if r.Key == "d/k" || r.Key == "p/k" {
 			must.SliceLen(t, 1, got.Jobs, must.Sprint("a job with an unreadable record is left out"))
 		}
--- a/codec/size_test.go
+++ b/codec/size_test.go
@@ -8,6 +8,7 @@
 	"github.com/banyanrail/banyanrail/codec"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/ledger"
+	"github.com/banyanrail/banyanrail/reduce/runtimes"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 )
@@ -70,15 +71,27 @@
 	}
 }
 
+func drawnRunTime(t *rapid.T) runtimes.Entry {
+	n, text := rapid.Int64Range(-1<<50, 1<<50), drawnText(20)
+	return runtimes.Entry{
+		Key:        runtimes.Key{Queue: fleet.QueueName(text.Draw(t, "queue")), Step: drawnCount().Draw(t, "step"), Image: text.Draw(t, "image")},
+		WholeQueue: rapid.Bool().Draw(t, "whole queue"),
+		Values: runtimes.Values{
+			Weight: n.Draw(t, "weight"), MeanX: n.Draw(t, "x"), MeanY: n.Draw(t, "y"), SumXX: n.Draw(t, "xx"), SumXY: n.Draw(t, "xy"),
+			SumYY: n.Draw(t, "yy"), Activity: n.Draw(t, "activity"),
+		},
+	}
+}
+
 func drawnRecord(t *rapid.T) ledger.Record {
 	ids := rapid.SliceOfN(rapid.Map(drawnText(20), func(s string) fleet.InstanceID { return fleet.InstanceID(s) }), 0, 20)
 	runners := rapid.SliceOfN(rapid.Map(drawnText(20), func(s string) fleet.RunnerID { return fleet.RunnerID(s) }), 0, 20)
 	part := rapid.IntRange(0, 99_999).Draw(t, "part")
-	switch rapid.IntRange(0, 6).Draw(t, "kind") {
+	switch rapid.IntRange(0, 7).Draw(t, "kind") {
 	case 0:
 		return ledger.Record{Job: "0123456789abcdef", Definition: &ledger.Definition{
 			Queue: fleet.QueueName(drawnText(20).Draw(t, "queue")), Service: fleet.ServiceName(drawnText(20).Draw(t, "service")),
-			MaxAttempts: drawnCount().Draw(t, "attempts"), Accepted: accepted, Tenant: fleet.TenantName(drawnText(20).Draw(t, "tenant")), Spec: &fleet.JobSpec{
+			MaxAttempts: drawnCount().Draw(t, "attempts"), ExpectedPath: time.Duration(drawnCount().Draw(t, "path")), Accepted: accepted, Tenant: fleet.TenantName(drawnText(20).Draw(t, "tenant")), Spec: &fleet.JobSpec{
 				Text: drawnText(4000).Draw(t, "text"), Steps: rapid.SliceOfN(rapid.Custom(drawnStep), 0, 5).Draw(t, "steps"),
 				Repeats: drawnCount().Draw(t, "repeats"), FirstAt: accepted, Interval: time.Duration(drawnCount().Draw(t, "interval")),
 			},
@@ -93,6 +106,9 @@
 		return ledger.Record{Part: part, RecentlyOrdered: &ledger.RecentlyOrdered{Instances: ids.Draw(t, "instances")}}
 	case 4:
 		return ledger.Record{Part: part, Restarted: &ledger.Restarted{Runners: runners.Draw(t, "runners")}}
+	case 6:
+		entries := rapid.SliceOfN(rapid.Custom(drawnRunTime), 0, 20).Draw(t, "run times")
+		return ledger.FitRunTimes(entries, rapid.IntRange(100, 4000).Draw(t, "limit"))
 	case 5:
 		return ledger.Record{Part: part, Wave: &ledger.Wave{ID: int64(drawnCount().Draw(t, "wave")), Done: ids.Draw(t, "done")}}
 	default:
--- a/reduce/event/jobs.go
+++ b/reduce/event/jobs.go
@@ -88,6 +88,8 @@
 	Restarted []fleet.RunnerID
 	// Parts holds the number of records of each list.
 	Parts ledger.ListParts
+	// RunTimes is what an owner has learned of run times; nil without a record.
+	RunTimes *ledger.RunTimes
 }
 
 // LedgerAppended reports the outcome of an append to the ledger.
--- a/reduce/jobs/changes.go
+++ b/reduce/jobs/changes.go
@@ -18,6 +18,7 @@
 	orderedChange
 	unreachedChange
 	restartedChange
+	runTimesChange
 	changeKinds
 )
 
@@ -73,6 +74,8 @@
 	case waveChange:
 		c.wave.inOutbox = false
 		return o.waveRecords(c.wave)
+	case runTimesChange:
+		return o.runTimeRecords()
 	default:
 		return o.listRecords(c.kind)
 	}
@@ -158,9 +161,13 @@
 }
 
 func (o *ownership) definitionRecord(j *job) ledger.Record {
-	return ledger.Record{Job: j.id, Definition: &ledger.Definition{
+	d := &ledger.Definition{
 		Queue: j.queue, Service: j.service, MaxAttempts: j.maxAttempts, Accepted: j.accepted, Spec: j.spec, Tenant: j.tenant,
-	}}
+	}
+	if o.learnsRunTimes() {
+		d.ExpectedPath = j.expectedPath
+	}
+	return ledger.Record{Job: j.id, Definition: d}
 }
 
 // progressRecords returns the records that store the progress of a job.
--- a/reduce/jobs/demand.go
+++ b/reduce/jobs/demand.go
@@ -32,14 +32,14 @@
 	updatedAt time.Time
 }
 
-// observeArrival adds the estimated work of a new job to the arrivals at its pool.
+// observeArrival adds the expected work of a new job to the arrivals at its pool.
 // Long-running tasks do not count.
 func (o *ownership) observeArrival(j *job) {
 	work := 0.0
 	for i := range j.spec.Steps {
 		st := &j.spec.Steps[i]
 		if !st.LongRunning {
-			work += float64(st.Count) * float64(st.Needs.CPU) * st.Estimate.Seconds()
+			work += float64(st.Count) * float64(st.Needs.CPU) * o.expect(j, i).Typical.Seconds()
 		}
 	}
 	o.planner.hadWork = o.planner.hadWork || work > 0
@@ -135,7 +135,7 @@
 		}
 		share := 1.0
 		if !st.spec.LongRunning {
-			share = min(1, st.estimate.Seconds()/backlogStartTime.Seconds())
+			share = min(1, st.expected.Typical.Seconds()/backlogStartTime.Seconds())
 		}
 		d[rankOf(o.class(st))].add(st.spec.Reservation(), float64(waiting)*share)
 	}
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -8,6 +8,7 @@
 	"github.com/banyanrail/banyanrail/reduce/crashes"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/ledger"
+	"github.com/banyanrail/banyanrail/reduce/runtimes"
 	"github.com/banyanrail/banyanrail/reduce/timer"
 )
 
@@ -23,8 +24,11 @@
 	// deadline is when the job should have ended by its objective, and
 	// noValueAfter the time after which its end has no value.
 	deadline, noValueAfter time.Time
-	spec                   *fleet.JobSpec
-	state                  fleet.JobState
+	// expectedPath is the run time of the longest chain of steps, as expected when the job was
+	// accepted. It stays, so that the deadline does not change with what is learned.
+	expectedPath time.Duration
+	spec         *fleet.JobSpec
+	state        fleet.JobState
 	// storedState is the newest state that is stored.
 	storedState fleet.JobState
 	ended       time.Time
@@ -81,12 +85,17 @@
 	// of the last of them, in ascending order.
 	gangFailures   int
 	failedAttempts []int64
-	// estimate is the estimated run time of a task.
+	// estimate is the client's estimate of the run time of a task, and expected what is expected.
 	estimate time.Duration
-	// criticalPath is the estimated run time of the longest chain of steps that
-	// begins with this step.
-	criticalPath time.Duration
-	advice       advice
+	expected runtimes.Expectation
+	// criticalPath is the expected run time of the longest chain of steps that
+	// begins with this step, and following that of what follows it in the chain.
+	criticalPath, following time.Duration
+	// ended is the number of runs of the step from which was learned, and endedLogs the sum of
+	// the logarithms of their run times in seconds.
+	ended     int
+	endedLogs float64
+	advice    advice
 }
 
 type taskPhase uint8
@@ -161,6 +170,12 @@
 		id: id, queue: d.Queue, service: d.Service, maxAttempts: d.MaxAttempts, accepted: d.Accepted, spec: d.Spec,
 		tenant: d.Tenant, state: fleet.JobQueued, storedState: fleet.JobQueued,
 	}
+	switch {
+	case d.ExpectedPath > 0:
+		j.expectedPath = d.ExpectedPath
+	case d.Spec != nil:
+		j.expectedPath = o.expectedPath(j)
+	}
 	o.applyQueue(j)
 	return j
 }
@@ -180,7 +195,7 @@
 		o.reroute(j, q.Service)
 	}
 	if j.spec != nil {
-		objective := time.Duration(q.Stretch*float64(criticalPath(j.spec))) + q.Slack
+		objective := time.Duration(q.Stretch*float64(j.expectedPath)) + q.Slack
 		j.deadline = j.accepted.Add(objective)
 		j.noValueAfter = j.accepted.Add(noValueFactor * objective)
 	}
@@ -201,22 +216,6 @@
 	}
 }
 
-// criticalPath returns the estimated run time of the longest chain of steps.
-func criticalPath(spec *fleet.JobSpec) time.Duration {
-	var longest time.Duration
-	ends := make([]time.Duration, len(spec.Steps))
-	for i := range spec.Steps {
-		st := &spec.Steps[i]
-		var begin time.Duration
-		for _, a := range st.After {
-			begin = max(begin, ends[a])
-		}
-		ends[i] = begin + st.Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // beginOccurrence adds the next occurrence of a job. The caller queues its steps.
 func (o *ownership) beginOccurrence(j *job) *occurrence {
 	occ := &occurrence{job: j, number: j.occurrencesBegun, stepsLeft: len(j.spec.Steps)}
@@ -231,13 +230,7 @@
 		first += spec.Count
 		occ.steps = append(occ.steps, st)
 	}
-	for i := len(occ.steps) - 1; i >= 0; i-- {
-		st := occ.steps[i]
-		st.criticalPath += st.estimate
-		for _, a := range st.spec.After {
-			occ.steps[a].criticalPath = max(occ.steps[a].criticalPath, st.criticalPath)
-		}
-	}
+	o.setPaths(occ)
 	j.occurrences = append(j.occurrences, occ)
 	return occ
 }
@@ -246,6 +239,7 @@
 func (o *ownership) enqueueReady(occ *occurrence) {
 	for _, st := range occ.steps {
 		if !st.queued && st.tasksLeft > 0 && occ.ready(st) && st.hasWaiting() {
+			o.refreshExpected(st)
 			o.enqueue(st)
 		}
 	}
--- a/reduce/jobs/outbox.go
+++ b/reduce/jobs/outbox.go
@@ -135,6 +135,7 @@
 	if o.phase != phaseActive || box.inFlight != nil || box.empty() {
 		return
 	}
+	o.storeRunTimes()
 	b := o.nextBatch()
 	if len(b.entries) == 0 {
 		o.runDeferred(b.onStored)
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -7,6 +7,7 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/runtimes"
 	"github.com/banyanrail/banyanrail/reduce/timer"
 )
 
@@ -78,6 +79,7 @@
 	lastPoll  uint64
 	instances instances
 	planner   planner
+	learned   learned
 }
 
 func newOwnership(s *State, epoch int64) *ownership {
@@ -94,6 +96,7 @@
 		pools:             make(map[fleet.ServiceName]*pool),
 		instances:         newInstances(),
 		planner:           newPlanner(),
+		learned:           learned{model: runtimes.New()},
 	}
 }
 
@@ -137,6 +140,7 @@
 	o.outbox.lists[unreachedChange].parts = b.Parts.Unreached
 	o.outbox.lists[restartedChange].parts = b.Parts.Restarted
 	o.restoreFormer(b.Restarted, &b.Unreached)
+	o.restoreRunTimes(b.RunTimes)
 	for i := range b.Jobs {
 		o.restoreJob(&b.Jobs[i])
 	}
--- a/reduce/jobs/placement.go
+++ b/reduce/jobs/placement.go
@@ -207,7 +207,7 @@
 // feasible reports whether a task of a step may run on a runner, in addition to
 // a gang's share of it.
 func (o *ownership) feasible(st *step, r *runner, share gangShare) bool {
-	if r.trialJob != nil && r.trialJob != st.occ.job {
+	if (r.trialJob != nil && r.trialJob != st.occ.job) || !o.endsBeforeLeaving(st, r) {
 		return false
 	}
 	if !o.healthAllowsRun(r) || !r.free().Minus(share.used).Fits(st.spec.Reservation()) || !r.HasLabel(st.spec.Label) {
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -38,8 +38,10 @@
 	inFlight bool
 	number   uint64
 	sentAt   time.Time
-	// answeredAt is when the runner last answered a poll.
+	// answeredAt is when the runner last answered a poll, and unseen the time between the
+	// answer before it and its poll: a run that it lists as ended may have ended in that time.
 	answeredAt time.Time
+	unseen     time.Duration
 	// notBefore is when the next poll may be sent.
 	notBefore time.Time
 	// unreachable is set while the runner does not answer, and silentSince is when
@@ -155,6 +157,7 @@
 		o.s.logDecision(effect.Decision{Name: "runner regained", Runner: r.ID, Epoch: o.epoch})
 	}
 	doubted := r.poll.maybeRestarted
+	r.poll.unseen = sent.Sub(r.poll.answeredAt)
 	r.poll.maybeRestarted, r.poll.answeredAt = false, o.now()
 	r.noteAnswer(o.receivedAt(b.Clock), b.Clock)
 	r.updateClock(b.Clock)
@@ -297,8 +300,8 @@
 		r.holdEnd(e.Number, late.until)
 	}
 	o.recordEnd(run, e.Outcome)
-	o.updateHealth(r, run, e.Outcome)
 	o.recordRunTime(run, e.Outcome)
+	o.updateHealth(r, run, e.Outcome)
 	switch e.Outcome {
 	case fleet.RunDone:
 		o.onTaskDone(t)
--- a/reduce/jobs/rejected.go
+++ b/reduce/jobs/rejected.go
@@ -71,6 +71,8 @@
 		}
 	case r.RecentlyOrdered != nil:
 		o.withdrawUnstoredOrders()
+	case r.RunTimes != nil:
+		o.learned.rejected = true
 	}
 }
 
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -63,6 +63,8 @@
 	unresolvedUntil time.Time
 	// drainingSince is when the runner was first listed as draining.
 	drainingSince time.Time
+	// leavesAt is when the runner may leave by its reports; zero if they name no time.
+	leavesAt time.Time
 	// vacating is set while the runner's instance is to be moved or maintained.
 	vacating bool
 	// releasing is set while the runner takes no new tasks, so that its instance becomes
@@ -188,6 +190,7 @@
 	wasDraining, wasListed := r.Draining, r.listed
 	changed := !wasListed || r.Draining != f.Draining || r.Capacity != f.Capacity || r.Service != f.Service
 	o.setReport(r, f)
+	r.noteRemaining(o.now())
 	r.listed, r.reported = true, true
 	o.touch(r)
 	if f.Draining && !wasDraining {
--- a/reduce/jobs/stragglers.go
+++ b/reduce/jobs/stragglers.go
@@ -25,6 +25,10 @@
 	// length of a run is projected, because the start of a task takes a while.
 	minPercent = 4
 	minElapsed = 400 * time.Millisecond
+	// maxRestingShare is the part of a pool's runners, as a divisor, beyond which no more are
+	// taken for slow by run times that were learned: if most seem slow, what was learned is
+	// wrong, as after a change of the tasks.
+	maxRestingShare = 4
 	// maxRestarts is the largest number of restarts of one task. A task may also
 	// seem slow because its estimate is wrong.
 	maxRestarts = 2
@@ -63,8 +67,9 @@
 }
 
 // recordRunTime adds the run time of a task that was done at its first attempt to
-// the slowdown of its pool.
+// the slowdown of its pool, and to what is learned.
 func (o *ownership) recordRunTime(run *run, outcome fleet.RunOutcome) {
+	o.learnRunTime(run, outcome)
 	estimate := run.task.step.estimate
 	if outcome != fleet.RunDone || estimate <= 0 || run.attempt > 1 {
 		return
@@ -76,7 +81,7 @@
 // whole is slow, those that a new run elsewhere would overtake. A runner with such
 // a run is quarantined.
 func (o *ownership) restartStragglers(r *runner) {
-	slow := o.isSlow(r)
+	slow := o.isSlow(r) && !o.manyRest(r)
 	isStraggler := func(run *run) bool { return run.mayRestart() && o.restartReason(run, slow) != "" }
 	for _, run := range r.runsWhere(isStraggler) {
 		reason := o.restartReason(run, slow)
@@ -113,13 +118,48 @@
 		return ""
 	}
 	length, known := run.projectedLength()
-	usual := o.pool(run.task.job().service).slowdown.usualRunTime(run.task.step.estimate)
-	if known && length-run.listedAt.Sub(run.createdAt) > usual+minRestartGain {
+	if known && length-run.listedAt.Sub(run.createdAt) > o.usualRunTime(run.task.step)+minRestartGain {
 		return reasonSlow
 	}
 	return ""
 }
 
+// usualRunTime returns the run time that tasks of a step usually have.
+func (o *ownership) usualRunTime(st *step) time.Duration {
+	if o.learnsRunTimes() {
+		return st.expected.Typical
+	}
+	return o.pool(st.occ.job.service).slowdown.usualRunTime(st.estimate)
+}
+
+// slowRunTime returns the run time from which a run of a step is too slow. Run times that were
+// learned are not exceeded by chance only.
+func (o *ownership) slowRunTime(st *step) time.Duration {
+	slow := slowFactor * o.usualRunTime(st)
+	if st.expected.Samples > 0 {
+		slow = max(slow, st.expected.Tail)
+	}
+	return slow
+}
+
+// manyRest reports whether so many other runners of a pool rest that no more are to be taken
+// for slow by what was learned.
+func (o *ownership) manyRest(r *runner) bool {
+	if !o.learnsRunTimes() {
+		return false
+	}
+	resting, listed := 0, 0
+	for _, other := range o.pool(r.Service).runners {
+		if other.listed {
+			listed++
+		}
+		if other != r && o.now().Before(other.health.quarantinedUntil) {
+			resting++
+		}
+	}
+	return resting > 0 && (resting+1)*maxRestingShare > listed
+}
+
 // projectedLength returns the length of a run as projected from its progress, and
 // whether the progress suffices for a projection.
 func (run *run) projectedLength() (time.Duration, bool) {
@@ -140,8 +180,7 @@
 		if !known || !run.mayRestart() {
 			continue
 		}
-		usual := o.pool(run.task.job().service).slowdown.usualRunTime(run.task.step.estimate)
-		if length < slowFactor*usual {
+		if length < o.slowRunTime(run.task.step) {
 			return false
 		}
 		steps[run.task.step] = true
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -117,6 +117,8 @@
 	// jobentry does. key is the key of clients' calls.
 	access access.Config
 	key    string
+	// length, if set, returns the run time of a task; it is its estimate otherwise.
+	length func(fleet.TaskID) time.Duration
 	// load, if set, returns the load of a run that runners report.
 	load func(fleet.TaskID) int64
 }
@@ -313,7 +315,7 @@
 	l := s.content()
 	return event.LedgerLoaded{
 		Jobs: l.Jobs, Waves: l.Waves, RecentlyOrdered: l.RecentlyOrdered, OrdersUnreadable: l.OrdersUnreadable, Unreached: l.Unreached,
-		Restarted: l.Restarted, Parts: l.Parts,
+		Restarted: l.Restarted, Parts: l.Parts, RunTimes: l.RunTimes,
 	}
 }
 
@@ -756,6 +758,9 @@
 
 // taskLength returns the run time of a task.
 func (w *world) taskLength(id fleet.TaskID) time.Duration {
+	if w.length != nil {
+		return w.length(id)
+	}
 	return w.submitted[id.Job].Steps[id.Step].Estimate
 }
 
--- a/reduce/ledger/ledger.go
+++ b/reduce/ledger/ledger.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/runtimes"
 )
 
 // Record is one keyed record of the ledger. Only the newest record of each key is
@@ -39,8 +40,13 @@
 	// Restarted is set in the record of the runners that have restarted lately; Job is
 	// empty then.
 	Restarted *Restarted
+	// RunTimes is set in the record of what was learned of run times; Job is empty then.
+	RunTimes *RunTimes
 }
 
+// RunTimes is what an owner has learned of run times.
+type RunTimes struct{ Entries []runtimes.Entry }
+
 // Restarted lists the runners that have lately restarted under their ids. Leases of calls
 // that were decided for their former incarnations may not have expired.
 type Restarted struct{ Runners []fleet.RunnerID }
@@ -78,6 +84,9 @@
 	Spec        *fleet.JobSpec
 	// Tenant is the tenant whose key the submission carried; empty for public queues.
 	Tenant fleet.TenantName
+	// ExpectedPath is the run time of the longest chain of steps, as expected when the job
+	// was accepted; zero if that is not known.
+	ExpectedPath time.Duration
 }
 
 // Progress is the progress of a job.
--- a/reduce/ledger/size.go
+++ b/reduce/ledger/size.go
@@ -5,6 +5,7 @@
 	"unicode/utf8"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/runtimes"
 )
 
 // Sizes of parts of an encoded record, in bytes.
@@ -34,6 +35,8 @@
 		return size + listSize(r.Restarted.Runners)
 	case r.Unreached != nil:
 		return size + r.Unreached.size()
+	case r.RunTimes != nil:
+		return size + r.RunTimes.size()
 	case r.Wave != nil:
 		return size + intSize(r.Wave.ID) + listSize(r.Wave.Done)
 	case r.Definition != nil:
@@ -55,9 +58,43 @@
 	return size
 }
 
+func (t *RunTimes) size() int {
+	size := 2*objectOverhead + fieldOverhead
+	for i := range t.Entries {
+		size += runTimeSize(&t.Entries[i])
+	}
+	return size
+}
+
+// runTimeSize returns the size of what was learned of a key in an array.
+func runTimeSize(e *runtimes.Entry) int {
+	size := 2*objectOverhead + fieldOverhead + textField(string(e.Queue)) + textField(e.Image) + intField(int64(e.Step))
+	if e.WholeQueue {
+		size += shortField + len("true")
+	}
+	v := &e.Values
+	for _, n := range []int64{v.Weight, v.MeanX, v.MeanY, v.SumXX, v.SumXY, v.SumYY, v.Activity} {
+		size += intSize(n) + 1
+	}
+	return size
+}
+
+// FitRunTimes returns the record with the first entries that fit into a number of bytes.
+func FitRunTimes(entries []runtimes.Entry, limit int) Record {
+	r := Record{RunTimes: &RunTimes{}}
+	room := limit - r.Size()
+	for i := range entries {
+		if room -= runTimeSize(&entries[i]); room < 0 {
+			break
+		}
+		r.RunTimes.Entries = entries[:i+1]
+	}
+	return r
+}
+
 func (d *Definition) size() int {
 	return 2*objectOverhead + textField(string(d.Queue)) + textField(string(d.Service)) + intField(int64(d.MaxAttempts)) +
-		intField(d.Accepted.UnixMilli()) + textField(string(d.Tenant)) + fieldOverhead + specSize(d.Spec)
+		intField(d.Accepted.UnixMilli()) + textField(string(d.Tenant)) + durationField(d.ExpectedPath) + fieldOverhead + specSize(d.Spec)
 }
 
 func specSize(s *fleet.JobSpec) int {
--- a/reduce/runtimes/model_test.go
+++ b/reduce/runtimes/model_test.go
@@ -167,6 +167,47 @@
 	must.Between(t, 4.2, m.Expect(rare, time.Second).Typical.Seconds(), 5.2)
 }
 
+// TestRestoredModelExpectsTheSame guards against a next owner that expects something else, or
+// that forgets the busy keys first.
+func TestRestoredModelExpectsTheSame(t *testing.T) {
+	rng := rand.New(rand.NewSource(6))
+	m := runtimes.New()
+	for n := range 2000 {
+		log := 0.5 * rng.NormFloat64()
+		m.Observe(runtimes.Key{Queue: "plans", Step: n % 6}, seconds(log+0.5*rng.NormFloat64()), seconds(log+0.3*float64(n%6)))
+	}
+	next := runtimes.New()
+	must.Zero(t, next.Restore(m.Entries()))
+	for step := range 8 {
+		k := runtimes.Key{Queue: "plans", Step: step}
+		want, got := m.Expect(k, 2*time.Second), next.Expect(k, 2*time.Second)
+		must.Between(t, 0.99, got.Typical.Seconds()/want.Typical.Seconds(), 1.01)
+		must.Between(t, 0.97, got.Tail.Seconds()/want.Tail.Seconds(), 1.03)
+	}
+	must.Eq(t, m.Entries(), next.Entries())
+}
+
+// TestImplausibleEntriesAreDropped guards against expectations that are no times.
+func TestImplausibleEntriesAreDropped(t *testing.T) {
+	m := runtimes.New()
+	good := runtimes.Values{Weight: 20_000, SumXX: 1000, SumXY: 500, SumYY: 1000, Activity: 5000}
+	var entries []runtimes.Entry
+	for _, change := range []func(*runtimes.Values){
+		func(v *runtimes.Values) { v.Weight = 0 }, func(v *runtimes.Values) { v.Weight = 1 << 40 },
+		func(v *runtimes.Values) { v.MeanX = math.MaxInt64 }, func(v *runtimes.Values) { v.MeanY = math.MinInt64 },
+		func(v *runtimes.Values) { v.SumXX = -1 }, func(v *runtimes.Values) { v.SumYY = math.MaxInt64 },
+		func(v *runtimes.Values) { v.SumXY = math.MinInt64 }, func(v *runtimes.Values) { v.Activity = -1 },
+	} {
+		e := runtimes.Entry{Key: runtimes.Key{Queue: "plans"}, WholeQueue: true, Values: good}
+		change(&e.Values)
+		entries = append(entries, e)
+	}
+	must.Eq(t, len(entries), m.Restore(entries))
+	must.Eq(t, time.Second, m.Expect(key, time.Second).Typical)
+	must.Zero(t, m.Restore([]runtimes.Entry{{Key: runtimes.Key{Queue: "plans"}, WholeQueue: true, Values: good}}))
+	must.Positive(t, m.Expect(key, time.Second).Samples)
+}
+
 // BenchmarkRun measures what an owner does for one run: an expectation and an observation.
 func BenchmarkRun(b *testing.B) {
 	m := runtimes.New()
--- a/reduce/runtimes/table.go
+++ b/reduce/runtimes/table.go
@@ -45,11 +45,22 @@
 		i = t.insert(clone(k))
 	}
 	e := &t.entries[i]
-	e.activity = e.activity*math.Exp2((e.seen-t.runs)/activityHalfLife) + 1
-	e.seen, e.rank = t.runs, math.Log2(e.activity)+t.runs/activityHalfLife
+	e.setActivity(e.activityAt(t.runs)+1, t.runs)
 	return &e.moments
 }
 
+// activityAt returns the activity at a later run.
+func (e *entry[K]) activityAt(runs float64) float64 {
+	return e.activity * math.Exp2((e.seen-runs)/activityHalfLife)
+}
+
+func (e *entry[K]) setActivity(activity, runs float64) {
+	e.activity, e.seen, e.rank = activity, runs, math.Log2(activity)+runs/activityHalfLife
+}
+
+// leastActivity is the activity of a restored key whose stored activity was rounded to nothing.
+const leastActivity = 0.001
+
 // insert adds a key without moments, in the place of the least active one if the table is
 // full, and returns its place.
 func (t *table[K]) insert(k K) int {
