--- a/reduce/jobs/stragglers.go
+++ b/reduce/jobs/stragglers.go
@@ -28,7 +28,9 @@
 	// maxSlowShare is the part of the runs on other runners, as a divisor, beyond which a runner
 	// is not taken for slow by run times that were learned: if many seem slow everywhere, the
 	// tasks have changed. Without this, a change by a factor of four restarted 546 of 640 tasks.
-	maxSlowShare = 4
+	maxSlowShare = 8
+	// minComparedRuns is the number of runs on other runners from which that is judged.
+	minComparedRuns = 8
 	// maxRestarts is the largest number of restarts of one task. A task may also
 	// seem slow because its estimate is wrong.
 	maxRestarts = 2
@@ -81,7 +83,7 @@
 // whole is slow, those that a new run elsewhere would overtake. A runner with such
 // a run is quarantined.
 func (o *ownership) restartStragglers(r *runner) {
-	slow := o.isSlow(r) && !o.othersAreSlow(r)
+	slow := o.isSlow(r, false) && o.confirmsSlow(r)
 	isStraggler := func(run *run) bool { return run.mayRestart() && o.restartReason(run, slow) != "" }
 	for _, run := range r.runsWhere(isStraggler) {
 		reason := o.restartReason(run, slow)
@@ -142,11 +144,11 @@
 	return slow
 }
 
-// othersAreSlow reports whether so many runs on the other runners of a pool take too long that
-// what was learned of them seems wrong.
-func (o *ownership) othersAreSlow(r *runner) bool {
+// confirmsSlow reports whether a runner that is slow by what was learned is so beside the other
+// runners of its pool, or, if these have too few runs to compare with, by the estimates too.
+func (o *ownership) confirmsSlow(r *runner) bool {
 	if !o.learnsRunTimes() {
-		return false
+		return true
 	}
 	slow, all := 0, 0
 	for _, other := range o.pool(r.Service).runners {
@@ -164,7 +166,10 @@
 			}
 		}
 	}
-	return slow*maxSlowShare > all
+	if all < minComparedRuns {
+		return o.isSlow(r, true)
+	}
+	return slow*maxSlowShare <= all
 }
 
 // projectedLength returns the length of a run as projected from its progress, and
@@ -179,15 +184,15 @@
 
 // isSlow reports whether a runner is slow: its runs of at least minSlowSteps steps
 // all take much longer than usual. Several steps are required because the estimate
-// of a single step may be wrong.
-func (o *ownership) isSlow(r *runner) bool {
+// of a single step may be wrong. With byEstimate, the runs have to exceed their estimates too.
+func (o *ownership) isSlow(r *runner, byEstimate bool) bool {
 	steps := make(map[*step]bool, minSlowSteps)
 	for _, run := range r.runs {
 		length, known := run.projectedLength()
 		if !known || !run.mayRestart() {
 			continue
 		}
-		if length < o.slowRunTime(run.task.step) {
+		if length < o.slowRunTime(run.task.step) || (byEstimate && length < slowFactor*run.task.step.estimate) {
 			return false
 		}
 		steps[run.task.step] = true
