--- a/cmd/banyanrail-entry/settings.go
+++ b/cmd/banyanrail-entry/settings.go
@@ -39,6 +39,7 @@
 	Metrics          string  `arg:"--metrics,env:BANYANRAIL_METRICS" default:":9464" help:"address that serves metrics"`
 	Traces           string  `arg:"--traces,env:BANYANRAIL_TRACES" help:"URL that takes spans by OTLP over HTTP"`
 	MaxDirectRunners int     `arg:"--calls-alone,env:BANYANRAIL_CALLS_ALONE" default:"120" help:"runners that an owner calls itself; with more, other entries share the calls"`
+	LearnRunTimes    bool    `arg:"--learn-run-times,env:BANYANRAIL_LEARN_RUN_TIMES" default:"true" help:"learn from finished runs how long tasks run, rather than rely on clients' estimates"`
 	TraceShare       float64 `arg:"--trace-share,env:BANYANRAIL_TRACE_SHARE" default:"0.01" help:"share of traces to keep, 0 to 1"`
 }
 
--- a/reduce/jobs/runtimes.go
+++ b/reduce/jobs/runtimes.go
@@ -57,11 +57,9 @@
 	}
 }
 
-// learnsRunTimes reports whether run times are learned: where the deployment has tenants. Others
-// are served by their estimates, as before.
-func (o *ownership) learnsRunTimes() bool {
-	return o.s.cfg.Bounds.Access.Required || (o.s.queues != nil && o.s.queues.Tenants.Count() > 0)
-}
+// learnsRunTimes reports whether the expected run times are learned, rather than the clients'
+// estimates.
+func (o *ownership) learnsRunTimes() bool { return o.s.cfg.LearnRunTimes }
 
 // expect returns what is expected of the run time of a job's step.
 func (o *ownership) expect(j *job, number int) runtimes.Expectation {
--- a/reduce/jobs/runtimes_test.go
+++ b/reduce/jobs/runtimes_test.go
@@ -15,18 +15,9 @@
 	"github.com/shoenig/test/must"
 )
 
-// withLearning adds a tenant to the configuration, so that run times are learned. The queues
-// stay open to calls without a key.
+// withLearning restarts the entries with learned run times.
 func (w *world) withLearning() {
-	tenants, err := fleet.NewTenants([]*fleet.Tenant{{Name: "t", Keys: []string{"k"}, Weight: 1}})
-	must.NoError(w.t, err)
-	queues := *w.queues
-	queues.Version++
-	queues.Tenants = tenants
-	for _, q := range queues.ByName {
-		q.Public = true
-	}
-	w.queues = &queues
+	w.learnRunTimes = true
 	w.rebootAll()
 }
 
--- a/reduce/jobs/state.go
+++ b/reduce/jobs/state.go
@@ -36,7 +36,10 @@
 	// MaxDirectRunners is the number of runners up to which an owner sends all
 	// calls to runners itself, without dispatchers.
 	MaxDirectRunners int
-	Bounds           Bounds
+	// LearnRunTimes is set when expected run times are learned from runs that have ended,
+	// rather than taken from clients' estimates.
+	LearnRunTimes bool
+	Bounds        Bounds
 }
 
 // Bounds are limits and features of the platform on which decisions depend.
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -91,8 +91,10 @@
 	// number of the last offer.
 	canDispatch      bool
 	maxDirectRunners int
-	dispatchedCalls  int
-	lastLink         uint64
+	// learnRunTimes is a setting of the entries.
+	learnRunTimes   bool
+	dispatchedCalls int
+	lastLink        uint64
 	// reduceTime is the processor time that all entries spent in Reduce.
 	reduceTime time.Duration
 	// reportInterval is the time between two reports of each runner. The entries
@@ -361,7 +363,7 @@
 	}
 	e.state = reduce.New(reduce.Config{Entry: e.id, Jobs: &jobs.Config{
 		Entry: e.id, Incarnation: uint64(e.incarnation), Address: e.address,
-		CanDispatch: e.w.canDispatch, MaxDirectRunners: e.w.maxDirectRunners,
+		CanDispatch: e.w.canDispatch, MaxDirectRunners: e.w.maxDirectRunners, LearnRunTimes: e.w.learnRunTimes,
 		Bounds: jobs.Bounds{
 			StatusRetention: e.w.statusRetention, MaxLease: maxLease * time.Millisecond, InstanceLease: 3 * time.Second,
 			MaintenanceTime: 2 * time.Second, InstanceOrdersPerSecond: 64,
