--- a/reduce/jobs/runner_test.go
+++ b/reduce/jobs/runner_test.go
@@ -189,7 +189,9 @@
 	h.running--
 	if outcome == fleet.RunDone {
 		r.w.doneRuns++
-		r.w.doneOnce[id] = true
+		if !r.w.doneOnce[id] {
+			r.w.doneOnce[id], h.doneAt = true, r.w.now
+		}
 	}
 	r.highestAttempt[id] = max(r.highestAttempt[id], run.attempt)
 	r.lastEnd++
@@ -232,7 +234,10 @@
 		r.w.strayStarts++
 	}
 	r.w.trace("%s starts %v attempt %d fence %d deadline %d clock %d", r.id, o.Task, o.Attempt, o.Epoch, o.LeaseDeadline, r.clock())
-	r.w.history(o.Task).running++
+	h := r.w.history(o.Task)
+	if h.running++; h.firstStart.IsZero() {
+		h.firstStart = r.w.now
+	}
 	run := &fakeRun{attempt: o.Attempt, began: r.w.now, length: r.w.taskLength(o.Task), pace: 100}
 	if r.slowness > 0 {
 		run.length = time.Duration(r.slowness * float64(run.length))
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -136,6 +136,8 @@
 	// crashed is the number of runners that the task has crashed, and startsSince the
 	// number of its starts since crashLimit of them have.
 	crashed, startsSince int
+	// firstStart is when a runner first started the task, and doneAt when it first succeeded.
+	firstStart, doneAt time.Time
 }
 
 type timer struct {
