Keep instances for the first burst, and orders for pools that grow

And turning off the pool of the last turn used the orders about instances that the next turn's pool needed (64 a second). Change: idle time counts for turning off from the first work on, and turning off leaves half of the orders allowed at once to moves. The load of the replays is drawn by a source of its own.

--- a/reduce/jobs/demand.go
+++ b/reduce/jobs/demand.go
@@ -42,7 +42,9 @@
 			work += float64(st.Count) * float64(st.Needs.CPU) * o.expect(j, i).Typical.Seconds()
 		}
 	}
-	o.planner.hadWork = o.planner.hadWork || work > 0
+	if work > 0 && o.planner.workSince.IsZero() {
+		o.planner.workSince = o.now()
+	}
 	a := o.arrivalsOf(j.service)
 	a.decay(o.now())
 	a.rate += work / demandWindow.Seconds()
--- a/reduce/jobs/planner.go
+++ b/reduce/jobs/planner.go
@@ -29,13 +29,18 @@
 	// maxMoveShare is the largest share of all instances that one plan moves. A
 	// burst that needs all instances gets them within a second.
 	maxMoveShare = 0.17
+	// turnOffReserve is the share of the orders allowed at once that turning off leaves
+	// to moves. Load pattern: a queue's turn begins when the one before has just ended. In
+	// replays with 60 runners a pool, orders that turned off the instances of the last
+	// pool left none for a second.
+	turnOffReserve = 0.5
 )
 
 // planner is the state from which the demand of each pool is estimated.
 type planner struct {
 	arrivals map[fleet.ServiceName]*arrivals
-	// hadWork is set once a job with work has arrived.
-	hadWork bool
+	// workSince is when the first job with work arrived; zero before.
+	workSince time.Time
 }
 
 func newPlanner() planner { return planner{arrivals: make(map[fleet.ServiceName]*arrivals)} }
@@ -189,13 +194,14 @@
 // turnOffIdle moves surplus instances that have been idle for idleBeforeTurnOff to
 // the spare pool.
 func (o *ownership) turnOffIdle(plans []*poolPlan, spare *poolPlan, moves int) {
-	if spare == nil || (!o.planner.hadWork && o.now().Sub(o.startedAt) < startupGrace) {
+	if spare == nil || !o.mayTurnOff() {
 		return
 	}
+	reserve := turnOffReserve * o.s.cfg.Bounds.InstanceOrdersPerSecond
 	for _, p := range plans {
-		for p.missing() < 0 && moves > 0 {
+		for p.missing() < 0 && moves > 0 && o.instances.tokens > reserve {
 			i := takeIdle(p, fleet.PoolName(spare.name))
-			if i == nil || o.now().Sub(i.idleSince) < idleBeforeTurnOff {
+			if i == nil || !o.mayBeTurnedOff(i) {
 				break
 			}
 			if !o.orderInstance(i, effect.InstanceMove, fleet.PoolName(spare.name), 0) {
@@ -206,3 +212,19 @@
 		}
 	}
 }
+
+// mayTurnOff reports whether idle instances may be turned off by now.
+func (o *ownership) mayTurnOff() bool {
+	return !o.planner.workSince.IsZero() || o.now().Sub(o.startedAt) >= startupGrace
+}
+
+// mayBeTurnedOff reports whether an idle instance has been idle for idleBeforeTurnOff since
+// work arrives. Load pattern: a fleet is idle, and the first work is the first of a burst;
+// instances that were turned off by the time before the burst were missing in it.
+func (o *ownership) mayBeTurnedOff(i *instance) bool {
+	since := i.idleSince
+	if since.Before(o.planner.workSince) {
+		since = o.planner.workSince
+	}
+	return o.now().Sub(since) >= idleBeforeTurnOff
+}
--- a/reduce/jobs/turns_test.go
+++ b/reduce/jobs/turns_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand"
 	"testing"
 	"time"
 
@@ -113,6 +114,7 @@
 		}
 		return true
 	}
+	rng := rand.New(rand.NewSource(c.seed)) // of its own, so that the load does not depend on decisions
 	const step = 10 * time.Millisecond
 	perLoad := float64(runnerCapacity.CPU) * float64(c.runners) / (16 * 0.8 * 2800) // jobs a second
 	submitted, began := make(map[fleet.JobID]time.Time), w.now
@@ -120,7 +122,7 @@
 		for q := range c.queues {
 			chance := c.load(q, at) * perLoad * step.Seconds()
 			for ; chance > 0; chance-- {
-				if w.rng.Float64() < chance {
+				if rng.Float64() < chance {
 					id := jobID(len(w.submitted))
 					submitted[id] = w.now
 					w.submitTo(poolName(q), id, replayJob())
