Expect more work of a pool as soon as a burst is more than chance

Load pattern: the turn of a queue begins. The average of arrivals over a second showed a fifth of the burst after 0.25 s. A second average over 0.25 s counts by what is left of it without one standard deviation, if that is more.

--- a/reduce/jobs/demand.go
+++ b/reduce/jobs/demand.go
@@ -13,6 +13,8 @@
 	// demandWindow is the time constant of the average of arrivals. A burst lasts
 	// some seconds, and a move of an instance takes 1.5 s.
 	demandWindow = time.Second
+	// burstWindow is the time constant of the average that shows the beginning of a burst.
+	burstWindow = 250 * time.Millisecond
 	// backlogStartTime is the time within which waiting work should have begun.
 	backlogStartTime = 1500 * time.Millisecond
 	// targetUtilisation is the share of an instance's CPU time or memory that is
@@ -28,8 +30,26 @@
 type arrivals struct {
 	// rate is in thousandths of a core: the CPU time of the work that arrives in a
 	// unit of time.
-	rate      float64
-	updatedAt time.Time
+	rate float64
+	// burst is the average over burstWindow, and burstSquares the sum of the squares that
+	// tells how far chance takes it.
+	burst, burstSquares float64
+	updatedAt           time.Time
+}
+
+// add adds the work of a job.
+func (a *arrivals) add(work float64) {
+	a.rate += work / demandWindow.Seconds()
+	b := work / burstWindow.Seconds()
+	a.burst += b
+	a.burstSquares += b * b
+}
+
+// expected returns the rate at which work arrives. Load pattern: a burst begins, and the
+// average over demandWindow shows a fifth of it after 0.25 s. The average over burstWindow
+// counts by what of it is not chance.
+func (a *arrivals) expected() float64 {
+	return max(a.rate, a.burst-math.Sqrt(a.burstSquares))
 }
 
 // observeArrival adds the expected work of a new job to the arrivals at its pool.
@@ -47,7 +67,7 @@
 	}
 	a := o.arrivalsOf(j.service)
 	a.decay(o.now())
-	a.rate += work / demandWindow.Seconds()
+	a.add(work)
 }
 
 func (o *ownership) arrivalsOf(name fleet.ServiceName) *arrivals {
@@ -61,7 +81,10 @@
 
 // decay updates the moving average to the present time.
 func (a *arrivals) decay(now time.Time) {
-	a.rate *= math.Exp(-now.Sub(a.updatedAt).Seconds() / demandWindow.Seconds())
+	age := now.Sub(a.updatedAt).Seconds()
+	a.rate *= math.Exp(-age / demandWindow.Seconds())
+	a.burst *= math.Exp(-age / burstWindow.Seconds())
+	a.burstSquares *= math.Exp(-2 * age / burstWindow.Seconds())
 	a.updatedAt = now
 }
 
@@ -105,7 +128,7 @@
 	}
 	a := o.arrivalsOf(p.name)
 	a.decay(o.now())
-	running.cpu = max(a.rate, running.cpu)
+	running.cpu = max(a.expected(), running.cpu)
 	total, waiting := longRunning, o.backlog(p.name)
 	total.plus(waiting[allocation.RankRequired])
 	var need allocation.Need
