Move instances that would be turned off to the pool that grows

Cause: while one pool grew with instances of the spare pool, those of the pool that had its turn before were turned off: two orders, and the rate of orders (64 a second) is what limits the growth. Change: a pool takes first the instances that would be turned off now, then those of the spare pool, then other idle ones. It costs the giving queue nothing, as they would leave anyway.

--- a/reduce/jobs/planner.go
+++ b/reduce/jobs/planner.go
@@ -158,32 +158,44 @@
 	}
 }
 
-// moveTo moves one instance to a pool, from the spare pool or else from the pool
-// with the largest surplus. It returns false when no instance can be moved.
+// moveTo moves one instance to a pool: one that would be turned off, or else one of the
+// spare pool, or else one of the pool with the largest surplus. It returns false when no
+// instance can be moved. Load pattern: a pool grows while the one that had its turn before
+// is turned off; a direct move is one order instead of two.
 func (o *ownership) moveTo(p *poolPlan, plans []*poolPlan, spare *poolPlan) bool {
 	donors := slices.Clone(plans)
 	slices.SortStableFunc(donors, func(a, b *poolPlan) int { return cmp.Compare(a.missing(), b.missing()) })
+	donors = slices.DeleteFunc(donors, func(d *poolPlan) bool { return d == p || d.missing() >= 0 })
+	if spare != nil && o.mayTurnOff() {
+		for _, d := range donors {
+			if i := takeIdle(d, fleet.PoolName(p.name), o.mayBeTurnedOff); i != nil {
+				return o.moveBetween(i, d, p)
+			}
+		}
+	}
 	if spare != nil {
 		donors = append([]*poolPlan{spare}, donors...)
 	}
 	for _, d := range donors {
-		if d == p || (d != spare && d.missing() >= 0) {
-			continue
-		}
-		if i := takeIdle(d, fleet.PoolName(p.name)); i != nil {
-			d.have--
-			p.have++
-			return o.orderInstance(i, effect.InstanceMove, fleet.PoolName(p.name), 0)
+		if i := takeIdle(d, fleet.PoolName(p.name), nil); i != nil {
+			return o.moveBetween(i, d, p)
 		}
 	}
 	return false
 }
 
-// takeIdle removes the first idle instance that may join a pool from a plan, and
-// returns it. It returns nil when there is none.
-func takeIdle(d *poolPlan, pool fleet.PoolName) *instance {
+// moveBetween moves an instance from one pool to another.
+func (o *ownership) moveBetween(i *instance, from, to *poolPlan) bool {
+	from.have--
+	to.have++
+	return o.orderInstance(i, effect.InstanceMove, fleet.PoolName(to.name), 0)
+}
+
+// takeIdle removes the first idle instance that may join a pool, and of which allowed holds
+// unless it is nil, from a plan and returns it. It returns nil when there is none.
+func takeIdle(d *poolPlan, pool fleet.PoolName, allowed func(*instance) bool) *instance {
 	for n, i := range d.idle {
-		if !slices.Contains(i.rejectedPools, pool) {
+		if !slices.Contains(i.rejectedPools, pool) && (allowed == nil || allowed(i)) {
 			d.idle = slices.Delete(d.idle, n, n+1)
 			return i
 		}
@@ -200,14 +212,13 @@
 	reserve := turnOffReserve * o.s.cfg.Bounds.InstanceOrdersPerSecond
 	for _, p := range plans {
 		for p.missing() < 0 && moves > 0 && o.instances.tokens > reserve {
-			i := takeIdle(p, fleet.PoolName(spare.name))
-			if i == nil || !o.mayBeTurnedOff(i) {
+			i := takeIdle(p, fleet.PoolName(spare.name), o.mayBeTurnedOff)
+			if i == nil {
 				break
 			}
-			if !o.orderInstance(i, effect.InstanceMove, fleet.PoolName(spare.name), 0) {
+			if !o.moveBetween(i, p, spare) {
 				return
 			}
-			p.have--
 			moves--
 		}
 	}
