Spread the tasks of a step or a queue over racks and data centres

Load pattern: a rack loses power for 6 to 7 s, and all tasks in it are away. Cause: tasks were packed on the fullest runners, and of equal ones on the first by id, so the long-running tasks of a step or all work of a pool could be in one rack. Change: a long-running step uses a rack for two tasks, as many as a runner takes, before it uses it for more; of two tasks each has its own rack, which may cost one runner. Of runners without runs, the rack with the fewest busy ones is chosen. Without racks nothing changes; a gang is lost as a whole and is not spread.

--- a/reduce/jobs/placement.go
+++ b/reduce/jobs/placement.go
@@ -249,7 +249,7 @@
 // comes last. Long-running tasks of a step are spread over a few runners with other
 // long-running tasks. Best-effort and serving tasks are kept apart.
 func (o *ownership) score(st *step, t *task, r *runner, share gangShare) int64 {
-	score := -r.free().Minus(share.used).CPU
+	score := -r.free().Minus(share.used).CPU + o.domainScore(st, r)
 	if st.spec.Affinity != "" && st.spec.Affinity == r.Rack {
 		score += affinityScore
 	}
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -97,6 +97,7 @@
 	relocatesUntil time.Time
 	// slowdown is the run time of tasks as a multiple of their estimates.
 	slowdown slowdown
+	racks    rackUse
 }
 
 func (p *pool) remove(st *step) {
