Forecast turns of small pools more often

Change: the tolerances follow that, and the next burst is expected by a line through the beginnings of all bursts that are alike. Instances are turned off early only for 6 s without a turn, as they are ordered up to 4 s before one.

--- a/reduce/forecast/forecast.go
+++ b/reduce/forecast/forecast.go
@@ -34,12 +34,16 @@
 	// and forth for less than the time that two moves take.
 	minPeriod = 5 * time.Second
 	// periodTolerance and lengthTolerance are how far the intervals between bursts and their
-	// lengths may differ, and heightTolerance is the largest ratio of two heights.
-	periodTolerance = 750 * time.Millisecond
+	// lengths may differ, and heightTolerance is the largest ratio of two heights. With
+	// seven jobs a second, chance moves the beginning of a burst by 0.35 s (one standard
+	// deviation), and the difference of two intervals by 0.9 s.
+	periodTolerance = 1200 * time.Millisecond
 	lengthTolerance = 1500 * time.Millisecond
 	heightTolerance = 1.6
-	// maxDelay is how long after the expected time a burst may be noticed.
-	maxDelay = beginDelay + 600*time.Millisecond
+	// maxEarly is how long before the expected time a burst may begin, and maxDelay how long
+	// after it one may be noticed. By then instances wait without work.
+	maxEarly = 1500 * time.Millisecond
+	maxDelay = beginDelay + 900*time.Millisecond
 	// maxIntervals is the largest number of equal intervals that a forecast requires.
 	maxIntervals = 3
 )
@@ -170,7 +174,7 @@
 	held := min(d.gapWork, d.rate*window.Seconds())
 	d.gapWork -= held
 	d.current, d.inBurst = rise{work: held}, true
-	if d.expecting && d.at.Add(-beginDelay).Before(d.next.start.Add(-periodTolerance)) {
+	if d.expecting && d.at.Add(-beginDelay).Before(d.next.start.Add(-maxEarly)) {
 		d.drop()
 	}
 }
@@ -215,47 +219,54 @@
 	copy(d.past[1:], d.past[:])
 	d.past[0], d.known = b, min(d.known+1, len(d.past))
 	d.reference = b.height()
-	d.expecting = d.repeats()
-	if !d.expecting {
+	n := d.alikeInARow()
+	// One interval is enough at first; each forecast that did not come true requires one more.
+	if d.expecting = n > min(1+d.Dropped, maxIntervals); !d.expecting {
 		return
 	}
 	if met {
 		d.Met++
 	}
-	d.period = d.past[0].start.Sub(d.past[1].start)
-	if d.known > 2 && met {
-		// Half of what chance does to the beginning of one burst.
-		d.period = d.past[0].start.Sub(d.past[2].start) / 2
-	}
-	d.next = burst{
-		start: b.start.Add(d.period), length: (b.length + d.past[1].length) / 2, work: b.work + d.past[1].work,
-	}
-	d.next.work *= d.next.length.Seconds() / (b.length + d.past[1].length).Seconds()
+	d.expect(n)
 }
 
-// repeats reports whether the last bursts are alike and follow one another at equal intervals.
-// One interval is enough at first; each forecast that did not come true requires one more.
-func (d *Demand) repeats() bool {
-	intervals := min(1+d.Dropped, maxIntervals)
-	if d.known < intervals+1 {
-		return false
-	}
+// alikeInARow returns how many of the last bursts are alike and follow one another at equal
+// intervals.
+func (d *Demand) alikeInARow() int {
 	first := d.past[0].start.Sub(d.past[1].start)
-	if first < minPeriod {
-		return false
-	}
-	for i := range intervals {
-		newer, older := &d.past[i], &d.past[i+1]
-		if !alike(newer, older) || newer.gapRate > maxGapShare*newer.height() {
-			return false
-		}
-		if (newer.start.Sub(older.start) - first).Abs() > periodTolerance {
-			return false
+	for n := 1; n < d.known; n++ {
+		newer, older := &d.past[n-1], &d.past[n]
+		interval := newer.start.Sub(older.start)
+		if !alike(newer, older) || newer.gapRate > maxGapShare*newer.height() ||
+			interval < minPeriod || (interval-first).Abs() > periodTolerance {
+			return n
 		}
 	}
-	return true
+	return d.known
 }
 
+// expect forecasts the next burst by the last n. Its beginning and the period are those of the
+// line of least squares through their beginnings: chance moves each of them. Its length and
+// height are means.
+func (d *Demand) expect(n int) {
+	count := float64(n)
+	var sum, weighted, length, work float64
+	for i := range n {
+		b := &d.past[i]
+		age := d.past[0].start.Sub(b.start).Seconds()
+		sum += age
+		weighted += age * (float64(i) - (count-1)/2)
+		length += b.length.Seconds()
+		work += b.work
+	}
+	period := weighted * 12 / (count * (count*count - 1))
+	ahead := period - sum/count + period*(count-1)/2
+	d.period = seconds(period)
+	d.next = burst{start: d.past[0].start.Add(seconds(ahead)), length: seconds(length / count), work: work / count}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // alike reports whether two bursts may be repetitions of one another.
 func alike(a, b *burst) bool {
 	ratio := a.height() / b.height()
--- a/reduce/forecast/forecast_test.go
+++ b/reduce/forecast/forecast_test.go
@@ -62,7 +62,7 @@
 				missed++
 				return
 			}
-			must.Between(t, 2*time.Second, until, 4*time.Second, must.Sprint(seed, at))
+			must.Between(t, 2500*time.Millisecond, until, 3500*time.Millisecond, must.Sprint(seed, at))
 			must.Between(t, 19*time.Second, period, 21*time.Second)
 			must.Between(t, 0.7*peak*jobWork, d.Height(), 1.4*peak*jobWork)
 		})
--- a/reduce/jobs/planner.go
+++ b/reduce/jobs/planner.go
@@ -23,8 +23,9 @@
 	// pool, and a pool is usually idle for about 15 s.
 	idleBeforeTurnOff = 1200 * time.Millisecond
 	// minQuiet is the least expected time without a turn for which an instance is turned
-	// off as soon as it may be moved. Its turning off and on costs as much as two seconds.
-	minQuiet = 4 * time.Second
+	// off as soon as it may be moved. Its turning off and on costs as much as two seconds,
+	// and it is ordered some 2 to 4 s before the turn.
+	minQuiet = 6 * time.Second
 	// startupGrace is how long an owner to which no work has arrived yet leaves
 	// idle instances on. Work may arrive at any moment at a fleet that has just
 	// started, or whose owner has failed.
--- a/reduce/jobs/turns_test.go
+++ b/reduce/jobs/turns_test.go
@@ -45,6 +45,8 @@
 	jobs, onTime       int
 	early, earlyOnTime int
 	moves              int
+	// met and dropped are the numbers of forecasts that came true and that did not.
+	met, dropped int
 	// instanceSeconds is the time of instances in pools that run tasks.
 	instanceSeconds float64
 	reduceTime      time.Duration
@@ -55,13 +57,14 @@
 	r.steps, r.begun, r.jobs, r.onTime = r.steps+o.steps, r.begun+o.begun, r.jobs+o.jobs, r.onTime+o.onTime
 	r.early, r.earlyOnTime, r.moves = r.early+o.early, r.earlyOnTime+o.earlyOnTime, r.moves+o.moves
 	r.instanceSeconds += o.instanceSeconds
+	r.met, r.dropped = r.met+o.met, r.dropped+o.dropped
 	r.reduceTime, r.starts = r.reduceTime+o.reduceTime, r.starts+o.starts
 }
 
 func (r replayed) String() string {
-	return fmt.Sprintf("begun in time %.3f of %d tasks, on time %.3f of %d jobs (%.3f of %d in the first 8 s), %d moves, %.0f instance seconds, %.3f ms/run",
+	return fmt.Sprintf("begun in time %.3f of %d tasks, on time %.3f of %d jobs (%.3f of %d in the first 8 s), %d moves, %.0f instance seconds, %.3f ms/run, forecasts %d met %d dropped",
 		share(r.begun, r.steps), r.steps, share(r.onTime, r.jobs), r.jobs, share(r.earlyOnTime, r.early), r.early, r.moves, r.instanceSeconds,
-		r.reduceTime.Seconds()*1000/float64(max(1, r.starts)))
+		r.reduceTime.Seconds()*1000/float64(max(1, r.starts)), r.met, r.dropped)
 }
 
 func share(n, of int) float64 { return float64(n) / float64(max(1, of)) }
@@ -112,6 +115,13 @@
 		if m, ok := o.(effect.OrderInstance); ok && m.Kind == effect.InstanceMove {
 			out.moves++
 		}
+		if c, ok := o.(effect.CountJob); ok && c.Name == "forecasts" {
+			if c.Reason == "met" {
+				out.met++
+			} else {
+				out.dropped++
+			}
+		}
 		return true
 	}
 	rng := rand.New(rand.NewSource(c.seed)) // of its own, so that the load does not depend on decisions
@@ -190,8 +200,8 @@
 	begun                  float64
 	moves, instanceSeconds int
 }{
-	{"turns of 4", turns(4), 0.85, 800, 2760},
-	{"turns of 5", turns(5), 0.83, 840, 3120},
+	{"turns of 4", turns(4), 0.87, 800, 2760},
+	{"turns of 5", turns(5), 0.86, 840, 3120},
 	{"calm", func(int, time.Duration) float64 { return 1. / 3 }, 0.967, 766, 2425},
 	{"drawn", drawn, 0.85, 433, 2275},
 	{"ending", func(queue int, at time.Duration) float64 {
