Forecasts that come true lower what later ones require

Cause: after three forecasts that did not come true, an owner required three equal intervals for as long as it was owner. A burst that went on beyond its expected end by a whole period also counted as over, so that its pool's idle instances were turned off at once.

--- a/reduce/forecast/forecast.go
+++ b/reduce/forecast/forecast.go
@@ -138,6 +138,8 @@
 	next      burst
 	period    time.Duration
 	expecting bool
+	// caution is the number of intervals that a forecast requires beyond one.
+	caution int
 	// Met and Dropped are the numbers of forecasts that came true and that did not.
 	Met, Dropped int
 }
@@ -220,12 +222,12 @@
 	d.past[0], d.known = b, min(d.known+1, len(d.past))
 	d.reference = b.height()
 	n := d.alikeInARow()
-	// One interval is enough at first; each forecast that did not come true requires one more.
-	if d.expecting = n > min(1+d.Dropped, maxIntervals); !d.expecting {
-		return
-	}
 	if met {
 		d.Met++
+		d.caution = max(0, d.caution-1)
+	}
+	if d.expecting = n > 1+d.caution; !d.expecting {
+		return
 	}
 	d.expect(n)
 }
@@ -273,9 +275,11 @@
 	return ratio <= heightTolerance && ratio >= 1/heightTolerance && (a.length-b.length).Abs() <= lengthTolerance
 }
 
-// drop drops the forecast. The bursts before count no longer.
+// drop drops the forecast. The bursts before count no longer, and the next forecast requires
+// one interval more.
 func (d *Demand) drop() {
 	d.expecting, d.known = false, 0
+	d.caution = min(d.caution+1, maxIntervals-1)
 	d.Dropped++
 }
 
@@ -304,7 +308,7 @@
 // them has come back.
 func (d *Demand) Assume(period time.Duration) {
 	b := &d.past[0]
-	if d.expecting || d.inBurst || d.known != 1 || d.Dropped > 0 || b.gapRate > maxGapShare*b.height() || d.at.Sub(b.start) > period {
+	if d.expecting || d.inBurst || d.known != 1 || d.caution > 0 || b.gapRate > maxGapShare*b.height() || d.at.Sub(b.start) > period {
 		return
 	}
 	d.next, d.period, d.expecting = *b, period, true
@@ -324,12 +328,12 @@
 	switch {
 	case !d.expecting:
 		return 0
-	case d.at.Before(d.next.start):
-		return d.next.start.Sub(d.at)
-	case d.at.After(d.next.start.Add(d.next.length)):
-		// The next burst is known only once this one has ended.
+	case !d.inBurst:
+		return max(0, d.next.start.Sub(d.at))
+	}
+	// The end of a burst is noticed only after endDelay, but is expected.
+	if since := d.at.Sub(d.next.start.Add(d.next.length)); since > 0 && since < endDelay+maxEarly {
 		return max(0, d.next.start.Add(d.period).Sub(d.at))
-	default:
-		return 0
 	}
+	return 0
 }
