Keys by job and an audit in the simulated world

Change: clients of the world may have a key for each job, and Config.Audit lets tests check the state of an entry after each event.

--- a/reduce/jobs/state.go
+++ b/reduce/jobs/state.go
@@ -40,6 +40,8 @@
 	// rather than taken from clients' estimates.
 	LearnRunTimes bool
 	Bounds        Bounds
+	// Audit, if set, is called after each event. Tests check the state by it.
+	Audit func(*State)
 }
 
 // Bounds are limits and features of the platform on which decisions depend.
@@ -253,6 +255,9 @@
 		s.emit(effect.SetReady{Ready: ready})
 		s.logDecision(effect.Decision{Name: "readiness", Outcome: strconv.FormatBool(ready), Epoch: s.tenure.Newest().Epoch})
 	}
+	if s.cfg.Audit != nil {
+		s.cfg.Audit(s)
+	}
 }
 
 func (s *State) emit(e effect.Effect) { s.out = append(s.out, e) }
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -123,6 +123,10 @@
 	length func(fleet.TaskID) time.Duration
 	// load, if set, returns the load of a run that runners report.
 	load func(fleet.TaskID) int64
+	// keyOf, if set, returns the API key with which a client calls about a job.
+	keyOf func(fleet.JobID) string
+	// audit, if set, checks the job side of each entry after each event.
+	audit func(*jobs.State) error
 }
 
 // taskHistory is the number of runs of a task that are running, and the outcomes
@@ -364,6 +368,7 @@
 	e.state = reduce.New(reduce.Config{Entry: e.id, Jobs: &jobs.Config{
 		Entry: e.id, Incarnation: uint64(e.incarnation), Address: e.address,
 		CanDispatch: e.w.canDispatch, MaxDirectRunners: e.w.maxDirectRunners, LearnRunTimes: e.w.learnRunTimes,
+		Audit: e.audited(),
 		Bounds: jobs.Bounds{
 			StatusRetention: e.w.statusRetention, MaxLease: maxLease * time.Millisecond, InstanceLease: 3 * time.Second,
 			MaintenanceTime: 2 * time.Second, InstanceOrdersPerSecond: 64,
@@ -383,6 +388,18 @@
 	}
 }
 
+// audited returns the function that records what the world's audit finds wrong.
+func (e *fakeEntry) audited() func(*jobs.State) {
+	if e.w.audit == nil {
+		return nil
+	}
+	return func(s *jobs.State) {
+		if err := e.w.audit(s); err != nil {
+			e.w.violation("%s: %v", e.id, err)
+		}
+	}
+}
+
 func (e *fakeEntry) kill() { e.up = false; e.incarnation++ }
 
 // rebootAll restarts all entries at once.
@@ -691,7 +708,15 @@
 func (w *world) call(e *fakeEntry, kind effect.CallKind, job fleet.JobID, spec *fleet.JobSpec, done func(effect.CallAnswer)) {
 	w.nextID++
 	w.calls[w.nextID] = done
-	e.post(event.ClientCalled{Call: w.nextID, Kind: kind, Host: "host", Path: "/plans/" + string(job), Spec: spec, Key: w.key})
+	e.post(event.ClientCalled{Call: w.nextID, Kind: kind, Host: "host", Path: "/plans/" + string(job), Spec: spec, Key: w.keyFor(job)})
+}
+
+// keyFor returns the API key with which a client calls about a job.
+func (w *world) keyFor(job fleet.JobID) string {
+	if w.keyOf == nil {
+		return w.key
+	}
+	return w.keyOf(job)
 }
 
 // submit submits a job as clients do: it retries at other entries until the job is
