Caps of tenants: plan and start within them

Load pattern: a tenant hands in many times the work that its cap allows, while owners change, runners fall silent and caps are lowered. Change: reduce/shares accounts what each tenant may have running. Runs are counted where they are attached and released, with late starts and unresolved runs, so adopted runs and those of cancelled jobs that are being stopped count too. Placement asks before each planned run, and a start asks again before it is first sent; a planned run of a tenant above its cap is given up. A task larger than what is left starts while less than half of the cap is in use. A long-running task that waits for its restart keeps its part. A task counts once, as no two of its runs can run at once. Until a new owner has an answer of a runner, or former leases have expired there, its free room counts as used by whoever asks, since runs of jobs that have ended are in no record.

--- a/reduce/jobs/activejobs.go
+++ b/reduce/jobs/activejobs.go
@@ -37,6 +37,7 @@
 	}
 	o.active[j.activeIndex] = nil
 	o.activeCount--
+	o.releaseKept(j)
 	if len(o.active) > 2*o.activeCount+minCompaction {
 		o.active = slices.DeleteFunc(o.active, func(j *job) bool { return j == nil })
 		o.renumberActive()
--- a/reduce/jobs/crashes.go
+++ b/reduce/jobs/crashes.go
@@ -149,6 +149,7 @@
 			for _, t := range occ.allTasks() {
 				before := len(t.unresolved)
 				t.unresolved = slices.DeleteFunc(t.unresolved, func(u unresolvedRun) bool { return u.runner == r.ID })
+				o.recount(t)
 				if len(t.unresolved) < before && !planned && t.phase != taskDone && t.crashes.AddLate() {
 					o.giveUp(t, r.ID)
 				}
--- a/reduce/jobs/isolation.go
+++ b/reduce/jobs/isolation.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/crashes"
 )
 
@@ -20,6 +21,9 @@
 	// taken is the number of runners that are on trial or reserved, once it is counted.
 	taken   int
 	counted bool
+	// unknown is what tasks of unknown tenants may be using, once that is known.
+	unknown      fleet.Capacity
+	unknownKnown bool
 }
 
 // mayTake reports whether one more runner may be used for a trial.
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -9,15 +9,18 @@
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/ledger"
 	"github.com/banyanrail/banyanrail/reduce/runtimes"
+	"github.com/banyanrail/banyanrail/reduce/shares"
 	"github.com/banyanrail/banyanrail/reduce/timer"
 )
 
 // job is the owner's state of a job.
 type job struct {
-	id          fleet.JobID
-	queue       fleet.QueueName
-	service     fleet.ServiceName
-	tenant      fleet.TenantName
+	id      fleet.JobID
+	queue   fleet.QueueName
+	service fleet.ServiceName
+	tenant  fleet.TenantName
+	// account is that of the tenant; nil for a job that has ended before this tenure.
+	account     *shares.Account
 	priority    int
 	maxAttempts int
 	accepted    time.Time
@@ -121,6 +124,10 @@
 	// of earlier runs that may still be carried out.
 	unresolved []unresolvedRun
 	lateStarts []*lateStart
+	// attached is the number of runs on runners, and planned that of those whose start was
+	// not sent. claim is what the task counts at its tenant's account.
+	attached, planned int
+	claim             shares.Claim
 	// restarts is the number of runs that were stopped because they were too slow.
 	restarts int
 	// avoidRunner is the runner that last failed, refused or was too slow for the
@@ -168,7 +175,7 @@
 func (o *ownership) newJob(id fleet.JobID, d *ledger.Definition) *job {
 	j := &job{
 		id: id, queue: d.Queue, service: d.Service, maxAttempts: d.MaxAttempts, accepted: d.Accepted, spec: d.Spec,
-		tenant: d.Tenant, state: fleet.JobQueued, storedState: fleet.JobQueued,
+		tenant: d.Tenant, account: o.accounts.Of(d.Tenant), state: fleet.JobQueued, storedState: fleet.JobQueued,
 	}
 	switch {
 	case d.ExpectedPath > 0:
@@ -272,6 +279,7 @@
 		return
 	}
 	t.phase = taskWaiting
+	o.recount(t)
 	if !t.step.queued {
 		o.enqueue(t.step)
 	}
@@ -288,6 +296,7 @@
 // the job after its last occurrence.
 func (o *ownership) finishTask(t *task) {
 	t.phase, t.checkpoint, t.run = taskDone, "", nil
+	o.recount(t)
 	st := t.step
 	o.markProgress(t.job())
 	if st.tasksLeft--; st.tasksLeft > 0 {
@@ -496,6 +505,7 @@
 	}
 	o.restoreLateStarts(t, r.LateStarts)
 	t.job().started = true
+	o.recount(t)
 	if r.Runner == "" {
 		return
 	}
--- a/reduce/jobs/latestarts.go
+++ b/reduce/jobs/latestarts.go
@@ -93,6 +93,7 @@
 	late := &lateStart{task: t, attempt: attempt, runner: r, until: until}
 	r.lateStarts = append(r.lateStarts, late)
 	t.lateStarts = append(t.lateStarts, late)
+	o.recount(t)
 	o.touch(r)
 	o.s.count("late_starts_expected", "")
 	return late
@@ -203,6 +204,7 @@
 	is := func(other *lateStart) bool { return other == late }
 	late.runner.lateStarts = slices.DeleteFunc(late.runner.lateStarts, is)
 	late.task.lateStarts = slices.DeleteFunc(late.task.lateStarts, is)
+	o.recount(late.task)
 	o.touch(late.runner)
 	o.storeSettled(late.task)
 	if late.waits() {
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -8,6 +8,7 @@
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/banyanrail/banyanrail/reduce/runtimes"
+	"github.com/banyanrail/banyanrail/reduce/shares"
 	"github.com/banyanrail/banyanrail/reduce/timer"
 )
 
@@ -55,6 +56,10 @@
 	waitingJobs map[fleet.QueueName]int
 	// unresolved holds the jobs that have unresolved runs.
 	unresolved []*job
+	// accounts holds what each tenant uses of the fleet, and countedUnresolved the
+	// unresolved runs that count there, oldest first.
+	accounts          *shares.Accounts
+	countedUnresolved []countedRun
 	// silences holds when runners stopped answering lately.
 	silences []silence
 	runners  map[fleet.RunnerID]*runner
@@ -83,7 +88,7 @@
 }
 
 func newOwnership(s *State, epoch int64) *ownership {
-	return &ownership{
+	o := &ownership{
 		s: s, epoch: epoch, startedAt: s.now, phase: phaseFencing,
 		formerLeasesUntil: s.tenure.FormerOwnersActiveUntil().Add(onSlowestClock(leaseDuration)),
 		jobs:              make(map[fleet.JobID]*job),
@@ -97,7 +102,12 @@
 		instances:         newInstances(),
 		planner:           newPlanner(),
 		learned:           learned{model: runtimes.New()},
+		accounts:          shares.NewAccounts(),
 	}
+	if s.queues != nil {
+		o.accounts.Configure(&s.queues.Tenants)
+	}
+	return o
 }
 
 func (o *ownership) now() time.Time { return o.s.now }
@@ -198,6 +208,7 @@
 }
 
 func (o *ownership) onQueuesChanged() {
+	o.accounts.Configure(&o.s.queues.Tenants)
 	o.eachActive(o.applyQueue)
 	for _, r := range o.sortedRunners {
 		o.touch(r) // its service may be new
--- a/reduce/jobs/placement.go
+++ b/reduce/jobs/placement.go
@@ -35,6 +35,7 @@
 	if o.phase != phaseActive || !o.s.tenure.Valid(o.now()) || o.storeDown() {
 		return
 	}
+	o.expireCounted()
 	lag := o.s.lag.At(o.now())
 	for _, p := range o.sortedPools {
 		if len(p.queue) > 0 && p.placingDue(o.now(), lag) {
@@ -142,7 +143,7 @@
 	}
 	var last *runner
 	for _, t := range st.tasks {
-		if t.phase != taskWaiting || o.awaitsResolution(t) {
+		if t.phase != taskWaiting || o.awaitsResolution(t) || !o.capAllows(t, pass) {
 			continue
 		}
 		if t.crashes.Suspected() {
@@ -295,6 +296,9 @@
 		}
 		suspected = suspected || t.crashes.Suspected()
 	}
+	if !o.capAllowsGang(st, pass) {
+		return
+	}
 	if suspected {
 		o.placeSuspectedGang(st, pass)
 		return
--- a/reduce/jobs/run.go
+++ b/reduce/jobs/run.go
@@ -141,6 +141,7 @@
 func (o *ownership) attachRun(run *run) {
 	run.task.phase, run.task.run = taskActive, run
 	run.runner.addRun(run)
+	o.recount(run.task)
 	o.touch(run.runner)
 }
 
@@ -155,6 +156,7 @@
 	if run.task.run == run {
 		run.task.run = nil
 	}
+	o.recount(run.task)
 }
 
 // loseRun gives up a run that has certainly ended, and requeues its task.
@@ -213,7 +215,12 @@
 		o.probe(r)
 		return
 	}
+	if run.phase == runIntent && !o.mayStart(run) {
+		o.dropPlanned(run)
+		return
+	}
 	run.setPhase(runStarting)
+	o.recount(t)
 	run.orderInFlight, run.retryAt = true, time.Time{}
 	run.startRepeated = run.startRepeated || !run.startSentUntil.IsZero()
 	run.startSentUntil = o.callableUntil()
--- a/reduce/jobs/runcounts.go
+++ b/reduce/jobs/runcounts.go
@@ -33,7 +33,10 @@
 
 func (c *runCounts) change(run *run, by int) {
 	spec := run.task.step.spec
-	if run.phase != runIntent {
+	run.task.attached += by
+	if run.phase == runIntent {
+		run.task.planned += by
+	} else {
 		c.started += by
 	}
 	if !run.available {
--- a/reduce/jobs/runner_test.go
+++ b/reduce/jobs/runner_test.go
@@ -278,6 +278,7 @@
 	case h.failuresAcknowledged >= 2 && !w.longRunning(o.Task):
 		w.violation("%v was started on %s after two failures", o.Task, r.id)
 	}
+	w.checkCap(o)
 	if h.crashed >= crashLimit {
 		if h.startsSince++; h.startsSince >= startsAfterCrashLimit {
 			w.violation("%v was started on %s for the %d. time after it had crashed %d runners", o.Task, r.id, h.startsSince, crashLimit)
--- /dev/null
+++ b/reduce/jobs/tenants.go
@@ -0,0 +1,168 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/shares"
+)
+
+// countedRun is an unresolved run that counts at the account of its task's tenant.
+type countedRun struct {
+	task  *task
+	since time.Time
+}
+
+// recount applies to the account of a task's tenant what the task uses now. It is called
+// whenever that may have changed.
+func (o *ownership) recount(t *task) {
+	account := t.job().account
+	claim := o.claimOf(t)
+	if claim == t.claim || account == nil {
+		return
+	}
+	from := t.claim
+	t.claim = claim
+	if account.Change(o.now(), from, claim, t.step.spec.Reservation()) {
+		o.retryHeld()
+	}
+}
+
+// retryHeld has all pools placed again: the cap of a tenant holds work of several pools.
+func (o *ownership) retryHeld() {
+	for _, p := range o.sortedPools {
+		p.dirty = true
+	}
+}
+
+// claimOf returns what a task counts at its tenant's account. A task that does not run in
+// several copies counts once, however many of its runs and starts may still be carried out:
+// no two of them can run at the same time (mayStartOn, and the leases of unresolved runs have
+// expired). So the restart of a task needs no more of the cap than the task had.
+func (o *ownership) claimOf(t *task) shares.Claim {
+	sent := t.attached - t.planned + len(t.lateStarts)
+	for i := range t.unresolved {
+		if u := &t.unresolved[i]; !u.expired(o.now()) && t.lateStart(u.attempt) == nil {
+			sent++
+		}
+	}
+	spec := t.step.spec
+	switch {
+	case spec.Speculative:
+		return shares.Claim{Sent: sent, Planned: t.planned, Several: true}
+	case sent > 0:
+		return shares.Claim{Sent: 1}
+	case t.planned > 0:
+		return shares.Claim{Planned: 1}
+	case spec.LongRunning && t.phase == taskWaiting && t.attempt > 0 && !t.job().state.Final():
+		return shares.Claim{Kept: 1}
+	default:
+		return shares.Claim{}
+	}
+}
+
+// expireCounted stops counting the unresolved runs whose outcome is waited for no longer.
+func (o *ownership) expireCounted() {
+	n := 0
+	for n < len(o.countedUnresolved) && o.now().Sub(o.countedUnresolved[n].since) > resolveLimit {
+		o.recount(o.countedUnresolved[n].task)
+		n++
+	}
+	o.countedUnresolved = o.countedUnresolved[n:]
+}
+
+// releaseKept stops keeping capacity for the restarts of a job that has ended.
+func (o *ownership) releaseKept(j *job) {
+	for _, occ := range j.occurrences {
+		for _, st := range occ.steps {
+			if !st.spec.LongRunning {
+				continue
+			}
+			for _, t := range st.tasks {
+				o.recount(t)
+			}
+		}
+	}
+}
+
+// capAllows reports whether the cap of its tenant lets a run be planned for a task.
+func (o *ownership) capAllows(t *task, pass *pass) bool {
+	account := t.job().account
+	if !account.Capped() {
+		return true
+	}
+	return account.MayPlan(t.claim, t.step.spec.Reservation(), o.unknownUse(pass))
+}
+
+// capAllowsGang reports whether the cap lets the runs of all tasks of a gang be planned.
+func (o *ownership) capAllowsGang(st *step, pass *pass) bool {
+	account := st.occ.job.account
+	if !account.Capped() {
+		return true
+	}
+	need := st.spec.Reservation()
+	trial := *account
+	for _, t := range st.tasks {
+		if !trial.MayPlan(t.claim, need, o.unknownUse(pass)) {
+			account.Hold()
+			return false
+		}
+		next := t.claim
+		if next.Planned++; !next.Several {
+			next.Planned, next.Kept = 1-next.Sent, 0
+		}
+		trial.Change(o.now(), t.claim, next, need)
+	}
+	return true
+}
+
+// unknownUse returns what tasks of unknown tenants may be using. Runs that a former owner was
+// stopping when it died are in no record: their jobs have ended. So until a runner has answered
+// this owner's poll, and what it still ran is stopped, all of its free room may be in use, unless
+// the leases of former owners have expired there.
+func (o *ownership) unknownUse(pass *pass) fleet.Capacity {
+	if pass.unknownKnown {
+		return pass.unknown
+	}
+	pass.unknownKnown = true
+	for _, r := range o.sortedRunners {
+		if (r.fenced && r.strays == 0) || (!r.fenced && o.now().After(o.formerLeasesExpireAt(r))) {
+			continue
+		}
+		free := r.free()
+		pass.unknown = pass.unknown.Plus(fleet.Capacity{
+			CPU: max(0, free.CPU), Memory: max(0, free.Memory), Accelerators: max(0, free.Accelerators),
+		})
+	}
+	return pass.unknown
+}
+
+// mayStart reports whether the cap of its tenant lets the start of a planned run be sent.
+func (o *ownership) mayStart(run *run) bool {
+	t := run.task
+	return t.job().account.MayStart(t.claim, run.reserved)
+}
+
+// reasonAboveCap is the reason for giving up a planned run.
+const reasonAboveCap effect.Reason = "its tenant is above the cap"
+
+// dropPlanned gives up a run that was planned before the cap of its tenant was lowered, with the
+// others of its gang whose starts were not sent.
+func (o *ownership) dropPlanned(run *run) {
+	t := run.task
+	o.s.logDecision(effect.Decision{
+		Name: "planned run given up", Task: t.id().String(), Attempt: run.attempt, Runner: run.runner.ID, Queue: t.job().queue,
+		Reason: reasonAboveCap, Epoch: o.epoch, Age: o.now().Sub(run.createdAt),
+	})
+	o.s.count("planned_runs_given_up", reasonAboveCap)
+	if !t.step.spec.Gang {
+		o.requeueUnstarted(run)
+		return
+	}
+	for _, member := range t.step.tasks {
+		if r := member.run; r != nil && r.phase == runIntent && r.attempt == run.attempt {
+			o.requeueUnstarted(r)
+		}
+	}
+}
--- a/reduce/jobs/unresolved.go
+++ b/reduce/jobs/unresolved.go
@@ -21,9 +21,14 @@
 	since   time.Time
 }
 
+// expired reports whether the outcome of the run is waited for no longer.
+func (u unresolvedRun) expired(now time.Time) bool { return now.Sub(u.since) > resolveLimit }
+
 // addUnresolved adds an unresolved run to its task.
 func (o *ownership) addUnresolved(t *task, u unresolvedRun) {
 	t.unresolved = append(t.unresolved, u)
+	o.countedUnresolved = append(o.countedUnresolved, countedRun{task: t, since: u.since})
+	o.recount(t)
 	if j := t.job(); !j.hasUnresolved {
 		j.hasUnresolved = true
 		o.unresolved = append(o.unresolved, j)
@@ -37,9 +42,7 @@
 	if len(t.unresolved) == 0 || t.step.spec.LongRunning {
 		return false
 	}
-	t.unresolved = slices.DeleteFunc(t.unresolved, func(u unresolvedRun) bool {
-		return o.now().Sub(u.since) > resolveLimit
-	})
+	t.unresolved = slices.DeleteFunc(t.unresolved, func(u unresolvedRun) bool { return u.expired(o.now()) })
 	failures := t.countedFailures()
 	if t.crashes.Crashes > 0 && t.crashes.Crashes+len(t.unresolved) >= crashes.MaxCrashes {
 		return true
@@ -56,6 +59,7 @@
 	}
 	before := len(t.unresolved)
 	t.unresolved = slices.DeleteFunc(t.unresolved, func(u unresolvedRun) bool { return u.attempt == e.Attempt })
+	o.recount(t)
 	late, resolved := t.lateStart(e.Attempt), len(t.unresolved) < before
 	for _, l := range t.lateStarts {
 		r.holdEnd(e.Number, l.until)
@@ -93,6 +97,7 @@
 		for _, occ := range j.occurrences {
 			for _, t := range occ.allTasks() {
 				t.unresolved = slices.DeleteFunc(t.unresolved, func(u unresolvedRun) bool { return u.runner == r.ID && u.since.Before(sent) })
+				o.recount(t)
 				j.hasUnresolved = j.hasUnresolved || len(t.unresolved) > 0
 			}
 		}
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -125,6 +125,8 @@
 	load func(fleet.TaskID) int64
 	// keyOf, if set, returns the API key with which a client calls about a job.
 	keyOf func(fleet.JobID) string
+	// caps holds the caps of each tenant, by its key.
+	caps map[string][]inForce
 	// audit, if set, checks the job side of each entry after each event.
 	audit func(*jobs.State) error
 }
@@ -179,6 +181,7 @@
 		cancelledAt: make(map[fleet.JobID]time.Time), doneOnce: make(map[fleet.TaskID]bool), alwaysFails: make(map[fleet.JobID]bool),
 		crashes: make(map[fleet.TaskID]bool), crashDelay: 10 * time.Millisecond,
 		cancelling: make(map[fleet.JobID]bool), endDelay: 5 * time.Millisecond,
+		caps:     make(map[string][]inForce),
 		waveDone: make(map[int64]bool), statusRetention: 2 * time.Minute,
 		queues: fleet.NewQueues(1, []*fleet.Queue{{
 			Name: queueName, Host: "host", Prefix: "/plans/", Service: "desk", MaxAttempts: 2, Stretch: 2, Slack: time.Second,
