Weighted fair order and shares of tenants

Load pattern: one tenant sends seven times its usual load, and the few jobs of the others wait behind its backlog. Change: a token bucket (weight jobs a second, five seconds at once) marks jobs at acceptance as within their tenant's share or beyond it; a new owner replays it from the acceptance times. Work is ordered by class, priority and the tenant's level, which is its dominant share with a part of its former use, divided by its weight, and grows with each task placed in a pass. Within a tenant begun jobs come first, then the shorter remaining path; on time means with a margin of a tenth. Without tenants the order is that of before. Counters of jobs accepted, jobs beyond the share and steps held by the cap.

--- a/reduce/admission/order_test.go
+++ b/reduce/admission/order_test.go
@@ -18,6 +18,9 @@
 		{Class: admission.ClassOnTime, LatestStart: later},
 		{Class: admission.ClassOnTime, Priority: 1, LatestStart: soon},
 		{Class: admission.ClassLate, LatestStart: soon},
+		{Class: admission.ClassBeyondOnTime, Remaining: time.Second, LatestStart: later},
+		{Class: admission.ClassBeyondOnTime, Remaining: 2 * time.Second, LatestStart: soon},
+		{Class: admission.ClassBeyondLate, LatestStart: soon, Started: true},
 		{Class: admission.ClassNoValue, LatestStart: soon, Started: true},
 	}
 	for i := range inOrder {
@@ -28,3 +31,12 @@
 		}
 	}
 }
+
+// TestWorkBeyondTheShareComesAfterWorkWithin: what has no value left has none within the share
+// either, and long-running tasks come first in any case.
+func TestWorkBeyondTheShareComesAfterWorkWithin(t *testing.T) {
+	must.Eq(t, admission.ClassBeyondOnTime, admission.ClassOnTime.Beyond())
+	must.Eq(t, admission.ClassBeyondLate, admission.ClassLate.Beyond())
+	must.Eq(t, admission.ClassNoValue, admission.ClassNoValue.Beyond())
+	must.Eq(t, admission.ClassLongRunning, admission.ClassLongRunning.Beyond())
+}
--- a/reduce/jobs/activejobs.go
+++ b/reduce/jobs/activejobs.go
@@ -12,6 +12,10 @@
 	o.active = append(o.active, j)
 	o.activeCount++
 	o.waitingJobs[j.queue]++
+	if o.phase == phaseActive {
+		o.markShare(j)
+		o.countAccepted(j)
+	}
 }
 
 // markBegun records that a run of a task of a job has begun.
--- a/reduce/jobs/export_test.go
+++ b/reduce/jobs/export_test.go
@@ -104,3 +104,18 @@
 		w.kept = w.kept.Plus(need)
 	}
 }
+
+// BeyondShare returns the jobs that the owner has marked as beyond the share of their tenant, in
+// order of acceptance; false if the entry does not own the jobs.
+func BeyondShare(s *State) ([]fleet.JobID, bool) {
+	if s.ownership == nil || s.ownership.phase != phaseActive {
+		return nil, false
+	}
+	var out []fleet.JobID
+	s.ownership.eachActive(func(j *job) {
+		if j.beyond {
+			out = append(out, j.id)
+		}
+	})
+	return out, true
+}
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -20,7 +20,10 @@
 	service fleet.ServiceName
 	tenant  fleet.TenantName
 	// account is that of the tenant; nil for a job that has ended before this tenure.
-	account     *shares.Account
+	account *shares.Account
+	// beyond is set if the tenant had handed in more jobs than it is owed when the job was
+	// accepted.
+	beyond      bool
 	priority    int
 	maxAttempts int
 	accepted    time.Time
@@ -82,8 +85,11 @@
 	tasks     []*task
 	// tasksLeft is the number of tasks that are not done.
 	tasksLeft int
-	// queued is set while the step is in its pool's queue.
-	queued bool
+	// queued is set while the step is in its pool's queue, and queuedAt is since when.
+	queued   bool
+	queuedAt time.Time
+	// held is set while the cap of the tenant holds a task of the step.
+	held bool
 	// gangFailures counts the failed runs of a gang, and failedAttempts lists the attempts
 	// of the last of them, in ascending order.
 	gangFailures   int
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -156,6 +156,7 @@
 	}
 	slices.SortStableFunc(o.active, func(a, b *job) int { return a.accepted.Compare(b.accepted) })
 	o.renumberActive()
+	o.eachActive(o.markShare)
 	o.unreached.dueAt = o.now().Add(unreachedAfter)
 	o.restoreWaves(b.Waves)
 	o.instances.restoreFormerlyOrdered(b.RecentlyOrdered, b.OrdersUnreadable)
--- a/reduce/jobs/placement.go
+++ b/reduce/jobs/placement.go
@@ -6,14 +6,9 @@
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/admission"
+	"github.com/banyanrail/banyanrail/reduce/shares"
 )
 
-// ranked is a step with what its rank depends on.
-type ranked struct {
-	admission.Waiting
-	step *step
-}
-
 const (
 	// shortQueueSteps and longQueueSteps are the numbers of waiting steps above which
 	// the tasks of a pool are placed at most once in placeInterval and in
@@ -67,15 +62,18 @@
 	}
 	var tried shortages
 	pass := &pass{pool: p, usable: usable}
-	for _, k := range o.rank(stepsThatMayFit(p.queue, usable)) {
-		if tried.covers(k.step) {
+	steps := stepsThatMayFit(p.queue, usable)
+	order := o.rank(steps)
+	for next, ok := order.Next(); ok; next, ok = order.Next() {
+		st := steps[next.Index]
+		if tried.covers(st) {
 			continue
 		}
-		if !o.placeStep(k.step, pass) {
-			tried.add(k.step)
+		if !o.placeStep(st, pass) {
+			tried.add(st)
 		}
-		if !k.step.hasWaiting() {
-			k.step.queued = false
+		if !st.hasWaiting() {
+			st.queued = false
 		}
 	}
 	p.queue = slices.DeleteFunc(p.queue, func(st *step) bool { return !st.queued })
@@ -94,17 +92,21 @@
 	return out
 }
 
-// rank sorts steps in the order in which their tasks are placed.
-func (o *ownership) rank(queue []*step) []ranked {
-	out := make([]ranked, 0, len(queue))
-	for _, st := range queue {
+// rank returns the order in which the tasks of steps are placed.
+func (o *ownership) rank(steps []*step) *shares.Order {
+	entries := make([]shares.Entry, 0, len(steps))
+	for i, st := range steps {
 		j := st.occ.job
-		out = append(out, ranked{step: st, Waiting: admission.Waiting{
-			Class: o.class(st), Priority: j.priority, Started: j.started, LatestStart: st.occ.due().Add(-st.criticalPath),
-		}})
+		w := admission.Waiting{Class: o.class(st), Priority: j.priority, Started: j.started, LatestStart: st.occ.due().Add(-st.criticalPath)}
+		if j.tenant != "" && (w.Class == admission.ClassOnTime || w.Class == admission.ClassLate) {
+			w.Remaining = st.criticalPath
+		}
+		if j.beyond {
+			w.Class = w.Class.Beyond()
+		}
+		entries = append(entries, shares.Entry{Waiting: w, Account: j.account, Index: i})
 	}
-	slices.SortStableFunc(out, func(a, b ranked) int { return admission.Compare(a.Waiting, b.Waiting) })
-	return out
+	return shares.NewOrder(o.now(), o.totalCapacity(), entries)
 }
 
 // due returns the deadline of an occurrence.
@@ -121,8 +123,12 @@
 	end := o.now().Add(st.criticalPath)
 	j := st.occ.job
 	shift := st.occ.due().Sub(j.deadline)
+	var margin time.Duration
+	if j.tenant != "" {
+		margin = admission.Margin(st.criticalPath)
+	}
 	switch {
-	case !end.After(st.occ.due()):
+	case !end.Add(margin).After(st.occ.due()):
 		return admission.ClassOnTime
 	case !end.After(j.noValueAfter.Add(shift)):
 		return admission.ClassLate
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -89,8 +89,9 @@
 	runners []*runner
 	// dirty is set when the tasks of the queue are to be placed again.
 	dirty bool
-	// placedAt is when tasks of the queue were last placed.
-	placedAt time.Time
+	// placedAt is when tasks of the queue were last placed, and explainedAt when it was last
+	// logged why they wait.
+	placedAt, explainedAt time.Time
 	// relocation is the newest plan for tasks that leave their runners; nil for none.
 	relocation *relocation
 	// relocatesUntil is until when the pool keeps room for such tasks.
@@ -118,7 +119,7 @@
 
 // enqueue adds a step to the queue of its pool.
 func (o *ownership) enqueue(st *step) {
-	st.queued = true
+	st.queued, st.queuedAt = true, o.now()
 	p := o.pool(st.occ.job.service)
 	p.queue = append(p.queue, st)
 	p.dirty = true
--- a/reduce/jobs/state.go
+++ b/reduce/jobs/state.go
@@ -17,6 +17,7 @@
 	"github.com/banyanrail/banyanrail/reduce/admission"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/shares"
 	"github.com/banyanrail/banyanrail/reduce/tenure"
 	"github.com/banyanrail/banyanrail/reduce/timer"
 )
@@ -112,6 +113,8 @@
 	// unreachableEpoch is the epoch of an owner that did not serve the last call
 	// forwarded to it; zero when the last call was served.
 	unreachableEpoch int64
+	// tenantLabels are the names of tenants in counters.
+	tenantLabels shares.Labels
 }
 
 // New returns the state of an entry that has seen no event.
--- a/reduce/jobs/tenants.go
+++ b/reduce/jobs/tenants.go
@@ -92,7 +92,17 @@
 	if !account.Capped() {
 		return true
 	}
-	return account.MayPlan(t.claim, t.step.spec.Reservation(), o.unknownUse(pass))
+	allows := account.MayPlan(t.claim, t.step.spec.Reservation(), o.unknownUse(pass))
+	o.noteHeld(t.step, !allows)
+	return allows
+}
+
+// noteHeld notes whether the cap of its tenant holds a step, and counts the steps that it does.
+func (o *ownership) noteHeld(st *step, held bool) {
+	if held && !st.held {
+		o.s.count("tenant_steps_held", effect.Reason(o.s.tenantLabels.Of(st.occ.job.tenant)))
+	}
+	st.held = held
 }
 
 // capAllowsGang reports whether the cap lets the runs of all tasks of a gang be planned.
@@ -106,6 +116,7 @@
 	for _, t := range st.tasks {
 		if !trial.MayPlan(t.claim, need, o.unknownUse(pass)) {
 			account.Hold()
+			o.noteHeld(st, true)
 			return false
 		}
 		next := t.claim
@@ -114,6 +125,7 @@
 		}
 		trial.Change(o.now(), t.claim, next, need)
 	}
+	o.noteHeld(st, false)
 	return true
 }
 
@@ -166,3 +178,33 @@
 		}
 	}
 }
+
+// markShare marks a job as within the share of its tenant or beyond it. A new owner does so for
+// the jobs in the ledger by the times at which they were accepted.
+func (o *ownership) markShare(j *job) { j.beyond = !j.account.Accept(j.accepted) }
+
+// countAccepted counts a job that this owner has accepted.
+func (o *ownership) countAccepted(j *job) {
+	if j.tenant == "" {
+		return
+	}
+	label := effect.Reason(o.s.tenantLabels.Of(j.tenant))
+	o.s.count("tenant_jobs_accepted", label)
+	if j.beyond {
+		o.s.count("tenant_jobs_beyond_share", label)
+	}
+}
+
+// totalCapacity returns the capacity of all runners that are listed. It is not needed, and zero,
+// while all jobs are those of one tenant.
+func (o *ownership) totalCapacity() fleet.Capacity {
+	var total fleet.Capacity
+	if o.accounts.Count() > 1 {
+		for _, r := range o.sortedRunners {
+			if r.listed {
+				total = total.Plus(r.Capacity)
+			}
+		}
+	}
+	return total
+}
--- a/reduce/jobs/tenants_test.go
+++ b/reduce/jobs/tenants_test.go
@@ -70,7 +70,10 @@
 			limit = max(limit, c.cpu)
 		}
 	}
-	if use := w.useOf(key).CPU; limit > 0 && use*10 > limit*11 {
+	if limit == 0 {
+		return
+	}
+	if use := w.useOf(key).CPU; use*10 > limit*11 {
 		w.violation("%v was started while %s uses %d, above its cap of %d", o.Task, key, use, limit)
 	}
 }
@@ -294,3 +297,102 @@
 	must.LessEq(t, 3*time.Second, w.longestAway(jobID(0), 3, 10*time.Second))
 	w.checkInvariants()
 }
+
+// fewOrMany returns the keys of jobs by their numbers: those from 100 on are of a tenant with few
+// jobs, the others of one with many.
+func fewOrMany(id fleet.JobID) string {
+	if id >= jobID(100) {
+		return "few"
+	}
+	return "many"
+}
+
+// TestFewJobsDoNotWaitBehindABacklog: a tenant with few jobs waited until the backlog of another
+// had begun, as that was older.
+func TestFewJobsDoNotWaitBehindABacklog(t *testing.T) {
+	w := newWorld(t, 821, 1, 2, withTenants(fewOrMany, &fleet.Tenant{Name: "many", Weight: 5}, &fleet.Tenant{Name: "few", Weight: 5}))
+	w.audit = jobs.AuditShares
+	w.run(2 * time.Second)
+	for n := range 60 {
+		w.submit(jobID(n), tasksJob(8, time.Second))
+	}
+	w.run(100 * time.Millisecond)
+	w.submit(jobID(100), tasksJob(4, time.Second))
+	w.run(2200 * time.Millisecond)
+	w.mustState(jobID(100), fleet.JobDone)
+	w.run(30 * time.Second)
+	w.mustState(jobID(59), fleet.JobDone)
+	w.checkInvariants()
+}
+
+// TestNewOwnerKnowsWhatIsBeyondTheShare hands in more jobs than two tenants are owed, and lets the
+// owner die. The next one has to find the same jobs beyond the share by the times at which they
+// were accepted, in whatever order it reads them.
+func TestNewOwnerKnowsWhatIsBeyondTheShare(t *testing.T) {
+	w := newWorld(t, 822, 2, 1, withTenants(fewOrMany, &fleet.Tenant{Name: "many", Weight: 1}, &fleet.Tenant{Name: "few", Weight: 0.4}))
+	var marked []fleet.JobID
+	w.audit = func(s *jobs.State) error {
+		if m, ok := jobs.BeyondShare(s); ok {
+			marked = m
+		}
+		return nil
+	}
+	w.run(2 * time.Second)
+	for n := range 14 {
+		w.submit(jobID(13-n), tasksJob(20, time.Minute))
+		w.run(400 * time.Millisecond)
+	}
+	for n := range 4 {
+		w.submit(jobID(100+n), tasksJob(20, time.Minute))
+	}
+	w.run(500 * time.Millisecond)
+	before, want := w.owner(), marked
+	must.Between(t, 4, len(want), 8)
+	before.kill()
+	marked = nil
+	w.run(9 * time.Second)
+	must.NotEq(t, before, w.owner())
+	must.Eq(t, want, marked)
+}
+
+// TestWorkBeyondTheShareWaits: a tenant hands in more than it is owed, and then another one what it
+// is owed. The second one has used more for its weight, but the first one's jobs wait.
+func TestWorkBeyondTheShareWaits(t *testing.T) {
+	w := newWorld(t, 824, 1, 1, withTenants(fewOrMany, &fleet.Tenant{Name: "many", Weight: 10}, &fleet.Tenant{Name: "few", Weight: 0.4}))
+	w.run(2 * time.Second)
+	w.submit(jobID(100), tasksJob(20, time.Second))
+	w.run(100 * time.Millisecond)
+	for n := range 60 {
+		w.submit(jobID(n), tasksJob(1, time.Second))
+	}
+	w.submit(jobID(101), tasksJob(20, time.Second))
+	for !w.isRunning(firstTask(jobID(101))) {
+		w.run(10 * time.Millisecond)
+	}
+	for n := 50; n < 60; n++ {
+		must.False(t, w.isRunning(firstTask(jobID(n))) || w.doneOnce[firstTask(jobID(n))], must.Sprint("beyond the share: ", n))
+	}
+	w.run(10 * time.Second)
+	w.mustState(jobID(59), fleet.JobDone)
+	w.checkInvariants()
+}
+
+// TestCountersOfTenants: counters name the tenant, and what is beyond its share or held by its cap
+// is counted once.
+func TestCountersOfTenants(t *testing.T) {
+	w := newWorld(t, 823, 1, 2, withTenants(func(fleet.JobID) string { return "ann" },
+		&fleet.Tenant{Name: "ann", Weight: 1, Cap: fleet.Capacity{CPU: 2000}}))
+	counts := make(map[string]int64)
+	w.onEffect = func(_ *fakeEntry, out effect.Effect) bool {
+		if c, ok := out.(effect.CountJob); ok && c.Reason == "ann" {
+			counts[c.Name] += c.N
+		}
+		return true
+	}
+	w.run(2 * time.Second)
+	for n := range 7 {
+		w.submit(jobID(n), tasksJob(1, 700*time.Millisecond))
+	}
+	w.run(500 * time.Millisecond)
+	must.Eq(t, map[string]int64{"tenant_jobs_accepted": 7, "tenant_jobs_beyond_share": 2, "tenant_steps_held": 5}, counts)
+}
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -371,7 +371,7 @@
 	e.state = reduce.New(reduce.Config{Entry: e.id, Jobs: &jobs.Config{
 		Entry: e.id, Incarnation: uint64(e.incarnation), Address: e.address,
 		CanDispatch: e.w.canDispatch, MaxDirectRunners: e.w.maxDirectRunners, LearnRunTimes: e.w.learnRunTimes,
-		Audit: e.audited(),
+		Audit: e.audited,
 		Bounds: jobs.Bounds{
 			StatusRetention: e.w.statusRetention, MaxLease: maxLease * time.Millisecond, InstanceLease: 3 * time.Second,
 			MaintenanceTime: 2 * time.Second, InstanceOrdersPerSecond: 64,
@@ -391,15 +391,13 @@
 	}
 }
 
-// audited returns the function that records what the world's audit finds wrong.
-func (e *fakeEntry) audited() func(*jobs.State) {
+// audited records what the world's audit, if it has one, finds wrong.
+func (e *fakeEntry) audited(s *jobs.State) {
 	if e.w.audit == nil {
-		return nil
+		return
 	}
-	return func(s *jobs.State) {
-		if err := e.w.audit(s); err != nil {
-			e.w.violation("%s: %v", e.id, err)
-		}
+	if err := e.w.audit(s); err != nil {
+		e.w.violation("%s: %v", e.id, err)
 	}
 }
 
--- a/reduce/shares/account.go
+++ b/reduce/shares/account.go
@@ -33,11 +33,24 @@
 // Account is what one tenant uses of the fleet, and what it may use.
 type Account struct {
 	name fleet.TenantName
-	cap  fleet.Capacity
+	// number is the account's place among all in the order in which they were opened.
+	number int
+	cap    fleet.Capacity
+	// weight is the tenant's part where tenants share, and rate the number of jobs a second
+	// that it is owed; zero for no limit.
+	weight, rate float64
 
 	sent, planned, kept fleet.Capacity
 	// blocked is set once work was held by the cap, until less is in use.
 	blocked bool
+	// recent is the average of the former use at recentAt, in which older use counts less.
+	recent   amounts
+	recentAt time.Time
+	// tokens is the number of jobs that the tenant was owed at filledAt.
+	tokens   float64
+	filledAt time.Time
+	// loggedAt is when it was last logged why the tenant's work waits.
+	loggedAt time.Time
 }
 
 // Name returns the name of the tenant; empty for the jobs of public queues.
@@ -57,7 +70,8 @@
 
 // Change replaces the claim of a task that needs a capacity. It returns true if work that was
 // held by the cap may start now.
-func (a *Account) Change(_ time.Time, from, to Claim, need fleet.Capacity) bool {
+func (a *Account) Change(now time.Time, from, to Claim, need fleet.Capacity) bool {
+	a.forget(now)
 	a.sent = a.sent.Plus(times(need, to.Sent-from.Sent))
 	a.planned = a.planned.Plus(times(need, to.Planned-from.Planned))
 	a.kept = a.kept.Plus(times(need, to.Kept-from.Kept))
@@ -121,3 +135,13 @@
 
 // Hold notes that work is held by the cap.
 func (a *Account) Hold() { a.blocked = true }
+
+// MayLog reports whether a line about the tenant's waiting work may be logged, and notes it. At
+// most one is logged in an interval.
+func (a *Account) MayLog(now time.Time, interval time.Duration) bool {
+	if now.Sub(a.loggedAt) < interval {
+		return false
+	}
+	a.loggedAt = now
+	return true
+}
--- a/reduce/shares/accounts.go
+++ b/reduce/shares/accounts.go
@@ -26,7 +26,7 @@
 func (all *Accounts) Of(name fleet.TenantName) *Account {
 	a, ok := all.byName[name]
 	if !ok {
-		a = &Account{name: name}
+		a = &Account{name: name, number: len(all.byName)}
 		all.byName[name] = a
 		all.configure(a)
 	}
@@ -34,14 +34,22 @@
 }
 
 // configure applies the configuration of a tenant to its account. A tenant that is not listed
-// has no cap, and neither have the jobs of public queues.
+// has no cap, the weight 1 and no limit of jobs, and so have the jobs of public queues.
 func (all *Accounts) configure(a *Account) {
-	a.cap = fleet.Capacity{}
-	if t := all.tenants.ByName(a.name); t != nil && a.name != "" {
-		a.cap = t.Cap
+	a.cap, a.weight, a.rate = fleet.Capacity{}, 1, 0
+	t := all.tenants.ByName(a.name)
+	if t == nil || a.name == "" {
+		return
+	}
+	a.cap, a.rate = t.Cap, t.Weight
+	if t.Weight > 0 {
+		a.weight = t.Weight
 	}
 }
 
+// Count returns the number of accounts.
+func (all *Accounts) Count() int { return len(all.byName) }
+
 // Each calls do for each account, in no fixed order.
 func (all *Accounts) Each(do func(*Account)) {
 	for _, a := range all.byName {
