Log why the work of a tenant waits

Cause: an operator could not tell a cap from a share, the order or a full pool. Change: the line "work waits" names the tenant and one of cap, share, order and capacity, at most once a second for each tenant, from a wait of half a second.

--- a/jobentry/log.go
+++ b/jobentry/log.go
@@ -35,6 +35,7 @@
 	text("job", string(d.Job))
 	text("task", d.Task)
 	text("queue", string(d.Queue))
+	text("tenant", string(d.Tenant))
 	text("runner", string(d.Runner))
 	text("about", string(d.Entry))
 	text("outcome", d.Outcome)
--- a/reduce/effect/jobs.go
+++ b/reduce/effect/jobs.go
@@ -286,6 +286,7 @@
 	Job     fleet.JobID
 	Task    string
 	Queue   fleet.QueueName
+	Tenant  fleet.TenantName
 	Runner  fleet.RunnerID
 	Entry   fleet.EntryID
 	Attempt int64
--- a/reduce/jobs/placement.go
+++ b/reduce/jobs/placement.go
@@ -36,6 +36,7 @@
 		if len(p.queue) > 0 && p.placingDue(o.now(), lag) {
 			p.dirty, p.placedAt = false, o.now()
 			o.placePool(p)
+			o.explainWaits(p)
 		}
 	}
 }
--- a/reduce/jobs/tenants_test.go
+++ b/reduce/jobs/tenants_test.go
@@ -312,6 +312,13 @@
 func TestFewJobsDoNotWaitBehindABacklog(t *testing.T) {
 	w := newWorld(t, 821, 1, 2, withTenants(fewOrMany, &fleet.Tenant{Name: "many", Weight: 5}, &fleet.Tenant{Name: "few", Weight: 5}))
 	w.audit = jobs.AuditShares
+	var reasons []effect.Reason
+	w.onEffect = func(_ *fakeEntry, out effect.Effect) bool {
+		if d, ok := out.(effect.Decision); ok && d.Name == "work waits" && d.Tenant == "many" {
+			reasons = append(reasons, d.Reason)
+		}
+		return true
+	}
 	w.run(2 * time.Second)
 	for n := range 60 {
 		w.submit(jobID(n), tasksJob(8, time.Second))
@@ -320,6 +327,8 @@
 	w.submit(jobID(100), tasksJob(4, time.Second))
 	w.run(2200 * time.Millisecond)
 	w.mustState(jobID(100), fleet.JobDone)
+	must.Between(t, 2, len(reasons), 4, must.Sprint("one line a second: ", reasons))
+	must.Eq(t, "capacity", reasons[len(reasons)-1])
 	w.run(30 * time.Second)
 	w.mustState(jobID(59), fleet.JobDone)
 	w.checkInvariants()
