Vacate runners although a cap holds long-running tasks

Cause: the plan for tasks that leave their runners took a long-running task that the cap of its tenant holds for one that waits for room, and kept the runner with room for it from being vacated for as long as the cap held. Change: such tasks are left out of the plan. Measured: TestWaveIsNotHeldUpByTheCap fails without the change (the wave is not done after 40 s) and passes with it.

--- a/reduce/jobs/relocation.go
+++ b/reduce/jobs/relocation.go
@@ -62,6 +62,7 @@
 		arriving: make(map[*runner][]*run), awaited: make(map[*runner]bool),
 	}
 	var leaving []*runner
+	held := &pass{pool: p}
 	for _, r := range p.runners {
 		if o.usable(r) {
 			plan.usable = append(plan.usable, r)
@@ -81,8 +82,8 @@
 			continue
 		}
 		for _, t := range st.tasks {
-			if t.phase != taskWaiting {
-				continue
+			if t.phase != taskWaiting || !o.capAllows(t, held) {
+				continue // it does not wait for room
 			}
 			if r := o.placeIn(plan, st, nil); r != nil {
 				plan.awaited[r] = true
--- a/reduce/jobs/tenants_test.go
+++ b/reduce/jobs/tenants_test.go
@@ -405,3 +405,24 @@
 	w.run(500 * time.Millisecond)
 	must.Eq(t, map[string]int64{"tenant_jobs_accepted": 7, "tenant_jobs_beyond_share": 2, "tenant_steps_held": 5}, counts)
 }
+
+// TestWaveIsNotHeldUpByTheCap: a long-running task that the cap of its tenant holds was taken for
+// one that waits for room, and the runner that had room for it was never vacated.
+func TestWaveIsNotHeldUpByTheCap(t *testing.T) {
+	w := newWorld(t, 825, 1, 3)
+	w.withInstances(0)
+	w.keyOf = func(fleet.JobID) string { return "ann" }
+	w.lowerCap(2000)
+	w.run(3 * time.Second)
+	w.submit(jobID(1), longRunningJob(4, 4))
+	w.run(time.Second)
+	must.Eq(t, 2000, w.useOf("ann").CPU)
+	var ids []fleet.InstanceID
+	for _, i := range w.instances {
+		ids = append(ids, i.id)
+	}
+	wave := w.askForWave(1, ids...)
+	w.run(40 * time.Second)
+	must.True(t, w.waveDone[wave])
+	w.checkInvariants()
+}
