Count each step that a cap holds once

Cause: a step whose tasks start one after the other as the cap allows was counted anew after each of them. Change: a step is counted the first time that its tenant's cap holds a task.

--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -88,8 +88,9 @@
 	// queued is set while the step is in its pool's queue, and queuedAt is since when.
 	queued   bool
 	queuedAt time.Time
-	// held is set while the cap of the tenant holds a task of the step.
-	held bool
+	// held is set while the cap of the tenant holds a task of the step, and heldCounted once
+	// that was counted.
+	held, heldCounted bool
 	// gangFailures counts the failed runs of a gang, and failedAttempts lists the attempts
 	// of the last of them, in ascending order.
 	gangFailures   int
--- a/reduce/jobs/tenants.go
+++ b/reduce/jobs/tenants.go
@@ -99,7 +99,8 @@
 
 // noteHeld notes whether the cap of its tenant holds a step, and counts the steps that it does.
 func (o *ownership) noteHeld(st *step, held bool) {
-	if held && !st.held {
+	if held && !st.heldCounted {
+		st.heldCounted = true
 		o.s.count("tenant_steps_held", effect.Reason(o.s.tenantLabels.Of(st.occ.job.tenant)))
 	}
 	st.held = held
--- a/reduce/jobs/tenants_test.go
+++ b/reduce/jobs/tenants_test.go
@@ -403,7 +403,12 @@
 		w.submit(jobID(n), tasksJob(1, 700*time.Millisecond))
 	}
 	w.run(500 * time.Millisecond)
-	must.Eq(t, map[string]int64{"tenant_jobs_accepted": 7, "tenant_jobs_beyond_share": 2, "tenant_steps_held": 5}, counts)
+	want := map[string]int64{"tenant_jobs_accepted": 7, "tenant_jobs_beyond_share": 2, "tenant_steps_held": 5}
+	must.Eq(t, want, counts)
+	w.submit(jobID(7), tasksJob(5, 700*time.Millisecond))
+	w.run(8 * time.Second)
+	w.mustState(jobID(7), fleet.JobDone)
+	must.Eq(t, 6, counts["tenant_steps_held"], must.Sprint("the last step was held more than once"))
 }
 
 // TestWaveIsNotHeldUpByTheCap: a long-running task that the cap of its tenant holds was taken for
