--- a/reduce/jobs/activejobs.go
+++ b/reduce/jobs/activejobs.go
@@ -12,6 +12,10 @@
 	o.active = append(o.active, j)
 	o.activeCount++
 	o.waitingJobs[j.queue]++
+	if o.phase == phaseActive {
+		o.markShare(j)
+		o.countAccepted(j)
+	}
 }
 
 // markBegun records that a run of a task of a job has begun.
@@ -37,6 +41,7 @@
 	}
 	o.active[j.activeIndex] = nil
 	o.activeCount--
+	o.releaseKept(j)
 	if len(o.active) > 2*o.activeCount+minCompaction {
 		o.active = slices.DeleteFunc(o.active, func(j *job) bool { return j == nil })
 		o.renumberActive()
--- a/reduce/jobs/state.go
+++ b/reduce/jobs/state.go
@@ -17,6 +17,7 @@
 	"github.com/banyanrail/banyanrail/reduce/admission"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/shares"
 	"github.com/banyanrail/banyanrail/reduce/tenure"
 	"github.com/banyanrail/banyanrail/reduce/timer"
 )
@@ -40,6 +41,8 @@
 	// rather than taken from clients' estimates.
 	LearnRunTimes bool
 	Bounds        Bounds
+	// Audit, if set, is called after each event. Tests check the state by it.
+	Audit func(*State)
 }
 
 // Bounds are limits and features of the platform on which decisions depend.
@@ -110,6 +113,8 @@
 	// unreachableEpoch is the epoch of an owner that did not serve the last call
 	// forwarded to it; zero when the last call was served.
 	unreachableEpoch int64
+	// tenantLabels are the names of tenants in counters.
+	tenantLabels shares.Labels
 }
 
 // New returns the state of an entry that has seen no event.
@@ -253,6 +258,9 @@
 		s.emit(effect.SetReady{Ready: ready})
 		s.logDecision(effect.Decision{Name: "readiness", Outcome: strconv.FormatBool(ready), Epoch: s.tenure.Newest().Epoch})
 	}
+	if s.cfg.Audit != nil {
+		s.cfg.Audit(s)
+	}
 }
 
 func (s *State) emit(e effect.Effect) { s.out = append(s.out, e) }
