Count what a former owner was stopping at the caps of its tenants only

After a takeover, the free room of all runners that had not answered counted at every capped tenant. While a rack was dark, no capped tenant could start anything until the leases of the former owner had expired there. The ledger now tells what the runs of each ended job may still use, and that counts at its tenant.

--- a/codec/ledger.go
+++ b/codec/ledger.go
@@ -146,6 +146,9 @@
 	Generation  int64           `json:"g,omitempty"`
 	Parts       int             `json:"k,omitempty"`
 	Occurrences []occurrence    `json:"o,omitempty"`
+	// Stopping holds CPU, memory and accelerators.
+	Stopping *[3]int64        `json:"x,omitempty"`
+	Tenant   fleet.TenantName `json:"t,omitempty"`
 }
 
 type progressPart struct {
@@ -331,6 +334,9 @@
 	if !p.Ended.IsZero() {
 		w.Ended = p.Ended.UnixMilli()
 	}
+	if c := p.Stopping; c != (fleet.Capacity{}) {
+		w.Stopping, w.Tenant = &[...]int64{c.CPU, c.Memory, c.Accelerators}, p.Tenant
+	}
 	var body any = w
 	if p.Parts > 0 {
 		// Versions that know no parts would read an object as a job that has not begun.
@@ -618,5 +624,8 @@
 	if w.Ended != 0 {
 		p.Ended = time.UnixMilli(w.Ended)
 	}
+	if c := w.Stopping; c != nil {
+		p.Stopping, p.Tenant = fleet.Capacity{CPU: c[0], Memory: c[1], Accelerators: c[2]}, w.Tenant
+	}
 	return p, nil
 }
--- a/reduce/jobs/isolation.go
+++ b/reduce/jobs/isolation.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 
-	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/crashes"
 )
 
@@ -21,9 +20,9 @@
 	// taken is the number of runners that are on trial or reserved, once it is counted.
 	taken   int
 	counted bool
-	// unknown is what tasks of unknown tenants may be using, once that is known.
-	unknown      fleet.Capacity
-	unknownKnown bool
+	// formerStopsChecked is set once it was checked whether a runner may still run what a
+	// former owner was stopping.
+	formerStopsChecked bool
 }
 
 // mayTake reports whether one more runner may be used for a trial.
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -363,6 +363,7 @@
 func (j *job) progress() *ledger.Progress {
 	p := &ledger.Progress{Queue: j.queue, State: j.state, Ended: j.ended}
 	if j.state.Final() {
+		p.Tenant, p.Stopping = j.tenant, j.stopping()
 		return p
 	}
 	p.NotBegun = !j.begun
@@ -428,6 +429,7 @@
 	o.jobs[j.id] = j
 	if s.Progress != nil && s.Progress.State.Final() {
 		j.state, j.storedState, j.ended = s.Progress.State, s.Progress.State, s.Progress.Ended
+		o.noteFormerlyStopping(s.Progress)
 		j.hasProgress, j.parts = true, s.Parts
 		o.ended = append(o.ended, j)
 		o.markDirty(j) // the definition has to be dropped before the final state is
@@ -463,6 +465,7 @@
 }
 
 func (o *ownership) restoreEnded(s *ledger.StoredJob) {
+	o.noteFormerlyStopping(s.Progress)
 	j := &job{
 		id: s.Job, queue: s.Progress.Queue, state: s.Progress.State, storedState: s.Progress.State,
 		ended: s.Progress.Ended, definitionStored: true, hasProgress: true, definitionDropped: true, parts: s.Parts,
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -85,6 +85,9 @@
 	instances instances
 	planner   planner
 	learned   learned
+	// formerlyStopping is the capacity of the runs that a former owner may have been stopping
+	// when it died, for each tenant.
+	formerlyStopping map[fleet.TenantName]fleet.Capacity
 }
 
 func newOwnership(s *State, epoch int64) *ownership {
@@ -102,6 +105,7 @@
 		instances:         newInstances(),
 		planner:           newPlanner(),
 		learned:           learned{model: runtimes.New()},
+		formerlyStopping:  make(map[fleet.TenantName]fleet.Capacity),
 		accounts:          shares.NewAccounts(),
 	}
 	if s.queues != nil {
--- a/reduce/jobs/tenants.go
+++ b/reduce/jobs/tenants.go
@@ -1,10 +1,12 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
+	"github.com/banyanrail/banyanrail/reduce/ledger"
 	"github.com/banyanrail/banyanrail/reduce/shares"
 )
 
@@ -92,7 +94,7 @@
 	if !account.Capped() {
 		return true
 	}
-	allows := account.MayPlan(t.claim, t.step.spec.Reservation(), o.unknownUse(pass))
+	allows := account.MayPlan(t.claim, t.step.spec.Reservation(), o.unknownUse(t.job().tenant, pass))
 	o.noteHeld(t.step, !allows)
 	return allows
 }
@@ -115,7 +117,7 @@
 	need := st.spec.Reservation()
 	trial := *account
 	for _, t := range st.tasks {
-		if !trial.MayPlan(t.claim, need, o.unknownUse(pass)) {
+		if !trial.MayPlan(t.claim, need, o.unknownUse(t.job().tenant, pass)) {
 			account.Hold()
 			o.noteHeld(st, true)
 			return false
@@ -130,25 +132,57 @@
 	return true
 }
 
-// unknownUse returns what tasks of unknown tenants may be using. Runs that a former owner was
-// stopping when it died are in no record: their jobs have ended. So until a runner has answered
-// this owner's poll, and what it still ran is stopped, all of its free room may be in use, unless
-// the leases of former owners have expired there.
-func (o *ownership) unknownUse(pass *pass) fleet.Capacity {
-	if pass.unknownKnown {
-		return pass.unknown
+// formerStopTime is how long after a job has ended a run of it may still be stopping: its lease
+// expires after ten seconds at most, and the clocks of two owners differ by some seconds.
+const formerStopTime = 20 * time.Second
+
+// noteFormerlyStopping notes what runs of a job that has ended may still use, because the former
+// owner died while it stopped them.
+func (o *ownership) noteFormerlyStopping(p *ledger.Progress) {
+	if p.Stopping != (fleet.Capacity{}) && o.now().Sub(p.Ended) < formerStopTime {
+		o.formerlyStopping[p.Tenant] = o.formerlyStopping[p.Tenant].Plus(p.Stopping)
+	}
+}
+
+// unknownUse returns what runs of a tenant's ended jobs may be using that no record lists as
+// runs: those that a former owner was stopping when it died. They count until all runners have
+// answered this owner's poll, and what they still ran is stopped, or the leases of former owners
+// have expired there.
+func (o *ownership) unknownUse(tenant fleet.TenantName, pass *pass) fleet.Capacity {
+	use, ok := o.formerlyStopping[tenant]
+	if !ok {
+		return use
+	}
+	if !pass.formerStopsChecked {
+		pass.formerStopsChecked = true
+		if !slices.ContainsFunc(o.sortedRunners, o.mayRunFormerStops) {
+			clear(o.formerlyStopping)
+		}
+	}
+	return o.formerlyStopping[tenant]
+}
+
+// mayRunFormerStops reports whether a runner may run what a former owner was stopping.
+func (o *ownership) mayRunFormerStops(r *runner) bool {
+	if r.fenced {
+		return r.strays > 0
 	}
-	pass.unknownKnown = true
-	for _, r := range o.sortedRunners {
-		if (r.fenced && r.strays == 0) || (!r.fenced && o.now().After(o.formerLeasesExpireAt(r))) {
-			continue
+	return !o.now().After(o.formerLeasesExpireAt(r))
+}
+
+// stopping returns the capacity of the job's runs that may not have stopped.
+func (j *job) stopping() fleet.Capacity {
+	var c fleet.Capacity
+	for _, occ := range j.occurrences {
+		for _, st := range occ.steps {
+			for _, t := range st.tasks {
+				if t.run != nil || len(t.lateStarts) > 0 {
+					c = c.Plus(st.spec.Reservation())
+				}
+			}
 		}
-		free := r.free()
-		pass.unknown = pass.unknown.Plus(fleet.Capacity{
-			CPU: max(0, free.CPU), Memory: max(0, free.Memory), Accelerators: max(0, free.Accelerators),
-		})
 	}
-	return pass.unknown
+	return c
 }
 
 // mayStart reports whether the cap of its tenant lets the start of a planned run be sent.
--- a/reduce/ledger/ledger.go
+++ b/reduce/ledger/ledger.go
@@ -95,6 +95,10 @@
 	State fleet.JobState
 	// Ended is when the state became final; zero before.
 	Ended time.Time
+	// Stopping is the capacity of the runs of a job that has ended that may not have
+	// stopped when this was stored, and Tenant the tenant at whose cap they count.
+	Stopping fleet.Capacity
+	Tenant   fleet.TenantName
 	// Begun is the number of occurrences that have begun. Those that are not in
 	// Occurrences have ended.
 	Begun       int
--- a/reduce/ledger/size.go
+++ b/reduce/ledger/size.go
@@ -130,7 +130,8 @@
 
 func (p *Progress) size() int {
 	return 2*objectOverhead + textField(string(p.Queue)) + textField(string(p.State)) + intField(p.Ended.UnixMilli()) +
-		intField(int64(p.Begun)) + fieldOverhead + len("true") + intField(p.Generation) + intField(int64(p.Parts)) + occurrencesSize(p.Occurrences)
+		intField(int64(p.Begun)) + fieldOverhead + len("true") + intField(p.Generation) + intField(int64(p.Parts)) + occurrencesSize(p.Occurrences) +
+		textField(string(p.Tenant)) + objectOverhead + intField(p.Stopping.CPU) + intField(p.Stopping.Memory) + intField(p.Stopping.Accelerators)
 }
 
 func occurrencesSize(list []Occurrence) int {
