Run times: the tasks of a step weigh the same, and pools add up means

The n-th run of a step that ended weighed 1/n. And pools were sized by the median of a skewed distribution.

--- a/reduce/jobs/demand.go
+++ b/reduce/jobs/demand.go
@@ -66,7 +66,7 @@
 	for i := range j.spec.Steps {
 		st := &j.spec.Steps[i]
 		if !st.LongRunning {
-			work += float64(st.Count) * float64(st.Needs.CPU) * o.expect(j, i).Typical.Seconds()
+			work += float64(st.Count) * float64(st.Needs.CPU) * o.expect(j, i).Mean.Seconds()
 		}
 	}
 	if work > 0 && o.planner.workSince.IsZero() {
@@ -170,7 +170,7 @@
 		}
 		share := 1.0
 		if !st.spec.LongRunning {
-			share = min(1, st.expected.Typical.Seconds()/backlogStartTime.Seconds())
+			share = min(1, st.expected.Mean.Seconds()/backlogStartTime.Seconds())
 		}
 		d[rankOf(o.class(st))].add(st.spec.Reservation(), float64(waiting)*share)
 	}
--- a/reduce/jobs/runtimes.go
+++ b/reduce/jobs/runtimes.go
@@ -65,7 +65,7 @@
 func (o *ownership) expect(j *job, number int) runtimes.Expectation {
 	spec := &j.spec.Steps[number]
 	if !o.learnsRunTimes() {
-		return runtimes.Expectation{Typical: spec.Estimate, Tail: spec.Estimate}
+		return runtimes.Expectation{Typical: spec.Estimate, Mean: spec.Estimate, Tail: spec.Estimate}
 	}
 	return o.learned.model.Expect(keyOf(j, number), spec.Estimate)
 }
@@ -163,7 +163,7 @@
 	o.s.emit(effect.Observe{Name: "run_time_error_estimate", Duration: (actual - st.estimate).Abs()})
 	o.s.emit(effect.Observe{Name: "run_time_error_expected", Duration: (actual - st.expected.Typical).Abs()})
 	st.ended.Add(actual)
-	o.learned.model.ObserveNth(keyOf(st.occ.job, st.number), st.estimate, actual, st.ended.Count())
+	o.learned.model.ObserveOneOf(keyOf(st.occ.job, st.number), st.estimate, actual, st.spec.Count)
 	o.learned.unstored = true
 	st.refineExpected()
 }
--- a/reduce/runtimes/model.go
+++ b/reduce/runtimes/model.go
@@ -23,8 +23,10 @@
 
 // Expectation is what is expected of the run time of a task.
 type Expectation struct {
-	// Typical is the median, and Tail the run time that one run in twenty exceeds.
-	Typical, Tail time.Duration
+	// Typical is the median, Mean the mean, by which work is added up, and Tail the run time
+	// that one run in twenty exceeds. Run times spread more upwards than downwards, so the
+	// mean exceeds the median.
+	Typical, Mean, Tail time.Duration
 	// Samples is the weight of the runs from which Typical was learned; zero if it is the
 	// client's estimate.
 	Samples float64
@@ -72,16 +74,17 @@
 }
 
 // Observe adds the run time of a task with an estimate.
-func (m *Model) Observe(k Key, estimate, actual time.Duration) { m.ObserveNth(k, estimate, actual, 1) }
+func (m *Model) Observe(k Key, estimate, actual time.Duration) { m.ObserveOneOf(k, estimate, actual, 1) }
 
-// ObserveNth adds the run time of the n-th task of the same step of a job. The tasks of a
-// step resemble one another, so that its n-th run weighs only a part of the first one, and
-// a job with many tasks does not replace what other jobs have shown.
-func (m *Model) ObserveNth(k Key, estimate, actual time.Duration, n int) {
-	if estimate <= 0 || actual <= 0 || n <= 0 {
+// ObserveOneOf adds the run time of one of the tasks of a step of a job. They resemble one
+// another, so all together weigh little more than one, and a job with many tasks does not
+// replace what other jobs have shown. They weigh the same: the first ones to end are the
+// shortest, and with more weight they made the expectation a fifth too short.
+func (m *Model) ObserveOneOf(k Key, estimate, actual time.Duration, tasks int) {
+	if estimate <= 0 || actual <= 0 || tasks <= 0 {
 		return
 	}
-	x, y, weight := logOf(estimate), logOf(actual), 1/float64(n)
+	x, y, weight := logOf(estimate), logOf(actual), (1+math.Log(float64(tasks)))/float64(tasks)
 	k = k.bounded()
 	m.queues.at(k.Queue, cloneQueue).add(x, y, weight, queueWindow)
 	m.keys.at(k, Key.clone).add(x, y, weight, keyWindow)
@@ -96,14 +99,14 @@
 	k = k.bounded()
 	queue := m.queues.find(k.Queue)
 	if queue == nil || queue.weight < minSamples {
-		return Expectation{Typical: estimate, Tail: timeOf(logOf(estimate) + tailQuantile*priorSpread)}
+		return Expectation{Typical: estimate, Mean: estimate, Tail: timeOf(logOf(estimate) + tailQuantile*priorSpread)}
 	}
 	l, samples := queue.line(estimateLine, queuePrior), queue.weight
 	if key := m.keys.find(k); key != nil {
 		l, samples = key.line(l, keyPrior), key.weight
 	}
 	y := l.at(logOf(estimate))
-	return Expectation{Typical: timeOf(y), Tail: timeOf(y + tailQuantile*l.spread), Samples: samples}
+	return Expectation{Typical: timeOf(y), Mean: timeOf(y + l.spread*l.spread/2), Tail: timeOf(y + tailQuantile*l.spread), Samples: samples}
 }
 
 // bounded returns the key with bounded names.
--- a/reduce/runtimes/model_test.go
+++ b/reduce/runtimes/model_test.go
@@ -128,12 +128,24 @@
 	for range 100 {
 		m.Observe(key, time.Second, time.Second)
 	}
-	for n := range 2000 {
-		m.ObserveNth(key, time.Second, 20*time.Second, n+1)
+	for range 2000 {
+		m.ObserveOneOf(key, time.Second, 20*time.Second, 2000)
 	}
 	must.Less(t, 3*time.Second, m.Expect(key, time.Second).Typical)
 }
 
+// TestShortTasksOfAStepDoNotWeighMore ends the tasks of each step in the order of their run
+// times. The first ones weighed most, and what was expected was too short.
+func TestShortTasksOfAStepDoNotWeighMore(t *testing.T) {
+	m := runtimes.New()
+	for range 100 {
+		for _, length := range []float64{0.5, 0.8, 1, 1.25, 2} { // the median is 1
+			m.ObserveOneOf(key, time.Second, time.Duration(length*float64(time.Second)), 5)
+		}
+	}
+	must.InDelta(t, 1, m.Expect(key, time.Second).Typical.Seconds(), 0.05)
+}
+
 // TestMillionNamesTakeBoundedMemory floods the model with names of up to 4 KB, each tenth of them
 // with eight runs, beside a busy step and one that runs once in 500 runs. Neither may be forgotten.
 func TestMillionNamesTakeBoundedMemory(t *testing.T) {
--- a/reduce/runtimes/refine.go
+++ b/reduce/runtimes/refine.go
@@ -38,5 +38,5 @@
 	}
 	before := logOf(x.Typical)
 	after := (stepPrior*before + e.logs) / float64(stepPrior+e.count)
-	return Expectation{Typical: timeOf(after), Tail: timeOf(logOf(x.Tail) + after - before), Samples: x.Samples + float64(e.count)}
+	return Expectation{Typical: timeOf(after), Mean: timeOf(logOf(x.Mean) + after - before), Tail: timeOf(logOf(x.Tail) + after - before), Samples: x.Samples + float64(e.count)}
 }
