--- a/reduce/runtimes/model.go
+++ b/reduce/runtimes/model.go
@@ -74,7 +74,9 @@
 }
 
 // Observe adds the run time of a task with an estimate.
-func (m *Model) Observe(k Key, estimate, actual time.Duration) { m.ObserveOneOf(k, estimate, actual, 1) }
+func (m *Model) Observe(k Key, estimate, actual time.Duration) {
+	m.ObserveOneOf(k, estimate, actual, 1)
+}
 
 // ObserveOneOf adds the run time of one of the tasks of a step of a job. They resemble one
 // another, so all together weigh little more than one, and a job with many tasks does not
