Bound what open clients hold at the ports of both daemons

Cause: bodies were read by their announced length or as far as they came, for any number of connections, and a body of 250 KB with 83,334 empty steps took about 3 MB at the peak while it was decoded.

Change: daemon.Serve and daemon.ServeGRPC take a port of the process's budget. The front ends read bodies with membudget.ReadBody; an entry charges what a job decodes to, counts its steps first and refuses more than a job may have. A call that gives way gets 503 with Retry-After, a body above its size 413; neither has run. The time-out of a minute for reading a request is replaced by one of 30 s without progress, so slow clients that move go on. Metrics client_bytes, client_connections, client_refusals by reason, and a log line at most once a second. Forwarded calls reserve the memory of their spec at the owner.

--- a/cmd/banyanrail-entry/main.go
+++ b/cmd/banyanrail-entry/main.go
@@ -19,6 +19,7 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/jobentry"
 	"github.com/banyanrail/banyanrail/loop"
+	"github.com/banyanrail/banyanrail/membudget"
 	"github.com/banyanrail/banyanrail/peer"
 	"github.com/banyanrail/banyanrail/platform"
 	"github.com/banyanrail/banyanrail/reduce/access"
@@ -70,7 +71,8 @@
 		"peers", c.platform.PeerAddress, "store", c.platform.StoreAddress, "memory_mb", c.platform.MemoryMB)
 	go logWriter.LogDropped(ctx, logger)
 	go checkSettingsOnHangup(ctx, c, logger)
-	return serve(ctx, c, e, dispatchers, metrics, logger, signals)
+	budget := c.clients.Budget(scope, logger)
+	return serve(ctx, c, e, dispatchers, budget, metrics, logger, signals)
 }
 
 func dependencies(c config, peers *peer.JobsClient) jobentry.Deps {
@@ -115,7 +117,7 @@
 // serve runs the entry and its listeners. After a signal to stop, the listeners keep
 // serving while the jobs are handed over and the load balancer removes the entry from
 // rotation.
-func serve(ctx context.Context, c config, e *jobentry.Entry, dispatchers *peer.Dispatchers, metrics http.Handler, logger *slog.Logger, signals <-chan os.Signal) error {
+func serve(ctx context.Context, c config, e *jobentry.Entry, dispatchers *peer.Dispatchers, budget *membudget.Budget, metrics http.Handler, logger *slog.Logger, signals <-chan os.Signal) error {
 	readiness := http.NewServeMux()
 	readiness.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		if !e.Ready() {
@@ -134,12 +136,17 @@
 	group.Go(func() error {
 		// The entry ends only after the last call is answered.
 		defer endEntry()
-		return daemon.Serve(groupCtx, c.platform.ClientAddress, nil, clients, answerGrace)
+		return daemon.Serve(groupCtx, c.platform.ClientAddress, nil, budget.Port(c.clients.Clients(false)), clients, answerGrace)
 	})
-	group.Go(func() error { return daemon.Serve(groupCtx, c.platform.ReadyAddress, nil, readiness, 0) })
-	group.Go(func() error { return daemon.Serve(groupCtx, c.Metrics, nil, metricsMux, 0) })
+	operators := c.clients.Operators(false)
 	group.Go(func() error {
-		return daemon.ServeGRPC(running, c.platform.PeerAddress, nil, func(g *grpc.Server) { peer.RegisterJobs(g, e.Call, dispatchers) }, peer.ServerOptions()...)
+		return daemon.Serve(groupCtx, c.platform.ReadyAddress, nil, budget.Port(operators), readiness, 0)
+	})
+	group.Go(func() error { return daemon.Serve(groupCtx, c.Metrics, nil, budget.Port(operators), metricsMux, 0) })
+	group.Go(func() error {
+		register := func(g *grpc.Server) { peer.RegisterJobs(g, e.Call, dispatchers) }
+		options := append(peer.ServerOptions(), peer.BoundCalls(budget.Reserve))
+		return daemon.ServeGRPC(running, c.platform.PeerAddress, nil, budget.Port(c.clients.Peers(false)), register, options...)
 	})
 	group.Go(func() error {
 		e.Run(running)
--- a/cmd/banyanrail-entry/settings.go
+++ b/cmd/banyanrail-entry/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/banyanrail/banyanrail/daemon"
 	"github.com/banyanrail/banyanrail/platform"
 	"github.com/samber/oops"
 )
@@ -40,6 +41,7 @@
 	Traces           string  `arg:"--traces,env:BANYANRAIL_TRACES" help:"URL that takes spans by OTLP over HTTP"`
 	MaxDirectRunners int     `arg:"--calls-alone,env:BANYANRAIL_CALLS_ALONE" default:"120" help:"runners that an owner calls itself; with more, other entries share the calls"`
 	LearnRunTimes    bool    `arg:"--learn-run-times,env:BANYANRAIL_LEARN_RUN_TIMES" default:"true" help:"learn from finished runs how long tasks run, rather than rely on clients' estimates"`
+	ClientMB         int64   `arg:"--client-mb,env:BANYANRAIL_CLIENT_MB" help:"MiB that all open clients may hold; default: a quarter of the platform's limits.memory_mb"`
 	TraceShare       float64 `arg:"--trace-share,env:BANYANRAIL_TRACE_SHARE" default:"0.01" help:"share of traces to keep, 0 to 1"`
 }
 
@@ -52,6 +54,7 @@
 type config struct {
 	settings
 	platform platform.Settings
+	clients  daemon.ClientLimits
 }
 
 func (s settings) check() (config, error) {
@@ -62,5 +65,12 @@
 		return config{}, oops.Errorf("--calls-alone is below 0: %d", s.MaxDirectRunners)
 	}
 	p, err := platform.ReadSettings(s.File)
-	return config{settings: s, platform: p}, err
+	if err != nil {
+		return config{}, err
+	}
+	clients, err := daemon.ClientLimits{MemoryMB: p.MemoryMB, MaxFDs: p.MaxFDs, ClientMB: s.ClientMB}.Check()
+	if err != nil {
+		return config{}, oops.Errorf("--client-mb: %w", err)
+	}
+	return config{settings: s, platform: p, clients: clients}, nil
 }
--- a/cmd/banyanrail-standin/main.go
+++ b/cmd/banyanrail-standin/main.go
@@ -68,5 +68,5 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	go s.Run(ctx)
-	return daemon.Serve(ctx, listen, nil, s, grace)
+	return daemon.Serve(ctx, listen, nil, nil, s, grace)
 }
--- a/cmd/banyanraild/main.go
+++ b/cmd/banyanraild/main.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
@@ -15,6 +16,7 @@
 	"github.com/banyanrail/banyanrail/entry"
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/infra"
+	"github.com/banyanrail/banyanrail/membudget"
 	"github.com/banyanrail/banyanrail/peer"
 	"github.com/banyanrail/banyanrail/reduce"
 	"golang.org/x/sync/errgroup"
@@ -36,6 +38,7 @@
 // run serves until the process receives SIGINT or SIGTERM, then shuts down
 // gracefully: the entry finishes its requests before the listeners close.
 func run(c config, logger *slog.Logger) (err error) {
+	debug.SetMemoryLimit(c.clients.MemoryMB << 20 * memoryLimitPercent / 100)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	scope, metrics, closer := daemon.NewMetricsScope(map[string]string{"entry": c.ID, "data_centre": c.DataCentre})
@@ -60,12 +63,12 @@
 		SnapshotInterval:      c.snapshotInterval,
 		ClaimAppendsPerSecond: c.claimAppendsPerSecond,
 	}, entry.Deps{Log: client, Instances: client, InstanceCommander: client, Logger: logger, Metrics: scope, Traces: traces})
-	return serve(ctx, c, e, metrics)
+	return serve(ctx, c, e, metrics, c.clients.Budget(scope, logger))
 }
 
 // serve runs the entry and its listeners. When the context ends, it stops the
 // entry before the listeners.
-func serve(ctx context.Context, c config, e *entry.Entry, metrics http.Handler) error {
+func serve(ctx context.Context, c config, e *entry.Entry, metrics http.Handler, budget *membudget.Budget) error {
 	callersTLS, err1 := c.callersTLS.ServerConfig()
 	operatorsTLS, err2 := c.operatorsTLS.ServerConfig()
 	peersTLS, err3 := c.peersTLS.ServerConfig()
@@ -79,10 +82,17 @@
 	serving, closeListeners := context.WithCancel(context.Background())
 	defer closeListeners()
 	group, groupCtx := errgroup.WithContext(serving)
-	group.Go(func() error { return daemon.Serve(groupCtx, c.Callers, callersTLS, e.CallerHandler(), c.grace) })
-	group.Go(func() error { return daemon.Serve(groupCtx, c.Operators, operatorsTLS, operators, c.grace) })
+	callersPort := budget.Port(c.clients.Clients(callersTLS != nil))
+	operatorsPort := budget.Port(c.clients.Operators(operatorsTLS != nil))
+	peersPort := budget.Port(c.clients.Peers(peersTLS != nil))
 	group.Go(func() error {
-		return daemon.ServeGRPC(groupCtx, c.Peers, peersTLS, e.RegisterPeers, peer.ServerOptions()...)
+		return daemon.Serve(groupCtx, c.Callers, callersTLS, callersPort, e.CallerHandler(), c.grace)
+	})
+	group.Go(func() error {
+		return daemon.Serve(groupCtx, c.Operators, operatorsTLS, operatorsPort, operators, c.grace)
+	})
+	group.Go(func() error {
+		return daemon.ServeGRPC(groupCtx, c.Peers, peersTLS, peersPort, e.RegisterPeers, peer.ServerOptions()...)
 	})
 	group.Go(func() error {
 		e.Run(groupCtx)
--- a/cmd/banyanraild/settings.go
+++ b/cmd/banyanraild/settings.go
@@ -37,6 +37,9 @@
 	// process lists.
 	OperatorToken    string `arg:"--,env:BANYANRAIL_OPERATOR_TOKEN" help:"bearer token of operators"`
 	Placement        string `arg:"--placement,env:BANYANRAIL_PLACEMENT" default:"holder" help:"which entry grants slots: holder (one entry for each pool, for all entries) or local (each entry, by its own view)"`
+	MemoryMB         string `arg:"--memory-mb,env:BANYANRAIL_MEMORY_MB" help:"memory of the process in MiB; default: that of the machine"`
+	MaxFDs           string `arg:"--max-fds,env:BANYANRAIL_MAX_FDS" help:"descriptors of the process; default: the limit of the operating system"`
+	ClientMB         string `arg:"--client-mb,env:BANYANRAIL_CLIENT_MB" help:"MiB that all open clients may hold; default: a quarter of the memory"`
 	Grace            string `arg:"--grace,env:BANYANRAIL_GRACE" default:"30s" help:"time-out of a graceful shutdown"`
 	SnapshotInterval string `arg:"--snapshot-interval,env:BANYANRAIL_SNAPSHOT_INTERVAL" default:"1h" help:"time between snapshots of the control stream; the log has to keep records for several times as long"`
 	Traces           string `arg:"--traces,env:BANYANRAIL_TRACES" help:"URL to which traces are exported by OTLP over HTTP"`
@@ -51,6 +54,7 @@
 	snapshotInterval      time.Duration
 	traceShare            float64
 	claimAppendsPerSecond int
+	clients               daemon.ClientLimits
 	callersTLS            daemon.TLSFiles
 	operatorsTLS          daemon.TLSFiles
 	peersTLS              daemon.TLSFiles
@@ -93,6 +97,7 @@
 	all.add("callers-cert", checkTLS(c.callersTLS))
 	all.add("operators-cert", checkTLS(c.operatorsTLS))
 	all.add("peers-cert", checkTLS(c.peersTLS))
+	all = append(all, c.checkClients()...)
 	var err error
 	c.grace, err = parseDuration(s.Grace)
 	all.add("grace", err)
@@ -105,6 +110,48 @@
 	return c, errors.Join(all...)
 }
 
+// memoryLimitPercent is the share of the memory that is set as Go's memory limit, at which
+// the garbage collector runs more often.
+const memoryLimitPercent = 60
+
+// minClientMB is the least memory of open clients that holds a body of the largest size
+// while its buffer grows.
+const minClientMB = 32
+
+// checkClients sets the limits of open clients and returns their faults.
+func (c *config) checkClients() faults {
+	var all faults
+	var err error
+	c.clients.MemoryMB, err = parseCount(c.MemoryMB)
+	all.add("memory-mb", err)
+	maxFDs, err := parseCount(c.MaxFDs)
+	all.add("max-fds", err)
+	c.clients.MaxFDs = int(maxFDs)
+	c.clients.ClientMB, err = parseCount(c.ClientMB)
+	all.add("client-mb", err)
+	if len(all) > 0 {
+		return all
+	}
+	c.clients, err = c.clients.Check()
+	if err == nil && c.clients.ClientMB < minClientMB {
+		err = fmt.Errorf("%d is below %d", c.clients.ClientMB, minClientMB)
+	}
+	all.add("client-mb", err)
+	return all
+}
+
+// parseCount parses a whole number above 0; a missing one is 0.
+func parseCount(text string) (int64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || n < 1 {
+		return 0, fmt.Errorf("%q is not a whole number above 0", text)
+	}
+	return n, nil
+}
+
 func checkID(id string) error {
 	if id == "" {
 		return errors.New("is required")
--- /dev/null
+++ b/daemon/clientlimits.go
@@ -0,0 +1,104 @@
+package daemon
+
+import (
+	"fmt"
+	"log/slog"
+
+	"github.com/banyanrail/banyanrail/membudget"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// reservedFDs of a process are never taken by connections to its ports.
+	reservedFDs = 200
+	// defaultShare is the part of a process's memory that open clients may hold unless a
+	// setting says otherwise, and maxShare the most that it may say: the collector lets
+	// the heap grow to twice what is in use.
+	defaultShare = 4
+	maxShare     = 2
+	// minClientMB is the least memory of open clients. It holds the largest call of
+	// an entry, a job of 20,000 steps that takes 10 MB while it is decoded.
+	minClientMB = 16
+	// connectionShare is the part of the clients' memory that their connections may
+	// take, so that bodies have the rest.
+	connectionShare = 2
+	// Connections to the ports for other entries and for operators, where a fleet has 45
+	// entries, a balancer and a few collectors of metrics.
+	maxPeerConnections     = 128
+	maxOperatorConnections = 32
+	minConnections         = 4
+)
+
+// ClientLimits are the settings that bound the memory and connections of open clients.
+type ClientLimits struct {
+	// MemoryMB is the memory of the process, in MiB; zero means that of the machine.
+	MemoryMB int64
+	// MaxFDs is the number of descriptors of the process; zero means the limit of the
+	// operating system.
+	MaxFDs int
+	// ClientMB is the memory that all open clients may hold, in MiB; zero means a
+	// quarter of MemoryMB.
+	ClientMB int64
+}
+
+// Check returns the limits with their defaults.
+func (l ClientLimits) Check() (ClientLimits, error) {
+	if l.MemoryMB == 0 {
+		l.MemoryMB = machineMB()
+	}
+	if l.MaxFDs == 0 {
+		l.MaxFDs = descriptorLimit()
+	}
+	if l.ClientMB == 0 {
+		l.ClientMB = max(minClientMB, l.MemoryMB/defaultShare)
+		return l, nil
+	}
+	if l.ClientMB < minClientMB || l.ClientMB > l.MemoryMB/maxShare {
+		return l, fmt.Errorf("%d is not between %d and %d, half of the memory", l.ClientMB, minClientMB, l.MemoryMB/maxShare)
+	}
+	return l, nil
+}
+
+// machineMB returns the memory of the machine, in MiB.
+func machineMB() int64 {
+	var info unix.Sysinfo_t
+	if err := unix.Sysinfo(&info); err != nil {
+		panic("daemon: read the size of the memory: " + err.Error()) // fails on no Linux
+	}
+	return int64(info.Totalram * uint64(info.Unit) >> 20)
+}
+
+func descriptorLimit() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		panic("daemon: read the limit of descriptors: " + err.Error()) // fails on no Linux
+	}
+	return int(min(limit.Cur, 1<<20))
+}
+
+// Budget returns the budget of open clients.
+func (l ClientLimits) Budget(scope tally.Scope, logger *slog.Logger) *membudget.Budget {
+	return membudget.New(membudget.Config{Bytes: l.ClientMB << 20, Metrics: scope, Logger: logger})
+}
+
+// Clients returns the settings of the port for clients: half of the descriptors, which
+// leaves the other half for the process's own calls, and of the memory at most half.
+func (l ClientLimits) Clients(tls bool) membudget.PortConfig {
+	cfg := membudget.PortConfig{TLS: tls}
+	byMemory := int(l.ClientMB << 20 / connectionShare / cfg.ConnectionBytes())
+	cfg.Connections = max(minConnections, min(l.descriptors()/2, byMemory))
+	return cfg
+}
+
+// Peers returns the settings of the gRPC port for other entries.
+func (l ClientLimits) Peers(tls bool) membudget.PortConfig {
+	return membudget.PortConfig{Connections: max(minConnections, min(maxPeerConnections, l.descriptors()/8)), TLS: tls, Streams: true}
+}
+
+// Operators returns the settings of a port for readiness, metrics or operators.
+func (l ClientLimits) Operators(tls bool) membudget.PortConfig {
+	return membudget.PortConfig{Connections: max(minConnections, min(maxOperatorConnections, l.descriptors()/16)), TLS: tls}
+}
+
+func (l ClientLimits) descriptors() int { return max(0, l.MaxFDs-reservedFDs) }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"github.com/banyanrail/banyanrail/membudget"
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
@@ -20,7 +21,8 @@
 // Limits of listeners against slow, idle and oversized connections.
 const (
 	readHeaderTimeout = 5 * time.Second
-	// readTimeout is the time-out for reading a request with its body.
+	// readTimeout is the time-out for reading a request with its body, on a port without
+	// a budget. With one, a request may take any time as long as it moves.
 	readTimeout = time.Minute
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes is the limit for the headers of a request, in bytes.
@@ -30,26 +32,27 @@
 	// peerKeepalive is the idle time after which a server pings a gRPC connection,
 	// and the time-out of that ping.
 	peerKeepalive = 10 * time.Second
+	// peerHandshakeTimeout is the time-out for the handshake of a gRPC connection.
+	peerHandshakeTimeout = 5 * time.Second
+	// maxPeerStreams is the limit for concurrent calls on a gRPC connection. An entry
+	// forwards at most 256 calls at once.
+	maxPeerStreams = 512
 )
 
 // Serve serves HTTP at an address until the context ends. It then waits for
-// requests in flight for at most grace. A nil tlsConfig means no TLS.
-func Serve(ctx context.Context, address string, tlsConfig *tls.Config, h http.Handler, grace time.Duration) error {
+// requests in flight for at most grace. A nil tlsConfig means no TLS, and a nil port no
+// bounds on connections.
+func Serve(ctx context.Context, address string, tlsConfig *tls.Config, port *membudget.Port, h http.Handler, grace time.Duration) error {
 	fail := oops.In("daemon").With("step", "listen", "peer", address)
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return fail.Wrap(err)
 	}
+	ln = port.Listener(ln)
 	if tlsConfig != nil {
 		ln = tls.NewListener(ln, tlsConfig)
 	}
-	srv := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	srv := newServer(port, h)
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(ln) }()
 	select {
@@ -60,6 +63,20 @@
 	}
 }
 
+func newServer(port *membudget.Port, h http.Handler) *http.Server {
+	srv := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	if port != nil {
+		srv.Handler, srv.ConnContext, srv.ReadTimeout = membudget.Handler(h), membudget.ConnContext, 0
+	}
+	return srv
+}
+
 func shutdown(ctx context.Context, srv *http.Server, grace time.Duration) error {
 	graceCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
 	defer cancel()
@@ -71,8 +88,8 @@
 }
 
 // ServeGRPC serves gRPC at an address until the context ends. The function
-// register registers the services. A nil tlsConfig means no TLS.
-func ServeGRPC(ctx context.Context, address string, tlsConfig *tls.Config, register func(*grpc.Server), options ...grpc.ServerOption) error {
+// register registers the services. A nil tlsConfig means no TLS, and a nil port no bound on connections.
+func ServeGRPC(ctx context.Context, address string, tlsConfig *tls.Config, port *membudget.Port, register func(*grpc.Server), options ...grpc.ServerOption) error {
 	fail := oops.In("daemon").With("step", "listen", "peer", address)
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
@@ -82,7 +99,7 @@
 	register(srv)
 	stop := context.AfterFunc(ctx, srv.Stop)
 	defer stop()
-	if err := srv.Serve(ln); err != nil {
+	if err := srv.Serve(port.Listener(ln)); err != nil {
 		return fail.Wrap(err)
 	}
 	return nil
@@ -91,6 +108,8 @@
 func grpcOptions(tlsConfig *tls.Config) []grpc.ServerOption {
 	opts := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.ConnectionTimeout(peerHandshakeTimeout),
+		grpc.MaxConcurrentStreams(maxPeerStreams),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: peerKeepalive, Timeout: peerKeepalive}),
 	}
 	if tlsConfig != nil {
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/membudget"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/cespare/xxhash/v2"
@@ -46,11 +48,14 @@
 	ctx, span := e.tracer.Start(ctx, "caller request", trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("service", r.PathValue("service"))))
 	defer span.End()
-	body, err := readBody(w, r)
+	// The buffer is not released for other bodies: an attempt may outlast the request.
+	read, err := membudget.ReadBody(r, maxBodyBytes)
 	if err != nil {
+		w.Header().Set("Connection", "close") // the rest of the body is not read
 		e.writeRefusal(w, bodyRefusal(err))
 		return
 	}
+	body := read.Bytes()
 	ev, err := parseArrival(r, body)
 	if err != nil {
 		e.writeProblem(w, malformedRequest(err))
@@ -74,7 +79,7 @@
 func (e *Entry) awaitReply(w http.ResponseWriter, r *http.Request, x *exchange) {
 	select {
 	case rep := <-x.reply:
-		e.writeReply(w, x, rep)
+		e.writeReply(r.Context(), w, x, rep)
 		return
 	case <-r.Context().Done():
 	case <-e.loop.Done():
@@ -89,11 +94,12 @@
 	}
 }
 
-func (e *Entry) writeReply(w http.ResponseWriter, x *exchange, rep reply) {
+func (e *Entry) writeReply(ctx context.Context, w http.ResponseWriter, x *exchange, rep reply) {
 	if rep.response == nil {
 		e.writeRefusal(w, rep.refusal)
 		return
 	}
+	membudget.Force(ctx, int64(len(rep.response.Body)))
 	h := w.Header()
 	copyHeader(h, rep.response.Header)
 	h.Set(headerRan, fleet.RanYes.String())
@@ -120,23 +126,15 @@
 	}
 }
 
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	limited := http.MaxBytesReader(w, r.Body, maxBodyBytes)
-	if r.ContentLength <= 0 || r.ContentLength > maxBodyBytes {
-		return io.ReadAll(limited)
-	}
-	body := make([]byte, r.ContentLength)
-	_, err := io.ReadFull(limited, body)
-	return body, err
-}
-
 func bodyRefusal(err error) effect.Refuse {
-	reason := fleet.ReasonCancelled
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		reason = fleet.ReasonBodyTooLarge
+	switch {
+	case errors.Is(err, membudget.ErrGaveWay):
+		return effect.Refuse{Reason: fleet.ReasonOverloaded, Ran: fleet.RanNo, RetryAfter: membudget.RetryAfter}
+	case errors.Is(err, membudget.ErrTooLarge):
+		return effect.Refuse{Reason: fleet.ReasonBodyTooLarge, Ran: fleet.RanNo}
+	default:
+		return effect.Refuse{Reason: fleet.ReasonCancelled, Ran: fleet.RanNo}
 	}
-	return effect.Refuse{Reason: reason, Ran: fleet.RanNo}
 }
 
 // parseArrival returns the event of a request with the given body. It fails if a
--- a/entry/maintenance.go
+++ b/entry/maintenance.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strconv"
 
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/membudget"
 	"github.com/banyanrail/banyanrail/reduce/control"
 )
 
@@ -129,7 +131,13 @@
 // readCommand decodes a JSON body. It writes a problem and returns false if the
 // body is invalid.
 func (e *Entry) readCommand(w http.ResponseWriter, r *http.Request, into any) bool {
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCommandBytes))
+	body, err := membudget.ReadBody(r, maxCommandBytes)
+	if err != nil {
+		e.writeProblem(w, operatorProblem(bodyStatus(err), "read request", err.Error()))
+		return false
+	}
+	defer body.Release()
+	dec := json.NewDecoder(bytes.NewReader(body.Bytes()))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(into); err != nil {
 		e.writeProblem(w, operatorProblem(http.StatusBadRequest, "read request", err.Error()))
--- a/entry/text.go
+++ b/entry/text.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/banyanrail/banyanrail/codec"
 	"github.com/banyanrail/banyanrail/fleet"
+	"github.com/banyanrail/banyanrail/membudget"
 	"github.com/banyanrail/banyanrail/reduce/control"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
@@ -69,12 +69,24 @@
 		e.writeProblem(w, operatorProblem(http.StatusBadRequest, "read request", "base is not a version number"))
 		return 0, nil, false
 	}
-	src, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxTextBytes))
+	body, err := membudget.ReadBody(r, maxTextBytes)
 	if err != nil {
-		e.writeProblem(w, operatorProblem(http.StatusRequestEntityTooLarge, "read request", err.Error()))
+		e.writeProblem(w, operatorProblem(bodyStatus(err), "read request", err.Error()))
 		return 0, nil, false
 	}
-	return fleet.Version(base), src, true
+	return fleet.Version(base), body.Bytes(), true
+}
+
+// bodyStatus returns the status for a body that was not read, with err.
+func bodyStatus(err error) int {
+	switch {
+	case errors.Is(err, membudget.ErrGaveWay):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, membudget.ErrTooLarge):
+		return http.StatusRequestEntityTooLarge
+	default:
+		return http.StatusBadRequest
+	}
 }
 
 func (e *Entry) writeFaults(w http.ResponseWriter, err error) {
