Refuse forwarded calls before they are received when memory is short

Cause: an owner receives and decodes what all other entries forward. A job of 20,000 steps, 160 KB encoded, allocated 28.7 MB when it was decoded, and a check after its receipt comes too late for the messages.

Change: an entry announces the memory of a call with a spec above 1 KB in the call's metadata, and the owner reserves it before it receives the message, or refuses the call, which has not run. Specs of entries that announce nothing are counted after their receipt. codec.DecodeSpec makes its slices in one piece.

--- a/cmd/banyanrail-entry/main.go
+++ b/cmd/banyanrail-entry/main.go
@@ -145,7 +145,7 @@
 	group.Go(func() error { return daemon.Serve(groupCtx, c.Metrics, nil, budget.Port(operators), metricsMux, 0) })
 	group.Go(func() error {
 		register := func(g *grpc.Server) { peer.RegisterJobs(g, e.Call, dispatchers) }
-		options := append(peer.ServerOptions(), peer.BoundCalls(budget.Reserve))
+		options := append(peer.ServerOptions(), peer.BoundCalls(budget.Reserve)...)
 		return daemon.ServeGRPC(running, c.platform.PeerAddress, nil, budget.Port(c.clients.Peers(false)), register, options...)
 	})
 	group.Go(func() error {
--- a/codec/ledger.go
+++ b/codec/ledger.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"maps"
@@ -103,11 +104,13 @@
 
 // DecodeSpec returns the spec in raw.
 func DecodeSpec(raw []byte) (*fleet.JobSpec, error) {
-	var w jobSpec
+	// The slices are made in one piece: growing ones would take four times the memory.
+	w := jobSpec{Steps: make([]jobStep, 0, min(bytes.Count(raw, []byte{'{'}), fleet.MaxJobTasks))}
 	if err := json.Unmarshal(raw, &w); err != nil {
 		return nil, oops.In("codec").With("step", "decode job").Wrap(err)
 	}
 	s := &fleet.JobSpec{Text: w.Text, Repeats: w.Repeats, FirstAt: time.UnixMilli(w.FirstAt), Interval: milliseconds(w.Interval)}
+	s.Steps = make([]fleet.Step, 0, len(w.Steps))
 	for i := range w.Steps {
 		st := &w.Steps[i]
 		s.Steps = append(s.Steps, fleet.Step{
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -49,9 +49,12 @@
 		return effect.CallAnswer{}, false, fail.Wrap(err)
 	}
 	began := time.Now().UnixNano()
-	ctx, cancel := context.WithTimeout(ctx, f.Timeout)
+	ctx, cancel := context.WithTimeout(announce(ctx, &f, req), f.Timeout)
 	defer cancel()
 	resp, err := peerpb.NewJobsClient(conn).Call(ctx, req)
+	if refusedUnread(err) {
+		return refusal(), true, nil
+	}
 	if err != nil {
 		if status.Code(err) == codes.DeadlineExceeded && conn.lastAnswer.Load() < began {
 			j.drop(f.Address, conn)
@@ -173,33 +176,3 @@
 		RetryAfterMs: a.RetryAfter.Milliseconds(), Reason: string(a.Reason), DelayMs: a.Delay.Milliseconds(),
 	}, nil
 }
-
-// specFactor is the memory of a job's decoded spec for each byte of its encoding: a step
-// takes at least 8 bytes encoded and 200 decoded. Specs of at most smallSpecBytes are not
-// counted.
-const (
-	specFactor     = 32
-	smallSpecBytes = 1 << 10
-	// refusedRetryAfter is when a call that is refused for memory may be tried again.
-	refusedRetryAfter = time.Second
-)
-
-// BoundCalls returns an option by which forwarded calls reserve the memory of their spec
-// until they are answered. A call is refused, and does not run, if reserve fails.
-func BoundCalls(reserve func(bytes int64) (release func(), ok bool)) grpc.ServerOption {
-	return grpc.UnaryInterceptor(func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
-		call, ok := req.(*peerpb.JobCall)
-		if !ok || len(call.GetSpec()) <= smallSpecBytes {
-			return next(ctx, req)
-		}
-		release, ok := reserve(int64(len(call.GetSpec())) * specFactor)
-		if !ok {
-			return &peerpb.JobAnswer{
-				Kind: uint32(effect.AnswerRefused), Reason: "the owner's memory for open calls is used up",
-				RetryAfterMs: refusedRetryAfter.Milliseconds(),
-			}, nil
-		}
-		defer release()
-		return next(ctx, req)
-	})
-}
