Keep connections until their answer is written and refusals until they are read

Cause: a call was counted as ended when its handler returned, before the HTTP server had written the answer, so that a full port could close its connection as an idle one.

Change: a call ends at the server's change to the idle state, and CloseAfterAnswer has the server wait before it closes the connection. Bytes of a body that the server skips are not counted as headers without end.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -72,7 +72,8 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	if port != nil {
-		srv.Handler, srv.ConnContext, srv.ReadTimeout = membudget.Handler(h), membudget.ConnContext, 0
+		srv.ReadTimeout = 0
+		membudget.Configure(srv)
 	}
 	return srv
 }
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -51,7 +51,7 @@
 	// The buffer is not released for other bodies: an attempt may outlast the request.
 	read, err := membudget.ReadBody(r, maxBodyBytes)
 	if err != nil {
-		w.Header().Set("Connection", "close") // the rest of the body is not read
+		membudget.CloseAfterAnswer(w)
 		e.writeRefusal(w, bodyRefusal(err))
 		return
 	}
--- a/entry/maintenance.go
+++ b/entry/maintenance.go
@@ -133,6 +133,7 @@
 func (e *Entry) readCommand(w http.ResponseWriter, r *http.Request, into any) bool {
 	body, err := membudget.ReadBody(r, maxCommandBytes)
 	if err != nil {
+		membudget.CloseAfterAnswer(w)
 		e.writeProblem(w, operatorProblem(bodyStatus(err), "read request", err.Error()))
 		return false
 	}
--- a/entry/text.go
+++ b/entry/text.go
@@ -71,6 +71,7 @@
 	}
 	body, err := membudget.ReadBody(r, maxTextBytes)
 	if err != nil {
+		membudget.CloseAfterAnswer(w)
 		e.writeProblem(w, operatorProblem(bodyStatus(err), "read request", err.Error()))
 		return 0, nil, false
 	}
--- a/membudget/accounts.go
+++ b/membudget/accounts.go
@@ -14,6 +14,9 @@
 	stallTimeout = 30 * time.Second
 	// freeHeaderBytes of a request's headers are part of the connection's charge.
 	freeHeaderBytes = 4 << 10
+	// maxHeaderBytes is the most that the HTTP server keeps of headers. More bytes belong
+	// to a body that it skips.
+	maxHeaderBytes = 40 << 10
 	// headerFactor is the memory that headers take, for each byte of them: the bytes read
 	// and the decoded fields.
 	headerFactor = 2
@@ -183,7 +186,7 @@
 		return nil, true
 	}
 	a.headers += int64(n)
-	more := max(0, a.headers-freeHeaderBytes)*headerFactor - a.headerCharge
+	more := max(0, min(a.headers, maxHeaderBytes)-freeHeaderBytes)*headerFactor - a.headerCharge
 	if more == 0 {
 		return nil, true
 	}
--- a/membudget/budget_test.go
+++ b/membudget/budget_test.go
@@ -1,6 +1,7 @@
 package membudget_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -23,18 +24,20 @@
 	b := membudget.New(membudget.Config{Bytes: bytes, Metrics: tally.NoopScope, Logger: slog.New(slog.DiscardHandler)})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	srv := &http.Server{ConnContext: membudget.ConnContext, Handler: membudget.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := membudget.ReadBody(r, 256<<10)
 		if err != nil {
+			membudget.CloseAfterAnswer(w)
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
 		defer body.Release()
 		ran.Add(1)
 		_, _ = fmt.Fprint(w, len(body.Bytes()))
-	}))}
+	})}
+	membudget.Configure(srv)
 	go func() { _ = srv.Serve(b.Port(membudget.PortConfig{Connections: connections}).Listener(ln)) }()
-	t.Cleanup(func() { _ = srv.Close() })
+	t.Cleanup(func() { _ = srv.Shutdown(context.Background()) }) // waits for connections that close
 	return ln.Addr().String(), ran
 }
 
--- a/membudget/conn.go
+++ b/membudget/conn.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -164,6 +166,15 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite closes the writing side, as the HTTP server does before it closes a
+// connection whose request is not read to its end.
+func (c *Conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
 // SetReadDeadline implements net.Conn. It does not revive a body that has given way.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	if c.refused.Load() {
@@ -186,15 +197,38 @@
 
 type connKey struct{}
 
-// ConnContext makes the connection known to Handler. It is a ConnContext of http.Server.
-func ConnContext(ctx context.Context, c net.Conn) context.Context {
+// Configure has a server, whose listener is that of a Port, tell the budget where its
+// calls begin and end.
+func Configure(srv *http.Server) {
+	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if own := own(c); own != nil {
+			return context.WithValue(ctx, connKey{}, own)
+		}
+		return ctx
+	}
+	// A call ends when its answer is written, not when its handler returns: until then the
+	// connection must not give way as an idle one.
+	srv.ConnState = func(c net.Conn, state http.ConnState) {
+		if own := own(c); own != nil && state == http.StateIdle {
+			own.change(func(s *accounts, now time.Time) { s.end(&own.account, now) })
+		}
+	}
+	h := srv.Handler
+	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c := connOf(r.Context()); c != nil {
+			c.change(func(s *accounts, now time.Time) { s.enter(&c.account, phaseBusy, now) })
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// own returns the Conn below a connection of a server, or nil.
+func own(c net.Conn) *Conn {
 	if t, ok := c.(*tls.Conn); ok {
 		c = t.NetConn()
 	}
-	if own, ok := c.(*Conn); ok {
-		return context.WithValue(ctx, connKey{}, own)
-	}
-	return ctx
+	conn, _ := c.(*Conn)
+	return conn
 }
 
 func connOf(ctx context.Context) *Conn {
@@ -202,19 +236,14 @@
 	return c
 }
 
-// Handler marks calls as whole while h serves them, apart from their reading by
-// ReadBody, and releases what they hold when they end.
-func Handler(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c := connOf(r.Context())
-		if c == nil {
-			h.ServeHTTP(w, r)
-			return
-		}
-		c.change(func(s *accounts, now time.Time) { s.enter(&c.account, phaseBusy, now) })
-		defer c.budget.update(func(now time.Time) { c.budget.accounts.end(&c.account, now) })
-		h.ServeHTTP(w, r)
-	})
+// CloseAfterAnswer has the server close the connection after the answer to a request whose
+// body is not read to its end. The server waits a moment before, as a connection that is
+// reset at once may take the answer with it.
+func CloseAfterAnswer(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	// Beyond its limit, a MaxBytesReader has the server do so. It has no other way for a
+	// client that asks for the end of the connection itself.
+	_, _ = http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1))
 }
 
 // Reserve charges bytes to the call of a request until it ends. It fails with ErrGaveWay
