--- a/membudget/budget.go
+++ b/membudget/budget.go
@@ -146,9 +146,9 @@
 		return
 	}
 	b.loggedAt = now
-	fields := []any{"held_bytes", b.accounts.held, "connections", b.accounts.connections()}
+	fields := []any{"held_bytes", b.accounts.held, "open_connections", b.accounts.connections()}
 	for r, n := range b.refused {
-		fields = append(fields, string(r), n)
+		fields = append(fields, "refused_"+string(r), n)
 	}
 	clear(b.refused)
 	b.logger.Warn("clients refused", fields...)
