Submissions that give way are answered as unknown

A 503 says that a job never runs. An entry without the memory for a submission, and an owner that refuses one unread, cannot tell whether an earlier try of the job is stored, as entries that decline one for other reasons cannot either.

--- a/peer/boundcalls.go
+++ b/peer/boundcalls.go
@@ -108,6 +108,12 @@
 	return status.Code(err) == codes.ResourceExhausted && status.Convert(err).Message() == reasonMemory
 }
 
-func refusal() effect.CallAnswer {
-	return effect.CallAnswer{Kind: effect.AnswerRefused, Reason: reasonMemory, RetryAfter: refusedRetryAfter}
+// refusal is the answer to a call that the owner did not receive. Only an owner that has looked
+// up a job can say that it never runs: an earlier try may be stored.
+func refusal(kind effect.CallKind) effect.CallAnswer {
+	a := effect.CallAnswer{Kind: effect.AnswerRefused, Reason: reasonMemory, RetryAfter: refusedRetryAfter}
+	if kind == effect.CallSubmit {
+		a.Kind = effect.AnswerUnknown
+	}
+	return a
 }
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -53,7 +53,7 @@
 	defer cancel()
 	resp, err := peerpb.NewJobsClient(conn).Call(ctx, req)
 	if refusedUnread(err) {
-		return refusal(), true, nil
+		return refusal(f.Kind), true, nil
 	}
 	if err != nil {
 		if status.Code(err) == codes.DeadlineExceeded && conn.lastAnswer.Load() < began {
