--- a/entry/callers.go
+++ b/entry/callers.go
@@ -128,7 +128,7 @@
 
 func bodyRefusal(err error) effect.Refuse {
 	switch {
-	case errors.Is(err, membudget.ErrGaveWay):
+	case errors.Is(err, membudget.ErrEvicted):
 		return effect.Refuse{Reason: fleet.ReasonOverloaded, Ran: fleet.RanNo, RetryAfter: membudget.RetryAfter}
 	case errors.Is(err, membudget.ErrTooLarge):
 		return effect.Refuse{Reason: fleet.ReasonBodyTooLarge, Ran: fleet.RanNo}
--- a/entry/text.go
+++ b/entry/text.go
@@ -81,7 +81,7 @@
 // bodyStatus returns the status for a body that was not read, with err.
 func bodyStatus(err error) int {
 	switch {
-	case errors.Is(err, membudget.ErrGaveWay):
+	case errors.Is(err, membudget.ErrEvicted):
 		return http.StatusServiceUnavailable
 	case errors.Is(err, membudget.ErrTooLarge):
 		return http.StatusRequestEntityTooLarge
--- a/membudget/accounts.go
+++ b/membudget/accounts.go
@@ -6,7 +6,7 @@
 	// movingBytes is how much has to arrive on a connection to count as progress.
 	// Without it a client that sends a byte now and then would always count as moving.
 	movingBytes = 1 << 10
-	// stillAfter is the time without progress after which a call may give way to others.
+	// stillAfter is the time without progress after which a call may be evicted for others.
 	// It is longer than the round trips and retransmissions of a sound connection.
 	stillAfter = time.Second
 	// stallTimeout is the time without progress after which a connection is closed, also
@@ -22,7 +22,7 @@
 	headerFactor = 2
 )
 
-// Reason says why a call or connection gave way.
+// Reason says why a call or connection was evicted.
 type Reason string
 
 // The reasons, which are values of the label reason of the metric client_refusals.
@@ -49,7 +49,7 @@
 	// phaseBody: for the rest of a body. The call has not run.
 	phaseBody
 	// phaseBusy: for the answer to a whole request. The call may have run, so it never
-	// gives way.
+	// is evicted.
 	phaseBusy
 	// phaseAnswer: until the client takes the answer.
 	phaseAnswer
@@ -79,10 +79,10 @@
 	conn *Conn
 }
 
-// gone reports whether the call has given way.
+// gone reports whether the call was evicted.
 func (a *account) gone() bool { return a.phase == phaseRefused || a.phase == phaseClosed }
 
-// victim is a connection that gives way. Unless it is to be closed, its body is
+// victim is a connection that is evicted. Unless it is to be closed, its body is
 // refused.
 type victim struct {
 	*account
@@ -105,13 +105,13 @@
 	idle, open list
 }
 
-// accounts decides which calls and connections give way. It has no clock and no locks.
+// accounts decides which calls and connections are evicted. It has no clock and no locks.
 type accounts struct {
 	limit, held int64
 	ports       []*portAccounts
 }
 
-// open adds a connection. If its port is full, the connection that gives way to it is
+// open adds a connection. If its port is full, the connection that is evicted for it is
 // returned; without one, ok is false and the new connection has to be closed.
 func (s *accounts) open(a *account, now time.Time) (victims []victim, ok bool) {
 	p := a.port
@@ -134,7 +134,7 @@
 	return victims, true
 }
 
-// oldest returns the connection that gives way to a new one: the one that has been idle
+// oldest returns the connection that is evicted for a new one: the one that has been idle
 // for the longest time, or else one that has stood still.
 func (p *portAccounts) oldest(now time.Time) *account {
 	if p.idle.first != nil {
@@ -223,7 +223,7 @@
 }
 
 // reserve charges bytes to a call, which is nil for a call without a connection of its
-// own. The calls that have stood still for the longest time give way. If that is not
+// own. The calls that have stalled for the longest time are evicted. If that is not
 // enough, ok is false and nothing is charged.
 func (s *accounts) reserve(a *account, n int64, now time.Time) (victims []victim, ok bool) {
 	if a != nil && a.gone() {
@@ -234,7 +234,7 @@
 		if v == nil {
 			return victims, false
 		}
-		victims = append(victims, s.giveWay(v, ReasonStill, now))
+		victims = append(victims, s.evict(v, ReasonStill, now))
 	}
 	s.charge(a, n)
 	return victims, true
@@ -266,9 +266,9 @@
 	return out
 }
 
-// giveWay releases what a call holds. A call whose body is read is refused; any other
+// evict releases what a call holds. A call whose body is read is refused; any other
 // connection is closed.
-func (s *accounts) giveWay(a *account, reason Reason, now time.Time) victim {
+func (s *accounts) evict(a *account, reason Reason, now time.Time) victim {
 	if a.phase == phaseBody {
 		s.release(a, a.bytes)
 		s.enter(a, phaseRefused, now)
@@ -281,7 +281,7 @@
 // release returns bytes of a call to the budget.
 func (s *accounts) release(a *account, n int64) {
 	if a != nil {
-		n = min(n, a.bytes) // a call that gave way holds nothing any more
+		n = min(n, a.bytes) // an evicted call holds nothing any more
 		a.bytes -= n
 	}
 	s.held -= n
--- a/membudget/accounts_test.go
+++ b/membudget/accounts_test.go
@@ -43,9 +43,9 @@
 	return a
 }
 
-// TestCallsThatStandStillGiveWayFirst guards against a crowd that stops short of its end
+// TestStalledCallsAreEvictedFirst guards against a crowd that stops short of its end
 // and keeps out callers that go on, and against giving up more than is needed.
-func TestCallsThatStandStillGiveWayFirst(t *testing.T) {
+func TestStalledCallsAreEvictedFirst(t *testing.T) {
 	tb := newTable(1000, 100)
 	oldest, older, moving := tb.body(t, 300), tb.body(t, 300), tb.body(t, 300)
 	tb.pass(stillAfter)
@@ -64,7 +64,7 @@
 }
 
 // TestRefusedCallGetsNothing guards against a call that runs after it was told that it
-// has not run: once it has given way, its body is never whole and nothing is reserved.
+// has not run: once it was evicted, its body is never whole and nothing is reserved.
 func TestRefusedCallGetsNothing(t *testing.T) {
 	tb := newTable(1000, 100)
 	still := tb.body(t, 900)
@@ -81,8 +81,8 @@
 	must.True(t, still.gone())
 }
 
-// TestCallsThatMayHaveRunStay guards against the loss of answers: a whole call gives way
-// neither to bodies nor to connections, however long it takes.
+// TestCallsThatMayHaveRunStay guards against the loss of answers: a whole call is evicted
+// neither for bodies nor for connections, however long it takes.
 func TestCallsThatMayHaveRunStay(t *testing.T) {
 	tb := newTable(1000, 2)
 	a, b := tb.body(t, 500), tb.body(t, 400)
--- a/membudget/body.go
+++ b/membudget/body.go
@@ -67,7 +67,7 @@
 }
 
 // ReadBody reads the body of a request of at most limit bytes, and charges buffers to
-// the request's connection as its bytes arrive. It fails with ErrTooLarge or ErrGaveWay,
+// the request's connection as its bytes arrive. It fails with ErrTooLarge or ErrEvicted,
 // or with the connection's error.
 func ReadBody(r *http.Request, limit int64) (Body, error) {
 	if r.ContentLength > limit {
@@ -79,16 +79,16 @@
 	}
 	c.change(func(s *accounts, now time.Time) { s.enter(&c.account, phaseBody, now) })
 	body, err := readBody(r.Context(), r.Body, limit)
-	gaveWay := false
+	evicted := false
 	c.change(func(s *accounts, now time.Time) {
 		if err == nil {
 			s.enter(&c.account, phaseBusy, now)
 		}
-		gaveWay = c.account.gone()
+		evicted = c.account.gone()
 	})
-	if gaveWay {
+	if evicted {
 		body.Release()
-		return Body{}, ErrGaveWay
+		return Body{}, ErrEvicted
 	}
 	return body, err
 }
--- a/membudget/budget.go
+++ b/membudget/budget.go
@@ -1,8 +1,8 @@
 // Package membudget bounds the memory and the connections that all open clients of a
 // process hold together. One budget of bytes counts the buffers of connections, headers
 // and bodies as they arrive, and what calls hold until they are answered. When it is
-// spent, calls that have stood still for the longest time give way before those that
-// move. A call gives way only before it is carried out.
+// spent, calls that have stalled for the longest time are evicted before those that
+// move. A call is evicted only before it is carried out.
 package membudget
 
 import (
@@ -22,16 +22,16 @@
 	logInterval = time.Second
 )
 
-// Errors of a call that gives way. The call has not run.
+// Errors of a call that is evicted or refused. The call has not run.
 var (
-	// ErrGaveWay means that the memory for open calls is used up.
-	ErrGaveWay = errors.New("the memory for open calls is used up")
+	// ErrEvicted means that the memory for open calls is used up.
+	ErrEvicted = errors.New("the memory for open calls is used up")
 	// ErrTooLarge means that a body exceeds its limit.
 	ErrTooLarge = errors.New("the body is too large")
 )
 
-// RetryAfter is the time after which a call that gave way can be tried again: calls that
-// stand still have given way by then.
+// RetryAfter is the time after which an evicted call can be tried again: calls that
+// have stalled are evicted by then.
 const RetryAfter = stillAfter
 
 // Config holds the settings of a Budget.
@@ -119,7 +119,7 @@
 	return ok
 }
 
-// carryOut closes and refuses connections that give way.
+// carryOut closes and refuses connections that are evicted.
 func (b *Budget) carryOut(victims []victim) {
 	for _, v := range victims {
 		b.count(v.reason)
--- a/membudget/budget_test.go
+++ b/membudget/budget_test.go
@@ -93,7 +93,7 @@
 		defer func() { _ = c.Close() }()
 		conns = append(conns, c)
 	}
-	_, err := conns[0].Read(make([]byte, 1)) // ends only when the connection gives way
+	_, err := conns[0].Read(make([]byte, 1)) // ends only when the connection is evicted
 	must.Error(t, err)
 	status, _ := post(t, address, strings.NewReader("x"))
 	must.Eq(t, http.StatusOK, status)
--- a/membudget/conn.go
+++ b/membudget/conn.go
@@ -80,7 +80,7 @@
 }
 
 // Accept implements net.Listener. Connections that exceed the bounds are closed, unless
-// another one gives way.
+// another one is evicted.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		raw, err := l.Listener.Accept()
@@ -117,7 +117,7 @@
 	net.Conn
 	budget  *Budget
 	account account
-	// refused is set when the body that is read has given way.
+	// refused is set when the body that is read was evicted.
 	refused atomic.Bool
 }
 
@@ -134,7 +134,7 @@
 	if !ok {
 		c.budget.count(ReasonBytes)
 		_ = c.Close() // the connection is given up
-		return 0, ErrGaveWay
+		return 0, ErrEvicted
 	}
 	return n, err
 }
@@ -175,7 +175,7 @@
 	return nil
 }
 
-// SetReadDeadline implements net.Conn. It does not revive a body that has given way.
+// SetReadDeadline implements net.Conn. It does not revive a body that was evicted.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	if c.refused.Load() {
 		return nil
@@ -207,7 +207,7 @@
 		return ctx
 	}
 	// A call ends when its answer is written, not when its handler returns: until then the
-	// connection must not give way as an idle one.
+	// connection must not be evicted as an idle one.
 	srv.ConnState = func(c net.Conn, state http.ConnState) {
 		if own := own(c); own != nil && state == http.StateIdle {
 			own.change(func(s *accounts, now time.Time) { s.end(&own.account, now) })
@@ -246,17 +246,17 @@
 	_, _ = http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1))
 }
 
-// Reserve charges bytes to the call of a request until it ends. It fails with ErrGaveWay
+// Reserve charges bytes to the call of a request until it ends. It fails with ErrEvicted
 // if the budget is spent; the call must not be carried out then.
 func Reserve(ctx context.Context, bytes int64) error {
 	if c := connOf(ctx); c != nil && !c.budget.reserve(&c.account, bytes) {
-		return ErrGaveWay
+		return ErrEvicted
 	}
 	return nil
 }
 
 // Force charges bytes to the call of a request until it ends, also beyond the budget.
-// It is for an answer to a call that was carried out. Calls that stand still give way.
+// It is for an answer to a call that was carried out. Stalled calls are evicted.
 func Force(ctx context.Context, bytes int64) {
 	c := connOf(ctx)
 	if c == nil {
