--- a/daemon/clientlimits.go
+++ b/daemon/clientlimits.go
@@ -23,9 +23,10 @@
 	// connectionShare is the part of the clients' memory that their connections may
 	// take, so that bodies have the rest.
 	connectionShare = 2
-	// Connections to the ports for other entries and for operators, where a fleet has 45
-	// entries, a balancer and a few collectors of metrics.
-	maxPeerConnections     = 128
+	// Connections to the ports for other entries and for operators. Each other entry holds one
+	// or two connections to the owner; with 128, an owner refused most of 300 entries. A
+	// balancer and a few collectors of metrics use the ports for operators.
+	maxPeerConnections     = 1024
 	maxOperatorConnections = 32
 	minConnections         = 4
 )
