Former owners' stops, released runners and held work: what a later owner or a pause would lose

What the runs of an ended job may still use was not stored again by the next owner, so the one after it did not count it; and it counted only until all known runners had answered, though one that is not listed yet may run it. It is stored again, and counts until the leases of former owners have expired. A released runner takes tasks again a second after the last plan: an owner that is not sure of its tenure makes none. Work that a cap holds is no demand for instances. The capacity of all runners is added up every 100 ms, not for each pass over a queue.

--- a/membudget/accounts.go
+++ b/membudget/accounts.go
@@ -106,6 +106,9 @@
 }
 
 // accounts decides which calls and connections are evicted. It has no clock and no locks.
+//
+// Load pattern: many clients at once send bodies of legal size, in any pieces, stop just short
+// of the end and keep their connections open.
 type accounts struct {
 	limit, held int64
 	ports       []*portAccounts
--- a/reduce/jobs/demand.go
+++ b/reduce/jobs/demand.go
@@ -162,6 +162,9 @@
 		return d
 	}
 	for _, st := range p.queue {
+		if st.held {
+			continue // instances would not help
+		}
 		waiting := 0
 		for _, t := range st.tasks {
 			if t.phase == taskWaiting {
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -23,10 +23,13 @@
 	account *shares.Account
 	// beyond is set if the tenant had handed in more jobs than it is owed when the job was
 	// accepted.
-	beyond      bool
-	priority    int
-	maxAttempts int
-	accepted    time.Time
+	beyond bool
+	// formerlyStopping is what runs of the job, which has ended, may still have used when a
+	// former owner stored its end.
+	formerlyStopping fleet.Capacity
+	priority         int
+	maxAttempts      int
+	accepted         time.Time
 	// deadline is when the job should have ended by its objective, and
 	// noValueAfter the time after which its end has no value.
 	deadline, noValueAfter time.Time
@@ -429,7 +432,7 @@
 	o.jobs[j.id] = j
 	if s.Progress != nil && s.Progress.State.Final() {
 		j.state, j.storedState, j.ended = s.Progress.State, s.Progress.State, s.Progress.Ended
-		o.noteFormerlyStopping(s.Progress)
+		o.noteFormerlyStopping(j, s.Progress)
 		j.hasProgress, j.parts = true, s.Parts
 		o.ended = append(o.ended, j)
 		o.markDirty(j) // the definition has to be dropped before the final state is
@@ -465,11 +468,11 @@
 }
 
 func (o *ownership) restoreEnded(s *ledger.StoredJob) {
-	o.noteFormerlyStopping(s.Progress)
 	j := &job{
 		id: s.Job, queue: s.Progress.Queue, state: s.Progress.State, storedState: s.Progress.State,
 		ended: s.Progress.Ended, definitionStored: true, hasProgress: true, definitionDropped: true, parts: s.Parts,
 	}
+	o.noteFormerlyStopping(j, s.Progress)
 	o.jobs[j.id] = j
 	o.ended = append(o.ended, j)
 }
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -88,6 +88,9 @@
 	// formerlyStopping is the capacity of the runs that a former owner may have been stopping
 	// when it died, for each tenant.
 	formerlyStopping map[fleet.TenantName]fleet.Capacity
+	// capacity is that of all listed runners as of capacityAt.
+	capacity   fleet.Capacity
+	capacityAt time.Time
 }
 
 func newOwnership(s *State, epoch int64) *ownership {
--- a/reduce/jobs/planner.go
+++ b/reduce/jobs/planner.go
@@ -160,7 +160,7 @@
 	if !o.now().Before(r.health.quarantinedUntil) && !r.poll.unreachable {
 		p.have++
 	}
-	if o.confirmedIdle(i) && o.orderable(i) && !i.idleSince.IsZero() && (r.releasing || o.now().Sub(i.idleSince) >= idleBeforeMove) {
+	if o.confirmedIdle(i) && o.orderable(i) && !i.idleSince.IsZero() && (o.released(r) || o.now().Sub(i.idleSince) >= idleBeforeMove) {
 		p.idle = append(p.idle, i)
 	}
 }
--- a/reduce/jobs/release.go
+++ b/reduce/jobs/release.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/banyanrail/banyanrail/reduce/allocation"
 )
@@ -11,6 +12,10 @@
 // busy ones are released. A pool near its need would release instances and get them back.
 const releaseMargin = 2
 
+// releaseTime is how long a runner stays released without another plan. An owner that cannot
+// be sure of its tenure for a while makes no plans, and moves no instances.
+const releaseTime = time.Second
+
 // limitNeeds limits the needs of pools to their shares if they exceed the supply.
 func limitNeeds(plans []*poolPlan, spare *poolPlan) {
 	supply, total := 0, 0
@@ -60,39 +65,34 @@
 	pool := o.pool(p.name)
 	candidates := make([]*runner, 0, len(pool.runners))
 	for _, r := range pool.runners {
-		if r.listed && !r.Draining && !r.vacating && r.counts.longRunning == 0 && (len(r.runs) > 0 || r.releasing) {
+		if r.listed && !r.Draining && !r.vacating && r.counts.longRunning == 0 && (len(r.runs) > 0 || o.released(r)) {
 			candidates = append(candidates, r)
-		} else if r.releasing {
-			o.setReleasing(r, pool, false)
+		} else {
+			o.setReleased(r, pool, false)
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b *runner) int {
-		return cmp.Or(compareReleasing(a, b), cmp.Compare(a.used.CPU, b.used.CPU))
+		return cmp.Or(b.releasedUntil.Compare(a.releasedUntil), cmp.Compare(a.used.CPU, b.used.CPU))
 	})
 	for i, r := range candidates {
-		o.setReleasing(r, pool, i < n)
+		o.setReleased(r, pool, i < n)
 	}
 }
 
-func compareReleasing(a, b *runner) int {
+// released reports whether a runner takes no new tasks because its instance is to move.
+func (o *ownership) released(r *runner) bool { return o.now().Before(r.releasedUntil) }
+
+func (o *ownership) setReleased(r *runner, p *pool, released bool) {
 	switch {
-	case a.releasing == b.releasing:
-		return 0
-	case a.releasing:
-		return -1
+	case released:
+		if !o.released(r) {
+			o.s.count("runners_released", "")
+		}
+		r.releasedUntil = o.now().Add(releaseTime)
+	case o.released(r):
+		r.releasedUntil = time.Time{}
+		p.dirty = true // its room can be used again
 	default:
-		return 1
-	}
-}
-
-func (o *ownership) setReleasing(r *runner, p *pool, releasing bool) {
-	if r.releasing == releasing {
-		return
-	}
-	r.releasing = releasing
-	if releasing {
-		o.s.count("runners_released", "")
-		return
+		r.releasedUntil = time.Time{}
 	}
-	p.dirty = true // its room can be used again
 }
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -67,9 +67,9 @@
 	leavesAt time.Time
 	// vacating is set while the runner's instance is to be moved or maintained.
 	vacating bool
-	// releasing is set while the runner takes no new tasks, so that its instance becomes
-	// idle and can move to a pool that needs it more.
-	releasing bool
+	// releasedUntil is until when the runner takes no new tasks, so that its instance becomes
+	// idle and can move to a pool that needs it more. Each plan renews it.
+	releasedUntil time.Time
 	// dispatcher is the dispatcher that calls the runner; zero while there is none.
 	dispatcher uint64
 	// directUntil is until when this entry calls the runner itself.
@@ -376,7 +376,7 @@
 
 // usable reports whether tasks may be started on the runner.
 func (o *ownership) usable(r *runner) bool {
-	return r.listed && r.reported && r.fenced && !o.withheld[r.ID] && !r.poll.unreachable && !r.Draining && !r.vacating && !r.releasing && r.Capacity.CPU > 0 &&
+	return r.listed && r.reported && r.fenced && !o.withheld[r.ID] && !r.poll.unreachable && !r.Draining && !r.vacating && !o.released(r) && r.Capacity.CPU > 0 &&
 		!o.now().Before(r.noRoomUntil) && o.healthAllowsRun(r) && o.roomKnown(r) && (r.strays == 0 || o.hasRoom(r))
 }
 
--- a/reduce/jobs/tenants.go
+++ b/reduce/jobs/tenants.go
@@ -27,14 +27,20 @@
 	from := t.claim
 	t.claim = claim
 	if account.Change(o.now(), from, claim, t.step.spec.Reservation()) {
-		o.retryHeld()
+		o.retryHeld(account)
 	}
 }
 
-// retryHeld has all pools placed again: the cap of a tenant holds work of several pools.
-func (o *ownership) retryHeld() {
+// retryHeld has all pools placed again: the cap of a tenant holds work of several pools. What it
+// held counts as demand again, since a pool without room for it would not try it.
+func (o *ownership) retryHeld(account *shares.Account) {
 	for _, p := range o.sortedPools {
 		p.dirty = true
+		for _, st := range p.queue {
+			if st.occ.job.account == account {
+				st.held = false
+			}
+		}
 	}
 }
 
@@ -138,16 +144,20 @@
 
 // noteFormerlyStopping notes what runs of a job that has ended may still use, because the former
 // owner died while it stopped them.
-func (o *ownership) noteFormerlyStopping(p *ledger.Progress) {
-	if p.Stopping != (fleet.Capacity{}) && o.now().Sub(p.Ended) < formerStopTime {
+func (o *ownership) noteFormerlyStopping(j *job, p *ledger.Progress) {
+	if p.Stopping == (fleet.Capacity{}) {
+		return
+	}
+	j.tenant, j.formerlyStopping = p.Tenant, p.Stopping
+	if o.now().Sub(p.Ended) < formerStopTime {
 		o.formerlyStopping[p.Tenant] = o.formerlyStopping[p.Tenant].Plus(p.Stopping)
 	}
 }
 
 // unknownUse returns what runs of a tenant's ended jobs may be using that no record lists as
-// runs: those that a former owner was stopping when it died. They count until all runners have
-// answered this owner's poll, and what they still ran is stopped, or the leases of former owners
-// have expired there.
+// runs: those that a former owner was stopping when it died. They count until the leases of
+// former owners have expired, on every runner: one that is not listed yet may run them too.
+// Runners that have answered lengthen the leases of what they run, until it is stopped.
 func (o *ownership) unknownUse(tenant fleet.TenantName, pass *pass) fleet.Capacity {
 	use, ok := o.formerlyStopping[tenant]
 	if !ok {
@@ -155,24 +165,17 @@
 	}
 	if !pass.formerStopsChecked {
 		pass.formerStopsChecked = true
-		if !slices.ContainsFunc(o.sortedRunners, o.mayRunFormerStops) {
+		runsStrays := func(r *runner) bool { return r.strays > 0 }
+		if o.now().After(o.formerLeasesUntil) && !slices.ContainsFunc(o.sortedRunners, runsStrays) {
 			clear(o.formerlyStopping)
 		}
 	}
 	return o.formerlyStopping[tenant]
 }
 
-// mayRunFormerStops reports whether a runner may run what a former owner was stopping.
-func (o *ownership) mayRunFormerStops(r *runner) bool {
-	if r.fenced {
-		return r.strays > 0
-	}
-	return !o.now().After(o.formerLeasesExpireAt(r))
-}
-
-// stopping returns the capacity of the job's runs that may not have stopped.
+// stopping returns the capacity of the job's runs that may not have stopped, for the next owner.
 func (j *job) stopping() fleet.Capacity {
-	var c fleet.Capacity
+	c := j.formerlyStopping
 	for _, occ := range j.occurrences {
 		for _, st := range occ.steps {
 			for _, t := range st.tasks {
@@ -230,16 +233,23 @@
 	}
 }
 
+// capacityInterval is the time between two additions of the capacity of all runners. Shares are
+// compared with one another, so a total that is a moment old does no harm.
+const capacityInterval = 100 * time.Millisecond
+
 // totalCapacity returns the capacity of all runners that are listed. It is not needed, and zero,
 // while all jobs are those of one tenant.
 func (o *ownership) totalCapacity() fleet.Capacity {
-	var total fleet.Capacity
-	if o.accounts.Count() > 1 {
+	if o.accounts.Count() <= 1 {
+		return fleet.Capacity{}
+	}
+	if o.now().Sub(o.capacityAt) >= capacityInterval {
+		o.capacity, o.capacityAt = fleet.Capacity{}, o.now()
 		for _, r := range o.sortedRunners {
 			if r.listed {
-				total = total.Plus(r.Capacity)
+				o.capacity = o.capacity.Plus(r.Capacity)
 			}
 		}
 	}
-	return total
+	return o.capacity
 }
