Model tests guard the order of eviction and of stored entries

Cause: evicting the first key of the table, or storing the least active keys first, failed no test, though both are named as failures that the tests guard against. Change: the rare key is the first of the table when the flood begins, and a key that has run once is the last entry. Measured: with the first key evicted, TestMillionNamesTakeBoundedMemory fails; with the entries in reverse order, TestRestoredModelExpectsTheSame.

--- a/reduce/runtimes/model_test.go
+++ b/reduce/runtimes/model_test.go
@@ -128,14 +128,14 @@
 	}
 	before := heap()
 	for n := range 1_000_000 {
-		for r := 0; r == 0 || (n%10 == 0 && r < 8); r++ {
-			m.Observe(runtimes.Key{Queue: "flood", Image: fmt.Sprint(n) + long[:n%1000*4]}, time.Second, 9*time.Second)
+		if n%125 == 0 {
+			m.Observe(step(1), time.Second, 5*time.Second)
 		}
 		if n%2 == 0 {
 			m.Observe(key, time.Second, 2*time.Second)
 		}
-		if n%125 == 0 {
-			m.Observe(step(1), time.Second, 5*time.Second)
+		for r := 0; r == 0 || (n%10 == 0 && r < 8); r++ {
+			m.Observe(runtimes.Key{Queue: "flood", Image: fmt.Sprint(n) + long[:n%1000*4]}, time.Second, 9*time.Second)
 		}
 	}
 	must.Less(t, before+2<<20, heap())
@@ -151,13 +151,16 @@
 		log := 0.5 * rng.NormFloat64()
 		m.Observe(step(n%6), seconds(log+0.5*rng.NormFloat64()), seconds(log+0.3*float64(n%6)))
 	}
-	must.Zero(t, next.Restore(m.Entries()))
+	m.Observe(step(9), time.Second, time.Second)
+	entries := m.Entries()
+	must.Eq(t, step(9), entries[len(entries)-1].Key, must.Sprint("the least active key is the last"))
+	must.Zero(t, next.Restore(entries))
 	for n := range 8 {
 		want, got := m.Expect(step(n), 2*time.Second), next.Expect(step(n), 2*time.Second)
 		must.Between(t, 0.99, got.Typical.Seconds()/want.Typical.Seconds(), 1.01)
 		must.Between(t, 0.97, got.Tail.Seconds()/want.Tail.Seconds(), 1.03)
 	}
-	must.Eq(t, m.Entries(), next.Entries())
+	must.Eq(t, entries, next.Entries())
 }
 
 // TestImplausibleEntriesAreDropped guards against expectations that are no times.
