Verdicts about keys as a table by age

The cases of one age each took 16 rows. Each of 12 rows now gives the verdicts at nine ages, which covers the earlier cases and the limits of the others.

--- a/reduce/access/access_test.go
+++ b/reduce/access/access_test.go
@@ -10,120 +10,108 @@
 	"github.com/shoenig/test/must"
 )
 
-var start = time.Date(2026, 12, 7, 0, 0, 0, 0, time.UTC)
+var (
+	start = time.Date(2026, 12, 7, 0, 0, 0, 0, time.UTC)
+	// strict requires keys within both limits, lax without one for withdrawn keys, and optional
+	// only of configurations with tenants.
+	strict   = access.Config{Required: true, RevocationLimit: 5 * time.Second, ApplyLimit: 3 * time.Second}
+	lax      = access.Config{Required: true, ApplyLimit: 3 * time.Second}
+	optional = access.Config{ApplyLimit: 2 * time.Second}
+	none     = &fleet.Tenants{}
+)
 
 func tenants(t testing.TB, list ...*fleet.Tenant) *fleet.Tenants {
-	t.Helper()
 	out, err := fleet.NewTenants(list)
 	must.NoError(t, err)
 	return &out
 }
 
-// strict is what a deployment with both limits requires.
-var strict = access.Config{Required: true, RevocationLimit: 5 * time.Second, ApplyLimit: 3 * time.Second}
-
 // TestVerdictsByTheAgeOfTheConfirmation guards against a withdrawn key that is served, or a
 // new one that is denied, by a configuration that is too old for either.
 func TestVerdictsByTheAgeOfTheConfirmation(t *testing.T) {
-	lax := strict
-	lax.RevocationLimit = 0
 	one := tenants(t, &fleet.Tenant{Name: "one", Keys: []string{"k"}})
-	none := tenants(t)
-	const never = -1
-	for name, c := range map[string]struct {
+	letters := map[access.Verdict]string{access.Allowed: "a", access.Denied: "d", access.Undecided: "u"}
+	for _, c := range []struct {
 		cfg     access.Config
 		tenants *fleet.Tenants
 		public  bool
 		key     string
-		age     time.Duration
-		want    access.Verdict
-		tenant  fleet.TenantName
+		// want is the first letters of the verdicts right after the confirmation, after 1.7, 1.8,
+		// 2.6, 2.7, 4.4 and 4.5 s and an hour, and without one.
+		want string
 	}{
-		"known key":                             {strict, one, false, "k", 4400 * time.Millisecond, access.Allowed, "one"},
-		"known key, old":                        {strict, one, false, "k", 4500 * time.Millisecond, access.Undecided, ""},
-		"known key, never confirmed":            {strict, one, false, "k", never, access.Undecided, ""},
-		"known key, old, no limit":              {lax, one, false, "k", time.Hour, access.Allowed, "one"},
-		"unknown key":                           {strict, one, false, "x", 2600 * time.Millisecond, access.Denied, ""},
-		"unknown key, old":                      {strict, one, false, "x", 2700 * time.Millisecond, access.Undecided, ""},
-		"unknown key, old, no limit":            {lax, one, false, "x", 2700 * time.Millisecond, access.Undecided, ""},
-		"missing key":                           {strict, one, false, "", 0, access.Denied, ""},
-		"missing key, never confirmed":          {strict, one, false, "", never, access.Undecided, ""},
-		"no tenants, keys required":             {strict, none, false, "k", 0, access.Denied, ""},
-		"no tenants, no keys required":          {access.Config{ApplyLimit: 2 * time.Second}, none, false, "", never, access.Allowed, ""},
-		"tenants, no keys required":             {access.Config{ApplyLimit: 2 * time.Second}, one, false, "", 0, access.Denied, ""},
-		"public queue":                          {strict, one, true, "", never, access.Allowed, ""},
-		"public queue, unknown key":             {strict, one, true, "x", 0, access.Allowed, ""},
-		"public queue, key that may be gone":    {strict, one, true, "k", never, access.Undecided, ""},
-		"public queue, key, old, without limit": {lax, one, true, "k", never, access.Allowed, ""},
+		{strict, one, false, "k", "aaaaaauuu"},
+		{strict, one, false, "x", "dddduuuuu"},
+		{strict, one, false, "", "dddduuuuu"},
+		{strict, none, false, "k", "dddduuuuu"},
+		{strict, one, true, "", "aaaaaaaaa"},
+		{strict, one, true, "x", "aaaaaauuu"},
+		{strict, one, true, "k", "aaaaaauuu"},
+		{lax, one, false, "k", "aaaaaaaaa"},
+		{lax, one, false, "x", "dddduuuuu"},
+		{lax, one, true, "k", "aaaaaaaaa"},
+		{optional, none, false, "", "aaaaaaaaa"},
+		{optional, one, false, "", "dduuuuuuu"},
 	} {
-		checker := access.New(c.cfg)
-		now := start
-		if c.age != never {
-			checker.Confirm(start)
-			checker.Confirm(start.Add(-time.Minute)) // a read that was sent before a suspension
-			now = start.Add(c.age)
+		got := ""
+		for _, ms := range []time.Duration{0, 1700, 1800, 2600, 2700, 4400, 4500, 3_600_000, -1} {
+			checker := access.New(c.cfg)
+			if ms >= 0 {
+				checker.Confirm(start)
+				checker.Confirm(start.Add(-time.Minute)) // a read that was sent before a suspension
+			}
+			tenant, verdict := checker.Check(start.Add(ms*time.Millisecond), c.tenants, c.public, c.key)
+			got += letters[verdict]
+			must.Eq(t, verdict == access.Allowed && c.key == "k" && !c.public, tenant == "one", must.Sprint(c))
 		}
-		tenant, verdict := checker.Check(now, c.tenants, c.public, c.key)
-		must.Eq(t, c.want, verdict, must.Sprint(name))
-		must.Eq(t, c.tenant, tenant, must.Sprint(name))
+		must.Eq(t, c.want, got, must.Sprint(c))
 	}
 }
 
 // TestEntryWithAnsweredReadsAlwaysDecides: with long polls of 1.5 s a confirmation got 3 s old,
 // and calls with unknown keys had no answer but 503 for a part of the time.
 func TestEntryWithAnsweredReadsAlwaysDecides(t *testing.T) {
-	none := tenants(t)
 	for _, cfg := range []access.Config{
 		strict, {Required: true, ApplyLimit: 2 * time.Second}, {Required: true, RevocationLimit: time.Second, ApplyLimit: 2 * time.Second},
 	} {
-		wait := cfg.ReadWait(none)
 		checker := access.New(cfg)
-		const latency = 100 * time.Millisecond
-		// Each read is sent when the one before is answered, after its wait and the latency.
-		for n := range 10 {
-			sent := start.Add(time.Duration(n) * (wait + latency))
-			answered, next := sent.Add(wait+latency), sent.Add(2*(wait+latency))
-			checker.Confirm(sent)
-			for now := answered; now.Before(next); now = now.Add(10 * time.Millisecond) {
-				must.True(t, checker.MayDeny(now, none), must.Sprint(cfg))
-				must.True(t, checker.MayAllow(now, none), must.Sprint(cfg))
+		// Each read is sent when the one before is answered, after its wait and a latency of 100 ms.
+		interval := cfg.ReadWait(none) + 100*time.Millisecond
+		for n := range time.Duration(10) {
+			checker.Confirm(start.Add(n * interval))
+			for age := interval; age < 2*interval; age += 10 * time.Millisecond {
+				must.True(t, checker.MayDeny(start.Add(n*interval+age), none), must.Sprint(cfg))
+				must.True(t, checker.MayAllow(start.Add(n*interval+age), none), must.Sprint(cfg))
 			}
 		}
 	}
-	must.Zero(t, (&access.Config{ApplyLimit: 2 * time.Second}).ReadWait(none), must.Sprint("a deployment without tenants reads as before"))
+	must.Zero(t, optional.ReadWait(none), must.Sprint("a deployment without tenants reads as before"))
 }
 
-// TestCheckAllocatesNothing guards the owner's and each entry's time for a call.
-func TestCheckAllocatesNothing(t *testing.T) {
-	checker, list := access.New(strict), manyTenants(t)
+// checkOfMany returns a check of a key at an entry with many keys.
+func checkOfMany(t testing.TB) func(key string) {
+	keys := make([]string, 1600)
+	for i := range keys {
+		keys[i] = "key-" + strconv.Itoa(i)
+	}
+	checker, list := access.New(strict), tenants(t, &fleet.Tenant{Name: "one", Keys: keys})
 	checker.Confirm(start)
-	must.Zero(t, testing.AllocsPerRun(100, func() {
-		checker.Check(start, list, false, "key-17-3")
-		checker.Check(start, list, false, "unknown")
-	}))
+	return func(key string) { checker.Check(start, list, false, key) }
 }
 
-func manyTenants(t testing.TB) *fleet.Tenants {
-	t.Helper()
-	var list []*fleet.Tenant
-	for i := range 200 {
-		tenant := &fleet.Tenant{Name: fleet.TenantName("tenant-" + strconv.Itoa(i))}
-		for k := range 8 {
-			tenant.Keys = append(tenant.Keys, "key-"+strconv.Itoa(i)+"-"+strconv.Itoa(k))
-		}
-		list = append(list, tenant)
-	}
-	return tenants(t, list...)
+// TestCheckAllocatesNothing guards the owner's and each entry's time for a call.
+func TestCheckAllocatesNothing(t *testing.T) {
+	check := checkOfMany(t)
+	must.Zero(t, testing.AllocsPerRun(100, func() { check("key-17"); check("unknown") }))
 }
 
 func BenchmarkCheck(b *testing.B) {
-	checker, list := access.New(strict), manyTenants(b)
-	checker.Confirm(start)
-	for name, key := range map[string]string{"known": "key-17-3", "unknown": "key-17-9"} {
-		b.Run(name, func(b *testing.B) {
+	for _, key := range []string{"key-17", "unknown"} {
+		b.Run(key, func(b *testing.B) {
+			check := checkOfMany(b)
 			b.ReportAllocs()
 			for b.Loop() {
-				checker.Check(start, list, false, key)
+				check(key)
 			}
 		})
 	}
