--- a/jobentry/confirm_test.go
+++ b/jobentry/confirm_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
-	"sync"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,146 +23,113 @@
 	"go.opentelemetry.io/otel/trace/noop"
 )
 
-// keyCodec decodes a configuration of one tenant, whose keys are the record's value as JSON.
+// keyCodec decodes a configuration of one tenant, whose keys are the words of the record's value.
 type keyCodec struct{ recordCodec }
 
 func (c keyCodec) Queues(r storage.Record) (*fleet.Queues, bool, error) {
 	q, ok, _ := c.recordCodec.Queues(r) // never fails
-	var keys []string
-	if err := json.Unmarshal(r.Value, &keys); err != nil {
-		return nil, ok, err
-	}
-	q.Version += int64(r.Offset)
-	tenants, err := fleet.NewTenants([]*fleet.Tenant{{Name: "one", Keys: keys}})
-	q.Tenants = tenants
+	tenants, err := fleet.NewTenants([]*fleet.Tenant{{Name: "one", Keys: strings.Fields(string(r.Value))}})
+	q.Version, q.Tenants = q.Version+int64(r.Offset), tenants
 	return q, ok, err
 }
 
-// scriptedStore answers reads of operators' records as a test says. The entry's clock can be
-// put forward, as after a suspension.
-type scriptedStore struct {
+// readChange changes the answer to a read.
+type readChange func(from fleet.Offset, page storage.Page, err error) (storage.Page, error)
+
+// keyEntry is an entry whose calls need keys, with its store.
+type keyEntry struct {
 	*standin.Store
-	boot  loop.Clock
-	mu    sync.Mutex
-	ahead time.Duration
-	// read, if set, changes the answer to a read.
-	read func(from fleet.Offset, page storage.Page, err error) (storage.Page, error)
-	// waits holds the waits of reads of operators' records.
-	waits []time.Duration
+	runningEntry
+	// ahead is the time by which the entry's clock was put forward, as after a suspension.
+	ahead atomic.Int64
+	// read changes the answers to reads of operators' records. reads is their number, and
+	// longest the longest of their waits.
+	read           atomic.Pointer[readChange]
+	reads, longest atomic.Int64
 }
 
-func (s *scriptedStore) clock() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.boot().Add(s.ahead)
+func (k *keyEntry) Read(ctx context.Context, topic storage.Topic, from fleet.Offset, wait time.Duration) (storage.Page, error) {
+	if topic != storage.TopicOperators {
+		return k.Store.Read(ctx, topic, from, wait)
+	}
+	page, err := k.Store.Read(ctx, topic, from, min(wait, 10*time.Millisecond))
+	k.longest.Store(max(k.longest.Load(), int64(wait)))
+	k.reads.Add(1)
+	return (*k.read.Load())(from, page, err)
 }
 
-func newScriptedStore() *scriptedStore {
-	return &scriptedStore{Store: standin.NewStore(), boot: loop.BootClock()}
+// suspend puts the clock forward and changes the answers to later reads.
+func (k *keyEntry) suspend(read readChange) {
+	k.read.Store(&read)
+	k.ahead.Add(int64(10 * time.Second))
 }
 
-func (s *scriptedStore) set(change func()) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	change()
-}
+func unchanged(_ fleet.Offset, page storage.Page, err error) (storage.Page, error) { return page, err }
 
-func (s *scriptedStore) Read(ctx context.Context, topic storage.Topic, from fleet.Offset, wait time.Duration) (storage.Page, error) {
-	if topic != storage.TopicOperators {
-		return s.Store.Read(ctx, topic, from, wait)
-	}
-	page, err := s.Store.Read(ctx, topic, from, min(wait, 10*time.Millisecond))
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.waits = append(s.waits, wait)
-	if s.read != nil {
-		return s.read(from, page, err)
-	}
-	return page, err
-}
-
-func (s *scriptedStore) setKeys(t *testing.T, keys ...string) {
-	t.Helper()
-	raw, err := json.Marshal(keys)
-	must.NoError(t, err)
-	must.NoError(t, s.Append(t.Context(), storage.TopicOperators, []storage.Record{{Key: "config", Value: raw}}))
+func (k *keyEntry) setKeys(t *testing.T, keys string) {
+	must.NoError(t, k.Append(t.Context(), storage.TopicOperators, []storage.Record{{Key: "config", Value: []byte(keys)}}))
 }
 
-// startKeyEntry starts an entry whose calls need keys.
-func startKeyEntry(t *testing.T, store *scriptedStore) *jobentry.Entry {
-	t.Helper()
-	e := jobentry.New(jobs.Config{Entry: "e", Incarnation: 1, Bounds: jobs.Bounds{
+func startKeyEntry(t *testing.T, keys string) *keyEntry {
+	k, boot := &keyEntry{Store: standin.NewStore()}, loop.BootClock()
+	k.setKeys(t, keys)
+	k.suspend(unchanged)
+	k.Entry = jobentry.New(jobs.Config{Entry: "e", Incarnation: 1, Bounds: jobs.Bounds{
 		Access: access.Config{Required: true, RevocationLimit: 5 * time.Second, ApplyLimit: 2 * time.Second},
 	}}, jobentry.Deps{
-		Store: store, RecordCodec: keyCodec{}, Runners: &instantRunner{}, Peers: peer.NewJobsClient(), Dispatchers: peer.NewDispatchers(loop.BootClock()),
-		Clock: store.clock, Metrics: tally.NoopScope, Logger: slog.New(slog.DiscardHandler), Traces: noop.NewTracerProvider(),
+		Store: k, RecordCodec: keyCodec{}, Runners: &instantRunner{}, Peers: peer.NewJobsClient(), Dispatchers: peer.NewDispatchers(boot),
+		Clock: func() time.Time { return boot().Add(time.Duration(k.ahead.Load())) }, Metrics: tally.NoopScope, Logger: slog.New(slog.DiscardHandler), Traces: noop.NewTracerProvider(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { e.Run(ctx); close(done) }()
+	go func() { k.Run(ctx); close(done) }()
 	t.Cleanup(func() { cancel(); <-done })
-	return e
+	return k
+}
+
+func callWith(key string) event.ClientCalled {
+	return event.ClientCalled{Kind: effect.CallState, Host: "host", Path: "/q/", Key: key}
 }
 
 // mustBecome repeats a call with a key until it has an answer.
-func mustBecome(t *testing.T, e *jobentry.Entry, key string, want effect.AnswerKind) {
+func (k *keyEntry) mustBecome(t *testing.T, key string, want effect.AnswerKind) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
-	for {
-		a, err := e.Call(ctx, event.ClientCalled{Kind: effect.CallState, Host: "host", Path: "/q/", Key: key})
-		must.NoError(t, err)
-		if a.Kind == want {
-			return
-		}
-		must.NoError(t, loop.Sleep(ctx, 5*time.Millisecond))
-	}
+	k.callUntil(ctx, t, callWith(key), func(a effect.CallAnswer) bool { return a.Kind == want })
 }
 
 // TestReadsConfirmTheConfiguration guards against a confirmation that stays away after an
-// empty read, the first read or expired records, so that valid keys would not be served.
+// empty read, the first read, expired records or a lost history, so that valid keys would not be
+// served, and against one that gets older than the limit.
 func TestReadsConfirmTheConfiguration(t *testing.T) {
-	store := newScriptedStore()
-	store.setKeys(t, "k")
-	e := startKeyEntry(t, store)
-	mustBecome(t, e, "k", effect.AnswerWaiting) // by the first read
+	k := startKeyEntry(t, "k")
+	k.mustBecome(t, "k", effect.AnswerWaiting) // by the first read
 	for range 3 {
-		store.set(func() { store.ahead += 10 * time.Second })
-		mustBecome(t, e, "x", effect.AnswerUnauthorized) // by an empty read
+		k.suspend(unchanged)
+		k.mustBecome(t, "x", effect.AnswerUnauthorized) // by an empty read
 	}
-	store.setKeys(t, "l")
-	store.Compact(storage.TopicOperators)
-	store.set(func() { store.ahead += 10 * time.Second })
-	mustBecome(t, e, "l", effect.AnswerWaiting)
-	mustBecome(t, e, "k", effect.AnswerUnauthorized)
-	store.set(func() { store.read = lostHistory() })
-	store.set(func() { store.ahead += 10 * time.Second })
-	mustBecome(t, e, "l", effect.AnswerWaiting)
-	store.set(func() {
-		must.Positive(t, len(store.waits))
-		for _, wait := range store.waits {
-			must.LessEq(t, 500*time.Millisecond, wait, must.Sprint("a confirmation must not get older than the limit"))
-		}
-	})
-}
-
-// lostHistory returns a change of answers to reads after which the topic ends before the
-// offset that is read, once.
-func lostHistory() func(fleet.Offset, storage.Page, error) (storage.Page, error) {
+	k.setKeys(t, "l")
+	k.Compact(storage.TopicOperators)
+	k.suspend(unchanged)
+	k.mustBecome(t, "l", effect.AnswerWaiting)
+	k.mustBecome(t, "k", effect.AnswerUnauthorized)
 	lost := false
-	return func(from fleet.Offset, page storage.Page, err error) (storage.Page, error) {
+	k.suspend(func(from fleet.Offset, page storage.Page, err error) (storage.Page, error) {
 		if !lost {
-			lost = true
+			lost = true // the topic ends before the offset that is read, once
 			return storage.Page{End: from - 1, Next: from}, nil
 		}
 		return page, err
-	}
+	})
+	k.mustBecome(t, "l", effect.AnswerWaiting)
+	must.Between(t, 1, k.longest.Load(), int64(500*time.Millisecond))
 }
 
 // TestTruncatedAndFailedReadsConfirmNothing: a page of limited size may lack the record that
 // withdraws a key, although its read was sent after it.
 func TestTruncatedAndFailedReadsConfirmNothing(t *testing.T) {
-	for name, read := range map[string]func(fleet.Offset, storage.Page, error) (storage.Page, error){
+	for name, read := range map[string]readChange{
 		"truncated": func(from fleet.Offset, page storage.Page, _ error) (storage.Page, error) {
 			return storage.Page{End: max(page.End, from+1), Next: from}, nil
 		},
@@ -170,18 +137,14 @@
 			return storage.Page{}, storage.ErrUnavailable
 		},
 	} {
-		store := newScriptedStore()
-		store.setKeys(t, "k")
-		e := startKeyEntry(t, store)
-		mustBecome(t, e, "k", effect.AnswerWaiting)
-		store.set(func() { store.read = read })
-		store.set(func() { store.waits = nil })
-		store.set(func() { store.ahead += 10 * time.Second })
-		for seen := 0; seen < 3; store.set(func() { seen = len(store.waits) }) {
+		k := startKeyEntry(t, "k")
+		k.mustBecome(t, "k", effect.AnswerWaiting)
+		k.suspend(read)
+		for end := k.reads.Load() + 3; k.reads.Load() < end; {
 			must.NoError(t, loop.Sleep(t.Context(), 5*time.Millisecond))
 		}
 		for _, key := range []string{"k", "x"} {
-			a, err := e.Call(t.Context(), event.ClientCalled{Kind: effect.CallState, Host: "host", Path: "/q/", Key: key})
+			a, err := k.Call(t.Context(), callWith(key))
 			must.NoError(t, err)
 			must.Eq(t, effect.AnswerRefused, a.Kind, must.Sprint(name, " ", key))
 			must.Eq(t, "the keys may be out of date", a.Reason, must.Sprint(name, " ", key))
