One set-up for tests of forwarded calls

The tests of forwarded calls and of their memory started an owner each. They share it, in jobs_test.go.

--- a/peer/jobs_test.go
+++ b/peer/jobs_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,47 +17,71 @@
 	"google.golang.org/grpc"
 )
 
-// forwardTo forwards calls to a server of its own and returns what arrives there.
-func forwardTo(t *testing.T) func(effect.Forward) event.ClientCalled {
-	t.Helper()
-	var got event.ClientCalled
+// forward forwards a call to an owner and returns its answer, and the calls that arrived.
+func forward(t *testing.T, f effect.Forward, answer effect.CallAnswer, options ...grpc.ServerOption) (_ effect.CallAnswer, got []event.ClientCalled) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	srv := grpc.NewServer()
+	srv := grpc.NewServer(options...)
 	peer.RegisterJobs(srv, func(_ context.Context, c event.ClientCalled) (effect.CallAnswer, error) {
-		got = c
-		return effect.CallAnswer{Kind: effect.AnswerUnauthorized, Reason: "no"}, nil
+		got = append(got, c)
+		return answer, nil
 	}, peer.NewDispatchers(loop.BootClock()))
 	go func() { _ = srv.Serve(ln) }()
-	t.Cleanup(srv.Stop)
-	jobs := peer.NewJobsClient()
-	t.Cleanup(jobs.Close)
-	return func(f effect.Forward) event.ClientCalled {
-		f.Address, f.Timeout = ln.Addr().String(), time.Minute
-		a, sent, err := jobs.Forward(t.Context(), f)
-		must.NoError(t, err)
-		must.True(t, sent)
-		must.Eq(t, effect.CallAnswer{Kind: effect.AnswerUnauthorized, Reason: "no"}, a)
-		return got
-	}
+	defer srv.Stop()
+	client := peer.NewJobsClient()
+	defer client.Close()
+	f.Address, f.Timeout = ln.Addr().String(), time.Minute
+	a, sent, err := client.Forward(t.Context(), f)
+	must.NoError(t, err)
+	must.True(t, sent)
+	return a, got
 }
 
-func TestForwardedCallRoundTrip(t *testing.T) {
-	forward := forwardTo(t)
-	want := event.ClientCalled{
-		Forwarded: true, Kind: effect.CallSubmit, Queue: "q", Version: 7, Job: "j", Timeout: time.Minute,
-		Spec: &fleet.JobSpec{Text: "t", FirstAt: time.UnixMilli(5), Repeats: 1, Steps: []fleet.Step{{Count: 1}}}, Key: "k", Verified: true, Tenant: "one",
+// TestForwardedCallsRoundTrip guards against a lost field, and against a path that is no text: it
+// failed the call, and the owner was taken for unreachable.
+func TestForwardedCallsRoundTrip(t *testing.T) {
+	spec := &fleet.JobSpec{Text: "t", FirstAt: time.UnixMilli(5), Repeats: 1, Steps: []fleet.Step{{Count: 1}}}
+	answer := effect.CallAnswer{Kind: effect.AnswerUnauthorized, Reason: "no"}
+	for _, c := range []struct {
+		sent effect.Forward
+		want event.ClientCalled
+	}{
+		{effect.Forward{Kind: effect.CallSubmit, Queue: "q", Version: 7, Job: "j", Spec: spec, Key: "k", Verified: true, Tenant: "one"},
+			event.ClientCalled{Kind: effect.CallSubmit, Queue: "q", Version: 7, Job: "j", Spec: spec, Key: "k", Verified: true, Tenant: "one"}},
+		{effect.Forward{Kind: effect.CallState, Host: "h", Path: "/q/\xff"}, event.ClientCalled{Kind: effect.CallState, Host: "h", Path: "/q/\uFFFD"}},
+	} {
+		c.want.Forwarded, c.want.Timeout = true, time.Minute
+		a, got := forward(t, c.sent, answer)
+		must.Eq(t, answer, a)
+		must.Eq(t, []event.ClientCalled{c.want}, got)
 	}
-	must.Eq(t, want, forward(effect.Forward{
-		Kind: want.Kind, Queue: want.Queue, Version: want.Version, Job: want.Job, Spec: want.Spec, Key: want.Key, Verified: true, Tenant: want.Tenant,
-	}))
 }
 
-// TestCallToAnUnknownQueueIsForwarded: a path that is no text failed the call, and the owner
-// was taken for unreachable.
-func TestCallToAnUnknownQueueIsForwarded(t *testing.T) {
-	got := forwardTo(t)(effect.Forward{Kind: effect.CallState, Host: "h", Path: "/q/\xff"})
-	must.Eq(t, "h", got.Host)
-	must.Eq(t, "/q/\uFFFD", got.Path)
-	must.Eq(t, "", got.Queue)
+// TestCallsReserveTheOwnersMemory guards against a call that runs although the memory is used up,
+// against the claim that its job never runs, as an earlier try may be stored, and against memory
+// that stays counted after the answer.
+func TestCallsReserveTheOwnersMemory(t *testing.T) {
+	submit := func(limit int64, length int) (a effect.CallAnswer, ran int, released chan int64) {
+		var held atomic.Int64
+		released = make(chan int64, 1)
+		options := append(peer.ServerOptions(), peer.BoundCalls(func(bytes int64) (func(), bool) {
+			if held.Load()+bytes > limit {
+				return nil, false
+			}
+			held.Add(bytes)
+			return func() { released <- held.Add(-bytes) }, true
+		})...)
+		spec := &fleet.JobSpec{Text: strings.Repeat("x", length), Steps: []fleet.Step{{Count: 1}}}
+		a, got := forward(t, effect.Forward{Kind: effect.CallSubmit, Spec: spec}, effect.CallAnswer{Kind: effect.AnswerAccepted}, options...)
+		return a, len(got), released
+	}
+	a, ran, _ := submit(0, 2000)
+	must.Eq(t, effect.AnswerUnknown, a.Kind)
+	must.Positive(t, a.RetryAfter)
+	must.Zero(t, ran)
+	a, _, _ = submit(0, 10)
+	must.Eq(t, effect.AnswerAccepted, a.Kind, must.Sprint("a small call needs none"))
+	a, _, released := submit(1<<20, 2000)
+	must.Eq(t, effect.AnswerAccepted, a.Kind)
+	must.Zero(t, <-released)
 }
