Tests of clients that move, return, or keep alive beside a crowd, of unread bytes and of accepted jobs

Cause: docs/design/open-clients.md bounds crowds that stand still. Change: crowds at all seven ports, each with ten ordinary requests by new connections to the port and to the clients' port; 50 keep-alive clients; resident memory with the socket queues of /proc/net/tcp; a slow client in calm; accepted jobs with many steps or tasks; a job whose first try was evicted. Crowds and bounds are those of the package, 128 MB and 500 descriptors (2,500 for the queues).

--- a/openclients/process_test.go
+++ b/openclients/process_test.go
@@ -1,13 +1,15 @@
 package openclients_test
 
 import (
-	"bytes"
+	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -55,6 +57,10 @@
 	// request sends an ordinary request, and answer is the status of its answer.
 	request func(*testing.T) int
 	answer  int
+	// requestOf sends an ordinary request of at least a size.
+	requestOf func(*testing.T, int) int
+	// maxFDs is the limit of descriptors in its settings.
+	maxFDs int
 }
 
 // binaries is the folder of the commands of this repository.
@@ -102,6 +108,12 @@
 // startEntry starts a banyanrail-entry with a store that has one queue, and waits until
 // it owns the jobs.
 func startEntry(t *testing.T) *process {
+	t.Helper()
+	return startEntryWith(t, maxFDs)
+}
+
+// startEntryWith starts an entry with a limit of descriptors.
+func startEntryWith(t *testing.T, fds int) *process {
 	t.Helper()
 	store := standin.NewStore()
 	value, err := platformtest.EncodeConfiguration(1,
@@ -111,12 +123,12 @@
 	must.NoError(t, store.Append(t.Context(), storage.TopicOperators, []storage.Record{{Key: "config", Value: value}}))
 	srv := httptest.NewServer(platformtest.StoreHandler(store))
 	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
-	p := &process{answer: http.StatusOK}
-	p.request = p.submit
+	p := &process{answer: http.StatusOK, maxFDs: fds}
+	p.request, p.requestOf = p.submit, p.submitSize
 	ip, _, _ := strings.Cut(address(clients), ":")
 	settings := filepath.Join(t.TempDir(), "settings")
 	text := fmt.Sprintf("node_name=e0\nzone=z0\nip=%s\nlisten.front=%s\nlisten.ready_addr=%s\nport_range=18703,18703\nplatform.addr=%s\nlimits.memory_mb=%d\nlimits.max_fds=%d\nbounds.grace_s=6\n",
-		ip, address(clients), address(ready), strings.TrimPrefix(srv.URL, "http://"), memoryMB, maxFDs)
+		ip, address(clients), address(ready), strings.TrimPrefix(srv.URL, "http://"), memoryMB, fds)
 	must.NoError(t, os.WriteFile(settings, []byte(text), 0o600))
 	start(t, p, "banyanrail-entry", nil, "--settings", settings, "--metrics", address(metrics))
 	p.waitForStatus(t, "http://"+address(ready)+"/ready")
@@ -124,6 +136,14 @@
 	return p
 }
 
+// ordinaryJob returns a job of one task, or with more steps so that its encoding has at least a
+// size.
+func ordinaryJob(size int) *fleet.JobSpec {
+	const stepBytes = 50
+	step := fleet.Step{Count: 1, Needs: fleet.Capacity{CPU: 100, Memory: 10}, Estimate: time.Second}
+	return &fleet.JobSpec{Text: "x", Steps: slices.Repeat([]fleet.Step{step}, 1+size/stepBytes)}
+}
+
 // startDaemon starts a banyanraild and waits until it knows its services.
 func startDaemon(t *testing.T) *process {
 	t.Helper()
@@ -131,8 +151,8 @@
 	go platform.Run(t.Context())
 	srv := httptest.NewServer(platform)
 	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
-	p := &process{answer: http.StatusNotFound}
-	p.request = p.callService
+	p := &process{answer: http.StatusNotFound, maxFDs: maxFDs}
+	p.request, p.requestOf = p.callService, p.callServiceWith
 	env := []string{"BANYANRAIL_MEMORY_MB=" + strconv.Itoa(memoryMB), "BANYANRAIL_MAX_FDS=" + strconv.Itoa(maxFDs)}
 	start(t, p, "banyanraild", env, "--id", "e0", "--data-centre", "z0", "--platform", srv.URL,
 		"--callers", address(clients), "--operators", address(ready), "--peers", address(peers))
@@ -150,11 +170,13 @@
 // servicesText has one service, which no instance serves.
 const servicesText = "pool \"main\" {}\nservice \"survey\" {\n  pool = \"main\"\n}\nmember \"lawa\" {}\n"
 
+// ordinaryClient sends each request by a new connection.
+var ordinaryClient = &http.Client{Timeout: answerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+
 // status returns the status of the answer to a request; 0 without an answer.
 func (p *process) status(t *testing.T, req *http.Request) int {
 	t.Helper()
-	client := &http.Client{Timeout: answerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(req)
+	resp, err := ordinaryClient.Do(req)
 	if err != nil {
 		return 0
 	}
@@ -176,22 +198,42 @@
 }
 
 // submit submits an ordinary job to an entry and returns the status of the answer.
-func (p *process) submit(t *testing.T) int {
+func (p *process) submit(t *testing.T) int { t.Helper(); return p.submitSize(t, 0) }
+
+// submitSize submits an ordinary job of at least a size.
+func (p *process) submitSize(t *testing.T, size int) int {
 	t.Helper()
-	body, err := platformtest.EncodeJob(&fleet.JobSpec{Text: "x", Steps: []fleet.Step{{Count: 1, Needs: fleet.Capacity{CPU: 100, Memory: 10}, Estimate: time.Second}}})
+	body, err := platformtest.EncodeJob(ordinaryJob(size))
 	must.NoError(t, err)
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address(clients)+queuePrefix+"00000000000000a1", bytes.NewReader(body))
+	return p.submitBody(t, 0xa1, body)
+}
+
+// jobPath is the path of a job with a number.
+func jobPath(job int) string { return fmt.Sprintf(queuePrefix+"%016x", job) }
+
+// waiting returns how many jobs of the queue of an entry wait.
+func (p *process) waiting(t *testing.T) int {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address(clients)+queuePrefix, nil)
 	must.NoError(t, err)
 	req.Host = queueHost
 	platformtest.SetTimeout(req, answerTimeout)
-	return p.status(t, req)
+	resp, err := ordinaryClient.Do(req)
+	must.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	var answer struct{ Waiting int }
+	must.NoError(t, json.NewDecoder(resp.Body).Decode(&answer))
+	return answer.Waiting
 }
 
 // callService sends an ordinary request to a banyanraild, which has no such service, and
 // returns the status of the answer.
-func (p *process) callService(t *testing.T) int {
+func (p *process) callService(t *testing.T) int { t.Helper(); return p.callServiceWith(t, 1) }
+
+// callServiceWith sends such a request with a body of a size.
+func (p *process) callServiceWith(t *testing.T, size int) int {
 	t.Helper()
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address(clients)+"/v1/services/none/requests", strings.NewReader("x"))
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address(clients)+"/v1/services/none/requests", strings.NewReader(strings.Repeat("x", size)))
 	must.NoError(t, err)
 	req.Header.Set("Banyanrail-Member", "lawa")
 	return p.status(t, req)
@@ -225,6 +267,50 @@
 	return kb >> 10
 }
 
+// memoryKB returns the resident memory of the process and what stands in the socket queues of
+// its ports, in KiB. Connections that it has not accepted count as well.
+func (p *process) memoryKB() int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0 // the process has ended, which checkAlive reports
+	}
+	_, after, _ := strings.Cut(string(text), "VmRSS:")
+	fields := strings.Fields(after)
+	if len(fields) == 0 {
+		return 0 // the same
+	}
+	kb, _ := strconv.Atoi(fields[0]) // a number, by proc(5)
+	return kb + queuedBytes()>>10
+}
+
+// queuedBytes returns the bytes in the receive and send queues of the connections to the ports
+// of a process.
+func queuedBytes() int {
+	const established = "01"
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		panic(err) // fails on no Linux
+	}
+	host, _, _ := net.SplitHostPort(address(clients))
+	ip := net.ParseIP(host).To4()
+	local := fmt.Sprintf("%02X%02X%02X%02X:", ip[3], ip[2], ip[1], ip[0])
+	total := 0
+	for line := range strings.Lines(string(table)) {
+		f := strings.Fields(line)
+		own, port, ok := strings.Cut(f[1], ":")
+		number, err := strconv.ParseInt(port, 16, 32)
+		if !ok || err != nil || own+":" != local || number < clients || number > peers || f[3] != established && f[3] != "08" {
+			continue
+		}
+		sent, received, _ := strings.Cut(f[4], ":")
+		for _, q := range []string{sent, received} {
+			n, _ := strconv.ParseInt(q, 16, 64) // a number, by proc(5)
+			total += int(n)
+		}
+	}
+	return total
+}
+
 // descriptors returns the number of descriptors that the process has open.
 func (p *process) descriptors() int {
 	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
@@ -236,13 +322,22 @@
 
 // watchDescriptors counts the open descriptors until the returned function is called,
 // which returns their maximum.
-func (p *process) watchDescriptors() func() int {
+func (p *process) watchDescriptors() func() int { return watch(p.descriptors) }
+
+// watchMemory does the same for the resident memory with socket queues, in MiB.
+func (p *process) watchMemory() func() int {
+	most := watch(p.memoryKB)
+	return func() int { return most() >> 10 }
+}
+
+// watch samples a figure until the returned function is called, which returns its maximum.
+func watch(sample func() int) func() int {
 	stop := make(chan struct{})
 	var most int
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		for {
-			most = max(most, p.descriptors())
+			most = max(most, sample())
 			select {
 			case <-stop:
 				return
