Bound the memory of accepted jobs at the owner

Cause: jobs that have not ended were bounded by their number, 12,000, whatever they take. Change: the owner adds up what the state of each takes and refuses a job at once, before anything of it is stored, when they would take more than a quarter of its memory. A repeated try that an earlier owner may have stored gets 504 in place of 503. TestJobsBeyondTheMemoryAreRefused checks the decision in virtual time.

--- a/cmd/banyanrail-entry/main.go
+++ b/cmd/banyanrail-entry/main.go
@@ -95,7 +95,7 @@
 	return jobs.Config{
 		Entry: fleet.EntryID(p.EntryName), Incarnation: uint64(time.Now().UnixNano()), Address: p.PeerAddress,
 		ClaimDelay: claimDelay(p), CanDispatch: claimDelay(p) == 0, MaxDirectRunners: c.MaxDirectRunners,
-		LearnRunTimes: c.LearnRunTimes,
+		LearnRunTimes: c.LearnRunTimes, MaxJobBytes: c.clients.JobBytes(),
 		Bounds: jobs.Bounds{
 			MaxLease: p.MaxLease, RecordBytes: p.RecordBytes, CallBytes: p.CallBytes, InstanceLease: p.InstanceLease, MaintenanceTime: p.MaintenanceTime, StatusRetention: p.StatusRetention,
 			InstanceOrdersPerSecond: p.InstanceOrdersPerSecond, CanOrderInstances: p.InstancesAddress != "", HasAdvice: p.AdviceAddress != "",
--- a/daemon/clientlimits.go
+++ b/daemon/clientlimits.go
@@ -23,6 +23,8 @@
 	// connectionShare is the part of the clients' memory that their connections may
 	// take, so that bodies have the rest.
 	connectionShare = 2
+	// jobShare is the part of the memory that jobs may take at an owner.
+	jobShare = 4
 	// Connections to the ports for other entries and for operators. Each other entry holds one
 	// or two connections to the owner; with 128, an owner refused most of 300 entries. A
 	// balancer and a few collectors of metrics use the ports for operators.
@@ -78,6 +80,9 @@
 	return int(min(limit.Cur, 1<<20))
 }
 
+// JobBytes returns the memory that jobs that have not ended may take at an owner, in bytes.
+func (l ClientLimits) JobBytes() int64 { return l.MemoryMB << 20 / jobShare }
+
 // Budget returns the budget of open clients.
 func (l ClientLimits) Budget(scope tally.Scope, logger *slog.Logger) *membudget.Budget {
 	return membudget.New(membudget.Config{Bytes: l.ClientMB << 20, Metrics: scope, Logger: logger})
--- a/reduce/jobs/activejobs.go
+++ b/reduce/jobs/activejobs.go
@@ -11,6 +11,7 @@
 	j.activeIndex = len(o.active)
 	o.active = append(o.active, j)
 	o.activeCount++
+	o.activeBytes += memoryOf(j.spec)
 	o.waitingJobs[j.queue]++
 	if o.phase == phaseActive {
 		o.markShare(j)
@@ -41,6 +42,7 @@
 	}
 	o.active[j.activeIndex] = nil
 	o.activeCount--
+	o.activeBytes -= memoryOf(j.spec)
 	o.releaseKept(j)
 	if len(o.active) > 2*o.activeCount+minCompaction {
 		o.active = slices.DeleteFunc(o.active, func(j *job) bool { return j == nil })
--- a/reduce/jobs/overload_test.go
+++ b/reduce/jobs/overload_test.go
@@ -275,3 +275,38 @@
 	w.mustState(id, fleet.JobDone)
 	w.checkInvariants()
 }
+
+// TestJobsBeyondTheMemoryAreRefused guards against jobs inside all limits that take the memory of
+// the owner: those that it cannot hold are refused and never run, and others follow once jobs
+// have ended.
+func TestJobsBeyondTheMemoryAreRefused(t *testing.T) {
+	const limit, tasks, jobs = 1 << 20, 1000, 20
+	w := newWorld(t, 7, 2, 1, func(w *world) { w.maxJobBytes = limit })
+	w.run(2 * time.Second)
+	large := &fleet.JobSpec{Text: "x", Steps: []fleet.Step{{Count: tasks, Needs: fleet.Capacity{CPU: 1 << 40}}}}
+	answers := make(map[effect.AnswerKind][]fleet.JobID)
+	submit := func(id fleet.JobID) {
+		w.callFor(w.owner(), effect.CallSubmit, id, large, time.Minute, func(a effect.CallAnswer) { answers[a.Kind] = append(answers[a.Kind], id) })
+		w.run(100 * time.Millisecond)
+	}
+	for n := range jobs {
+		submit(jobID(n))
+	}
+	accepted, refused := answers[effect.AnswerAccepted], answers[effect.AnswerRefused]
+	must.Len(t, jobs, slices.Concat(accepted, refused))
+	must.Between(t, 1, len(accepted), jobs-1)
+	must.Less(t, limit, len(accepted)*tasks*64, must.Sprint("a task takes at least 64 bytes"))
+	kinds := make(map[fleet.JobID]effect.AnswerKind)
+	for _, c := range []struct {
+		job  fleet.JobID
+		kind effect.CallKind
+	}{{refused[0], effect.CallState}, {accepted[0], effect.CallState}, {accepted[1], effect.CallCancel}} {
+		w.callFor(w.owner(), c.kind, c.job, nil, time.Minute, func(a effect.CallAnswer) { kinds[c.job] = a.Kind })
+		w.run(time.Second)
+	}
+	must.MapEq(t, map[fleet.JobID]effect.AnswerKind{
+		refused[0]: effect.AnswerNoJob, accepted[0]: effect.AnswerState, accepted[1]: effect.AnswerCancelled,
+	}, kinds)
+	submit(jobID(jobs))
+	must.SliceContains(t, answers[effect.AnswerAccepted], jobID(jobs))
+}
--- a/reduce/jobs/ownercalls.go
+++ b/reduce/jobs/ownercalls.go
@@ -6,8 +6,7 @@
 	"github.com/banyanrail/banyanrail/reduce/ledger"
 )
 
-// maxActive limits the memory for jobs that have not ended: with texts of 4 KB
-// they take about 100 MB.
+// maxActive limits the number of jobs that have not ended.
 const maxActive = 12_000
 
 // serve handles an authorized call to a known queue at the owner of the jobs.
@@ -35,10 +34,14 @@
 	if !c.maybeDone && o.storeDown() && o.held.add(c) {
 		return
 	}
-	// An earlier owner may have stored a job that was handed in before, so a refusal
-	// could be wrong then.
-	if reason := o.refusalReason(); reason != "" && !c.maybeDone {
-		o.s.answer(c, effect.CallAnswer{Kind: effect.AnswerRefused, RetryAfter: retryAfter, Reason: reason})
+	if reason := o.refusalReason(c); reason != "" {
+		// An earlier owner may have stored a job that was handed in before, so a refusal
+		// could be wrong then.
+		kind := effect.AnswerRefused
+		if c.maybeDone {
+			kind = effect.AnswerUnknown
+		}
+		o.s.answer(c, effect.CallAnswer{Kind: kind, RetryAfter: retryAfter, Reason: reason})
 		return
 	}
 	j := o.newJob(c.Job, &ledger.Definition{Queue: c.Queue, Accepted: c.arrived, Spec: c.Spec, Tenant: c.Tenant})
@@ -50,12 +53,13 @@
 	o.whenStored(deferred{call: c, answer: accepted})
 }
 
-// refusalReason returns why no job can be accepted; empty if one can.
-func (o *ownership) refusalReason() effect.Reason {
+// refusalReason returns why a job is not accepted; empty if it is. One that may have been
+// stored waits for a store that does not answer.
+func (o *ownership) refusalReason(c *call) effect.Reason {
 	switch {
-	case o.storeDown():
+	case o.storeDown() && !c.maybeDone:
 		return reasonStoreDown
-	case o.activeCount >= maxActive:
+	case !o.holds(c.Spec):
 		return reasonOverloaded
 	default:
 		return ""
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -46,10 +46,11 @@
 
 	jobs map[fleet.JobID]*job
 	// active holds the jobs that have not ended, in order of acceptance, with nil in
-	// the places of those that ended since; activeCount is their number. ended holds
-	// the jobs whose final state is still kept.
+	// the places of those that ended since; activeCount is their number, and activeBytes
+	// about the memory that they take. ended holds the jobs whose final state is still kept.
 	active      []*job
 	activeCount int
+	activeBytes int64
 	ended       []*job
 	// waitingJobs counts, for each queue, the active jobs of which no run is known to
 	// have begun.
--- a/reduce/jobs/state.go
+++ b/reduce/jobs/state.go
@@ -40,7 +40,10 @@
 	// LearnRunTimes is set when expected run times are learned from runs that have ended,
 	// rather than taken from clients' estimates.
 	LearnRunTimes bool
-	Bounds        Bounds
+	// MaxJobBytes bounds the memory that jobs that have not ended take at an owner, in
+	// bytes; zero means no bound.
+	MaxJobBytes int64
+	Bounds      Bounds
 	// Audit, if set, is called after each event. Tests check the state by it.
 	Audit func(*State)
 }
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -92,6 +92,8 @@
 	canDispatch      bool
 	maxDirectRunners int
 	// learnRunTimes is a setting of the entries.
+	// maxJobBytes bounds the memory of jobs at an owner; zero means no bound.
+	maxJobBytes int64
 	learnRunTimes   bool
 	dispatchedCalls int
 	lastLink        uint64
@@ -372,7 +374,7 @@
 	}
 	e.state = reduce.New(reduce.Config{Entry: e.id, Jobs: &jobs.Config{
 		Entry: e.id, Incarnation: uint64(e.incarnation), Address: e.address,
-		CanDispatch: e.w.canDispatch, MaxDirectRunners: e.w.maxDirectRunners, LearnRunTimes: e.w.learnRunTimes,
+		CanDispatch: e.w.canDispatch, MaxDirectRunners: e.w.maxDirectRunners, LearnRunTimes: e.w.learnRunTimes, MaxJobBytes: e.w.maxJobBytes,
 		Audit: e.audited,
 		Bounds: jobs.Bounds{
 			StatusRetention: e.w.statusRetention, MaxLease: maxLease * time.Millisecond, InstanceLease: 3 * time.Second,
