Full ports and spent budgets: evict by age and size, not by progress

Seen: beside 700 clients that send 1.2 KB every 0.3 s, 0 of 10 ordinary requests had an answer at each of the seven ports, and 935 to 950 of 1,000 calls of keep-alive clients lost their connection. A client that needed more than 5 s for its headers was closed in calm. Cause: a full port gave a place up only if one was idle or had stood still for 1 s, and closed the new connection unread. Idle connections of honest clients went first. Whoever sent 1 KB a second kept its place and its bytes. Change: the request that has been incomplete for the longest time gives its place up once it has had its grace, whether it moves or not; until then the new connection and those behind it wait in their order. Bytes come from the largest calls that are not whole, at once for whole and smaller ones. A stream between entries is charged with what has arrived of its message, and its connections are no part of the clients' budget. The time-out for headers is gone where a budget is. Why it works: a request that is there when its connection is accepted is read before its grace begins to run, and a crowd that returns queues up behind it.

--- a/daemon/clientlimits.go
+++ b/daemon/clientlimits.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"time"
 
 	"github.com/banyanrail/banyanrail/membudget"
 	"github.com/uber-go/tally/v4"
@@ -23,14 +24,19 @@
 	// connectionShare is the part of the clients' memory that their connections may
 	// take, so that bodies have the rest.
 	connectionShare = 2
-	// jobShare is the part of the memory that jobs may take at an owner.
-	jobShare = 4
 	// Connections to the ports for other entries and for operators. Each other entry holds one
 	// or two connections to the owner; with 128, an owner refused most of 300 entries. A
 	// balancer and a few collectors of metrics use the ports for operators.
 	maxPeerConnections     = 1024
-	maxOperatorConnections = 32
+	maxOperatorConnections = 64
 	minConnections         = 4
+	// jobShare is the part of the memory that jobs may take at an owner.
+	jobShare = 4
+	// clientGrace is how long a client has for each request at a full port: several round
+	// trips. operatorGrace is shorter, as requests there come in one packet.
+	clientGrace   = 250 * time.Millisecond
+	operatorGrace = 25 * time.Millisecond
+	peerGrace     = 100 * time.Millisecond
 )
 
 // ClientLimits are the settings that bound the memory and connections of open clients.
@@ -91,7 +97,7 @@
 // Clients returns the settings of the port for clients: half of the descriptors, which
 // leaves the other half for the process's own calls, and of the memory at most half.
 func (l ClientLimits) Clients(tls bool) membudget.PortConfig {
-	cfg := membudget.PortConfig{TLS: tls}
+	cfg := membudget.PortConfig{TLS: tls, Grace: clientGrace}
 	byMemory := int(l.ClientMB << 20 / connectionShare / cfg.ConnectionBytes())
 	cfg.Connections = max(minConnections, min(l.descriptors()/2, byMemory))
 	return cfg
@@ -99,12 +105,18 @@
 
 // Peers returns the settings of the gRPC port for other entries.
 func (l ClientLimits) Peers(tls bool) membudget.PortConfig {
-	return membudget.PortConfig{Connections: max(minConnections, min(maxPeerConnections, l.descriptors()/8)), TLS: tls, Streams: true}
+	return membudget.PortConfig{
+		Connections: max(minConnections, min(maxPeerConnections, l.descriptors()/8)),
+		Grace:       peerGrace, TLS: tls, Streams: true,
+	}
 }
 
 // Operators returns the settings of a port for readiness, metrics or operators.
 func (l ClientLimits) Operators(tls bool) membudget.PortConfig {
-	return membudget.PortConfig{Connections: max(minConnections, min(maxOperatorConnections, l.descriptors()/16)), TLS: tls}
+	return membudget.PortConfig{
+		Connections: max(minConnections, min(maxOperatorConnections, l.descriptors()/16)),
+		Grace:       operatorGrace, TLS: tls,
+	}
 }
 
 func (l ClientLimits) descriptors() int { return max(0, l.MaxFDs-reservedFDs) }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
@@ -20,10 +19,11 @@
 
 // Limits of listeners against slow, idle and oversized connections.
 const (
+	// readHeaderTimeout and readTimeout are the time-outs for reading the headers of a
+	// request and all of it, on a port without a budget. With one, a request may take any
+	// time as long as it moves and nothing is short.
 	readHeaderTimeout = 5 * time.Second
-	// readTimeout is the time-out for reading a request with its body, on a port without
-	// a budget. With one, a request may take any time as long as it moves.
-	readTimeout = time.Minute
+	readTimeout       = time.Minute
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes is the limit for the headers of a request, in bytes.
 	maxHeaderBytes = 32 << 10
@@ -34,6 +34,9 @@
 	peerKeepalive = 10 * time.Second
 	// peerHandshakeTimeout is the time-out for the handshake of a gRPC connection.
 	peerHandshakeTimeout = 5 * time.Second
+	// peerBufferBytes is the size of the read buffer and the write buffer of a gRPC
+	// connection.
+	peerBufferBytes = 8 << 10
 	// maxPeerStreams is the limit for concurrent calls on a gRPC connection. An entry
 	// forwards at most 256 calls at once.
 	maxPeerStreams = 512
@@ -44,11 +47,10 @@
 // bounds on connections.
 func Serve(ctx context.Context, address string, tlsConfig *tls.Config, port *membudget.Port, h http.Handler, grace time.Duration) error {
 	fail := oops.In("daemon").With("step", "listen", "peer", address)
-	ln, err := net.Listen("tcp", address)
+	ln, err := port.Listen(ctx, address)
 	if err != nil {
 		return fail.Wrap(err)
 	}
-	ln = port.Listener(ln)
 	if tlsConfig != nil {
 		ln = tls.NewListener(ln, tlsConfig)
 	}
@@ -72,7 +74,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	if port != nil {
-		srv.ReadTimeout = 0
+		srv.ReadHeaderTimeout, srv.ReadTimeout = 0, 0
 		membudget.Configure(srv)
 	}
 	return srv
@@ -92,7 +94,7 @@
 // register registers the services. A nil tlsConfig means no TLS, and a nil port no bound on connections.
 func ServeGRPC(ctx context.Context, address string, tlsConfig *tls.Config, port *membudget.Port, register func(*grpc.Server), options ...grpc.ServerOption) error {
 	fail := oops.In("daemon").With("step", "listen", "peer", address)
-	ln, err := net.Listen("tcp", address)
+	ln, err := port.Listen(ctx, address)
 	if err != nil {
 		return fail.Wrap(err)
 	}
@@ -100,7 +102,7 @@
 	register(srv)
 	stop := context.AfterFunc(ctx, srv.Stop)
 	defer stop()
-	if err := srv.Serve(port.Listener(ln)); err != nil {
+	if err := srv.Serve(ln); err != nil {
 		return fail.Wrap(err)
 	}
 	return nil
@@ -112,6 +114,10 @@
 		grpc.ConnectionTimeout(peerHandshakeTimeout),
 		grpc.MaxConcurrentStreams(maxPeerStreams),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: peerKeepalive, Timeout: peerKeepalive}),
+		grpc.ReadBufferSize(peerBufferBytes),
+		grpc.WriteBufferSize(peerBufferBytes),
+		grpc.ChainUnaryInterceptor(reportCall),
+		grpc.ChainStreamInterceptor(reportMessages),
 	}
 	if tlsConfig != nil {
 		opts = append(opts, grpc.Creds(credentials.NewTLS(tlsConfig)))
--- a/membudget/body.go
+++ b/membudget/body.go
@@ -130,7 +130,7 @@
 	freeBuffer(b.buffer, former)
 	b.buffer, b.class = next, former+1
 	if c := connOf(ctx); c != nil && former > 0 {
-		c.change(func(s *accounts, _ time.Time) { s.release(&c.account, int64(sizeOf(former))) })
+		c.change(func(s *accounts, now time.Time) { s.release(&c.account, int64(sizeOf(former)), now) })
 	}
 	return nil
 }
--- a/membudget/budget.go
+++ b/membudget/budget.go
@@ -1,8 +1,9 @@
 // Package membudget bounds the memory and the connections that all open clients of a
 // process hold together. One budget of bytes counts the buffers of connections, headers
 // and bodies as they arrive, and what calls hold until they are answered. When it is
-// spent, calls that have stalled for the longest time are evicted before those that
-// move. A call is evicted only before it is carried out.
+// spent, the largest calls are evicted before smaller ones; at a full port, those that have
+// been incomplete for the longest time. A call is evicted only before it is carried out.
+// What the kernel holds of connections is bounded by the sizes of their socket buffers.
 package membudget
 
 import (
@@ -30,9 +31,9 @@
 	ErrTooLarge = errors.New("the body is too large")
 )
 
-// RetryAfter is the time after which an evicted call can be tried again: calls that
-// have stalled are evicted by then.
-const RetryAfter = stillAfter
+// RetryAfter is the time after which an evicted call can be tried again: calls that hold as
+// much can be evicted for it by then.
+const RetryAfter = bodyGrace
 
 // Config holds the settings of a Budget.
 type Config struct {
@@ -63,7 +64,7 @@
 		refusalsByName: make(map[Reason]tally.Counter), refused: make(map[Reason]int64),
 		accounts: accounts{limit: cfg.Bytes},
 	}
-	for _, r := range []Reason{ReasonBytes, ReasonStill, ReasonConnections, ReasonStalled} {
+	for _, r := range []Reason{ReasonBytes, ReasonHeld, ReasonConnections, ReasonStalled} {
 		b.refusalsByName[r] = cfg.Metrics.Tagged(map[string]string{"reason": string(r)}).Counter("client_refusals")
 	}
 	return b
@@ -75,7 +76,7 @@
 	if !b.reserve(nil, bytes) {
 		return nil, false
 	}
-	return func() { b.update(func(now time.Time) { b.accounts.release(nil, bytes) }) }, true
+	return func() { b.update(func(now time.Time) { b.accounts.release(nil, bytes, now) }) }, true
 }
 
 // update changes the accounts.
@@ -125,6 +126,7 @@
 		b.count(v.reason)
 		if v.close {
 			_ = v.conn.Conn.Close() // the connection is given up
+			v.conn.port.signal()
 			continue
 		}
 		v.conn.refuseBody()
--- a/membudget/budget_test.go
+++ b/membudget/budget_test.go
@@ -29,7 +29,10 @@
 		_, _ = fmt.Fprint(w, len(body.Bytes()))
 	}))
 	b := membudget.New(membudget.Config{Bytes: bytes, Metrics: tally.NoopScope, Logger: slog.New(slog.DiscardHandler)})
-	srv.Listener = b.Port(membudget.PortConfig{Connections: connections}).Listener(srv.Listener)
+	must.NoError(t, srv.Listener.Close())
+	ln, err := b.Port(membudget.PortConfig{Connections: connections}).Listen(t.Context(), "127.0.0.1:0")
+	must.NoError(t, err)
+	srv.Listener = ln
 	membudget.Configure(srv.Config)
 	srv.Start()
 	t.Cleanup(srv.Close)
--- a/membudget/conn.go
+++ b/membudget/conn.go
@@ -17,112 +17,29 @@
 	connectionBytes = 24 << 10
 	// tlsBytes is added for TLS: its records and the state of a session.
 	tlsBytes = 48 << 10
-	// streamBytes is the charge of a gRPC connection, which has a read buffer and a write
-	// buffer of 32 KB each.
-	streamBytes = 96 << 10
-	// socketBytes is the size of a client's socket buffers, for requests that are not
-	// read yet and answers that the client does not read. Left to itself the kernel
-	// lets each grow to megabytes.
-	socketBytes = 64 << 10
 	// writeBytes is the size of the pieces in which answers are written. Each counts as
 	// progress.
 	writeBytes = 64 << 10
 )
 
-// PortConfig holds the settings of a port.
-type PortConfig struct {
-	// Connections bounds the open connections.
-	Connections int
-	TLS         bool
-	// Streams is set for gRPC, whose connections carry several calls at once. Only their
-	// number is bounded; Reserve counts their calls.
-	Streams bool
-}
-
-// ConnectionBytes returns the charge of a connection.
-func (cfg PortConfig) ConnectionBytes() int64 {
-	charge := int64(connectionBytes)
-	if cfg.Streams {
-		charge = streamBytes
-	}
-	if cfg.TLS {
-		charge += tlsBytes
-	}
-	return charge
-}
-
-// Port counts the connections of one listener. A nil Port has no bounds.
-type Port struct {
-	budget   *Budget
-	accounts *portAccounts
-}
-
-// Port adds a port.
-func (b *Budget) Port(cfg PortConfig) *Port {
-	p := &Port{budget: b, accounts: &portAccounts{maxConnections: cfg.Connections, connectionBytes: cfg.ConnectionBytes(), streams: cfg.Streams}}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.accounts.ports = append(b.accounts.ports, p.accounts)
-	return p
-}
-
-// Listener returns a listener that accepts the connections of ln within the bounds.
-func (p *Port) Listener(ln net.Listener) net.Listener {
-	if p == nil {
-		return ln
-	}
-	return &listener{Listener: ln, port: p}
-}
-
-type listener struct {
-	net.Listener
-	port *Port
-}
-
-// Accept implements net.Listener. Connections that exceed the bounds are closed, unless
-// another one is evicted.
-func (l *listener) Accept() (net.Conn, error) {
-	for {
-		raw, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if c := l.port.admit(raw); c != nil {
-			return c, nil
-		}
-		_ = raw.Close() // the connection is given up
-	}
-}
-
-func (p *Port) admit(raw net.Conn) *Conn {
-	c := &Conn{Conn: raw, budget: p.budget}
-	c.account.port, c.account.conn = p.accounts, c
-	ok := p.budget.decide(func(now time.Time) ([]victim, bool) {
-		p.budget.watch()
-		return p.budget.accounts.open(&c.account, now)
-	})
-	if !ok {
-		p.budget.count(ReasonConnections)
-		return nil
-	}
-	if tcp, isTCP := raw.(*net.TCPConn); isTCP && !p.accounts.streams {
-		_ = tcp.SetReadBuffer(socketBytes)  // fails only on a closed connection
-		_ = tcp.SetWriteBuffer(socketBytes) // the same
-	}
-	return c
-}
-
 // Conn is a connection that is charged to a budget.
 type Conn struct {
 	net.Conn
 	budget  *Budget
+	port    *Port
 	account account
+	// reading is set once the server reads. Only one goroutine reads at a time.
+	reading bool
 	// refused is set when the body that is read was evicted.
 	refused atomic.Bool
 }
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
+	if !c.reading {
+		c.reading = true
+		c.change(func(s *accounts, now time.Time) { s.begin(&c.account, now) })
+	}
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
@@ -163,7 +80,25 @@
 		c.budget.accounts.close(&c.account)
 		return nil, true
 	})
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.port.signal()
+	return err
+}
+
+// RemoteAddr implements net.Conn. Delivered finds the connection by it.
+func (c *Conn) RemoteAddr() net.Addr { return remoteAddr{Addr: c.Conn.RemoteAddr(), conn: c} }
+
+type remoteAddr struct {
+	net.Addr
+	conn *Conn
+}
+
+// Delivered records that a whole message has arrived on the connection with a remote address,
+// so that the message's bytes are no longer charged to it.
+func Delivered(from net.Addr) {
+	if a, ok := from.(remoteAddr); ok {
+		a.conn.change(func(s *accounts, now time.Time) { s.delivered(&a.conn.account, now) })
+	}
 }
 
 // CloseWrite closes the writing side, as the HTTP server does before it closes a
@@ -198,7 +133,7 @@
 type connKey struct{}
 
 // Configure has a server, whose listener is that of a Port, tell the budget where its
-// calls begin and end.
+// calls begin and end. A request with a body is whole when ReadBody has read it.
 func Configure(srv *http.Server) {
 	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if own := own(c); own != nil {
@@ -216,7 +151,16 @@
 	h := srv.Handler
 	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c := connOf(r.Context()); c != nil {
-			c.change(func(s *accounts, now time.Time) { s.enter(&c.account, phaseBusy, now) })
+			closes := false
+			c.change(func(s *accounts, now time.Time) {
+				if r.ContentLength == 0 {
+					s.enter(&c.account, phaseBusy, now)
+				}
+				closes = c.account.port.crowded()
+			})
+			if closes {
+				w.Header().Set("Connection", "close")
+			}
 		}
 		h.ServeHTTP(w, r)
 	})
@@ -265,7 +209,7 @@
 	c.budget.decide(func(now time.Time) ([]victim, bool) {
 		victims, ok := c.budget.accounts.reserve(&c.account, bytes, now)
 		if !ok {
-			c.budget.accounts.charge(&c.account, bytes)
+			c.budget.accounts.charge(&c.account, bytes, now)
 		}
 		return victims, true
 	})
--- /dev/null
+++ b/membudget/port.go
@@ -0,0 +1,152 @@
+package membudget
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	// socketBytes is the size of a client's socket buffers, for requests that are not
+	// read yet and answers that the client does not read. Left to itself the kernel
+	// lets each grow to megabytes.
+	socketBytes = 64 << 10
+)
+
+// PortConfig holds the settings of a port.
+type PortConfig struct {
+	// Connections bounds the open connections.
+	Connections int
+	// Grace is how long a client has for each request while others wait for a place.
+	Grace time.Duration
+	TLS   bool
+	// Streams is set for gRPC, whose connections carry several calls at once. The budget
+	// counts what has arrived of their messages; Reserve counts their calls.
+	Streams bool
+}
+
+// ConnectionBytes returns the charge of a connection. Those of streams are bounded by their
+// number alone, so that other entries take nothing of clients.
+func (cfg PortConfig) ConnectionBytes() int64 {
+	if cfg.Streams {
+		return 0
+	}
+	charge := int64(connectionBytes)
+	if cfg.TLS {
+		charge += tlsBytes
+	}
+	return charge
+}
+
+// Port counts the connections of one listener. A nil Port has no bounds.
+type Port struct {
+	budget   *Budget
+	accounts *portAccounts
+	// freed has an element after a connection has been closed.
+	freed chan struct{}
+}
+
+// Port adds a port.
+func (b *Budget) Port(cfg PortConfig) *Port {
+	p := &Port{
+		budget:   b,
+		accounts: &portAccounts{maxConnections: cfg.Connections, connectionBytes: cfg.ConnectionBytes(), grace: cfg.Grace, streams: cfg.Streams},
+		freed:    make(chan struct{}, 1),
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.accounts.ports = append(b.accounts.ports, p.accounts)
+	return p
+}
+
+// signal wakes up an Accept that waits for a place.
+func (p *Port) signal() {
+	select {
+	case p.freed <- struct{}{}:
+	default: // one is there
+	}
+}
+
+// Listen listens at a TCP address and accepts connections within the bounds.
+func (p *Port) Listen(ctx context.Context, address string) (net.Listener, error) {
+	if p == nil {
+		return (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	}
+	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &listener{Listener: ln, port: p, closed: make(chan struct{})}, nil
+}
+
+type listener struct {
+	net.Listener
+	port   *Port
+	once   sync.Once
+	closed chan struct{}
+}
+
+// Accept implements net.Listener. At a full port it waits for a place: further connections
+// stay in the backlog, and are accepted in their order.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.port.admit(raw, l.closed); c != nil {
+			return c, nil
+		}
+		_ = raw.Close() // the connection is given up
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// admit returns a connection once it has a place. It returns nil if all places are taken by
+// requests that are carried out and stay so for the port's grace, or if the listener is closed.
+func (p *Port) admit(raw net.Conn, closed <-chan struct{}) *Conn {
+	c := &Conn{Conn: raw, budget: p.budget, port: p}
+	c.account.port, c.account.conn = p.accounts, c
+	if tcp, isTCP := raw.(*net.TCPConn); isTCP && !p.accounts.streams {
+		_ = tcp.SetReadBuffer(socketBytes)  // fails only on a closed connection
+		_ = tcp.SetWriteBuffer(socketBytes) // the same
+	}
+	for began := time.Now(); ; {
+		var wait time.Duration
+		ok := p.budget.decide(func(now time.Time) (victims []victim, ok bool) {
+			p.budget.watch()
+			victims, wait, ok = p.budget.accounts.open(&c.account, now)
+			return victims, ok
+		})
+		if ok {
+			return c
+		}
+		if wait == 0 {
+			wait = p.accounts.grace - time.Since(began)
+		}
+		if wait <= 0 || !p.await(wait, closed) {
+			p.budget.count(ReasonConnections)
+			return nil
+		}
+	}
+}
+
+// await waits until a connection has been closed or a time has passed. It reports false if the
+// listener is closed.
+func (p *Port) await(d time.Duration, closed <-chan struct{}) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-closed:
+		return false
+	case <-p.freed:
+	case <-timer.C:
+	}
+	return true
+}
