Bound what the kernel holds of connections, and take it off the heap

Seen: 20 whole jobs ahead of a body that stops short took 161 MB of 128, with the bytes that stand in socket queues; crowds that return took 138 to 149 MB. Cause: socket buffers of 64 KB, doubled by the kernel, on up to 981 connections, and connections in the backlog with buffers that grow to megabytes, beside a heap limit that knew of neither. Change: a listener has a receive buffer of 2 KB, which connections inherit until they are accepted; then each has 8 KB each way. The backlog is bounded by the memory. Go's memory limit is what the worst case of all ports leaves, times 0.85, at most 60% as before. Ruled out: smaller buffers on accepted connections alone. The kernel drops what a client has sent into the larger window, and a body of 250 KB then waits for retransmissions.

--- a/cmd/banyanrail-entry/main.go
+++ b/cmd/banyanrail-entry/main.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -48,7 +47,8 @@
 // run serves until the process receives a signal to stop. It then hands the jobs over
 // and returns after the calls in flight are answered.
 func run(c config, logWriter *daemon.LogWriter, logger *slog.Logger) (err error) {
-	debug.SetMemoryLimit(c.platform.MemoryMB << 20 * memoryLimitPercent / percent)
+	operators := c.clients.Operators(false)
+	c.clients.SetHeapLimit(c.clients.Clients(false), operators, operators, c.clients.Peers(false))
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	ctx, stop := context.WithCancel(context.Background())
--- a/cmd/banyanrail-entry/settings.go
+++ b/cmd/banyanrail-entry/settings.go
@@ -9,11 +9,6 @@
 )
 
 const (
-	// memoryLimitPercent is the share of the process's memory that is set as Go's
-	// memory limit, at which the garbage collector runs more often. The rest is left
-	// for stacks and for unread bytes of connections.
-	memoryLimitPercent = 60
-	percent            = 100
 	// ownerCores and ownerLinkMbps are the most processor cores and megabits a second
 	// that an owner of fifty runners uses in a burst; see docs/CAPACITY.md.
 	ownerCores    = 0.4
--- a/cmd/banyanraild/settings.go
+++ b/cmd/banyanraild/settings.go
@@ -110,10 +110,6 @@
 	return c, errors.Join(all...)
 }
 
-// memoryLimitPercent is the share of the memory that is set as Go's memory limit, at which
-// the garbage collector runs more often.
-const memoryLimitPercent = 60
-
 // minClientMB is the least memory of open clients that holds a body of the largest size
 // while its buffer grows.
 const minClientMB = 32
--- a/daemon/clientlimits.go
+++ b/daemon/clientlimits.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"runtime/debug"
 	"time"
 
 	"github.com/banyanrail/banyanrail/membudget"
@@ -30,13 +31,28 @@
 	maxPeerConnections     = 1024
 	maxOperatorConnections = 64
 	minConnections         = 4
+	// The numbers of connections that wait to be accepted, where the memory allows them.
+	// Those that a full port evicts connect again; while all have room in the backlog, an
+	// ordinary client waits no longer than they do.
+	maxClientBacklog = 4096
+	operatorBacklog  = 1024
+	peerBacklog      = 1024
 	// jobShare is the part of the memory that jobs may take at an owner.
 	jobShare = 4
+	// backlogShare is the part of the memory that bounds the clients' backlog, by the
+	// memory of pendingBytes each.
+	backlogShare = 16
+	pendingBytes = 4 << 10
 	// clientGrace is how long a client has for each request at a full port: several round
 	// trips. operatorGrace is shorter, as requests there come in one packet.
 	clientGrace   = 250 * time.Millisecond
 	operatorGrace = 25 * time.Millisecond
 	peerGrace     = 100 * time.Millisecond
+	// heapPercent is the part of the memory beside what the kernel may hold that is set as
+	// Go's memory limit, and maxHeapPercent its bound as a part of all memory. The rest is
+	// left for the program, its threads, and what is released late.
+	heapPercent    = 85
+	maxHeapPercent = 60
 )
 
 // ClientLimits are the settings that bound the memory and connections of open clients.
@@ -94,10 +110,23 @@
 	return membudget.New(membudget.Config{Bytes: l.ClientMB << 20, Metrics: scope, Logger: logger})
 }
 
+// SetHeapLimit sets Go's memory limit, at which the garbage collector runs more often, to what
+// the sockets of the process's ports leave of its memory. It returns the limit in bytes.
+func (l ClientLimits) SetHeapLimit(ports ...membudget.PortConfig) int64 {
+	memory := l.MemoryMB << 20
+	left := memory
+	for _, p := range ports {
+		left -= p.KernelBytes()
+	}
+	limit := min(memory*maxHeapPercent/100, left*heapPercent/100)
+	debug.SetMemoryLimit(limit)
+	return limit
+}
+
 // Clients returns the settings of the port for clients: half of the descriptors, which
 // leaves the other half for the process's own calls, and of the memory at most half.
 func (l ClientLimits) Clients(tls bool) membudget.PortConfig {
-	cfg := membudget.PortConfig{TLS: tls, Grace: clientGrace}
+	cfg := membudget.PortConfig{TLS: tls, Grace: clientGrace, Backlog: int(min(maxClientBacklog, l.MemoryMB<<20/backlogShare/pendingBytes))}
 	byMemory := int(l.ClientMB << 20 / connectionShare / cfg.ConnectionBytes())
 	cfg.Connections = max(minConnections, min(l.descriptors()/2, byMemory))
 	return cfg
@@ -106,16 +135,16 @@
 // Peers returns the settings of the gRPC port for other entries.
 func (l ClientLimits) Peers(tls bool) membudget.PortConfig {
 	return membudget.PortConfig{
-		Connections: max(minConnections, min(maxPeerConnections, l.descriptors()/8)),
-		Grace:       peerGrace, TLS: tls, Streams: true,
+		Connections: max(minConnections, min(maxPeerConnections, l.descriptors()/8)), Backlog: peerBacklog,
+		Grace: peerGrace, TLS: tls, Streams: true,
 	}
 }
 
 // Operators returns the settings of a port for readiness, metrics or operators.
 func (l ClientLimits) Operators(tls bool) membudget.PortConfig {
 	return membudget.PortConfig{
-		Connections: max(minConnections, min(maxOperatorConnections, l.descriptors()/16)),
-		Grace:       operatorGrace, TLS: tls,
+		Connections: max(minConnections, min(maxOperatorConnections, l.descriptors()/16)), Backlog: operatorBacklog,
+		Grace: operatorGrace, TLS: tls,
 	}
 }
 
--- a/membudget/port.go
+++ b/membudget/port.go
@@ -2,22 +2,32 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
-	// socketBytes is the size of a client's socket buffers, for requests that are not
-	// read yet and answers that the client does not read. Left to itself the kernel
-	// lets each grow to megabytes.
-	socketBytes = 64 << 10
+	// pendingSocketBytes is the size of the receive buffer of a connection that is not
+	// accepted yet, and openSocketBytes that of each buffer of an open one. The kernel
+	// allows for twice as much, and never lets them grow.
+	pendingSocketBytes = 2 << 10
+	openSocketBytes    = 8 << 10
+	kernelFactor       = 2
+	// connectionKernelBytes is what the kernel may hold of an open connection, and
+	// pendingKernelBytes of one that is not accepted.
+	connectionKernelBytes = 2 * kernelFactor * openSocketBytes
+	pendingKernelBytes    = kernelFactor * pendingSocketBytes
 )
 
 // PortConfig holds the settings of a port.
 type PortConfig struct {
-	// Connections bounds the open connections.
-	Connections int
+	// Connections bounds the open connections, and Backlog those that wait to be accepted.
+	Connections, Backlog int
 	// Grace is how long a client has for each request while others wait for a place.
 	Grace time.Duration
 	TLS   bool
@@ -39,10 +49,16 @@
 	return charge
 }
 
+// KernelBytes returns the most that the kernel holds for the port in socket buffers.
+func (cfg PortConfig) KernelBytes() int64 {
+	return int64(cfg.Connections)*connectionKernelBytes + int64(cfg.Backlog)*pendingKernelBytes
+}
+
 // Port counts the connections of one listener. A nil Port has no bounds.
 type Port struct {
 	budget   *Budget
 	accounts *portAccounts
+	backlog  int
 	// freed has an element after a connection has been closed.
 	freed chan struct{}
 }
@@ -52,6 +68,7 @@
 	p := &Port{
 		budget:   b,
 		accounts: &portAccounts{maxConnections: cfg.Connections, connectionBytes: cfg.ConnectionBytes(), grace: cfg.Grace, streams: cfg.Streams},
+		backlog:  cfg.Backlog,
 		freed:    make(chan struct{}, 1),
 	}
 	b.mu.Lock()
@@ -73,13 +90,40 @@
 	if p == nil {
 		return (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	}
-	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	// Connections inherit the receive buffer of their listener until they are accepted. It
+	// only grows then: the kernel drops what clients have sent beyond a smaller one.
+	cfg := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return control(raw, func(fd int) error {
+			return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, pendingSocketBytes)
+		})
+	}}
+	cfg.SetMultipathTCP(false) // its subflows have buffers of their own
+	ln, err := cfg.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	if tcp, ok := ln.(*net.TCPListener); ok && p.backlog > 0 {
+		raw, err := tcp.SyscallConn()
+		if err == nil {
+			err = control(raw, func(fd int) error { return unix.Listen(fd, p.backlog) })
+		}
+		if err != nil {
+			_ = ln.Close() // the error is the one before
+			return nil, fmt.Errorf("bound the backlog: %w", err)
+		}
+	}
 	return &listener{Listener: ln, port: p, closed: make(chan struct{})}, nil
 }
 
+// control calls f with the descriptor of a socket.
+func control(raw syscall.RawConn, f func(fd int) error) error {
+	var failed error
+	if err := raw.Control(func(fd uintptr) { failed = f(int(fd)) }); err != nil {
+		return err
+	}
+	return failed
+}
+
 type listener struct {
 	net.Listener
 	port   *Port
@@ -113,9 +157,9 @@
 func (p *Port) admit(raw net.Conn, closed <-chan struct{}) *Conn {
 	c := &Conn{Conn: raw, budget: p.budget, port: p}
 	c.account.port, c.account.conn = p.accounts, c
-	if tcp, isTCP := raw.(*net.TCPConn); isTCP && !p.accounts.streams {
-		_ = tcp.SetReadBuffer(socketBytes)  // fails only on a closed connection
-		_ = tcp.SetWriteBuffer(socketBytes) // the same
+	if tcp, isTCP := raw.(*net.TCPConn); isTCP {
+		_ = tcp.SetReadBuffer(openSocketBytes)  // fails only on a closed connection
+		_ = tcp.SetWriteBuffer(openSocketBytes) // the same
 	}
 	for began := time.Now(); ; {
 		var wait time.Duration
