Soak: crowds at the ports of entries while faults overlap

Change: crowds of 500 clients, more than the places of a port, come to random ports of random entries one after the other; each sends without end and connects again when it is closed. The draws of the other faults are as they were.

--- a/soak/coverage_test.go
+++ b/soak/coverage_test.go
@@ -26,6 +26,8 @@
 	// keysServed is the number of calls with a changing key that were served, and keysDenied
 	// that of calls denied after the bound on withdrawn keys.
 	keysServed, keysDenied int
+	// crowdConnections is the number of connections of crowds that were open.
+	crowdConnections int
 	// ownersDisrupted is the number of signals to owners beside restarts.
 	ownersDisrupted int
 	// late is the number of calls that were carried out by a later incarnation.
@@ -70,6 +72,7 @@
 	c.keysServed, c.keysDenied = tb.keys.served, tb.keys.deniedLate
 	tb.keys.mu.Unlock()
 	c.runnersCrashed = len(tb.history.crashes)
+	c.crowdConnections = int(tb.crowdConnections.Load())
 	c.ownersDisrupted = int(tb.ownersDisrupted.Load())
 	for _, r := range tb.runners {
 		r.mu.Lock()
@@ -102,6 +105,7 @@
 	must.LessEq(t, c.jobsDone, minJobsDone, must.Sprint("jobs done"))
 	must.Positive(t, c.keysServed, must.Sprint("calls with a changing key that were served"))
 	must.Positive(t, c.keysDenied, must.Sprint("calls denied after the bound on withdrawn keys"))
+	must.LessEq(t, c.crowdConnections, crowdClients, must.Sprint("connections of crowds"))
 	ending, crashing := 0, 0
 	for _, f := range faults {
 		switch f.kind {
@@ -149,6 +153,7 @@
 	s.runnersRestarted += c.runnersRestarted
 	s.runnersCut += c.runnersCut
 	s.ownersDisrupted += c.ownersDisrupted
+	s.crowdConnections += c.crowdConnections
 	s.keysServed += c.keysServed
 	s.keysDenied += c.keysDenied
 	for kind, n := range c.late {
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -51,6 +51,7 @@
 port_range=%[5]d,%[5]d
 platform.addr=%[6]s
 limits.memory_mb=256
+limits.max_fds=%[9]d
 bounds.grace_s=6
 bounds.status_s=120
 contracts=tenants
@@ -68,7 +69,7 @@
 		binary: binary, settings: filepath.Join(dir, name+".settings"), name: name, ip: ip, log: log, maxDirectRunners: maxDirectRunners,
 		storeProxy: newProxy(t, store), clientProxy: newProxy(t, fmt.Sprintf("%s:%d", ip, clientPort)),
 	}
-	text := fmt.Sprintf(settingsText, name, ip, clientPort, readyPort, peerPort, p.storeProxy.address(), revokeLimit.Milliseconds(), applyLimit.Milliseconds())
+	text := fmt.Sprintf(settingsText, name, ip, clientPort, readyPort, peerPort, p.storeProxy.address(), revokeLimit.Milliseconds(), applyLimit.Milliseconds(), maxFDs)
 	must.NoError(t, os.WriteFile(p.settings, []byte(text), 0o600))
 	must.NoError(t, p.start())
 	t.Cleanup(p.kill)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -115,6 +115,8 @@
 	}
 	probes := rand.New(rand.NewSource(seed))
 	faults.Go(func() { tb.rotateKeys(rotating, t) })
+	crowds := rand.New(rand.NewSource(seed))
+	faults.Go(func() { tb.holdCrowds(rotating, crowds) })
 	tb.wg.Go(func() { tb.probeKeys(probes) })
 	tb.sleep(warmUp)
 	timeout := settleTimeout
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -57,6 +57,8 @@
 	bursts chan struct{}
 	// ownersDisrupted is the number of processes that got a signal while they owned the jobs.
 	ownersDisrupted atomic.Int64
+	// crowdConnections is the number of connections of crowds that were open.
+	crowdConnections atomic.Int64
 }
 
 // nextNetwork and processNetwork select the loopback addresses of a run:
