End announced calls whose message does not arrive

Cause: a call that announces its memory reserves it at the owner before its message is received, and held it for as long as its client kept the call open. Change: the message has 2 s to arrive; a forwarding entry waits no longer for its answer. The interceptors are a chain, so that a message counts as delivered before it may be refused. Measured: TestAnnouncedCallWithoutMessageEnds ran into the test's time-out before.

--- a/peer/boundcalls.go
+++ b/peer/boundcalls.go
@@ -24,6 +24,9 @@
 	smallSpecBytes = 1 << 10
 	// refusedRetryAfter is when a call that is refused for memory may be tried again.
 	refusedRetryAfter = time.Second
+	// receiveTimeout is the time in which the message of an announced call has to arrive. The
+	// entry that forwards a call waits no longer for its answer.
+	receiveTimeout = 2 * time.Second
 	// metadataCallBytes announces the memory that a call with a large spec takes, so that
 	// it can be refused before it is received.
 	metadataCallBytes = "banyanrail-call-bytes"
@@ -37,7 +40,7 @@
 // BoundCalls returns options by which forwarded calls reserve the memory of their spec
 // until they are answered. A call for which reserve fails is refused and does not run.
 func BoundCalls(reserve func(bytes int64) (release func(), ok bool)) []grpc.ServerOption {
-	return []grpc.ServerOption{grpc.InTapHandle(reserveAnnounced(reserve)), grpc.UnaryInterceptor(reserveUnannounced(reserve))}
+	return []grpc.ServerOption{grpc.InTapHandle(reserveAnnounced(reserve)), grpc.ChainUnaryInterceptor(reserveUnannounced(reserve))}
 }
 
 // reserveAnnounced refuses a call before its message is received.
@@ -51,14 +54,25 @@
 		if !ok {
 			return nil, status.Error(codes.ResourceExhausted, reasonMemory)
 		}
-		context.AfterFunc(ctx, release) // the context ends with the call
-		return ctx, nil
+		ctx, cancel := context.WithCancel(ctx)
+		receiving := time.AfterFunc(receiveTimeout, cancel)
+		context.AfterFunc(ctx, func() { // the context ends with the call
+			receiving.Stop()
+			release()
+		})
+		return context.WithValue(ctx, receivingKey{}, receiving), nil
 	}
 }
 
+// receivingKey is the key of the timer that ends an announced call whose message does not come.
+type receivingKey struct{}
+
 // reserveUnannounced counts large specs of entries that do not announce them.
 func reserveUnannounced(reserve reserveFunc) grpc.UnaryServerInterceptor {
 	return func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
+		if receiving, ok := ctx.Value(receivingKey{}).(*time.Timer); ok {
+			receiving.Stop()
+		}
 		call, ok := req.(*peerpb.JobCall)
 		if !ok || len(call.GetSpec()) <= smallSpecBytes {
 			return next(ctx, req)
--- a/peer/jobs_test.go
+++ b/peer/jobs_test.go
@@ -11,26 +11,38 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/loop"
 	"github.com/banyanrail/banyanrail/peer"
+	"github.com/banyanrail/banyanrail/peer/peerpb"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
 	"github.com/shoenig/test/must"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
 )
 
-// forward forwards a call to an owner and returns its answer, and the calls that arrived.
-func forward(t *testing.T, f effect.Forward, answer effect.CallAnswer, options ...grpc.ServerOption) (_ effect.CallAnswer, got []event.ClientCalled) {
+// serveOwner serves the calls of other entries and returns the owner's address.
+func serveOwner(t *testing.T, call func(event.ClientCalled) effect.CallAnswer, options ...grpc.ServerOption) (address string) {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	srv := grpc.NewServer(options...)
-	peer.RegisterJobs(srv, func(_ context.Context, c event.ClientCalled) (effect.CallAnswer, error) {
-		got = append(got, c)
-		return answer, nil
-	}, peer.NewDispatchers(loop.BootClock()))
+	peer.RegisterJobs(srv, func(_ context.Context, c event.ClientCalled) (effect.CallAnswer, error) { return call(c), nil },
+		peer.NewDispatchers(loop.BootClock()))
 	go func() { _ = srv.Serve(ln) }()
-	defer srv.Stop()
+	t.Cleanup(srv.Stop)
+	return ln.Addr().String()
+}
+
+// forward forwards a call to an owner and returns its answer, and the calls that arrived.
+func forward(t *testing.T, f effect.Forward, answer effect.CallAnswer, options ...grpc.ServerOption) (_ effect.CallAnswer, got []event.ClientCalled) {
+	t.Helper()
+	f.Address = serveOwner(t, func(c event.ClientCalled) effect.CallAnswer {
+		got = append(got, c)
+		return answer
+	}, options...)
+	f.Timeout = time.Minute
 	client := peer.NewJobsClient()
 	defer client.Close()
-	f.Address, f.Timeout = ln.Addr().String(), time.Minute
 	a, sent, err := client.Forward(t.Context(), f)
 	must.NoError(t, err)
 	must.True(t, sent)
@@ -85,3 +97,19 @@
 	must.Eq(t, effect.AnswerAccepted, a.Kind)
 	must.Zero(t, <-released)
 }
+
+// TestAnnouncedCallWithoutMessageEnds guards against memory that is reserved for as long as a client
+// keeps a call open whose message it never sends.
+func TestAnnouncedCallWithoutMessageEnds(t *testing.T) {
+	released := make(chan struct{})
+	address := serveOwner(t, func(event.ClientCalled) effect.CallAnswer { return effect.CallAnswer{} },
+		peer.BoundCalls(func(int64) (func(), bool) { return func() { close(released) }, true })...)
+	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	must.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	ctx := metadata.AppendToOutgoingContext(t.Context(), "banyanrail-call-bytes", "1000000")
+	stream, err := conn.NewStream(ctx, &grpc.StreamDesc{ClientStreams: true}, "/banyanrail.peer.Jobs/Call")
+	must.NoError(t, err)
+	<-released
+	must.Error(t, stream.RecvMsg(&peerpb.JobAnswer{}))
+}
