--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,7 +24,7 @@
 	// time as long as it moves and nothing is short.
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = time.Minute
-	idleTimeout = 2 * time.Minute
+	idleTimeout       = 2 * time.Minute
 	// maxHeaderBytes is the limit for the headers of a request, in bytes.
 	maxHeaderBytes = 32 << 10
 	// maxMessageBytes is the limit for a gRPC message, in bytes.
--- a/openclients/persistent_test.go
+++ b/openclients/persistent_test.go
@@ -338,7 +338,9 @@
 		sending.Go(func() {
 			dialer := net.Dialer{Timeout: answerTimeout, Control: func(_, _ string, raw syscall.RawConn) error {
 				var failed error
-				err := raw.Control(func(fd uintptr) { failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, unreadBytes) })
+				err := raw.Control(func(fd uintptr) {
+					failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, unreadBytes)
+				})
 				return errors.Join(err, failed)
 			}}
 			conn, err := dialer.Dial("tcp", address(clients))
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -91,10 +91,10 @@
 	// number of the last offer.
 	canDispatch      bool
 	maxDirectRunners int
-	// learnRunTimes is a setting of the entries.
-	// maxJobBytes bounds the memory of jobs at an owner; zero means no bound.
-	maxJobBytes int64
+	// learnRunTimes is a setting of the entries, and so is maxJobBytes, the bound of the
+	// memory of jobs at an owner; zero means none.
 	learnRunTimes   bool
+	maxJobBytes     int64
 	dispatchedCalls int
 	lastLink        uint64
 	// reduceTime is the processor time that all entries spent in Reduce.
