Keep sockets beside the heap on machines with little memory

Cause: the connections of other entries were not bounded by the memory, so that on small machines with many descriptors nothing was left for the heap. Go takes a negative memory limit for a question, and the process would have had none. Change: an eighth of the memory bounds the sockets of other entries, a thirty-second each backlog beside the clients'; the heap has a quarter at least. At 128 MB and more with up to 4,100 descriptors the bounds are as before.

--- a/cmd/banyanrail-entry/main.go
+++ b/cmd/banyanrail-entry/main.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -48,7 +49,7 @@
 // and returns after the calls in flight are answered.
 func run(c config, logWriter *daemon.LogWriter, logger *slog.Logger) (err error) {
 	operators := c.clients.Operators(false)
-	c.clients.SetHeapLimit(c.clients.Clients(false), operators, operators, c.clients.Peers(false))
+	debug.SetMemoryLimit(c.clients.HeapLimit(c.clients.Clients(false), operators, operators, c.clients.Peers(false)))
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	ctx, stop := context.WithCancel(context.Background())
--- a/cmd/banyanraild/main.go
+++ b/cmd/banyanraild/main.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
@@ -37,7 +38,7 @@
 // run serves until the process receives SIGINT or SIGTERM, then shuts down
 // gracefully: the entry finishes its requests before the listeners close.
 func run(c config, logger *slog.Logger) (err error) {
-	c.clients.SetHeapLimit(c.clients.Clients(false), c.clients.Operators(false), c.clients.Peers(false))
+	debug.SetMemoryLimit(c.clients.HeapLimit(c.clients.Clients(false), c.clients.Operators(false), c.clients.Peers(false)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	scope, metrics, closer := daemon.NewMetricsScope(map[string]string{"entry": c.ID, "data_centre": c.DataCentre})
--- a/daemon/clientlimits.go
+++ b/daemon/clientlimits.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"log/slog"
-	"runtime/debug"
 	"time"
 
 	"github.com/banyanrail/banyanrail/membudget"
@@ -31,18 +30,17 @@
 	maxPeerConnections     = 1024
 	maxOperatorConnections = 64
 	minConnections         = 4
-	// The numbers of connections that wait to be accepted, where the memory allows them.
-	// Those that a full port evicts connect again; while all have room in the backlog, an
-	// ordinary client waits no longer than they do.
+	// Connections that wait to be accepted. Those that a full port evicts connect again;
+	// while all have room in the backlog, an ordinary client waits no longer than they do.
 	maxClientBacklog = 4096
-	operatorBacklog  = 1024
-	peerBacklog      = 1024
+	maxOtherBacklog  = 1024
+	// The parts of the memory that the kernel may hold of the clients' backlog, of any other
+	// backlog, and of the connections of other entries.
+	clientBacklogShare = 16
+	otherBacklogShare  = 32
+	peerShare          = 8
 	// jobShare is the part of the memory that jobs may take at an owner.
 	jobShare = 4
-	// backlogShare is the part of the memory that bounds the clients' backlog, by the
-	// memory of pendingBytes each.
-	backlogShare = 16
-	pendingBytes = 4 << 10
 	// clientGrace is how long a client has for each request at a full port: several round
 	// trips. operatorGrace is shorter, as requests there come in one packet.
 	clientGrace   = 250 * time.Millisecond
@@ -50,9 +48,11 @@
 	peerGrace     = 100 * time.Millisecond
 	// heapPercent is the part of the memory beside what the kernel may hold that is set as
 	// Go's memory limit, and maxHeapPercent its bound as a part of all memory. The rest is
-	// left for the program, its threads, and what is released late.
+	// left for the program, its threads, and what is released late. minHeapPercent keeps a
+	// process with little memory at work.
 	heapPercent    = 85
 	maxHeapPercent = 60
+	minHeapPercent = 25
 )
 
 // ClientLimits are the settings that bound the memory and connections of open clients.
@@ -110,23 +110,26 @@
 	return membudget.New(membudget.Config{Bytes: l.ClientMB << 20, Metrics: scope, Logger: logger})
 }
 
-// SetHeapLimit sets Go's memory limit, at which the garbage collector runs more often, to what
-// the sockets of the process's ports leave of its memory. It returns the limit in bytes.
-func (l ClientLimits) SetHeapLimit(ports ...membudget.PortConfig) int64 {
+// HeapLimit returns Go's memory limit, at which the garbage collector runs more often, in bytes:
+// what the sockets of the process's ports leave of its memory.
+func (l ClientLimits) HeapLimit(ports ...membudget.PortConfig) int64 {
 	memory := l.MemoryMB << 20
 	left := memory
 	for _, p := range ports {
 		left -= p.KernelBytes()
 	}
-	limit := min(memory*maxHeapPercent/100, left*heapPercent/100)
-	debug.SetMemoryLimit(limit)
-	return limit
+	return max(memory*minHeapPercent/100, min(memory*maxHeapPercent/100, left*heapPercent/100))
+}
+
+// backlog returns how many connections may wait to be accepted within a part of the memory.
+func (l ClientLimits) backlog(most, share int64) int {
+	return int(min(most, l.MemoryMB<<20/share/membudget.PendingBytes))
 }
 
 // Clients returns the settings of the port for clients: half of the descriptors, which
 // leaves the other half for the process's own calls, and of the memory at most half.
 func (l ClientLimits) Clients(tls bool) membudget.PortConfig {
-	cfg := membudget.PortConfig{TLS: tls, Grace: clientGrace, Backlog: int(min(maxClientBacklog, l.MemoryMB<<20/backlogShare/pendingBytes))}
+	cfg := membudget.PortConfig{TLS: tls, Grace: clientGrace, Backlog: l.backlog(maxClientBacklog, clientBacklogShare)}
 	byMemory := int(l.ClientMB << 20 / connectionShare / cfg.ConnectionBytes())
 	cfg.Connections = max(minConnections, min(l.descriptors()/2, byMemory))
 	return cfg
@@ -134,16 +137,18 @@
 
 // Peers returns the settings of the gRPC port for other entries.
 func (l ClientLimits) Peers(tls bool) membudget.PortConfig {
+	byMemory := int(l.MemoryMB << 20 / peerShare / membudget.OpenBytes)
 	return membudget.PortConfig{
-		Connections: max(minConnections, min(maxPeerConnections, l.descriptors()/8)), Backlog: peerBacklog,
-		Grace: peerGrace, TLS: tls, Streams: true,
+		Connections: max(minConnections, min(maxPeerConnections, l.descriptors()/8, byMemory)),
+		Backlog:     l.backlog(maxOtherBacklog, otherBacklogShare),
+		Grace:       peerGrace, TLS: tls, Streams: true,
 	}
 }
 
 // Operators returns the settings of a port for readiness, metrics or operators.
 func (l ClientLimits) Operators(tls bool) membudget.PortConfig {
 	return membudget.PortConfig{
-		Connections: max(minConnections, min(maxOperatorConnections, l.descriptors()/16)), Backlog: operatorBacklog,
+		Connections: max(minConnections, min(maxOperatorConnections, l.descriptors()/16)), Backlog: l.backlog(maxOtherBacklog, otherBacklogShare),
 		Grace: operatorGrace, TLS: tls,
 	}
 }
--- a/membudget/port.go
+++ b/membudget/port.go
@@ -18,10 +18,10 @@
 	pendingSocketBytes = 2 << 10
 	openSocketBytes    = 8 << 10
 	kernelFactor       = 2
-	// connectionKernelBytes is what the kernel may hold of an open connection, and
-	// pendingKernelBytes of one that is not accepted.
-	connectionKernelBytes = 2 * kernelFactor * openSocketBytes
-	pendingKernelBytes    = kernelFactor * pendingSocketBytes
+	// OpenBytes is what the kernel may hold of an open connection.
+	OpenBytes = 2 * kernelFactor * openSocketBytes
+	// PendingBytes is what the kernel may hold of a connection that is not accepted.
+	PendingBytes = kernelFactor * pendingSocketBytes
 )
 
 // PortConfig holds the settings of a port.
@@ -51,7 +51,7 @@
 
 // KernelBytes returns the most that the kernel holds for the port in socket buffers.
 func (cfg PortConfig) KernelBytes() int64 {
-	return int64(cfg.Connections)*connectionKernelBytes + int64(cfg.Backlog)*pendingKernelBytes
+	return int64(cfg.Connections)*OpenBytes + int64(cfg.Backlog)*PendingBytes
 }
 
 // Port counts the connections of one listener. A nil Port has no bounds.
