Count a connection that is written before it is read

Found by TestAccountsBalance with the race detector; no server here writes first. Change: the connection waits for its client from then on.

--- a/membudget/accounts.go
+++ b/membudget/accounts.go
@@ -312,6 +312,7 @@
 // startAnswer records that an answer is written, and finishAnswer that the client has
 // taken it.
 func (s *accounts) startAnswer(a *account, now time.Time) {
+	s.begin(a, now) // a server may write before it reads
 	if !a.gone() {
 		a.interrupted = a.phase
 		s.enter(a, phaseAnswer, now)
