Drain a full port before its listener closes

Cause: a crowd filled the port, and the calls waited in the backlog when the listener closed. Measured: TestDrainServesTheBacklog waits for ever without it.

--- a/cmd/banyanrail-entry/main.go
+++ b/cmd/banyanrail-entry/main.go
@@ -134,10 +134,11 @@
 	running, endEntry := context.WithCancel(context.WithoutCancel(ctx))
 	defer endEntry()
 	group, groupCtx := errgroup.WithContext(serving)
+	clientsPort := budget.Port(c.clients.Clients(false))
 	group.Go(func() error {
 		// The entry ends only after the last call is answered.
 		defer endEntry()
-		return daemon.Serve(groupCtx, c.platform.ClientAddress, nil, budget.Port(c.clients.Clients(false)), clients, answerGrace)
+		return daemon.Serve(groupCtx, c.platform.ClientAddress, nil, clientsPort, clients, answerGrace)
 	})
 	operators := c.clients.Operators(false)
 	group.Go(func() error {
@@ -155,7 +156,10 @@
 	})
 	group.Go(func() error {
 		defer closeListeners()
-		return stopGracefully(groupCtx, c, e, logger, signals, stopping)
+		return stopGracefully(groupCtx, c, e, logger, signals, func() {
+			stopping.Store(true)
+			clientsPort.Drain()
+		})
 	})
 	return group.Wait()
 }
@@ -173,14 +177,14 @@
 
 // stopGracefully waits for a signal to stop, hands the jobs over, and returns after
 // the load balancer has had time to remove the entry from rotation. It returns at once
-// when a listener fails.
-func stopGracefully(ctx context.Context, c config, e *jobentry.Entry, logger *slog.Logger, signals <-chan os.Signal, stopping *atomic.Bool) error {
+// when a listener fails. It calls stopping once the signal has come.
+func stopGracefully(ctx context.Context, c config, e *jobentry.Entry, logger *slog.Logger, signals <-chan os.Signal, stopping func()) error {
 	select {
 	case <-ctx.Done():
 		return nil
 	case <-signals:
 	}
-	stopping.Store(true)
+	stopping()
 	handOverCtx, cancel := context.WithTimeout(ctx, c.platform.ShutdownGrace-answerGrace-exitMargin)
 	defer cancel()
 	balancerNoticed := time.After(balancerNotice)
--- a/cmd/banyanraild/main.go
+++ b/cmd/banyanraild/main.go
@@ -100,19 +100,20 @@
 	})
 	group.Go(func() error {
 		defer closeListeners()
-		return stopEntry(ctx, groupCtx, c, e)
+		return stopEntry(ctx, groupCtx, c, e, callersPort)
 	})
 	return group.Wait()
 }
 
 // stopEntry waits until ctx ends and then stops the entry. It returns without
 // stopping it if groupCtx ends first, because a listener failed.
-func stopEntry(ctx, groupCtx context.Context, c config, e *entry.Entry) error {
+func stopEntry(ctx, groupCtx context.Context, c config, e *entry.Entry, callers *membudget.Port) error {
 	select {
 	case <-groupCtx.Done():
 		return nil
 	case <-ctx.Done():
 	}
+	callers.Drain()
 	stopCtx, cancel := context.WithTimeout(groupCtx, c.grace)
 	defer cancel()
 	return e.Stop(stopCtx)
--- a/membudget/budget_test.go
+++ b/membudget/budget_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/banyanrail/banyanrail/membudget"
 	"github.com/shoenig/test/must"
@@ -17,6 +18,12 @@
 
 // serve answers calls with the size of their body, of at most 256 KB, within a budget.
 func serve(t *testing.T, bytes int64, connections int) (url string) {
+	t.Helper()
+	url, _ = servePort(t, bytes, membudget.PortConfig{Connections: connections})
+	return url
+}
+
+func servePort(t *testing.T, bytes int64, cfg membudget.PortConfig) (url string, port *membudget.Port) {
 	t.Helper()
 	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := membudget.ReadBody(r, 256<<10)
@@ -30,13 +37,14 @@
 	}))
 	b := membudget.New(membudget.Config{Bytes: bytes, Metrics: tally.NoopScope, Logger: slog.New(slog.DiscardHandler)})
 	must.NoError(t, srv.Listener.Close())
-	ln, err := b.Port(membudget.PortConfig{Connections: connections}).Listen(t.Context(), "127.0.0.1:0")
+	port = b.Port(cfg)
+	ln, err := port.Listen(t.Context(), "127.0.0.1:0")
 	must.NoError(t, err)
 	srv.Listener = ln
 	membudget.Configure(srv.Config)
 	srv.Start()
 	t.Cleanup(srv.Close)
-	return srv.URL
+	return srv.URL, port
 }
 
 func post(t *testing.T, url string, body io.Reader) (answer string) {
@@ -85,3 +93,16 @@
 	must.Error(t, err)
 	must.Eq(t, "200 1", post(t, url, strings.NewReader("x")))
 }
+
+// TestDrainServesTheBacklog guards against requests in the backlog of a full port that are lost when
+// the process stops.
+func TestDrainServesTheBacklog(t *testing.T) {
+	url, port := servePort(t, 1<<20, membudget.PortConfig{Connections: 1, Backlog: 10, Grace: time.Hour})
+	crowd, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	must.NoError(t, err)
+	defer func() { _ = crowd.Close() }()
+	answer := make(chan string)
+	go func() { answer <- post(t, url, strings.NewReader("x")) }()
+	port.Drain()
+	must.Eq(t, "200 1", <-answer)
+}
--- a/membudget/port.go
+++ b/membudget/port.go
@@ -18,6 +18,8 @@
 	pendingSocketBytes = 2 << 10
 	openSocketBytes    = 8 << 10
 	kernelFactor       = 2
+	// drainGrace is the grace of a port that is drained.
+	drainGrace = 25 * time.Millisecond
 	// OpenBytes is what the kernel may hold of an open connection.
 	OpenBytes = 2 * kernelFactor * openSocketBytes
 	// PendingBytes is what the kernel may hold of a connection that is not accepted.
@@ -77,6 +79,16 @@
 	return p
 }
 
+// Drain shortens the grace of the port's requests. A process that stops calls it a while before
+// it closes the listener, so that no ordinary request is lost in the backlog behind a crowd.
+func (p *Port) Drain() {
+	if p == nil {
+		return
+	}
+	p.budget.update(func(time.Time) { p.accounts.grace = min(p.accounts.grace, drainGrace) })
+	p.signal()
+}
+
 // signal wakes up an Accept that waits for a place.
 func (p *Port) signal() {
 	select {
@@ -166,14 +178,14 @@
 		ok := p.budget.decide(func(now time.Time) (victims []victim, ok bool) {
 			p.budget.watch()
 			victims, wait, ok = p.budget.accounts.open(&c.account, now)
+			if wait == 0 {
+				wait = p.accounts.grace - now.Sub(began)
+			}
 			return victims, ok
 		})
 		if ok {
 			return c
 		}
-		if wait == 0 {
-			wait = p.accounts.grace - time.Since(began)
-		}
 		if wait <= 0 || !p.await(wait, closed) {
 			p.budget.count(ReasonConnections)
 			return nil
