--- a/membudget/accounts.go
+++ b/membudget/accounts.go
@@ -27,7 +27,7 @@
 	// while others wait for a place.
 	provenShare = 2
 	// unprovenFactor is the memory that a stream may take for each byte of its first message:
-	// one in frames of one byte takes more than its size in lists.
+	// frames of one byte take several times their size.
 	unprovenFactor = 8
 	// sizeClasses is the number of classes of what calls hold, each twice the one before.
 	sizeClasses = 16
@@ -131,9 +131,9 @@
 
 // accounts decides which calls and connections are evicted. It has no clock and no locks.
 //
-// Load pattern: many clients at once send bodies of legal size, in any pieces, stop short of
-// the end or never come to it, keep their connections open, and connect again when they are
-// closed. Beside them ordinary clients send requests that are whole after a round trip.
+// Load pattern: many clients at once send bodies of legal size, in any pieces, never complete
+// them, keep their connections open, and connect again when they are closed. Beside them
+// ordinary clients send requests that are whole after a round trip.
 type accounts struct {
 	limit, held int64
 	// calls is the part of held of calls without a connection of their own.
@@ -359,8 +359,7 @@
 // holder returns the call that is evicted for the n bytes that a needs. A whole call evicts any
 // that is not whole, the largest first. One that is not whole itself evicts those that hold
 // more than it will, and others only if they began before it and have had their grace: so small
-// requests are served beside a crowd of large ones, and among equals the last one comes to its
-// end.
+// requests are served beside a crowd of large ones, and among equals the newest one completes.
 func (s *accounts) holder(a *account, n int64, now time.Time) *account {
 	class := -1
 	if a != nil && a.phase != phaseBusy {
--- a/openclients/persistent_test.go
+++ b/openclients/persistent_test.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	// movePause is the time between two pieces of moveBytes of a client that keeps moving.
+	// movePause is the time between two pieces of moveBytes of a client that sends slowly.
 	movePause = 300 * time.Millisecond
 	moveBytes = 1_200
 	// ordinaryRequests is the number of requests that an ordinary client sends beside a
@@ -92,7 +92,7 @@
 	reading.Wait()
 }
 
-// moving sends a body in small pieces that never comes to its end.
+// moving sends a body in small pieces and never completes it.
 func moving(request string, size int) client {
 	whole := body(request, size, kinds[0])
 	return func(n int) [][]byte {
@@ -180,8 +180,8 @@
 	must.LessEq(t, p.maxFDs, fds, must.Sprint("descriptors"))
 }
 
-// TestMovingClients guards against clients that keep moving and never end, so that a port is
-// full for as long as they stay.
+// TestMovingClients guards against clients that send slowly and never complete a request, so
+// that a port is full for as long as they stay.
 func TestMovingClients(t *testing.T) {
 	for _, to := range ports {
 		t.Run(to.name, func(t *testing.T) {
--- a/soak/crowds_test.go
+++ b/soak/crowds_test.go
@@ -23,15 +23,16 @@
 	crowdWrites = 100
 )
 
-// crowdRequests begin what the clients of a crowd send to the ports of an entry. None comes to its end.
+// crowdRequests begin what the clients of a crowd send to the ports of an entry. None is
+// completed.
 var crowdRequests = map[int]string{
 	clientPort: "POST " + prefix + "00000000000000c1 HTTP/1.1\r\nHost: " + host + "\r\nContent-Length: 250000\r\n\r\n",
 	readyPort:  "GET /ready HTTP/1.1\r\nHost: h\r\nContent-Length: 250000\r\n\r\n",
 	peerPort:   "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00",
 }
 
-// holdCrowds has crowds come to random ports of random entries, one after the other, until ctx
-// ends. Their clients move without end and connect again when they are closed.
+// holdCrowds has crowds connect to random ports of random entries, one after the other, until ctx
+// ends. Their clients never complete a request and connect again when they are closed.
 func (tb *testbed) holdCrowds(ctx context.Context, rng *rand.Rand) {
 	ports := []int{clientPort, readyPort, peerPort}
 	for ctx.Err() == nil {
