Wait for a place at a port without a grace, too

With the race detector 23 of 1,500 plays failed. Cause: while the server had read from none of a port's connections, a new one waited for the port's grace; that test has none, and so no wait. Change: the wait is 10 ms at least.

--- a/membudget/accounts.go
+++ b/membudget/accounts.go
@@ -26,6 +26,9 @@
 	// provenShare is the part of a port that connections between two requests may keep
 	// while others wait for a place.
 	provenShare = 2
+	// unreadWait is the least time between two looks for a place while the server has read
+	// from none of the connections that may be evicted.
+	unreadWait = 10 * time.Millisecond
 	// unprovenFactor is the memory that a stream may take for each byte of its first message:
 	// frames of one byte take several times their size.
 	unprovenFactor = 8
@@ -177,7 +180,7 @@
 	}
 	v = from.first()
 	if v == nil && p.unread > 0 {
-		return nil, p.grace
+		return nil, max(p.grace, unreadWait)
 	}
 	if v == nil {
 		return nil, 0
--- a/membudget/accounts_test.go
+++ b/membudget/accounts_test.go
@@ -162,6 +162,12 @@
 	tb.enter(a, phaseBusy, tb.now)
 	_, wait, _ = tb.open(&account{port: tb.ports[0]}, tb.now)
 	must.Zero(t, wait, must.Sprint("until a connection is closed"))
+	tb.close(a)
+	tb.ports[0].grace = 0
+	_, _, ok = tb.open(&account{port: tb.ports[0]}, tb.now)
+	must.True(t, ok)
+	_, wait, _ = tb.open(&account{port: tb.ports[0]}, tb.now)
+	must.Positive(t, wait, must.Sprint("also without a grace"))
 }
 
 // TestIdleConnectionsOutliveUnreadOnes guards against the loss of honest connections when a crowd
