--- a/review/_fleet3/fleet.go
+++ b/review/_fleet3/fleet.go
@@ -21,13 +21,14 @@
 )
 
 type stepSpec struct {
-	Count    int   `json:"count"`
-	CPU      int   `json:"cpu,omitempty"`
-	MemMB    int   `json:"mem_mb,omitempty"`
-	Estimate int   `json:"est_runtime_ms,omitempty"`
-	After    []int `json:"after,omitempty"`
-	PerRun   int   `json:"max_per_server,omitempty"`
-	Lasts    bool  `json:"-"`
+	Count    int    `json:"count"`
+	CPU      int    `json:"cpu,omitempty"`
+	MemMB    int    `json:"mem_mb,omitempty"`
+	Estimate int    `json:"est_runtime_ms,omitempty"`
+	After    []int  `json:"after,omitempty"`
+	PerRun   int    `json:"max_per_server,omitempty"`
+	Label    string `json:"required_label,omitempty"`
+	Lasts    bool   `json:"-"`
 }
 
 type jobBody struct {
--- a/review/_fleet3/main.go
+++ b/review/_fleet3/main.go
@@ -11,7 +11,7 @@
 )
 
 var cases = map[string]func(*fleet){
-	"far-date": farDate, "roll": roll, "hopeless": hopeless, "release": release, "ends-done": endsDone, "crash-loop": crashLoop, "turned-away": turnedAway,
+	"far-date": farDate, "roll": roll, "hopeless": hopeless, "release": release, "ends-done": endsDone, "crash-loop": crashLoop, "turned-away": turnedAway, "late-ack": lateAck, "held-end": heldEnd, "lost-start": lostStart,
 }
 
 func main() {
@@ -65,6 +65,7 @@
 	lastingLimit = 6 * time.Second // LOST: a task that lasts, from 6 s after its last run
 	idleLimit    = 3 * time.Second // LOST: for 3 s
 	calmBefore   = 4 * time.Second // LOST: if the 3 s and the 4 s before them are calm
+	finishTime   = 14 * time.Second
 )
 
 // watchLasting applies the last part of LOST to the tasks of a lasting job: a task may not be
@@ -212,13 +213,7 @@
 	}
 	f.awaitReady(15 * time.Second)
 	time.Sleep(8 * time.Second)
-	plain := f.submit("calc", jobBody{Steps: []stepSpec{{Count: 2, CPU: 1000, MemMB: 128, Estimate: 500}}}, []plan{{MS: 500, End: "done"}})
-	lasting := f.submit("calc", jobBody{Steps: []stepSpec{{Count: 2, CPU: 1000, MemMB: 128, Estimate: 1000, Lasts: true}}}, []plan{{}})
-	lost := f.watchLasting(lasting, 2, disruption, 18*time.Second, "calc-desk", 1000)
-	f.log("plain job: %d runs", len(f.runsOf(plain)))
-	f.state("calc", plain)
-	f.state("calc", lasting)
-	f.judge(lost)
+	f.judge(f.watchNew(disruption))
 }
 
 // hopeless: jobs of a class with long tasks; a twentieth of them can never be done. Then a
@@ -250,10 +245,27 @@
 	for _, id := range failing {
 		f.state("calc", id)
 	}
+	f.judge(f.watchNew(disruption))
+}
+
+// watchNew hands a lasting job and an ordinary one in, the last ones of the traffic, and applies
+// LOST to both.
+func (f *fleet) watchNew(disruption time.Time) []string {
 	lasting := f.submit("calc", jobBody{Steps: []stepSpec{{Count: 2, CPU: 1000, MemMB: 128, Estimate: 1000, Lasts: true}}}, []plan{{}})
-	lost := f.watchLasting(lasting, 2, disruption, 20*time.Second, "calc-desk", 1000)
+	plain := f.submit("calc", jobBody{Steps: []stepSpec{{Count: 2, CPU: 1000, MemMB: 128, Estimate: 500}}}, []plan{{MS: 500, End: "done"}})
+	end := time.Now()
+	lost := f.watchLasting(lasting, 2, disruption, finishTime+idleLimit+time.Second, "calc-desk", 1000)
+	runs := f.runsOf(plain + ".")
+	ran := false
+	for _, r := range runs {
+		ran = ran || r.over.IsZero() || r.over.After(end.Add(finishTime))
+	}
+	used, all := f.cpuInUse("calc-desk")
+	if state := f.state("calc", plain); state != "done" && !ran && 2*used < all {
+		lost = append(lost, fmt.Sprintf("job %s: %d runs, none from %v to %v after the end of the traffic; %d of %d thousandths of a core in use", plain, len(runs), finishTime, finishTime+idleLimit, used, all))
+	}
 	f.state("calc", lasting)
-	f.judge(lost)
+	return lost
 }
 
 // release: the runners of a service whose queue has advice are replaced one after the other.
@@ -412,3 +424,148 @@
 	}
 	return shortest
 }
+
+// lateAck: a poll that acknowledges an end gets no answer. Its runner crashes, is back under its
+// id, gets another task, and is cut off for a moment, in which the task ends and the poll is
+// carried out.
+func lateAck(f *fleet) {
+	const (
+		crashAfter, down = 100 * time.Millisecond, 600 * time.Millisecond
+		cutAfter, cut    = 500 * time.Millisecond, 3 * time.Second
+		runs             = 1500 * time.Millisecond
+		lateBy           = 1500 * time.Millisecond // after the second task has begun
+	)
+	f.addService("calc-desk")
+	f.addQueue("calc", "calc-desk", 3, nil)
+	f.configure()
+	f.startRunners("calc-desk", 7)
+	press := f.newRunnerAt("127.0.0.1:0", "press", "i-calc-desk-press", "m-calc-desk-press", "calc-desk", "r1-1")
+	f.startEntries(3)
+	step := stepSpec{Count: 1, CPU: 2000, MemMB: 256, Estimate: 1000, Label: "press"}
+	held := make(chan time.Time, 1)
+	press.mu.Lock()
+	if f.trouble {
+		done := false
+		press.delays = func(path string, c runnerCall) time.Duration {
+			if done || path != "/hold" || c.Acked < 1 {
+				return 0
+			}
+			done = true
+			held <- time.Now()
+			return crashAfter + down + 3200*time.Millisecond
+		}
+	}
+	press.mu.Unlock()
+	first := f.submit("calc", jobBody{Steps: []stepSpec{step}}, []plan{{MS: 800, End: "done"}})
+	f.awaitDone(first, 1, 10*time.Second)
+	if f.trouble {
+		<-held
+		time.Sleep(crashAfter)
+		f.log("runner %s crashes", press.id)
+		press.end()
+		time.Sleep(down)
+		press = f.newRunnerAt(press.addr, "press", press.id, press.machine, press.service, press.rack)
+	}
+	second := f.submit("calc", jobBody{Steps: []stepSpec{step}}, []plan{{MS: int(runs.Milliseconds()), End: "done"}})
+	f.await("the second task begins", 10*time.Second, func() bool { return len(f.runsOf(second)) > 0 })
+	if f.trouble {
+		time.Sleep(cutAfter)
+		f.log("runner %s is cut off for %v", press.id, cut)
+		press.cutFor(cut)
+	}
+	time.Sleep(12 * time.Second)
+	f.state("calc", second)
+	f.judgeOnce(second)
+}
+
+// judgeOnce applies to a job's tasks the part of TWICE about starts after an end done that was
+// taken note of.
+func (f *fleet) judgeOnce(id string) {
+	seen := f.runsOf(id + ".")
+	for i, a := range seen {
+		for _, b := range seen[i+1:] {
+			if a.task == b.task && a.how == "done" && !a.acked.IsZero() && b.began.After(a.over) {
+				f.broken("TWICE: task %s ended done as run %d on %s, its end was taken note of, and run %d began on %s %.1f s after the end", a.task, a.attempt, a.runner, b.attempt, b.runner, b.began.Sub(a.over).Seconds())
+			}
+		}
+	}
+	f.held("TWICE: job %s has %d runs", id, len(seen))
+}
+
+// heldEnd: a start gets no answer and is repeated; its task runs and ends done. The owner is
+// killed. The runner is cut off, crashes behind the cut and starts again, and the first start is
+// carried out.
+func heldEnd(f *fleet) {
+	const lateBy = 10 * time.Second
+	f.addService("calc-desk")
+	f.addQueue("calc", "calc-desk", 3, nil)
+	f.configure()
+	f.startRunners("calc-desk", 7)
+	press := f.newRunnerAt("127.0.0.1:0", "press", "i-calc-desk-press", "m-calc-desk-press", "calc-desk", "r1-1")
+	f.startEntries(3)
+	press.mu.Lock()
+	if f.trouble {
+		done := false
+		press.delays = func(path string, _ runnerCall) time.Duration {
+			if done || path != "/run-start" {
+				return 0
+			}
+			done = true
+			return lateBy
+		}
+	}
+	press.mu.Unlock()
+	begun := time.Now()
+	id := f.submit("calc", jobBody{Steps: []stepSpec{{Count: 1, CPU: 2000, MemMB: 256, Estimate: 1000, Label: "press"}}}, []plan{{MS: 1000, End: "done"}})
+	f.awaitDone(id, 1, 10*time.Second)
+	if f.trouble {
+		time.Sleep(300 * time.Millisecond)
+		leader := f.store.leaderNow()
+		for _, e := range f.entries {
+			if e.name == leader {
+				f.log("SIGKILL to %s", e.name)
+				e.kill()
+				time.Sleep(time.Second)
+				f.startEntry(e)
+			}
+		}
+		time.Sleep(time.Until(begun.Add(7 * time.Second)))
+		f.log("runner %s is cut off", press.id)
+		press.cutFor(5500 * time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
+		f.log("runner %s crashes behind the cut", press.id)
+		press.end()
+		time.Sleep(600 * time.Millisecond)
+		press = f.newRunnerAt(press.addr, "press", press.id, press.machine, press.service, press.rack)
+		press.cutFor(4400 * time.Millisecond)
+	}
+	time.Sleep(time.Until(begun.Add(18 * time.Second)))
+	f.state("calc", id)
+	f.judgeOnce(id)
+}
+
+// lostStart: the runner that gets the start of a lasting task falls silent with it, for good.
+func lostStart(f *fleet) {
+	const runners = 8
+	f.startFleet(3, runners, 3, nil)
+	lost := make(chan struct{}, runners)
+	if f.trouble {
+		f.mu.Lock()
+		for _, r := range f.runners {
+			r.mu.Lock()
+			r.delays = func(path string, _ runnerCall) time.Duration {
+				if path != "/run-start" || len(lost) > 0 {
+					return 0
+				}
+				lost <- struct{}{}
+				f.log("runner %s falls silent for good as a start reaches it", r.id)
+				r.cutFor(time.Hour)
+				return time.Hour
+			}
+			r.mu.Unlock()
+		}
+		f.mu.Unlock()
+	}
+	lasting := f.submit("calc", jobBody{Steps: []stepSpec{{Count: 1, CPU: 2000, MemMB: 256, Estimate: 1000, Lasts: true}}}, []plan{{}})
+	f.judge(f.watchLasting(lasting, 1, time.Now(), 26*time.Second, "calc-desk", 2000))
+}
--- a/review/_fleet3/runner.go
+++ b/review/_fleet3/runner.go
@@ -1,11 +1,14 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sort"
 	"strconv"
 	"strings"
@@ -45,6 +48,7 @@
 	attempt int64
 	how     string
 	saved   string
+	lapsed  bool // the lease has lapsed since
 }
 
 // runner is a stand-in of one life of a runner, by the platform's page on running tasks.
@@ -78,16 +82,28 @@
 	seq      int
 	// onStart, if set, is called after a start was carried out.
 	onStart func()
+	// kind is the runner's label beside its rack.
+	kind string
+	// cutUntil is until when calls don't reach the runner, and its answers nobody.
+	cutUntil time.Time
+	// delays, if set, returns how much later a call is carried out, which is not answered then;
+	// zero for one that is answered.
+	delays func(path string, c runnerCall) time.Duration
+	mux    *http.ServeMux
 }
 
 func (f *fleet) newRunner(id, machine, service, rack string) *runner {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return f.newRunnerAt("127.0.0.1:0", "standard", id, machine, service, rack)
+}
+
+func (f *fleet) newRunnerAt(addr, kind, id, machine, service, rack string) *runner {
+	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		f.cannotRun("listen: %v", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &runner{
-		f: f, id: id, machine: machine, service: service, rack: rack, addr: ln.Addr().String(), listener: ln, born: time.Now(), cancel: cancel,
+		f: f, id: id, kind: kind, machine: machine, service: service, rack: rack, addr: ln.Addr().String(), listener: ln, born: time.Now(), cancel: cancel,
 		running: make(map[string]*runningTask), over: make(map[string]int64), tickets: make(map[string]string), changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -95,6 +111,7 @@
 	mux.HandleFunc("POST /run-stop", r.stop)
 	mux.HandleFunc("POST /pace", r.pace)
 	mux.HandleFunc("POST /hold", r.hold)
+	r.mux = mux
 	r.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if t := req.Header.Get(names.Target); t != "" && t != r.id {
 			writeJSON(w, http.StatusMisdirectedRequest, map[string]any{names.Clock: r.clock()})
@@ -104,7 +121,7 @@
 		r.lastCall = time.Now()
 		r.connMu.Unlock()
 		time.Sleep(answerTime)
-		mux.ServeHTTP(w, req)
+		r.receive(w, req)
 	}), ConnState: r.connState}
 	go func() { _ = r.server.Serve(&capped{Listener: ln, r: r}) }()
 	go r.work(ctx)
@@ -179,6 +196,55 @@
 	}
 }
 
+// cutFor cuts the runner off for a time.
+func (r *runner) cutFor(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cutUntil = time.Now().Add(d)
+}
+
+// receive carries a call out, unless the runner is cut off or the call is carried out late.
+func (r *runner) receive(w http.ResponseWriter, req *http.Request) {
+	raw, err := io.ReadAll(req.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	r.mu.Lock()
+	cut, delays := r.cutUntil, r.delays
+	r.mu.Unlock()
+	var late time.Duration
+	if c, err := decodeCall(bytes.NewReader(raw)); delays != nil && err == nil {
+		late = delays(req.URL.Path, c)
+	}
+	if late > 0 {
+		r.f.log("%s at %s gets no answer and is carried out %v later: %s", req.URL.Path, r.id, late, raw)
+		time.AfterFunc(late, func() { r.f.carryOutLate(r.id, req.Header.Clone(), req.URL.Path, raw) })
+		cut = time.Now().Add(2 * time.Second) // longer than any call waits
+	}
+	if time.Now().Before(cut) {
+		sleep(req.Context(), time.Until(cut))
+		panic(http.ErrAbortHandler)
+	}
+	req.Body = io.NopCloser(bytes.NewReader(raw))
+	r.mux.ServeHTTP(w, req)
+}
+
+// carryOutLate has the present life of a runner carry out a call.
+func (f *fleet) carryOutLate(id string, h http.Header, path string, raw []byte) {
+	f.mu.Lock()
+	r := f.runners[id]
+	f.mu.Unlock()
+	if r == nil {
+		f.log("no life of %s is there for %s", id, path)
+		return
+	}
+	req := httptest.NewRequest(http.MethodPost, path, bytes.NewReader(raw))
+	req.Header = h
+	answer := httptest.NewRecorder()
+	r.mux.ServeHTTP(answer, req)
+	f.log("late %s is carried out at %s, born %d: %d %s", path, id, r.born.UnixMilli(), answer.Code, answer.Body.Bytes())
+}
+
 func (r *runner) clock() int64 { return time.Since(r.born).Milliseconds() + 1 }
 
 // report writes the runner's entry to the store.
@@ -192,7 +258,7 @@
 	state := "ready"
 	body := map[string]any{
 		"service": r.service, "addr": r.addr, "zone": "zone-a", "version": "1", "slots": 8, "cold_left_ms": 0, "seq": r.seq,
-		"born": r.born.UnixMilli(), "machine": r.machine, "labels": []string{"standard", r.rack},
+		"born": r.born.UnixMilli(), "machine": r.machine, "labels": []string{r.kind, r.rack},
 		"capacity": map[string]int{"cpu": workerCPU, "mem_mb": workerMemoryMB},
 	}
 	if r.draining {
@@ -250,6 +316,9 @@
 		r.mu.Lock()
 		lapsed := r.clock() > r.deadline
 		now := time.Now()
+		for i := range r.ended {
+			r.ended[i].lapsed = r.ended[i].lapsed || lapsed
+		}
 		for name, t := range r.running {
 			runs := now.Sub(t.began)
 			switch {
@@ -393,7 +462,10 @@
 		r.extend(c.Deadline)
 	}
 	for len(r.ended) > 0 && r.ended[0].n <= c.Acked {
-		r.f.acked(r.ended[0].task, r.ended[0].attempt)
+		if e := &r.ended[0]; !e.lapsed {
+			r.f.log("the end of run %s %d on %s is taken note of", e.task, e.attempt, r.id)
+			r.f.acked(e.task, e.attempt)
+		}
 		r.ended = r.ended[1:]
 	}
 	end := time.After(time.Duration(min(c.WaitMS, 2000)) * time.Millisecond)
--- a/review/_fleet3/store.go
+++ b/review/_fleet3/store.go
@@ -123,6 +123,12 @@
 	return s.leader
 }
 
+func (s *store) leaderNow() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leader
+}
+
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	raw, err := json.Marshal(body)
 	if err != nil {
