--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -3,4 +3,4 @@
 # does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/banyanrail-entry ] && [ -x target/review-fleet3 ] || exit 2
-exec target/review-fleet3 -case turned-away -entry target/banyanrail-entry -record review/14/record.txt
+exec target/review-fleet3 -case roll -entry target/banyanrail-entry -record review/14/record.txt
