--- a/review/_fleet3/main.go
+++ b/review/_fleet3/main.go
@@ -207,7 +207,7 @@
 	if f.trouble {
 		for _, e := range f.entries {
 			f.terminate(e)
-			time.Sleep(1300 * time.Millisecond)
+			time.Sleep(2 * time.Second)
 		}
 		disruption = time.Now()
 	}
