--- a/review/_fleet3/main.go
+++ b/review/_fleet3/main.go
@@ -433,7 +433,7 @@
 		crashAfter, down = 100 * time.Millisecond, 600 * time.Millisecond
 		cutAfter, cut    = 500 * time.Millisecond, 3 * time.Second
 		runs             = 1500 * time.Millisecond
-		lateBy           = 1500 * time.Millisecond // after the second task has begun
+		late             = 3900 * time.Millisecond // after the second task has ended, during the cut
 	)
 	f.addService("calc-desk")
 	f.addQueue("calc", "calc-desk", 3, nil)
@@ -452,7 +452,7 @@
 			}
 			done = true
 			held <- time.Now()
-			return crashAfter + down + 3200*time.Millisecond
+			return late
 		}
 	}
 	press.mu.Unlock()
