Review: keep the late calls of cases 12 and 13 within the site's share

They now run ordinary jobs beside it, count the orders to runners in 5.5 s and can't run (exit 2) if the share is exceeded.

--- a/review/_fleet3/fleet.go
+++ b/review/_fleet3/fleet.go
@@ -88,6 +88,9 @@
 	advised  map[string]bool
 	machines string
 	taken    map[int]bool
+	// orders counts the starts and stops that runners got, and late the calls that are carried
+	// out late.
+	orders, late int
 }
 
 func newFleet(binary, recordFile string, trouble bool) *fleet {
@@ -570,6 +573,43 @@
 	return a.State
 }
 
+const (
+	lateShare  = 0.055 // applied_late: x
+	lateWindow = 5500 * time.Millisecond
+)
+
+// traffic hands in small jobs for the ordinary runners until the returned function is called.
+func (f *fleet) traffic(queue string) (stop func()) {
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(250 * time.Millisecond):
+			}
+			step := stepSpec{Count: 4, CPU: 500, MemMB: 64, Estimate: 300, Label: "standard"}
+			go f.submitOrNot(queue, jobBody{Steps: []stepSpec{step}}, []plan{{MS: 300, End: "done"}})
+		}
+	}()
+	return func() {
+		close(done)
+		<-ended
+	}
+}
+
+// judgeLate ends the case if a larger share of the orders than the site allows was late.
+func (f *fleet) judgeLate(before int) {
+	f.mu.Lock()
+	orders, late := f.orders-before, f.late
+	f.mu.Unlock()
+	f.log("%d call carried out late beside %d starts and stops in %v", late, orders, lateWindow)
+	if float64(late) > lateShare*float64(orders) {
+		f.cannotRun("%d late calls of %d exceed the share %g", late, orders, lateShare)
+	}
+}
+
 func (f *fleet) needsTicket(task string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/review/_fleet3/main.go
+++ b/review/_fleet3/main.go
@@ -456,6 +456,9 @@
 		}
 	}
 	press.mu.Unlock()
+	defer f.traffic("calc")()
+	before := f.orders
+	time.AfterFunc(lateWindow, func() { f.judgeLate(before) })
 	first := f.submit("calc", jobBody{Steps: []stepSpec{step}}, []plan{{MS: 800, End: "done"}})
 	f.awaitDone(first, 1, 10*time.Second)
 	if f.trouble {
@@ -515,6 +518,9 @@
 		}
 	}
 	press.mu.Unlock()
+	defer f.traffic("calc")()
+	before := f.orders
+	time.AfterFunc(lateWindow, func() { f.judgeLate(before) })
 	begun := time.Now()
 	id := f.submit("calc", jobBody{Steps: []stepSpec{{Count: 1, CPU: 2000, MemMB: 256, Estimate: 1000, Label: "press"}}}, []plan{{MS: 1000, End: "done"}})
 	f.awaitDone(id, 1, 10*time.Second)
--- a/review/_fleet3/runner.go
+++ b/review/_fleet3/runner.go
@@ -212,12 +212,20 @@
 	r.mu.Lock()
 	cut, delays := r.cutUntil, r.delays
 	r.mu.Unlock()
+	r.f.mu.Lock()
+	if req.URL.Path != "/hold" {
+		r.f.orders++
+	}
+	r.f.mu.Unlock()
 	var late time.Duration
 	if c, err := decodeCall(bytes.NewReader(raw)); delays != nil && err == nil {
 		late = delays(req.URL.Path, c)
 	}
 	if late > 0 {
 		r.f.log("%s at %s gets no answer and is carried out %v later: %s", req.URL.Path, r.id, late, raw)
+		r.f.mu.Lock()
+		r.f.late++
+		r.f.mu.Unlock()
 		time.AfterFunc(late, func() { r.f.carryOutLate(r.id, req.Header.Clone(), req.URL.Path, raw) })
 		cut = time.Now().Add(2 * time.Second) // longer than any call waits
 	}
