--- a/codec/ledger.go
+++ b/codec/ledger.go
@@ -24,6 +24,7 @@
 	progressPrefix     = "p/"
 	partPrefix         = "P/"
 	wavePrefix         = "w/"
+	holdPrefix         = "h/"
 	recentlyOrderedKey = "instances"
 	unreachedKey       = "unreached"
 	restartedKey       = "restarted"
@@ -170,6 +171,11 @@
 	Done []fleet.InstanceID `json:"d"`
 }
 
+type hold struct {
+	Runner fleet.RunnerID `json:"r"`
+	Epoch  int64          `json:"e"`
+}
+
 type recentlyOrdered struct {
 	Instances []fleet.InstanceID `json:"i"`
 }
@@ -229,6 +235,8 @@
 		return encodeList(runTimesKey, 0, encodeRunTimes(r.RunTimes), len(r.RunTimes.Entries))
 	case r.Wave != nil:
 		return encodeList(wavePrefix+strconv.FormatInt(r.Wave.ID, 10), r.Part, wave{Done: r.Wave.Done}, len(r.Wave.Done))
+	case r.Hold != nil:
+		return encodeHold(r)
 	case r.DropPart:
 		return storage.Record{Key: partKey(r.Job, r.DropGeneration, r.Part)}, nil
 	case r.ProgressPart != nil:
@@ -258,6 +266,32 @@
 	return storage.Record{Key: key, Value: raw}, oops.In("codec").With("step", "encode list", "peer", key).Wrap(err)
 }
 
+// encodeHold returns the record of a hold, whose key has the task and the attempt.
+func encodeHold(r *ledger.Record) (storage.Record, error) {
+	h := r.Hold
+	key := holdPrefix + h.Task.String() + partSeparator + strconv.FormatInt(h.Attempt, 10)
+	if r.DropHold {
+		return storage.Record{Key: key}, nil
+	}
+	raw, err := json.Marshal(hold{Runner: h.Runner, Epoch: h.Epoch})
+	return storage.Record{Key: key, Value: raw}, oops.In("codec").With("step", "encode hold", "peer", key).Wrap(err)
+}
+
+func decodeHold(name string, raw []byte) (ledger.Hold, error) {
+	task, attempt, _ := strings.Cut(name, partSeparator)
+	id, err := fleet.ParseTaskID(task)
+	if err != nil {
+		return ledger.Hold{}, err
+	}
+	n, err := strconv.ParseInt(attempt, 10, 64)
+	if err != nil {
+		return ledger.Hold{}, err
+	}
+	var w hold
+	err = json.Unmarshal(raw, &w)
+	return ledger.Hold{Task: id, Attempt: n, Runner: w.Runner, Epoch: w.Epoch}, err
+}
+
 func encodeRunTimes(t *ledger.RunTimes) runTimes {
 	w := runTimes{Entries: make([]runTime, 0, len(t.Entries))}
 	for i := range t.Entries {
@@ -398,6 +432,8 @@
 type Ledger struct {
 	Jobs  []ledger.StoredJob
 	Waves []ledger.Wave
+	// Holds holds the ends that were not to be acknowledged.
+	Holds []ledger.Hold
 	// RecentlyOrdered holds the instances about which the owner may recently have
 	// given orders.
 	RecentlyOrdered []fleet.InstanceID
@@ -526,6 +562,13 @@
 	if id, ok := strings.CutPrefix(r.Key, wavePrefix); ok {
 		return d.addWave(id, r.Value)
 	}
+	if name, ok := strings.CutPrefix(r.Key, holdPrefix); ok {
+		h, err := decodeHold(name, r.Value)
+		if err == nil {
+			d.out.Holds = append(d.out.Holds, h)
+		}
+		return err
+	}
 	return d.addList(r)
 }
 
--- a/codec/size_test.go
+++ b/codec/size_test.go
@@ -87,7 +87,7 @@
 	ids := rapid.SliceOfN(rapid.Map(drawnText(20), func(s string) fleet.InstanceID { return fleet.InstanceID(s) }), 0, 20)
 	runners := rapid.SliceOfN(rapid.Map(drawnText(20), func(s string) fleet.RunnerID { return fleet.RunnerID(s) }), 0, 20)
 	part := rapid.IntRange(0, 99_999).Draw(t, "part")
-	switch rapid.IntRange(0, 7).Draw(t, "kind") {
+	switch rapid.IntRange(0, 8).Draw(t, "kind") {
 	case 0:
 		return ledger.Record{Job: "0123456789abcdef", Definition: &ledger.Definition{
 			Queue: fleet.QueueName(drawnText(20).Draw(t, "queue")), Service: fleet.ServiceName(drawnText(20).Draw(t, "service")),
@@ -109,6 +109,11 @@
 	case 6:
 		entries := rapid.SliceOfN(rapid.Custom(drawnRunTime), 0, 20).Draw(t, "run times")
 		return ledger.FitRunTimes(entries, rapid.IntRange(100, 4000).Draw(t, "limit"))
+	case 8:
+		return ledger.Record{Hold: &ledger.Hold{
+			Task:    fleet.TaskID{Job: "0123456789abcdef", Occurrence: drawnCount().Draw(t, "occurrence"), Step: drawnCount().Draw(t, "step")},
+			Attempt: int64(drawnCount().Draw(t, "attempt")), Runner: fleet.RunnerID(drawnText(20).Draw(t, "runner")), Epoch: int64(drawnCount().Draw(t, "epoch")),
+		}, DropHold: rapid.Bool().Draw(t, "drop")}
 	case 5:
 		return ledger.Record{Part: part, Wave: &ledger.Wave{ID: int64(drawnCount().Draw(t, "wave")), Done: ids.Draw(t, "done")}}
 	default:
--- a/jobentry/store.go
+++ b/jobentry/store.go
@@ -95,7 +95,7 @@
 		}
 		loaded.Jobs, loaded.Waves, loaded.RecentlyOrdered, loaded.OrdersUnreadable = l.Jobs, l.Waves, l.RecentlyOrdered, l.OrdersUnreadable
 		loaded.Unreached, loaded.Restarted, loaded.Parts = l.Unreached, l.Restarted, l.Parts
-		loaded.RunTimes = l.RunTimes
+		loaded.RunTimes, loaded.Holds = l.RunTimes, l.Holds
 	}
 	if err != nil {
 		e.deps.Logger.Warn("ledger not loaded", "epoch", o.Epoch, "error", describe(err))
--- a/reduce/event/jobs.go
+++ b/reduce/event/jobs.go
@@ -86,6 +86,8 @@
 	Unreached ledger.Unreached
 	// Restarted holds the runners that had restarted lately.
 	Restarted []fleet.RunnerID
+	// Holds holds the ends that were not to be acknowledged.
+	Holds []ledger.Hold
 	// Parts holds the number of records of each list.
 	Parts ledger.ListParts
 	// RunTimes is what an owner has learned of run times; nil without a record.
--- a/reduce/jobs/changes.go
+++ b/reduce/jobs/changes.go
@@ -19,15 +19,17 @@
 	unreachedChange
 	restartedChange
 	runTimesChange
+	holdChange
 	changeKinds
 )
 
 // change is something that differs from what the ledger holds.
 type change struct {
 	kind changeKind
-	// job is set for a jobChange, and wave for a waveChange.
+	// job is set for a jobChange, wave for a waveChange, and hold for a holdChange.
 	job  *job
 	wave *wave
+	hold *hold
 }
 
 // storedList is what the ledger holds of a list.
@@ -76,6 +78,8 @@
 		return o.waveRecords(c.wave)
 	case runTimesChange:
 		return o.runTimeRecords()
+	case holdChange:
+		return []ledger.Record{{Hold: &c.hold.Hold, DropHold: true}}
 	default:
 		return o.listRecords(c.kind)
 	}
@@ -145,7 +149,7 @@
 	if j.expired {
 		return append([]ledger.Record{{Job: j.id, DropProgress: true}}, j.dropParts([ledger.GenerationSlots]int{})...)
 	}
-	var out []ledger.Record
+	out := o.holdRecords(j)
 	if !j.definitionStored {
 		j.definitionStored = true
 		out = append(out, o.definitionRecord(j))
--- a/reduce/jobs/former.go
+++ b/reduce/jobs/former.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/event"
@@ -18,6 +19,8 @@
 	// leasedBy holds, for each runner that the previous owner did not reach, the last epoch
 	// that may have granted a lease.
 	leasedBy map[fleet.RunnerID]int64
+	// holds holds until when the ends of tasks that have ended are not acknowledged.
+	holds map[heldTask]time.Time
 }
 
 // restoreFormer restores what the ledger tells of runners. The previous owner removed a
--- a/reduce/jobs/heldends_test.go
+++ b/reduce/jobs/heldends_test.go
@@ -90,3 +90,36 @@
 	w.run(20 * time.Second)
 	w.checkInvariants()
 }
+
+// TestHoldsPassFromOwnerToOwner has two owners end in turn while the end of a task is held: the
+// second next owner acknowledged it, and the late start repeated the task. Once the start can't
+// come any more, the ledger holds nothing of it.
+func TestHoldsPassFromOwnerToOwner(t *testing.T) {
+	const ms = time.Millisecond
+	for _, trouble := range []int{1, 2} {
+		t.Run(ownerTroubles[trouble].name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, 463, 3, 2, slowClock)
+			w.run(30 * time.Second)
+			u, task := w.unseenRestart(11800*ms, 0), firstTask(jobID(0))
+			w.submit(jobID(0), oneTaskJob(300*ms))
+			u.awaitStart()
+			for range 100 {
+				if !w.doneOnce[task] {
+					w.run(20 * ms)
+				}
+			}
+			w.run(100 * ms)
+			must.SliceLen(t, 1, w.store.content().Holds)
+			for range 2 {
+				ownerTroubles[trouble].happen(w.owner())
+				w.run(4 * time.Second)
+			}
+			u.restart(600*ms, time.Second)
+			w.run(60 * time.Second)
+			w.checkInvariants()
+			must.Positive(t, w.strayStarts, must.Sprint("the late start was not carried out by another incarnation"))
+			must.SliceEmpty(t, w.store.content().Holds)
+		})
+	}
+}
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -63,6 +63,8 @@
 	// progress to store, inOutbox while the job has changes that are in no batch,
 	// and expired once its final state need not be kept.
 	definitionStored, definitionDropped, hasProgress, inOutbox, expired bool
+	// unstoredHolds lists the holds that are to be stored before the job's progress.
+	unstoredHolds []*hold
 	// generation is that of the parts of the job's progress, and parts the number of
 	// parts that may be stored in each of their slots.
 	generation int64
@@ -305,6 +307,7 @@
 // finishTask marks a task as done. It queues the steps that become ready, and ends
 // the job after its last occurrence.
 func (o *ownership) finishTask(t *task) {
+	o.addHolds(t)
 	t.phase, t.checkpoint, t.run = taskDone, "", nil
 	o.recount(t)
 	st := t.step
@@ -336,6 +339,13 @@
 // stored.
 func (o *ownership) endJob(j *job, state fleet.JobState) {
 	j.state, j.ended = state, o.now()
+	if state == fleet.JobFailed {
+		for _, occ := range j.occurrences {
+			for _, t := range occ.allTasks() {
+				o.addHolds(t)
+			}
+		}
+	}
 	o.markProgress(j)
 	o.dequeue(j)
 	o.whenStored(deferred{publish: j})
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -103,7 +103,7 @@
 		byInstance:        make(map[fleet.InstanceID][]*runner),
 		waitingJobs:       make(map[fleet.QueueName]int),
 		unreached:         unreachedRunners{leasedBy: make(map[fleet.RunnerID]int64)},
-		former:            former{restarted: make(map[fleet.RunnerID]bool)},
+		former:            former{restarted: make(map[fleet.RunnerID]bool), holds: make(map[heldTask]time.Time)},
 		withheld:          make(map[fleet.RunnerID]bool),
 		pools:             make(map[fleet.ServiceName]*pool),
 		instances:         newInstances(),
@@ -158,6 +158,7 @@
 	o.outbox.lists[unreachedChange].parts = b.Parts.Unreached
 	o.outbox.lists[restartedChange].parts = b.Parts.Restarted
 	o.restoreFormer(b.Restarted, &b.Unreached)
+	o.restoreHolds(b.Holds)
 	o.restoreRunTimes(b.RunTimes)
 	for i := range b.Jobs {
 		o.restoreJob(&b.Jobs[i])
@@ -212,6 +213,8 @@
 			o.retryOrder(owner)
 		case *job:
 			o.beginScheduled(owner)
+		case *hold:
+			o.expireHold(owner)
 		}
 	}
 }
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -328,7 +328,7 @@
 	l := s.content()
 	return event.LedgerLoaded{
 		Jobs: l.Jobs, Waves: l.Waves, RecentlyOrdered: l.RecentlyOrdered, OrdersUnreadable: l.OrdersUnreadable, Unreached: l.Unreached,
-		Restarted: l.Restarted, Parts: l.Parts, RunTimes: l.RunTimes,
+		Restarted: l.Restarted, Parts: l.Parts, RunTimes: l.RunTimes, Holds: l.Holds,
 	}
 }
 
--- a/reduce/ledger/ledger.go
+++ b/reduce/ledger/ledger.go
@@ -42,6 +42,19 @@
 	Restarted *Restarted
 	// RunTimes is set in the record of what was learned of run times; Job is empty then.
 	RunTimes *RunTimes
+	// Hold is set in the record of a hold; Job is empty then. DropHold removes it.
+	Hold     *Hold
+	DropHold bool
+}
+
+// Hold keeps the ends of a task that has ended from being acknowledged to a runner, as long as
+// a start of the task may still be carried out there. An acknowledged end is final.
+type Hold struct {
+	Task fleet.TaskID
+	// Attempt is that of the start, and Epoch that of the last owner that may have ordered it.
+	Attempt int64
+	Runner  fleet.RunnerID
+	Epoch   int64
 }
 
 // RunTimes is what an owner has learned of run times.
--- a/reduce/ledger/size.go
+++ b/reduce/ledger/size.go
@@ -37,6 +37,8 @@
 		return size + r.Unreached.size()
 	case r.RunTimes != nil:
 		return size + r.RunTimes.size()
+	case r.Hold != nil:
+		return size + r.Hold.size()
 	case r.Wave != nil:
 		return size + intSize(r.Wave.ID) + listSize(r.Wave.Done)
 	case r.Definition != nil:
@@ -58,6 +60,10 @@
 	return size
 }
 
+func (h *Hold) size() int {
+	return objectOverhead + len(h.Task.String()) + intSize(h.Attempt) + textField(string(h.Runner)) + intField(h.Epoch)
+}
+
 func (t *RunTimes) size() int {
 	size := 2*objectOverhead + fieldOverhead
 	for i := range t.Entries {
