--- a/codec/ledger.go
+++ b/codec/ledger.go
@@ -110,15 +110,15 @@
 	if err := json.Unmarshal(raw, &w); err != nil {
 		return nil, oops.In("codec").With("step", "decode job").Wrap(err)
 	}
-	s := &fleet.JobSpec{Text: w.Text, Repeats: w.Repeats, FirstAt: time.UnixMilli(w.FirstAt), Interval: milliseconds(w.Interval)}
+	s := &fleet.JobSpec{Text: w.Text, Repeats: w.Repeats, FirstAt: time.UnixMilli(w.FirstAt), Interval: fleet.Milliseconds(w.Interval)}
 	s.Steps = make([]fleet.Step, 0, len(w.Steps))
 	for i := range w.Steps {
 		st := &w.Steps[i]
 		s.Steps = append(s.Steps, fleet.Step{
-			Count: st.Count, Needs: fleet.Capacity{CPU: st.CPU, Memory: st.Memory, Accelerators: st.Accelerators},
-			Estimate: milliseconds(st.Estimate), After: st.After, Checkpoints: st.Checkpoints, Gang: st.Gang,
+			Count: st.Count, Needs: storedNeeds(st),
+			Estimate: fleet.Milliseconds(st.Estimate), After: st.After, Checkpoints: st.Checkpoints, Gang: st.Gang,
 			SameRack: st.SameRack, Label: st.Label, Affinity: fleet.Rack(st.Affinity), MaxPerRunner: st.MaxPerRunner,
-			Speculative: st.Speculative, LongRunning: st.LongRunning, Image: st.Image, LatencyTarget: milliseconds(st.LatencyTarget),
+			Speculative: st.Speculative, LongRunning: st.LongRunning, Image: st.Image, LatencyTarget: fleet.Milliseconds(st.LatencyTarget),
 			BestEffort: st.BestEffort, MaxUnavailable: st.MaxUnavailable,
 		})
 	}
@@ -128,7 +128,12 @@
 	return s, nil
 }
 
-func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+// storedNeeds returns what a task needs. Entries before the bound accepted more.
+func storedNeeds(st *jobStep) fleet.Capacity {
+	return fleet.Capacity{
+		CPU: min(st.CPU, fleet.MaxNeeds), Memory: min(st.Memory, fleet.MaxNeeds), Accelerators: min(st.Accelerators, fleet.MaxNeeds),
+	}
+}
 
 type definition struct {
 	Queue       fleet.QueueName   `json:"q"`
@@ -646,7 +651,7 @@
 	spec, err := DecodeSpec(w.Spec)
 	return &ledger.Definition{
 		Queue: w.Queue, Service: w.Service, MaxAttempts: w.MaxAttempts, Accepted: time.UnixMilli(w.Accepted), Spec: spec, Tenant: w.Tenant,
-		ExpectedPath: milliseconds(w.ExpectedPath),
+		ExpectedPath: fleet.Milliseconds(w.ExpectedPath),
 	}, err
 }
 
--- a/reduce/event/jobs.go
+++ b/reduce/event/jobs.go
@@ -120,6 +120,8 @@
 	Kind      effect.CallKind
 	Job       fleet.JobID
 	Spec      *fleet.JobSpec
+	// Fault says why a submission has no valid spec, in the words of its front end.
+	Fault string
 	// Key is the caller's API key; empty if the call carries none.
 	Key string
 	// Verified is set when the forwarding entry has checked the key. Tenant is the
--- a/reduce/jobs/calls.go
+++ b/reduce/jobs/calls.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -186,7 +187,7 @@
 		return false
 	}
 	if c.Kind == effect.CallSubmit && c.Spec == nil {
-		s.answer(c, effect.CallAnswer{Kind: effect.AnswerInvalid, Reason: reasonInvalidJob})
+		s.answer(c, effect.CallAnswer{Kind: effect.AnswerInvalid, Reason: cmp.Or(effect.Reason(c.Fault), reasonInvalidJob)})
 		return false
 	}
 	c.Job = fleet.JobID(rest)
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -214,9 +214,9 @@
 		o.reroute(j, q.Service)
 	}
 	if j.spec != nil {
-		objective := time.Duration(q.Stretch*float64(j.expectedPath)) + q.Slack
+		objective := fleet.AddDurations(fleet.ScaleDuration(j.expectedPath, q.Stretch), q.Slack)
 		j.deadline = j.accepted.Add(objective)
-		j.noValueAfter = j.accepted.Add(noValueFactor * objective)
+		j.noValueAfter = j.accepted.Add(fleet.ScaleDuration(objective, noValueFactor))
 	}
 }
 
@@ -568,7 +568,7 @@
 	if j.spec.Repeats == 0 {
 		return j.accepted
 	}
-	return j.spec.FirstAt.Add(time.Duration(n) * j.spec.Interval)
+	return j.spec.DueAt(n)
 }
 
 // scheduleNext sets the job's timer for its next occurrence, if one is left.
--- a/reduce/jobs/runtimes.go
+++ b/reduce/jobs/runtimes.go
@@ -83,7 +83,7 @@
 		for _, a := range j.spec.Steps[i].After {
 			begin = max(begin, ends[a])
 		}
-		ends[i] = begin + o.expect(j, i).Typical
+		ends[i] = fleet.AddDurations(begin, o.expect(j, i).Typical)
 		longest = max(longest, ends[i])
 	}
 	return longest
@@ -104,7 +104,7 @@
 // setExpected sets the expected run time of the step's tasks.
 func (st *step) setExpected(e runtimes.Expectation) {
 	st.expected = e
-	st.criticalPath = e.Typical + st.following
+	st.criticalPath = fleet.AddDurations(e.Typical, st.following)
 }
 
 // refreshExpected takes account of what was learned since the step's job was accepted. It is
--- a/reduce/jobs/stragglers.go
+++ b/reduce/jobs/stragglers.go
@@ -65,7 +65,7 @@
 	if s.samples < minSlowdownSamples {
 		return estimate
 	}
-	return time.Duration(s.mean * float64(estimate))
+	return fleet.ScaleDuration(estimate, s.mean)
 }
 
 // recordRunTime adds the run time of a task that was done at its first attempt to
--- a/reduce/jobs/waves.go
+++ b/reduce/jobs/waves.go
@@ -268,7 +268,7 @@
 // requires.
 func (o *ownership) vacateInstances(w *wave, left []*instance) {
 	o.updateVacating(w)
-	deadline := w.begunAt.Add(time.Duration(float64(w.Within) * waveTimeShare))
+	deadline := w.begunAt.Add(fleet.ScaleDuration(w.Within, waveTimeShare))
 	each := vacateTime + o.s.cfg.Bounds.MaintenanceTime + returnMargin
 	room := max(deadline.Sub(o.now()), each)
 	reserved := o.reservedPlaces(w)
--- a/reduce/timer/timer.go
+++ b/reduce/timer/timer.go
@@ -2,7 +2,10 @@
 // control goroutine needs only one timer.
 package timer
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Timer is a deadline owned by an item of the state. The zero value is not set.
 type Timer struct {
@@ -28,7 +31,8 @@
 }
 
 // item holds a pointer to a timer and, beside it, the timer's key, so that
-// comparisons read contiguous memory.
+// comparisons read contiguous memory. Times that nanoseconds since 1970 can't express
+// have the nearest key, and are compared as they are.
 type item struct {
 	at    int64
 	seq   uint64
@@ -36,17 +40,40 @@
 }
 
 func (a item) before(b item) bool {
-	if a.at == b.at {
-		return a.seq < b.seq
+	if a.at != b.at {
+		return a.at < b.at
+	}
+	if a.at == math.MaxInt64 || a.at == math.MinInt64 {
+		if c := a.timer.at.Compare(b.timer.at); c != 0 {
+			return c < 0
+		}
+	}
+	return a.seq < b.seq
+}
+
+// The first and the last second in which all times have a count of nanoseconds.
+const (
+	firstSecond = math.MinInt64/int64(time.Second) + 1
+	lastSecond  = math.MaxInt64/int64(time.Second) - 1
+)
+
+// keyOf returns the key of a time.
+func keyOf(at time.Time) int64 {
+	switch s := at.Unix(); {
+	case s > lastSecond:
+		return math.MaxInt64
+	case s < firstSecond:
+		return math.MinInt64
+	default:
+		return at.UnixNano()
 	}
-	return a.at < b.at
 }
 
 // Set arms t for owner, or moves it to another time.
 func (h *Heap) Set(t *Timer, at time.Time, owner any) {
 	h.seq++
 	t.at, t.owner = at, owner
-	it := item{at: at.UnixNano(), seq: h.seq, timer: t}
+	it := item{at: keyOf(at), seq: h.seq, timer: t}
 	if t.index > 0 {
 		h.fix(t.index-1, it)
 		return
--- a/reduce/timer/timer_test.go
+++ b/reduce/timer/timer_test.go
@@ -60,3 +60,26 @@
 		must.Eq(t, want, got)
 	}
 }
+
+// TestFarTimersDoNotHoldUpOthers: a time beyond the year 2262 was ordered before all others, so that
+// nothing else fired (review case 11).
+func TestFarTimersDoNotHoldUpOthers(t *testing.T) {
+	times := []time.Time{
+		time.UnixMilli(-1 << 62), time.Date(1, 1, 1, 0, 0, 0, 0, time.UTC), time.Date(1600, 1, 1, 0, 0, 0, 0, time.UTC), time.Unix(0, -1<<63),
+		time.Unix(0, 0), epoch, time.Unix(0, 1<<63-1), time.Unix(0, 1<<63-1).Add(1), time.Date(2263, 1, 1, 0, 0, 0, 0, time.UTC),
+		time.Date(9999, 12, 31, 0, 0, 0, 0, time.UTC), time.UnixMilli(1 << 62), time.UnixMilli(1<<63 - 1),
+	}
+	for seed := range uint64(200) {
+		var h timer.Heap
+		timers := make([]timer.Timer, len(times))
+		for _, i := range rand.New(rand.NewPCG(seed, 3)).Perm(len(times)) {
+			h.Set(&timers[i], times[i], i)
+		}
+		for i, at := range times {
+			must.EqOp(t, at, h.Next())
+			owner, ok := h.Pop(at)
+			must.True(t, ok)
+			must.EqOp(t, i, owner.(int))
+		}
+	}
+}
