--- a/jobentry/entry_test.go
+++ b/jobentry/entry_test.go
@@ -38,8 +38,8 @@
 func (r *instantRunner) Order(_ context.Context, o effect.OrderTask) event.TaskOrdered {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := event.TaskOrdered{Epoch: o.Epoch, Runner: o.Runner, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderDone}
-	if o.Epoch < r.fence {
+	out := event.TaskOrdered{Epoch: o.Epoch, Token: o.Token, Runner: o.Runner, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderDone}
+	if o.Token < r.fence {
 		out.Outcome = event.OrderFenced
 		return out
 	}
@@ -57,11 +57,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := event.RunnerPolled{Epoch: p.Epoch, Runner: p.Runner, Number: p.Number, Outcome: event.OrderDone, Incarnation: 1}
-	if p.Epoch < r.fence {
+	if p.Token < r.fence {
 		out.Outcome = event.OrderFenced
 		return out
 	}
-	r.fence = p.Epoch
+	r.fence = p.Token
 	now := time.Now()
 	out.Clock = event.Clock{Reading: now.UnixMilli(), Sent: now, Received: now}
 	for _, e := range r.ends {
--- a/peer/dispatch_test.go
+++ b/peer/dispatch_test.go
@@ -67,7 +67,7 @@
 
 func (o *owner) order(index int) effect.OrderTask {
 	return effect.OrderTask{
-		Epoch: 3, Kind: effect.OrderStart, Runner: "r", Address: "a", Task: fleet.TaskID{Job: "j", Occurrence: 1, Step: 2, Index: index},
+		Epoch: 3, Token: 30, Kind: effect.OrderStart, Runner: "r", Address: "a", Task: fleet.TaskID{Job: "j", Occurrence: 1, Step: 2, Index: index},
 		Attempt: 4, Text: "text", LeaseDeadline: 900, Checkpoint: "s", Ticket: "t", Percent: 5, Dispatcher: o.id,
 		SendDeadline: loop.BootClock()().Add(time.Minute),
 	}
@@ -75,7 +75,7 @@
 
 func (o *owner) poll() effect.PollRunner {
 	return effect.PollRunner{
-		Epoch: 3, Runner: "r", Address: "a", Number: 8, LeaseDeadline: 900, Acknowledged: 7, Wait: time.Second, Dispatcher: o.id,
+		Epoch: 3, Token: 31, Runner: "r", Address: "a", Number: 8, LeaseDeadline: 900, Acknowledged: 7, Wait: time.Second, Dispatcher: o.id,
 		SendDeadline: loop.BootClock()().Add(time.Minute),
 	}
 }
@@ -102,7 +102,7 @@
 	got := (<-o.events).(event.TaskOrdered)
 	must.Between(t, 0, got.Clock.Received.Sub(got.Clock.Sent), 5*time.Second)
 	must.Eq(t, event.TaskOrdered{
-		Epoch: 3, Runner: "r", Kind: effect.OrderStart, Task: order.Task, Attempt: 4, Outcome: event.OrderNoRoom, Reason: "room",
+		Epoch: 3, Token: 30, Runner: "r", Kind: effect.OrderStart, Task: order.Task, Attempt: 4, Outcome: event.OrderNoRoom, Reason: "room",
 		Clock: event.Clock{Reading: 11, Sent: got.Clock.Sent, Received: got.Clock.Received},
 	}, got)
 	polled := (<-o.events).(event.RunnerPolled)
@@ -111,14 +111,14 @@
 		Clock: event.Clock{Reading: 12, Sent: polled.Clock.Sent, Received: polled.Clock.Received},
 	}, polled)
 
-	// The dispatcher's effects equal the owner's, except for the send deadline,
+	// The dispatcher's effects equal the owner's, except for the epoch, the send deadline,
 	// the dispatcher and the poll's number.
 	executed := (<-seen).(effect.OrderTask)
 	must.True(t, executed.SendDeadline.Before(order.SendDeadline.Add(time.Second)))
-	executed.SendDeadline, executed.Dispatcher = order.SendDeadline, order.Dispatcher
+	executed.Epoch, executed.SendDeadline, executed.Dispatcher = order.Epoch, order.SendDeadline, order.Dispatcher
 	must.Eq(t, order, executed)
 	executedPoll := (<-seen).(effect.PollRunner)
-	executedPoll.SendDeadline, executedPoll.Dispatcher, executedPoll.Number = poll.SendDeadline, poll.Dispatcher, poll.Number
+	executedPoll.Epoch, executedPoll.SendDeadline, executedPoll.Dispatcher, executedPoll.Number = poll.Epoch, poll.SendDeadline, poll.Dispatcher, poll.Number
 	must.Eq(t, poll, executedPoll)
 	o.stopDispatcher()
 	<-o.ended
--- a/peer/dispatchconvert.go
+++ b/peer/dispatchconvert.go
@@ -11,7 +11,7 @@
 
 func encodeOrder(o *effect.OrderTask) *peerpb.RunnerCall {
 	return &peerpb.RunnerCall{
-		Epoch: o.Epoch, Runner: string(o.Runner), Address: o.Address, Deadline: o.LeaseDeadline,
+		Epoch: o.Token, Runner: string(o.Runner), Address: o.Address, Deadline: o.LeaseDeadline,
 		Call: &peerpb.RunnerCall_Order{Order: &peerpb.TaskOrder{
 			Kind: uint32(o.Kind), Task: encodeTask(o.Task), Attempt: o.Attempt, Text: o.Text, Saved: o.Checkpoint, Ticket: o.Ticket,
 			Percent: int64(o.Percent),
@@ -21,14 +21,14 @@
 
 func encodePoll(l *effect.PollRunner) *peerpb.RunnerCall {
 	return &peerpb.RunnerCall{
-		Epoch: l.Epoch, Runner: string(l.Runner), Address: l.Address, Deadline: l.LeaseDeadline,
+		Epoch: l.Token, Runner: string(l.Runner), Address: l.Address, Deadline: l.LeaseDeadline,
 		Call: &peerpb.RunnerCall_Look{Look: &peerpb.RunnerLook{Acknowledged: l.Acknowledged, WaitMs: l.Wait.Milliseconds()}},
 	}
 }
 
 func decodeOrder(c *peerpb.RunnerCall, o *peerpb.TaskOrder, sendDeadline time.Time) effect.OrderTask {
 	return effect.OrderTask{
-		Epoch: c.GetEpoch(), Runner: fleet.RunnerID(c.GetRunner()), Address: c.GetAddress(), LeaseDeadline: c.GetDeadline(),
+		Token: c.GetEpoch(), Runner: fleet.RunnerID(c.GetRunner()), Address: c.GetAddress(), LeaseDeadline: c.GetDeadline(),
 		Kind: effect.OrderKind(o.GetKind()), Task: decodeTask(o.GetTask()), Attempt: o.GetAttempt(), Text: o.GetText(),
 		Checkpoint: o.GetSaved(), Ticket: o.GetTicket(), Percent: int(o.GetPercent()), SendDeadline: sendDeadline,
 	}
@@ -36,7 +36,7 @@
 
 func decodePoll(c *peerpb.RunnerCall, l *peerpb.RunnerLook, sendDeadline time.Time) effect.PollRunner {
 	return effect.PollRunner{
-		Epoch: c.GetEpoch(), Runner: fleet.RunnerID(c.GetRunner()), Address: c.GetAddress(), LeaseDeadline: c.GetDeadline(),
+		Token: c.GetEpoch(), Runner: fleet.RunnerID(c.GetRunner()), Address: c.GetAddress(), LeaseDeadline: c.GetDeadline(),
 		Acknowledged: l.GetAcknowledged(), Wait: time.Duration(l.GetWaitMs()) * time.Millisecond, SendDeadline: sendDeadline,
 	}
 }
@@ -77,7 +77,7 @@
 // that this version does not define becomes event.OrderUnknown.
 func decodeOrderResult(o *effect.OrderTask, r *peerpb.RunnerResult, clock event.Clock) event.TaskOrdered {
 	return event.TaskOrdered{
-		Epoch: o.Epoch, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: decodeOutcome(r),
+		Epoch: o.Epoch, Token: o.Token, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: decodeOutcome(r),
 		Clock: clock, Reason: r.GetReason(),
 	}
 }
--- a/reduce/effect/jobs.go
+++ b/reduce/effect/jobs.go
@@ -171,7 +171,9 @@
 
 // OrderTask sends an order about a task to a runner.
 type OrderTask struct {
-	Epoch  int64
+	Epoch int64
+	// Token is the fencing token of the order.
+	Token  int64
 	Kind   OrderKind
 	Runner fleet.RunnerID
 	// Incarnation is the incarnation of the runner that the order was decided for.
@@ -196,7 +198,9 @@
 // PollRunner extends the leases of all tasks that a runner runs, and fetches its
 // running and ended tasks by a long poll.
 type PollRunner struct {
-	Epoch   int64
+	Epoch int64
+	// Token is the fencing token of the poll.
+	Token   int64
 	Runner  fleet.RunnerID
 	Address string
 	Number  uint64
--- a/reduce/event/jobs.go
+++ b/reduce/event/jobs.go
@@ -207,7 +207,9 @@
 
 // TaskOrdered reports the outcome of an order about a task.
 type TaskOrdered struct {
-	Epoch  int64
+	Epoch int64
+	// Token is the fencing token of the order.
+	Token  int64
 	Runner fleet.RunnerID
 	// Incarnation is that of the order.
 	Incarnation fleet.Incarnation
--- a/reduce/jobs/acknowledgements.go
+++ b/reduce/jobs/acknowledgements.go
@@ -1,12 +1,49 @@
 package jobs
 
-import "github.com/banyanrail/banyanrail/fleet"
+import (
+	"time"
+
+	"github.com/banyanrail/banyanrail/fleet"
+)
 
 // An acknowledgement names numbers of ended runs, which each incarnation of a runner begins
 // anew, and a call does not name the incarnation that it is meant for. One that gets the
 // acknowledgement of a former incarnation may forget ends that nobody has read, also later
 // ones.
 
+// strayAcknowledgement is an acknowledgement without an answer.
+type strayAcknowledgement struct {
+	number int64
+	// until is until when it may be carried out.
+	until time.Time
+}
+
+// noteUnanswered takes account of a poll without an answer, or whose answer no longer counts.
+func (p *pollState) noteUnanswered() {
+	if p.acknowledged > 0 {
+		p.stray.number = max(p.stray.number, p.acknowledged)
+		p.stray.until = p.sentAt.Add(maxOrderAge + maxCallDelay)
+		p.acknowledged = 0
+	}
+}
+
+// expectForgottenEnds takes account of the acknowledgements that an incarnation may have got before
+// the first call that shuts them out. A new owner does not know those of former owners, but
+// those for an earlier incarnation reach only a young one.
+func (o *ownership) expectForgottenEnds(r *runner) {
+	born := o.now().Add(-time.Duration(r.clock.Reading) * time.Millisecond)
+	if r.contacted {
+		if r.poll.stray.until.After(born) {
+			r.forgottenEnd = max(r.forgottenEnd, r.poll.stray.number)
+		}
+		return
+	}
+	r.contacted = true
+	if o.epoch > 1 && (o.now().Sub(born) < maxOrderAge+maxCallDelay || o.former.restarted[r.ID]) {
+		r.forgottenEnd = max(r.forgottenEnd, 1)
+	}
+}
+
 // noteAcknowledged takes account of the acknowledgement in a poll, by the incarnation that
 // answered it.
 func (o *ownership) noteAcknowledged(r *runner, seen fleet.Incarnation) {
--- a/reduce/jobs/acknowledgements_test.go
+++ b/reduce/jobs/acknowledgements_test.go
@@ -118,7 +118,7 @@
 		}
 		*lost = o
 		w.after(late, func() {
-			if r := w.runners[o.Runner]; r.up && o.Epoch >= r.fence {
+			if r := w.runners[o.Runner]; r.up && o.Token >= r.fence {
 				r.takePoll(o)
 			}
 		})
@@ -176,7 +176,7 @@
 		w.after(time.Second, o.restart)
 	}
 	w.run(sent.Add(c.late).Sub(w.now) + 50*time.Millisecond)
-	must.True(t, r.acknowledgedEnd == lost.Acknowledged || r.fence > lost.Epoch, must.Sprint("neither carried out nor fenced off"))
+	must.True(t, r.acknowledgedEnd == lost.Acknowledged || r.fence > lost.Token, must.Sprint("neither carried out nor fenced off"))
 }
 
 // TestLateAcknowledgementAtALaterIncarnation has an acknowledgement without an answer carried
--- a/reduce/jobs/export_test.go
+++ b/reduce/jobs/export_test.go
@@ -119,3 +119,9 @@
 	})
 	return out, true
 }
+
+// EpochOf returns the epoch of a fencing token.
+func EpochOf(token int64) int64 { return token >> tokenBits }
+
+// FirstToken returns the lowest fencing token of a tenure.
+func FirstToken(epoch int64) int64 { return epoch << tokenBits }
--- a/reduce/jobs/incarnation.go
+++ b/reduce/jobs/incarnation.go
@@ -17,8 +17,8 @@
 // whole when another incarnation is seen, so that no clock reading, number or suspicion of
 // the former one is used for the next.
 type incarnation struct {
-	// fenced is set once the incarnation has seen this tenure's fencing token, so that
-	// no earlier owner can start tasks on it.
+	// fenced is set once the incarnation has answered a call with a fencing token that no call
+	// for an earlier incarnation, or of an earlier owner, has.
 	fenced bool
 	clock  event.Clock
 	// aliveAt is when the last answer that certainly came from this incarnation was
@@ -112,13 +112,18 @@
 	r.stale.own, r.stale.deadline = o.now().Add(o.maxStaleTime()), deadline
 }
 
-// onFenced takes account of the fence of this tenure at a runner: calls of earlier owners
-// extend no lease from now on.
+// onFenced takes account of the current token at a runner: earlier calls, of this owner and of
+// former ones, extend no lease there from now on.
 func (o *ownership) onFenced(r *runner) {
 	r.fenced = true
-	if limit := o.now().Add(onSlowestClock(o.s.cfg.Bounds.MaxLease)); limit.Before(r.stale.former) {
+	o.expectForgottenEnds(r)
+	limit := o.now().Add(onSlowestClock(o.s.cfg.Bounds.MaxLease))
+	if limit.Before(r.stale.former) {
 		r.stale.former = limit
 	}
+	if limit.Before(r.stale.own) {
+		r.stale.own = limit
+	}
 }
 
 // staleLeasesExpireAt returns when the leases that calls decided for earlier incarnations
--- a/reduce/jobs/latecalls_test.go
+++ b/reduce/jobs/latecalls_test.go
@@ -33,7 +33,7 @@
 				lost = &o
 				w.after(late, func() { r.carryOut(o) })
 				e.postAfter(orderTimeout, event.TaskOrdered{
-					Epoch: o.Epoch, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderUnknown,
+					Epoch: o.Epoch, Token: o.Token, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderUnknown,
 				})
 				return false
 			}
--- a/reduce/jobs/lateholds_test.go
+++ b/reduce/jobs/lateholds_test.go
@@ -79,7 +79,7 @@
 		w.after(time.Millisecond, func() {
 			outcome := w.runners[o.Runner].begin(o)
 			e.postAfter(150*ms, event.TaskOrdered{
-				Epoch: o.Epoch, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: outcome,
+				Epoch: o.Epoch, Token: o.Token, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: outcome,
 				Clock: event.Clock{Reading: w.runners[o.Runner].clock(), Sent: w.now, Received: w.now.Add(ms)},
 			})
 		})
@@ -318,7 +318,7 @@
 					}
 					if (isNew && len(starts) <= 2) || (silent && o.Runner == starts[0].Runner) {
 						e.postAfter(orderTimeout, event.TaskOrdered{
-							Epoch: o.Epoch, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderUnknown,
+							Epoch: o.Epoch, Token: o.Token, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderUnknown,
 						})
 						return false
 					}
@@ -388,7 +388,7 @@
 						w.after(down+20*ms, func() {
 							outcome := r.begin(o)
 							e.postAfter(ms, event.TaskOrdered{
-								Epoch: o.Epoch, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: outcome,
+								Epoch: o.Epoch, Token: o.Token, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: outcome,
 								Clock: event.Clock{Reading: r.clock(), Sent: w.now.Add(-down - 20*ms), Received: w.now.Add(ms)},
 							})
 						})
@@ -397,7 +397,7 @@
 					}
 					if silent && o.Runner == u.Runner {
 						e.postAfter(orderTimeout, event.TaskOrdered{
-							Epoch: o.Epoch, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderUnknown,
+							Epoch: o.Epoch, Token: o.Token, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderUnknown,
 						})
 						return false
 					}
--- a/reduce/jobs/loadorder_test.go
+++ b/reduce/jobs/loadorder_test.go
@@ -8,6 +8,7 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/jobs"
 	"github.com/shoenig/test/must"
 )
 
@@ -123,8 +124,8 @@
 					w.after(50*time.Millisecond, owner.restart)
 					r.restartFor(down)
 					w.run(down + time.Millisecond)
-					must.LessEq(t, epoch, r.fence, must.Sprint("the next owner was first"))
-					r.fence = epoch
+					must.Less(t, jobs.FirstToken(epoch+1), r.fence, must.Sprint("the next owner was first"))
+					r.fence = jobs.FirstToken(epoch)
 					r.extendLease(clock + 5000)
 					w.runUntilOwnedAfter(epoch)
 					w.submit(jobID(0), longRunningJob(1, 1))
--- a/reduce/jobs/pace_test.go
+++ b/reduce/jobs/pace_test.go
@@ -60,7 +60,7 @@
 		*lost = o
 		w.after(late, func() { w.runners[o.Runner].carryOut(o) })
 		e.postAfter(orderTimeout, event.TaskOrdered{
-			Epoch: o.Epoch, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderUnknown,
+			Epoch: o.Epoch, Token: o.Token, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderUnknown,
 		})
 		return false
 	}
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -52,6 +52,9 @@
 	// it is meant for.
 	acknowledged int64
 	incarnation  fleet.Incarnation
+	// token is the fencing token of the poll in flight.
+	token int64
+	stray strayAcknowledgement
 	// maybeRestarted is set from a sign that the runner may have restarted, such as a
 	// poll without an answer, until the next answer. Its clock and the numbers of its
 	// ended runs may have started anew, so polls carry neither deadline nor
@@ -66,13 +69,13 @@
 		return
 	}
 	o.lastPoll++
-	p.inFlight, p.number, p.sentAt, p.acknowledged, p.incarnation = true, o.lastPoll, o.now(), 0, r.Incarnation
+	p.inFlight, p.number, p.sentAt, p.acknowledged, p.incarnation, p.token = true, o.lastPoll, o.now(), 0, r.Incarnation, o.token(r)
 	o.touch(r)
-	if !p.maybeRestarted && o.now().Sub(p.answeredAt) <= maxAcknowledgeAge {
+	if r.fenced && !p.maybeRestarted && o.now().Sub(p.answeredAt) <= maxAcknowledgeAge {
 		p.acknowledged = r.nextAcknowledgement(o.now())
 	}
 	e := effect.PollRunner{
-		Epoch: o.epoch, Runner: r.ID, Address: r.Address, Number: p.number, Acknowledged: p.acknowledged,
+		Epoch: o.epoch, Token: p.token, Runner: r.ID, Address: r.Address, Number: p.number, Acknowledged: p.acknowledged,
 		SendDeadline: o.now().Add(maxOrderAge), Dispatcher: o.dispatcherFor(r),
 	}
 	if r.mayLease() {
@@ -81,6 +84,9 @@
 			e.Wait = o.pollWaitFor(r)
 		}
 	}
+	if e.LeaseDeadline > 0 || e.Acknowledged > 0 {
+		o.useToken(r)
+	}
 	o.s.emit(e)
 }
 
@@ -96,6 +102,7 @@
 	if r.poll.maybeRestarted {
 		return
 	}
+	r.poll.noteUnanswered()
 	r.poll.maybeRestarted, r.poll.inFlight = true, false
 	o.touch(r)
 	o.pollIfDue(r)
@@ -145,10 +152,13 @@
 	r.poll.inFlight = false
 	o.touch(r)
 	if b.Outcome != event.OrderDone {
+		r.poll.noteUnanswered()
 		r.poll.maybeRestarted = true
 		o.onPollFailed(r, b)
 		return
 	}
+	// An answer of a former incarnation, or to a token that was raised since, does not show that
+	// earlier calls are shut out.
 	if !o.noteIncarnation(r, b.Incarnation) {
 		return
 	}
@@ -156,15 +166,16 @@
 		r.poll.unreachable = false
 		o.s.logDecision(effect.Decision{Name: "runner regained", Runner: r.ID, Epoch: o.epoch})
 	}
+	shutOut := r.poll.token == o.token(r)
 	doubted := r.poll.maybeRestarted
 	r.poll.unseen = sent.Sub(r.poll.answeredAt)
-	r.poll.maybeRestarted, r.poll.answeredAt = false, o.now()
+	r.poll.maybeRestarted, r.poll.answeredAt = doubted && !shutOut, o.now()
 	r.noteAnswer(o.receivedAt(b.Clock), b.Clock)
 	r.updateClock(b.Clock)
 	if !b.Clock.Received.IsZero() {
 		o.s.lag.Observe(o.now(), o.now().Sub(b.Clock.Received))
 	}
-	first := !r.fenced
+	first := !r.fenced && shutOut
 	if first {
 		o.onFenced(r)
 	}
@@ -179,7 +190,7 @@
 	if first {
 		o.pool(r.Service).dirty = true
 	}
-	if doubted {
+	if doubted && shutOut {
 		o.resumeOrders(r)
 	}
 	o.adjustPaces(r)
@@ -222,7 +233,9 @@
 func (o *ownership) onPollFailed(r *runner, b event.RunnerPolled) {
 	switch b.Outcome {
 	case event.OrderFenced:
-		o.s.endTenure(reasonRunnerFenced)
+		if r.poll.token >= o.token(r) {
+			o.s.endTenure(reasonRunnerFenced)
+		}
 		return
 	case event.OrderOtherIncarnation:
 		o.onRunnerGone(r, reasonReplaced)
@@ -232,6 +245,7 @@
 	case event.OrderStale:
 		return
 	default: // the poll is retried
+		o.raiseToken(r, r.poll.token)
 		o.callDirectly(r)
 	}
 	r.poll.notBefore = o.now().Add(pollRetryDelay)
--- a/reduce/jobs/restarts_test.go
+++ b/reduce/jobs/restarts_test.go
@@ -163,12 +163,12 @@
 		}
 		*first = o
 		w.after(late, func() {
-			if r := w.runners[o.Runner]; r.up && o.Epoch >= r.fence {
+			if r := w.runners[o.Runner]; r.up && o.Token >= r.fence {
 				r.begin(o)
 			}
 		})
 		e.postAfter(orderTimeout, event.TaskOrdered{
-			Epoch: o.Epoch, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderUnknown,
+			Epoch: o.Epoch, Token: o.Token, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderUnknown,
 		})
 		return false
 	}
--- a/reduce/jobs/run.go
+++ b/reduce/jobs/run.go
@@ -225,6 +225,7 @@
 	run.startRepeated = run.startRepeated || !run.startSentUntil.IsZero()
 	run.startSentUntil = o.callableUntil()
 	e := o.newOrder(r, effect.OrderStart, t.id(), run.attempt)
+	o.useToken(r)
 	e.Text, e.LeaseDeadline, e.Checkpoint, e.Ticket = t.job().spec.Text, r.newLeaseDeadline(o.now()), t.checkpoint, run.ticket
 	o.s.emit(e)
 	o.pollIfDue(r)
@@ -234,7 +235,7 @@
 // of orders use.
 func (o *ownership) newOrder(r *runner, kind effect.OrderKind, task fleet.TaskID, attempt int64) effect.OrderTask {
 	return effect.OrderTask{
-		Epoch: o.epoch, Kind: kind, Runner: r.ID, Incarnation: r.Incarnation, Address: r.Address, Task: task, Attempt: attempt,
+		Epoch: o.epoch, Token: o.token(r), Kind: kind, Runner: r.ID, Incarnation: r.Incarnation, Address: r.Address, Task: task, Attempt: attempt,
 		SendDeadline: o.now().Add(maxOrderAge), Dispatcher: o.dispatcherFor(r),
 	}
 }
@@ -323,7 +324,7 @@
 	if !ok {
 		return
 	}
-	if b.Outcome == event.OrderFenced {
+	if b.Outcome == event.OrderFenced && b.Token >= o.token(r) {
 		o.s.endTenure(reasonRunnerFenced)
 		return
 	}
@@ -380,7 +381,11 @@
 	case event.OrderUnknown:
 		run.expectLateStart()
 		o.retryAfter(run, orderRetryDelay)
+		o.raiseToken(run.runner, b.Token)
 		o.probe(run.runner)
+	case event.OrderFenced:
+		// A later call of this owner has reached the runner before. The start was not carried out.
+		o.retryAfter(run, orderRetryDelay)
 	case event.OrderNotSent:
 		o.retryAfter(run, orderRetryDelay)
 		o.probe(run.runner)
--- a/reduce/jobs/runner.go
+++ b/reduce/jobs/runner.go
@@ -41,6 +41,9 @@
 	runs     map[fleet.TaskID]*run
 	// leased is set once this owner has granted a lease to any incarnation.
 	leased bool
+	tokens tokens
+	// contacted is set once an incarnation has seen a token of this owner.
+	contacted bool
 	// lateStarts lists the starts of runs that were given up which may still be carried out.
 	lateStarts []*lateStart
 	// superseded is set once its instance has another runner, so that no process has its id.
@@ -272,6 +275,7 @@
 	// The list of restarted runners is stored before what follows for the runs, by which
 	// the next owner would else know of the restart.
 	o.expectStaleLeases(r)
+	o.raiseToken(r, o.token(r))
 	o.resolveEnded(r)
 	o.suspectFormerRuns(r, seen)
 	o.loseFormerRuns(r, seen)
--- a/reduce/jobs/runner_test.go
+++ b/reduce/jobs/runner_test.go
@@ -7,6 +7,7 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/jobs"
 )
 
 // fakeRunner simulates a runner according to the platform's contract: fencing,
@@ -206,13 +207,16 @@
 // begin carries out an order to start a task.
 func (r *fakeRunner) begin(o effect.OrderTask) event.OrderOutcome {
 	switch {
-	case o.Epoch < r.fence:
+	case o.Token < r.fence:
+		if o.Incarnation != r.incarnation() && jobs.EpochOf(o.Token) == jobs.EpochOf(r.fence) {
+			r.w.shutOutStarts++
+		}
 		return event.OrderFenced
 	case o.LeaseDeadline <= r.clock():
-		r.fence = o.Epoch
+		r.fence = o.Token
 		return event.OrderLate
 	}
-	r.fence = o.Epoch
+	r.fence = o.Token
 	r.extendLease(o.LeaseDeadline)
 	if run, ok := r.runs[o.Task]; ok && run.attempt == o.Attempt {
 		return event.OrderDone
@@ -233,7 +237,7 @@
 	if o.Incarnation != r.incarnation() {
 		r.w.strayStarts++
 	}
-	r.w.trace("%s starts %v attempt %d fence %d deadline %d clock %d", r.id, o.Task, o.Attempt, o.Epoch, o.LeaseDeadline, r.clock())
+	r.w.trace("%s starts %v attempt %d fence %d deadline %d clock %d", r.id, o.Task, o.Attempt, o.Token, o.LeaseDeadline, r.clock())
 	h := r.w.history(o.Task)
 	if h.running++; h.firstStart.IsZero() {
 		h.firstStart = r.w.now
@@ -303,10 +307,10 @@
 }
 
 func (r *fakeRunner) stop(o effect.OrderTask) event.OrderOutcome {
-	if o.Epoch < r.fence {
+	if o.Token < r.fence {
 		return event.OrderFenced
 	}
-	r.fence = o.Epoch
+	r.fence = o.Token
 	r.highestAttempt[o.Task] = max(r.highestAttempt[o.Task], o.Attempt)
 	run, ok := r.runs[o.Task]
 	if !ok || run.attempt != o.Attempt || run.stopped {
@@ -325,10 +329,10 @@
 
 // setPace carries out an order about the pace of a run.
 func (r *fakeRunner) setPace(o effect.OrderTask) event.OrderOutcome {
-	if o.Epoch < r.fence {
+	if o.Token < r.fence {
 		return event.OrderFenced
 	}
-	r.fence = o.Epoch
+	r.fence = o.Token
 	if run, ok := r.runs[o.Task]; ok && run.attempt == o.Attempt {
 		run.pace = o.Percent
 	}
@@ -393,7 +397,7 @@
 const orderTimeout = 600 * time.Millisecond
 
 func (e *fakeEntry) orderTask(o effect.OrderTask, via *fakeEntry, post func(time.Duration, event.Body)) {
-	out := event.TaskOrdered{Epoch: o.Epoch, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt}
+	out := event.TaskOrdered{Epoch: o.Epoch, Token: o.Token, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt}
 	w := e.w
 	if w.now.After(o.SendDeadline) {
 		out.Outcome = event.OrderStale
@@ -407,7 +411,7 @@
 	if r := w.runners[o.Runner]; r != nil {
 		born = r.born
 		if via.losesCall(r) {
-			w.carryOutLate(r, o.Epoch, func() { r.carryOut(o) })
+			w.carryOutLate(r, func() { r.carryOut(o) })
 			post(orderTimeout, unknown)
 			return
 		}
@@ -464,10 +468,10 @@
 // longestDelay is the longest time after which a call without an answer is carried out.
 const longestDelay = 12 * time.Second
 
-// carryOutLate carries out a call of an epoch without an answer at the incarnation of a runner
+// carryOutLate carries out a call without an answer at the incarnation of a runner
 // that is up some time later: two thirds of the calls up to longestDelay later, and half of
 // the others at once.
-func (w *world) carryOutLate(r *fakeRunner, epoch int64, do func()) {
+func (w *world) carryOutLate(r *fakeRunner, do func()) {
 	d := w.latency()
 	switch w.rng.Intn(6) {
 	case 0:
@@ -477,7 +481,7 @@
 		d = time.Duration(50+w.rng.Int63n(longestDelay.Milliseconds()-50)) * time.Millisecond
 	}
 	w.after(d, func() {
-		if r.up && w.runners[r.id] == r && epoch >= r.fence {
+		if r.up && w.runners[r.id] == r {
 			w.heldUp = true
 			do()
 			w.heldUp = false
@@ -495,7 +499,10 @@
 	}
 	if r := w.runners[poll.Runner]; r != nil && via.losesCall(r) {
 		born := r.born
-		w.carryOutLate(r, poll.Epoch, func() {
+		w.carryOutLate(r, func() {
+			if poll.Token < r.fence {
+				return
+			}
 			late := poll
 			if w.noStrayAcks && !r.born.Equal(born) {
 				late.Acknowledged = 0
@@ -513,7 +520,7 @@
 		}
 		if r := w.runners[poll.Runner]; r != nil && r.dark {
 			r.held = append(r.held, func() {
-				if r.up && poll.Epoch >= r.fence {
+				if r.up && poll.Token >= r.fence {
 					r.takePoll(poll)
 				}
 			})
@@ -529,7 +536,7 @@
 			post(poll.Wait+orderTimeout, out)
 			return
 		}
-		if poll.Epoch < r.fence {
+		if poll.Token < r.fence {
 			out.Outcome = event.OrderFenced
 			post(w.latency(), out)
 			return
@@ -541,7 +548,7 @@
 
 // takePoll carries out what a poll asks for.
 func (r *fakeRunner) takePoll(poll effect.PollRunner) {
-	r.fence = poll.Epoch
+	r.fence = poll.Token
 	if poll.LeaseDeadline > 0 {
 		r.extendLease(poll.LeaseDeadline)
 	}
--- a/reduce/jobs/runnertimers.go
+++ b/reduce/jobs/runnertimers.go
@@ -26,6 +26,8 @@
 // dropped.
 func (o *ownership) droppableAt(r *runner) time.Time {
 	at := latest(r.unlistedAt.Add(leaseDuration), r.unresolvedUntil)
+	// Its next incarnation may be listed while calls for this one are on their way.
+	at = latest(at, latest(r.tokens.callableUntil, r.stale.until()))
 	for _, late := range r.lateStarts {
 		at = latest(at, o.lateRunsUntil(late))
 	}
--- /dev/null
+++ b/reduce/jobs/tokens.go
@@ -0,0 +1,41 @@
+package jobs
+
+import "time"
+
+// A call to a runner names the runner's id, not its incarnation, and a call without an answer
+// may be carried out some seconds later, by whichever incarnation is up then. A runner does
+// nothing for a token below the highest that it has seen. So the token rises with each call
+// that had no answer and with each incarnation that is seen: the first answer to a call with
+// the new token shows that the incarnation which gave it refuses all earlier calls.
+
+// tokenBits is the size of the part of a fencing token that counts within a tenure. The epoch
+// above it stays a whole number that JSON carries exactly up to 2^29 tenures.
+const tokenBits = 24
+
+// tokens is the state of the fencing tokens of one runner.
+type tokens struct {
+	// raised is how often the token was raised.
+	raised int64
+	// used is set once a call that changes something at the runner had the current token, and
+	// callableUntil is until when the last such call may be carried out.
+	used          bool
+	callableUntil time.Time
+}
+
+// token returns the fencing token of calls to a runner.
+func (o *ownership) token(r *runner) int64 { return o.epoch<<tokenBits | r.tokens.raised }
+
+// useToken notes that a call that changes something at a runner has its current token.
+func (o *ownership) useToken(r *runner) {
+	r.tokens.used, r.tokens.callableUntil = true, o.callableUntil()
+}
+
+// raiseToken makes later calls to a runner shut out those with a token, if that is the current
+// one. Unanswered polls of a runner that is gone do not use the tokens up.
+func (o *ownership) raiseToken(r *runner, token int64) {
+	if r.tokens.used && token == o.token(r) && r.tokens.raised < 1<<tokenBits-1 {
+		r.tokens.raised++
+		r.tokens.used = false
+		o.s.count("tokens_raised", "")
+	}
+}
--- a/reduce/jobs/unseenrestarts_test.go
+++ b/reduce/jobs/unseenrestarts_test.go
@@ -59,7 +59,7 @@
 			u.w.after(u.late, func() { u.w.runners[o.Runner].beginLate(o) })
 		}
 		e.postAfter(orderTimeout, event.TaskOrdered{
-			Epoch: o.Epoch, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderUnknown,
+			Epoch: o.Epoch, Token: o.Token, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderUnknown,
 		})
 		return false
 	case effect.PollRunner:
@@ -76,7 +76,7 @@
 
 // beginLate carries out a start that gets no answer.
 func (r *fakeRunner) beginLate(o effect.OrderTask) {
-	if r != nil && r.up && o.Epoch >= r.fence {
+	if r != nil && r.up && o.Token >= r.fence {
 		r.begin(o)
 	}
 }
@@ -100,7 +100,7 @@
 	r.formerEntry, u.silent = &former, true
 	if poll := u.polls[r.id]; u.latePoll > 0 {
 		w.after(poll.at.Add(u.latePoll).Sub(w.now), func() {
-			if before := r.leaseDeadline; r.up && poll.Epoch >= r.fence {
+			if before := r.leaseDeadline; r.up && poll.Token >= r.fence {
 				r.takePoll(poll.PollRunner)
 				u.lengthened = len(r.runs) > 0 && r.leaseDeadline > before
 			}
@@ -702,7 +702,8 @@
 	}
 }
 
-// playUnseenHistory returns the number of late starts at other incarnations.
+// playUnseenHistory returns the number of late starts that reached other incarnations: carried out, or
+// refused since that incarnation had seen a later token of the same tenure.
 func playUnseenHistory(t *testing.T, seed int64, polls latePolls) int {
 	rng := rand.New(rand.NewSource(seed))
 	w := newWorld(t, seed, 4, 4, func(w *world) {
@@ -722,7 +723,7 @@
 	must.Positive(t, faults.restarts, must.Sprint("no runner has restarted"))
 	must.Positive(t, faults.cuts, must.Sprint("no runner was cut off"))
 	must.Positive(t, w.doneRuns)
-	return w.strayStarts
+	return w.strayStarts + w.shutOutStarts
 }
 
 // TestJobsHoldWhenLateOrdersReachTheNextIncarnation plays the histories of the other drawn tests
--- a/reduce/jobs/waiting_test.go
+++ b/reduce/jobs/waiting_test.go
@@ -30,7 +30,7 @@
 			return true
 		}
 		e.postAfter(orderTimeout, event.TaskOrdered{
-			Epoch: o.Epoch, Runner: o.Runner, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderUnknown,
+			Epoch: o.Epoch, Token: o.Token, Runner: o.Runner, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderUnknown,
 		})
 		return false
 	}
@@ -72,7 +72,7 @@
 					return true
 				}
 				e.postAfter(5*time.Millisecond, event.TaskOrdered{
-					Epoch: o.Epoch, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: outcome,
+					Epoch: o.Epoch, Token: o.Token, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: outcome,
 				})
 				return false
 			}
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -45,6 +45,8 @@
 	starts, doneRuns int
 	// strayStarts is the number of runs that runners started by orders for other incarnations.
 	strayStarts int
+	// shutOutStarts counts the starts that another incarnation refused for a later token of their tenure.
+	shutOutStarts int
 	// onEffect is called for every effect of every entry. It returns whether the
 	// effect is carried out.
 	onEffect func(e *fakeEntry, out effect.Effect) bool
@@ -503,7 +505,7 @@
 		}
 	case effect.OrderTask:
 		e.callThrough(o.Dispatcher, func(via *fakeEntry, post func(time.Duration, event.Body)) { e.orderTask(o, via, post) }, func() event.Body {
-			return event.TaskOrdered{Epoch: o.Epoch, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderUnknown}
+			return event.TaskOrdered{Epoch: o.Epoch, Token: o.Token, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderUnknown}
 		})
 	case effect.PollRunner:
 		e.callThrough(o.Dispatcher, func(via *fakeEntry, post func(time.Duration, event.Body)) { e.pollRunner(o, via, post) }, func() event.Body {
--- a/standin/taskrunnerstate.go
+++ b/standin/taskrunnerstate.go
@@ -196,7 +196,7 @@
 		Epoch: o.Epoch, Runner: o.Runner, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Clock: event.Clock{Reading: s.clock()},
 	}
 	switch {
-	case o.Epoch < s.fence:
+	case o.Token < s.fence:
 		answer.Outcome = event.OrderFenced
 	case o.Kind == effect.OrderStart:
 		answer.Outcome = s.start(o)
@@ -205,7 +205,7 @@
 	default:
 		answer.Outcome = event.OrderDone // a pace has no effect on a stand-in
 	}
-	s.fence = max(s.fence, o.Epoch)
+	s.fence = max(s.fence, o.Token)
 	s.out = append(s.out, replyOrder{call: e.call, answer: answer})
 }
 
@@ -248,13 +248,13 @@
 }
 
 func (s *taskRunnerState) poll(e pollReceived) {
-	if e.poll.Epoch < s.fence {
+	if e.poll.Token < s.fence {
 		s.out = append(s.out, replyPoll{call: e.call, answer: event.RunnerPolled{
 			Outcome: event.OrderFenced, Clock: event.Clock{Reading: s.clock()},
 		}})
 		return
 	}
-	s.fence = e.poll.Epoch
+	s.fence = e.poll.Token
 	if e.poll.LeaseDeadline > 0 {
 		s.extendLease(e.poll.LeaseDeadline)
 	}
