--- a/reduce/jobs/health.go
+++ b/reduce/jobs/health.go
@@ -32,13 +32,15 @@
 
 // health is the health of a runner as derived from its runs.
 type health struct {
-	// proven is set once a run has succeeded.
+	// proven is set once a run has succeeded, and unset by a failure that a later stable run
+	// clears.
 	proven bool
 	// failures and quarantines are the numbers of failures and quarantines since
-	// the last successful run.
+	// the last successful run. A stable run clears the failures before it.
 	failures         int
 	quarantines      int
 	quarantinedUntil time.Time
+	failedAt         time.Time
 }
 
 // recordSuccess records a successful run.
@@ -46,13 +48,22 @@
 	h.proven, h.failures, h.quarantines = true, 0, 0
 }
 
+// recordStable records that a run which began at a time is stable. Unlike a success, it does not
+// show that runs end well. So the runner is not proven by it, and takes fewer unproven runs with
+// each quarantine since the last success.
+func (h *health) recordStable(began time.Time) {
+	if h.failures > 0 && began.After(h.failedAt) {
+		h.proven, h.failures = false, 0
+	}
+}
+
 // maxUnproven returns how many unproven runs the runner may have at a time; negative for no limit.
 func (h *health) maxUnproven() int {
 	switch {
 	case h.failures >= probeAfterFailures:
 		return 1
 	case !h.proven:
-		return maxUnprovenRuns
+		return max(1, maxUnprovenRuns>>min(h.quarantines, maxDoublings))
 	default:
 		return -1
 	}
@@ -73,8 +84,10 @@
 	if run.stable || run.phase != runRunning || run.provenRunTime() < stableAfter {
 		return
 	}
+	r := run.runner
 	run.setStable(true)
-	o.pool(run.runner.Service).dirty = true
+	r.health.recordStable(run.runningSince)
+	o.pool(r.Service).dirty = true
 }
 
 // updateHealth updates a runner's health with the outcome of a run.
@@ -95,6 +108,7 @@
 func (o *ownership) recordFailure(r *runner, reason effect.Reason) {
 	h := &r.health
 	h.failures++
+	h.failedAt = o.now()
 	if h.failures < quarantineAfterFailures || o.now().Before(h.quarantinedUntil) {
 		return
 	}
--- a/reduce/jobs/health_test.go
+++ b/reduce/jobs/health_test.go
@@ -115,3 +115,33 @@
 	}
 	return 16 + 8 + 4 + 2 + 12
 }
+
+// TestHopelessJobsDoNotCloseRunnersWithLongTasks has jobs that fail wherever they run close all runners, since long tasks
+// that had begun before counted as probes (review case 15).
+func TestHopelessJobsDoNotCloseRunnersWithLongTasks(t *testing.T) {
+	for _, hopeless := range []int{2, 4, 8} {
+		t.Run(fmt.Sprint("hopeless=", hopeless), func(t *testing.T) {
+			t.Parallel()
+			w := wideWorld(t, 493, 8)
+			for n := range hopeless {
+				w.alwaysFails[jobID(n)] = true
+			}
+			w.length = func(id fleet.TaskID) time.Duration {
+				if w.failsAlways(id) {
+					return 300 * time.Millisecond
+				}
+				return time.Hour
+			}
+			for n := range 20 {
+				w.submit(jobID(n), hourTasks(4, 1))
+				w.run(100 * time.Millisecond)
+			}
+			w.run(12 * time.Second)
+			w.mustStartSoon(20, 24)
+			for n := range hopeless {
+				w.mustState(jobID(n), fleet.JobFailed)
+			}
+			w.checkInvariants()
+		})
+	}
+}
