Close connections to runners when calls may not be made

Callers saw nothing run for 17 s and more while the store turned one leading entry after the other away. Cause: each former owner kept twelve idle connections to every runner for 60 s, and a runner takes 64: the next owner was reset. Change: an owner closes its connections to runners when its tenure ends or may have ended. Calls in flight close theirs as they end.

--- a/jobentry/act.go
+++ b/jobentry/act.go
@@ -67,6 +67,8 @@
 		e.submit(e.orders, func() { e.listInstances(o) })
 	case effect.OrderInstance:
 		e.submit(e.orders, func() { e.orderInstance(o) })
+	case effect.CloseRunnerConnections:
+		e.submit(e.orders, e.deps.Runners.CloseIdle)
 	case effect.RequestAdvice:
 		e.submit(e.orders, func() { e.requestAdvice(o) })
 	}
--- a/jobentry/entry.go
+++ b/jobentry/entry.go
@@ -47,6 +47,9 @@
 	// Poll extends the leases of a runner's tasks and fetches its running and ended
 	// tasks by a long poll.
 	Poll(ctx context.Context, p effect.PollRunner) event.RunnerPolled
+	// CloseIdle closes the connections that no call uses, now and as calls end, until the
+	// next call.
+	CloseIdle()
 }
 
 // Instances lists the platform's instances and sends orders about them.
--- a/jobentry/entry_test.go
+++ b/jobentry/entry_test.go
@@ -72,6 +72,8 @@
 	return out
 }
 
+func (r *instantRunner) CloseIdle() {}
+
 // recordCodec decodes any record of the key "config" to a fixed configuration, and
 // any runner's report to a fixed runner.
 type recordCodec struct{}
--- a/reduce/effect/jobs.go
+++ b/reduce/effect/jobs.go
@@ -217,6 +217,10 @@
 	Dispatcher uint64
 }
 
+// CloseRunnerConnections closes the connections to runners that no call uses, now and as calls end,
+// until the next call: a runner takes a limited number of connections from all entries.
+type CloseRunnerConnections struct{}
+
 // InstanceOrderKind is the kind of an order about an instance.
 type InstanceOrderKind uint8
 
@@ -322,23 +326,24 @@
 	Duration time.Duration
 }
 
-func (FollowStore) isEffect()     {}
-func (ReadTenure) isEffect()      {}
-func (AppendTenure) isEffect()    {}
-func (FenceLedger) isEffect()     {}
-func (LoadLedger) isEffect()      {}
-func (AppendLedger) isEffect()    {}
-func (FollowRunners) isEffect()   {}
-func (DispatchFor) isEffect()     {}
-func (ReplyCall) isEffect()       {}
-func (Forward) isEffect()         {}
-func (OrderTask) isEffect()       {}
-func (PollRunner) isEffect()      {}
-func (ListInstances) isEffect()   {}
-func (OrderInstance) isEffect()   {}
-func (RequestAdvice) isEffect()   {}
-func (WriteWaveStatus) isEffect() {}
-func (JobsHandedOver) isEffect()  {}
-func (Decision) isEffect()        {}
-func (CountJob) isEffect()        {}
-func (Observe) isEffect()         {}
+func (FollowStore) isEffect()            {}
+func (ReadTenure) isEffect()             {}
+func (AppendTenure) isEffect()           {}
+func (FenceLedger) isEffect()            {}
+func (LoadLedger) isEffect()             {}
+func (AppendLedger) isEffect()           {}
+func (FollowRunners) isEffect()          {}
+func (DispatchFor) isEffect()            {}
+func (ReplyCall) isEffect()              {}
+func (Forward) isEffect()                {}
+func (OrderTask) isEffect()              {}
+func (PollRunner) isEffect()             {}
+func (CloseRunnerConnections) isEffect() {}
+func (ListInstances) isEffect()          {}
+func (OrderInstance) isEffect()          {}
+func (RequestAdvice) isEffect()          {}
+func (WriteWaveStatus) isEffect()        {}
+func (JobsHandedOver) isEffect()         {}
+func (Decision) isEffect()               {}
+func (CountJob) isEffect()               {}
+func (Observe) isEffect()                {}
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -89,6 +89,8 @@
 	// formerlyStopping is the capacity of the runs that a former owner may have been stopping
 	// when it died, for each tenant.
 	formerlyStopping map[fleet.TenantName]fleet.Capacity
+	// connectionsClosed is set once the connections to runners were closed, until calls may be made again.
+	connectionsClosed bool
 	// capacity is that of all listed runners as of capacityAt.
 	capacity   fleet.Capacity
 	capacityAt time.Time
@@ -190,6 +192,7 @@
 			o.s.emit(effect.LoadLedger{Epoch: o.epoch})
 		}
 	}
+	o.closeConnectionsIfInvalid()
 	if o.phase != phaseActive {
 		return
 	}
@@ -199,6 +202,16 @@
 	o.tickInstances()
 }
 
+// closeConnectionsIfInvalid closes the connections to runners while this owner makes no calls: the next
+// one may lead already, and a runner does not take those of several owners.
+func (o *ownership) closeConnectionsIfInvalid() {
+	valid := o.s.tenure.Valid(o.now())
+	if !valid && !o.connectionsClosed {
+		o.s.emit(effect.CloseRunnerConnections{})
+	}
+	o.connectionsClosed = !valid
+}
+
 // fireTimers carries out what is due at runners, orders and repeated jobs.
 func (o *ownership) fireTimers() {
 	for {
--- a/reduce/jobs/tenure.go
+++ b/reduce/jobs/tenure.go
@@ -72,6 +72,7 @@
 	s.tenure.OnSuperseded(s.ownership.epoch)
 	s.ownership = nil
 	s.emit(effect.FollowRunners{})
+	s.emit(effect.CloseRunnerConnections{})
 	for _, c := range s.callsByAge() {
 		switch c.phase {
 		case callLocal:
