Blame a machine that crashes again rather than the task

Callers saw a sound job shown as failed, and its other tasks stopped, while one machine crashed each time it was given work. Cause: the trial of a suspected task went back to the machine of the crash, as the quietest or the only one with room, and the crash there counted as a further one of the task. Without the change 2 of 4 cases of TestRunnerThatCrashesInALoopFailsNoSoundJob fail, without the rests both of TestMachineRestsThatCrashesAgainUnderATask. Change: trials avoid that machine, its crash is no further certain one, and it rests after a second crash under the same task.

--- a/codec/ledger.go
+++ b/codec/ledger.go
@@ -215,6 +215,7 @@
 	Crashes        int               `json:"c,omitempty"`
 	CertainCrashes int               `json:"C,omitempty"`
 	Trial          time.Duration     `json:"m,omitempty"` // in nanoseconds
+	CrashedOn      fleet.InstanceID  `json:"i,omitempty"`
 	Runner         fleet.RunnerID    `json:"r,omitempty"`
 	Incarnation    fleet.Incarnation `json:"b,omitempty"`
 	Address        string            `json:"h,omitempty"`
--- a/codec/size_test.go
+++ b/codec/size_test.go
@@ -41,7 +41,7 @@
 	task := ledger.Task{
 		Number: n.Draw(t, "number"), Attempt: int64(n.Draw(t, "attempt")), Failures: n.Draw(t, "failures"), Crashes: n.Draw(t, "crashes"),
 		CertainCrashes: n.Draw(t, "certain"), Trial: time.Duration(n.Draw(t, "trial")), Runner: fleet.RunnerID(text.Draw(t, "runner")),
-		Incarnation: fleet.Incarnation(n.Draw(t, "incarnation")), Address: text.Draw(t, "address"), Checkpoint: text.Draw(t, "checkpoint"),
+		CrashedOn: fleet.InstanceID(text.Draw(t, "crashed on")), Incarnation: fleet.Incarnation(n.Draw(t, "incarnation")), Address: text.Draw(t, "address"), Checkpoint: text.Draw(t, "checkpoint"),
 		FailedAttempts: rapid.SliceOfN(rapid.Int64Range(0, 1<<40), 0, 8).Draw(t, "failed attempts"),
 		StaleLeases:    rapid.Bool().Draw(t, "stale leases"), Settled: rapid.Bool().Draw(t, "settled"), StartEpoch: int64(n.Draw(t, "epoch")),
 	}
--- a/reduce/crashes/crashes.go
+++ b/reduce/crashes/crashes.go
@@ -62,6 +62,9 @@
 	Alone bool
 	// LongRunning is set for a run of a long-running task.
 	LongRunning bool
+	// SameRunner is set if the last crash under the task was of the same runner: it may crash
+	// whatever runs there.
+	SameRunner bool
 }
 
 // unendedShare is the part of its estimated run time, as a divisor, within which a run has
@@ -97,7 +100,7 @@
 	}
 	onTrial := r.Suspected()
 	r.Crashes++
-	if run.certain() {
+	if run.certain() && !run.SameRunner {
 		r.Certain++
 	}
 	r.Trial = 0
--- a/reduce/jobs/crashes.go
+++ b/reduce/jobs/crashes.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -95,21 +96,30 @@
 		d.Age = o.now().Sub(r.poll.silentSince)
 	}
 	o.s.logDecision(d)
+	again := false
 	for _, run := range runs {
 		t, end := run.task, run.ended
 		run.ended, run.crashCounted = nil, true
 		if planned || endedWithRack(end, rackLost) {
 			continue
 		}
-		t.crashedOn = r.Instance
+		end.SameRunner = t.crashedOn == r.machine()
+		again = again || end.SameRunner
+		t.crashedOn = r.machine()
 		giveUp := t.crashes.Add(*end)
 		o.markProgress(t.job())
 		if giveUp {
 			o.giveUp(t, r.ID)
 		}
 	}
+	if again {
+		o.restAfterCrash(r)
+	}
 }
 
+// machine returns what identifies a runner over its restarts: its instance, or its id if that is not known.
+func (r *runner) machine() fleet.InstanceID { return cmp.Or(r.Instance, fleet.InstanceID(r.ID)) }
+
 // leftAsPlanned reports whether a runner that has ended was draining, or its instance
 // was or may have been ordered to stop it.
 func (o *ownership) leftAsPlanned(r *runner) bool {
--- a/reduce/jobs/crashes_test.go
+++ b/reduce/jobs/crashes_test.go
@@ -451,3 +451,90 @@
 		}
 	}
 }
+
+// TestRunnerThatCrashesInALoopFailsNoSoundJob has one of six runners crash shortly after each start there, and come back, while
+// work begins on the others all the time. The trial of a suspected task went back to that runner, as nothing had just begun
+// there, and the second or third crash failed the job.
+func TestRunnerThatCrashesInALoopFailsNoSoundJob(t *testing.T) {
+	for name, spec := range map[string]*fleet.JobSpec{"lasting": longRunningJob(1, 1), "ordinary": longStepJob(1)} {
+		for _, takeover := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, " takeover=", takeover), func(t *testing.T) {
+				t.Parallel()
+				w := newWorld(t, 496, 3, 6)
+				w.withInstances(0)
+				w.run(5 * time.Second)
+				bad := w.runners["r0"]
+				setRoom := func(cpu int64) {
+					for _, r := range w.runners {
+						if r != bad {
+							r.capacity = fleet.Capacity{CPU: cpu, Memory: 20_000}
+						}
+					}
+				}
+				setRoom(0)
+				w.run(time.Second)
+				crashes := 0
+				w.onEffect = func(_ *fakeEntry, out effect.Effect) bool {
+					if o, ok := out.(effect.OrderTask); ok && o.Kind == effect.OrderStart && o.Runner == bad.id && crashes < 6 {
+						w.after(40*time.Millisecond, func() {
+							if bad.up {
+								crashes++
+								bad.restartFor(300 * time.Millisecond)
+							}
+						})
+					}
+					return true
+				}
+				w.submit(jobID(0), spec)
+				for crashes == 0 {
+					w.run(time.Millisecond)
+				}
+				setRoom(runnerCapacity.CPU)
+				if takeover {
+					o := w.owner()
+					o.kill()
+					w.after(500*time.Millisecond, o.restart)
+				}
+				for n := range 150 {
+					w.after(time.Duration(n)*60*time.Millisecond, func() {
+						w.submit(jobID(n+1), &fleet.JobSpec{Text: "text", Steps: []fleet.Step{
+							{Count: 5, Needs: taskNeeds, Estimate: 90 * time.Millisecond, MaxPerRunner: 1},
+						}})
+					})
+				}
+				w.run(20 * time.Second)
+				t.Log("crashes", crashes)
+				must.NotEq(t, fleet.JobFailed, w.state(jobID(0)).State)
+			})
+		}
+	}
+}
+
+// TestMachineRestsThatCrashesAgainUnderATask has the only runner with room crash 40 ms after each start for some seconds, and be
+// back within 0.7 s: five crashes within four seconds failed the job.
+func TestMachineRestsThatCrashesAgainUnderATask(t *testing.T) {
+	for name, spec := range map[string]*fleet.JobSpec{"lasting": longRunningJob(1, 1), "ordinary": longStepJob(1)} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 497, 3, 1)
+			w.run(5 * time.Second)
+			bad, until, crashes := w.runners["r0"], w.now.Add(4500*time.Millisecond), 0
+			w.onEffect = func(_ *fakeEntry, out effect.Effect) bool {
+				if o, ok := out.(effect.OrderTask); ok && o.Kind == effect.OrderStart && w.now.Before(until) {
+					w.after(40*time.Millisecond, func() {
+						if bad.up {
+							crashes++
+							bad.restartFor(700 * time.Millisecond)
+						}
+					})
+				}
+				return true
+			}
+			w.submit(jobID(0), spec)
+			w.run(20 * time.Second)
+			t.Log("crashes", crashes)
+			must.Greater(t, 1, crashes)
+			must.NotEq(t, fleet.JobFailed, w.state(jobID(0)).State)
+			must.True(t, w.runnerUnder(firstTask(jobID(0))) != nil || w.doneOnce[firstTask(jobID(0))])
+		})
+	}
+}
--- a/reduce/jobs/isolation.go
+++ b/reduce/jobs/isolation.go
@@ -73,13 +73,14 @@
 }
 
 // chooseForTrial returns the runner for the isolated run of a task, or nil. It prefers
-// one on trial with the same job, one where no other run has to settle, another instance
-// than that of the crash, and the runner with the fewest runs.
+// another one than that which crashed, since a second crash there says little about the task; one
+// on trial with the same job, one where no other run has to settle, and the runner with the
+// fewest runs.
 func (o *ownership) chooseForTrial(t *task, usable []*runner) *runner {
 	j := t.job()
 	rank := func(r *runner) int {
 		n := 0
-		for i, worse := range []bool{r.Instance != "" && r.Instance == t.crashedOn, !r.quietFor(j), r.trialJob != j} {
+		for i, worse := range []bool{!r.quietFor(j), r.trialJob != j, r.machine() == t.crashedOn} {
 			if worse {
 				n |= 1 << i
 			}
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -128,7 +128,7 @@
 	attempt  int64
 	failures int
 	crashes  crashes.Record
-	// crashedOn is the instance whose runner last crashed under the task.
+	// crashedOn is the machine whose runner last crashed under the task.
 	crashedOn  fleet.InstanceID
 	checkpoint string
 	run        *run
@@ -414,7 +414,7 @@
 	if t.step.spec.Gang {
 		out.Failures, out.FailedAttempts = t.step.gangFailures, slices.Clone(t.step.failedAttempts)
 	}
-	out.Crashes, out.CertainCrashes, out.Trial = t.crashes.Crashes, t.crashes.Certain, t.crashes.Trial
+	out.Crashes, out.CertainCrashes, out.Trial, out.CrashedOn = t.crashes.Crashes, t.crashes.Certain, t.crashes.Trial, t.crashedOn
 	if t.run != nil {
 		out.Runner, out.Incarnation, out.Address = t.run.runner.ID, t.run.incarnation, t.run.runner.Address
 		out.StaleLeases, out.Settled = t.run.staleLeases, t.run.settled
@@ -522,7 +522,7 @@
 		t.failures, t.step.gangFailures = 0, max(t.step.gangFailures, r.Failures)
 		t.step.failedAttempts = r.FailedAttempts
 	}
-	t.crashes = crashes.Record{Crashes: r.Crashes, Certain: r.CertainCrashes, Trial: r.Trial}
+	t.crashes, t.crashedOn = crashes.Record{Crashes: r.Crashes, Certain: r.CertainCrashes, Trial: r.Trial}, r.CrashedOn
 	for _, u := range r.Unresolved {
 		o.addUnresolved(t, unresolvedRun{attempt: u.Attempt, runner: u.Runner, since: o.now()})
 	}
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -91,6 +91,8 @@
 	formerlyStopping map[fleet.TenantName]fleet.Capacity
 	// connectionsClosed is set once the connections to runners were closed, until calls may be made again.
 	connectionsClosed bool
+	// crashRests holds the rests of machines whose runners crash again and again.
+	crashRests map[fleet.InstanceID]crashRest
 	// capacity is that of all listed runners as of capacityAt.
 	capacity   fleet.Capacity
 	capacityAt time.Time
@@ -113,6 +115,7 @@
 		learned:           learned{model: runtimes.New()},
 		formerlyStopping:  make(map[fleet.TenantName]fleet.Capacity),
 		accounts:          shares.NewAccounts(),
+		crashRests:        make(map[fleet.InstanceID]crashRest),
 	}
 	if s.queues != nil {
 		o.accounts.Configure(&s.queues.Tenants)
--- a/reduce/ledger/ledger.go
+++ b/reduce/ledger/ledger.go
@@ -159,6 +159,8 @@
 	Crashes        int
 	CertainCrashes int
 	Trial          time.Duration
+	// CrashedOn is the instance whose runner crashed last, or the runner's id if that is not known.
+	CrashedOn fleet.InstanceID
 	// Runner is the runner on which the task runs or may run; empty when it runs
 	// nowhere. Incarnation is that runner's incarnation, and Address its address: a new
 	// owner finds out there what became of a runner that is listed no longer.
