--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -45,6 +45,8 @@
 	starts, doneRuns int
 	// strayStarts is the number of runs that runners started by orders for other incarnations.
 	strayStarts int
+	// hasAdvice is set if there is an advice service.
+	hasAdvice bool
 	// failDelay is after what time a failing runner fails a run; zero means 20 ms.
 	failDelay time.Duration
 	// shutOutStarts counts the starts that another incarnation refused for a later token of their tenure.
@@ -384,7 +386,7 @@
 			StatusRetention: e.w.statusRetention, MaxLease: maxLease * time.Millisecond, InstanceLease: 3 * time.Second,
 			MaintenanceTime: 2 * time.Second, InstanceOrdersPerSecond: 64,
 			CanOrderInstances: len(e.w.instances) > 0, RecordBytes: e.w.store.recordBytes, CallBytes: e.w.store.callBytes,
-			Access: e.w.access,
+			Access: e.w.access, HasAdvice: e.w.hasAdvice,
 		},
 	}})
 	e.post(event.JobsStarted{})
