--- a/codec/ledger.go
+++ b/codec/ledger.go
@@ -128,7 +128,7 @@
 	return s, nil
 }
 
-// storedNeeds returns what a task needs. Entries before the bound accepted more.
+// storedNeeds returns what a task needs. Versions without MaxNeeds accepted more.
 func storedNeeds(st *jobStep) fleet.Capacity {
 	return fleet.Capacity{
 		CPU: min(st.CPU, fleet.MaxNeeds), Memory: min(st.Memory, fleet.MaxNeeds), Accelerators: min(st.Accelerators, fleet.MaxNeeds),
--- a/reduce/effect/jobs.go
+++ b/reduce/effect/jobs.go
@@ -218,7 +218,7 @@
 }
 
 // CloseRunnerConnections closes the connections to runners that no call uses, now and as calls end,
-// until the next call: a runner takes a limited number of connections from all entries.
+// until the next call. A runner accepts a limited number of connections from all entries.
 type CloseRunnerConnections struct{}
 
 // InstanceOrderKind is the kind of an order about an instance.
--- a/reduce/event/jobs.go
+++ b/reduce/event/jobs.go
@@ -120,7 +120,7 @@
 	Kind      effect.CallKind
 	Job       fleet.JobID
 	Spec      *fleet.JobSpec
-	// Fault says why a submission has no valid spec, in the words of its front end.
+	// Fault is the reason why a submission has no valid spec, by the names of its front end's fields.
 	Fault string
 	// Key is the caller's API key; empty if the call carries none.
 	Key string
--- a/reduce/jobs/acknowledgements.go
+++ b/reduce/jobs/acknowledgements.go
@@ -27,9 +27,9 @@
 	}
 }
 
-// expectForgottenEnds takes account of the acknowledgements that an incarnation may have got before
-// the first call that shuts them out. A new owner does not know those of former owners, but
-// those for an earlier incarnation reach only a young one.
+// expectForgottenEnds takes account of the acknowledgements for an earlier incarnation that this one may
+// have carried out before its first answer to the current token. A new owner does not know those of former
+// owners, so it expects one at each incarnation that is younger than the longest delay of a call.
 func (o *ownership) expectForgottenEnds(r *runner) {
 	born := o.now().Add(-time.Duration(r.clock.Reading) * time.Millisecond)
 	if r.contacted {
--- a/reduce/jobs/crashes.go
+++ b/reduce/jobs/crashes.go
@@ -103,9 +103,9 @@
 		if planned || endedWithRack(end, rackLost) {
 			continue
 		}
-		end.SameRunner = t.crashedOn == r.machine()
+		end.SameRunner = t.crashedOn == r.lastingID()
 		again = again || end.SameRunner
-		t.crashedOn = r.machine()
+		t.crashedOn = r.lastingID()
 		giveUp := t.crashes.Add(*end)
 		o.markProgress(t.job())
 		if giveUp {
@@ -117,8 +117,8 @@
 	}
 }
 
-// machine returns what identifies a runner over its restarts: its instance, or its id if that is not known.
-func (r *runner) machine() fleet.InstanceID { return cmp.Or(r.Instance, fleet.InstanceID(r.ID)) }
+// lastingID returns what identifies a runner over its restarts: its instance, or its id if that is not known.
+func (r *runner) lastingID() fleet.InstanceID { return cmp.Or(r.Instance, fleet.InstanceID(r.ID)) }
 
 // leftAsPlanned reports whether a runner that has ended was draining, or its instance
 // was or may have been ordered to stop it.
--- a/reduce/jobs/health.go
+++ b/reduce/jobs/health.go
@@ -32,8 +32,7 @@
 
 // health is the health of a runner as derived from its runs.
 type health struct {
-	// proven is set once a run has succeeded, and unset by a failure that a later stable run
-	// clears.
+	// proven is set once a run has succeeded. It is unset when a stable run clears failures.
 	proven bool
 	// failures and quarantines are the numbers of failures and quarantines since
 	// the last successful run. A stable run clears the failures before it.
@@ -48,9 +47,9 @@
 	h.proven, h.failures, h.quarantines = true, 0, 0
 }
 
-// recordStable records that a run which began at a time is stable. Unlike a success, it does not
-// show that runs end well. So the runner is not proven by it, and takes fewer unproven runs with
-// each quarantine since the last success.
+// recordStable records that a run which began at a time is stable. Unlike a success, that does not
+// show that runs end well, so the runner stays unproven, with a limit that halves with each
+// quarantine since the last success.
 func (h *health) recordStable(began time.Time) {
 	if h.failures > 0 && began.After(h.failedAt) {
 		h.proven, h.failures = false, 0
@@ -72,7 +71,7 @@
 // healthAllowsRun reports whether a runner's health allows one more run. Runs that are stable do
 // not count, or long ones would keep the runner closed until they end.
 func (o *ownership) healthAllowsRun(r *runner) bool {
-	if o.now().Before(r.health.quarantinedUntil) || o.now().Before(o.crashRests[r.machine()].until) {
+	if o.now().Before(r.health.quarantinedUntil) || o.now().Before(o.crashRests[r.lastingID()].until) {
 		return false
 	}
 	limit := r.health.maxUnproven()
@@ -87,7 +86,7 @@
 	r := run.runner
 	run.setStable(true)
 	r.health.recordStable(run.runningSince)
-	delete(o.crashRests, r.machine())
+	delete(o.crashRests, r.lastingID())
 	o.pool(r.Service).dirty = true
 }
 
@@ -116,24 +115,24 @@
 	o.quarantine(r, reason)
 }
 
-// crashRest is the rest of a machine whose runner crashes under one task again and again. It outlasts the
-// runner, whose next incarnation has a health of its own.
+// crashRest keeps tasks from an instance whose runner crashes under one task again and again. It outlasts
+// the incarnation of the runner, unlike health.
 type crashRest struct {
 	until time.Time
 	rests int
 }
 
-// restAfterCrash keeps tasks from being started on the machine of a runner that has crashed under the same task as
+// restAfterCrash keeps tasks from being started on the instance of a runner that has crashed under the same task as
 // the last time. The length doubles as that of a quarantine does.
 func (o *ownership) restAfterCrash(r *runner) {
-	rest := o.crashRests[r.machine()]
+	rest := o.crashRests[r.lastingID()]
 	pause := min(minQuarantine<<min(rest.rests, maxDoublings), maxQuarantine)
-	o.crashRests[r.machine()] = crashRest{until: o.now().Add(pause), rests: rest.rests + 1}
+	o.crashRests[r.lastingID()] = crashRest{until: o.now().Add(pause), rests: rest.rests + 1}
 	o.s.logDecision(effect.Decision{Name: "runner rests", Runner: r.ID, Reason: reasonCrashesAgain, Count: rest.rests + 1, Age: pause, Epoch: o.epoch})
 	o.s.count("runners_rested", reasonCrashesAgain)
 }
 
-// reasonCrashesAgain is the reason for the rest of a machine.
+// reasonCrashesAgain is the reason for a rest after a crash.
 const reasonCrashesAgain effect.Reason = "crashed under a task again"
 
 // quarantine keeps tasks from being started on a runner for a time.
--- a/reduce/jobs/heldends.go
+++ b/reduce/jobs/heldends.go
@@ -29,7 +29,7 @@
 	maxHeldEnds = 300
 )
 
-// hold tells a next owner that the ends of a task are held. It is stored before the end of the
+// hold records for the next owner that the ends of a task are held. It is stored before the end of the
 // task, and dropped once the start can't be carried out any more.
 type hold struct {
 	ledger.Hold
@@ -43,8 +43,8 @@
 	task   fleet.TaskID
 }
 
-// addHolds has the ledger tell which ends of a task are held: with its end, the ledger no longer
-// has its late starts.
+// addHolds records which ends of a task that ends are held: the ledger has the late starts of tasks
+// that have not ended only.
 func (o *ownership) addHolds(t *task) {
 	for _, late := range t.lateStarts {
 		o.addHold(t, late.runner, late.attempt, late.epoch, late.until)
--- a/reduce/jobs/incarnation.go
+++ b/reduce/jobs/incarnation.go
@@ -112,8 +112,8 @@
 	r.stale.own, r.stale.deadline = o.now().Add(o.maxStaleTime()), deadline
 }
 
-// onFenced takes account of the current token at a runner: earlier calls, of this owner and of
-// former ones, extend no lease there from now on.
+// onFenced takes account of the first answer to the current token: the incarnation refuses earlier calls, of
+// this owner and of former ones, so they extend no lease.
 func (o *ownership) onFenced(r *runner) {
 	r.fenced = true
 	o.expectForgottenEnds(r)
--- a/reduce/jobs/isolation.go
+++ b/reduce/jobs/isolation.go
@@ -80,7 +80,7 @@
 	j := t.job()
 	rank := func(r *runner) int {
 		n := 0
-		for i, worse := range []bool{!r.quietFor(j), r.trialJob != j, r.machine() == t.crashedOn} {
+		for i, worse := range []bool{!r.quietFor(j), r.trialJob != j, r.lastingID() == t.crashedOn} {
 			if worse {
 				n |= 1 << i
 			}
--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -128,7 +128,7 @@
 	attempt  int64
 	failures int
 	crashes  crashes.Record
-	// crashedOn is the machine whose runner last crashed under the task.
+	// crashedOn identifies the runner that last crashed under the task, over its restarts.
 	crashedOn  fleet.InstanceID
 	checkpoint string
 	run        *run
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -91,7 +91,7 @@
 	formerlyStopping map[fleet.TenantName]fleet.Capacity
 	// connectionsClosed is set once the connections to runners were closed, until calls may be made again.
 	connectionsClosed bool
-	// crashRests holds the rests of machines whose runners crash again and again.
+	// crashRests holds the rests of instances whose runners crash again and again.
 	crashRests map[fleet.InstanceID]crashRest
 	// capacity is that of all listed runners as of capacityAt.
 	capacity   fleet.Capacity
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -157,8 +157,6 @@
 		o.onPollFailed(r, b)
 		return
 	}
-	// An answer of a former incarnation, or to a token that was raised since, does not show that
-	// earlier calls are shut out.
 	if !o.noteIncarnation(r, b.Incarnation) {
 		return
 	}
@@ -166,16 +164,17 @@
 		r.poll.unreachable = false
 		o.s.logDecision(effect.Decision{Name: "runner regained", Runner: r.ID, Epoch: o.epoch})
 	}
-	shutOut := r.poll.token == o.token(r)
+	// The answer to a token that was raised since does not show that earlier calls are refused.
+	current := r.poll.token == o.token(r)
 	doubted := r.poll.maybeRestarted
 	r.poll.unseen = sent.Sub(r.poll.answeredAt)
-	r.poll.maybeRestarted, r.poll.answeredAt = doubted && !shutOut, o.now()
+	r.poll.maybeRestarted, r.poll.answeredAt = doubted && !current, o.now()
 	r.noteAnswer(o.receivedAt(b.Clock), b.Clock)
 	r.updateClock(b.Clock)
 	if !b.Clock.Received.IsZero() {
 		o.s.lag.Observe(o.now(), o.now().Sub(b.Clock.Received))
 	}
-	first := !r.fenced && shutOut
+	first := !r.fenced && current
 	if first {
 		o.onFenced(r)
 	}
@@ -190,7 +189,7 @@
 	if first {
 		o.pool(r.Service).dirty = true
 	}
-	if doubted && shutOut {
+	if doubted && current {
 		o.resumeOrders(r)
 	}
 	o.adjustPaces(r)
--- a/reduce/jobs/runnertimers.go
+++ b/reduce/jobs/runnertimers.go
@@ -26,7 +26,7 @@
 // dropped.
 func (o *ownership) droppableAt(r *runner) time.Time {
 	at := latest(r.unlistedAt.Add(leaseDuration), r.unresolvedUntil)
-	// Its next incarnation may be listed while calls for this one are on their way.
+	// Its next incarnation may be listed while calls for this one are in transit.
 	at = latest(at, latest(r.tokens.callableUntil, r.stale.until()))
 	for _, late := range r.lateStarts {
 		at = latest(at, o.lateRunsUntil(late))
--- a/reduce/jobs/tokens.go
+++ b/reduce/jobs/tokens.go
@@ -3,7 +3,7 @@
 import "time"
 
 // A call to a runner names the runner's id, not its incarnation, and a call without an answer
-// may be carried out some seconds later, by whichever incarnation is up then. A runner does
+// may be carried out some seconds later, by the incarnation that is up then. A runner does
 // nothing for a token below the highest that it has seen. So the token rises with each call
 // that had no answer and with each incarnation that is seen: the first answer to a call with
 // the new token shows that the incarnation which gave it refuses all earlier calls.
@@ -30,8 +30,8 @@
 	r.tokens.used, r.tokens.callableUntil = true, o.callableUntil()
 }
 
-// raiseToken makes later calls to a runner shut out those with a token, if that is the current
-// one. Unanswered polls of a runner that is gone do not use the tokens up.
+// raiseToken gives later calls to a runner a higher token than a given one, if that is current. Unanswered polls
+// that change nothing do not raise it, so a runner that is gone does not use the tokens up.
 func (o *ownership) raiseToken(r *runner, token int64) {
 	if r.tokens.used && token == o.token(r) && r.tokens.raised < 1<<tokenBits-1 {
 		r.tokens.raised++
