Count fencing tokens for all runners of an owner together

Callers would have seen a tenure end, and nothing start for two seconds, after a runner that was idle had left the list for 12 s and come back. Cause: a runner's state is dropped once it has been off the list for long enough, and with it how often its token had risen. The runner was alive and refused the lower token, which the owner took for the fence of a later one. Found by reading. Evidence: TestRunnerThatComesBackToTheListEndsNoTenure fails on (another entry owns the jobs) and passes here. Change: one count serves all runners of an owner, and a new runner's state begins at it. It has 28 bits, which leaves 2^25 tenures within the whole numbers that JSON carries exactly. Tests: where stand-ins compare tokens instead of epochs, they check more now.

--- a/jobentry/entry_test.go
+++ b/jobentry/entry_test.go
@@ -33,11 +33,28 @@
 	fence   int64
 	ends    []fleet.EndedTask
 	started map[fleet.TaskID]int
+	// untokened counts the calls without a token, or with one that an earlier epoch's exceed.
+	untokened int
+	epochs    map[int64]int64
+}
+
+// checkToken checks that a call has a token above those of all earlier epochs.
+func (r *instantRunner) checkToken(epoch, token int64) {
+	if r.epochs == nil {
+		r.epochs = make(map[int64]int64)
+	}
+	r.epochs[epoch] = max(r.epochs[epoch], token)
+	for other, highest := range r.epochs {
+		if token <= 0 || (other < epoch && highest >= token) {
+			r.untokened++
+		}
+	}
 }
 
 func (r *instantRunner) Order(_ context.Context, o effect.OrderTask) event.TaskOrdered {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.checkToken(o.Epoch, o.Token)
 	out := event.TaskOrdered{Epoch: o.Epoch, Token: o.Token, Runner: o.Runner, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt, Outcome: event.OrderDone}
 	if o.Token < r.fence {
 		out.Outcome = event.OrderFenced
@@ -56,6 +73,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.checkToken(p.Epoch, p.Token)
 	out := event.RunnerPolled{Epoch: p.Epoch, Runner: p.Runner, Number: p.Number, Outcome: event.OrderDone, Incarnation: 1}
 	if p.Token < r.fence {
 		out.Outcome = event.OrderFenced
@@ -159,4 +177,7 @@
 	for id, n := range runner.started {
 		must.Eq(t, 1, n, must.Sprint(id))
 	}
+	second.end()
+	must.Zero(t, runner.untokened)
+	must.MapNotEmpty(t, runner.epochs)
 }
--- a/peer/dispatch_test.go
+++ b/peer/dispatch_test.go
@@ -111,13 +111,15 @@
 		Clock: event.Clock{Reading: 12, Sent: polled.Clock.Sent, Received: polled.Clock.Received},
 	}, polled)
 
-	// The dispatcher's effects equal the owner's, except for the epoch, the send deadline,
-	// the dispatcher and the poll's number.
+	// The dispatcher's effects equal the owner's, except for the send deadline, the dispatcher and the
+	// poll's number. A dispatcher gets the token, and no epoch beside it.
 	executed := (<-seen).(effect.OrderTask)
 	must.True(t, executed.SendDeadline.Before(order.SendDeadline.Add(time.Second)))
+	must.Zero(t, executed.Epoch)
 	executed.Epoch, executed.SendDeadline, executed.Dispatcher = order.Epoch, order.SendDeadline, order.Dispatcher
 	must.Eq(t, order, executed)
 	executedPoll := (<-seen).(effect.PollRunner)
+	must.Zero(t, executedPoll.Epoch)
 	executedPoll.Epoch, executedPoll.SendDeadline, executedPoll.Dispatcher, executedPoll.Number = poll.Epoch, poll.SendDeadline, poll.Dispatcher, poll.Number
 	must.Eq(t, poll, executedPoll)
 	o.stopDispatcher()
--- a/reduce/jobs/former.go
+++ b/reduce/jobs/former.go
@@ -40,7 +40,8 @@
 func (o *ownership) newRunner(id fleet.RunnerID) *runner {
 	return &runner{
 		Runner: fleet.Runner{ID: id}, incarnation: &incarnation{}, runs: make(map[fleet.TaskID]*run), leasedBy: o.former.leasedBy[id],
-		stale: staleLeases{former: o.formerStaleUntil(), restarted: o.former.restarted[id]},
+		tokens: tokens{count: o.lastToken},
+		stale:  staleLeases{former: o.formerStaleUntil(), restarted: o.former.restarted[id]},
 	}
 }
 
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -82,7 +82,10 @@
 	runnersListed     bool
 	runnersUnreadable bool
 	// lastPoll is the number of the last poll of a runner.
-	lastPoll  uint64
+	lastPoll uint64
+	// lastToken is the highest count in a fencing token. One count serves all runners, so that a
+	// runner whose state was dropped meanwhile gets no lower token than before.
+	lastToken int64
 	instances instances
 	planner   planner
 	learned   learned
--- a/reduce/jobs/runner_test.go
+++ b/reduce/jobs/runner_test.go
@@ -59,6 +59,8 @@
 	held []func()
 	// lossShare is the share of calls without an answer that are carried out late, if at all.
 	lossShare float64
+	// unlisted keeps the runner out of the list although it is up.
+	unlisted bool
 	// answeredPoll is set once this incarnation has answered a poll.
 	answeredPoll bool
 	// formerEntry, if set, is what the list still shows of the runner's former incarnation.
@@ -125,6 +127,7 @@
 	var out []fleet.Runner
 	for _, r := range w.runners {
 		switch {
+		case r.unlisted:
 		case r.formerEntry != nil:
 			out = append(out, *r.formerEntry)
 		case (r.up || r.w.now.Sub(r.crashedAt) < r.w.listLag) && !r.unreachable:
@@ -389,6 +392,14 @@
 	return false
 }
 
+// checkToken checks that the token of a call to a runner is above those of all earlier epochs, and below
+// those of later ones.
+func (w *world) checkToken(epoch, token int64) {
+	if jobs.EpochOf(token) != epoch {
+		w.violation("a call of epoch %d has the token %d", epoch, token)
+	}
+}
+
 // reachable returns a runner if a call of the entry and its answer can be
 // delivered, or else nil.
 func (e *fakeEntry) reachable(id fleet.RunnerID) *fakeRunner {
@@ -405,6 +416,7 @@
 func (e *fakeEntry) orderTask(o effect.OrderTask, via *fakeEntry, post func(time.Duration, event.Body)) {
 	out := event.TaskOrdered{Epoch: o.Epoch, Token: o.Token, Runner: o.Runner, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Attempt: o.Attempt}
 	w := e.w
+	w.checkToken(o.Epoch, o.Token)
 	if w.now.After(o.SendDeadline) {
 		out.Outcome = event.OrderStale
 		post(0, out)
@@ -498,6 +510,7 @@
 func (e *fakeEntry) pollRunner(poll effect.PollRunner, via *fakeEntry, post func(time.Duration, event.Body)) {
 	out := event.RunnerPolled{Epoch: poll.Epoch, Runner: poll.Runner, Number: poll.Number, Outcome: event.OrderUnknown}
 	w, sent := e.w, e.w.now
+	w.checkToken(poll.Epoch, poll.Token)
 	if w.now.After(poll.SendDeadline) {
 		out.Outcome = event.OrderStale
 		post(0, out)
--- a/reduce/jobs/tokens.go
+++ b/reduce/jobs/tokens.go
@@ -8,14 +8,14 @@
 // that had no answer and with each incarnation that is seen: the first answer to a call with
 // the new token shows that the incarnation which gave it refuses all earlier calls.
 
-// tokenBits is the size of the part of a fencing token that counts within a tenure. The epoch
-// above it stays a whole number that JSON carries exactly up to 2^29 tenures.
-const tokenBits = 24
+// tokenBits is the size of the part of a fencing token that counts within a tenure. With the epoch
+// above it, tokens are whole numbers that JSON carries exactly up to 2^25 tenures.
+const tokenBits = 28
 
 // tokens is the state of the fencing tokens of one runner.
 type tokens struct {
-	// raised is how often the token was raised.
-	raised int64
+	// count is the part of its token that counts within the tenure.
+	count int64
 	// used is set once a call that changes something at the runner had the current token, and
 	// callableUntil is until when the last such call may be carried out.
 	used          bool
@@ -23,7 +23,7 @@
 }
 
 // token returns the fencing token of calls to a runner.
-func (o *ownership) token(r *runner) int64 { return o.epoch<<tokenBits | r.tokens.raised }
+func (o *ownership) token(r *runner) int64 { return o.epoch<<tokenBits | r.tokens.count }
 
 // useToken notes that a call that changes something at a runner has its current token.
 func (o *ownership) useToken(r *runner) {
@@ -33,9 +33,9 @@
 // raiseToken gives later calls to a runner a higher token than a given one, if that is current. Unanswered polls
 // that change nothing do not raise it, so a runner that is gone does not use the tokens up.
 func (o *ownership) raiseToken(r *runner, token int64) {
-	if r.tokens.used && token == o.token(r) && r.tokens.raised < 1<<tokenBits-1 {
-		r.tokens.raised++
-		r.tokens.used = false
+	if r.tokens.used && token == o.token(r) && o.lastToken < 1<<tokenBits-1 {
+		o.lastToken++
+		r.tokens.count, r.tokens.used = o.lastToken, false
 		o.s.count("tokens_raised", "")
 	}
 }
--- a/reduce/jobs/tokens_test.go
+++ b/reduce/jobs/tokens_test.go
@@ -7,6 +7,7 @@
 	"github.com/banyanrail/banyanrail/fleet"
 	"github.com/banyanrail/banyanrail/reduce/effect"
 	"github.com/banyanrail/banyanrail/reduce/event"
+	"github.com/banyanrail/banyanrail/reduce/jobs"
 	"github.com/shoenig/test/must"
 )
 
@@ -117,3 +118,33 @@
 		w.checkInvariants()
 	}
 }
+
+// TestRunnerThatComesBackToTheListEndsNoTenure has an idle runner leave the list for longer than the owner remembers it, and come back. It is
+// alive all the time and has seen a raised token: the owner called it with a lower one, and took the refusal for that of a later owner.
+func TestRunnerThatComesBackToTheListEndsNoTenure(t *testing.T) {
+	const ms = time.Millisecond
+	w := newWorld(t, 483, 3, 2, slowClock)
+	w.run(30 * time.Second)
+	owner, epoch := w.owner(), w.store.newest().Epoch
+	start := w.losesFirstStart(5 * time.Second)
+	w.submit(jobID(0), oneTaskJob(300*ms))
+	w.run(20 * time.Second)
+	must.True(t, w.doneOnce[firstTask(jobID(0))])
+	r := w.runners[start.Runner]
+	must.Greater(t, jobs.FirstToken(epoch), r.fence, must.Sprint("the token did not rise"))
+	r.unlisted = true
+	w.run(40 * time.Second)
+	r.unlisted = false
+	w.run(time.Second)
+	for _, other := range w.runners {
+		if other != r {
+			other.crash()
+		}
+	}
+	w.submit(jobID(1), oneTaskJob(300*ms))
+	w.run(3 * time.Second)
+	must.True(t, w.doneOnce[firstTask(jobID(1))])
+	must.Eq(t, owner, w.owner())
+	must.Eq(t, epoch, w.store.newest().Epoch)
+	w.checkInvariants()
+}
