Close a dispatcher's connections when its owner changes; smaller repairs

- An entry that carried out an owner's calls kept its connections to those runners for 60 s after the owner had changed, as former owners did: it closes them when its offer changes.
- A poll that was answered, or never sent, no longer counts as an acknowledgement without an answer.
- Milliseconds in messages of other entries are bounded like others.
- holds, rests after crashes and the encoding of holds have files of their own; round trips of what the ledger gained are tested.

--- a/codec/ledger_test.go
+++ b/codec/ledger_test.go
@@ -50,7 +50,7 @@
 func TestLedgerRoundTrip(t *testing.T) {
 	p := &ledger.Progress{Queue: "q", State: fleet.JobFailed, Ended: accepted, NotBegun: true, Occurrences: []ledger.Occurrence{{
 		Number: 1, Done: []bool{true, false, true, false, false, false, false, false},
-		Tasks: []ledger.Task{{Number: 1, Attempt: 2, Failures: 1, Runner: "r", Incarnation: 7, Address: "10.0.0.1:7", Crashes: 2, CertainCrashes: 1, Trial: 120 * time.Millisecond, StaleLeases: true, FailedAttempts: []int64{1, 2}, Checkpoint: "s",
+		Tasks: []ledger.Task{{Number: 1, Attempt: 2, Failures: 1, Runner: "r", Incarnation: 7, Address: "10.0.0.1:7", Crashes: 2, CertainCrashes: 1, CrashedOn: "m-1", Trial: 120 * time.Millisecond, StaleLeases: true, FailedAttempts: []int64{1, 2}, Checkpoint: "s",
 			Unresolved: []ledger.Run{{Attempt: 1, Runner: "x"}}}},
 	}}}
 	got := codec.DecodeLedger(encode(t,
@@ -137,3 +137,34 @@
 		must.Eq(rt, want, got)
 	})
 }
+
+// TestHoldRoundTrip: a hold that is not read as it was stored, or that stays after it was dropped, holds the wrong ends.
+func TestHoldRoundTrip(t *testing.T) {
+	hold := ledger.Hold{Task: fleet.TaskID{Job: "0123456789abcdef", Occurrence: 3, Step: 2, Index: 1}, Attempt: 4, Runner: "r", Epoch: 5}
+	other := hold
+	other.Attempt = 6
+	got := codec.DecodeLedger(encode(t, ledger.Record{Hold: &hold}, ledger.Record{Hold: &other}))
+	must.SliceEmpty(t, got.Unreadable)
+	must.Eq(t, []ledger.Hold{hold, other}, got.Holds)
+
+	records := encode(t, ledger.Record{Hold: &hold}, ledger.Record{Hold: &hold, DropHold: true})
+	must.Eq(t, records[0].Key, records[1].Key)
+	must.SliceEmpty(t, records[1].Value)
+	must.SliceEmpty(t, codec.DecodeLedger(records[1:]).Holds)
+	for _, key := range []string{"h/", "h/x", "h/j.0.0.0", "h/j.0.0.0/x", "h/j.0.0/1"} {
+		got := codec.DecodeLedger([]storage.Record{{Key: key, Value: records[0].Value}})
+		must.SliceLen(t, 1, got.Unreadable, must.Sprint(key))
+		must.SliceEmpty(t, got.Holds)
+	}
+}
+
+// TestStoredNeedsAreBounded: a job that a version without MaxNeeds accepted must not be lost, nor overflow sums.
+func TestStoredNeedsAreBounded(t *testing.T) {
+	spec := fullSpec()
+	spec.Steps[0].Needs = fleet.Capacity{CPU: 1 << 62, Memory: 1 << 62, Accelerators: 1 << 62}
+	raw, err := codec.EncodeSpec(spec)
+	must.NoError(t, err)
+	got, err := codec.DecodeSpec(raw)
+	must.NoError(t, err)
+	must.Eq(t, fleet.Capacity{CPU: fleet.MaxNeeds, Memory: fleet.MaxNeeds, Accelerators: fleet.MaxNeeds}, got.Steps[0].Needs)
+}
--- a/peer/dispatch.go
+++ b/peer/dispatch.go
@@ -119,7 +119,7 @@
 // fresh as when it sent them.
 func callDeadline(c *peerpb.RunnerCall, received time.Time) time.Time {
 	if c.GetSendDeadline() == 0 {
-		return received.Add(time.Duration(c.GetFreshMs()) * time.Millisecond)
+		return received.Add(fleet.Milliseconds(c.GetFreshMs()))
 	}
 	return time.UnixMilli(c.GetSendDeadline())
 }
--- a/peer/dispatchconvert.go
+++ b/peer/dispatchconvert.go
@@ -37,7 +37,7 @@
 func decodePoll(c *peerpb.RunnerCall, l *peerpb.RunnerLook, sendDeadline time.Time) effect.PollRunner {
 	return effect.PollRunner{
 		Token: c.GetEpoch(), Runner: fleet.RunnerID(c.GetRunner()), Address: c.GetAddress(), LeaseDeadline: c.GetDeadline(),
-		Acknowledged: l.GetAcknowledged(), Wait: time.Duration(l.GetWaitMs()) * time.Millisecond, SendDeadline: sendDeadline,
+		Acknowledged: l.GetAcknowledged(), Wait: fleet.Milliseconds(l.GetWaitMs()), SendDeadline: sendDeadline,
 	}
 }
 
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -64,8 +64,8 @@
 	conn.lastAnswer.Store(time.Now().UnixNano())
 	return effect.CallAnswer{
 		Kind: effect.AnswerKind(resp.GetKind()), State: fleet.JobState(resp.GetState()), Waiting: int(resp.GetWaiting()),
-		RetryAfter: time.Duration(resp.GetRetryAfterMs()) * time.Millisecond, Reason: effect.Reason(resp.GetReason()),
-		Delay: time.Duration(resp.GetDelayMs()) * time.Millisecond,
+		RetryAfter: fleet.Milliseconds(resp.GetRetryAfterMs()), Reason: effect.Reason(resp.GetReason()),
+		Delay: fleet.Milliseconds(resp.GetDelayMs()),
 	}, true, nil
 }
 
@@ -156,7 +156,7 @@
 func (s *jobsServer) Call(ctx context.Context, req *peerpb.JobCall) (*peerpb.JobAnswer, error) {
 	c := event.ClientCalled{
 		Forwarded: true, Queue: fleet.QueueName(req.GetQueue()), Version: req.GetVersion(), Kind: effect.CallKind(req.GetKind()),
-		Job: fleet.JobID(req.GetJob()), Timeout: time.Duration(req.GetPatienceMs()) * time.Millisecond,
+		Job: fleet.JobID(req.GetJob()), Timeout: fleet.Milliseconds(req.GetPatienceMs()),
 		Key: req.GetKey(), Verified: req.GetVerified(), Tenant: fleet.TenantName(req.GetTenant()),
 		Host: req.GetHost(), Path: req.GetPath(),
 	}
--- a/reduce/jobs/acknowledgements.go
+++ b/reduce/jobs/acknowledgements.go
@@ -18,7 +18,7 @@
 	until time.Time
 }
 
-// noteUnanswered takes account of a poll without an answer, or whose answer no longer counts.
+// noteUnanswered takes account of a poll in flight that gets no answer, or whose answer is not awaited.
 func (p *pollState) noteUnanswered() {
 	if p.acknowledged > 0 {
 		p.stray.number = max(p.stray.number, p.acknowledged)
--- a/reduce/jobs/dispatchers.go
+++ b/reduce/jobs/dispatchers.go
@@ -57,10 +57,15 @@
 	if s.ownership == nil && !s.stopping && newest.Epoch > 0 && !newest.Released && newest.Owner != s.cfg.Entry {
 		offer = effect.DispatchFor{Epoch: newest.Epoch, Address: newest.Address}
 	}
-	if offer != s.dispatchOffer {
-		s.dispatchOffer = offer
-		s.emit(offer)
+	if offer == s.dispatchOffer {
+		return
+	}
+	if s.dispatchOffer != (effect.DispatchFor{}) && s.ownership == nil {
+		// The next owner may assign these runners to others.
+		s.emit(effect.CloseRunnerConnections{})
 	}
+	s.dispatchOffer = offer
+	s.emit(offer)
 }
 
 // dispatcherFor returns the dispatcher that calls a runner; zero means this entry.
--- a/reduce/jobs/health.go
+++ b/reduce/jobs/health.go
@@ -71,7 +71,7 @@
 // healthAllowsRun reports whether a runner's health allows one more run. Runs that are stable do
 // not count, or long ones would keep the runner closed until they end.
 func (o *ownership) healthAllowsRun(r *runner) bool {
-	if o.now().Before(r.health.quarantinedUntil) || o.now().Before(o.crashRests[r.lastingID()].until) {
+	if o.now().Before(r.health.quarantinedUntil) || o.restsAfterCrash(r) {
 		return false
 	}
 	limit := r.health.maxUnproven()
@@ -115,26 +115,6 @@
 	o.quarantine(r, reason)
 }
 
-// crashRest keeps tasks from an instance whose runner crashes under one task again and again. It outlasts
-// the incarnation of the runner, unlike health.
-type crashRest struct {
-	until time.Time
-	rests int
-}
-
-// restAfterCrash keeps tasks from being started on the instance of a runner that has crashed under the same task as
-// the last time. The length doubles as that of a quarantine does.
-func (o *ownership) restAfterCrash(r *runner) {
-	rest := o.crashRests[r.lastingID()]
-	pause := min(minQuarantine<<min(rest.rests, maxDoublings), maxQuarantine)
-	o.crashRests[r.lastingID()] = crashRest{until: o.now().Add(pause), rests: rest.rests + 1}
-	o.s.logDecision(effect.Decision{Name: "runner rests", Runner: r.ID, Reason: reasonCrashesAgain, Count: rest.rests + 1, Age: pause, Epoch: o.epoch})
-	o.s.count("runners_rested", reasonCrashesAgain)
-}
-
-// reasonCrashesAgain is the reason for a rest after a crash.
-const reasonCrashesAgain effect.Reason = "crashed under a task again"
-
 // quarantine keeps tasks from being started on a runner for a time.
 func (o *ownership) quarantine(r *runner, reason effect.Reason) {
 	h := &r.health
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -102,7 +102,9 @@
 	if r.poll.maybeRestarted {
 		return
 	}
-	r.poll.noteUnanswered()
+	if r.poll.inFlight {
+		r.poll.noteUnanswered()
+	}
 	r.poll.maybeRestarted, r.poll.inFlight = true, false
 	o.touch(r)
 	o.pollIfDue(r)
@@ -152,7 +154,6 @@
 	r.poll.inFlight = false
 	o.touch(r)
 	if b.Outcome != event.OrderDone {
-		r.poll.noteUnanswered()
 		r.poll.maybeRestarted = true
 		o.onPollFailed(r, b)
 		return
@@ -244,6 +245,7 @@
 	case event.OrderStale:
 		return
 	default: // the poll is retried
+		r.poll.noteUnanswered()
 		o.raiseToken(r, r.poll.token)
 		o.callDirectly(r)
 	}
--- a/reduce/jobs/unresolved.go
+++ b/reduce/jobs/unresolved.go
@@ -53,7 +53,9 @@
 // processStrayEnd handles the end of a run that the owner gave up when its lease
 // expired. Ends of other runs were handled before and are ignored.
 func (o *ownership) processStrayEnd(r *runner, e *fleet.EndedTask) {
-	r.holdEnd(e.Number, o.former.holds[heldTask{runner: r.ID, task: e.Task}])
+	if until, held := o.former.holds[heldTask{runner: r.ID, task: e.Task}]; held {
+		r.holdEnd(e.Number, until)
+	}
 	t := o.findTask(e.Task)
 	if t == nil {
 		return
