Store a restart before progress that was in the outbox already

Callers could have seen a task run twice around a takeover. Cause: changes are stored in the order in which they were made, and a job's progress is read when it is stored. A job that was in the outbox when its runner's restart was seen had its run as lost in one append, and the list of restarted runners came in a later one if the changes between them exceeded an append. An owner that took over then did not wait for leases by calls for the former incarnation. Evidence: TestRestartIsStoredBeforeWhatFollowsFromIt fails on the commit before (the list lacks the runner) and passes here. Change: the list, if it has changed, is stored before the next progress of any job.

--- a/reduce/jobs/changes.go
+++ b/reduce/jobs/changes.go
@@ -72,7 +72,12 @@
 	switch c.kind {
 	case jobChange:
 		c.job.inOutbox = false
-		return o.jobRecords(c.job)
+		// The job may be in the outbox since before a restart, and its progress may follow from the restart.
+		var out []ledger.Record
+		if o.outbox.lists[restartedChange].queued {
+			out = o.listRecords(restartedChange)
+		}
+		return append(out, o.jobRecords(c.job)...)
 	case waveChange:
 		c.wave.inOutbox = false
 		return o.waveRecords(c.wave)
@@ -81,6 +86,9 @@
 	case holdChange:
 		return []ledger.Record{{Hold: &c.hold.Hold, DropHold: true}}
 	default:
+		if !o.outbox.lists[c.kind].queued {
+			return nil // stored with an earlier change
+		}
 		return o.listRecords(c.kind)
 	}
 }
