--- a/reduce/jobs/health_test.go
+++ b/reduce/jobs/health_test.go
@@ -93,6 +93,7 @@
 				w.run(30 * time.Second)
 				failed := r.failedRuns - startedBefore
 				t.Log(failed, "runs failed in", w.now.Sub(began))
+				must.Positive(t, failed)
 				must.Less(t, mostFailures(delay), failed)
 				w.run(20 * time.Second)
 				done := 0
