Instances are not needed for tasks that fit nowhere

Callers could have seen the work of one queue wait while every spare instance stood in the pool of another, for as long as a job with impossible needs waited there, or for about a minute after a job with an estimate of years. Evidence: without the change in demand.go TestHugeNumbersTakeNoInstances moves all six spare instances for a job with needs of 2^31 (its case with an estimate of 139 years holds with and without it). Change: steps for which no listed runner or instance is large enough count for no demand, a task counts among the arrivals with a minute at most, and the number of instances is bounded. The list of instances is read with its capacities. Result: the test passes.

--- a/fleet/job.go
+++ b/fleet/job.go
@@ -100,6 +100,11 @@
 	return need.CPU <= c.CPU && need.Memory <= c.Memory && need.Accelerators <= c.Accelerators
 }
 
+// Max returns the larger amount of each resource.
+func (c Capacity) Max(o Capacity) Capacity {
+	return Capacity{max(c.CPU, o.CPU), max(c.Memory, o.Memory), max(c.Accelerators, o.Accelerators)}
+}
+
 // Reservation returns the capacity that a task reserves on its runner. A
 // best-effort task reserves no CPU time.
 func (s *Step) Reservation() Capacity {
--- a/fleet/runner.go
+++ b/fleet/runner.go
@@ -93,6 +93,8 @@
 	Pool   PoolName
 	State  InstanceState
 	Runner RunnerID
+	// Capacity is that of its runner; zero if it is not known.
+	Capacity Capacity
 }
 
 // InstanceState is the state of an instance in the platform's list. An instance
--- a/reduce/jobs/advice.go
+++ b/reduce/jobs/advice.go
@@ -32,14 +32,14 @@
 	retryAt  time.Time
 }
 
-// ensureAdvice reports whether a usable runner with a valid ticket has room for a task of a step. If
-// none has, it requests advice about others: those with tickets may be full, or have left.
+// ensureAdvice reports whether a task of a step may run on one of the usable runners now, with a valid
+// ticket. If not, it requests advice about others: runners with tickets may be full, or have left.
 func (o *ownership) ensureAdvice(st *step, usable []*runner) bool {
 	a := &st.advice
 	if !o.now().Before(a.validUntil) {
 		a.tickets = nil
 	}
-	if slices.ContainsFunc(usable, func(r *runner) bool { return a.tickets[r.ID] != "" && r.free().Fits(st.spec.Reservation()) }) {
+	if len(a.tickets) > 0 && slices.ContainsFunc(usable, func(r *runner) bool { return o.feasible(st, r, gangShare{}) }) {
 		return true
 	}
 	if !a.inFlight && !o.now().Before(a.retryAt) {
@@ -52,15 +52,10 @@
 // none has a ticket.
 func (o *ownership) requestAdvice(st *step, usable []*runner) {
 	a := &st.advice
-	isAsked := func(r *runner) bool { return a.asked[r.ID] }
-	if len(a.tickets) == 0 && !slices.ContainsFunc(usable, func(r *runner) bool { return !isAsked(r) }) {
+	ids := st.unasked(usable)
+	if len(ids) == 0 && len(a.tickets) == 0 {
 		a.asked = nil
-	}
-	var ids []fleet.RunnerID
-	for _, r := range usable {
-		if !isAsked(r) && len(ids) < maxRunnersPerAdvice {
-			ids = append(ids, r.ID)
-		}
+		ids = st.unasked(usable)
 	}
 	if len(ids) == 0 {
 		return
@@ -75,6 +70,17 @@
 	o.s.emit(effect.RequestAdvice{Epoch: o.epoch, Job: st.occ.job.id, Step: st.stepName(), Runners: ids})
 }
 
+// unasked returns runners with the label of the step that no request has named, as many as one may name.
+func (st *step) unasked(usable []*runner) []fleet.RunnerID {
+	var ids []fleet.RunnerID
+	for _, r := range usable {
+		if !st.advice.asked[r.ID] && r.HasLabel(st.spec.Label) && len(ids) < maxRunnersPerAdvice {
+			ids = append(ids, r.ID)
+		}
+	}
+	return ids
+}
+
 // stepName returns the name of the step as used with the advice service.
 func (st *step) stepName() string {
 	return fleet.TaskID{Job: st.occ.job.id, Occurrence: st.occ.number, Step: st.number}.StepName()
--- a/reduce/jobs/demand.go
+++ b/reduce/jobs/demand.go
@@ -14,6 +14,9 @@
 	// demandWindow is the time constant of the average of arrivals. A burst lasts
 	// some seconds, and a move of an instance takes 1.5 s.
 	demandWindow = time.Second
+	// maxArrivalTime bounds the run time with which a task counts among the arrivals. A longer one
+	// counts as running work by then, and its estimate may be anything.
+	maxArrivalTime = time.Minute
 	// burstWindow is the time constant of the average that shows the beginning of a burst.
 	burstWindow = 250 * time.Millisecond
 	// backlogStartTime is the time within which waiting work should have begun.
@@ -65,8 +68,8 @@
 	work := 0.0
 	for i := range j.spec.Steps {
 		st := &j.spec.Steps[i]
-		if !st.LongRunning {
-			work += float64(st.Count) * float64(st.Needs.CPU) * o.expect(j, i).Mean.Seconds()
+		if !st.LongRunning && o.planner.mayFit(st) {
+			work += float64(st.Count) * float64(st.Needs.CPU) * min(o.expect(j, i).Mean, maxArrivalTime).Seconds()
 		}
 	}
 	if work > 0 && o.planner.workSince.IsZero() {
@@ -120,7 +123,7 @@
 	if size.Memory > 0 {
 		share = max(share, d.memory/float64(size.Memory))
 	}
-	return int(math.Ceil(share / targetUtilisation))
+	return int(fleet.WholeNumber(math.Ceil(share / targetUtilisation)))
 }
 
 // needOf returns the number of instances that a pool needs, by what they are needed for.
@@ -162,7 +165,7 @@
 		return d
 	}
 	for _, st := range p.queue {
-		if st.held {
+		if st.held || !o.planner.mayFit(st.spec) {
 			continue // instances would not help
 		}
 		waiting := 0
--- a/reduce/jobs/health.go
+++ b/reduce/jobs/health.go
@@ -84,10 +84,12 @@
 		return
 	}
 	r := run.runner
+	if r.health.maxUnproven() >= 0 {
+		o.pool(r.Service).dirty = true // it may take more runs
+	}
 	run.setStable(true)
 	r.health.recordStable(run.runningSince)
 	delete(o.crashRests, r.lastingID())
-	o.pool(r.Service).dirty = true
 }
 
 // updateHealth updates a runner's health with the outcome of a run.
--- a/reduce/jobs/numbers_test.go
+++ b/reduce/jobs/numbers_test.go
@@ -76,3 +76,27 @@
 		})
 	}
 }
+
+// TestHugeNumbersTakeNoInstances: a job whose tasks fit nowhere, or whose estimate is years, made its pool need every instance, for as long as
+// it waited or for a minute.
+func TestHugeNumbersTakeNoInstances(t *testing.T) {
+	huge := &fleet.JobSpec{Text: "text", Steps: []fleet.Step{{
+		Count: 10_000, Needs: fleet.Capacity{CPU: fleet.MaxNeeds, Memory: fleet.MaxNeeds}, Estimate: fleet.MaxDuration,
+	}}}
+	long := oneTaskJob(fleet.MaxDuration)
+	for name, spec := range map[string]*fleet.JobSpec{"needs": huge, "estimate": long} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, 471, 3, 2)
+			w.withInstances(6)
+			w.run(5 * time.Second)
+			w.submit(jobID(0), oneTaskJob(100*time.Millisecond))
+			w.run(15 * time.Second)
+			before := w.instancesIn("desk")
+			w.submit(jobID(1), spec)
+			w.run(20 * time.Second)
+			must.LessEq(t, before+1, w.instancesIn("desk"))
+			w.checkInvariants()
+		})
+	}
+}
--- a/reduce/jobs/planner.go
+++ b/reduce/jobs/planner.go
@@ -45,6 +45,8 @@
 	arrivals map[fleet.ServiceName]*arrivals
 	// workSince is when the first job with work arrived; zero before.
 	workSince time.Time
+	// largest is the most of each resource that any runner or instance has; zero while none is known.
+	largest fleet.Capacity
 }
 
 func newPlanner() planner { return planner{arrivals: make(map[fleet.ServiceName]*arrivals)} }
@@ -76,6 +78,7 @@
 		return
 	}
 	o.instances.plannedAt = o.now()
+	o.planner.largest = o.largestCapacity()
 	plans, spare := o.poolPlans()
 	if len(plans) == 0 {
 		return
@@ -95,6 +98,24 @@
 	o.turnOffIdle(plans, spare, moves)
 }
 
+// largestCapacity returns the most of each resource that any runner or instance has.
+func (o *ownership) largestCapacity() fleet.Capacity {
+	var largest fleet.Capacity
+	for _, r := range o.sortedRunners {
+		largest = largest.Max(r.Capacity)
+	}
+	for _, i := range o.instances.sorted {
+		largest = largest.Max(i.Capacity)
+	}
+	return largest
+}
+
+// mayFit reports whether some runner or instance is large enough for a task of a step. More instances
+// do not help a step that none is large enough for.
+func (p *planner) mayFit(st *fleet.Step) bool {
+	return p.largest == (fleet.Capacity{}) || p.largest.Fits(st.Reservation())
+}
+
 // poolPlans returns the plans of the pools that run tasks, sorted by name, and the
 // plan of the spare pool, which is nil if there is none.
 func (o *ownership) poolPlans() ([]*poolPlan, *poolPlan) {
