--- a/soak/runnerprocess_test.go
+++ b/soak/runnerprocess_test.go
@@ -87,7 +87,7 @@
 	texts.next = platformtest.RunnerHandler(s.ID, runner)
 	srv := &http.Server{Handler: texts, ReadHeaderTimeout: time.Minute}
 	served := make(chan error, 2)
-	go func() { served <- srv.Serve(ln) }()
+	go func() { served <- srv.Serve(platformtest.LimitConnections(ln, platformtest.MaxRunnerConnections)) }()
 	go func() {
 		_, _ = io.Copy(io.Discard, in)
 		served <- errors.New("the test has ended")
