--- a/reduce/jobs/faults_test.go
+++ b/reduce/jobs/faults_test.go
@@ -154,7 +154,7 @@
 }
 
 func (r *fakeRunner) restart() {
-	if !r.up {
+	if !r.up && !r.ended {
 		r.boot()
 	}
 }
--- a/reduce/jobs/instances_test.go
+++ b/reduce/jobs/instances_test.go
@@ -25,6 +25,8 @@
 	wave int64
 	// ordered is when the instance accepted the last order.
 	ordered time.Time
+	// runners is the number of runners that have followed the first one.
+	runners int
 }
 
 // instanceLease is the time after an order of one tenure in which no order of the
@@ -56,6 +58,10 @@
 func (e *fakeEntry) listInstances(o effect.ListInstances) {
 	w := e.w
 	w.after(w.latency(), func() {
+		if w.listFails != nil && w.listFails(e) {
+			e.postAfter(w.latency(), event.InstancesRead{Epoch: o.Epoch, Failed: true})
+			return
+		}
 		e.lists++
 		var rows []fleet.ManagedInstance
 		for _, i := range w.instances {
@@ -68,7 +74,12 @@
 			}
 			rows = append(rows, row)
 		}
-		e.postAfter(w.latency(), event.InstancesRead{Epoch: o.Epoch, Instances: rows})
+		read := w.latency()
+		if w.listTime != nil {
+			read += w.listTime(e)
+		}
+		e.noteShownEnds(o.Epoch, rows, read)
+		e.postAfter(read, event.InstancesRead{Epoch: o.Epoch, Instances: rows})
 	})
 }
 
@@ -129,9 +140,13 @@
 	w.checkInterruption(i)
 	if i.runner != nil && i.runner.up {
 		i.runner.crash()
-		i.runner.comesBack = true
+		i.runner.comesBack, i.runner.ended = true, w.renewsRunners
 	}
-	w.after(away, func() { i.comeUp(w) })
+	w.after(away, func() {
+		if slices.Contains(w.instances, i) {
+			i.comeUp(w)
+		}
+	})
 	return effect.InstanceOrderDone
 }
 
@@ -140,10 +155,13 @@
 	if i.pool == sparePool {
 		return
 	}
-	if i.runner == nil {
+	switch {
+	case i.runner == nil:
 		i.runner = w.addRunner(fleet.RunnerID("r-" + string(i.id)))
 		i.runner.instance = i.id
-	} else {
+	case w.renewsRunners || i.runner.ended:
+		i.addNextRunner()
+	default:
 		i.runner.boot()
 	}
 	i.runner.service = fleet.ServiceName(i.pool)
--- a/reduce/jobs/runner_test.go
+++ b/reduce/jobs/runner_test.go
@@ -51,8 +51,9 @@
 	remaining time.Duration
 	// slowness is the factor by which runs take longer; zero for none.
 	slowness float64
-	// comesBack is set while the runner is down and its restart is scheduled.
-	comesBack bool
+	// comesBack is set while the runner is down and its restart is scheduled, and ended once no
+	// process will have its id again.
+	comesBack, ended bool
 	// dark is set while the runner is down and nothing tells callers so. The calls that it
 	// gets meanwhile are in held: the next incarnation carries them out.
 	dark bool
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -85,6 +85,12 @@
 	// published statuses of waves unchecked.
 	hidden       func(*fakeEntry, fleet.InstanceID) bool
 	ignoreStatus bool
+	// listFails and listTime, if set, tell whether a list of an entry fails, and how long its
+	// answer is under way. renewsRunners gives the runner of an instance that was moved or
+	// maintained another id.
+	listFails     func(*fakeEntry) bool
+	listTime      func(*fakeEntry) time.Duration
+	renewsRunners bool
 	// withholdQueues keeps the configuration from entries that start, and
 	// withholdRunners the changes of the list of runners from all entries.
 	withholdQueues, withholdRunners bool
@@ -367,6 +373,9 @@
 	followedEpoch int64
 	// lists is the number of lists of instances that the entry has read.
 	lists int
+	// shownEnds is what those of its tenure of an epoch have shown of ended runners.
+	shownEnds      map[fleet.RunnerID]*shownEnd
+	shownEndsEpoch int64
 }
 
 func (e *fakeEntry) boot() {
