A refused maintenance gives its place in the wave back

Callers saw nothing but a late wave: an instance whose maintenance the platform refused counted as down for good, so a wave with one place never ended.

Cause: a place became free once a list showed the instance coming up again after the order, which it never does after a refusal.

Change: a list that was requested after the refusal and shows the instance as up frees the place, unless an earlier try of the order may still be carried out. Until then it stays taken, as the instance may be busy with a late order of a former owner.

--- a/reduce/jobs/instanceorders.go
+++ b/reduce/jobs/instanceorders.go
@@ -36,6 +36,7 @@
 		o.touch(r)
 		i.stoppedIncarnation, i.Runner = r.Incarnation, r.ID
 	}
+	i.unanswered = false
 	i.pending = &effect.OrderInstance{Epoch: o.epoch, Kind: kind, Instance: i.ID, Pool: pool, Wave: wave}
 	o.markChanged(orderedChange)
 	o.whenStored(deferred{instanceOrder: i})
@@ -136,6 +137,7 @@
 	case effect.InstanceFenced:
 		o.s.endTenure(reasonRunnerFenced)
 	case effect.InstanceUnknown, effect.InstanceRefused:
+		i.unanswered = i.unanswered || b.Outcome == effect.InstanceUnknown
 		i.retryAt = o.now().Add(instanceRetryDelay)
 	default:
 		o.onInstanceRefused(i, b.Outcome)
@@ -171,6 +173,9 @@
 	if r := o.runnerOf(i); r != nil {
 		r.vacating = false
 	}
+	if !i.unanswered {
+		i.refusedAt = o.now()
+	}
 	switch {
 	case outcome == effect.InstanceInvalid && order.Kind == effect.InstanceMove:
 		i.rejectedPools = append(i.rejectedPools, order.Pool)
--- a/reduce/jobs/instances.go
+++ b/reduce/jobs/instances.go
@@ -76,6 +76,11 @@
 	changedAt time.Time
 	// pending is an order whose outcome is not known.
 	pending *effect.OrderInstance
+	// unanswered is set while an earlier try of the pending order may still be carried out.
+	unanswered bool
+	// refusedAt is when the platform last refused an order of which no try may still be carried
+	// out.
+	refusedAt time.Time
 	// orderedAt is when an order about the instance was last sent.
 	orderedAt time.Time
 	// retryAt is when the pending order is retried; zero while its answer is
--- a/reduce/jobs/waves.go
+++ b/reduce/jobs/waves.go
@@ -146,8 +146,11 @@
 func (o *ownership) updateDown(w *wave) {
 	for id, since := range w.down {
 		i, ok := o.instances.byID[id]
-		up := ok && i.State == fleet.InstanceUp && i.pending == nil && i.upSince.After(since)
-		if !ok || up && o.now().Sub(since) > o.s.cfg.Bounds.MaintenanceTime+returnMargin/2 {
+		up := ok && i.State == fleet.InstanceUp && i.pending == nil
+		back := up && i.upSince.After(since) && o.now().Sub(since) > o.s.cfg.Bounds.MaintenanceTime+returnMargin/2
+		// An instance that was refused as busy may be down by an order of a former owner.
+		refused := up && i.refusedAt.After(since) && i.listedAt.After(i.refusedAt)
+		if !ok || back || refused {
 			delete(w.down, id)
 		}
 	}
