Owners in turn do not renew the wait for an outcome

A task that has failed before could not start for as long as owners followed one another.

Change: the ledger names the epoch of the owner that gave the run up (ledger.Run.Epoch, which is stored for late starts already), and the wait counts from when that owner was last active. Entries of earlier versions store no epoch; their runs are waited for as before. The counted runs of a tenant stay in the order of their times, which restored ones no longer have.

--- a/reduce/jobs/job.go
+++ b/reduce/jobs/job.go
@@ -424,9 +424,7 @@
 		}
 	}
 	out.LateStarts = t.storedLateStarts()
-	for _, u := range t.unresolved {
-		out.Unresolved = append(out.Unresolved, ledger.Run{Attempt: u.attempt, Runner: u.runner, Instance: u.instance})
-	}
+	out.Unresolved = t.storedUnresolved()
 	return out, true
 }
 
@@ -524,9 +522,7 @@
 		t.step.failedAttempts = r.FailedAttempts
 	}
 	t.crashes, t.crashedOn = crashes.Record{Crashes: r.Crashes, Certain: r.CertainCrashes, Trial: r.Trial}, r.CrashedOn
-	for _, u := range r.Unresolved {
-		o.restoreUnresolved(t, u)
-	}
+	o.restoreUnresolved(t, r.Unresolved)
 	o.restoreLateStarts(t, r.LateStarts)
 	t.job().started = true
 	o.recount(t)
--- a/reduce/jobs/run.go
+++ b/reduce/jobs/run.go
@@ -177,7 +177,9 @@
 	switch reason {
 	case reasonLeaseExpired:
 		run.task.crashes.Lost(run.provenRunTime())
-		o.addUnresolved(run.task, unresolvedRun{attempt: run.attempt, runner: run.runner.ID, instance: run.runner.Instance, since: o.now()})
+		o.addUnresolved(run.task, unresolvedRun{
+			attempt: run.attempt, runner: run.runner.ID, instance: run.runner.Instance, since: o.now(), epoch: o.epoch,
+		})
 	case reasonInstanceMissing:
 		if run.mayHaveBegun() && !run.crashCounted && !o.leftAsPlanned(run.runner) && run.task.crashes.LostForGood(run.provenRunTime()) {
 			o.giveUp(run.task, run.runner.ID)
--- a/reduce/jobs/unresolved.go
+++ b/reduce/jobs/unresolved.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -21,7 +22,10 @@
 	runner  fleet.RunnerID
 	// instance is the instance of the runner; empty if it is not known.
 	instance fleet.InstanceID
-	since    time.Time
+	// since is when it was given up, or at the latest was, and epoch that of the owner that gave
+	// it up; zero if that is not known.
+	since time.Time
+	epoch int64
 }
 
 // expired reports whether the outcome of the run is waited for no longer.
@@ -30,7 +34,11 @@
 // addUnresolved adds an unresolved run to its task.
 func (o *ownership) addUnresolved(t *task, u unresolvedRun) {
 	t.unresolved = append(t.unresolved, u)
-	o.countedUnresolved = append(o.countedUnresolved, countedRun{task: t, since: u.since})
+	counted := countedRun{task: t, since: u.since}
+	at, _ := slices.BinarySearchFunc(o.countedUnresolved, counted, func(a, b countedRun) int {
+		return cmp.Or(a.since.Compare(b.since), -1) // after those of the same time
+	})
+	o.countedUnresolved = slices.Insert(o.countedUnresolved, at, counted)
 	o.recount(t)
 	if j := t.job(); !j.hasUnresolved {
 		j.hasUnresolved = true
@@ -38,12 +46,30 @@
 	}
 }
 
-// restoreUnresolved restores an unresolved run of a former owner.
-func (o *ownership) restoreUnresolved(t *task, stored ledger.Run) {
-	r := o.runner(stored.Runner)
-	o.setInstance(r, stored.Instance)
-	r.unresolvedUntil = o.now().Add(resolveLimit)
-	o.addUnresolved(t, unresolvedRun{attempt: stored.Attempt, runner: stored.Runner, instance: stored.Instance, since: o.now()})
+// restoreUnresolved restores the unresolved runs of former owners. Their outcomes are waited for
+// since the owners that gave them up were last active: owners in turn do not renew the wait.
+func (o *ownership) restoreUnresolved(t *task, stored []ledger.Run) {
+	for _, s := range stored {
+		since := o.now()
+		if s.Epoch > 0 && s.Epoch < o.epoch {
+			if at := o.s.tenure.ActiveUntil(s.Epoch); at.Before(since) {
+				since = at
+			}
+		}
+		r := o.runner(s.Runner)
+		o.setInstance(r, s.Instance)
+		r.unresolvedUntil = latest(r.unresolvedUntil, since.Add(resolveLimit))
+		o.addUnresolved(t, unresolvedRun{attempt: s.Attempt, runner: s.Runner, instance: s.Instance, since: since, epoch: s.Epoch})
+	}
+}
+
+// storedUnresolved returns the unresolved runs of a task as stored in the ledger.
+func (t *task) storedUnresolved() []ledger.Run {
+	var out []ledger.Run
+	for _, u := range t.unresolved {
+		out = append(out, ledger.Run{Attempt: u.attempt, Runner: u.runner, Instance: u.instance, Epoch: u.epoch})
+	}
+	return out
 }
 
 // awaitsResolution reports whether a task that has failed before would have no
--- a/reduce/ledger/ledger.go
+++ b/reduce/ledger/ledger.go
@@ -192,8 +192,8 @@
 	Runner  fleet.RunnerID
 	// Instance is the instance of the runner; empty if it is not known.
 	Instance fleet.InstanceID `json:",omitempty"`
-	// Epoch is that of the last owner that may have ordered its start; zero if that does not
-	// matter or is not known.
+	// Epoch is that of the last owner that may have ordered its start, or of the one that gave it up
+	// without its outcome; zero if that is not known.
 	Epoch int64 `json:",omitempty"`
 }
 
