New processes learn from the tenure log when epochs began

Cause: what a former owner ordered is bounded from when it was last active, by the first sight of a later epoch. A process that has just begun has seen the newest epoch only, and counted from its own first read. Owners in turn, each a new process, renewed the hold of a late start, and the wait for the outcome of a run, for as long as they followed one another.

Change: claims and heartbeats tell how long ago the last epochs began (eight at most, within 45 s). An entry that reads a later epoch takes the ages over as sightings. An age is counted from before the sending to the reading of the record, so the bound stays an upper one; what a record tells of later epochs than its own, or of times to come, is left out. Records of earlier versions tell nothing, and earlier versions skip the field.

--- a/codec/ledger_test.go
+++ b/codec/ledger_test.go
@@ -129,6 +129,13 @@
 			active := time.Duration(rapid.Int64().Draw(rt, "former owners are active"))
 			want.FormerActive = &active
 		}
+		if n := rapid.IntRange(0, 3).Draw(rt, "epochs told"); n > 0 {
+			epochs := make([]tenure.EpochAge, n)
+			for i := range epochs {
+				epochs[i] = tenure.EpochAge{Epoch: rapid.Int64().Draw(rt, "epoch told"), Age: time.Duration(rapid.Int64().Draw(rt, "age"))}
+			}
+			want.Epochs = &epochs
+		}
 		r, err := codec.EncodeTenure(want)
 		must.NoError(rt, err)
 		got, ok, err := codec.DecodeTenure([]storage.Record{{Key: "else"}, r})
--- a/reduce/jobs/unresolved_test.go
+++ b/reduce/jobs/unresolved_test.go
@@ -18,6 +18,7 @@
 			e.w.after(time.Second, func() { e.kill(); e.boot() })
 		}},
 		{5, "killed", (*fakeEntry).kill},
+		{5, "restarted under its name", func(e *fakeEntry) { e.kill(); e.boot() }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			w := newWorld(t, 450, 7, 3, slowClock)
--- a/reduce/tenure/tenure.go
+++ b/reduce/tenure/tenure.go
@@ -7,7 +7,9 @@
 package tenure
 
 import (
+	"cmp"
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"github.com/banyanrail/banyanrail/fleet"
@@ -61,6 +63,16 @@
 	// epochs may still grant leases. It hands the bound on to entries that have not read
 	// the records of those owners. It is nil in records of versions that do not tell.
 	FormerActive *time.Duration
+	// Epochs tells how long before the sending of the record the last epochs had begun. It hands
+	// their sightings on to entries that have not read the records of those epochs. It is nil
+	// if none began lately, and in records of versions that do not tell.
+	Epochs *[]EpochAge `json:",omitempty"`
+}
+
+// EpochAge is the time since the first record of an epoch was read.
+type EpochAge struct {
+	Epoch int64
+	Age   time.Duration
 }
 
 // State is an entry's view of the tenure.
@@ -112,6 +124,14 @@
 // expired.
 const maxSightings = 64
 
+const (
+	// maxToldEpochs is the number of epochs of which a record tells the age.
+	maxToldEpochs = 8
+	// maxToldAge is the age of an epoch above which records do not tell it. What an owner has
+	// ordered is over by then.
+	maxToldAge = 45 * time.Second
+)
+
 // New returns the state of an entry that has read nothing. Its claims of a free
 // tenure are delayed by claimDelay.
 func New(entry fleet.EntryID, incarnation uint64, address string, claimDelay time.Duration) *State {
@@ -200,15 +220,56 @@
 // setNewest makes a record the newest one.
 func (s *State) setNewest(r Record, end fleet.Offset) {
 	s.suspectedEpoch = 0 // a new record shows that the owner is alive
-	if n := len(s.sightings); n == 0 || s.sightings[n-1].epoch < r.Epoch {
-		s.sightings = append(s.sightings[max(0, n-maxSightings+1):], sighting{epoch: r.Epoch, at: s.readAt})
-	}
+	s.noteSightings(r)
 	s.boundFormerOwners(r)
 	s.ownerActiveUntil = s.activeUntil(r)
 	s.newest, s.end = r, end
 	s.confirm(r)
 }
 
+// noteSightings notes the sighting of a record's epoch, and those that it tells of. They were
+// earlier than its age before its sending, and so before its reading.
+func (s *State) noteSightings(r Record) {
+	if n := len(s.sightings); n > 0 && s.sightings[n-1].epoch >= r.Epoch {
+		return
+	}
+	if r.Epochs != nil {
+		for _, told := range *r.Epochs {
+			if told.Epoch <= r.Epoch {
+				s.noteSighting(sighting{epoch: told.Epoch, at: s.readAt.Add(-max(0, told.Age))})
+			}
+		}
+	}
+	s.noteSighting(sighting{epoch: r.Epoch, at: s.readAt})
+	s.sightings = s.sightings[max(0, len(s.sightings)-maxSightings):]
+}
+
+// noteSighting notes a sighting unless an earlier one of the same epoch is known.
+func (s *State) noteSighting(seen sighting) {
+	i, known := slices.BinarySearchFunc(s.sightings, seen, func(a, b sighting) int { return cmp.Compare(a.epoch, b.epoch) })
+	switch {
+	case !known:
+		s.sightings = slices.Insert(s.sightings, i, seen)
+	case seen.at.Before(s.sightings[i].at):
+		s.sightings[i].at = seen.at
+	}
+}
+
+// epochAges returns the ages of the last epochs up to one, oldest first; nil if there are none.
+func (s *State) epochAges(now time.Time, upTo int64) *[]EpochAge {
+	var out []EpochAge
+	for _, seen := range s.sightings {
+		if age := now.Sub(seen.at); seen.epoch > 0 && seen.epoch <= upTo && age <= maxToldAge {
+			out = append(out, EpochAge{Epoch: seen.epoch, Age: max(0, age)})
+		}
+	}
+	if len(out) == 0 {
+		return nil
+	}
+	out = out[max(0, len(out)-maxToldEpochs):]
+	return &out
+}
+
 // boundFormerOwners updates formerActiveUntil for a record that was just read. The bound
 // that a record carries holds for all earlier epochs, whichever of their records this entry
 // has read: each writer claims right after the record that it has read last, whose bound it
@@ -311,7 +372,7 @@
 	s.beat++
 	r.Beat = s.beat
 	active := max(0, s.formerAt(r.Epoch).Sub(now))
-	r.FormerActive = &active
+	r.FormerActive, r.Epochs = &active, s.epochAges(now, r.Epoch)
 	s.sentAt[r.Beat] = now
 	return r, s.end, true
 }
--- a/reduce/tenure/tenure_test.go
+++ b/reduce/tenure/tenure_test.go
@@ -241,3 +241,55 @@
 	_, _, claims = s.Next(now)
 	must.True(t, claims)
 }
+
+// TestSightingsPassThroughProcessesThatHaveNotReadThem: the entry that owns the tenure is replaced by a new process again and again. What the first
+// owner did is over as long after its end as for an entry that has read all records.
+func TestSightingsPassThroughProcessesThatHaveNotReadThem(t *testing.T) {
+	const turn = 10 * time.Second
+	watcher := tenure.New("watcher", 1, "address", 0)
+	record, now, end := tenure.Record{}, start, fleet.Offset(0)
+	var me *tenure.State
+	for n := range 5 {
+		me = tenure.New("me", uint64(n+1), "address", 0)
+		for until := now.Add(turn); now.Before(until); now = now.Add(100 * time.Millisecond) {
+			me.OnRead(now, record, end)
+			watcher.OnRead(now, record, end)
+			if r, _, ok := me.Next(now); ok {
+				record, end = r, end+1
+				me.OnAppended(now, r, end)
+			}
+		}
+	}
+	must.Eq(t, 5, record.Epoch)
+	for epoch := int64(1); epoch < 5; epoch++ {
+		late := me.ActiveUntil(epoch).Sub(watcher.ActiveUntil(epoch))
+		must.Between(t, -100*time.Millisecond, late, 4*tenure.HeartbeatInterval, must.Sprint("epoch ", epoch))
+		must.False(t, me.ActiveUntil(epoch).Before(start.Add(time.Duration(epoch)*turn)), must.Sprint("epoch ", epoch))
+	}
+}
+
+// TestSightingsThatARecordTells: what a record tells of later epochs than its own, or of times to come, moves no bound ahead of what was read.
+func TestSightingsThatARecordTells(t *testing.T) {
+	r := other(7, 1, false)
+	r.Epochs = &[]tenure.EpochAge{{Epoch: 5, Age: 30 * time.Second}, {Epoch: 6, Age: -time.Hour}, {Epoch: 9, Age: time.Hour}}
+	s := tenure.New("me", 2, "address", 0)
+	s.OnRead(start, r, 5)
+	must.Eq(t, start.Add(tenure.HeartbeatValidity-30*time.Second), s.ActiveUntil(4))
+	must.Eq(t, start.Add(tenure.HeartbeatValidity), s.ActiveUntil(5))
+	must.Eq(t, start.Add(tenure.HeartbeatValidity), s.ActiveUntil(6))
+	must.Eq(t, start.Add(tenure.HeartbeatValidity), s.ActiveUntil(7))
+}
+
+// TestRecordsTellOfFewEpochs bounds the size of the records.
+func TestRecordsTellOfFewEpochs(t *testing.T) {
+	s, now := tenure.New("me", 2, "address", 0), start
+	for epoch := range int64(40) {
+		now = now.Add(time.Second)
+		s.OnRead(now, other(epoch+1, epoch+1, true), fleet.Offset(epoch+1))
+	}
+	now = feedReads(s, now, time.Second, other(40, 40, true), 40)
+	r, _, ok := s.Next(now)
+	must.True(t, ok)
+	must.SliceLen(t, 8, *r.Epochs)
+	must.Eq(t, 40, (*r.Epochs)[7].Epoch)
+}
