--- a/reduce/jobs/endedrunners.go
+++ b/reduce/jobs/endedrunners.go
@@ -15,9 +15,9 @@
 	// fail as down, or removes them from the list, within that time.
 	silentListInterval = 400 * time.Millisecond
 	silentListTime     = 3 * time.Second
-	// listTimePerInstance bounds the processor time for lists: with many instances they are read
-	// no more often than usual.
-	listTimePerInstance = 40 * time.Microsecond
+	// listTimePerInstance bounds the calls and the processor time for lists: with many instances
+	// they are read no more often than usual.
+	listTimePerInstance = 400 * time.Microsecond
 )
 
 // silentInterval returns the time between reads of the list while work waits for a runner that
