Log and gauge at which gate a ready task waits

Change, no decision among it: every 500 ms the owner looks at up to 10,000 tasks of its queues. `task waits` and `task waits no more` tell of a wait of 500 ms at a late start, an unresolved run, a gang, a cap, a trial or advice; `tasks wait for room` counts the others for each pool, once a second; `runs wait for a runner` tells of runs that wait for the leases of a silent runner; `instance changed` of another state or runner in a list that this owner did not order. 20 lines of each name a second, `lines left out` counts the others. SetJobGauge is a new effect: `tasks_waiting` by gate and `runs_on_silent_runners`, cleared at the end of a tenure. reduce/gates holds the pure part; a wait at a gate that opens for less than half a second goes on.

--- a/jobentry/act.go
+++ b/jobentry/act.go
@@ -26,10 +26,8 @@
 		e.submit(e.forwards, func() { e.forward(o) })
 	case effect.Decision:
 		e.log(&o)
-	case effect.CountJob:
-		e.metrics.count(o)
-	case effect.Observe:
-		e.metrics.observe(o)
+	case effect.CountJob, effect.SetJobGauge, effect.Observe:
+		e.metrics.act(out)
 	case effect.SetReady:
 		e.ready.Store(o.Ready)
 	case effect.JobsHandedOver:
--- a/reduce/effect/jobs.go
+++ b/reduce/effect/jobs.go
@@ -320,6 +320,13 @@
 	N      int64
 }
 
+// SetJobGauge sets a gauge of the job side.
+type SetJobGauge struct {
+	Name   string
+	Reason Reason
+	Value  int64
+}
+
 // Observe adds a duration to a latency histogram of the job side.
 type Observe struct {
 	Name     string
@@ -346,4 +353,5 @@
 func (JobsHandedOver) isEffect()         {}
 func (Decision) isEffect()               {}
 func (CountJob) isEffect()               {}
+func (SetJobGauge) isEffect()            {}
 func (Observe) isEffect()                {}
--- a/reduce/jobs/export_test.go
+++ b/reduce/jobs/export_test.go
@@ -125,3 +125,10 @@
 
 // FirstToken returns the lowest fencing token of a tenure.
 func FirstToken(epoch int64) int64 { return epoch << tokenBits }
+
+// ExamineGates examines now what ready tasks wait for.
+func ExamineGates(s *State) {
+	s.ownership.gates.examinedAt = s.ownership.startedAt
+	s.ownership.examineGates()
+	s.out = s.out[:0]
+}
--- a/reduce/jobs/instances.go
+++ b/reduce/jobs/instances.go
@@ -206,6 +206,7 @@
 		if i.State != fleet.InstanceUp && m.State == fleet.InstanceUp {
 			i.upSince = o.now()
 		}
+		o.noteInstanceChange(i, m)
 		i.update(&m, in.listRequestedAt)
 	}
 	in.sorted = slices.DeleteFunc(in.sorted, func(i *instance) bool {
--- a/reduce/jobs/ownership.go
+++ b/reduce/jobs/ownership.go
@@ -99,6 +99,7 @@
 	// capacity is that of all listed runners as of capacityAt.
 	capacity   fleet.Capacity
 	capacityAt time.Time
+	gates      gateWatch
 }
 
 func newOwnership(s *State, epoch int64) *ownership {
@@ -206,6 +207,7 @@
 	o.tickUnreached()
 	o.expireJobs()
 	o.tickInstances()
+	o.examineGates()
 }
 
 // closeConnectionsIfInvalid closes the connections to runners while this owner makes no calls: the next
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -254,6 +254,7 @@
 		r.poll.unreachable, r.poll.silentSince = true, o.now()
 		o.noteSilence(r)
 		o.listInstancesSoon(r)
+		o.watchSilent(r)
 		o.s.logDecision(effect.Decision{
 			Name: "runner lost", Warning: true, Runner: r.ID, Epoch: o.epoch, Reason: effect.Reason(b.Reason), Count: len(r.runs),
 		})
--- a/reduce/jobs/run.go
+++ b/reduce/jobs/run.go
@@ -112,6 +112,7 @@
 // planRun reserves capacity on a runner for a task. The start is ordered once the
 // intent is stored.
 func (o *ownership) planRun(t *task, r *runner, attempt int64, ticket string) {
+	o.endWait(t)
 	t.attempt = attempt
 	run := &run{
 		task: t, runner: r, incarnation: r.Incarnation, attempt: attempt, phase: runIntent,
--- a/reduce/jobs/state.go
+++ b/reduce/jobs/state.go
@@ -118,6 +118,8 @@
 	unreachableEpoch int64
 	// tenantLabels are the names of tenants in counters.
 	tenantLabels shares.Labels
+	// gauges holds the gauges as they were last set.
+	gauges []effect.SetJobGauge
 }
 
 // New returns the state of an entry that has seen no event.
--- a/reduce/jobs/tenure.go
+++ b/reduce/jobs/tenure.go
@@ -71,6 +71,7 @@
 	s.count("tenures_ended", reason)
 	s.tenure.OnSuperseded(s.ownership.epoch)
 	s.ownership = nil
+	s.clearGauges()
 	s.emit(effect.FollowRunners{})
 	s.emit(effect.CloseRunnerConnections{})
 	for _, c := range s.callsByAge() {
