Time left of a late start on a runner that answers

Change: at a runner that answers it is the time until the start can be carried out no more, since the next answer settles it. TestWaitForALateStartOfAFormerOwner: 11.5 s are told, and the task starts after 12.5 s, of which a long poll is one.

--- a/reduce/jobs/gates.go
+++ b/reduce/jobs/gates.go
@@ -267,7 +267,11 @@
 		return
 	}
 	last := slices.MaxFunc(t.lateStarts, func(a, b *lateStart) int { return o.lateRunsUntil(a).Compare(o.lateRunsUntil(b)) })
-	d.Attempt, d.Runner, d.Incarnation, d.Age = last.attempt, last.runner.ID, last.runner.Incarnation, o.lateRunsUntil(last).Sub(o.now())
+	until := o.lateRunsUntil(last)
+	if !last.runner.poll.unreachable {
+		until = last.until // the next answer settles it
+	}
+	d.Attempt, d.Runner, d.Incarnation, d.Age = last.attempt, last.runner.ID, last.runner.Incarnation, max(0, until.Sub(o.now()))
 	switch {
 	case !last.barred:
 		d.Outcome = "until the runner answers a stop: "
--- a/reduce/jobs/gates_test.go
+++ b/reduce/jobs/gates_test.go
@@ -152,6 +152,35 @@
 	w.checkInvariants()
 }
 
+// TestWaitForALateStartOfAFormerOwner: a run of a short task goes on over a takeover and fails. The next owner
+// cannot tell that its start was answered. Its runner is up, but the task avoids it.
+func TestWaitForALateStartOfAFormerOwner(t *testing.T) {
+	w := newWorld(t, 614, 3, 2)
+	w.run(5 * time.Second)
+	l := watchGates(w)
+	task := firstTask(jobID(0))
+	w.alwaysFails[task.Job] = true
+	w.length = func(fleet.TaskID) time.Duration { return 4 * time.Second }
+	w.submit(task.Job, oneTaskJob(1500*time.Millisecond))
+	w.runUntilRuns(task)
+	delete(w.alwaysFails, task.Job) // the run that has begun fails
+	first := w.runnerUnder(task)
+	w.run(300 * time.Millisecond)
+	w.owner().kill()
+	for first.runs[task] != nil {
+		w.run(10 * time.Millisecond)
+	}
+	failed := w.now
+	w.run(25 * time.Second)
+	line := l.mustWait(t, gates.LateStart, task, failed)
+	must.Eq(t, first.id, line.Runner)
+	must.Eq(t, "until the runner answers a stop: answers", line.Outcome)
+	must.Eq(t, "until no start can be carried out late: answers", l.of("task waits", task)[1].Outcome)
+	end := l.of("task waits no more", task)[0]
+	must.Between(t, line.Age, end.at.Sub(line.at), line.Age+1100*time.Millisecond) // a long poll takes a second
+	w.checkInvariants()
+}
+
 // lossOf returns where the time will be at which a run of a task is lost next.
 func (w *world) lossOf(task fleet.TaskID) *time.Time {
 	lost := &time.Time{}
