--- a/reduce/jobs/endedrunners_test.go
+++ b/reduce/jobs/endedrunners_test.go
@@ -14,10 +14,15 @@
 type shownEnd struct {
 	// missing is the number of lists in a row that did not have its instance.
 	missing int
-	// at is when the owner had the list that proves the end; zero before.
-	at time.Time
+	// at is when the owner had the list that proves the end, and settledAt when it had one that was
+	// requested after the runner had been silent for longestSilence; zero before.
+	at, settledAt time.Time
 }
 
+// longestSilence is how long after its end the silence of a runner is noticed, with the last
+// poll that reaches it and the time in which a rack falls silent.
+const longestSilence = time.Second + orderTimeout + 300*time.Millisecond
+
 // absentLists is the number of complete lists in a row without an instance that show that it
 // has gone.
 const absentLists = 2
@@ -27,7 +32,7 @@
 // maintained.
 func (e *fakeEntry) noteShownEnds(epoch int64, rows []fleet.ManagedInstance, after time.Duration) {
 	if e.shownEnds == nil || e.shownEndsEpoch != epoch {
-		e.shownEnds, e.shownEndsEpoch = make(map[fleet.RunnerID]*shownEnd), epoch
+		e.shownEnds, e.shownEndsEpoch, e.shownEndsSince = make(map[fleet.RunnerID]*shownEnd), epoch, e.w.now
 	}
 	for id, r := range e.w.runners {
 		if !r.ended {
@@ -47,21 +52,27 @@
 		if proven && shown.at.IsZero() {
 			shown.at = e.w.now.Add(after)
 		}
+		silent := e.w.now.Sub(r.crashedAt) >= longestSilence && e.w.now.Sub(e.shownEndsSince) >= longestSilence
+		if proven && silent && shown.settledAt.IsZero() {
+			shown.settledAt = e.w.now.Add(after)
+		}
 	}
 }
 
-// endShownAt returns when the lists of the present owner have shown it the end of a runner; zero
-// if they have not.
-func (w *world) endShownAt(id fleet.RunnerID) time.Time {
+// shownEnd returns what lists have shown the present owner of the end of a runner.
+func (w *world) shownEnd(id fleet.RunnerID) shownEnd {
 	e := w.owner()
-	if e == nil || e.shownEndsEpoch != w.store.newest().Epoch {
-		return time.Time{}
+	if e == nil || e.shownEndsEpoch != w.store.newest().Epoch || e.shownEnds[id] == nil {
+		return shownEnd{}
+	}
+	shown := *e.shownEnds[id]
+	if shown.at.After(w.now) {
+		shown.at = time.Time{}
 	}
-	shown, ok := e.shownEnds[id]
-	if !ok || shown.at.After(w.now) {
-		return time.Time{}
+	if shown.settledAt.After(w.now) {
+		shown.settledAt = time.Time{}
 	}
-	return shown.at
+	return shown
 }
 
 // instanceOf returns the instance under a runner.
@@ -156,7 +167,7 @@
 	}
 	must.NotNil(w.t, w.runnerUnder(task), must.Sprint("the task does not start"))
 	w.checkInvariants()
-	shown := w.endShownAt(ended.id)
+	shown := w.shownEnd(ended.id).at
 	if shown.IsZero() {
 		shown = began // it starts before the lists show the end, or they never do
 	}
--- a/reduce/jobs/world_test.go
+++ b/reduce/jobs/world_test.go
@@ -62,6 +62,8 @@
 	// cancelledAt is when the cancellation of a job was confirmed.
 	cancelledAt map[fleet.JobID]time.Time
 	violations  []string
+	// failedOnce holds the tasks of which a drawn history has failed a run.
+	failedOnce map[fleet.TaskID]bool
 	// doneOnce holds the tasks that have succeeded on some runner.
 	doneOnce map[fleet.TaskID]bool
 	// alwaysFails holds the jobs whose tasks fail in each run.
@@ -373,9 +375,10 @@
 	followedEpoch int64
 	// lists is the number of lists of instances that the entry has read.
 	lists int
-	// shownEnds is what those of its tenure of an epoch have shown of ended runners.
+	// shownEnds is what those of its tenure of an epoch, since a time, have shown of ended runners.
 	shownEnds      map[fleet.RunnerID]*shownEnd
 	shownEndsEpoch int64
+	shownEndsSince time.Time
 }
 
 func (e *fakeEntry) boot() {
