Read the next list soon after the first that shows an end

A list without an instance, or with another runner on it, proves something only with the next one, which came a second later for runners that had been silent for more than 3 s.

--- a/reduce/jobs/endedrunners.go
+++ b/reduce/jobs/endedrunners.go
@@ -174,12 +174,16 @@
 	}
 }
 
-// awaitsListing reports whether work waits for a runner that stopped answering lately and has
-// not ended according to any list.
+// awaitsListing reports whether work waits for a runner whose end the next list may show: it
+// stopped answering lately, or the last list was the first that shows the end.
 func (o *ownership) awaitsListing() bool {
 	return slices.ContainsFunc(o.sortedRunners, func(r *runner) bool {
 		silence := o.silence(r)
-		return silence > 0 && silence < silentListTime && len(r.runs)+len(r.lateStarts) > 0 && r.end.Kind == endings.None
+		if silence == 0 || len(r.runs)+len(r.lateStarts) == 0 || r.end.Kind != endings.None {
+			return false
+		}
+		i, listed := o.instances.byID[r.Instance]
+		return silence < silentListTime || (listed && (i.missing > 0 || (i.Runner != "" && i.Runner != r.ID)))
 	})
 }
 
