Soak: the list of instances, and instances that end for good

In each run of TestSoak one or two instances end for good and are missing from the list, and others join in their place; the instance of a crashed runner is down without a runner until it is back. The draws of the other faults stay as they were. A run with such an end has to have had a crash of a runner. Not checked yet: a bound for each task after such an end; all jobs have to end in time, as before.

--- a/soak/coverage_test.go
+++ b/soak/coverage_test.go
@@ -124,7 +124,7 @@
 		switch f.kind {
 		case killEntry, killAllEntries, stopEntry, rollEntries:
 			ending = 1 // those that overlap may end one process together
-		case crashRunner, replaceRunner:
+		case crashRunner, replaceRunner, endInstance:
 			crashing = 1
 		default:
 		}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"syscall"
 	"testing"
 	"time"
@@ -29,11 +30,13 @@
 	replaceRunner
 	reconfigure
 	faultKinds
+	// endInstance is drawn apart from the others.
+	endInstance
 )
 
 var faultNames = [...]string{
 	"kill entry", "kill all entries", "pause entry", "stop entry", "roll entries", "reload entry", "disturb store",
-	"disturb runner", "disturb clients", "store down", "store compacted", "crash runner", "replace runner", "reconfigure",
+	"disturb runner", "disturb clients", "store down", "store compacted", "crash runner", "replace runner", "reconfigure", "", "end instance",
 }
 
 // fault is a randomly drawn fault. Faults may overlap.
@@ -72,6 +75,20 @@
 	}
 }
 
+// drawEndings draws instances that end for good. Their draws leave those of other faults as
+// they are.
+func (tb *testbed) drawEndings(within time.Duration) []fault {
+	rng := rand.New(rand.NewSource(tb.seed))
+	var out []fault
+	for range 1 + rng.Intn(2) {
+		out = append(out, fault{
+			kind: endInstance, start: time.Duration(rng.Int63n(int64(within))), duration: time.Duration(1000+rng.Intn(5000)) * time.Millisecond,
+			target: rng.Intn(entryCount),
+		})
+	}
+	return out
+}
+
 // inject applies a fault and reverts it.
 func (tb *testbed) inject(t *testing.T, f fault) {
 	e, r := tb.entries[f.target], tb.runners[f.target]
@@ -121,6 +138,10 @@
 		for _, topic := range []storage.Topic{storage.TopicTenure, storage.TopicLedger, storage.TopicOperators, storage.TopicRunners} {
 			tb.store.Compact(topic)
 		}
+	case endInstance:
+		r.endForGood()
+		tb.sleep(f.duration)
+		r.join(t)
 	case crashRunner, replaceRunner:
 		r.crash()
 		tb.sleep(f.duration)
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -50,6 +50,7 @@
 listen.ready_addr=%[2]s:%[4]d
 port_range=%[5]d,%[5]d
 platform.addr=%[6]s
+cloud_api.addr=%[10]s
 limits.memory_mb=256
 limits.max_fds=%[9]d
 bounds.grace_s=6
@@ -60,7 +61,7 @@
 bounds.apply_ms=%[8]d
 `
 
-func newEntry(t *testing.T, binary, dir, name, ip, store string, maxDirectRunners int64) *entryProcess {
+func newEntry(t *testing.T, binary, dir, name, ip, store, instances string, maxDirectRunners int64) *entryProcess {
 	t.Helper()
 	log, err := os.Create(filepath.Join(dir, name+".log"))
 	must.NoError(t, err)
@@ -69,7 +70,7 @@
 		binary: binary, settings: filepath.Join(dir, name+".settings"), name: name, ip: ip, log: log, maxDirectRunners: maxDirectRunners,
 		storeProxy: newProxy(t, store), clientProxy: newProxy(t, fmt.Sprintf("%s:%d", ip, clientPort)),
 	}
-	text := fmt.Sprintf(settingsText, name, ip, clientPort, readyPort, peerPort, p.storeProxy.address(), revokeLimit.Milliseconds(), applyLimit.Milliseconds(), maxFDs)
+	text := fmt.Sprintf(settingsText, name, ip, clientPort, readyPort, peerPort, p.storeProxy.address(), revokeLimit.Milliseconds(), applyLimit.Milliseconds(), maxFDs, instances)
 	must.NoError(t, os.WriteFile(p.settings, []byte(text), 0o600))
 	must.NoError(t, p.start())
 	t.Cleanup(p.kill)
--- a/soak/runner_test.go
+++ b/soak/runner_test.go
@@ -40,9 +40,12 @@
 	name, address string
 	proxy         *proxy
 
-	mu          sync.Mutex
-	boots       int
-	id          fleet.RunnerID
+	mu    sync.Mutex
+	boots int
+	id    fleet.RunnerID
+	// instance is the instance under the runner, and gone is set once it has ended for good.
+	instance    fleet.InstanceID
+	gone        bool
 	incarnation fleet.Incarnation
 	process     *runnerProcess
 	// restarts is the number of incarnations under the id of the one before, cuts that of
@@ -52,7 +55,7 @@
 
 func (tb *testbed) addRunner(t *testing.T, name, address string) *runnerHost {
 	t.Helper()
-	h := &runnerHost{tb: tb, name: name, address: address, proxy: newProxy(t, address)}
+	h := &runnerHost{tb: tb, name: name, address: address, instance: fleet.InstanceID(name), proxy: newProxy(t, address)}
 	h.proxy.late = &lateCalls{runner: h, rng: rand.New(rand.NewSource(tb.seed + int64(len(tb.runners))))}
 	must.NoError(t, h.boot(true))
 	t.Cleanup(h.crash)
@@ -64,7 +67,7 @@
 func (h *runnerHost) boot(newID bool) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.process != nil {
+	if h.process != nil || h.gone {
 		return nil
 	}
 	h.boots++
@@ -96,6 +99,51 @@
 		e.Task, e.Attempt, e.At.Format("15:04:05.000000"), e.Started, e.Outcome, e.Acknowledged, e.LeaseExpired)
 }
 
+// endForGood kills the current incarnation and ends its instance: lists have it no longer.
+func (h *runnerHost) endForGood() {
+	h.crash()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.process == nil {
+		h.gone = true
+	}
+}
+
+// ended reports whether the instance has ended for good.
+func (h *runnerHost) ended() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.gone
+}
+
+// join boots a runner on another instance in place of one that has ended for good.
+func (h *runnerHost) join(t *testing.T) {
+	t.Helper()
+	h.mu.Lock()
+	if h.gone {
+		h.gone, h.instance = false, fleet.InstanceID(fmt.Sprintf("%s-after-%d", h.name, h.boots))
+	}
+	h.mu.Unlock()
+	h.tb.bootRunner(t, h, true)
+}
+
+// instances returns what the list of instances shows.
+func (tb *testbed) instances() []fleet.ManagedInstance {
+	var out []fleet.ManagedInstance
+	for _, h := range tb.runners {
+		h.mu.Lock()
+		i := fleet.ManagedInstance{ID: h.instance, Pool: service, State: fleet.InstanceDown}
+		if h.process != nil {
+			i.State, i.Runner = fleet.InstanceUp, h.id
+		}
+		if !h.gone {
+			out = append(out, i)
+		}
+		h.mu.Unlock()
+	}
+	return out
+}
+
 // up reports whether a process of the runner is up.
 func (h *runnerHost) up() bool {
 	h.mu.Lock()
@@ -148,7 +196,7 @@
 		id, up := h.id, h.process != nil
 		value, err := platformtest.EncodeRunner(&fleet.Runner{
 			ID: id, Incarnation: h.incarnation, Service: service, Address: h.proxy.address(), DataCentre: "z0", Capacity: runnerCapacity,
-			Instance: fleet.InstanceID(h.name),
+			Instance: h.instance,
 		})
 		h.mu.Unlock()
 		if up && err == nil && !h.proxy.hasMode(dropAll, keepBack) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -126,6 +126,7 @@
 		faults.Go(func() { tb.injectAllRestarts(t) })
 	} else {
 		drawn = append(tb.drawFaults(faultPeriod), tb.drawLongCut())
+		drawn = append(drawn, tb.drawEndings(faultPeriod)...)
 	}
 	for _, f := range drawn {
 		t.Log(f)
@@ -173,6 +174,10 @@
 	}
 	for _, r := range tb.runners {
 		r.proxy.setMode(forward)
-		tb.bootRunner(t, r, false)
+		if r.ended() {
+			r.join(t)
+		} else {
+			tb.bootRunner(t, r, false)
+		}
 	}
 }
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -86,10 +86,12 @@
 		address := fmt.Sprintf("%s:%d", ip(1+entryCount+i), runnerPort)
 		tb.runners = append(tb.runners, tb.addRunner(t, fmt.Sprintf("desk-%d", i), address))
 	}
+	instances := httptest.NewServer(platformtest.InstancesHandler(tb.instances))
+	t.Cleanup(func() { instances.CloseClientConnections(); instances.Close() })
 	// With every other seed the owner calls no runner itself.
 	maxDirectRunners := (seed % 2) * runnerCount * 2
 	for i := range entryCount {
-		tb.entries = append(tb.entries, newEntry(t, binary, dir, fmt.Sprintf("e%d", i), ip(i+1), strings.TrimPrefix(srv.URL, "http://"), maxDirectRunners))
+		tb.entries = append(tb.entries, newEntry(t, binary, dir, fmt.Sprintf("e%d", i), ip(i+1), strings.TrimPrefix(srv.URL, "http://"), strings.TrimPrefix(instances.URL, "http://"), maxDirectRunners))
 	}
 	return tb
 }
