Silent runners for which tasks wait are ended by an order

Cause: a task whose start had no answer may start nowhere else for 22.6 s if its runner falls silent, unless a list shows the runner's end. A runner that is cut off stays listed as up, so no evidence comes.

Change: after 8 s of silence, once all runs there are given up, the instance of such a runner is moved to the spare pool or another one. On 200 whatever ran there has ended and its id is gone. Not given where more tasks of a lasting step are away than may be.

--- a/reduce/jobs/instanceorders.go
+++ b/reduce/jobs/instanceorders.go
@@ -21,7 +21,7 @@
 	return in.allFormerlyOrdered || in.formerlyOrdered[id]
 }
 
-// orderInstance gives an order about an instance on which nothing runs. The order
+// orderInstance gives an order about an instance on which nothing is known to run. The order
 // is sent once the ledger has the instance in its list of recently ordered ones. It
 // returns false if the rate limit forbids the order.
 func (o *ownership) orderInstance(i *instance, kind effect.InstanceOrderKind, pool fleet.PoolName, wave int64) bool {
@@ -30,13 +30,12 @@
 		return false
 	}
 	in.tokens--
-	i.stoppedIncarnation = 0
-	if r := o.runnerOf(i); r != nil {
+	i.stoppedIncarnation, i.unanswered = 0, false
+	if r := o.orderedRunner(i); r != nil {
 		r.vacating = true
 		o.touch(r)
 		i.stoppedIncarnation, i.Runner = r.Incarnation, r.ID
 	}
-	i.unanswered = false
 	i.pending = &effect.OrderInstance{Epoch: o.epoch, Kind: kind, Instance: i.ID, Pool: pool, Wave: wave}
 	o.markChanged(orderedChange)
 	o.whenStored(deferred{instanceOrder: i})
@@ -74,7 +73,7 @@
 	if i.pending == nil {
 		return
 	}
-	if !o.mayOrderInstances() || !o.confirmedIdle(i) {
+	if !o.mayOrderInstances() || !o.mayBeOrderedStill(i) {
 		o.withdrawOrder(i)
 		return
 	}
@@ -83,9 +82,9 @@
 
 // withdrawOrder drops an order that was not sent.
 func (o *ownership) withdrawOrder(i *instance) {
-	order := i.pending
-	i.pending = nil
-	if r := o.runnerOf(i); r != nil {
+	order, r := i.pending, o.orderedRunner(i)
+	i.pending, i.ending = nil, nil
+	if r != nil {
 		r.vacating = false
 	}
 	if w := o.wave(order.Wave); order.Kind == effect.InstanceMaintain && w != nil {
@@ -102,9 +101,12 @@
 }
 
 // retryInstanceOrders retries the pending orders that are due, within the rate
-// limit.
+// limit. One that was refused, and is to end a runner that answers by now, is withdrawn.
 func (o *ownership) retryInstanceOrders() {
 	for _, i := range o.instances.sorted {
+		if i.pending != nil && !i.retryAt.IsZero() && i.ending != nil && !i.unanswered && !o.mayBeOrderedStill(i) {
+			o.withdrawOrder(i)
+		}
 		if i.pending != nil && !i.retryAt.IsZero() && !o.now().Before(i.retryAt) && o.instances.tokens >= 1 {
 			o.instances.tokens--
 			o.sendInstanceOrder(i)
@@ -148,7 +150,7 @@
 // moved or maintained, and its runner has ended with all tasks on it.
 func (o *ownership) onInstanceOrderDone(i *instance) {
 	order := i.pending
-	i.pending, i.changedAt = nil, o.now()
+	i.pending, i.ending, i.changedAt = nil, nil, o.now()
 	if r, ok := o.runners[i.Runner]; ok && r.Incarnation == i.stoppedIncarnation {
 		o.onRunnerGone(r, reasonInstanceOrdered)
 		r.listed, r.unlistedAt, r.Address = false, o.now(), ""
@@ -167,10 +169,10 @@
 
 // onInstanceRefused handles an order that the platform rejected.
 func (o *ownership) onInstanceRefused(i *instance, outcome effect.InstanceOutcome) {
-	order := i.pending
-	i.pending = nil
+	order, r := i.pending, o.orderedRunner(i)
+	i.pending, i.ending = nil, nil
 	i.blockedUntil = o.now().Add(instanceRefusedDelay)
-	if r := o.runnerOf(i); r != nil {
+	if r != nil {
 		r.vacating = false
 	}
 	if !i.unanswered {
--- a/reduce/jobs/instances.go
+++ b/reduce/jobs/instances.go
@@ -81,6 +81,9 @@
 	// refusedAt is when the platform last refused an order of which no try may still be carried
 	// out.
 	refusedAt time.Time
+	// ending is the runner that the pending order is to end, since it does not answer; nil if the
+	// order is given for another reason.
+	ending *runner
 	// orderedAt is when an order about the instance was last sent.
 	orderedAt time.Time
 	// retryAt is when the pending order is retried; zero while its answer is
@@ -131,6 +134,7 @@
 	o.refillTokens()
 	o.retryInstanceOrders()
 	o.tickIdle()
+	o.endHoldingRunners()
 	if o.formerLeaseExpired() {
 		o.tickWaves()
 	}
--- a/reduce/jobs/instances_test.go
+++ b/reduce/jobs/instances_test.go
@@ -188,10 +188,27 @@
 	for id := range i.runner.runs {
 		if w.longRunning(id) {
 			w.violation("an order about its instance ends %v, which is at work", id)
+			w.checkUnavailable(id)
 		}
 	}
 }
 
+// checkUnavailable checks the end of a long-running task by an order about its instance against the
+// MaxUnavailable of its step.
+func (w *world) checkUnavailable(id fleet.TaskID) {
+	step := &w.submitted[id.Job].Steps[id.Step]
+	unavailable := 0
+	for n := range step.Count {
+		other := fleet.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, Index: n}
+		if n != id.Index && !w.isRunning(other) {
+			unavailable++
+		}
+	}
+	if unavailable >= step.MaxUnavailable {
+		w.violation("an order about its instance ends %v while %d other tasks of its step are unavailable", id, unavailable)
+	}
+}
+
 func TestWaveMaintainsEachInstanceWithinItsCap(t *testing.T) {
 	w := newWorld(t, 21, 3, 6)
 	w.waves = []fleet.MaintenanceWave{{
--- a/reduce/jobs/poll.go
+++ b/reduce/jobs/poll.go
@@ -48,6 +48,8 @@
 	// that began.
 	unreachable bool
 	silentSince time.Time
+	// unansweredSince is when the first of the polls was sent that have had no answer since.
+	unansweredSince time.Time
 	// acknowledged is the acknowledgement in the poll in flight, and incarnation the one that
 	// it is meant for.
 	acknowledged int64
@@ -251,7 +253,7 @@
 	}
 	r.poll.notBefore = o.now().Add(pollRetryDelay)
 	if !r.poll.unreachable {
-		r.poll.unreachable, r.poll.silentSince = true, o.now()
+		r.poll.unreachable, r.poll.silentSince, r.poll.unansweredSince = true, o.now(), r.poll.sentAt
 		o.noteSilence(r)
 		o.listInstancesSoon(r)
 		o.watchSilent(r)
