--- a/reduce/crashes/crashes.go
+++ b/reduce/crashes/crashes.go
@@ -130,7 +130,7 @@
 }
 
 // LostForGood records that a run was lost with the instance of its runner. It reports whether
-// the task is to be given up: platforms remove instances too, but hardly several in a row as a
+// the task is to be given up: platforms remove instances too, but seldom several in a row as a
 // task begins there.
 func (r *Record) LostForGood(proven time.Duration) bool {
 	if Settled(proven) {
--- a/reduce/endings/order.go
+++ b/reduce/endings/order.go
@@ -17,7 +17,7 @@
 	minSavedWait = 2 * time.Second
 )
 
-// Silent is what the owner knows of a runner that does not answer, for the choice of those that
+// Silent is the owner's view of a runner that does not answer, for the choice of those that
 // an order about their instances is to end.
 type Silent struct {
 	Runner fleet.RunnerID
--- a/reduce/gates/gates.go
+++ b/reduce/gates/gates.go
@@ -1,4 +1,4 @@
-// Package gates tells at which gate a ready task waits, keeps how long it has waited there, and
+// Package gates determines at which gate a ready task waits, keeps how long it has waited there, and
 // bounds the log lines about such waits. It takes part in no decision.
 package gates
 
--- a/reduce/gates/lines.go
+++ b/reduce/gates/lines.go
@@ -15,8 +15,8 @@
 	begunAt time.Time
 	logged  int
 	leftOut int
-	// toldAt is when it was last told how many were left out.
-	toldAt time.Time
+	// reportedAt is when the number of those left out was last reported.
+	reportedAt time.Time
 }
 
 // Allow reports whether one more line may be logged now, and counts it.
@@ -45,10 +45,10 @@
 
 // TellLeftOut returns how many lines were left out since it last did, at most once in an interval.
 func (l *Lines) TellLeftOut(now time.Time) int {
-	if l.leftOut == 0 || now.Sub(l.toldAt) < linesInterval {
+	if l.leftOut == 0 || now.Sub(l.reportedAt) < linesInterval {
 		return 0
 	}
 	n := l.leftOut
-	l.leftOut, l.toldAt = 0, now
+	l.leftOut, l.reportedAt = 0, now
 	return n
 }
--- a/reduce/jobs/gates.go
+++ b/reduce/jobs/gates.go
@@ -39,7 +39,7 @@
 	lineInstanceChanged = "instance changed"
 )
 
-// gateWatch is what the owner knows of the gates at which ready tasks wait, for logs and metrics
+// gateWatch is the owner's state of the gates at which ready tasks wait, for logs and metrics
 // only.
 type gateWatch struct {
 	examinedAt, gaugesAt time.Time
@@ -200,7 +200,7 @@
 	return o.awaitsResolution(&c)
 }
 
-// endOfWait tells how the wait of a task has ended.
+// endOfWait returns how the wait of a task has ended.
 func endOfWait(t *task) string {
 	switch {
 	case t.job().state.Final():
@@ -261,7 +261,7 @@
 	o.s.logDecision(d)
 }
 
-// describeLateStart tells of the late start of a task that keeps it for longest.
+// describeLateStart describes the late start of a task that keeps it for longest.
 func (o *ownership) describeLateStart(t *task, d *effect.Decision) {
 	if len(t.lateStarts) == 0 {
 		return
@@ -283,7 +283,7 @@
 	d.Outcome += o.describeRunner(last.runner)
 }
 
-// describeUnresolved tells of the newest unresolved run of a task.
+// describeUnresolved describes the newest unresolved run of a task.
 func (o *ownership) describeUnresolved(t *task, d *effect.Decision) {
 	if len(t.unresolved) == 0 {
 		return
@@ -297,7 +297,7 @@
 	}
 }
 
-// describeGang tells of the first member that keeps the gang of a task.
+// describeGang describes the first member that keeps the gang of a task.
 func (o *ownership) describeGang(t *task, d *effect.Decision) {
 	member := o.gangMember(t.step)
 	if member == nil {
@@ -310,7 +310,7 @@
 	}
 }
 
-// describeTrial tells why no runner is found for an isolated run.
+// describeTrial describes why no runner is found for an isolated run.
 func (o *ownership) describeTrial(t *task, d *effect.Decision) {
 	p := o.pool(t.job().service)
 	usable := o.usableRunners(p)
@@ -331,7 +331,7 @@
 	return strconv.Itoa(usable) + " of " + strconv.Itoa(len(p.runners)) + " runners usable"
 }
 
-// describeRunner tells what is known of a runner: whether it answers, is listed, and what
+// describeRunner describes the state of a runner: whether it answers, is listed, and what
 // became of its instance.
 func (o *ownership) describeRunner(r *runner) string {
 	parts := []string{"answers"}
--- a/reduce/tenure/tenure.go
+++ b/reduce/tenure/tenure.go
@@ -61,11 +61,11 @@
 	Released bool
 	// FormerActive is how long after the sending of the record the owners of earlier
 	// epochs may still grant leases. It hands the bound on to entries that have not read
-	// the records of those owners. It is nil in records of versions that do not tell.
+	// the records of those owners. It is nil in records of versions without the field.
 	FormerActive *time.Duration
-	// Epochs tells how long before the sending of the record the last epochs had begun. It hands
+	// Epochs lists how long before the sending of the record the last epochs had begun. It hands
 	// their sightings on to entries that have not read the records of those epochs. It is nil
-	// if none began lately, and in records of versions that do not tell.
+	// if none began lately, and in records of versions without the field.
 	Epochs *[]EpochAge `json:",omitempty"`
 }
 
@@ -125,11 +125,11 @@
 const maxSightings = 64
 
 const (
-	// maxToldEpochs is the number of epochs of which a record tells the age.
-	maxToldEpochs = 8
-	// maxToldAge is the age of an epoch above which records do not tell it. What an owner has
+	// maxListedEpochs is the number of epochs whose ages a record lists.
+	maxListedEpochs = 8
+	// maxListedAge is the age of an epoch above which records do not list it. What an owner has
 	// ordered is over by then.
-	maxToldAge = 45 * time.Second
+	maxListedAge = 45 * time.Second
 )
 
 // New returns the state of an entry that has read nothing. Its claims of a free
@@ -227,16 +227,16 @@
 	s.confirm(r)
 }
 
-// noteSightings notes the sighting of a record's epoch, and those that it tells of. They were
+// noteSightings notes the sighting of a record's epoch, and those of the epochs that it lists. They were
 // earlier than its age before its sending, and so before its reading.
 func (s *State) noteSightings(r Record) {
 	if n := len(s.sightings); n > 0 && s.sightings[n-1].epoch >= r.Epoch {
 		return
 	}
 	if r.Epochs != nil {
-		for _, told := range *r.Epochs {
-			if told.Epoch <= r.Epoch {
-				s.noteSighting(sighting{epoch: told.Epoch, at: s.readAt.Add(-max(0, told.Age))})
+		for _, listed := range *r.Epochs {
+			if listed.Epoch <= r.Epoch {
+				s.noteSighting(sighting{epoch: listed.Epoch, at: s.readAt.Add(-max(0, listed.Age))})
 			}
 		}
 	}
@@ -259,14 +259,14 @@
 func (s *State) epochAges(now time.Time, upTo int64) *[]EpochAge {
 	var out []EpochAge
 	for _, seen := range s.sightings {
-		if age := now.Sub(seen.at); seen.epoch > 0 && seen.epoch <= upTo && age <= maxToldAge {
+		if age := now.Sub(seen.at); seen.epoch > 0 && seen.epoch <= upTo && age <= maxListedAge {
 			out = append(out, EpochAge{Epoch: seen.epoch, Age: max(0, age)})
 		}
 	}
 	if len(out) == 0 {
 		return nil
 	}
-	out = out[max(0, len(out)-maxToldEpochs):]
+	out = out[max(0, len(out)-maxListedEpochs):]
 	return &out
 }
 
