Only runners of a rack that go down together share a cause

Cause: three instances or more that were first listed as down by one list blamed no settled task, wherever they were. On a large site several tasks that end their runners do so between two lists.

Change: they have to be of one rack. The log's outcome is "with its rack", as before.

--- a/reduce/jobs/crashes.go
+++ b/reduce/jobs/crashes.go
@@ -83,18 +83,15 @@
 	if len(runs) == 0 {
 		return
 	}
-	planned, rackLost := o.leftAsPlanned(r), o.lostWithRack(r)
-	together := rackLost || (evidence == reasonInstanceDown && o.downTogether(r))
+	planned := o.leftAsPlanned(r)
+	rackLost := o.lostWithRack(r) || (evidence == reasonInstanceDown && o.downWithRack(r))
 	d := effect.Decision{Name: "runner left", Runner: r.ID, Reason: evidence, Count: len(runs), Epoch: o.epoch}
 	if !planned {
 		d.Name, d.Warning = "runner crashed", true
 		o.s.count("runners_crashed", evidence)
 	}
-	switch {
-	case rackLost:
+	if rackLost {
 		d.Outcome = "with its rack"
-	case together:
-		d.Outcome = "with others"
 	}
 	if r.poll.unreachable {
 		d.Age = o.now().Sub(r.poll.silentSince)
@@ -104,7 +101,7 @@
 	for _, run := range runs {
 		t, end := run.task, run.ended
 		run.ended, run.crashCounted = nil, true
-		if planned || (together && o.unlikelyCause(run, end)) {
+		if planned || (rackLost && o.unlikelyCause(run, end)) {
 			continue
 		}
 		end.SameRunner = t.crashedOn == r.lastingID()
--- a/reduce/jobs/endedcrashes_test.go
+++ b/reduce/jobs/endedcrashes_test.go
@@ -49,8 +49,8 @@
 	return &out
 }
 
-// TestTasksOfRunnersThatEndTogetherAreNotTried: settled tasks queued for isolated trials after four runners had ended at once.
-func TestTasksOfRunnersThatEndTogetherAreNotTried(t *testing.T) {
+// TestTasksOfALostRackAreNotTried: settled tasks queued for isolated trials after four runners of a rack had ended at once.
+func TestTasksOfALostRackAreNotTried(t *testing.T) {
 	for _, silent := range []bool{false, true} {
 		for seed := range int64(3) {
 			t.Run(fmt.Sprint("silent=", silent, " seed=", seed), func(t *testing.T) {
@@ -63,14 +63,19 @@
 				}
 				w.run(5 * time.Second)
 				must.Eq(t, jobs, w.runningTasks())
+				lost := w.busiest(4)
+				for _, r := range lost {
+					r.rack = "r1-0"
+				}
+				w.run(time.Second) // their reports name the rack
 				crashed := w.noteDecisions("runner crashed")
-				for _, r := range w.busiest(4) {
+				for _, r := range lost {
 					w.instanceOf(r).crashFor(w, 15*time.Second, silent)
 				}
 				noticed := time.Second + orderTimeout + 300*time.Millisecond // a long poll, its time-out, a rack's loss
 				must.Less(t, longestStand+noticed, w.untilRunning(jobs, 20*time.Second))
 				for _, d := range *crashed {
-					must.Eq(t, "with others", d.Outcome, must.Sprintf("%+v", d))
+					must.Eq(t, "with its rack", d.Outcome, must.Sprintf("%+v", d))
 				}
 				w.checkInvariants()
 			})
--- a/reduce/jobs/endedrunners.go
+++ b/reduce/jobs/endedrunners.go
@@ -130,16 +130,18 @@
 	return out
 }
 
-// downTogether reports whether the instance of a runner was first listed as down together with
-// those of several others, so that a common cause is more likely than a task.
-func (o *ownership) downTogether(r *runner) bool {
+// downWithRack reports whether the instance of a runner was first listed as down together with
+// others of its rack, which may have lost power: their runners need not stop answering within
+// rackLossWindow, as polls without a broken connection end at their own times.
+func (o *ownership) downWithRack(r *runner) bool {
 	i, ok := o.instances.byID[r.Instance]
-	if !ok || i.State != fleet.InstanceDown {
+	if !ok || i.State != fleet.InstanceDown || r.Rack == "" {
 		return false
 	}
+	inRack := func(other *runner) bool { return other.Rack == r.Rack }
 	n := 0
 	for _, other := range o.instances.sorted {
-		if other.State == fleet.InstanceDown && other.stateSince.Equal(i.stateSince) && len(o.byInstance[other.ID]) > 0 {
+		if other.State == fleet.InstanceDown && other.stateSince.Equal(i.stateSince) && slices.ContainsFunc(o.byInstance[other.ID], inRack) {
 			n++
 		}
 	}
--- a/reduce/jobs/rackloss.go
+++ b/reduce/jobs/rackloss.go
@@ -50,9 +50,9 @@
 	return len(together) >= minRackLoss
 }
 
-// unlikelyCause reports whether a run is unlikely to have ended its runner, which ended together
-// with others: it had lasted for some time, or is a run of a former owner without a sign that it
-// had just begun. One that had just begun may be the cause all the same.
+// unlikelyCause reports whether a run is unlikely to have ended its runner, which was lost with
+// its rack: it had lasted for some time, or is a run of a former owner without a sign that it had
+// just begun. One that had just begun may be the cause all the same.
 func (o *ownership) unlikelyCause(run *run, end *crashes.Run) bool {
 	adopted := run.startEpoch != o.epoch && !end.Began
 	return crashes.Settled(end.Proven) || adopted
