A runner that has answered since a move was not ended by it

Cause: a runner whose instance was ordered in the last 3 s counted as having left as planned. With the evidence of lists a crash shows within half a second, also that of a runner that has just joined by the order: the crash counted for no task.

Change: once the order is confirmed, a runner that has answered since then has joined after it.

TestCrashSoonAfterAMoveIsNotTakenForPlanned fails before ("runner left").

--- a/reduce/jobs/crashes.go
+++ b/reduce/jobs/crashes.go
@@ -131,7 +131,9 @@
 	if !ok {
 		return false
 	}
-	ordered := i.pending != nil || (!i.orderedAt.IsZero() && o.now().Sub(i.orderedAt) <= o.s.cfg.Bounds.InstanceLease)
+	// A runner that has answered since the order was carried out has joined after it.
+	joinedAfter := i.pending == nil && !i.changedAt.Before(i.orderedAt) && r.aliveAt.After(i.changedAt)
+	ordered := i.pending != nil || (!i.orderedAt.IsZero() && !joinedAfter && o.now().Sub(i.orderedAt) <= o.s.cfg.Bounds.InstanceLease)
 	return ordered || (!o.formerLeaseExpired() && o.instances.mayBeOrdered(i.ID))
 }
 
--- a/reduce/jobs/endedcrashes_test.go
+++ b/reduce/jobs/endedcrashes_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -172,3 +173,27 @@
 	}
 	must.Eq(t, 1, blamed)
 }
+
+// TestCrashSoonAfterAMoveIsNotTakenForPlanned: a crash of a runner that had just joined was taken for the end by the move before.
+func TestCrashSoonAfterAMoveIsNotTakenForPlanned(t *testing.T) {
+	w := newWorld(t, 931, 3, 2)
+	w.withInstances(2)
+	w.run(2 * time.Second)
+	for n := range 40 {
+		w.submit(jobID(n), singleTask(time.Minute, 5000))
+	}
+	var joined *fakeRunner
+	for began := w.now; joined == nil && w.now.Sub(began) < 20*time.Second; w.run(10 * time.Millisecond) {
+		for _, i := range w.instances {
+			if i.pool == "desk" && strings.HasPrefix(string(i.id), "s-") && i.runner != nil && len(i.runner.runs) > 0 {
+				joined = i.runner
+			}
+		}
+	}
+	must.NotNil(t, joined, must.Sprint("no instance has joined and taken tasks"))
+	ended := w.noteDecisions("runner crashed", "runner left")
+	w.instanceOf(joined).crashFor(w, time.Minute, false)
+	w.run(3 * time.Second)
+	must.SliceLen(t, 1, *ended)
+	must.Eq(t, "runner crashed", (*ended)[0].Name)
+}
